Split the gateway's choice of endpoint into ranking and admission

Cause: routing, limits and idempotency keys grow side by side and need seams. Change: balance ranks endpoints, limit hands out slots, the gateway holds a slot until the answer is through; glade-dev takes an instance number so that several deployments run on one machine.

--- a/cmd/glade-dev/main.go
+++ b/cmd/glade-dev/main.go
@@ -22,6 +22,7 @@
 	Gateways    int              `help:"Gateways to run." default:"3"`
 	Controllers int              `help:"Controllers to run." default:"2"`
 	Callers     int              `help:"Callers that call at once." default:"24"`
+	Instance    int              `help:"Picks the loopback addresses, 0 to 49, so that several run side by side." default:"0"`
 	LogLevel    string           `help:"Least severe level that is logged." enum:"debug,info,warn,error" default:"warn"`
 	Version     kong.VersionFlag `help:"Print the version and exit."`
 }
@@ -34,11 +35,15 @@
 }
 
 func run(f flags) int {
+	if f.Instance < 0 || f.Instance > devrun.MaxInstance {
+		fmt.Fprintf(os.Stderr, "glade-dev: --instance: got %d, want 0 to %d\n", f.Instance, devrun.MaxInstance)
+		return 2
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	deployment, err := devrun.Start(ctx, devrun.Options{
 		Deployment: f.Deployment, Gateways: f.Gateways, Controllers: f.Controllers,
-		Callers: f.Callers, LogLevel: f.LogLevel, Logs: os.Stderr,
+		Callers: f.Callers, Instance: f.Instance, LogLevel: f.LogLevel, Logs: os.Stderr,
 	})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "glade-dev:", err)
--- a/internal/devrun/devrun.go
+++ b/internal/devrun/devrun.go
@@ -26,6 +26,9 @@
 	Controllers int
 	// Callers call at once.
 	Callers int
+	// Instance, 0 to MaxInstance, picks the loopback addresses, so that several
+	// deployments run side by side.
+	Instance int
 	// LogLevel is that of the daemons' logs.
 	LogLevel string
 	Logs     io.Writer
@@ -45,16 +48,25 @@
 	pollInterval  = 50 * time.Millisecond
 )
 
-// Ports of the loopback addresses; gateway n is at 127.20.0.n and controller n
-// at 127.30.0.n.
+// MaxInstance is the highest instance number.
+const MaxInstance = 49
+
+// Blocks of loopback addresses, by the second number: instance i has its hosts
+// in 127.(hostBlock+i), its nth gateway at 127.(gatewayBlock+i).0.n, and so on.
+const (
+	hostBlock       = 10
+	gatewayBlock    = 60
+	controllerBlock = 110
+	platformBlock   = 160
+)
+
+// Ports of the loopback addresses.
 const (
-	platformAddress = "127.0.0.1:7400"
-	gatewayBlock    = 20
-	controllerBlock = 30
-	callerPort      = 7100
-	peerPort        = 7200
-	operatorPort    = 7300
-	adminPort       = 7500
+	platformPort = 7400
+	callerPort   = 7100
+	peerPort     = 7200
+	operatorPort = 7300
+	adminPort    = 7500
 )
 
 // SetupError says which part of a run could not be set up.
@@ -98,10 +110,10 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	run := &Run{Options: options, records: records, stop: cancel}
-	run.Platform = standin.NewPlatform(standin.Shapes[options.Deployment], servicePorts(records), standin.Options{
+	run.Platform = standin.NewPlatform(run.shape(), servicePorts(records), standin.Options{
 		ListLag: listLag, RebootTime: rebootTime, WorkTime: workTime,
 	})
-	if err := run.Platform.Start(platformAddress); err != nil {
+	if err := run.Platform.Start(run.loopback(platformBlock, 0, platformPort).String()); err != nil {
 		return nil, &SetupError{Part: "platform", Cause: err}
 	}
 	if err := run.startDaemons(ctx); err != nil {
@@ -114,8 +126,15 @@
 	return run, run.awaitReady(ctx)
 }
 
+// shape is the deployment's shape at this instance's addresses.
+func (r *Run) shape() standin.Shape {
+	shape := standin.Shapes[r.Options.Deployment]
+	shape.AddressBlock = hostBlock + r.Options.Instance
+	return shape
+}
+
 func (r *Run) startDaemons(ctx context.Context) error {
-	zones := standin.Shapes[r.Options.Deployment].Zones
+	zones := r.shape().Zones
 	for i := range r.Options.Controllers {
 		settings := r.controllerSettings(i, zones[i%len(zones)])
 		controller, err := daemon.NewController(ctx, settings, r.Options.Logs)
@@ -154,9 +173,9 @@
 	s.Process = daemon.ProcessSettings{ID: fmt.Sprintf("gateway-%d", index+1), Zone: zone}
 	s.Platform.URL = r.Platform.URL()
 	s.Listen = daemon.GatewayListen{
-		Callers: loopback(gatewayBlock, index, callerPort),
-		Peers:   loopback(gatewayBlock, index, peerPort),
-		Admin:   loopback(gatewayBlock, index, adminPort),
+		Callers: r.loopback(gatewayBlock, index, callerPort),
+		Peers:   r.loopback(gatewayBlock, index, peerPort),
+		Admin:   r.loopback(gatewayBlock, index, adminPort),
 	}
 	s.Peers.Addresses = r.peerAddresses()
 	s.Stop = daemon.StopSettings{Notice: stopNotice, Grace: stopGrace}
@@ -169,9 +188,9 @@
 	s.Process = daemon.ProcessSettings{ID: fmt.Sprintf("controller-%d", index+1), Zone: zone}
 	s.Platform.URL = r.Platform.URL()
 	s.Listen = daemon.ControllerListen{
-		Operators: loopback(controllerBlock, index, operatorPort),
-		Peers:     loopback(controllerBlock, index, peerPort),
-		Admin:     loopback(controllerBlock, index, adminPort),
+		Operators: r.loopback(controllerBlock, index, operatorPort),
+		Peers:     r.loopback(controllerBlock, index, peerPort),
+		Admin:     r.loopback(controllerBlock, index, adminPort),
 	}
 	s.Peers.Addresses = r.peerAddresses()
 	s.Decide = daemon.DecideSettings{Interval: roundInterval, HoldTTL: holdTTL}
@@ -183,22 +202,22 @@
 func (r *Run) peerAddresses() []netip.AddrPort {
 	var addresses []netip.AddrPort
 	for i := range r.Options.Controllers {
-		addresses = append(addresses, loopback(controllerBlock, i, peerPort))
+		addresses = append(addresses, r.loopback(controllerBlock, i, peerPort))
 	}
 	for i := range r.Options.Gateways {
-		addresses = append(addresses, loopback(gatewayBlock, i, peerPort))
+		addresses = append(addresses, r.loopback(gatewayBlock, i, peerPort))
 	}
 	return addresses
 }
 
 // OperatorAddress is where gladectl reaches the first controller.
-func (r *Run) OperatorAddress() string { return loopback(controllerBlock, 0, operatorPort).String() }
+func (r *Run) OperatorAddress() string { return r.loopback(controllerBlock, 0, operatorPort).String() }
 
 // CallerAddress is where callers reach the first gateway.
-func (r *Run) CallerAddress() string { return loopback(gatewayBlock, 0, callerPort).String() }
+func (r *Run) CallerAddress() string { return r.loopback(gatewayBlock, 0, callerPort).String() }
 
-func loopback(block, index, port int) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(block), 0, byte(index + 1)}), uint16(port))
+func (r *Run) loopback(block, index, port int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(block + r.Options.Instance), 0, byte(index + 1)}), uint16(port))
 }
 
 func (r *Run) applyAll(ctx context.Context, records []record.Envelope) error {
@@ -229,7 +248,7 @@
 	deadline := time.Now().Add(readyTimeout)
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		summary, err := r.Client.Fleet(ctx)
-		if err == nil && r.Balancer.Ready() == r.Options.Gateways && assigned(summary) == standin.Shapes[r.Options.Deployment].Hosts {
+		if err == nil && r.Balancer.Ready() == r.Options.Gateways && assigned(summary) == r.shape().Hosts {
 			return nil
 		}
 		pause.For(ctx, pollInterval)
--- a/internal/devrun/story.go
+++ b/internal/devrun/story.go
@@ -116,7 +116,7 @@
 // hostGroups returns the pool of each host as the story begins.
 func (r *Run) hostGroups(ctx context.Context) (map[string]string, error) {
 	groups := make(map[string]string)
-	for _, host := range standin.Shapes[r.Options.Deployment].Build() {
+	for _, host := range r.shape().Build() {
 		pool, err := r.poolOf(ctx, host.Name)
 		if err != nil {
 			return nil, err
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -16,6 +16,7 @@
 	"auburnglade.example/glade/internal/attempt"
 	"auburnglade.example/glade/internal/endpoint"
 	"auburnglade.example/glade/internal/invariant"
+	"auburnglade.example/glade/internal/limit"
 	"auburnglade.example/glade/internal/outcome"
 )
 
@@ -48,22 +49,22 @@
 	tried := make(map[string]bool)
 	sent := false
 	for attempts := 0; attempts < maxAttempts; attempts++ {
-		picked, release := g.pick(service, tried)
-		if release == nil {
-			g.fail(w, service.Name, sent, outcome.NoEndpoint)
+		slot, err := g.acquire(r, service, tried)
+		if err != nil {
+			g.fail(w, service.Name, sent, refusalReason(err))
 			return
 		}
+		picked := slot.Endpoint
 		tried[picked.Host] = true
 		g.Invariant.Hold(invariant.SingleAttempt, idempotent || !sent, func() string {
 			return "second attempt of a non-idempotent request " + r.Header.Get(outcome.RequestIDHeader)
 		})
 		response, failure := g.attempt(r, picked)
 		if failure == nil {
-			g.answer(w, r, service.Name, response)
-			release()
+			g.answerAndRelease(w, service.Name, response, slot)
 			return
 		}
-		release()
+		g.release(slot, failure.Reason)
 		sent = sent || failure.Sent
 		g.metrics.failedAttempts.WithLabelValues(service.Name, string(failure.Reason)).Inc()
 		if r.Context().Err() != nil || (failure.Sent && !idempotent) || !replayable {
@@ -99,9 +100,18 @@
 	return response, nil
 }
 
+// answerAndRelease holds the slot until the answer is through, also when the
+// copy breaks off and panics.
+func (g *Gateway) answerAndRelease(w http.ResponseWriter, service string, response *http.Response, slot *limit.Slot) {
+	reason := outcome.EndpointLost
+	defer func() { g.release(slot, reason) }()
+	g.answer(w, service, response)
+	reason = ""
+}
+
 // answer copies the endpoint's answer. A copy that breaks off aborts the
 // caller's connection, so that a truncated answer never looks whole.
-func (g *Gateway) answer(w http.ResponseWriter, r *http.Request, service string, response *http.Response) {
+func (g *Gateway) answer(w http.ResponseWriter, service string, response *http.Response) {
 	defer response.Body.Close()
 	removeHopByHop(response.Header)
 	header := w.Header()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,7 +6,6 @@
 	"context"
 	"net/http"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,10 +16,12 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"auburnglade.example/glade/internal/attempt"
+	"auburnglade.example/glade/internal/balance"
 	"auburnglade.example/glade/internal/endpoint"
 	"auburnglade.example/glade/internal/feed"
 	"auburnglade.example/glade/internal/fleet"
 	"auburnglade.example/glade/internal/invariant"
+	"auburnglade.example/glade/internal/limit"
 	"auburnglade.example/glade/internal/outcome"
 	"auburnglade.example/glade/internal/pause"
 )
@@ -54,9 +55,8 @@
 	metrics   *metrics
 	table     atomic.Pointer[table]
 
-	mu   sync.Mutex
-	load map[string]int
-	next uint64
+	balancer *balance.Balancer
+	limiter  *limit.Limiter
 
 	stopping atomic.Bool
 	inFlight atomic.Int64
@@ -86,7 +86,8 @@
 		transport: attempt.NewTransport(nil, maxIdlePerEndpoint),
 		tracer:    config.Tracer.Tracer("auburnglade/gateway"),
 		metrics:   newMetrics(config.Registry),
-		load:      make(map[string]int),
+		balancer:  balance.New(config.Zone),
+		limiter:   limit.New(),
 	}
 }
 
@@ -172,7 +173,7 @@
 	if r.Header.Get(outcome.RequestIDHeader) == "" {
 		r.Header.Set(outcome.RequestIDHeader, uuid.NewString())
 	}
-	g.forward(w, r.WithContext(ctx), service)
+	g.serveOnce(w, r.WithContext(ctx), service)
 }
 
 // Stopping reports whether a planned stop has begun.
--- /dev/null
+++ b/internal/gateway/slots.go
@@ -0,0 +1,48 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"auburnglade.example/glade/internal/endpoint"
+	"auburnglade.example/glade/internal/limit"
+	"auburnglade.example/glade/internal/outcome"
+)
+
+// acquire takes a slot on the best endpoint not tried yet.
+func (g *Gateway) acquire(r *http.Request, service endpoint.Service, tried map[string]bool) (*limit.Slot, error) {
+	slot, err := g.limiter.Acquire(r.Context(), limit.Request{
+		Service: service.Name,
+		Caller:  callerOf(r),
+		Rank:    func() []endpoint.Endpoint { return g.balancer.Rank(service, tried) },
+	})
+	if err == nil {
+		g.balancer.Begin(slot.Endpoint)
+	}
+	return slot, err
+}
+
+// release gives a slot back and tells the balancer how the request went;
+// reason is empty when it was answered.
+func (g *Gateway) release(slot *limit.Slot, reason outcome.Reason) {
+	g.balancer.End(slot.Endpoint, reason)
+	slot.Release()
+}
+
+func refusalReason(err error) outcome.Reason {
+	var refused *limit.RefusedError
+	if errors.As(err, &refused) {
+		return refused.Reason
+	}
+	return outcome.Overloaded
+}
+
+func callerOf(r *http.Request) string {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return host
+}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -23,6 +23,8 @@
 	// PerRack is how many hosts share a rack.
 	PerRack  int
 	Capacity record.Resources
+	// AddressBlock is the second number of the hosts' loopback addresses.
+	AddressBlock int
 }
 
 // Shapes are the first users' fleets at the sizes of today.
@@ -46,7 +48,7 @@
 		inZone := i / len(s.Zones)
 		hosts[i] = fleet.Host{
 			Name:     fmt.Sprintf("host-%03d", i+1),
-			Address:  netip.AddrFrom4([4]byte{127, 10, byte(i / 250), byte(i%250 + 1)}).String(),
+			Address:  netip.AddrFrom4([4]byte{127, byte(s.AddressBlock), byte(i / 250), byte(i%250 + 1)}).String(),
 			Region:   s.Region,
 			Zone:     zone,
 			Rack:     fmt.Sprintf("%s-rack-%d", zone, inZone/s.PerRack+1),
