--- a/internal/devrun/devrun.go
+++ b/internal/devrun/devrun.go
@@ -4,12 +4,16 @@
 package devrun
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/netip"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"auburnglade.example/glade/examples"
 	"auburnglade.example/glade/internal/daemon"
 	"auburnglade.example/glade/internal/invariant"
@@ -29,6 +33,10 @@
 	// Instance, 0 to MaxInstance, picks the loopback addresses, so that several
 	// deployments run side by side.
 	Instance int
+	// External says that the daemons are processes of their own, started by
+	// someone else with the settings that GatewaySettings and
+	// ControllerSettings return.
+	External bool
 	// LogLevel is that of the daemons' logs.
 	LogLevel string
 	Logs     io.Writer
@@ -84,10 +92,12 @@
 	Options  Options
 	Platform *standin.Platform
 	Balancer *standin.Balancer
-	Client   *operatorapi.Client
-	records  []record.Envelope
-	daemons  []runningDaemon
-	stop     context.CancelFunc
+	// Client reaches the first controller.
+	Client  *operatorapi.Client
+	clients []*operatorapi.Client
+	records []record.Envelope
+	daemons []runningDaemon
+	stop    context.CancelFunc
 }
 
 type runner interface {
@@ -102,28 +112,73 @@
 	ended  chan error
 }
 
-// Start brings a deployment up and puts its sample records in force.
-func Start(ctx context.Context, options Options) (*Run, error) {
+// New returns a deployment that isn't up yet.
+func New(options Options) (*Run, error) {
 	records, err := examples.Records(options.Deployment)
 	if err != nil {
 		return nil, &SetupError{Part: "records", Cause: err}
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	run := &Run{Options: options, records: records, stop: cancel}
-	run.Platform = standin.NewPlatform(run.shape(), servicePorts(records), standin.Options{
+	return &Run{Options: options, records: records}, nil
+}
+
+// Start brings a deployment up and puts its sample records in force.
+func Start(ctx context.Context, options Options) (*Run, error) {
+	run, err := New(options)
+	if err != nil {
+		return nil, err
+	}
+	return run, run.Start(ctx)
+}
+
+// Start brings the deployment up and puts its sample records in force.
+func (r *Run) Start(ctx context.Context) error {
+	ctx, r.stop = context.WithCancel(ctx)
+	if err := r.startPlatform(); err != nil {
+		return err
+	}
+	if err := r.startDaemons(ctx); err != nil {
+		return err
+	}
+	r.connect()
+	if err := r.applyAll(ctx, r.records); err != nil {
+		return err
+	}
+	return r.awaitReady(ctx)
+}
+
+func (r *Run) startPlatform() error {
+	r.Platform = standin.NewPlatform(r.shape(), servicePorts(r.records), standin.Options{
 		ListLag: listLag, RebootTime: rebootTime, WorkTime: workTime,
 	})
-	if err := run.Platform.Start(run.loopback(platformBlock, 0, platformPort).String()); err != nil {
-		return nil, &SetupError{Part: "platform", Cause: err}
+	if err := r.Platform.Start(r.platformAddress()); err != nil {
+		return &SetupError{Part: "platform", Cause: err}
 	}
-	if err := run.startDaemons(ctx); err != nil {
-		return nil, err
+	return nil
+}
+
+func (r *Run) platformAddress() string {
+	return r.loopback(platformBlock, 0, platformPort).String()
+}
+
+// connect makes clients of every controller.
+func (r *Run) connect() {
+	for i := range r.Options.Controllers {
+		address := r.loopback(controllerBlock, i, operatorPort).String()
+		r.clients = append(r.clients, operatorapi.NewClient("http://"+address))
 	}
-	run.Client = operatorapi.NewClient("http://" + run.OperatorAddress())
-	if err := run.applyAll(ctx, records); err != nil {
-		return nil, err
+	r.Client = r.clients[0]
+}
+
+// call asks one controller after the other until one can be reached.
+func (r *Run) call(ask func(*operatorapi.Client) error) error {
+	var err error
+	for _, client := range r.clients {
+		var unreachable *operatorapi.UnreachableError
+		if err = ask(client); !errors.As(err, &unreachable) {
+			return err
+		}
 	}
-	return run, run.awaitReady(ctx)
+	return err
 }
 
 // shape is the deployment's shape at this instance's addresses.
@@ -134,31 +189,51 @@
 }
 
 func (r *Run) startDaemons(ctx context.Context) error {
-	zones := r.shape().Zones
+	if err := r.launchControllers(ctx); err != nil {
+		return err
+	}
+	targets, err := r.launchGateways(ctx)
+	if err != nil {
+		return err
+	}
+	r.Balancer = standin.NewBalancer(targets)
+	go func() {
+		// Ends with ctx.
+		_ = r.Balancer.Serve(ctx)
+	}()
+	return nil
+}
+
+func (r *Run) launchControllers(ctx context.Context) error {
+	if r.Options.External {
+		return nil
+	}
 	for i := range r.Options.Controllers {
-		settings := r.controllerSettings(i, zones[i%len(zones)])
+		settings := r.ControllerSettings(i)
 		controller, err := daemon.NewController(ctx, settings, r.Options.Logs)
 		if err != nil {
 			return &SetupError{Part: settings.Process.ID, Cause: err}
 		}
 		r.launch(settings.Process.ID, controller)
 	}
+	return nil
+}
+
+func (r *Run) launchGateways(ctx context.Context) ([]standin.Target, error) {
 	var targets []standin.Target
 	for i := range r.Options.Gateways {
-		settings := r.gatewaySettings(i, zones[i%len(zones)])
+		settings := r.GatewaySettings(i)
+		targets = append(targets, standin.Target{Callers: settings.Listen.Callers.String(), Admin: settings.Listen.Admin.String()})
+		if r.Options.External {
+			continue
+		}
 		gateway, err := daemon.NewGateway(ctx, settings, r.Options.Logs)
 		if err != nil {
-			return &SetupError{Part: settings.Process.ID, Cause: err}
+			return nil, &SetupError{Part: settings.Process.ID, Cause: err}
 		}
 		r.launch(settings.Process.ID, gateway)
-		targets = append(targets, standin.Target{Callers: settings.Listen.Callers.String(), Admin: settings.Listen.Admin.String()})
 	}
-	r.Balancer = standin.NewBalancer(targets)
-	go func() {
-		// Ends with ctx.
-		_ = r.Balancer.Serve(ctx)
-	}()
-	return nil
+	return targets, nil
 }
 
 func (r *Run) launch(name string, d runner) {
@@ -168,10 +243,11 @@
 	r.daemons = append(r.daemons, running)
 }
 
-func (r *Run) gatewaySettings(index int, zone string) *daemon.GatewaySettings {
+// GatewaySettings returns the settings of the gateway with the given index.
+func (r *Run) GatewaySettings(index int) *daemon.GatewaySettings {
 	s := daemon.DefaultGatewaySettings()
-	s.Process = daemon.ProcessSettings{ID: fmt.Sprintf("gateway-%d", index+1), Zone: zone}
-	s.Platform.URL = r.Platform.URL()
+	s.Process = r.process("gateway", index)
+	s.Platform.URL = "http://" + r.platformAddress()
 	s.Listen = daemon.GatewayListen{
 		Callers: r.loopback(gatewayBlock, index, callerPort),
 		Peers:   r.loopback(gatewayBlock, index, peerPort),
@@ -183,10 +259,21 @@
 	return s
 }
 
-func (r *Run) controllerSettings(index int, zone string) *daemon.ControllerSettings {
+func (r *Run) process(role string, index int) daemon.ProcessSettings {
+	shape := r.shape()
+	return daemon.ProcessSettings{
+		ID:     fmt.Sprintf("%s-%d", role, index+1),
+		Zone:   shape.Zones[index%len(shape.Zones)],
+		Region: shape.Region,
+	}
+}
+
+// ControllerSettings returns the settings of the controller with the given
+// index.
+func (r *Run) ControllerSettings(index int) *daemon.ControllerSettings {
 	s := daemon.DefaultControllerSettings()
-	s.Process = daemon.ProcessSettings{ID: fmt.Sprintf("controller-%d", index+1), Zone: zone}
-	s.Platform.URL = r.Platform.URL()
+	s.Process = r.process("controller", index)
+	s.Platform.URL = "http://" + r.platformAddress()
 	s.Listen = daemon.ControllerListen{
 		Operators: r.loopback(controllerBlock, index, operatorPort),
 		Peers:     r.loopback(controllerBlock, index, peerPort),
@@ -222,20 +309,24 @@
 
 func (r *Run) applyAll(ctx context.Context, records []record.Envelope) error {
 	for _, envelope := range records {
-		if err := r.apply(ctx, envelope); err != nil {
+		if err := r.Apply(ctx, envelope); err != nil {
 			return &SetupError{Part: envelope.ID().String(), Cause: err}
 		}
 	}
 	return nil
 }
 
-// apply tries again while the controller is starting or still behind the
+// Apply puts a new record in force. It tries again while the controller is starting or still behind the
 // record just written before.
-func (r *Run) apply(ctx context.Context, envelope record.Envelope) error {
+func (r *Run) Apply(ctx context.Context, envelope record.Envelope) error {
 	var err error
 	deadline := time.Now().Add(readyTimeout)
 	for time.Now().Before(deadline) && ctx.Err() == nil {
-		if _, err = r.Client.Put(ctx, envelope, 0, false); err == nil {
+		err = r.call(func(c *operatorapi.Client) error {
+			_, putErr := c.Put(ctx, envelope, 0, false)
+			return putErr
+		})
+		if err == nil || isOurs(err, envelope) {
 			return nil
 		}
 		pause.For(ctx, pollInterval)
@@ -243,11 +334,29 @@
 	return err
 }
 
+// isOurs reports whether a conflict is with an earlier try of the same put.
+func isOurs(err error, envelope record.Envelope) bool {
+	var answer *operatorapi.ErrorAnswer
+	if !errors.As(err, &answer) || answer.Current == nil {
+		return false
+	}
+	current, parseErr := record.ParseEnvelope(answer.Current.Stored)
+	return parseErr == nil && bytes.Equal(compact(current.Spec), compact(envelope.Spec))
+}
+
+func compact(raw json.RawMessage) []byte {
+	var out bytes.Buffer
+	if json.Compact(&out, raw) != nil {
+		return raw
+	}
+	return out.Bytes()
+}
+
 // awaitReady waits until every gateway takes callers and every pool is filled.
 func (r *Run) awaitReady(ctx context.Context) error {
 	deadline := time.Now().Add(readyTimeout)
 	for time.Now().Before(deadline) && ctx.Err() == nil {
-		summary, err := r.Client.Fleet(ctx)
+		summary, err := r.fleet(ctx)
 		if err == nil && r.Balancer.Ready() == r.Options.Gateways && assigned(summary) == r.shape().Hosts {
 			return nil
 		}
@@ -256,6 +365,14 @@
 	return &SetupError{Part: "deployment", Cause: context.DeadlineExceeded}
 }
 
+func (r *Run) fleet(ctx context.Context) (summary operatorapi.FleetSummary, err error) {
+	err = r.call(func(c *operatorapi.Client) error {
+		summary, err = c.Fleet(ctx)
+		return err
+	})
+	return summary, err
+}
+
 func assigned(summary operatorapi.FleetSummary) int {
 	total := 0
 	for _, phases := range summary.Pools {
--- a/internal/devrun/guide.go
+++ b/internal/devrun/guide.go
@@ -6,7 +6,7 @@
 )
 
 // Load lets callers call until ctx ends.
-func (r *Run) Load(ctx context.Context) { r.callers().Run(ctx, r.Options.Callers) }
+func (r *Run) Load(ctx context.Context) { r.Callers().Run(ctx, r.Options.Callers) }
 
 // Guide tells a newcomer how to drive the deployment.
 func (r *Run) Guide() string {
@@ -21,5 +21,5 @@
   curl -i "http://%[5]s%[6]s?token=hello"           call an endpoint yourself
 
 Interrupt with Ctrl-C: everything stops as planned.
-`, r.Options.Deployment, r.Options.Gateways, r.Options.Controllers, r.OperatorAddress(), r.CallerAddress(), r.callers().Idempotent[0])
+`, r.Options.Deployment, r.Options.Gateways, r.Options.Controllers, r.OperatorAddress(), r.CallerAddress(), r.Callers().Idempotent[0])
 }
