Give the wave planner the whole fleet, the budgets and the policy

Cause: waves were planned one by one and knew nothing of the budgets, the policy or the clock; the refusals of the gate were their only feedback. Change: wave.MakeAll takes all waves with one budget.Book, the policy and the time; steps carry the visit to record; host records keep when a host went out, whether it was down before, and the order of visits. Several budgets may bound a service. A reboot that the platform never took can be asked for again. A host that is down already needs the minimum without itself but no margin.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -38,8 +38,9 @@
 
 // View is everything a decision about one service rests on.
 type View struct {
-	Service   string
-	Budget    *record.Budget
+	Service string
+	// Budgets are all the records that bound this service; each must hold.
+	Budgets   []*record.Budget
 	Endpoints []Endpoint
 	Ledger    Ledger
 }
@@ -56,17 +57,44 @@
 	if _, granted := view.Ledger.Grants[host]; granted {
 		return Decision{Allowed: true, Reason: "already granted"}
 	}
-	if view.Budget == nil {
-		return Decision{Reason: fmt.Sprintf("service %s has no availability budget", view.Service)}
+	if len(view.Budgets) == 0 {
+		return Decision{Reason: noBudget(view.Service)}
 	}
 	left := view.remaining(host)
-	reserve := worstLoss(left, view.Budget.Margin)
-	if len(left)-reserve >= view.Budget.MinAvailable {
-		return Decision{Allowed: true, Reason: "within budget"}
+	free := view.unavailable(host)
+	for _, budget := range view.Budgets {
+		reserve := 0
+		if !free {
+			reserve = worstLoss(left, budget.Margin)
+		}
+		if len(left)-reserve < budget.MinAvailable {
+			return Decision{Reason: refusal(view.Service, budget, len(left), reserve)}
+		}
 	}
-	return Decision{Reason: fmt.Sprintf(
+	return Decision{Allowed: true, Reason: "within budget"}
+}
+
+// unavailable reports whether host is down already, so that disrupting it takes
+// nothing from the service. Only the margin is waived then: the minimum must
+// hold without the host, because a lagging view may call a host gone that is
+// back at work.
+func (v View) unavailable(host string) bool {
+	for _, e := range v.Endpoints {
+		if e.Host == host {
+			return !e.Available
+		}
+	}
+	return false
+}
+
+func noBudget(service string) string {
+	return fmt.Sprintf("service %s has no availability budget", service)
+}
+
+func refusal(service string, budget *record.Budget, left, reserve int) string {
+	return fmt.Sprintf(
 		"service %s would keep %d endpoints available, less %d for the loss of one %s, and needs %d",
-		view.Service, len(left), reserve, marginName(view.Budget.Margin), view.Budget.MinAvailable)}
+		service, left, reserve, marginName(budget.Margin), budget.MinAvailable)
 }
 
 // Available returns how many endpoints are available and not granted away.
--- a/internal/drainer/apply.go
+++ b/internal/drainer/apply.go
@@ -42,7 +42,7 @@
 func (d *Drainer) step(ctx context.Context, o *observed, waveName string, step wave.Step, item catalog.HostItem) error {
 	switch step.Verb {
 	case wave.StartDrain:
-		return d.startDrain(ctx, o, waveName, item)
+		return d.startDrain(ctx, o, waveName, step, item)
 	case wave.DrainHost:
 		if err := d.Pool.Drain(ctx, item.Host, item.Operation); err != nil {
 			return err
@@ -55,11 +55,11 @@
 		delete(d.healthy, item.Host)
 		return d.write(ctx, item, func(r *hostrecord.Record) { r.Phase = hostrecord.Proving })
 	case wave.Return:
-		return d.putBack(ctx, o, item)
+		return d.putBack(ctx, o, step, item)
 	case wave.GiveUp:
 		return d.write(ctx, item, func(r *hostrecord.Record) {
 			r.Phase = hostrecord.Failed
-			r.Visits = visited(r, hostrecord.Visit{Result: hostrecord.GaveUp, Reason: step.Reason})
+			r.Visits = visited(r, *step.Visit)
 		})
 	}
 	return nil
@@ -67,7 +67,7 @@
 
 // startDrain takes the grants first and writes the intent second: a host is
 // never marked out without its budget.
-func (d *Drainer) startDrain(ctx context.Context, o *observed, waveName string, item catalog.HostItem) error {
+func (d *Drainer) startDrain(ctx context.Context, o *observed, waveName string, step wave.Step, item catalog.HostItem) error {
 	operation := uuid.NewString()
 	grant := budget.Grant{Operation: operation, Wave: waveName, Holder: d.Member}
 	services := o.servicesOf(item.Pool)
@@ -79,6 +79,8 @@
 		r.Phase = hostrecord.Draining
 		r.Wave = waveName
 		r.Operation = operation
+		r.OutSince = time.Now().UTC()
+		r.AlreadyDown = step.AlreadyDown
 	})
 	if store.IsConflict(err) {
 		return errors.CombineErrors(err, d.releaseAll(ctx, services, item.Host, operation))
@@ -90,6 +92,11 @@
 // between, the next round finds the phase and acts again: the operation
 // identity makes the platform take it once.
 func (d *Drainer) reboot(ctx context.Context, o *observed, item catalog.HostItem) error {
+	if item.Phase == hostrecord.Rebooting {
+		// The platform never took the act: ask again, without a write that
+		// would start the host's deadline anew.
+		return d.Pool.Reboot(ctx, item.Host, item.Operation)
+	}
 	err := d.write(ctx, item, func(r *hostrecord.Record) {
 		r.Phase = hostrecord.Rebooting
 		r.BootID = o.states[item.Host].BootID
@@ -105,17 +112,19 @@
 
 // putBack writes the host back to work before it gives the grants back: in
 // between the budget is only the more cautious.
-func (d *Drainer) putBack(ctx context.Context, o *observed, item catalog.HostItem) error {
+func (d *Drainer) putBack(ctx context.Context, o *observed, step wave.Step, item catalog.HostItem) error {
 	if err := d.Pool.Undrain(ctx, item.Host, item.Operation); err != nil {
 		return err
 	}
 	operation := item.Operation
 	err := d.write(ctx, item, func(r *hostrecord.Record) {
-		r.Visits = visited(r, hostrecord.Visit{Result: hostrecord.Maintained})
+		r.Visits = visited(r, *step.Visit)
 		r.Phase = hostrecord.Serving
 		r.Wave = ""
 		r.Operation = ""
 		r.BootID = ""
+		r.OutSince = time.Time{}
+		r.AlreadyDown = false
 	})
 	if err != nil {
 		return err
@@ -221,7 +230,7 @@
 	view := budget.View{Service: service}
 	for _, b := range o.snapshot.Budgets() {
 		if b.Service == service {
-			view.Budget = b
+			view.Budgets = append(view.Budgets, b)
 		}
 	}
 	for _, pool := range o.snapshot.PoolsOf(service) {
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -99,15 +101,33 @@
 	}
 	observed := d.observe(ctx, snapshot, hosts)
 	d.releaseOrphans(ctx, observed)
-	for name, spec := range snapshot.Waves() {
-		plan := wave.Make(wave.Input{Name: name, Spec: spec, Hosts: d.waveHosts(observed, spec.Pools)})
+	for _, plan := range wave.MakeAll(d.fleetOf(observed)) {
 		for _, step := range plan.Steps {
-			d.apply(ctx, observed, name, step)
+			d.apply(ctx, observed, plan.Status.Wave, step)
 		}
 		d.publish(ctx, plan.Status)
 	}
 }
 
+// fleetOf is the snapshot that all waves are planned from.
+func (d *Drainer) fleetOf(o *observed) wave.Fleet {
+	planned := wave.Fleet{Policy: o.snapshot.Policy(), Now: time.Now()}
+	waves := o.snapshot.Waves()
+	if len(waves) == 0 {
+		return planned
+	}
+	for _, name := range slices.Sorted(maps.Keys(waves)) {
+		spec := waves[name]
+		planned.Waves = append(planned.Waves, wave.Input{Name: name, Spec: spec, Hosts: d.waveHosts(o, spec.Pools)})
+	}
+	var views []budget.View
+	for service := range o.snapshot.Services() {
+		views = append(views, o.view(service))
+	}
+	planned.Book = budget.BookOf(views)
+	return planned
+}
+
 // observed is one round's view of the fleet.
 type observed struct {
 	snapshot *catalog.Snapshot
@@ -170,21 +190,29 @@
 	item := o.snapshot.Hosts[name]
 	condition := o.states[name]
 	host := wave.Host{
-		Name:      name,
-		Zone:      o.listed[name].Zone,
-		Rack:      o.listed[name].Rack,
-		Record:    item.Record,
-		Age:       time.Since(d.seen[name].at),
-		Confirmed: !o.lagging[item.Revision],
-		Reachable: condition.Reachable,
-		Healthy:   condition.Healthy,
-		BootID:    condition.BootID,
-		InFlight:  condition.InFlight,
-		Drained:   item.Operation != "" && d.drained[name] == item.Operation,
-		Refusal:   d.refusals[name],
+		Name:          name,
+		Zone:          o.listed[name].Zone,
+		Rack:          o.listed[name].Rack,
+		Record:        item.Record,
+		Age:           time.Since(d.seen[name].at),
+		Confirmed:     !o.lagging[item.Revision],
+		Reachable:     condition.Reachable,
+		Healthy:       condition.Healthy,
+		BootID:        condition.BootID,
+		InFlight:      condition.InFlight,
+		LastOperation: condition.LastOperation,
+		Down:          o.down(name),
+		Drained:       item.Operation != "" && d.drained[name] == item.Operation,
+		Refusal:       d.refusals[name],
 	}
 	if since, ok := d.healthy[name]; ok {
 		host.HealthyFor = time.Since(since)
 	}
 	return host
 }
+
+// down reports whether the platform's list doesn't show a host as live.
+func (o *observed) down(name string) bool {
+	host, listed := o.listed[name]
+	return !listed || host.State != fleet.HostLive
+}
--- a/internal/hostrecord/hostrecord.go
+++ b/internal/hostrecord/hostrecord.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"time"
 )
 
 // Phase is where a host stands.
@@ -46,6 +47,12 @@
 	// BootID is the boot seen before the reboot, to tell a return from a host
 	// that hasn't gone down yet.
 	BootID string `json:"bootId,omitempty"`
+	// OutSince is the wall-clock time at which the maintenance under way
+	// began. Clocks differ between members: it feeds estimates, no decision.
+	OutSince time.Time `json:"outSince,omitzero"`
+	// AlreadyDown says that the host was down before the maintenance under way
+	// began, so that what becomes of it says nothing about the wave.
+	AlreadyDown bool `json:"alreadyDown,omitempty"`
 	// NextPool, when set, is the pool the host joins on its return.
 	NextPool string `json:"nextPool,omitempty"`
 	// Visits holds how each wave that still exists ended on this host, so that
@@ -59,6 +66,17 @@
 type Visit struct {
 	Result Result `json:"result"`
 	Reason string `json:"reason,omitempty"`
+	// Sequence orders the visits of one wave, from 1; visits that ended in the
+	// same round may share a number. The wave's width is derived from it.
+	Sequence int `json:"sequence,omitempty"`
+	// Generation is the wave's resume generation as the visit ended.
+	Generation int `json:"generation,omitempty"`
+	// Seconds is how long the host was out; zero when it isn't known.
+	Seconds int `json:"seconds,omitempty"`
+	// Late says that the host came back after it had counted as failed.
+	Late bool `json:"late,omitempty"`
+	// AlreadyDown is copied from the record.
+	AlreadyDown bool `json:"alreadyDown,omitempty"`
 }
 
 // DamagedError says that a stored host record can't be read.
@@ -86,7 +104,7 @@
 func (r Record) Encode() []byte {
 	data, err := json.Marshal(r)
 	if err != nil {
-		// A Record holds strings and maps of strings only.
+		// A Record holds plain values and maps of them only.
 		panic(err)
 	}
 	return data
--- /dev/null
+++ b/internal/wave/types.go
@@ -0,0 +1,160 @@
+// Package wave plans maintenance waves. Planning is pure: a snapshot in, plans
+// with their reasons out. Applying a plan is the drainer's work.
+package wave
+
+import (
+	"time"
+
+	"auburnglade.example/glade/internal/budget"
+	"auburnglade.example/glade/internal/hostrecord"
+	"auburnglade.example/glade/internal/record"
+)
+
+// Host is one host of the wave's pools as the planner sees it.
+type Host struct {
+	Name   string
+	Zone   string
+	Rack   string
+	Record hostrecord.Record
+	// Age is how long the record has been in its phase, as seen by this
+	// process; it starts anew after a fail-over, which only lengthens it.
+	Age time.Duration
+	// Confirmed says that every live member serves the record's revision or
+	// has certainly gone.
+	Confirmed bool
+	// Down says that the host took no work when last looked at: not listed as
+	// live, not reachable or not healthy. It is only read of hosts that the
+	// wave hasn't taken out.
+	Down bool
+	// Reachable, Healthy, BootID, InFlight and LastOperation are the
+	// platform's latest word.
+	Reachable     bool
+	Healthy       bool
+	BootID        string
+	InFlight      int
+	LastOperation string
+	// HealthyFor is how long the host has been healthy without a break.
+	HealthyFor time.Duration
+	// Drained says that the platform was told to drain the host.
+	Drained bool
+	// Refusal, when set, is why the budget last refused the host.
+	Refusal string
+}
+
+// Verb is what a step does.
+type Verb string
+
+// The verbs, one per transition of a host.
+const (
+	// StartDrain acquires the budget and marks the host draining.
+	StartDrain Verb = "start-drain"
+	// DrainHost tells the platform to drain the host.
+	DrainHost Verb = "drain-host"
+	// Reboot marks the host rebooting and tells the platform. It is planned
+	// again while the platform shows that it never took the act.
+	Reboot Verb = "reboot"
+	// AwaitProof marks the host proving after its return.
+	AwaitProof Verb = "await-proof"
+	// Return puts the host back to work, records the step's visit and gives
+	// its grants back.
+	Return Verb = "return"
+	// GiveUp marks the host failed and records the step's visit.
+	GiveUp Verb = "give-up"
+)
+
+// Step is one transition to apply now.
+type Step struct {
+	Host   string
+	Verb   Verb
+	Reason string
+	// AlreadyDown, set with StartDrain, goes into the host record.
+	AlreadyDown bool
+	// Visit, set with Return and GiveUp, goes into the host record: the wave's
+	// progress and width are derived from it.
+	Visit *hostrecord.Visit
+}
+
+// Phase is where a wave stands.
+type Phase string
+
+// The phases of a wave.
+const (
+	Running Phase = "running"
+	// Paused and Stopped waves start no further host: by an operator's word,
+	// or because too many hosts failed.
+	Paused  Phase = "paused"
+	Stopped Phase = "stopped"
+	// Blocked waves have hosts left that no budget lets out as things stand;
+	// they go on by themselves once that changes.
+	Blocked Phase = "blocked"
+	// Shut waves wait for a maintenance window.
+	Shut      Phase = "shut"
+	Cancelled Phase = "cancelled"
+	Finished  Phase = "finished"
+)
+
+// Status is what operators see of a wave. It is derived from host records and
+// never read back to decide anything.
+type Status struct {
+	Wave   string `json:"wave"`
+	Phase  Phase  `json:"phase"`
+	Reason string `json:"reason,omitempty"`
+	Hosts  int    `json:"hosts"`
+	// Width is how many hosts may be out at once now, and Safe is how many the
+	// budgets would let out.
+	Width      int               `json:"width"`
+	Safe       int               `json:"safe"`
+	WidthWhy   string            `json:"widthWhy,omitempty"`
+	Maintained int               `json:"maintained"`
+	Failed     map[string]string `json:"failed,omitempty"`
+	Out        []string          `json:"out,omitempty"`
+	Waiting    map[string]string `json:"waiting,omitempty"`
+	// SecondsPerHost is the mean time a host is out, and RemainingSeconds the
+	// estimate to the wave's end, both rounded so that the status doesn't
+	// change with every round. EstimatedFrom says what they rest on.
+	SecondsPerHost   int    `json:"secondsPerHost,omitempty"`
+	RemainingSeconds int    `json:"remainingSeconds,omitempty"`
+	EstimatedFrom    string `json:"estimatedFrom,omitempty"`
+	// Buffers is what each service holds back while its pools are being done.
+	Buffers []Claim `json:"buffers,omitempty"`
+}
+
+// Claim is the capacity of one service that a wave keeps from other uses.
+type Claim struct {
+	budget.Buffer
+	// Out is how many of its hosts the wave has out, and Limit how many it may
+	// have out at once until the service is done.
+	Out   int `json:"out"`
+	Limit int `json:"limit"`
+}
+
+// Done reports whether the wave will do nothing more. A cancelled wave is only
+// done once the hosts it had out are back.
+func (s Status) Done() bool {
+	return len(s.Out) == 0 && (s.Phase == Finished || s.Phase == Cancelled)
+}
+
+// Input is the snapshot a plan is made from.
+type Input struct {
+	Name  string
+	Spec  *record.Wave
+	Hosts []Host
+}
+
+// Plan is what to do now, and why everything else waits.
+type Plan struct {
+	Steps  []Step
+	Status Status
+}
+
+// Fleet is the snapshot that all waves are planned from together.
+type Fleet struct {
+	Waves []Input
+	// Book holds what the budgets allow; MakeAll takes what it plans out of
+	// it. Without a book the gate alone decides.
+	Book *budget.Book
+	// Policy weighs buffer cost against roll-out time; nil means evenly.
+	Policy *record.Policy
+	// Now is the wall clock, for maintenance windows and estimates alone.
+	Now time.Time
+}
--- a/internal/wave/wave.go
+++ b/internal/wave/wave.go
@@ -1,106 +1,20 @@
-// Package wave plans maintenance waves. Plan is pure: a snapshot in, a plan
-// with its reasons out. Applying a plan is the drainer's work.
 package wave
 
 import (
 	"fmt"
 	"sort"
-	"time"
 
 	"auburnglade.example/glade/internal/hostrecord"
 	"auburnglade.example/glade/internal/record"
 )
 
-// Host is one host of the wave's pools as the planner sees it.
-type Host struct {
-	Name   string
-	Zone   string
-	Rack   string
-	Record hostrecord.Record
-	// Age is how long the record has been in its phase, as seen by this
-	// process; it starts anew after a fail-over, which only lengthens it.
-	Age time.Duration
-	// Confirmed says that every live member serves the record's revision or
-	// has certainly gone.
-	Confirmed bool
-	// Reachable, Healthy, BootID and InFlight are the platform's latest word.
-	Reachable bool
-	Healthy   bool
-	BootID    string
-	InFlight  int
-	// HealthyFor is how long the host has been healthy without a break.
-	HealthyFor time.Duration
-	// Drained says that the platform was told to drain the host.
-	Drained bool
-	// Refusal, when set, is why the budget last refused the host.
-	Refusal string
-}
-
-// Verb is what a step does.
-type Verb string
-
-// The verbs, one per transition of a host.
-const (
-	// StartDrain acquires the budget and marks the host draining.
-	StartDrain Verb = "start-drain"
-	// DrainHost tells the platform to drain the host.
-	DrainHost Verb = "drain-host"
-	// Reboot marks the host rebooting and tells the platform.
-	Reboot Verb = "reboot"
-	// AwaitProof marks the host proving after its return.
-	AwaitProof Verb = "await-proof"
-	// Return puts the host back to work and gives its grants back.
-	Return Verb = "return"
-	// GiveUp marks the host failed.
-	GiveUp Verb = "give-up"
-)
-
-// Step is one transition to apply now.
-type Step struct {
-	Host   string
-	Verb   Verb
-	Reason string
-}
-
-// Phase is where a wave stands.
-type Phase string
-
-// The phases of a wave.
-const (
-	Running   Phase = "running"
-	Paused    Phase = "paused"
-	Stopped   Phase = "stopped"
-	Cancelled Phase = "cancelled"
-	Finished  Phase = "finished"
-)
-
-// Status is what operators see of a wave. It is derived from host records and
-// never read back to decide anything.
-type Status struct {
-	Wave       string            `json:"wave"`
-	Phase      Phase             `json:"phase"`
-	Reason     string            `json:"reason,omitempty"`
-	Hosts      int               `json:"hosts"`
-	Maintained int               `json:"maintained"`
-	Failed     map[string]string `json:"failed,omitempty"`
-	Out        []string          `json:"out,omitempty"`
-	Waiting    map[string]string `json:"waiting,omitempty"`
-}
-
-// Done reports whether the wave will do nothing more.
-func (s Status) Done() bool { return s.Phase == Finished || s.Phase == Cancelled }
-
-// Input is the snapshot a plan is made from.
-type Input struct {
-	Name  string
-	Spec  *record.Wave
-	Hosts []Host
-}
-
-// Plan is what to do now, and why everything else waits.
-type Plan struct {
-	Steps  []Step
-	Status Status
+// MakeAll plans every wave. The plans are in the order of fleet.Waves.
+func MakeAll(fleet Fleet) []Plan {
+	plans := make([]Plan, len(fleet.Waves))
+	for i, input := range fleet.Waves {
+		plans[i] = Make(input)
+	}
+	return plans
 }
 
 // Make plans one wave.
@@ -156,7 +70,14 @@
 
 func next(spec *record.Wave, host Host) (Step, bool) {
 	step := func(verb Verb, reason string) (Step, bool) {
-		return Step{Host: host.Name, Verb: verb, Reason: reason}, true
+		step := Step{Host: host.Name, Verb: verb, Reason: reason}
+		switch verb {
+		case Return:
+			step.Visit = &hostrecord.Visit{Result: hostrecord.Maintained}
+		case GiveUp:
+			step.Visit = &hostrecord.Visit{Result: hostrecord.GaveUp, Reason: reason}
+		}
+		return step, true
 	}
 	switch host.Record.Phase {
 	case hostrecord.Draining:
