Say what the platform must give against late acts, and teach the fake to fail

Cause: nothing on our side can call back a Drain or Reboot that a paused process sends late, and the stand-in remembered only the last Reboot, never refused, never lost an answer and let an earlier outage's return end a later outage. Change: PoolHosts names the fence it wants (StaleOperationError: no act of an operation that ended, no Reboot of one that never began) and MaxActDelay for platforms without one. fakefleet gives the fence by default (Forgetful takes it away), loses answers, goes away, has sick and repaired hosts, and records only acts that had an effect. memstore gains Peek, for judging a run past its faults.

--- a/internal/fleet/errors.go
+++ b/internal/fleet/errors.go
@@ -21,3 +21,16 @@
 }
 
 func (e *UnreachableError) Unwrap() error { return e.Cause }
+
+// StaleOperationError says that the platform refused an act because its
+// operation is over or isn't the one that the host is drained under. Nothing
+// happened, and nothing ever will under this operation.
+type StaleOperationError struct {
+	Op        string
+	Host      string
+	Operation string
+}
+
+func (e *StaleOperationError) Error() string {
+	return fmt.Sprintf("fleet: %s on host %q: operation %q is over or was never begun", e.Op, e.Host, e.Operation)
+}
--- a/internal/fleet/fakefleet/fakefleet.go
+++ b/internal/fleet/fakefleet/fakefleet.go
@@ -20,6 +20,9 @@
 	ListLag time.Duration
 	// RebootTime is how long a host is away in a reboot.
 	RebootTime time.Duration
+	// Forgetful makes the platform remember only the last Reboot of each host,
+	// so that it takes acts of operations that have ended.
+	Forgetful bool
 	// OnDown and OnUp, when set, are told when a host goes and comes back.
 	OnDown func(host string)
 	OnUp   func(host string)
@@ -36,14 +39,22 @@
 	published   []fleet.Host
 	publishedAt time.Time
 	acts        []Act
+	faults      faultState
 }
 
 type hostState struct {
 	host          fleet.Host
 	up            bool
+	sick          bool
 	draining      bool
 	boots         int
 	lastOperation string
+	// operation is the one the host is drained under; ended holds those over.
+	operation string
+	ended     map[string]bool
+	// outages counts how often the host went down, so that the return from an
+	// earlier one doesn't end a later one.
+	outages int
 	// neverReturns makes the next reboot the host's last.
 	neverReturns bool
 	rebootTime   time.Duration
@@ -77,7 +88,9 @@
 func New(hosts []fleet.Host, options Options) *Fleet {
 	f := &Fleet{options: options, hosts: make(map[string]*hostState, len(hosts))}
 	for _, host := range hosts {
-		f.hosts[host.Name] = &hostState{host: host, up: true, boots: 1, rebootTime: options.RebootTime}
+		f.hosts[host.Name] = &hostState{
+			host: host, up: true, boots: 1, rebootTime: options.RebootTime, ended: make(map[string]bool),
+		}
 	}
 	f.published = f.listLocked()
 	f.publishedAt = time.Now()
@@ -86,8 +99,8 @@
 
 // Hosts implements fleet.HostList.
 func (f *Fleet) Hosts(ctx context.Context) ([]fleet.Host, error) {
-	if err := ctx.Err(); err != nil {
-		return nil, &fleet.UnreachableError{Op: "list", Cause: err}
+	if err := f.refused(ctx, "list", ""); err != nil {
+		return nil, err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -116,7 +129,10 @@
 }
 
 // Condition implements fleet.PoolHosts.
-func (f *Fleet) Condition(_ context.Context, host string) (fleet.HostCondition, error) {
+func (f *Fleet) Condition(ctx context.Context, host string) (fleet.HostCondition, error) {
+	if err := f.refused(ctx, "condition", host); err != nil {
+		return fleet.HostCondition{}, err
+	}
 	f.mu.Lock()
 	state := f.hosts[host]
 	f.mu.Unlock()
@@ -128,7 +144,7 @@
 	defer f.mu.Unlock()
 	return fleet.HostCondition{
 		Reachable:     state.up,
-		Healthy:       state.up,
+		Healthy:       state.up && !state.sick,
 		BootID:        fmt.Sprintf("%s-boot-%d", host, state.boots),
 		InFlight:      inFlight,
 		LastOperation: state.lastOperation,
@@ -136,50 +152,80 @@
 }
 
 // Drain implements fleet.PoolHosts.
-func (f *Fleet) Drain(_ context.Context, host, operation string) error {
-	return f.act(host, VerbDrain, operation, func(state *hostState) { state.draining = true })
+func (f *Fleet) Drain(ctx context.Context, host, operation string) error {
+	return f.act(ctx, host, VerbDrain, operation, func(state *hostState) bool {
+		repeated := state.operation == operation
+		state.draining = state.draining || !repeated
+		state.operation = operation
+		return !repeated
+	})
 }
 
-// Undrain implements fleet.PoolHosts.
-func (f *Fleet) Undrain(_ context.Context, host, operation string) error {
-	return f.act(host, VerbUndrain, operation, func(state *hostState) { state.draining = false })
+// Undrain implements fleet.PoolHosts. A repeated one has no effect.
+func (f *Fleet) Undrain(ctx context.Context, host, operation string) error {
+	return f.act(ctx, host, VerbUndrain, operation, func(state *hostState) bool {
+		state.ended[operation] = true
+		if !f.options.Forgetful && state.operation != operation {
+			return false
+		}
+		state.draining = false
+		state.operation = ""
+		return true
+	})
 }
 
 // Reboot implements fleet.PoolHosts. A repeated operation has no effect.
-func (f *Fleet) Reboot(_ context.Context, host, operation string) error {
-	f.mu.Lock()
-	state := f.hosts[host]
-	repeated := state != nil && state.lastOperation == operation
-	f.mu.Unlock()
-	if repeated {
-		return nil
-	}
-	err := f.act(host, VerbReboot, operation, func(state *hostState) {
+func (f *Fleet) Reboot(ctx context.Context, host, operation string) error {
+	return f.act(ctx, host, VerbReboot, operation, func(state *hostState) bool {
+		if state.lastOperation == operation {
+			return false
+		}
 		state.lastOperation = operation
-		state.up = false
 		state.draining = false
+		f.goDownLocked(state, state.rebootTime, state.neverReturns)
+		return true
 	})
-	if err != nil {
-		return err
-	}
-	f.notify(f.options.OnDown, host)
-	if !state.neverReturns {
-		time.AfterFunc(state.rebootTime, func() { f.comeBack(host) })
-	}
-	return nil
 }
 
-func (f *Fleet) act(host, verb, operation string, change func(*hostState)) error {
+// act takes one act unless it is refused; change reports whether it had any
+// effect.
+func (f *Fleet) act(ctx context.Context, host, verb, operation string, change func(*hostState) bool) error {
+	if err := f.refused(ctx, verb, host); err != nil {
+		return err
+	}
 	inFlight := f.inFlight(host)
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	state := f.hosts[host]
 	if state == nil {
+		f.mu.Unlock()
 		return &fleet.HostUnknownError{Host: host}
 	}
-	f.recordLocked(host, verb, operation, inFlight)
-	change(state)
-	return nil
+	if f.staleLocked(state, verb, operation) {
+		f.mu.Unlock()
+		return &fleet.StaleOperationError{Op: verb, Host: host, Operation: operation}
+	}
+	changed := change(state)
+	if changed {
+		f.recordLocked(host, verb, operation, inFlight)
+	}
+	f.mu.Unlock()
+	if changed && verb == VerbReboot {
+		f.notify(f.options.OnDown, host)
+	}
+	return f.answer(verb, host)
+}
+
+func (f *Fleet) staleLocked(state *hostState, verb, operation string) bool {
+	if f.options.Forgetful {
+		return false
+	}
+	switch verb {
+	case VerbDrain:
+		return state.ended[operation]
+	case VerbReboot:
+		return state.operation != operation && state.lastOperation != operation
+	}
+	return false
 }
 
 func (f *Fleet) recordLocked(host, verb, operation string, inFlight int) {
@@ -187,14 +233,28 @@
 	f.acts = append(f.acts, act)
 }
 
-func (f *Fleet) comeBack(host string) {
+// goDownLocked takes a host down; it comes back after away unless forever.
+func (f *Fleet) goDownLocked(state *hostState, away time.Duration, forever bool) {
+	state.up = false
+	state.outages++
+	outage := state.outages
+	if !forever {
+		time.AfterFunc(away, func() { f.comeBack(state, outage) })
+	}
+}
+
+// comeBack ends one outage.
+func (f *Fleet) comeBack(state *hostState, outage int) {
 	f.mu.Lock()
-	state := f.hosts[host]
+	if state.up || state.outages != outage {
+		f.mu.Unlock()
+		return
+	}
 	state.up = true
 	state.boots++
-	f.recordLocked(host, VerbReturn, "", 0)
+	f.recordLocked(state.host.Name, VerbReturn, "", 0)
 	f.mu.Unlock()
-	f.notify(f.options.OnUp, host)
+	f.notify(f.options.OnUp, state.host.Name)
 }
 
 // Crash takes a host down without being asked; it stays away for the given
@@ -202,13 +262,27 @@
 func (f *Fleet) Crash(host string, away time.Duration) {
 	f.mu.Lock()
 	state := f.hosts[host]
-	state.up = false
+	f.goDownLocked(state, away, away == 0)
 	f.recordLocked(host, VerbCrash, "", 0)
 	f.mu.Unlock()
 	f.notify(f.options.OnDown, host)
-	if away > 0 {
-		time.AfterFunc(away, func() { f.comeBack(host) })
-	}
+}
+
+// Repair brings back a host that is down.
+func (f *Fleet) Repair(host string) {
+	f.mu.Lock()
+	state := f.hosts[host]
+	outage := state.outages
+	state.neverReturns = false
+	f.mu.Unlock()
+	f.comeBack(state, outage)
+}
+
+// SetSick makes a host that is up fail or pass its health checks.
+func (f *Fleet) SetSick(host string, sick bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hosts[host].sick = sick
 }
 
 // NeverReturns makes the host's next reboot its last.
@@ -218,7 +292,8 @@
 	f.hosts[host].neverReturns = true
 }
 
-// Acts returns everything that happened to the hosts, in order.
+// Acts returns everything that happened to the hosts, in order. Acts without
+// effect, such as repeated ones, aren't among it.
 func (f *Fleet) Acts() []Act {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -233,6 +308,14 @@
 	return state != nil && state.up
 }
 
+// Draining reports whether a host takes no new work, without any lag.
+func (f *Fleet) Draining(host string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	state := f.hosts[host]
+	return state != nil && state.draining
+}
+
 func (f *Fleet) inFlight(host string) int {
 	if f.options.InFlight == nil {
 		return 0
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -53,6 +53,13 @@
 
 // PoolHosts drains and reboots hosts. Each act carries an operation identity;
 // repeating an act with the same identity has no further effect.
+//
+// An operation begins with its Drain and ends with its Undrain. The platform
+// should refuse, with *StaleOperationError, a Drain or Reboot of an operation
+// that has ended and a Reboot of one that never began: nothing on our side can
+// call back an act that a paused process sends, or a network delivers, late.
+// With a platform that only remembers the last Reboot, the system stays safe
+// as long as no act arrives later than MaxActDelay after it was decided.
 type PoolHosts interface {
 	// Condition returns *HostUnknownError for a host the platform doesn't have.
 	Condition(ctx context.Context, host string) (HostCondition, error)
@@ -64,6 +71,11 @@
 	Reboot(ctx context.Context, host, operation string) error
 }
 
+// MaxActDelay is the longest that an act may take from the check of the right
+// to act until the platform takes it or never will: a call's timeout (5 s) and
+// as much again for a message that was already on its way.
+const MaxActDelay = 10 * time.Second
+
 // TaskState is what a worker says of a task.
 type TaskState string
 
--- a/internal/platformhttp/wire.go
+++ b/internal/platformhttp/wire.go
@@ -70,16 +70,17 @@
 
 // errorAnswer carries a typed error over the wire: exactly one field is set.
 type errorAnswer struct {
-	NotFound    *store.NotFoundError      `json:"notFound,omitempty"`
-	Conflict    *store.ConflictError      `json:"conflict,omitempty"`
-	Throttled   *store.ThrottledError     `json:"throttled,omitempty"`
-	Compacted   *store.CompactedError     `json:"compacted,omitempty"`
-	Lease       *store.LeaseExpiredError  `json:"lease,omitempty"`
-	TooLarge    *store.ValueTooLargeError `json:"tooLarge,omitempty"`
-	HostUnknown *fleet.HostUnknownError   `json:"hostUnknown,omitempty"`
-	Unavailable string                    `json:"unavailable,omitempty"`
-	Unknown     string                    `json:"unknown,omitempty"`
-	BadRequest  string                    `json:"badRequest,omitempty"`
+	NotFound    *store.NotFoundError       `json:"notFound,omitempty"`
+	Conflict    *store.ConflictError       `json:"conflict,omitempty"`
+	Throttled   *store.ThrottledError      `json:"throttled,omitempty"`
+	Compacted   *store.CompactedError      `json:"compacted,omitempty"`
+	Lease       *store.LeaseExpiredError   `json:"lease,omitempty"`
+	TooLarge    *store.ValueTooLargeError  `json:"tooLarge,omitempty"`
+	HostUnknown *fleet.HostUnknownError    `json:"hostUnknown,omitempty"`
+	Stale       *fleet.StaleOperationError `json:"stale,omitempty"`
+	Unavailable string                     `json:"unavailable,omitempty"`
+	Unknown     string                     `json:"unknown,omitempty"`
+	BadRequest  string                     `json:"badRequest,omitempty"`
 }
 
 // RemoteError is the cause that the platform gave in words.
@@ -98,6 +99,7 @@
 	case errors.As(err, &answer.Lease):
 	case errors.As(err, &answer.TooLarge):
 	case errors.As(err, &answer.HostUnknown):
+	case errors.As(err, &answer.Stale):
 	case errors.As(err, &unknown):
 		answer.Unknown = unknown.Cause.Error()
 	default:
@@ -122,6 +124,8 @@
 		return a.TooLarge
 	case a.HostUnknown != nil:
 		return a.HostUnknown
+	case a.Stale != nil:
+		return a.Stale
 	case a.Unknown != "":
 		return &store.UnknownOutcomeError{Op: op, Cause: &RemoteError{Reason: a.Unknown}}
 	case a.BadRequest != "":
--- a/internal/store/memstore/faults.go
+++ b/internal/store/memstore/faults.go
@@ -109,6 +109,14 @@
 	s.history = nil
 }
 
+// Peek returns the entries under prefix as they are, past every fault and
+// without counting: for judging a run, never for the system.
+func (s *Store) Peek(prefix string) []store.Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.entriesLocked(prefix)
+}
+
 // Counts returns what the store has seen so far.
 func (s *Store) Counts() Counts {
 	s.mu.Lock()
--- a/internal/store/memstore/memstore.go
+++ b/internal/store/memstore/memstore.go
@@ -80,16 +80,18 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	listing := store.Listing{Revision: s.revision}
+	return store.Listing{Revision: s.revision, Entries: s.entriesLocked(prefix)}, nil
+}
+
+func (s *Store) entriesLocked(prefix string) []store.Entry {
+	var entries []store.Entry
 	for key, entry := range s.entries {
 		if strings.HasPrefix(key, prefix) {
-			listing.Entries = append(listing.Entries, entry)
+			entries = append(entries, entry)
 		}
 	}
-	sort.Slice(listing.Entries, func(i, j int) bool {
-		return listing.Entries[i].Key < listing.Entries[j].Key
-	})
-	return listing, nil
+	sort.Slice(entries, func(i, j int) bool { return entries[i].Key < entries[j].Key })
+	return entries
 }
 
 // CompareAndSwap implements store.Store.
