Plan moves between pools by flow, with reasons that must last

Cause: hosts got a first pool and never moved; a shrunk pool kept its hosts and a short one stayed short.

Change: the mover plans as a flow from giving pools over zones to short pools. Hosts without a pool go first and at once; hosts of pools over their size move only for a lack and an excess that have both lasted the policy's hold. Ages of reasons are kept as durations in one key. A host moves in a drain of its own under its old pool's budget, or with the wave that drains it anyway (NextPool). The ages of a lost zone's hosts stand still, so that a zone's loss moves nothing. Records of hosts that are gone for good are removed.

Conclusion: fewest moves exactly at zone level; rack bounds are met when hosts are picked.

--- a/internal/daemon/controller.go
+++ b/internal/daemon/controller.go
@@ -47,7 +47,8 @@
 		Log: telemetry.Part(base.log, "drainer"), Interval: settings.Decide.Interval,
 	})
 	c.mover = mover.New(mover.Config{
-		Store: base.platform, Feed: base.feed, Hosts: base.platform, Shard: c.holder,
+		Member: base.self.ID, Store: base.platform, Feed: base.feed, Hosts: base.platform, Pool: base.platform,
+		Confirmer: confirmer, Gate: budget.NewGate(base.platform), Shard: c.holder, Invariant: base.invariant,
 		Log: telemetry.Part(base.log, "mover"), Interval: settings.Decide.Interval,
 	})
 	c.api = operatorapi.New(operatorapi.Config{
--- a/internal/hostrecord/hostrecord.go
+++ b/internal/hostrecord/hostrecord.go
@@ -55,6 +55,13 @@
 	AlreadyDown bool `json:"alreadyDown,omitempty"`
 	// NextPool, when set, is the pool the host joins on its return.
 	NextPool string `json:"nextPool,omitempty"`
+	// PreviousPool is the pool that a host in a move has just left: its grants
+	// are given back once the host serves again.
+	PreviousPool string `json:"previousPool,omitempty"`
+	// Zone and Rack are where the host was when it got its first pool. They
+	// tell a lost zone from lost hosts when the platform lists neither.
+	Zone string `json:"zone,omitempty"`
+	Rack string `json:"rack,omitempty"`
 	// Visits holds how each wave that still exists ended on this host, so that
 	// a wave's progress survives the controller that drove it.
 	Visits map[string]Visit `json:"visits,omitempty"`
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -33,6 +33,10 @@
 	ClaimPrefix = StatePrefix + "claim/"
 	// HolderPrefix holds which controller decides for which shard.
 	HolderPrefix = StatePrefix + "holder/"
+	// Moves holds how long each reason to move a host has lasted.
+	Moves = StatePrefix + "moves"
+	// PlacementPrefix holds one record per pool with its jobs' tasks.
+	PlacementPrefix = StatePrefix + "placement/"
 	// AuditPrefix holds one record per accepted change.
 	AuditPrefix = StatePrefix + "audit/"
 )
@@ -49,6 +53,9 @@
 // Ledger returns the key of a service's disruption ledger.
 func Ledger(service string) string { return LedgerPrefix + service }
 
+// Placement returns the key of a pool's tasks.
+func Placement(pool string) string { return PlacementPrefix + pool }
+
 // Member returns the key of a process's membership record.
 func Member(id string) string { return MemberPrefix + id }
 
--- /dev/null
+++ b/internal/mover/act.go
@@ -0,0 +1,222 @@
+package mover
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"auburnglade.example/glade/internal/budget"
+	"auburnglade.example/glade/internal/catalog"
+	"auburnglade.example/glade/internal/fleet"
+	"auburnglade.example/glade/internal/hostrecord"
+	"auburnglade.example/glade/internal/invariant"
+	"auburnglade.example/glade/internal/keys"
+	"auburnglade.example/glade/internal/store"
+)
+
+// assign creates the host's record: that the key must be absent is what keeps
+// a host in one pool when two controllers race.
+func (m *Mover) assign(ctx context.Context, a Assignment, place fleet.Host) error {
+	record := hostrecord.Record{
+		Host: a.Host, Pool: a.Pool, Phase: hostrecord.Serving,
+		Zone: place.Zone, Rack: place.Rack, WriteID: uuid.NewString(),
+	}
+	_, err := store.Swap(ctx, m.Store, store.Write{Key: keys.Host(a.Host), Value: record.Encode()})
+	return err
+}
+
+// begin starts a move. With a wave coming it only writes where the host goes
+// on its return. Otherwise it takes the old pool's grants first and writes the
+// intent second, so that a host is never marked out without its budget.
+func (m *Mover) begin(ctx context.Context, snapshot *catalog.Snapshot, listed map[string]fleet.Host, move Move) error {
+	item := snapshot.Hosts[move.Host]
+	if move.WithWave {
+		return m.write(ctx, item, func(r *hostrecord.Record) { r.NextPool = move.To })
+	}
+	operation := operationPrefix + uuid.NewString()
+	services := servicesOf(snapshot, item.Pool)
+	view := func(service string) budget.View { return budgetView(snapshot, listed, service) }
+	grant := budget.Grant{Operation: operation, Holder: m.Member}
+	if err := m.Gate.Acquire(ctx, item.Host, grant, services, view); err != nil {
+		return err
+	}
+	err := m.write(ctx, item, func(r *hostrecord.Record) {
+		r.Phase, r.Operation, r.NextPool = hostrecord.Draining, operation, move.To
+	})
+	if store.IsConflict(err) {
+		return errors.CombineErrors(err, m.release(ctx, services, item.Host, operation))
+	}
+	return err
+}
+
+func (m *Mover) withdraw(ctx context.Context, item catalog.HostItem) error {
+	return m.write(ctx, item, func(r *hostrecord.Record) { r.NextPool = "" })
+}
+
+// forget removes the record of a host that is gone for good, then gives back
+// what it may still hold. Should the host come back, it is a new host.
+func (m *Mover) forget(ctx context.Context, snapshot *catalog.Snapshot, host string) error {
+	item := snapshot.Hosts[host]
+	_, err := store.Swap(ctx, m.Store, store.Write{Key: keys.Host(host), Expect: item.Revision, Delete: true})
+	if err != nil || item.Operation == "" {
+		return err
+	}
+	return m.release(ctx, servicesOf(snapshot, item.Pool), host, item.Operation)
+}
+
+// advance takes every host in a move of its own one step further.
+func (m *Mover) advance(ctx context.Context, snapshot *catalog.Snapshot) {
+	for _, name := range sortedNames(snapshot.Hosts) {
+		item := snapshot.Hosts[name]
+		if !InOwnDrain(item.Record) || item.Phase == hostrecord.Failed {
+			continue
+		}
+		verb, reason := Next(m.transit(ctx, snapshot, item))
+		if verb == Wait {
+			continue
+		}
+		m.try(name, string(verb), reason, func() error { return m.step(ctx, snapshot, item, verb) })
+	}
+}
+
+func (m *Mover) transit(ctx context.Context, snapshot *catalog.Snapshot, item catalog.HostItem) Transit {
+	host := item.Host
+	if m.seen[host].revision != item.Revision {
+		m.seen[host] = seenRecord{revision: item.Revision, at: time.Now()}
+	}
+	t := Transit{
+		Record: item.Record, Age: time.Since(m.seen[host].at),
+		Drained: m.drained[host] == item.Operation,
+		Target:  snapshot.Pools()[item.NextPool] != nil,
+	}
+	condition, err := m.Pool.Condition(ctx, host)
+	if err != nil || !condition.Healthy {
+		delete(m.healthy, host)
+	} else if _, ok := m.healthy[host]; !ok {
+		m.healthy[host] = time.Now()
+	}
+	if since, ok := m.healthy[host]; ok {
+		t.HealthyFor = time.Since(since)
+	}
+	t.Reachable, t.InFlight = err == nil && condition.Reachable, condition.InFlight
+	t.Confirmed = t.Drained || len(m.Confirmer.Lagging(ctx, item.Revision)) == 0
+	return t
+}
+
+func (m *Mover) step(ctx context.Context, snapshot *catalog.Snapshot, item catalog.HostItem, verb Verb) error {
+	switch verb {
+	case DrainHost:
+		if err := m.Pool.Drain(ctx, item.Host, item.Operation); err != nil {
+			return err
+		}
+		m.drained[item.Host] = item.Operation
+		return nil
+	case ChangeTo:
+		delete(m.healthy, item.Host)
+		return m.write(ctx, item, func(r *hostrecord.Record) {
+			r.PreviousPool, r.Pool, r.NextPool = r.Pool, r.NextPool, ""
+			r.Phase = hostrecord.Proving
+		})
+	case Return, GiveBack:
+		return m.putBack(ctx, snapshot, item)
+	case GiveUp:
+		return m.write(ctx, item, func(r *hostrecord.Record) { r.Phase, r.NextPool = hostrecord.Failed, "" })
+	}
+	return nil
+}
+
+// putBack lets the host serve before it gives the grants back: in between the
+// budget is only the more cautious. A controller that ends in between leaves
+// orphaned grants, which the drainer finds by their operation.
+func (m *Mover) putBack(ctx context.Context, snapshot *catalog.Snapshot, item catalog.HostItem) error {
+	if err := m.Pool.Undrain(ctx, item.Host, item.Operation); err != nil {
+		return err
+	}
+	granted := item.Pool
+	if item.PreviousPool != "" {
+		granted = item.PreviousPool
+	}
+	err := m.write(ctx, item, func(r *hostrecord.Record) {
+		r.Phase, r.Operation, r.NextPool, r.PreviousPool = hostrecord.Serving, "", "", ""
+	})
+	if err != nil {
+		return err
+	}
+	delete(m.drained, item.Host)
+	return m.release(ctx, servicesOf(snapshot, granted), item.Host, item.Operation)
+}
+
+func (m *Mover) release(ctx context.Context, services []string, host, operation string) error {
+	for _, service := range services {
+		if err := m.Gate.Release(ctx, service, host, operation); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (m *Mover) write(ctx context.Context, item catalog.HostItem, change func(*hostrecord.Record)) error {
+	next := item.Record
+	change(&next)
+	legal := m.Invariant.Hold(invariant.OnePool, changeAllowed(item.Record, next), func() string {
+		return fmt.Sprintf("host %s would change from pool %q to %q while %s", item.Host, item.Pool, next.Pool, item.Phase)
+	})
+	if !legal {
+		return &IllegalChangeError{Host: item.Host, From: item.Pool, To: next.Pool, Phase: item.Phase}
+	}
+	next.WriteID = uuid.NewString()
+	_, err := store.Swap(ctx, m.Store, store.Write{Key: keys.Host(item.Host), Expect: item.Revision, Value: next.Encode()})
+	return err
+}
+
+// IllegalChangeError says that a host was about to change pool while it could
+// still serve the old one.
+type IllegalChangeError struct {
+	Host, From, To string
+	Phase          hostrecord.Phase
+}
+
+func (e *IllegalChangeError) Error() string {
+	return fmt.Sprintf("host %s must not change from pool %q to %q while it is %s", e.Host, e.From, e.To, e.Phase)
+}
+
+// changeAllowed reports whether a host may go from one record to the next: its
+// pool changes only out of a drain and into a proof.
+func changeAllowed(before, after hostrecord.Record) bool {
+	if before.Pool == after.Pool {
+		return true
+	}
+	return before.Phase == hostrecord.Draining && before.NextPool == after.Pool && after.Phase == hostrecord.Proving
+}
+
+func servicesOf(snapshot *catalog.Snapshot, pool string) []string {
+	spec := snapshot.Pools()[pool]
+	if spec == nil {
+		return nil
+	}
+	return spec.Services
+}
+
+// budgetView is pessimistic: a host counts as available only when its record
+// says that it serves and the platform lists it live.
+func budgetView(snapshot *catalog.Snapshot, listed map[string]fleet.Host, service string) budget.View {
+	view := budget.View{Service: service}
+	for _, b := range snapshot.Budgets() {
+		if b.Service == service {
+			view.Budget = b
+		}
+	}
+	for _, pool := range snapshot.PoolsOf(service) {
+		for _, name := range snapshot.HostsOf(pool) {
+			host, known := listed[name]
+			view.Endpoints = append(view.Endpoints, budget.Endpoint{
+				Host: name, Zone: host.Zone, Rack: host.Rack,
+				Available: known && host.State == fleet.HostLive && snapshot.Hosts[name].TakesWork(),
+			})
+		}
+	}
+	return view
+}
--- a/internal/mover/mover.go
+++ b/internal/mover/mover.go
@@ -4,50 +4,88 @@
 	"context"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 
+	"auburnglade.example/glade/internal/budget"
+	"auburnglade.example/glade/internal/catalog"
 	"auburnglade.example/glade/internal/feed"
 	"auburnglade.example/glade/internal/fleet"
 	"auburnglade.example/glade/internal/hostrecord"
-	"auburnglade.example/glade/internal/keys"
+	"auburnglade.example/glade/internal/invariant"
 	"auburnglade.example/glade/internal/pause"
+	"auburnglade.example/glade/internal/record"
 	"auburnglade.example/glade/internal/store"
 )
 
 // Shard tells whether this controller may act.
 type Shard interface{ Held() bool }
 
+// Confirmer answers which members may still serve a configuration older than
+// a revision.
+type Confirmer interface {
+	Lagging(ctx context.Context, revision store.Revision) []string
+}
+
 // Config is what a Mover is made of.
 type Config struct {
-	Store store.Store
-	Feed  *feed.Feed
-	Hosts fleet.HostList
-	Shard Shard
-	Log   zerolog.Logger
+	Member    string
+	Store     store.Store
+	Feed      *feed.Feed
+	Hosts     fleet.HostList
+	Pool      fleet.PoolHosts
+	Confirmer Confirmer
+	Gate      *budget.Gate
+	Shard     Shard
+	Invariant *invariant.Checker
+	Log       zerolog.Logger
 	// Interval is the pause between two rounds; zero means DefaultInterval.
 	Interval time.Duration
 }
 
-// DefaultInterval is the pause between two rounds.
-const DefaultInterval = 2 * time.Second
+// Defaults of a Mover.
+const (
+	// DefaultInterval is the pause between two rounds.
+	DefaultInterval = 2 * time.Second
+	// maxMoves bounds the hosts in moves of their own at once, for the whole
+	// fleet: a wrong record is seen before it has moved everything.
+	maxMoves = 10
+)
+
+// Mover applies assignments and moves while it holds the shard.
+type Mover struct {
+	Config
+	lasted  *lastedRecord
+	seen    map[string]seenRecord
+	healthy map[string]time.Time
+	drained map[string]string
+	reasons map[string]string
+}
 
-// Mover applies assignments while it holds the shard.
-type Mover struct{ Config }
+// seenRecord is when this process first saw a host record's revision.
+type seenRecord struct {
+	revision store.Revision
+	at       time.Time
+}
 
 // New returns a mover.
 func New(config Config) *Mover {
 	if config.Interval == 0 {
 		config.Interval = DefaultInterval
 	}
-	return &Mover{Config: config}
+	return &Mover{
+		Config: config, lasted: &lastedRecord{store: config.Store},
+		seen: make(map[string]seenRecord), healthy: make(map[string]time.Time),
+		drained: make(map[string]string), reasons: make(map[string]string),
+	}
 }
 
-// Serve assigns hosts until ctx ends.
+// Serve assigns and moves hosts until ctx ends.
 func (m *Mover) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if m.Shard.Held() {
 			m.Round(ctx)
+		} else {
+			m.lasted.forget()
 		}
 		pause.For(ctx, m.Interval)
 	}
@@ -61,23 +99,104 @@
 		m.Log.Warn().Err(err).Msg("Host list not read.")
 		return
 	}
-	for _, assignment := range Assign(m.Feed.Snapshot(), hosts) {
-		if !m.Shard.Held() {
-			return
+	snapshot := m.Feed.Snapshot()
+	input := NewInput(snapshot, hosts)
+	input.MaxMoves = maxMoves
+	input.Lasted, err = m.lasted.age(ctx, input)
+	if err != nil {
+		m.Log.Warn().Err(err).Msg("Ages of reasons to move not kept.")
+	}
+	listed := make(map[string]fleet.Host, len(hosts))
+	for _, host := range hosts {
+		listed[host.Name] = host
+	}
+	m.advance(ctx, snapshot)
+	m.apply(ctx, snapshot, listed, Make(input))
+}
+
+func (m *Mover) apply(ctx context.Context, snapshot *catalog.Snapshot, listed map[string]fleet.Host, plan Plan) {
+	for _, assignment := range plan.Assign {
+		m.try(assignment.Host, "assign", assignment.Reason, func() error { return m.assign(ctx, assignment, listed[assignment.Host]) })
+	}
+	for _, change := range plan.Withdraw {
+		m.try(change.Host, "withdraw", change.Reason, func() error { return m.withdraw(ctx, snapshot.Hosts[change.Host]) })
+	}
+	for _, change := range plan.Forget {
+		m.try(change.Host, "forget", change.Reason, func() error { return m.forget(ctx, snapshot, change.Host) })
+	}
+	for _, move := range plan.Moves {
+		m.try(move.Host, "move", move.Reason, func() error { return m.begin(ctx, snapshot, listed, move) })
+	}
+}
+
+// try runs one act if the shard is still held, and logs how it went once per
+// reason.
+func (m *Mover) try(host, verb, reason string, act func() error) {
+	if !m.Shard.Held() {
+		return
+	}
+	err := act()
+	switch {
+	case err == nil:
+		m.Log.Info().Str("host", host).Str("verb", verb).Str("reason", reason).Msg("Step applied.")
+		delete(m.reasons, host)
+	case store.IsConflict(err):
+		// Someone changed the record in between; the next round observes it.
+	case m.reasons[host] != err.Error():
+		m.reasons[host] = err.Error()
+		m.Log.Info().Err(err).Str("host", host).Str("verb", verb).Msg("Step waits.")
+	}
+}
+
+// NewInput builds the planner's snapshot from the configuration in force and
+// the platform's list, without the reasons' ages.
+func NewInput(snapshot *catalog.Snapshot, hosts []fleet.Host) Input {
+	input := Input{Pools: snapshot.Pools(), Hold: HoldOf(snapshot.Policy())}
+	waves := snapshot.Waves()
+	listed := make(map[string]bool, len(hosts))
+	for _, host := range hosts {
+		listed[host.Name] = true
+		item, known := snapshot.Hosts[host.Name]
+		input.Hosts = append(input.Hosts, Host{
+			Name: host.Name, Zone: host.Zone, Rack: host.Rack,
+			Live: host.State == fleet.HostLive, Known: known, Record: item.Record,
+			WaveComing: known && waveComing(waves, item.Record), Remembered: remembered(waves, item.Record),
+		})
+	}
+	for name, item := range snapshot.Hosts {
+		if !listed[name] {
+			input.Hosts = append(input.Hosts, Host{
+				Name: name, Zone: item.Zone, Rack: item.Rack, Known: true, Record: item.Record,
+				Remembered: remembered(waves, item.Record),
+			})
 		}
-		if err := m.assign(ctx, assignment); err != nil && !store.IsConflict(err) {
-			m.Log.Warn().Err(err).Str("host", assignment.Host).Msg("Host not assigned.")
-			return
+	}
+	return input
+}
+
+func waveComing(waves map[string]*record.Wave, r hostrecord.Record) bool {
+	if r.Phase != hostrecord.Serving {
+		return false
+	}
+	for name, wave := range waves {
+		_, visited := r.Visits[name]
+		if visited || wave.Paused || wave.Cancelled {
+			continue
+		}
+		for _, pool := range wave.Pools {
+			if pool == r.Pool {
+				return true
+			}
 		}
 	}
+	return false
 }
 
-// assign creates the host's record: that the key must be absent is what keeps
-// a host in one pool when two controllers race.
-func (m *Mover) assign(ctx context.Context, a Assignment) error {
-	record := hostrecord.Record{
-		Host: a.Host, Pool: a.Pool, Phase: hostrecord.Serving, WriteID: uuid.NewString(),
+func remembered(waves map[string]*record.Wave, r hostrecord.Record) bool {
+	for name := range r.Visits {
+		if waves[name] != nil {
+			return true
+		}
 	}
-	_, err := store.Swap(ctx, m.Store, store.Write{Key: keys.Host(a.Host), Value: record.Encode()})
-	return err
+	return false
 }
--- /dev/null
+++ b/internal/mover/plan_test.go
@@ -0,0 +1,255 @@
+package mover
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"auburnglade.example/glade/internal/hostrecord"
+	"auburnglade.example/glade/internal/record"
+)
+
+const testHold = 5 * time.Minute
+
+func serving(name, zone, pool string) Host {
+	return Host{
+		Name: name, Zone: zone, Rack: zone + "-rack", Live: true, Known: pool != "",
+		Record: hostrecord.Record{Host: name, Pool: pool, Phase: hostrecord.Serving, Zone: zone},
+	}
+}
+
+// settled returns the input with every reason older than the hold.
+func settled(input Input) Input {
+	input.Lasted = Lasted{}.Age(input, 0).Age(input, input.Hold)
+	return input
+}
+
+func TestHostWithoutPoolGoesToTheZoneThatThePoolLacks(t *testing.T) {
+	input := Input{
+		Pools: map[string]*record.Pool{"a": {Size: 3}},
+		Hosts: []Host{serving("h1", "z1", "a"), serving("h2", "z2", "a"), serving("h3", "z1", ""), serving("h4", "z3", "")},
+		Hold:  testHold,
+	}
+	plan := Make(input)
+	must.Eq(t, []Assignment{{Host: "h4", Pool: "a", Reason: "pool has 2 of 3 hosts"}}, plan.Assign)
+}
+
+// An operator shrinks a pool by mistake and mends it within the hold, again
+// and again. No host may move, because each time the reason starts anew. If
+// the ages weren't reset, the third slip would move a host.
+func TestReasonThatFlapsMovesNothing(t *testing.T) {
+	hosts := []Host{serving("h1", "z1", "a"), serving("h2", "z2", "a")}
+	slip := Input{Pools: map[string]*record.Pool{"a": {Size: 1}, "b": {Size: 1}}, Hosts: hosts, Hold: testHold}
+	whole := Input{Pools: map[string]*record.Pool{"a": {Size: 2}, "b": {Size: 1}}, Hosts: hosts, Hold: testHold}
+	lasted := Lasted{}
+	for range 10 {
+		for range 4 {
+			lasted = lasted.Age(slip, testHold/5)
+			slip.Lasted = lasted
+			must.SliceEmpty(t, Make(slip).Moves)
+		}
+		lasted = lasted.Age(whole, time.Second)
+	}
+	for range 6 {
+		lasted = lasted.Age(slip, testHold/5)
+	}
+	slip.Lasted = lasted
+	must.Len(t, 1, Make(slip).Moves)
+}
+
+// A zone is lost for half an hour: all its hosts vanish from the list at once.
+// Their pools must not be refilled from elsewhere, or everything would move
+// twice. A single host that vanishes for as long is replaced.
+func TestLostZoneMovesNothingAndLostHostIsReplaced(t *testing.T) {
+	build := func(gone func(i int) bool) Input {
+		input := Input{Pools: map[string]*record.Pool{"a": {Size: 20}, "spare": {Size: 0}}, Hold: testHold}
+		for i := range 20 {
+			host := serving(fmt.Sprintf("h%02d", i), fmt.Sprintf("z%d", i%2), "a")
+			host.Live = !gone(i)
+			input.Hosts = append(input.Hosts, host)
+		}
+		for i := range 10 {
+			input.Hosts = append(input.Hosts, serving(fmt.Sprintf("s%02d", i), fmt.Sprintf("z%d", 2+i%2), "spare"))
+		}
+		return input
+	}
+	age := func(input Input) Plan {
+		for range 60 {
+			input.Lasted = input.Lasted.Age(input, 30*time.Second)
+		}
+		return Make(input)
+	}
+	must.SliceEmpty(t, age(build(func(i int) bool { return i%2 == 0 })).Moves)
+	must.Len(t, 1, age(build(func(i int) bool { return i == 0 })).Moves)
+}
+
+// The record of a host that is gone is kept while a wave still has it in hand,
+// so that its grant stays counted, and for long enough that a late host list
+// or an hour without the region never drops it.
+func TestRecordOfVanishedHostIsKeptUntilItIsGoneForGood(t *testing.T) {
+	gone := serving("h1", "z1", "a")
+	gone.Live = false
+	input := Input{Pools: map[string]*record.Pool{"a": {Size: 1}}, Hosts: []Host{gone}, Hold: testHold}
+	input.Lasted.Absent = map[string]time.Duration{"h1": time.Hour}
+	must.SliceEmpty(t, Make(input).Forget)
+	input.Lasted.Absent["h1"] = GoneAfter
+	must.Len(t, 1, Make(input).Forget)
+	input.Hosts[0].Record.Phase = hostrecord.Rebooting
+	must.SliceEmpty(t, Make(input).Forget)
+}
+
+func TestMoveWaitsForTheWaveThatDrainsTheHostAnyway(t *testing.T) {
+	coming := serving("h1", "z1", "a")
+	coming.WaveComing = true
+	input := settled(Input{
+		Pools: map[string]*record.Pool{"a": {Size: 1}, "b": {Size: 1}},
+		Hosts: []Host{coming, serving("h2", "z1", "a")}, Hold: testHold,
+	})
+	plan := Make(input)
+	must.Len(t, 1, plan.Moves)
+	must.Eq(t, "h1", plan.Moves[0].Host)
+	must.True(t, plan.Moves[0].WithWave)
+	input.Lasted = input.Lasted.Age(input, WaveWait)
+	must.False(t, Make(input).Moves[0].WithWave)
+}
+
+func TestPlannedMoveIsWithdrawnWhenItsReasonIsGone(t *testing.T) {
+	planned := serving("h1", "z1", "a")
+	planned.Record.NextPool = "b"
+	input := Input{Pools: map[string]*record.Pool{"a": {Size: 1}, "b": {Size: 0}}, Hosts: []Host{planned}, Hold: testHold}
+	must.Len(t, 1, Make(input).Withdraw)
+	input.Pools = map[string]*record.Pool{"a": {Size: 1}}
+	must.Len(t, 1, Make(input).Withdraw)
+	input.Pools = map[string]*record.Pool{"a": {Size: 0}, "b": {Size: 1}}
+	must.SliceEmpty(t, Make(input).Withdraw)
+}
+
+func TestNoMoreHostsPerRackThanThePoolAllows(t *testing.T) {
+	input := Input{Pools: map[string]*record.Pool{"a": {Size: 4, MaxPerRack: 1}}, Hold: testHold}
+	for i := range 8 {
+		host := serving(fmt.Sprintf("h%d", i), "z1", "")
+		host.Rack = fmt.Sprintf("rack-%d", i/4)
+		input.Hosts = append(input.Hosts, host)
+	}
+	must.Len(t, 2, Make(input).Assign)
+}
+
+// Random fleets and pool sizes. Each host is in at most one act of the plan,
+// no pool goes over its size or gives below it, zones are kept, and the number
+// of moves is the fewest that any plan could do with, by a matching that knows
+// nothing of the planner.
+func TestMovesAreTheFewest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		input := settled(drawFleet(t))
+		plan := Make(input)
+		checkPlan(t, input, plan)
+		fewest, filled := fewestMoves(input)
+		must.Eq(t, fewest, len(plan.Moves), must.Sprint("moves"))
+		must.Eq(t, filled, len(plan.Moves)+len(plan.Assign), must.Sprint("hosts placed"))
+	})
+}
+
+func drawFleet(t *rapid.T) Input {
+	input := Input{Pools: make(map[string]*record.Pool), Hold: testHold}
+	pools := rapid.IntRange(1, 6).Draw(t, "pools")
+	for i := range pools {
+		pool := &record.Pool{Size: rapid.IntRange(0, 6).Draw(t, "size")}
+		if rapid.Bool().Draw(t, "restricted") {
+			pool.Zones = []string{fmt.Sprintf("z%d", rapid.IntRange(0, 2).Draw(t, "zone"))}
+		}
+		input.Pools[fmt.Sprintf("p%d", i)] = pool
+	}
+	for i := range rapid.IntRange(0, 25).Draw(t, "hosts") {
+		pool := ""
+		if in := rapid.IntRange(-2, pools).Draw(t, "in"); in >= 0 {
+			// The highest number is a pool that has been removed.
+			pool = fmt.Sprintf("p%d", in)
+		}
+		input.Hosts = append(input.Hosts, serving(fmt.Sprintf("h%02d", i), fmt.Sprintf("z%d", rapid.IntRange(0, 2).Draw(t, "z")), pool))
+	}
+	return input
+}
+
+func checkPlan(t *rapid.T, input Input, plan Plan) {
+	members, hosts, touched := map[string]int{}, map[string]Host{}, map[string]bool{}
+	for _, host := range input.Hosts {
+		hosts[host.Name] = host
+		members[host.Record.Pool]++
+	}
+	join := func(host, pool string) {
+		must.False(t, touched[host], must.Sprint("a host in two acts"))
+		touched[host] = true
+		members[pool]++
+		must.LessEq(t, input.Pools[pool].Size, members[pool])
+		if zones := input.Pools[pool].Zones; len(zones) > 0 {
+			must.Eq(t, zones[0], hosts[host].Zone)
+		}
+	}
+	for _, a := range plan.Assign {
+		join(a.Host, a.Pool)
+	}
+	for _, m := range plan.Moves {
+		join(m.Host, m.To)
+		must.Eq(t, hosts[m.Host].Record.Pool, m.From)
+		members[m.From]--
+		if spec := input.Pools[m.From]; spec != nil {
+			must.GreaterEq(t, spec.Size, members[m.From])
+		}
+	}
+}
+
+// fewestMoves returns the fewest moves and the most hosts that any plan could
+// place. It is the smallest cut between givers and takers, over every set of
+// zones (the planner pushes flow and never looks at cuts): the pools that take
+// from the set, and what the givers have outside of it.
+func fewestMoves(input Input) (moves, placed int) {
+	members, inZone := map[string]int{}, map[string]map[string]int{}
+	for _, host := range input.Hosts {
+		pool := host.Record.Pool
+		members[pool]++
+		if inZone[pool] == nil {
+			inZone[pool] = map[string]int{}
+		}
+		inZone[pool][host.Zone]++
+	}
+	placed = smallestCut(input, members, inZone, true)
+	return placed - smallestCut(input, members, inZone, false), placed
+}
+
+func smallestCut(input Input, members map[string]int, inZone map[string]map[string]int, withMoves bool) int {
+	smallest := len(input.Hosts)
+	for set := range 8 {
+		inSet := func(zone string) bool { return set>>(zone[1]-'0')&1 == 1 }
+		cut := 0
+		for name, pool := range input.Pools {
+			takes := set != 0
+			if len(pool.Zones) > 0 {
+				takes = inSet(pool.Zones[0])
+			}
+			if takes {
+				cut += max(0, pool.Size-members[name])
+			}
+		}
+		for group, zones := range inZone {
+			gives := members[group]
+			if spec := input.Pools[group]; spec != nil {
+				gives = max(0, members[group]-spec.Size)
+			}
+			if group != "" && !withMoves {
+				continue
+			}
+			outside := 0
+			for zone, count := range zones {
+				if !inSet(zone) {
+					outside += count
+				}
+			}
+			cut += min(gives, outside)
+		}
+		smallest = min(smallest, cut)
+	}
+	return smallest
+}
