--- a/internal/mover/act.go
+++ b/internal/mover/act.go
@@ -206,7 +206,7 @@
 	view := budget.View{Service: service}
 	for _, b := range snapshot.Budgets() {
 		if b.Service == service {
-			view.Budget = b
+			view.Budgets = append(view.Budgets, b)
 		}
 	}
 	for _, pool := range snapshot.PoolsOf(service) {
