--- a/internal/mover/mover.go
+++ b/internal/mover/mover.go
@@ -149,7 +149,8 @@
 }
 
 // NewInput builds the planner's snapshot from the configuration in force and
-// the platform's list, without the reasons' ages.
+// the platform's list, without the reasons' ages. A host that the platform
+// lists as leaving while it is out by our own doing isn't lost.
 func NewInput(snapshot *catalog.Snapshot, hosts []fleet.Host) Input {
 	input := Input{Pools: snapshot.Pools(), Hold: HoldOf(snapshot.Policy())}
 	waves := snapshot.Waves()
@@ -159,7 +160,7 @@
 		item, known := snapshot.Hosts[host.Name]
 		input.Hosts = append(input.Hosts, Host{
 			Name: host.Name, Zone: host.Zone, Rack: host.Rack,
-			Live: host.State == fleet.HostLive, Known: known, Record: item.Record,
+			Live: host.State == fleet.HostLive || (known && !item.TakesWork()), Known: known, Record: item.Record,
 			WaveComing: known && waveComing(waves, item.Record), Remembered: remembered(waves, item.Record),
 		})
 	}
--- /dev/null
+++ b/internal/placement/plan.go
@@ -0,0 +1,235 @@
+package placement
+
+import (
+	"fmt"
+	"slices"
+	"sort"
+	"time"
+
+	"auburnglade.example/glade/internal/record"
+)
+
+// node is a worker with what is left of it while a plan is made.
+type node struct {
+	Worker
+	free  record.Resources
+	tasks []*Task
+}
+
+type planner struct {
+	input  Input
+	nodes  []*node
+	byName map[string]*node
+	held   map[string]record.Resources
+	// acts holds the tasks told something in this plan.
+	acts map[string]bool
+	plan Plan
+}
+
+// Make plans one pool.
+func Make(input Input) Plan {
+	p := newPlanner(input)
+	p.endUnwanted()
+	jobs := slices.Clone(input.Jobs)
+	sort.SliceStable(jobs, func(i, j int) bool { return p.before(&jobs[i], &jobs[j]) })
+	for i := range jobs {
+		p.place(&jobs[i])
+	}
+	p.unthrottle()
+	return p.plan
+}
+
+func newPlanner(input Input) *planner {
+	p := &planner{
+		input: input, byName: make(map[string]*node, len(input.Workers)),
+		held: make(map[string]record.Resources), acts: make(map[string]bool),
+		plan: Plan{Waiting: make(map[string]string), Parked: make(map[string]string)},
+	}
+	for _, worker := range input.Workers {
+		n := &node{Worker: worker, free: worker.Capacity}
+		p.nodes = append(p.nodes, n)
+		p.byName[worker.Name] = n
+	}
+	sort.Slice(p.nodes, func(i, j int) bool { return p.nodes[i].Name < p.nodes[j].Name })
+	for team, held := range input.Held {
+		p.held[team] = held
+	}
+	for i := range input.Tasks {
+		task := &input.Tasks[i]
+		p.held[task.Team] = Add(p.held[task.Team], task.Size)
+		if n := p.byName[task.Host]; n != nil {
+			n.free = Sub(n.free, task.Held())
+			n.tasks = append(n.tasks, task)
+		}
+	}
+	return p
+}
+
+func (p *planner) act(task *Task, verb Verb, reason string) {
+	p.acts[task.ID] = true
+	p.plan.Acts = append(p.plan.Acts, Act{Task: task.ID, Verb: verb, Reason: reason})
+}
+
+// endUnwanted ends tasks of cancelled jobs and moves tasks off hosts that are
+// leaving. What they hold is free only once they have ended.
+func (p *planner) endUnwanted() {
+	for i := range p.input.Tasks {
+		task := &p.input.Tasks[i]
+		n := p.byName[task.Host]
+		switch {
+		case task.Leaving:
+		case task.Unwanted != "":
+			p.act(task, Stop, task.Unwanted)
+		case n != nil && n.Leaving:
+			p.act(task, Checkpoint, "its host is leaving")
+		}
+	}
+}
+
+// class orders jobs: lower comes first and may displace higher.
+func class(priority record.Priority, atRisk bool) int {
+	switch {
+	case priority == record.PriorityUrgent:
+		return 0
+	case atRisk:
+		return 1
+	case priority == record.PriorityLow:
+		return 3
+	}
+	return 2
+}
+
+func (j *Job) class() int { return class(j.Spec.Priority, j.atRisk()) }
+
+// slack is how much time is left over to the deadline if the job's tasks ran
+// one after the other.
+func (j *Job) slack() time.Duration {
+	if j.Spec.DeadlineSeconds == 0 {
+		return time.Duration(1<<63 - 1)
+	}
+	left := time.Duration(j.Spec.DeadlineSeconds)*time.Second - j.Age
+	return left - j.RunTime
+}
+
+func (j *Job) atRisk() bool {
+	return j.Spec.DeadlineSeconds > 0 && j.slack() < j.RunTime*riskMargin
+}
+
+func (p *planner) before(a, b *Job) bool {
+	if a.class() != b.class() {
+		return a.class() < b.class()
+	}
+	if a.slack() != b.slack() {
+		return a.slack() < b.slack()
+	}
+	shareA, shareB := p.share(a.Spec.Team), p.share(b.Spec.Team)
+	if shareA != shareB {
+		return shareA < shareB
+	}
+	if a.Age != b.Age {
+		return a.Age > b.Age
+	}
+	return a.Name < b.Name
+}
+
+// share is the part of its quota a team held when the plan began, so that the
+// team that holds least comes first.
+func (p *planner) share(team string) float64 {
+	quota, bounded := p.input.Quotas[team]
+	if !bounded || quota.MilliCPU == 0 {
+		return 0
+	}
+	return float64(p.input.Held[team].MilliCPU) / float64(quota.MilliCPU)
+}
+
+func (p *planner) place(job *Job) {
+	if len(job.Pending) == 0 {
+		return
+	}
+	if reason := p.hopeless(job); reason != "" {
+		p.plan.Parked[job.Name] = reason
+		return
+	}
+	finder := p.newFinder(job)
+	for _, index := range job.Pending {
+		if reason := p.overQuota(job); reason != "" {
+			p.plan.Waiting[job.Name] = reason
+			return
+		}
+		if p.startOne(job, index, finder) {
+			continue
+		}
+		p.plan.Waiting[job.Name] = finder.why
+		return
+	}
+}
+
+// hopeless says why a job can't run at all as things stand.
+func (p *planner) hopeless(job *Job) string {
+	if job.Fault != "" {
+		return job.Fault
+	}
+	if len(p.nodes) == 0 {
+		return "its pool has no hosts"
+	}
+	quota, bounded := p.input.Quotas[job.Spec.Team]
+	if bounded && !Fits(job.Size, quota) {
+		return fmt.Sprintf("one task needs %s and the quota of team %s is %s", Show(job.Size), job.Spec.Team, Show(quota))
+	}
+	for _, n := range p.nodes {
+		if Fits(job.Size, n.Capacity) {
+			return ""
+		}
+	}
+	return fmt.Sprintf("one task needs %s, more than any host of its pool has", Show(job.Size))
+}
+
+func (p *planner) overQuota(job *Job) string {
+	quota, bounded := p.input.Quotas[job.Spec.Team]
+	if !bounded || Fits(Add(p.held[job.Spec.Team], job.Size), quota) {
+		return ""
+	}
+	return fmt.Sprintf("team %s holds %s of its quota of %s", job.Spec.Team, Show(p.held[job.Spec.Team]), Show(quota))
+}
+
+func (p *planner) startOne(job *Job, index int, f *finder) bool {
+	n, reason := f.next()
+	var after []string
+	if n == nil && !p.input.Steady {
+		n, after = p.displace(job, f)
+		reason = "lesser work makes room"
+	}
+	if n == nil {
+		return false
+	}
+	n.free = Sub(n.free, job.Size)
+	p.held[job.Spec.Team] = Add(p.held[job.Spec.Team], job.Size)
+	p.plan.Starts = append(p.plan.Starts, Start{
+		Job: job.Name, Index: index, Host: n.Name, Size: job.Size, Reason: reason, After: after,
+	})
+	f.used(n)
+	return true
+}
+
+// unthrottle gives throttled tasks their processors back where there is room.
+func (p *planner) unthrottle() {
+	for _, n := range p.nodes {
+		for _, task := range n.tasks {
+			missing := task.Size.MilliCPU - task.Held().MilliCPU
+			if !task.Throttled || task.Leaving || p.acts[task.ID] || missing > n.free.MilliCPU {
+				continue
+			}
+			n.free.MilliCPU -= missing
+			p.act(task, Unthrottle, "its host has room again")
+		}
+	}
+}
+
+// Show writes an amount for operators.
+func Show(r record.Resources) string {
+	text := fmt.Sprintf("%d mCPU, %d MB", r.MilliCPU, r.MemoryMB)
+	if r.Accelerators > 0 {
+		text += fmt.Sprintf(", %d accelerators", r.Accelerators)
+	}
+	return text
+}
