Claim idempotency keys in the store before a request is forwarded

Cause: a non-idempotent request repeated with its key, through another gateway or after the first was replaced, ran again.

The first byte passes a gate on the connection that asks both clocks whether the claim is still fresh, so that a gateway which wakes after a pause writes nothing. A keyed request goes on when its caller goes away, so that the repeat finds the answer. With the store away keyed requests are refused as not run and all else is served.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -82,7 +82,7 @@
 // Do sends request to endpoint once. The request's URL names path and query
 // only. On success the caller must close the answer's body.
 func (t *Transport) Do(request *http.Request, endpoint Endpoint) (*http.Response, *Failure) {
-	var watch connWatch
+	watch := connWatch{gate: gateOf(request.Context())}
 	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{GotConn: watch.gotConn})
 	outgoing := request.WithContext(ctx)
 	outgoing.URL = &url.URL{
@@ -133,10 +133,13 @@
 func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
 
 func reasonOf(ctx context.Context, watch *connWatch) outcome.Reason {
+	conn := watch.conn.Load()
 	switch {
+	case conn != nil && conn.gateClosed():
+		return outcome.GateClosed
 	case ctx.Err() != nil:
 		return outcome.TimedOut
-	case watch.conn.Load() == nil:
+	case conn == nil:
 		return outcome.ConnectFailed
 	}
 	return outcome.EndpointLost
@@ -145,6 +148,7 @@
 // connWatch remembers the connection an attempt got and how many writes that
 // connection had seen before.
 type connWatch struct {
+	gate   func() bool
 	conn   atomic.Pointer[sealedConn]
 	before atomic.Int64
 	// again is set when the transport got a second connection: with replay
@@ -162,6 +166,7 @@
 	}
 	w.before.Store(conn.writes())
 	w.conn.Store(conn)
+	conn.setGate(w.gate)
 }
 
 // seal stops all further writes on the attempt's connection and reports
--- /dev/null
+++ b/internal/attempt/gate_test.go
@@ -0,0 +1,30 @@
+package attempt
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"auburnglade.example/glade/internal/outcome"
+)
+
+// The gateway is paused between its claim and the first byte, and wakes when
+// the claim's window is over. The attempt must end with nothing written, and
+// say so. Without the gate the endpoint reads the request.
+func TestClosedGateWritesNothing(t *testing.T) {
+	address, read := dyingEndpoint(t)
+	transport := NewTransport(nil, 1)
+	request := newRequest(t, http.MethodPost, "Idempotency-Key")
+	closed := request.WithContext(WithGate(t.Context(), func() bool { return false }))
+	_, failure := transport.Do(closed, Endpoint{Host: "h", Address: address})
+	must.NotNil(t, failure)
+	must.False(t, failure.Sent)
+	must.EqOp(t, outcome.GateClosed, failure.Reason)
+	must.EqOp(t, int64(0), read.Load())
+	open := request.WithContext(WithGate(t.Context(), func() bool { return true }))
+	response, failure := transport.Do(open, Endpoint{Host: "h", Address: address})
+	must.Nil(t, failure)
+	must.NoError(t, response.Body.Close())
+	must.EqOp(t, int64(1), read.Load())
+}
--- a/internal/attempt/sealedconn.go
+++ b/internal/attempt/sealedconn.go
@@ -22,6 +22,9 @@
 	mu     sync.Mutex
 	count  int64
 	sealed bool
+	// gate, when set, is asked before the next write.
+	gate   func() bool
+	closed bool
 }
 
 func (c *sealedConn) Write(p []byte) (int, error) {
@@ -34,6 +37,10 @@
 func (c *sealedConn) admitWrite() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.gate != nil && !c.gate() {
+		c.sealed, c.closed = true, true
+	}
+	c.gate = nil
 	if c.sealed {
 		return errSealed
 	}
@@ -41,6 +48,20 @@
 	return nil
 }
 
+// setGate has gate asked before the next write; a gate that says no seals the
+// connection.
+func (c *sealedConn) setGate(gate func() bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.gate = gate
+}
+
+func (c *sealedConn) gateClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
+}
+
 func (c *sealedConn) writes() int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 
+	"auburnglade.example/glade/internal/atmostonce"
 	"auburnglade.example/glade/internal/gateway"
 	"auburnglade.example/glade/internal/httpserve"
 	"auburnglade.example/glade/internal/invariant"
@@ -18,6 +19,7 @@
 	*common
 	settings *GatewaySettings
 	gateway  *gateway.Gateway
+	once     *atmostonce.Keeper
 }
 
 // NewGateway builds a gateway that logs to logs; nothing runs before Run.
@@ -31,10 +33,13 @@
 		return nil, err
 	}
 	g := &Gateway{common: base, settings: settings}
+	g.once = atmostonce.New(atmostonce.Config{
+		Ledger: atmostonce.NewPerKey(base.platform, 0), Log: telemetry.Part(base.log, "gateway/once"), Registry: base.registry,
+	})
 	g.gateway = gateway.New(gateway.Config{
 		Member: base.self.ID, Zone: settings.Process.Zone, Feed: base.feed, Hosts: base.platform,
 		Invariant: base.invariant, Log: telemetry.Part(base.log, "gateway"), Registry: base.registry,
-		Tracer: base.tracer,
+		Tracer: base.tracer, Once: g.once,
 	})
 	return g, nil
 }
@@ -53,6 +58,7 @@
 	front.Add("callers", httpserve.New("callers", g.settings.Listen.Callers, g.stoppingAware(), g.settings.Stop.Grace))
 	back := g.newTree("parts")
 	back.Add("gateway", g.gateway)
+	back.Add("once", g.once)
 	g.addCommonParts(back, g.settings.Listen.Peers, g.settings.Listen.Admin, g.gateway.Ready)
 
 	ended := make(chan error, 2)
--- a/internal/devrun/story.go
+++ b/internal/devrun/story.go
@@ -18,8 +18,9 @@
 	Deployment string               `json:"deployment"`
 	Callers    standin.CallerCounts `json:"callers"`
 	Nonidem    struct {
-		Sent    int64 `json:"sent"`
-		MaxRuns int   `json:"max_runs"`
+		Sent    int64                `json:"sent"`
+		MaxRuns int                  `json:"max_runs"`
+		Repeats standin.RepeatCounts `json:"repeats"`
 	} `json:"nonidempotent"`
 	Wave struct {
 		Hosts      int     `json:"hosts"`
@@ -103,7 +104,7 @@
 
 // Callers returns callers of every sample service.
 func (r *Run) Callers() *standin.Callers {
-	callers := &standin.Callers{Balancer: r.Balancer, Think: thinkTime}
+	callers := &standin.Callers{Balancer: r.Balancer, Think: thinkTime, Runs: r.Platform.Endpoints.Runs}
 	for _, envelope := range r.records {
 		spec, err := record.Decode(envelope)
 		service, ok := spec.(*record.Service)
@@ -259,6 +260,7 @@
 	seen := r.Platform.Endpoints.Counts()
 	report.Callers, report.Nonidem.MaxRuns = callers.Counts(seen.Runs)
 	report.Nonidem.Sent = report.Callers.NonidempotentSent
+	report.Nonidem.Repeats = report.Callers.Repeats
 	report.Endpoints.LateWork = seen.LateWork
 	report.Endpoints.PeakInFlight = seen.PeakInFlight
 	minimum := r.minimumAvailable()
@@ -291,6 +293,8 @@
 	fault(c.FalseNotRun > 0, "a request refused as not run did run")
 	fault(report.Nonidem.Sent == 0, "no non-idempotent request was sent")
 	fault(report.Nonidem.MaxRuns > 1, "a non-idempotent request ran more than once")
+	fault(report.Nonidem.Repeats.Answered == 0, "no repeat of a non-idempotent request was answered")
+	fault(report.Nonidem.Repeats.Differing > 0, "a repeat got another answer than the first")
 	fault(report.Wave.Hosts == 0 || report.Wave.Maintained != report.Wave.Hosts, "the wave did not maintain every host")
 	fault(report.Budget.Violations > 0, "an availability budget was broken")
 	fault(report.Config.Changes == 0, "no configuration change was measured")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/trace"
 
+	"auburnglade.example/glade/internal/atmostonce"
 	"auburnglade.example/glade/internal/attempt"
 	"auburnglade.example/glade/internal/balance"
 	"auburnglade.example/glade/internal/endpoint"
@@ -36,6 +37,8 @@
 	Log       zerolog.Logger
 	Registry  prometheus.Registerer
 	Tracer    trace.TracerProvider
+	// Once claims idempotency keys; nil leaves them to the endpoints.
+	Once *atmostonce.Keeper
 	// HostInterval is the pause between two readings of the host list; zero
 	// means DefaultHostInterval.
 	HostInterval time.Duration
--- a/internal/gateway/once.go
+++ b/internal/gateway/once.go
@@ -1,13 +1,150 @@
 package gateway
 
 import (
+	"bytes"
+	"context"
+	"io"
+	"math"
 	"net/http"
+	"strconv"
+	"time"
 
+	"auburnglade.example/glade/internal/atmostonce"
+	"auburnglade.example/glade/internal/attempt"
 	"auburnglade.example/glade/internal/endpoint"
+	"auburnglade.example/glade/internal/outcome"
 )
 
-// serveOnce forwards a request; one that carries an idempotency key runs at
-// most once over all gateways.
+const (
+	// maxKeyedBody bounds the body of a keyed non-idempotent request: it is
+	// read whole for its fingerprint before anything is sent.
+	maxKeyedBody = 1 << 20
+	// maxKeyBytes bounds an idempotency key.
+	maxKeyBytes = 255
+)
+
+// serveOnce forwards a request. A non-idempotent one that carries an
+// idempotency key runs at most once over all gateways: its key is claimed in
+// the platform's store before it is queued for an endpoint.
 func (g *Gateway) serveOnce(w http.ResponseWriter, r *http.Request, service endpoint.Service) {
-	g.forward(w, r, service)
+	key := r.Header.Get(outcome.IdempotencyKeyHeader)
+	if key == "" || g.Once == nil || isIdempotent(service, r) {
+		g.forward(w, r, service)
+		return
+	}
+	if len(key) > maxKeyBytes {
+		g.refuse(w, service.Name, outcome.BadRequest)
+		return
+	}
+	body, reason := readKeyedBody(r)
+	if reason != "" {
+		g.refuse(w, service.Name, reason)
+		return
+	}
+	ticket, verdict, err := g.Once.Begin(r.Context(), atmostonce.Request{
+		ID:          atmostonce.NewID(service.Name, r.Header.Get(outcome.CallerHeader), key),
+		Fingerprint: atmostonce.NewFingerprint(r.Method, r.URL.RequestURI(), body),
+		Window:      service.Spec.Timeout(),
+	})
+	if err != nil {
+		g.Log.Debug().Err(err).Str("service", service.Name).Msg("Key not claimed.")
+		g.refuse(w, service.Name, outcome.StoreAway)
+		return
+	}
+	if ticket == nil {
+		g.answerRepeat(w, service.Name, verdict)
+		return
+	}
+	g.forwardClaimed(w, r, service, ticket)
+}
+
+// forwardClaimed forwards a request under its claim. It goes on when the
+// caller goes away, so that the caller's repeat gets the answer.
+func (g *Gateway) forwardClaimed(w http.ResponseWriter, r *http.Request, service endpoint.Service, ticket *atmostonce.Ticket) {
+	ctx, cancel := withoutCaller(r.Context())
+	defer cancel()
+	recorder := newRecorder(w)
+	finished := false
+	defer func() { ticket.End(recorder.result(finished)) }()
+	g.forward(recorder, r.WithContext(attempt.WithGate(ctx, ticket.MaySend)), service)
+	finished = true
+}
+
+// withoutCaller keeps a request's deadline but not its caller's cancellation.
+func withoutCaller(ctx context.Context) (context.Context, context.CancelFunc) {
+	detached := context.WithoutCancel(ctx)
+	if deadline, ok := ctx.Deadline(); ok {
+		return context.WithDeadline(detached, deadline)
+	}
+	return context.WithCancel(detached)
+}
+
+// readKeyedBody reads the body and gives the request a fresh reader over it.
+func readKeyedBody(r *http.Request) ([]byte, outcome.Reason) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil, ""
+	}
+	if r.ContentLength > maxKeyedBody {
+		return nil, outcome.TooLarge
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxKeyedBody+1))
+	if err != nil {
+		return nil, outcome.BadRequest
+	}
+	if len(body) > maxKeyedBody {
+		return nil, outcome.TooLarge
+	}
+	r.ContentLength = int64(len(body))
+	r.TransferEncoding = nil
+	r.Body = http.NoBody
+	if len(body) > 0 {
+		r.Body = io.NopCloser(bytes.NewReader(body))
+	}
+	return body, ""
+}
+
+// answerRepeat answers a request whose key was claimed before.
+func (g *Gateway) answerRepeat(w http.ResponseWriter, service string, verdict atmostonce.Verdict) {
+	switch verdict.State {
+	case atmostonce.Answered:
+		if verdict.Answer == nil {
+			g.refuseRepeat(w, service, outcome.AnswerNotKept, 0)
+			return
+		}
+		g.metrics.requests.WithLabelValues(service, string(outcome.Answered)).Inc()
+		replay(w, verdict.Answer)
+	case atmostonce.InProgress:
+		g.refuseRepeat(w, service, outcome.KeyInUse, verdict.RetryAfter)
+	case atmostonce.KeyReused:
+		g.metrics.requests.WithLabelValues(service, string(outcome.NotRun)).Inc()
+		w.Header().Set(outcome.Header, string(outcome.NotRun))
+		w.Header().Set(outcome.ReasonHeader, string(outcome.KeyReused))
+		http.Error(w, "not run: the idempotency key belongs to another request", outcome.StatusKeyReused)
+	default:
+		g.refuseRepeat(w, service, outcome.KeyUnclear, 0)
+	}
+}
+
+// refuseRepeat says that an earlier attempt may have run. retryAfter, when
+// set, says when its answer may be there.
+func (g *Gateway) refuseRepeat(w http.ResponseWriter, service string, reason outcome.Reason, retryAfter time.Duration) {
+	g.metrics.requests.WithLabelValues(service, string(outcome.Unknown)).Inc()
+	w.Header().Set(outcome.Header, string(outcome.Unknown))
+	w.Header().Set(outcome.ReasonHeader, string(reason))
+	if retryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(retryAfter.Seconds()))))
+	}
+	http.Error(w, "unknown: an earlier request with this key may have run", outcome.StatusUnknown)
+}
+
+func replay(w http.ResponseWriter, answer *atmostonce.Answer) {
+	header := w.Header()
+	for name, values := range answer.Header {
+		header[name] = values
+	}
+	header.Set(outcome.Header, string(outcome.Answered))
+	header.Set(outcome.ReplayedHeader, "true")
+	w.WriteHeader(answer.Status)
+	// A caller that has gone may repeat once more.
+	_, _ = w.Write(answer.Body)
 }
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -34,6 +34,11 @@
 	RequestIDHeader = "Glade-Request-Id"
 	// IdempotencyKeyHeader names a request whose repeat must not run again.
 	IdempotencyKeyHeader = "Idempotency-Key"
+	// CallerHeader, when given, is the identity that an idempotency key belongs
+	// to; without it a key belongs to the service.
+	CallerHeader = "Glade-Caller"
+	// ReplayedHeader is "true" on the first answer given again to a repeat.
+	ReplayedHeader = "Glade-Replayed"
 )
 
 // Status codes by outcome: a caller that only looks at the status still tells
@@ -41,6 +46,9 @@
 const (
 	StatusNotRun  = http.StatusServiceUnavailable
 	StatusUnknown = http.StatusBadGateway
+	// StatusKeyReused comes with NotRun when a key belongs to another request:
+	// sending it again would not help.
+	StatusKeyReused = http.StatusUnprocessableEntity
 )
 
 // Reason is the fixed word given with NotRun and Unknown.
@@ -60,6 +68,9 @@
 	TooLarge          Reason = "too-large"
 	KeyInUse          Reason = "key-in-use"
 	KeyUnclear        Reason = "key-unclear"
+	KeyReused         Reason = "key-reused"
+	AnswerNotKept     Reason = "answer-not-kept"
 	StoreAway         Reason = "store-away"
+	GateClosed        Reason = "claim-lapsed"
 	ConfigurationLate Reason = "no-configuration"
 )
--- a/internal/standin/callers.go
+++ b/internal/standin/callers.go
@@ -110,7 +110,8 @@
 	Mismatched        int64 `json:"mismatched"`
 	NonidempotentSent int64 `json:"-"`
 	// FalseNotRun counts requests refused as "not run" that an endpoint ran.
-	FalseNotRun int64 `json:"false_not_run"`
+	FalseNotRun int64        `json:"false_not_run"`
+	Repeats     RepeatCounts `json:"-"`
 }
 
 // Callers sends requests through a balancer and judges every answer.
@@ -121,6 +122,8 @@
 	NonIdempotent []string
 	// Think is the pause between one caller's requests.
 	Think time.Duration
+	// Runs returns how often the endpoints have run a token so far.
+	Runs func(token string) int
 
 	counts CallerCounts
 	next   atomic.Int64
@@ -166,10 +169,24 @@
 		c.noteNonIdempotent(token)
 	}
 	c.add(&c.counts.Sent)
+	first := send(client, target, method, path, token)
+	c.judge(token, first)
+	if method == http.MethodPost {
+		c.maybeRepeat(client, target, path, token, first)
+	}
+}
+
+// reply is what a caller got for one request; its outcome is empty when it got
+// no whole answer.
+type reply struct {
+	outcome outcome.Outcome
+	body    []byte
+}
+
+func send(client *http.Client, target Target, method, path, token string) reply {
 	request, err := http.NewRequest(method, "http://"+target.Callers+path+"?"+TokenParam+"="+token, nil)
 	if err != nil {
-		c.add(&c.counts.Unknown)
-		return
+		return reply{}
 	}
 	request.Header.Set(outcome.RequestIDHeader, token)
 	if method == http.MethodPost {
@@ -178,20 +195,18 @@
 	}
 	response, err := client.Do(request)
 	if err != nil {
-		c.add(&c.counts.Unknown)
-		return
+		return reply{}
 	}
 	defer response.Body.Close()
-	c.judge(token, response)
-}
-
-func (c *Callers) judge(token string, response *http.Response) {
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
-		c.add(&c.counts.Unknown)
-		return
+		return reply{}
 	}
-	switch outcome.Outcome(response.Header.Get(outcome.Header)) {
+	return reply{outcome: outcome.Outcome(response.Header.Get(outcome.Header)), body: body}
+}
+
+func (c *Callers) judge(token string, got reply) {
+	switch got.outcome {
 	case outcome.NotRun:
 		c.add(&c.counts.RefusedNotRun)
 		c.mu.Lock()
@@ -199,8 +214,8 @@
 		c.mu.Unlock()
 	case outcome.Answered:
 		c.add(&c.counts.Answered)
-		var reply Reply
-		if json.Unmarshal(body, &reply) != nil || reply.Token != token {
+		var answer Reply
+		if json.Unmarshal(got.body, &answer) != nil || answer.Token != token {
 			c.add(&c.counts.Mismatched)
 		}
 	default:
--- a/internal/standin/endpoints.go
+++ b/internal/standin/endpoints.go
@@ -23,6 +23,8 @@
 	Service string `json:"service"`
 	Host    string `json:"host"`
 	Token   string `json:"token"`
+	// Run is unique per run: a repeat that ran again can't pass for the first.
+	Run int64 `json:"run"`
 }
 
 // TokenParam is the query parameter whose value an endpoint echoes.
@@ -42,6 +44,7 @@
 	runs     map[string]int
 	lateWork int
 	peak     int
+	lastRun  int64
 }
 
 type endpointHost struct {
@@ -166,7 +169,7 @@
 func (e *Endpoints) handler(host, service string) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		token := r.URL.Query().Get(TokenParam)
-		leaving := e.begin(host, token)
+		run, leaving := e.begin(host, token)
 		defer e.end(host)
 		work(r.Context(), e.WorkTime)
 		if leaving {
@@ -174,22 +177,30 @@
 		}
 		w.Header().Set("Content-Type", "application/json")
 		// A failed write means that the gateway has gone.
-		_ = json.NewEncoder(w).Encode(Reply{Service: service, Host: host, Token: token})
+		_ = json.NewEncoder(w).Encode(Reply{Service: service, Host: host, Token: token, Run: run})
 	})
 }
 
-func (e *Endpoints) begin(host, token string) (leaving bool) {
+func (e *Endpoints) begin(host, token string) (run int64, leaving bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	state := e.hosts[host]
 	state.inFlight++
 	e.peak = max(e.peak, state.inFlight)
 	e.runs[token]++
+	e.lastRun++
 	leaving = !state.drained.IsZero()
 	if leaving && time.Since(state.drained) > LeavingGrace {
 		e.lateWork++
 	}
-	return leaving
+	return e.lastRun, leaving
+}
+
+// Runs returns how often a token was run so far.
+func (e *Endpoints) Runs(token string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.runs[token]
 }
 
 func (e *Endpoints) end(host string) {
