Operators' API: one change is accepted once, whatever is lost or late

A write whose first try arrived late was reported as a conflict with itself. Unknown fields of a stored version could not be amended around. Watches showed no deletions. A client knew one controller.

Still open: two controllers that at the same moment accept a pool and delete its service can leave a dangling reference: the store has no transaction over two keys. The reference is then shown as missing at the next change.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -4,6 +4,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 
 	"auburnglade.example/glade/internal/catalog"
 	"auburnglade.example/glade/internal/record"
@@ -19,10 +21,14 @@
 	return fmt.Sprintf("record %s is named by %v", e.ID, e.By)
 }
 
+// KnownFields are paths of fields that this build doesn't know and that the
+// version to be replaced has already.
+type KnownFields []string
+
 // CheckPut validates a record that an operator wants in force. maxSchema is
-// the newest schema that every live member understands. It returns
-// *record.InvalidError or *record.SchemaError.
-func CheckPut(snapshot *catalog.Snapshot, envelope record.Envelope, maxSchema int) error {
+// the newest schema that every live member understands; known are the unknown
+// fields to be kept. It returns *record.InvalidError or *record.SchemaError.
+func CheckPut(snapshot *catalog.Snapshot, envelope record.Envelope, maxSchema int, known KnownFields) error {
 	spec, err := record.Decode(envelope)
 	if err != nil {
 		return err
@@ -30,7 +36,7 @@
 	if envelope.Schema > maxSchema {
 		return &record.SchemaError{ID: envelope.ID(), Schema: envelope.Schema, Min: record.MinSchema, Max: maxSchema}
 	}
-	faults := unknownFields(envelope)
+	faults := unknownFields(envelope, known)
 	faults = append(faults, missingReferences(snapshot, spec)...)
 	faults = append(faults, clashes(snapshot, envelope.Name, spec)...)
 	if len(faults) > 0 {
@@ -39,9 +45,15 @@
 	return nil
 }
 
-func unknownFields(envelope record.Envelope) record.FieldErrors {
+// unknownFields refuses fields that nobody wrote before: at a schema that this
+// build knows they are misspellings. Those of the version before were written
+// by a newer build and pass, or no older gladectl could amend the record.
+func unknownFields(envelope record.Envelope, known KnownFields) record.FieldErrors {
 	var faults record.FieldErrors
 	for _, path := range record.UnknownFields(envelope) {
+		if slices.Contains(known, path) {
+			continue
+		}
 		faults = append(faults, record.FieldError{Field: path, Got: "set", Want: "a field that schema " + fmt.Sprint(envelope.Schema) + " has"})
 	}
 	return faults
@@ -73,6 +85,21 @@
 	return found
 }
 
+// Missing returns the records that the envelope names and the snapshot lacks.
+func Missing(snapshot *catalog.Snapshot, envelope record.Envelope) []record.ID {
+	spec, err := record.Decode(envelope)
+	if err != nil {
+		return nil
+	}
+	var missing []record.ID
+	for _, ref := range references(spec) {
+		if _, ok := snapshot.Items[ref.target]; !ok {
+			missing = append(missing, ref.target)
+		}
+	}
+	return missing
+}
+
 func missingReferences(snapshot *catalog.Snapshot, spec record.Spec) record.FieldErrors {
 	var faults record.FieldErrors
 	for _, ref := range references(spec) {
@@ -126,6 +153,7 @@
 			}
 		}
 	}
+	slices.SortFunc(by, func(a, b record.ID) int { return strings.Compare(a.String(), b.String()) })
 	if len(by) > 0 {
 		return &ReferencedError{ID: id, By: by}
 	}
--- a/internal/daemon/controller.go
+++ b/internal/daemon/controller.go
@@ -26,6 +26,7 @@
 	drainer  *drainer.Drainer
 	mover    *mover.Mover
 	api      *operatorapi.Server
+	journal  *operatorapi.Journal
 }
 
 // NewController builds a controller that logs to logs; nothing runs before Run.
@@ -51,8 +52,9 @@
 		Confirmer: confirmer, Gate: budget.NewGate(base.platform), Shard: c.holder, Invariant: base.invariant,
 		Log: telemetry.Part(base.log, "mover"), Interval: settings.Decide.Interval,
 	})
+	c.journal = operatorapi.NewJournal(base.feed)
 	c.api = operatorapi.New(operatorapi.Config{
-		Store: base.platform, Feed: base.feed, Confirmer: confirmer, Log: telemetry.Part(base.log, "api"),
+		Store: base.platform, Feed: base.feed, Confirmer: confirmer, Journal: c.journal, Log: telemetry.Part(base.log, "api"),
 	})
 	return c, nil
 }
@@ -64,6 +66,7 @@
 	tree.Add("holder", c.holder)
 	tree.Add("drainer", c.drainer)
 	tree.Add("mover", c.mover)
+	tree.Add("journal", c.journal)
 	tree.Add("operators", httpserve.New("operators", c.settings.Listen.Operators, c.api, c.settings.Stop.Grace))
 	c.addCommonParts(tree, c.settings.Listen.Peers, c.settings.Listen.Admin, c.feed.Ready)
 	return tree.Run(ctx)
--- /dev/null
+++ b/internal/operatorapi/answer.go
@@ -0,0 +1,65 @@
+package operatorapi
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+
+	"auburnglade.example/glade/internal/admission"
+	"auburnglade.example/glade/internal/catalog"
+	"auburnglade.example/glade/internal/record"
+	"auburnglade.example/glade/internal/store"
+)
+
+func etag(revision store.Revision) string {
+	return strconv.Quote(strconv.FormatInt(int64(revision), 10))
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A failed write means that the operator has gone.
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	answer := ErrorAnswer{Message: err.Error()}
+	status := http.StatusInternalServerError
+	var invalid *record.InvalidError
+	var conflict *ConflictError
+	switch {
+	case errors.As(err, &invalid):
+		answer.Code, status = CodeInvalid, http.StatusUnprocessableEntity
+		answer.Faults = invalid.Faults
+	case errors.As(err, &conflict):
+		answer.Code, status = CodeConflict, http.StatusPreconditionFailed
+		answer.Current = conflict.Current
+	case isA[*record.SchemaError](err):
+		answer.Code, status = CodeSchema, http.StatusUnprocessableEntity
+	case isA[*record.SyntaxError](err), isA[*catalog.MisplacedError](err), isA[*QueryError](err):
+		answer.Code, status = CodeBadRequest, http.StatusBadRequest
+	case isA[*NotFoundError](err):
+		answer.Code, status = CodeNotFound, http.StatusNotFound
+	case isA[*PreconditionMissingError](err):
+		answer.Code, status = CodePrecondition, http.StatusPreconditionRequired
+	case isA[*TooLargeError](err):
+		answer.Code, status = CodeTooLarge, http.StatusRequestEntityTooLarge
+	case isA[*RateError](err):
+		answer.Code, status = CodeRate, http.StatusTooManyRequests
+		w.Header().Set("Retry-After", "1")
+	case isA[*admission.ReferencedError](err):
+		answer.Code, status = CodeReferenced, http.StatusConflict
+	case store.IsUnknownOutcome(err):
+		answer.Code, status = CodeUnknownOutcome, http.StatusGatewayTimeout
+	default:
+		answer.Code, status = CodeStoreAway, http.StatusServiceUnavailable
+	}
+	writeJSON(w, status, answer)
+}
+
+func isA[T error](err error) bool {
+	var target T
+	return errors.As(err, &target)
+}
--- a/internal/operatorapi/client.go
+++ b/internal/operatorapi/client.go
@@ -6,11 +6,16 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
 	"auburnglade.example/glade/internal/record"
 	"auburnglade.example/glade/internal/store"
 )
@@ -18,16 +23,21 @@
 // clientTimeout bounds one call; a watch waits for watchWait on the server.
 const clientTimeout = watchWait + 10*time.Second
 
-// Client speaks the operators' API.
+// Client speaks the operators' API of any of several controllers. It stays
+// with the one that answered last. It is safe for concurrent use.
 type Client struct {
-	base string
-	http *http.Client
+	bases []string
+	http  *http.Client
+	// token, when set, is sent as a bearer token.
+	token string
+	// first is the index of the controller asked first.
+	first atomic.Int64
 }
 
-// NewClient returns a client of the controller at base, such as
+// NewClient returns a client of the controllers at the given bases, such as
 // "http://10.0.0.7:7300".
-func NewClient(base string) *Client {
-	return &Client{base: base, http: &http.Client{Timeout: clientTimeout}}
+func NewClient(bases ...string) *Client {
+	return &Client{bases: bases, http: &http.Client{Timeout: clientTimeout}}
 }
 
 // UnreachableError says that no controller answered. The change may have been
@@ -38,6 +48,11 @@
 	Cause error
 }
 
+// NoServerError says that no controller's address was given.
+type NoServerError struct{}
+
+func (e *NoServerError) Error() string { return "no controller's address is given" }
+
 func (e *UnreachableError) Error() string {
 	return fmt.Sprintf("controller at %s can't be reached: %v", e.URL, e.Cause)
 }
@@ -63,8 +78,12 @@
 
 // Put replaces the record at revision expect; zero means it must be new. It
 // returns *ErrorAnswer with CodeConflict when the record has changed since.
+// The envelope gets a write identity of its own, so that trying again through
+// another controller after a lost answer doesn't meet its own first try.
 func (c *Client) Put(ctx context.Context, envelope record.Envelope, expect store.Revision, dryRun bool) (Accepted, error) {
 	var answer Accepted
+	envelope.WriteID = uuid.NewString()
+	envelope.Author = ""
 	body, err := json.Marshal(envelope)
 	if err != nil {
 		return answer, &record.SyntaxError{Cause: err}
@@ -80,7 +99,9 @@
 // Delete removes the record at revision expect.
 func (c *Client) Delete(ctx context.Context, id record.ID, expect store.Revision) (Accepted, error) {
 	var answer Accepted
-	err := c.call(ctx, http.MethodDelete, recordPath(id), precondition(expect), nil, &answer)
+	header := precondition(expect)
+	header[WriteIDHeader] = []string{uuid.NewString()}
+	err := c.call(ctx, http.MethodDelete, recordPath(id), header, nil, &answer)
 	return answer, err
 }
 
@@ -119,33 +140,100 @@
 	return answer, err
 }
 
+// call asks one controller after the other, starting with the one that
+// answered last, until one can be reached and has the store.
 func (c *Client) call(ctx context.Context, method, path string, header http.Header, body []byte, answer any) error {
-	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	var err error = &UnreachableError{Cause: &NoServerError{}}
+	sent := false
+	first := int(c.first.Load())
+	for i := range c.bases {
+		index := (first + i) % len(c.bases)
+		err = c.ask(ctx, c.bases[index], method, path, header, body, answer)
+		if !elsewhere(err) || ctx.Err() != nil {
+			c.first.Store(int64(index))
+			return afterLostAnswer(method, sent, err)
+		}
+		sent = sent || wasSent(err)
+	}
+	return afterLostAnswer(method, sent, err)
+}
+
+// elsewhere reports whether another controller may answer better.
+func elsewhere(err error) bool {
+	var unreachable *UnreachableError
+	var answer *ErrorAnswer
+	switch {
+	case errors.As(err, &unreachable):
+		return true
+	case errors.As(err, &answer):
+		return answer.Code == CodeStoreAway || answer.Code == CodeUnknownOutcome
+	}
+	return false
+}
+
+func wasSent(err error) bool {
+	var unreachable *UnreachableError
+	if errors.As(err, &unreachable) {
+		return unreachable.Sent
+	}
+	var answer *ErrorAnswer
+	return errors.As(err, &answer) && answer.Code == CodeUnknownOutcome
+}
+
+// afterLostAnswer keeps a refusal honest: once an earlier try may have been
+// accepted, a conflict or an absent record doesn't mean that nothing happened,
+// because another operator may have changed the record since.
+func afterLostAnswer(method string, sent bool, err error) error {
+	var answer *ErrorAnswer
+	if !sent || method == http.MethodGet || !errors.As(err, &answer) {
+		return err
+	}
+	switch answer.Code {
+	case CodeConflict, CodeNotFound, CodeStoreAway:
+		unknown := *answer
+		unknown.Code = CodeUnknownOutcome
+		unknown.Message = "an earlier try may have been accepted, its answer was lost; now: " + answer.Message
+		return &unknown
+	}
+	return err
+}
+
+func (c *Client) ask(ctx context.Context, base, method, path string, header http.Header, body []byte, answer any) error {
+	request, err := http.NewRequestWithContext(ctx, method, base+path, bytes.NewReader(body))
 	if err != nil {
-		return &UnreachableError{URL: c.base, Cause: err}
+		return &UnreachableError{URL: base, Cause: err}
 	}
 	for name, values := range header {
 		request.Header[name] = values
 	}
+	if c.token != "" {
+		request.Header.Set("Authorization", "Bearer "+c.token)
+	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return &UnreachableError{URL: c.base, Sent: true, Cause: err}
+		return &UnreachableError{URL: base, Sent: !refused(err), Cause: err}
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(response.Body)
 	if err != nil {
-		return &UnreachableError{URL: c.base, Sent: true, Cause: err}
+		return &UnreachableError{URL: base, Sent: true, Cause: err}
 	}
 	if response.StatusCode == http.StatusOK {
-		return decodeAnswer(c.base, data, answer)
+		return decodeAnswer(base, data, answer)
 	}
 	failure := &ErrorAnswer{}
-	if err := decodeAnswer(c.base, data, failure); err != nil {
+	if err := decodeAnswer(base, data, failure); err != nil {
 		return err
 	}
 	return failure
 }
 
+// refused reports whether no connection was made, so that nothing was sent.
+func refused(err error) bool {
+	var dial *net.OpError
+	return errors.As(err, &dial) && dial.Op == "dial"
+}
+
 func decodeAnswer(base string, data []byte, answer any) error {
 	if err := json.Unmarshal(data, answer); err != nil {
 		return &UnreachableError{URL: base, Sent: true, Cause: err}
--- a/internal/operatorapi/messages.go
+++ b/internal/operatorapi/messages.go
@@ -43,6 +43,10 @@
 type Changes struct {
 	Revision store.Revision `json:"revision"`
 	Records  []Record       `json:"records"`
+	Deleted  []Deletion     `json:"deleted,omitempty"`
+	// Reset says that Records holds every record there is, because this
+	// controller doesn't know every deletion since the asked revision.
+	Reset bool `json:"reset,omitempty"`
 }
 
 // Explanation says why something is as it is and what it waits for.
@@ -67,6 +71,8 @@
 	CodeReferenced     Code = "referenced"
 	CodeUnknownOutcome Code = "unknown-outcome"
 	CodeStoreAway      Code = "store-away"
+	CodeTooLarge       Code = "too-large"
+	CodeRate           Code = "too-many-requests"
 )
 
 // ErrorAnswer is the body of every failure.
--- a/internal/operatorapi/views.go
+++ b/internal/operatorapi/views.go
@@ -69,11 +69,24 @@
 
 func describe(snapshot *catalog.Snapshot, id record.ID) Record {
 	entry := snapshot.Raw[keys.Spec(id)]
-	described := Record{ID: id, Revision: entry.ModRevision, Stored: asJSON(entry.Value)}
+	return Record{
+		ID: id, Revision: entry.ModRevision, Stored: asJSON(entry.Value),
+		Rejected: rejectionOf(snapshot, id, entry),
+	}
+}
+
+// rejectionOf returns why the given entry isn't in force, or nil. The snapshot
+// may lag behind the entry; then the entry itself is looked at.
+func rejectionOf(snapshot *catalog.Snapshot, id record.ID, entry store.Entry) *catalog.Rejection {
+	if entry.ModRevision > snapshot.Revision {
+		snapshot = snapshot.Apply(store.WatchBatch{
+			Revision: entry.ModRevision, Events: []store.Event{{Entry: entry}},
+		})
+	}
 	if rejection, ok := snapshot.Rejected[id]; ok {
-		described.Rejected = &rejection
+		return &rejection
 	}
-	return described
+	return nil
 }
 
 // asJSON returns value as it is when it is JSON, and quoted when someone wrote
