Plan waves from budgets, policy and the fate of the hosts so far

Cause: a wave's width was the count of its maintained hosts, whatever failed; a wave whose hosts had all been visited with too many failures never ended, a host lost to another wave kept a wave open for ever, a reboot whose act was lost made a healthy host fail by its deadline, and waves on the same services could starve each other. Change: the width is replayed from the ordered visits in the host records, so every controller derives the same one; it starts small, widens with each host that comes back, shrinks by how much failures share, and stops with a reason. Budgets are a book that follows takes in constant time. Windows, waiting reasons, estimates and held buffers are in the status. Late hosts go back to work. Hosts down already are taken first, without margin, never below the minimum.

--- a/internal/budget/book.go
+++ b/internal/budget/book.go
@@ -263,3 +263,31 @@
 		buffer.Available, buffer.MinAvailable, buffer.Reserve, buffer.Margin)
 	return buffer
 }
+
+// CheckReturned is Check of a host that is out, as if it were serving.
+func (b *Book) CheckReturned(host string) Decision {
+	seat, known := b.seats[host]
+	if !known {
+		return Decision{Allowed: true, Reason: "carries no service"}
+	}
+	if seat.Available {
+		return b.Check(host)
+	}
+	b.Undo(host)
+	decision := b.Check(host)
+	b.Hold(host)
+	return decision
+}
+
+// Margin returns the widest failure margin that any of the host's services
+// asks for.
+func (b *Book) Margin(host string) record.FailureMargin {
+	order := []record.FailureMargin{record.MarginNone, record.MarginHost, record.MarginRack, record.MarginZone}
+	widest := 0
+	for _, service := range b.Services(host) {
+		for _, t := range b.account(service).tallies {
+			widest = max(widest, slices.Index(order, t.budget.Margin))
+		}
+	}
+	return order[widest]
+}
--- /dev/null
+++ b/internal/budget/budget_test.go
@@ -0,0 +1,129 @@
+package budget
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"auburnglade.example/glade/internal/record"
+)
+
+func endpoints(zones ...int) []Endpoint {
+	var all []Endpoint
+	for z, n := range zones {
+		for i := range n {
+			all = append(all, Endpoint{
+				Host: fmt.Sprintf("z%d-h%d", z, i), Zone: fmt.Sprintf("z%d", z),
+				Rack: fmt.Sprintf("r%d", i/2), Available: true,
+			})
+		}
+	}
+	return all
+}
+
+func budgetOf(minimum int, margin record.FailureMargin) []*record.Budget {
+	return []*record.Budget{{Service: "match", MinAvailable: minimum, Margin: margin}}
+}
+
+func TestMargins(t *testing.T) {
+	cases := map[string]struct {
+		minimum int
+		margin  record.FailureMargin
+		want    bool
+	}{
+		"nothing kept":               {9, record.MarginNone, true},
+		"nothing left without any":   {10, record.MarginNone, false},
+		"one host kept":              {8, record.MarginHost, true},
+		"no room beside one host":    {9, record.MarginHost, false},
+		"a rack of two kept":         {7, record.MarginRack, true},
+		"no room beside a rack":      {8, record.MarginRack, false},
+		"the largest other zone":     {6, record.MarginZone, true},
+		"no room beside a zone":      {7, record.MarginZone, false},
+		"an empty margin keeps none": {9, "", true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			view := View{Service: "match", Budgets: budgetOf(c.minimum, c.margin), Endpoints: endpoints(4, 3, 3)}
+			must.Eq(t, c.want, Decide(view, "z0-h0").Allowed)
+			must.Eq(t, c.want, BookOf([]View{view}).Check("z0-h0").Allowed)
+		})
+	}
+}
+
+func TestEveryBudgetOfAServiceHolds(t *testing.T) {
+	view := View{Service: "match", Endpoints: endpoints(4, 3, 3), Budgets: []*record.Budget{
+		{Service: "match", MinAvailable: 5},
+		{Service: "match", MinAvailable: 9, Margin: record.MarginHost},
+	}}
+	must.False(t, Decide(view, "z0-h0").Allowed)
+	must.False(t, BookOf([]View{view}).Check("z0-h0").Allowed)
+}
+
+// What a caller would see: a service below its minimum. The list lags and
+// calls a host gone that is back at work; the host is taken out as if that cost
+// nothing, while it was the one that kept the service at its minimum.
+func TestDownHostWaivesTheMarginButNotTheMinimum(t *testing.T) {
+	all := endpoints(4, 3, 3)
+	all[0].Available = false
+	view := View{Service: "match", Endpoints: all, Budgets: budgetOf(9, record.MarginHost)}
+	must.True(t, Decide(view, "z0-h0").Allowed)
+	must.True(t, BookOf([]View{view}).Check("z0-h0").Allowed)
+	all[1].Available = false
+	must.False(t, Decide(view, "z0-h0").Allowed)
+	must.False(t, BookOf([]View{view}).Check("z0-h0").Allowed)
+}
+
+func TestHostOfSeveralServicesNeedsRoomInEach(t *testing.T) {
+	all := endpoints(4, 3, 3)
+	views := []View{
+		{Service: "match", Endpoints: all, Budgets: budgetOf(5, record.MarginNone)},
+		{Service: "rights", Endpoints: all, Budgets: []*record.Budget{{Service: "rights", MinAvailable: 9}}},
+	}
+	book := BookOf(views)
+	must.True(t, book.Take("z0-h0").Allowed)
+	must.StrContains(t, book.Check("z0-h1").Reason, "rights")
+	book.Undo("z0-h0")
+	must.True(t, book.Check("z0-h1").Allowed)
+}
+
+func TestBufferSaysWhatIsHeldAndWhy(t *testing.T) {
+	buffer, ok := BookOf([]View{{Service: "match", Endpoints: endpoints(4, 3, 3), Budgets: budgetOf(5, record.MarginZone)}}).Buffer("match")
+	must.True(t, ok)
+	must.Eq(t, 4, buffer.Reserve)
+	must.Eq(t, 1, buffer.Room)
+	must.Eq(t, "10 available, 5 needed, 4 kept for the loss of one zone", buffer.Reason)
+}
+
+// The book follows takes and undoes step by step; whatever the order, it must
+// answer what Decide answers from scratch.
+func TestBookAgreesWithDecide(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := endpoints(rapid.IntRange(1, 6).Draw(t, "a"), rapid.IntRange(0, 6).Draw(t, "b"), rapid.IntRange(0, 6).Draw(t, "c"))
+		for i := range all {
+			all[i].Available = rapid.IntRange(0, 4).Draw(t, "up") > 0
+		}
+		margin := rapid.SampledFrom([]record.FailureMargin{record.MarginNone, record.MarginHost, record.MarginRack, record.MarginZone}).Draw(t, "margin")
+		view := View{Service: "match", Endpoints: all, Budgets: budgetOf(rapid.IntRange(0, 12).Draw(t, "min"), margin),
+			Ledger: Ledger{Grants: map[string]Grant{}}}
+		book := BookOf([]View{view})
+		for range rapid.IntRange(0, 30).Draw(t, "steps") {
+			host := rapid.SampledFrom(all).Draw(t, "host")
+			_, granted := view.Ledger.Grants[host.Host]
+			switch {
+			case granted:
+				delete(view.Ledger.Grants, host.Host)
+				if host.Available {
+					book.Undo(host.Host)
+				}
+			default:
+				must.Eq(t, Decide(view, host.Host), book.Take(host.Host))
+				if Decide(view, host.Host).Allowed {
+					view.Ledger.Grants[host.Host] = Grant{Operation: host.Host}
+				}
+			}
+		}
+		must.Eq(t, view.Available(), book.account("match").available)
+	})
+}
--- a/internal/drainer/apply.go
+++ b/internal/drainer/apply.go
@@ -59,7 +59,7 @@
 	case wave.GiveUp:
 		return d.write(ctx, item, func(r *hostrecord.Record) {
 			r.Phase = hostrecord.Failed
-			r.Visits = visited(r, *step.Visit)
+			r.Visits = visited(r, step.Visit)
 		})
 	}
 	return nil
@@ -118,7 +118,7 @@
 	}
 	operation := item.Operation
 	err := d.write(ctx, item, func(r *hostrecord.Record) {
-		r.Visits = visited(r, *step.Visit)
+		r.Visits = visited(r, step.Visit)
 		r.Phase = hostrecord.Serving
 		r.Wave = ""
 		r.Operation = ""
@@ -188,12 +188,17 @@
 	return err
 }
 
-func visited(r *hostrecord.Record, visit hostrecord.Visit) map[string]hostrecord.Visit {
+// visited returns the record's visits with the one that a step leaves, if it
+// leaves any.
+func visited(r *hostrecord.Record, visit *hostrecord.Visit) map[string]hostrecord.Visit {
+	if visit == nil {
+		return r.Visits
+	}
 	visits := make(map[string]hostrecord.Visit, len(r.Visits)+1)
 	for name, earlier := range r.Visits {
 		visits[name] = earlier
 	}
-	visits[r.Wave] = visit
+	visits[r.Wave] = *visit
 	return visits
 }
 
--- /dev/null
+++ b/internal/wave/planner.go
@@ -0,0 +1,251 @@
+package wave
+
+import (
+	"fmt"
+	"slices"
+
+	"auburnglade.example/glade/internal/budget"
+	"auburnglade.example/glade/internal/hostrecord"
+	"auburnglade.example/glade/internal/window"
+)
+
+// planner plans one wave.
+type planner struct {
+	input   Input
+	fleet   Fleet
+	history history
+	share   float64
+	status  Status
+	steps   []Step
+	// down hosts take nothing from the budgets' room; waiting counts the
+	// others that are to be taken out, by lane.
+	down    []Host
+	lanes   []*lane
+	waiting int
+	// out counts hosts that the width is charged for, elsewhere those that
+	// another wave or a move has out.
+	out, elsewhere, started int
+	// rotation is the lane that is asked next, exhausted says that none has a
+	// host left that the budgets let out.
+	rotation  int
+	exhausted bool
+}
+
+// place is where one host stands in a wave.
+type place int
+
+const (
+	placeWaiting place = iota
+	placeDown
+	placeOut
+	placeMaintained
+	placeFailed
+	placeElsewhere
+)
+
+func newPlanner(input Input, fleet Fleet) *planner {
+	p := &planner{
+		input: input, fleet: fleet, share: speedShare(fleet.Policy),
+		history: readHistory(input.Name, input.Spec.ResumeGeneration, input.Hosts),
+		status: Status{
+			Wave: input.Name, Phase: Running, Hosts: len(input.Hosts),
+			Failed: map[string]string{}, Waiting: map[string]string{},
+		},
+	}
+	for _, host := range input.Hosts {
+		p.observe(host)
+	}
+	slices.Sort(p.status.Out)
+	p.lanes = lanesOf(p, fleet.Book)
+	p.status.Phase, p.status.Reason = p.phase()
+	return p
+}
+
+func (p *planner) place(host Host) place {
+	visit, visited := host.Record.Visits[p.input.Name]
+	serving := host.Record.TakesWork()
+	switch {
+	case visited && visit.Result == hostrecord.Maintained:
+		return placeMaintained
+	case visited, host.Record.Phase == hostrecord.Failed:
+		return placeFailed
+	case host.Record.Wave == p.input.Name:
+		return placeOut
+	case serving && host.Down:
+		return placeDown
+	case serving:
+		return placeWaiting
+	}
+	return placeElsewhere
+}
+
+func (p *planner) observe(host Host) {
+	switch p.place(host) {
+	case placeMaintained:
+		p.status.Maintained++
+	case placeFailed:
+		p.status.Failed[host.Name] = failure(p.input.Name, host)
+	case placeOut:
+		p.status.Out = append(p.status.Out, host.Name)
+		if !host.Record.AlreadyDown {
+			p.out++
+		}
+	case placeDown:
+		p.down = append(p.down, host)
+	case placeWaiting:
+		p.waiting++
+	case placeElsewhere:
+		p.elsewhere++
+		p.status.Waiting[host.Name] = fmt.Sprintf("host is %s for wave %q", host.Record.Phase, host.Record.Wave)
+	}
+}
+
+func failure(wave string, host Host) string {
+	if visit, visited := host.Record.Visits[wave]; visited {
+		return visit.Reason
+	}
+	return fmt.Sprintf("failed in wave %q", host.Record.Wave)
+}
+
+// phase returns why the wave starts no further host, or Running.
+func (p *planner) phase() (Phase, string) {
+	spec := p.input.Spec
+	left := p.waiting + len(p.down) + p.elsewhere + len(p.status.Out)
+	switch {
+	case spec.Cancelled && len(p.status.Out) > 0:
+		return Cancelled, fmt.Sprintf("cancelled by an operator; %d hosts are still out", len(p.status.Out))
+	case spec.Cancelled:
+		return Cancelled, "cancelled by an operator"
+	case left == 0:
+		return Finished, "every host was visited"
+	case spec.Paused:
+		return Paused, "paused by an operator"
+	}
+	if why := p.history.stop(spec); why != "" && p.waiting+len(p.down) > 0 {
+		return Stopped, why
+	}
+	if window.Fits(spec.Windows, p.fleet.Now, Bound(spec)) || p.waiting+len(p.down) == 0 {
+		return Running, ""
+	}
+	return Shut, p.shutReason()
+}
+
+func (p *planner) shutReason() string {
+	need := Bound(p.input.Spec)
+	if at, ok := window.Next(p.input.Spec.Windows, p.fleet.Now, need); ok {
+		return fmt.Sprintf("a host may take %s and must be back before its window closes; next start %s",
+			need, at.UTC().Format("Mon 15:04 UTC"))
+	}
+	return fmt.Sprintf("a host may take %s and no window of the week is that long; widen one or lower the deadlines", need)
+}
+
+// spread says that the wave works on all its pools at once, for speed.
+func (p *planner) spread() bool { return p.share >= evenShare }
+
+// measure finds out how many hosts the budgets would let out at once by taking
+// them and putting them back, and from it the wave's width.
+func (p *planner) measure() {
+	var taken []Host
+	for _, l := range p.lanes {
+		l.safe = l.out
+		for {
+			host, ok := l.pick(p.fleet.Book)
+			if !ok {
+				break
+			}
+			l.safe++
+			taken = append(taken, host)
+		}
+	}
+	for _, host := range taken {
+		p.fleet.Book.Undo(host.Name)
+	}
+	for _, l := range p.lanes {
+		l.putBack()
+	}
+	p.exhausted = len(taken) == 0
+	p.status.Safe = p.out + len(taken)
+	limit := widest(p.status.Safe, p.share)
+	p.status.Width, p.status.WidthWhy = p.history.width(first(limit, p.status.Hosts, p.share), limit)
+	if most := p.input.Spec.MaxParallel; most > 0 && most < p.status.Width {
+		p.status.Width, p.status.WidthWhy = most, "the record's maxParallel"
+	}
+}
+
+// mayStart reports whether the wave would start another host now.
+func (p *planner) mayStart() bool {
+	return p.status.Phase == Running && !p.exhausted && p.out+p.started < p.status.Width
+}
+
+// startDown starts hosts that are down already: they take nothing from the
+// service that it still has.
+func (p *planner) startDown() {
+	for _, host := range p.down {
+		if p.status.Phase != Running {
+			return
+		}
+		if book := p.fleet.Book; book.Knows(host.Name) {
+			if decision := book.Check(host.Name); !decision.Allowed {
+				p.status.Waiting[host.Name] = "down; " + decision.Reason
+				continue
+			}
+		}
+		p.steps = append(p.steps, Step{
+			Host: host.Name, Verb: StartDrain, Reason: "down already", AlreadyDown: true,
+		})
+	}
+}
+
+// startNext starts one more host: of the lanes in turn for speed, of the first
+// lane that lets one out for a small buffer.
+func (p *planner) startNext() {
+	for range p.lanes {
+		l := p.lanes[p.rotation%len(p.lanes)]
+		host, ok := l.pick(p.fleet.Book)
+		if !ok || p.spread() {
+			p.rotation++
+		}
+		if !ok {
+			continue
+		}
+		p.started++
+		p.steps = append(p.steps, Step{Host: host.Name, Verb: StartDrain, Reason: "next in order"})
+		return
+	}
+	p.exhausted = true
+}
+
+// advance takes every host that is out one transition further.
+func (p *planner) advance() {
+	sequence := p.history.lastSequence
+	lastChance := p.out+p.started+p.elsewhere == 0
+	for _, host := range p.input.Hosts {
+		if host.Record.Wave != p.input.Name {
+			continue
+		}
+		t := transition{
+			spec: p.input.Spec, host: host, lastChance: lastChance,
+			mayKeepOut: p.fleet.Book.CheckReturned(host.Name).Allowed,
+		}
+		step, due := t.next()
+		if !due {
+			continue
+		}
+		if step.Visit = t.visit(step, sequence+1, p.fleet.Now); step.Visit != nil {
+			sequence++
+		}
+		p.steps = append(p.steps, step)
+	}
+}
+
+// anyAllowed returns the first waiting host that the book lets out.
+func (p *planner) anyAllowed(book *budget.Book) (Host, bool) {
+	for _, l := range p.lanes {
+		for _, r := range l.racks {
+			if r.taken < len(r.hosts) && book.Check(r.hosts[r.taken].Name).Allowed {
+				return r.hosts[r.taken], true
+			}
+		}
+	}
+	return Host{}, false
+}
