Let a wave name the hosts it maintains

Cause: an operator could not drain one host without a wave over its pool. Change: Wave.hosts, a field of schema 2, restricts a wave to some hosts of its pools; the drainer plans just these, and the mover holds back just their moves. Conclusion: draining one host is an ordinary wave with its budget, drain, reboot, proof and status, not a second way to take hosts out.

--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -17,6 +17,7 @@
 	"auburnglade.example/glade/internal/fleet"
 	"auburnglade.example/glade/internal/invariant"
 	"auburnglade.example/glade/internal/pause"
+	"auburnglade.example/glade/internal/record"
 	"auburnglade.example/glade/internal/store"
 	"auburnglade.example/glade/internal/wave"
 )
@@ -118,7 +119,7 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(waves)) {
 		spec := waves[name]
-		planned.Waves = append(planned.Waves, wave.Input{Name: name, Spec: spec, Hosts: d.waveHosts(o, spec.Pools)})
+		planned.Waves = append(planned.Waves, wave.Input{Name: name, Spec: spec, Hosts: d.waveHosts(o, spec)})
 	}
 	var views []budget.View
 	for service := range o.snapshot.Services() {
@@ -176,11 +177,13 @@
 	}
 }
 
-func (d *Drainer) waveHosts(o *observed, pools []string) []wave.Host {
+func (d *Drainer) waveHosts(o *observed, spec *record.Wave) []wave.Host {
 	var hosts []wave.Host
-	for _, pool := range pools {
+	for _, pool := range spec.Pools {
 		for _, name := range o.snapshot.HostsOf(pool) {
-			hosts = append(hosts, d.waveHost(o, name))
+			if spec.Covers(name) {
+				hosts = append(hosts, d.waveHost(o, name))
+			}
 		}
 	}
 	return hosts
--- a/internal/mover/mover.go
+++ b/internal/mover/mover.go
@@ -181,7 +181,7 @@
 	}
 	for name, wave := range waves {
 		_, visited := r.Visits[name]
-		if visited || wave.Paused || wave.Cancelled {
+		if visited || wave.Paused || wave.Cancelled || !wave.Covers(r.Host) {
 			continue
 		}
 		for _, pool := range wave.Pools {
--- a/internal/record/specs.go
+++ b/internal/record/specs.go
@@ -1,6 +1,9 @@
 package record
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Service is a request-serving service that callers reach through the entry
 // hosts. Its endpoints run on the hosts of the pools that name it.
@@ -107,6 +110,13 @@
 	ResumeGeneration int `json:"resumeGeneration,omitempty"`
 	// Windows restricts when hosts may be taken out; empty means always.
 	Windows []Window `json:"windows,omitempty" schema:"2"`
+	// Hosts restricts the wave to these hosts of its pools; empty means all.
+	Hosts []string `json:"hosts,omitempty" schema:"2"`
+}
+
+// Covers reports whether the wave maintains a host of its pools.
+func (w *Wave) Covers(host string) bool {
+	return len(w.Hosts) == 0 || slices.Contains(w.Hosts, host)
 }
 
 // Window is a daily span of time, in UTC, in which hosts may be taken out.
--- a/internal/record/validate.go
+++ b/internal/record/validate.go
@@ -71,6 +71,7 @@
 		c.fault("spec.pools", "", "at least one pool")
 	}
 	c.names("spec.pools", w.Pools)
+	c.names("spec.hosts", w.Hosts)
 	c.between("spec.maxParallel", w.MaxParallel, 0, maxPoolSize)
 	c.between("spec.drainSeconds", w.DrainSeconds, 0, maxSeconds)
 	c.between("spec.rebootSeconds", w.RebootSeconds, 0, maxSeconds)
