--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -49,17 +49,38 @@
 	// entry in force where that is another one: what a peer needs to start.
 	Raw  map[string]store.Entry
 	Good map[string]store.Entry
+	// Digest is over the keys and revisions in Raw: equal revisions have equal
+	// digests in every process that missed no event.
+	Digest uint64
+	// MembersDigest is the part of Digest that the membership has.
+	MembersDigest uint64
+
+	// maxSchema is the newest record schema that the process understands.
+	maxSchema int
+	// owned are the maps that are this snapshot's own; the others are still
+	// shared with the snapshot it was made from.
+	owned owned
+	index index
 }
 
+// owned has a field per map of a Snapshot.
+type owned struct{ items, rejected, hosts, members, raw, good bool }
+
 // Empty returns the snapshot before the first write.
-func Empty() *Snapshot {
+func Empty() *Snapshot { return EmptyFor(record.MaxSchema) }
+
+// EmptyFor is Empty for a process that understands schemas up to maxSchema:
+// an older build, in tests of an upgrade.
+func EmptyFor(maxSchema int) *Snapshot {
 	return &Snapshot{
-		Items:    map[record.ID]Item{},
-		Rejected: map[record.ID]Rejection{},
-		Hosts:    map[string]HostItem{},
-		Members:  map[string]store.Entry{},
-		Raw:      map[string]store.Entry{},
-		Good:     map[string]store.Entry{},
+		Items:     map[record.ID]Item{},
+		Rejected:  map[record.ID]Rejection{},
+		Hosts:     map[string]HostItem{},
+		Members:   map[string]store.Entry{},
+		Raw:       map[string]store.Entry{},
+		Good:      map[string]store.Entry{},
+		maxSchema: maxSchema,
+		owned:     owned{true, true, true, true, true, true},
 	}
 }
 
@@ -67,10 +88,11 @@
 // force stays in force for records whose listed version is no good; previous
 // may be nil.
 func FromListing(previous *Snapshot, listing store.Listing) *Snapshot {
-	next := Empty()
-	if previous != nil {
-		next.carryOver(previous, listing)
+	if previous == nil {
+		previous = Empty()
 	}
+	next := EmptyFor(previous.maxSchema)
+	next.carryOver(previous, listing.Entries)
 	for _, entry := range listing.Entries {
 		next.put(entry)
 	}
@@ -79,8 +101,12 @@
 }
 
 // carryOver takes the last good versions of records that are still listed.
-func (s *Snapshot) carryOver(previous *Snapshot, listing store.Listing) {
-	for _, entry := range listing.Entries {
+func (s *Snapshot) carryOver(previous *Snapshot, entries []store.Entry) {
+	for _, entry := range entries {
+		if host, ok := strings.CutPrefix(entry.Key, keys.HostPrefix); ok {
+			s.carryHost(previous, host)
+			continue
+		}
 		id, ok := keys.ParseSpec(entry.Key)
 		if !ok {
 			continue
@@ -94,6 +120,12 @@
 	}
 }
 
+func (s *Snapshot) carryHost(previous *Snapshot, host string) {
+	if item, known := previous.Hosts[host]; known {
+		s.Hosts[host] = item
+	}
+}
+
 func (s *Snapshot) inForceEntry(key string) store.Entry {
 	if good, ok := s.Good[key]; ok {
 		return good
@@ -123,33 +155,75 @@
 	return next
 }
 
+// clone returns a copy that shares every map until it is first written to:
+// copying all of them for each event costs the whole configuration per event.
 func (s *Snapshot) clone() *Snapshot {
 	return &Snapshot{
-		Revision: s.Revision,
-		Items:    maps.Clone(s.Items),
-		Rejected: maps.Clone(s.Rejected),
-		Hosts:    maps.Clone(s.Hosts),
-		Members:  maps.Clone(s.Members),
-		Raw:      maps.Clone(s.Raw),
-		Good:     maps.Clone(s.Good),
+		Revision:  s.Revision,
+		Items:     s.Items,
+		Rejected:  s.Rejected,
+		Hosts:     s.Hosts,
+		Members:   s.Members,
+		Raw:       s.Raw,
+		Good:      s.Good,
+		Digest:    s.Digest,
+		maxSchema: s.maxSchema,
+
+		MembersDigest: s.MembersDigest,
+	}
+}
+
+func own[K comparable, V any](held *bool, shared *map[K]V) {
+	if !*held {
+		*shared = maps.Clone(*shared)
+		*held = true
 	}
 }
 
+func (s *Snapshot) ownSpecs() {
+	own(&s.owned.items, &s.Items)
+	own(&s.owned.rejected, &s.Rejected)
+	own(&s.owned.good, &s.Good)
+}
+
 func (s *Snapshot) put(entry store.Entry) {
-	s.Raw[entry.Key] = entry
+	s.setRaw(entry)
 	switch {
 	case strings.HasPrefix(entry.Key, keys.SpecPrefix):
 		s.putSpec(entry)
 	case strings.HasPrefix(entry.Key, keys.HostPrefix):
 		s.putHost(entry)
 	case strings.HasPrefix(entry.Key, keys.MemberPrefix):
+		own(&s.owned.members, &s.Members)
 		s.Members[strings.TrimPrefix(entry.Key, keys.MemberPrefix)] = entry
 	}
 }
 
+func (s *Snapshot) setRaw(entry store.Entry) {
+	s.dropRaw(entry.Key)
+	s.count(entry.Key, fingerprint(entry))
+	s.Raw[entry.Key] = entry
+}
+
+func (s *Snapshot) dropRaw(key string) {
+	own(&s.owned.raw, &s.Raw)
+	if before, ok := s.Raw[key]; ok {
+		s.count(key, -fingerprint(before))
+		delete(s.Raw, key)
+	}
+}
+
+func (s *Snapshot) count(key string, fingerprint uint64) {
+	s.Digest += fingerprint
+	if strings.HasPrefix(key, keys.MemberPrefix) {
+		s.MembersDigest += fingerprint
+	}
+}
+
 func (s *Snapshot) putSpec(entry store.Entry) {
+	s.ownSpecs()
 	id, _ := keys.ParseSpec(entry.Key)
-	envelope, spec, err := decode(id, entry.Value)
+	envelope, spec, err := s.decode(id, entry.Value)
 	if err != nil {
 		s.reject(id, entry, err)
 		return
@@ -159,7 +233,7 @@
 	delete(s.Good, entry.Key)
 }
 
-func decode(id record.ID, value []byte) (record.Envelope, record.Spec, error) {
+func (s *Snapshot) decode(id record.ID, value []byte) (record.Envelope, record.Spec, error) {
 	envelope, err := record.ParseEnvelope(value)
 	if err != nil {
 		return envelope, nil, err
@@ -167,7 +241,7 @@
 	if envelope.ID() != id {
 		return envelope, nil, &MisplacedError{Key: id, Record: envelope.ID()}
 	}
-	spec, err := record.Decode(envelope)
+	spec, err := record.DecodeUpTo(envelope, s.maxSchema)
 	return envelope, spec, err
 }
 
@@ -185,22 +259,26 @@
 		// The last good record of the host stays in force.
 		return
 	}
+	own(&s.owned.hosts, &s.Hosts)
 	s.Hosts[strings.TrimPrefix(entry.Key, keys.HostPrefix)] = HostItem{Record: parsed, Revision: entry.ModRevision}
 }
 
 func (s *Snapshot) remove(key string) {
-	delete(s.Raw, key)
-	delete(s.Good, key)
+	s.dropRaw(key)
 	if id, ok := keys.ParseSpec(key); ok {
+		s.ownSpecs()
+		delete(s.Good, key)
 		delete(s.Items, id)
 		delete(s.Rejected, id)
 		return
 	}
 	if host, ok := strings.CutPrefix(key, keys.HostPrefix); ok {
+		own(&s.owned.hosts, &s.Hosts)
 		delete(s.Hosts, host)
 		return
 	}
 	if member, ok := strings.CutPrefix(key, keys.MemberPrefix); ok {
+		own(&s.owned.members, &s.Members)
 		delete(s.Members, member)
 	}
 }
--- /dev/null
+++ b/internal/catalog/delta.go
@@ -0,0 +1,171 @@
+package catalog
+
+import (
+	"encoding/binary"
+	"fmt"
+	"sort"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"auburnglade.example/glade/internal/keys"
+	"auburnglade.example/glade/internal/store"
+)
+
+// Change is one shared key as one process tells it to another.
+type Change struct {
+	Entry   store.Entry
+	Deleted bool
+	// Good is the entry in force when Entry isn't; its ModRevision is zero when
+	// there is none.
+	Good store.Entry
+}
+
+// Delta is what a process lacks: the changes after its revision, or, when
+// Whole is set, every key there is.
+type Delta struct {
+	Whole    bool
+	Revision store.Revision
+	Changes  []Change
+	// Digest is that of the sender's snapshot at Revision.
+	Digest uint64
+}
+
+// OlderError says that somebody offered an older configuration than the one
+// in force.
+type OlderError struct{ Offered, InForce store.Revision }
+
+func (e *OlderError) Error() string {
+	return fmt.Sprintf("offered revision %d is older than %d in force", e.Offered, e.InForce)
+}
+
+// DigestError says that a delta doesn't lead to what its sender holds: one of
+// the two has missed an event.
+type DigestError struct{ Revision store.Revision }
+
+func (e *DigestError) Error() string {
+	return fmt.Sprintf("delta to revision %d doesn't lead to the sender's configuration", e.Revision)
+}
+
+// Patch returns the snapshot after a delta. It returns *OlderError for a delta
+// that would go back and *DigestError for one that doesn't lead to what its
+// sender holds; in both cases s stays in force.
+func (s *Snapshot) Patch(delta Delta) (*Snapshot, error) {
+	if delta.Revision < s.Revision {
+		return s, &OlderError{Offered: delta.Revision, InForce: s.Revision}
+	}
+	if delta.Revision == s.Revision && !delta.Whole {
+		return s, nil
+	}
+	next := s.patched(delta)
+	if next.Digest != delta.Digest {
+		return s, &DigestError{Revision: delta.Revision}
+	}
+	return next, nil
+}
+
+func (s *Snapshot) patched(delta Delta) *Snapshot {
+	var next *Snapshot
+	if delta.Whole {
+		next = EmptyFor(s.maxSchema)
+		next.carryOver(s, delta.entries())
+	} else {
+		next = s.clone()
+	}
+	for _, change := range delta.Changes {
+		next.change(change, delta.Whole, s.Revision)
+	}
+	next.Revision = delta.Revision
+	return next
+}
+
+func (s *Snapshot) change(change Change, whole bool, since store.Revision) {
+	// An event already covered by the snapshot must not undo a newer one.
+	if !whole && change.Entry.ModRevision <= since {
+		return
+	}
+	if change.Deleted {
+		s.remove(change.Entry.Key)
+		return
+	}
+	s.put(change.Entry)
+	if change.Good.ModRevision != 0 {
+		s.adoptGood(change)
+	}
+}
+
+// adoptGood takes a peer's last good version of a record whose newest version
+// is no good here either: a process that started late has only ever seen the
+// bad one, and would serve without the record that all others serve with.
+func (s *Snapshot) adoptGood(change Change) {
+	key := change.Entry.Key
+	id, isSpec := keys.ParseSpec(key)
+	rejection, rejected := s.Rejected[id]
+	if !isSpec || !rejected || rejection.InForce >= change.Good.ModRevision {
+		return
+	}
+	envelope, spec, err := s.decode(id, change.Good.Value)
+	if err != nil {
+		return
+	}
+	s.Items[id] = Item{Envelope: envelope, Spec: spec, Revision: change.Good.ModRevision}
+	s.Good[key] = store.Entry{Key: key, Value: change.Good.Value, ModRevision: change.Good.ModRevision}
+	rejection.InForce = change.Good.ModRevision
+	s.Rejected[id] = rejection
+}
+
+func (d Delta) entries() []store.Entry {
+	entries := make([]store.Entry, len(d.Changes))
+	for i, change := range d.Changes {
+		entries[i] = change.Entry
+	}
+	return entries
+}
+
+// Whole returns the snapshot as a delta to start from, sorted by key.
+func (s *Snapshot) Whole() Delta {
+	delta := Delta{Whole: true, Revision: s.Revision, Digest: s.Digest, Changes: make([]Change, 0, len(s.Raw))}
+	for key, entry := range s.Raw {
+		delta.Changes = append(delta.Changes, Change{Entry: entry, Good: s.Good[key]})
+	}
+	sort.Slice(delta.Changes, func(i, j int) bool {
+		return delta.Changes[i].Entry.Key < delta.Changes[j].Entry.Key
+	})
+	return delta
+}
+
+// Since returns the events that lead from s to next, in order. Deletions
+// carry next's revision, as the one at which they happened isn't known.
+func (s *Snapshot) Since(next *Snapshot) []store.Event {
+	var events []store.Event
+	for key, entry := range next.Raw {
+		if s.Raw[key].ModRevision != entry.ModRevision {
+			events = append(events, store.Event{Entry: entry})
+		}
+	}
+	for key := range s.Raw {
+		if _, kept := next.Raw[key]; !kept {
+			events = append(events, store.Event{Entry: store.Entry{Key: key, ModRevision: next.Revision}, Deleted: true})
+		}
+	}
+	sort.Slice(events, func(i, j int) bool {
+		a, b := events[i].Entry, events[j].Entry
+		if a.ModRevision != b.ModRevision {
+			return a.ModRevision < b.ModRevision
+		}
+		return strings.Compare(a.Key, b.Key) < 0
+	})
+	return events
+}
+
+// fingerprint is an entry's part of the digest. The digest is the sum over all
+// entries, so that it is kept up in constant time per event.
+func fingerprint(entry store.Entry) uint64 {
+	var revision [8]byte
+	binary.LittleEndian.PutUint64(revision[:], uint64(entry.ModRevision))
+	digest := xxhash.New()
+	// Writing to a digest never fails.
+	_, _ = digest.WriteString(entry.Key)
+	_, _ = digest.Write(revision[:])
+	return digest.Sum64()
+}
--- a/internal/catalog/query.go
+++ b/internal/catalog/query.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sort"
+	"sync"
 
 	"auburnglade.example/glade/internal/record"
 )
@@ -18,26 +20,76 @@
 	return fmt.Sprintf("record %s stands under the key of %s", e.Record, e.Key)
 }
 
-// Services returns the services in force by name.
-func (s *Snapshot) Services() map[string]*record.Service { return ofKind[*record.Service](s) }
+// index holds the records of one snapshot by kind. It is built at the first
+// question: the snapshot is immutable once others see it, and asking for the
+// pools of every host must not build a map each time.
+type index struct {
+	once     sync.Once
+	services map[string]*record.Service
+	pools    map[string]*record.Pool
+	waves    map[string]*record.Wave
+	jobs     map[string]*record.Job
+	quotas   map[string]*record.Quota
+	budgets  map[string]*record.Budget
+	policies map[string]*record.Policy
+	poolsOf  map[string][]string
+	hostsOf  map[string][]string
+}
+
+func (s *Snapshot) indexed() *index {
+	s.index.once.Do(func() { s.index.build(s) })
+	return &s.index
+}
+
+func (x *index) build(s *Snapshot) {
+	x.services = ofKind[*record.Service](s)
+	x.pools = ofKind[*record.Pool](s)
+	x.waves = ofKind[*record.Wave](s)
+	x.jobs = ofKind[*record.Job](s)
+	x.quotas = ofKind[*record.Quota](s)
+	x.budgets = ofKind[*record.Budget](s)
+	x.policies = ofKind[*record.Policy](s)
+	x.poolsOf = make(map[string][]string)
+	for name, pool := range x.pools {
+		for _, service := range pool.Services {
+			x.poolsOf[service] = append(x.poolsOf[service], name)
+		}
+	}
+	sortEach(x.poolsOf)
+	x.hostsOf = make(map[string][]string)
+	for name, host := range s.Hosts {
+		x.hostsOf[host.Pool] = append(x.hostsOf[host.Pool], name)
+	}
+	sortEach(x.hostsOf)
+}
+
+func sortEach(lists map[string][]string) {
+	for _, list := range lists {
+		sort.Strings(list)
+	}
+}
+
+// Services returns the services in force by name. Like all maps and lists of
+// a snapshot it is shared: callers don't change it.
+func (s *Snapshot) Services() map[string]*record.Service { return s.indexed().services }
 
 // Pools returns the pools in force by name.
-func (s *Snapshot) Pools() map[string]*record.Pool { return ofKind[*record.Pool](s) }
+func (s *Snapshot) Pools() map[string]*record.Pool { return s.indexed().pools }
 
 // Waves returns the maintenance waves in force by name.
-func (s *Snapshot) Waves() map[string]*record.Wave { return ofKind[*record.Wave](s) }
+func (s *Snapshot) Waves() map[string]*record.Wave { return s.indexed().waves }
 
 // Jobs returns the job placements in force by name.
-func (s *Snapshot) Jobs() map[string]*record.Job { return ofKind[*record.Job](s) }
+func (s *Snapshot) Jobs() map[string]*record.Job { return s.indexed().jobs }
 
 // Quotas returns the quotas in force by name.
-func (s *Snapshot) Quotas() map[string]*record.Quota { return ofKind[*record.Quota](s) }
+func (s *Snapshot) Quotas() map[string]*record.Quota { return s.indexed().quotas }
 
 // Budgets returns the availability budgets in force by name.
-func (s *Snapshot) Budgets() map[string]*record.Budget { return ofKind[*record.Budget](s) }
+func (s *Snapshot) Budgets() map[string]*record.Budget { return s.indexed().budgets }
 
 // Policy returns the policy in force, or nil.
-func (s *Snapshot) Policy() *record.Policy { return ofKind[*record.Policy](s)[record.PolicyName] }
+func (s *Snapshot) Policy() *record.Policy { return s.indexed().policies[record.PolicyName] }
 
 func ofKind[T record.Spec](s *Snapshot) map[string]T {
 	found := make(map[string]T)
@@ -51,28 +103,12 @@
 
 // PoolsOf returns the names of the pools that run a service, sorted.
 func (s *Snapshot) PoolsOf(service string) []string {
-	var pools []string
-	for name, pool := range s.Pools() {
-		for _, carried := range pool.Services {
-			if carried == service {
-				pools = append(pools, name)
-			}
-		}
-	}
-	sort.Strings(pools)
-	return pools
+	return slices.Clone(s.indexed().poolsOf[service])
 }
 
 // HostsOf returns the names of a pool's hosts, sorted.
 func (s *Snapshot) HostsOf(pool string) []string {
-	var hosts []string
-	for name, host := range s.Hosts {
-		if host.Pool == pool {
-			hosts = append(hosts, name)
-		}
-	}
-	sort.Strings(hosts)
-	return hosts
+	return slices.Clone(s.indexed().hostsOf[pool])
 }
 
 func encode(envelope record.Envelope) []byte {
--- a/internal/record/envelope.go
+++ b/internal/record/envelope.go
@@ -91,7 +91,11 @@
 // know are passed over here; use UnknownFields to name them. It returns
 // *SchemaError for a schema outside the understood range and *InvalidError
 // with every fault found.
-func Decode(envelope Envelope) (Spec, error) {
+func Decode(envelope Envelope) (Spec, error) { return DecodeUpTo(envelope, MaxSchema) }
+
+// DecodeUpTo is Decode for a build that understands schemas up to maxSchema
+// only, so that an upgrade can be tested with one build.
+func DecodeUpTo(envelope Envelope, maxSchema int) (Spec, error) {
 	spec := newSpec(envelope.Kind)
 	if spec == nil {
 		return nil, invalid(envelope.ID(), FieldError{Field: "kind", Got: string(envelope.Kind), Want: kindList()})
@@ -99,8 +103,8 @@
 	if faults := checkName("name", envelope.Name); len(faults) > 0 {
 		return nil, invalid(envelope.ID(), faults...)
 	}
-	if envelope.Schema < MinSchema || envelope.Schema > MaxSchema {
-		return nil, &SchemaError{ID: envelope.ID(), Schema: envelope.Schema, Min: MinSchema, Max: MaxSchema}
+	if envelope.Schema < MinSchema || envelope.Schema > maxSchema {
+		return nil, &SchemaError{ID: envelope.ID(), Schema: envelope.Schema, Min: MinSchema, Max: maxSchema}
 	}
 	if err := json.Unmarshal(envelope.Spec, spec); err != nil {
 		return nil, invalid(envelope.ID(), jsonFault(err))
