Keep recent events in the feed and know what is worked with

Cause: a feed followed the store and nothing else, an older store went unnoticed, and a gateway confirmed a revision before its routing table was made from it.

Change: the feed keeps recent events for peers that are a little behind, takes deltas, notes the highest revision heard of, repairs itself from the store's listing, reports a store that went back and keeps what is in force. Parts that act on the configuration say which revision they act on; only that is served.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -1,52 +1,63 @@
-// Package feed keeps the configuration in force in one process: it follows the
-// store's shared keys and hands out immutable snapshots that only move forward.
+// Package feed keeps the configuration in force in one process and hands out
+// immutable snapshots that only move forward, whoever they come from: the
+// store's shared keys, or a peer.
 package feed
 
 import (
-	"context"
+	"fmt"
 	"sync"
-	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"auburnglade.example/glade/internal/catalog"
 	"auburnglade.example/glade/internal/invariant"
-	"auburnglade.example/glade/internal/keys"
-	"auburnglade.example/glade/internal/pause"
 	"auburnglade.example/glade/internal/store"
 )
 
-const retryPause = 500 * time.Millisecond
-
 // Feed holds the snapshot in force.
 type Feed struct {
 	store     store.Store
 	log       zerolog.Logger
 	invariant *invariant.Checker
-	revision  prometheus.Gauge
+	metrics   *metrics
 
 	mu       sync.Mutex
 	current  *catalog.Snapshot
 	changed  chan struct{}
 	received bool
+	recent   ring
+	// seen is the highest revision heard of from anyone.
+	seen store.Revision
+	// worked holds, per part that works with the configuration, the revision
+	// it works with.
+	worked map[string]store.Revision
+	// wentBack is set while the store shows an older revision than ours.
+	wentBack bool
+}
+
+// Option shapes a feed.
+type Option func(*Feed)
+
+// WithMaxSchema makes the feed understand record schemas up to maxSchema only,
+// as an older build does.
+func WithMaxSchema(maxSchema int) Option {
+	return func(f *Feed) { f.current = catalog.EmptyFor(maxSchema) }
 }
 
-// New returns a feed whose snapshot is empty until Serve has listed.
-func New(s store.Store, log zerolog.Logger, checker *invariant.Checker, registerer prometheus.Registerer) *Feed {
+// New returns a feed whose snapshot is empty until something is installed.
+func New(s store.Store, log zerolog.Logger, checker *invariant.Checker, registerer prometheus.Registerer, options ...Option) *Feed {
 	f := &Feed{
 		store:     s,
 		log:       log,
 		invariant: checker,
+		metrics:   newMetrics(registerer),
 		current:   catalog.Empty(),
 		changed:   make(chan struct{}),
-		revision: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "glade_config_revision",
-			Help: "Store revision of the configuration in force in this process.",
-		}),
+		worked:    make(map[string]store.Revision),
 	}
-	if registerer != nil {
-		registerer.MustRegister(f.revision)
+	for _, option := range options {
+		option(f)
 	}
 	return f
 }
@@ -72,58 +83,148 @@
 	return f.received
 }
 
-// Serve follows the store until ctx ends.
-func (f *Feed) Serve(ctx context.Context) error {
-	listed := false
-	for ctx.Err() == nil {
-		err := f.step(ctx, &listed)
-		if err == nil {
-			continue
-		}
-		if store.IsCompacted(err) {
-			listed = false
-			continue
-		}
-		if ctx.Err() == nil {
-			f.log.Warn().Err(err).Msg("Store not followed.")
-		}
-		pause.For(ctx, pause.Jitter(retryPause))
+// Install puts a snapshot in force unless it is older than the one that is.
+func (f *Feed) Install(next *catalog.Snapshot) {
+	if next.Revision < f.Snapshot().Revision {
+		f.metrics.refused.WithLabelValues(reasonOlder).Inc()
+		return
 	}
-	return ctx.Err()
+	f.install(next, nil)
 }
 
-func (f *Feed) step(ctx context.Context, listed *bool) error {
-	if !*listed {
-		listing, err := f.store.List(ctx, keys.SharedPrefix)
-		if err != nil {
-			return err
-		}
-		f.Install(catalog.FromListing(f.Snapshot(), listing))
-		*listed = true
-		return nil
-	}
+// Patch puts a delta from a peer in force. It returns *catalog.OlderError or
+// *catalog.DigestError when the delta was refused.
+func (f *Feed) Patch(delta catalog.Delta) error {
 	snapshot := f.Snapshot()
-	batch, err := f.store.Watch(ctx, keys.SharedPrefix, snapshot.Revision)
+	next, err := snapshot.Patch(delta)
 	if err != nil {
+		f.metrics.refuse(err)
 		return err
 	}
-	f.Install(snapshot.Apply(batch))
+	if delta.Whole {
+		f.install(next, nil)
+		return nil
+	}
+	f.install(next, events(delta))
 	return nil
 }
 
-// Install puts a snapshot in force unless it is older than the one that is.
-func (f *Feed) Install(next *catalog.Snapshot) {
+func events(delta catalog.Delta) []store.Event {
+	list := make([]store.Event, len(delta.Changes))
+	for i, change := range delta.Changes {
+		list[i] = store.Event{Entry: change.Entry, Deleted: change.Deleted}
+	}
+	return list
+}
+
+// install puts next in force. steps are the events that lead to it; nil makes
+// it find them by comparing.
+func (f *Feed) install(next *catalog.Snapshot, steps []store.Event) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.received && next.Revision <= f.current.Revision {
+		// Another source was faster.
 		return
 	}
+	if steps == nil {
+		steps = f.current.Since(next)
+	}
+	f.replace(next, steps)
+}
+
+func (f *Feed) replace(next *catalog.Snapshot, steps []store.Event) {
 	f.invariant.Hold(invariant.RevisionForward, next.Revision >= f.current.Revision, func() string {
-		return "revision went back"
+		return fmt.Sprintf("from revision %d to %d", f.current.Revision, next.Revision)
 	})
+	if f.received {
+		f.recent.add(f.current.Revision, steps)
+	} else {
+		f.recent.reset(next.Revision)
+	}
 	f.current = next
 	f.received = true
-	f.revision.Set(float64(next.Revision))
+	f.seen = max(f.seen, next.Revision)
+	f.metrics.revision.Set(float64(next.Revision))
+	f.metrics.rejected.Set(float64(len(next.Rejected)))
+	f.metrics.setSeen(f.seen)
 	close(f.changed)
 	f.changed = make(chan struct{})
 }
+
+// Since returns what a process at revision after lacks: the events it missed
+// when they are still kept, everything otherwise.
+func (f *Feed) Since(after store.Revision) catalog.Delta {
+	f.mu.Lock()
+	snapshot := f.current
+	steps, kept := f.recent.after(after)
+	f.mu.Unlock()
+	if !kept || after > snapshot.Revision {
+		return snapshot.Whole()
+	}
+	delta := catalog.Delta{Revision: snapshot.Revision, Digest: snapshot.Digest}
+	for _, step := range steps {
+		change := catalog.Change{Entry: step.Entry, Deleted: step.Deleted}
+		if snapshot.Raw[step.Entry.Key].ModRevision == step.Entry.ModRevision {
+			change.Good = snapshot.Good[step.Entry.Key]
+		}
+		delta.Changes = append(delta.Changes, change)
+	}
+	return delta
+}
+
+// Hear takes note of a revision that somebody has, and reports whether this
+// process is behind it.
+func (f *Feed) Hear(revision store.Revision) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.seen = max(f.seen, revision)
+	f.metrics.setSeen(f.seen)
+	return revision > f.current.Revision
+}
+
+// Advance moves the revision forward when a peer that holds a later one holds
+// the same contents: changes to other keys of the store raise revisions too,
+// and need no fetch. It reports whether the contents are the same.
+func (f *Feed) Advance(revision store.Revision, digest uint64) bool {
+	snapshot := f.Snapshot()
+	if !f.Ready() || digest != snapshot.Digest {
+		return false
+	}
+	if revision > snapshot.Revision {
+		return f.Patch(catalog.Delta{Revision: revision, Digest: digest}) == nil
+	}
+	return true
+}
+
+// Seen returns the highest revision heard of from anyone.
+func (f *Feed) Seen() store.Revision {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.seen
+}
+
+// WorkedWith registers a part of the process that acts on the configuration
+// and returns the function by which it tells the revision it acts on. Until
+// its first call the process confirms no revision: a confirmation that runs
+// ahead of the routing table lets a host be stopped while it still gets work.
+func (f *Feed) WorkedWith(part string) func(store.Revision) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.worked[part] = 0
+	return func(revision store.Revision) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.worked[part] = max(f.worked[part], revision)
+	}
+}
+
+// Served returns the revision that every part of the process works with.
+func (f *Feed) Served() store.Revision {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	served := f.current.Revision
+	for _, revision := range f.worked {
+		served = min(served, revision)
+	}
+	return served
+}
--- /dev/null
+++ b/internal/feed/storefollow.go
@@ -0,0 +1,120 @@
+package feed
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"auburnglade.example/glade/internal/catalog"
+	"auburnglade.example/glade/internal/keys"
+	"auburnglade.example/glade/internal/pause"
+	"auburnglade.example/glade/internal/store"
+)
+
+const retryPause = 500 * time.Millisecond
+
+// WentBackError says that the store shows an older revision than the one in
+// force, as after a restore from a backup. The configuration in force stays.
+type WentBackError struct{ Store, InForce store.Revision }
+
+func (e *WentBackError) Error() string {
+	return fmt.Sprintf("the store is at revision %d, behind %d in force", e.Store, e.InForce)
+}
+
+// Serve follows the store until ctx ends.
+func (f *Feed) Serve(ctx context.Context) error {
+	listed := false
+	for ctx.Err() == nil {
+		err := f.StepFromStore(ctx, &listed)
+		if err == nil {
+			continue
+		}
+		if ctx.Err() == nil {
+			f.log.Warn().Err(err).Msg("Store not followed.")
+		}
+		pause.For(ctx, pause.Jitter(retryPause))
+	}
+	return ctx.Err()
+}
+
+// StepFromStore lists once, when listed is false, and waits for one batch of
+// events otherwise. It keeps listed up to date: a watch that can't go on where
+// it was must list again, or the events in between are lost unseen.
+func (f *Feed) StepFromStore(ctx context.Context, listed *bool) error {
+	if !*listed {
+		err := f.List(ctx)
+		*listed = err == nil
+		return err
+	}
+	snapshot := f.Snapshot()
+	batch, err := f.store.Watch(ctx, keys.SharedPrefix, snapshot.Revision)
+	if store.IsCompacted(err) {
+		*listed = false
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if batch.Revision < snapshot.Revision {
+		*listed = false
+		return f.reportBack(batch.Revision, snapshot.Revision)
+	}
+	f.install(snapshot.Apply(batch), batch.Events)
+	return nil
+}
+
+// List takes the whole configuration from the store. It returns
+// *WentBackError when the store is behind what is in force.
+func (f *Feed) List(ctx context.Context) error {
+	before := f.Snapshot()
+	listing, err := f.store.List(ctx, keys.SharedPrefix)
+	if err != nil {
+		return err
+	}
+	if listing.Revision < before.Revision {
+		return f.reportBack(listing.Revision, before.Revision)
+	}
+	f.reportForward()
+	f.installListed(catalog.FromListing(f.Snapshot(), listing))
+	return nil
+}
+
+// installListed also repairs: the store's own listing at the revision in force
+// replaces a snapshot that has missed an event on the way.
+func (f *Feed) installListed(next *catalog.Snapshot) {
+	f.mu.Lock()
+	repair := f.received && next.Revision == f.current.Revision && next.Digest != f.current.Digest
+	if repair {
+		f.metrics.repairs.Inc()
+		f.log.Error().Int64("revision", int64(next.Revision)).Msg("Configuration had missed an event and was repaired.")
+		// Peers can't be led from the wrong contents to the right ones.
+		f.replace(next, nil)
+		f.recent.reset(next.Revision)
+	}
+	f.mu.Unlock()
+	if !repair {
+		f.install(next, nil)
+	}
+}
+
+func (f *Feed) reportBack(at, inForce store.Revision) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.metrics.wentBack.Set(float64(inForce - at))
+	if !f.wentBack {
+		f.log.Error().Int64("store_revision", int64(at)).Int64("in_force", int64(inForce)).
+			Msg("The store went back: it was restored or replaced. The configuration in force is kept.")
+	}
+	f.wentBack = true
+	return &WentBackError{Store: at, InForce: inForce}
+}
+
+func (f *Feed) reportForward() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.metrics.wentBack.Set(0)
+	if f.wentBack {
+		f.log.Warn().Msg("The store has passed the revision in force again.")
+	}
+	f.wentBack = false
+}
