Let two relays per availability zone watch the store

Cause: every process held a watch, so watches grew with the fleet, and a host that started during an outage had no configuration.

Change: the relays of a zone are picked from the membership by rendezvous hashing. Every other process asks two sources at once for what is new, its own zone's relays first, then other zones', then anyone, so that a source that died, stalls or lies delays nothing. Nobody hearing from the store, a zone's members probe it with a share that makes up one call per tick. Equal revisions with other contents are settled by a listing. Controllers learn who serves what from that traffic and ask relays before gateways; a gateway that left lags until a margin after its record is gone.

Conclusion: watches are zones x 2, whatever the number of members.

--- a/internal/daemon/common.go
+++ b/internal/daemon/common.go
@@ -19,6 +19,7 @@
 	"auburnglade.example/glade/internal/peer"
 	"auburnglade.example/glade/internal/platformhttp"
 	"auburnglade.example/glade/internal/record"
+	"auburnglade.example/glade/internal/relay"
 	"auburnglade.example/glade/internal/supervise"
 	"auburnglade.example/glade/internal/telemetry"
 )
@@ -35,6 +36,8 @@
 	feed      *feed.Feed
 	registrar *member.Registrar
 	peers     *peer.Server
+	asker     *peer.Client
+	relay     *relay.Relay
 	tracer    trace.TracerProvider
 	stopTrace func(context.Context) error
 }
@@ -47,6 +50,7 @@
 	log         LogSettings
 	trace       TraceSettings
 	peerAddress netip.AddrPort
+	peers       PeerSettings
 	logs        io.Writer
 }
 
@@ -75,6 +79,11 @@
 	c.feed = feed.New(c.platform, telemetry.Part(c.log, "feed"), c.invariant, c.registry)
 	c.registrar = member.NewRegistrar(c.platform, c.self, 0, telemetry.Part(c.log, "member"))
 	c.peers = peer.NewServer(c.self, c.feed)
+	c.asker = peer.NewClient(peer.SpeakingFor(c.peers))
+	c.relay = relay.New(relay.Config{
+		Feed: c.feed, Server: c.peers, Client: c.asker, Addresses: o.peers.strings(),
+		Log: telemetry.Part(c.log, "relay"), Registerer: c.registry,
+	})
 	return c, nil
 }
 
@@ -86,7 +95,7 @@
 }
 
 func (c *common) addCommonParts(tree *supervise.Tree, peers, admin netip.AddrPort, ready func() bool) {
-	tree.Add("feed", c.feed)
+	tree.Add("relay", c.relay)
 	tree.Add("member", c.registrar)
 	tree.Add("trace", &traceStopper{stop: c.stopTrace})
 	prefix, handler := c.peers.Handler()
--- a/internal/daemon/controller.go
+++ b/internal/daemon/controller.go
@@ -11,7 +11,6 @@
 	"auburnglade.example/glade/internal/member"
 	"auburnglade.example/glade/internal/mover"
 	"auburnglade.example/glade/internal/operatorapi"
-	"auburnglade.example/glade/internal/peer"
 	"auburnglade.example/glade/internal/telemetry"
 )
 
@@ -22,6 +21,7 @@
 type Controller struct {
 	*common
 	settings *ControllerSettings
+	confirm  *drainer.PeerConfirmer
 	holder   *holder.Holder
 	drainer  *drainer.Drainer
 	mover    *mover.Mover
@@ -34,27 +34,28 @@
 	base, err := newCommon(ctx, commonOptions{
 		binary: "glade-controller", role: member.RoleController, process: settings.Process,
 		platform: settings.Platform, log: settings.Log, trace: settings.Trace,
-		peerAddress: settings.Listen.Peers, logs: logs,
+		peerAddress: settings.Listen.Peers, peers: settings.Peers, logs: logs,
 	})
 	if err != nil {
 		return nil, err
 	}
 	c := &Controller{common: base, settings: settings}
-	confirmer := &drainer.PeerConfirmer{Feed: base.feed, Client: peer.NewClient()}
+	c.confirm = drainer.NewPeerConfirmer(base.feed, base.peers, base.asker)
 	c.holder = holder.New(base.platform, fleetShard, base.self.ID, settings.Decide.HoldTTL, telemetry.Part(base.log, "holder"))
 	c.drainer = drainer.New(drainer.Config{
 		Member: base.self.ID, Store: base.platform, Feed: base.feed, Hosts: base.platform, Pool: base.platform,
-		Confirmer: confirmer, Shard: c.holder, Gate: budget.NewGate(base.platform), Invariant: base.invariant,
+		Confirmer: c.confirm, Shard: c.holder, Gate: budget.NewGate(base.platform), Invariant: base.invariant,
 		Log: telemetry.Part(base.log, "drainer"), Interval: settings.Decide.Interval,
 	})
 	c.mover = mover.New(mover.Config{
 		Member: base.self.ID, Store: base.platform, Feed: base.feed, Hosts: base.platform, Pool: base.platform,
-		Confirmer: confirmer, Gate: budget.NewGate(base.platform), Shard: c.holder, Invariant: base.invariant,
+		Confirmer: c.confirm, Gate: budget.NewGate(base.platform), Shard: c.holder, Invariant: base.invariant,
 		Log: telemetry.Part(base.log, "mover"), Interval: settings.Decide.Interval,
 	})
 	c.journal = operatorapi.NewJournal(base.feed)
 	c.api = operatorapi.New(operatorapi.Config{
-		Store: base.platform, Feed: base.feed, Confirmer: confirmer, Journal: c.journal, Log: telemetry.Part(base.log, "api"),
+		Store: base.platform, Feed: base.feed, Confirmer: drainer.Live{Confirmer: c.confirm}, Journal: c.journal,
+		Log: telemetry.Part(base.log, "api"),
 	})
 	return c, nil
 }
@@ -63,6 +64,7 @@
 // *supervise.PartFailedError when a part kept failing.
 func (c *Controller) Run(ctx context.Context) error {
 	tree := c.newTree("parts")
+	tree.Add("confirm", c.confirm)
 	tree.Add("holder", c.holder)
 	tree.Add("drainer", c.drainer)
 	tree.Add("mover", c.mover)
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -27,7 +27,7 @@
 	base, err := newCommon(ctx, commonOptions{
 		binary: "glade-gateway", role: member.RoleGateway, process: settings.Process,
 		platform: settings.Platform, log: settings.Log, trace: settings.Trace,
-		peerAddress: settings.Listen.Peers, logs: logs,
+		peerAddress: settings.Listen.Peers, peers: settings.Peers, logs: logs,
 	})
 	if err != nil {
 		return nil, err
@@ -39,7 +39,7 @@
 	g.gateway = gateway.New(gateway.Config{
 		Member: base.self.ID, Zone: settings.Process.Zone, Feed: base.feed, Hosts: base.platform,
 		Invariant: base.invariant, Log: telemetry.Part(base.log, "gateway"), Registry: base.registry,
-		Tracer: base.tracer, Once: g.once,
+		Tracer: base.tracer, WorksWith: base.feed.WorkedWith("gateway"), Once: g.once,
 	})
 	return g, nil
 }
@@ -70,6 +70,7 @@
 	case <-ctx.Done():
 	}
 	g.log.Info().Msg("Planned stop begun.")
+	g.peers.SetStopping()
 	g.gateway.StopAccepting()
 	pause.For(context.Background(), g.settings.Stop.Notice)
 	stopCallers()
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -24,6 +24,14 @@
 	Addresses []netip.AddrPort `ini:"addresses" help:"Peer addresses of other processes, asked for the configuration when the store is away."`
 }
 
+func (p PeerSettings) strings() []string {
+	list := make([]string, len(p.Addresses))
+	for i, address := range p.Addresses {
+		list[i] = address.String()
+	}
+	return list
+}
+
 // LogSettings shape the log.
 type LogSettings struct {
 	Level string `ini:"level" want:"debug|info|warn|error" help:"Least severe level that is logged: debug, info, warn or error."`
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"auburnglade.example/glade/internal/limit"
 	"auburnglade.example/glade/internal/outcome"
 	"auburnglade.example/glade/internal/pause"
+	"auburnglade.example/glade/internal/store"
 )
 
 // Config is what a Gateway is made of.
@@ -37,6 +38,8 @@
 	Log       zerolog.Logger
 	Registry  prometheus.Registerer
 	Tracer    trace.TracerProvider
+	// WorksWith is told the revision that the table in force is made from.
+	WorksWith func(store.Revision)
 	// Once claims idempotency keys; nil leaves them to the endpoints.
 	Once *atmostonce.Keeper
 	// HostInterval is the pause between two readings of the host list; zero
@@ -81,6 +84,9 @@
 	if config.HostInterval == 0 {
 		config.HostInterval = DefaultHostInterval
 	}
+	if config.WorksWith == nil {
+		config.WorksWith = func(store.Revision) {}
+	}
 	if config.Tracer == nil {
 		config.Tracer = otel.GetTracerProvider()
 	}
@@ -115,6 +121,7 @@
 	for ctx.Err() == nil {
 		snapshot, changed := g.Feed.Current()
 		g.install(endpoint.Resolve(snapshot, hosts))
+		g.WorksWith(snapshot.Revision)
 		select {
 		case <-changed:
 		case <-ctx.Done():
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -5,67 +5,216 @@
 import (
 	"context"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/twitchtv/twirp"
-
 	"auburnglade.example/glade/internal/catalog"
 	"auburnglade.example/glade/internal/feed"
 	"auburnglade.example/glade/internal/member"
 	"auburnglade.example/glade/internal/peer/peerpb"
+	"auburnglade.example/glade/internal/store"
 )
 
-const callTimeout = 2 * time.Second
+const (
+	// maxWait bounds how long a Fetch waits for news.
+	maxWait = 10 * time.Second
+	// maxRequestBytes bounds one request of a peer.
+	maxRequestBytes = 64 << 10
+	// maxHeard bounds the processes remembered; far more than live at once.
+	maxHeard = 4096
+)
 
 // Server answers peers about this process.
 type Server struct {
-	self member.Member
-	feed *feed.Feed
+	self     member.Member
+	feed     *feed.Feed
+	pages    pager
+	watching atomic.Bool
+	stopping atomic.Bool
+	// ahead, when set, is told who has a newer configuration.
+	ahead atomic.Pointer[func(address string)]
+
+	mu sync.Mutex
+	// heard is the highest revision each process has told that it serves.
+	heard map[string]store.Revision
 }
 
 // NewServer returns a server that speaks for self.
 func NewServer(self member.Member, f *feed.Feed) *Server {
-	return &Server{self: self, feed: f}
+	return &Server{self: self, feed: f, heard: make(map[string]store.Revision)}
 }
 
 // Handler returns the twirp handler and the path prefix to mount it under.
 func (s *Server) Handler() (prefix string, handler http.Handler) {
 	server := peerpb.NewPeerServer(s)
-	return server.PathPrefix(), server
+	return server.PathPrefix(), http.MaxBytesHandler(server, maxRequestBytes)
 }
 
+// OnAhead sets what is called, from any goroutine and without waiting, with
+// the address of a peer whose configuration is newer than this process's.
+func (s *Server) OnAhead(call func(address string)) { s.ahead.Store(&call) }
+
+// SetWatching says whether this process hears from the store itself.
+func (s *Server) SetWatching(watching bool) { s.watching.Store(watching) }
+
+// Watching reports whether this process hears from the store itself.
+func (s *Server) Watching() bool { return s.watching.Load() }
+
+// SetStopping tells peers from now on that this process stops.
+func (s *Server) SetStopping() { s.stopping.Store(true) }
+
 // Exchange implements peerpb.Peer.
-func (s *Server) Exchange(_ context.Context, _ *peerpb.Presence) (*peerpb.Presence, error) {
-	return s.presence(s.feed.Snapshot()), nil
+func (s *Server) Exchange(_ context.Context, from *peerpb.Presence) (*peerpb.Presence, error) {
+	s.Hear(from)
+	return s.Presence(), nil
 }
 
 // Fetch implements peerpb.Peer.
-func (s *Server) Fetch(_ context.Context, _ *peerpb.FetchRequest) (*peerpb.FetchResponse, error) {
-	return nil, twirp.NewError(twirp.Unimplemented, "fetch is not served by this build")
+func (s *Server) Fetch(ctx context.Context, request *peerpb.FetchRequest) (*peerpb.FetchResponse, error) {
+	s.Hear(request.From)
+	after := store.Revision(request.AfterRevision)
+	if request.PageRevision == 0 {
+		s.awaitNews(ctx, after, time.Duration(request.WaitMs)*time.Millisecond)
+	}
+	response := &peerpb.FetchResponse{From: s.Presence()}
+	if !s.feed.Ready() {
+		return response, nil
+	}
+	if request.PageRevision != 0 {
+		s.pages.next(response, s.feed.Snapshot(), store.Revision(request.PageRevision), request.PageAfterKey)
+		return response, nil
+	}
+	snapshot := s.feed.Snapshot()
+	response.Revision = int64(snapshot.Revision)
+	if snapshot.Revision <= after {
+		return response, nil
+	}
+	delta := s.feed.Since(after)
+	if !delta.Whole && deltaBytes(delta) <= pageBytes {
+		encodeDelta(response, delta)
+		return response, nil
+	}
+	s.pages.first(response, s.feed.Snapshot())
+	return response, nil
+}
+
+func (s *Server) awaitNews(ctx context.Context, after store.Revision, wait time.Duration) {
+	timeout := time.NewTimer(min(wait, maxWait))
+	defer timeout.Stop()
+	for {
+		snapshot, changed := s.feed.Current()
+		if snapshot.Revision > after {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Confirmed implements peerpb.Peer.
+func (s *Server) Confirmed(_ context.Context, request *peerpb.ConfirmedRequest) (*peerpb.ConfirmedResponse, error) {
+	s.Hear(request.From)
+	response := &peerpb.ConfirmedResponse{From: s.Presence()}
+	wanted := store.Revision(request.Revision)
+	if s.feed.Served() >= wanted {
+		response.Members = append(response.Members, s.self.ID)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, served := range s.heard {
+		if served >= wanted {
+			response.Members = append(response.Members, id)
+		}
+	}
+	return response, nil
 }
 
-func (s *Server) presence(snapshot *catalog.Snapshot) *peerpb.Presence {
+// Hear takes note of what a peer says of itself, and finds out from it whether
+// this process is behind.
+func (s *Server) Hear(from *peerpb.Presence) {
+	if !s.learn(from) || s.feed.Advance(store.Revision(from.HeldRevision), from.Digest) {
+		return
+	}
+	behind := s.feed.Hear(store.Revision(from.HeldRevision))
+	if ahead := s.ahead.Load(); behind && ahead != nil && from.Address != "" {
+		(*ahead)(from.Address)
+	}
+}
+
+// learn takes note of what a peer says of itself and reports whether it was
+// another process that spoke.
+func (s *Server) learn(from *peerpb.Presence) bool {
+	if from == nil || from.Member == "" || from.Member == s.self.ID {
+		return false
+	}
+	s.Note(from.Member, store.Revision(from.ServedRevision))
+	s.feed.Hear(store.Revision(from.SeenRevision))
+	return true
+}
+
+// Note takes note that a process serves a revision or a later one.
+func (s *Server) Note(id string, served store.Revision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, known := s.heard[id]
+	if !known && len(s.heard) >= maxHeard {
+		s.forgetGone()
+	}
+	if known || len(s.heard) < maxHeard {
+		s.heard[id] = max(s.heard[id], served)
+	}
+}
+
+// forgetGone drops processes that are no longer members.
+func (s *Server) forgetGone() {
+	members := s.feed.Snapshot().Members
+	for id := range s.heard {
+		if _, live := members[id]; !live {
+			delete(s.heard, id)
+		}
+	}
+}
+
+// Heard returns the highest revision a process has told that it serves.
+func (s *Server) Heard(id string) store.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.heard[id]
+}
+
+// Presence is what this process says of itself with every message.
+func (s *Server) Presence() *peerpb.Presence {
+	// Served is asked first: it never runs ahead of what is held.
+	served := s.feed.Served()
+	snapshot := s.feed.Snapshot()
 	return &peerpb.Presence{
 		Member:         s.self.ID,
 		Role:           string(s.self.Role),
 		Zone:           s.self.Zone,
 		Address:        s.self.PeerAddress,
-		ServedRevision: int64(snapshot.Revision),
+		ServedRevision: int64(served),
 		MaxSchema:      int32(s.self.MaxSchema),
+		Stopping:       s.stopping.Load(),
+		HeldRevision:   int64(snapshot.Revision),
+		Digest:         snapshot.Digest,
+		SeenRevision:   int64(s.feed.Seen()),
+		Watching:       s.watching.Load(),
 	}
 }
 
-// Client asks peers.
-type Client struct{ http *http.Client }
-
-// NewClient returns a client with its own connections.
-func NewClient() *Client {
-	return &Client{http: &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 2}}}
-}
+// Self returns the member this server speaks for.
+func (s *Server) Self() member.Member { return s.self }
 
-// Served asks the process at address which revision it serves. It returns
-// twirp's error when the peer can't be asked.
-func (c *Client) Served(ctx context.Context, address string) (*peerpb.Presence, error) {
-	client := peerpb.NewPeerProtobufClient("http://"+address, c.http)
-	return client.Exchange(ctx, &peerpb.Presence{})
+func deltaBytes(delta catalog.Delta) int {
+	total := 0
+	for _, change := range delta.Changes {
+		total += changeBytes(change)
+	}
+	return total
 }
--- /dev/null
+++ b/internal/peer/wire.go
@@ -0,0 +1,113 @@
+package peer
+
+import (
+	"sort"
+	"sync"
+
+	"auburnglade.example/glade/internal/catalog"
+	"auburnglade.example/glade/internal/peer/peerpb"
+	"auburnglade.example/glade/internal/store"
+)
+
+const (
+	// pageBytes is how much one message carries at most, beside its last
+	// entry: the platform's values are at most 1 MiB, and an entry can have
+	// two of them.
+	pageBytes = 2 << 20
+	// maxResponseBytes is what an asker reads of one answer.
+	maxResponseBytes = 8 << 20
+	// perEntryBytes is an allowance for an entry's numbers and framing.
+	perEntryBytes = 32
+	// keptPages is how many snapshots are kept for askers that are paging
+	// through them while newer ones come into force.
+	keptPages = 4
+)
+
+func changeBytes(change catalog.Change) int {
+	return len(change.Entry.Key) + len(change.Entry.Value) + len(change.Good.Value) + perEntryBytes
+}
+
+// pager hands out whole snapshots in pages of bounded size.
+type pager struct {
+	mu   sync.Mutex
+	kept []catalog.Delta
+}
+
+// first answers with the first page of snapshot.
+func (p *pager) first(response *peerpb.FetchResponse, snapshot *catalog.Snapshot) {
+	p.page(response, p.keep(snapshot), "")
+}
+
+// next answers with the page after a key, or from the start of the current
+// snapshot when the one asked for is no longer kept: the asker sees another
+// revision and starts again.
+func (p *pager) next(response *peerpb.FetchResponse, current *catalog.Snapshot, revision store.Revision, after string) {
+	p.mu.Lock()
+	for _, delta := range p.kept {
+		if delta.Revision == revision {
+			p.mu.Unlock()
+			p.page(response, delta, after)
+			return
+		}
+	}
+	p.mu.Unlock()
+	p.first(response, current)
+}
+
+func (p *pager) keep(snapshot *catalog.Snapshot) catalog.Delta {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, delta := range p.kept {
+		if delta.Revision == snapshot.Revision && delta.Digest == snapshot.Digest {
+			return delta
+		}
+	}
+	p.kept = append(p.kept, snapshot.Whole())
+	if len(p.kept) > keptPages {
+		p.kept = p.kept[1:]
+	}
+	return p.kept[len(p.kept)-1]
+}
+
+func (p *pager) page(response *peerpb.FetchResponse, whole catalog.Delta, after string) {
+	changes := whole.Changes
+	first := sort.Search(len(changes), func(i int) bool { return changes[i].Entry.Key > after })
+	last, total := first, 0
+	for last < len(changes) && total < pageBytes {
+		total += changeBytes(changes[last])
+		last++
+	}
+	whole.Changes = changes[first:last]
+	encodeDelta(response, whole)
+	response.More = last < len(changes)
+}
+
+func encodeDelta(response *peerpb.FetchResponse, delta catalog.Delta) {
+	response.Whole = delta.Whole
+	response.Revision = int64(delta.Revision)
+	response.Digest = delta.Digest
+	response.Entries = make([]*peerpb.Entry, len(delta.Changes))
+	for i, change := range delta.Changes {
+		response.Entries[i] = &peerpb.Entry{
+			Key:          change.Entry.Key,
+			Value:        change.Entry.Value,
+			ModRevision:  int64(change.Entry.ModRevision),
+			Deleted:      change.Deleted,
+			GoodValue:    change.Good.Value,
+			GoodRevision: int64(change.Good.ModRevision),
+		}
+	}
+}
+
+func decodeDelta(response *peerpb.FetchResponse) catalog.Delta {
+	delta := catalog.Delta{Whole: response.Whole, Revision: store.Revision(response.Revision), Digest: response.Digest}
+	delta.Changes = make([]catalog.Change, len(response.Entries))
+	for i, entry := range response.Entries {
+		delta.Changes[i] = catalog.Change{
+			Entry:   store.Entry{Key: entry.Key, Value: entry.Value, ModRevision: store.Revision(entry.ModRevision)},
+			Deleted: entry.Deleted,
+			Good:    store.Entry{Key: entry.Key, Value: entry.GoodValue, ModRevision: store.Revision(entry.GoodRevision)},
+		}
+	}
+	return delta
+}
--- /dev/null
+++ b/internal/relay/fleet_test.go
@@ -0,0 +1,234 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test/must"
+	"github.com/twitchtv/twirp"
+
+	"auburnglade.example/glade/internal/feed"
+	"auburnglade.example/glade/internal/invariant"
+	"auburnglade.example/glade/internal/keys"
+	"auburnglade.example/glade/internal/member"
+	"auburnglade.example/glade/internal/peer"
+	"auburnglade.example/glade/internal/peer/peerpb"
+	"auburnglade.example/glade/internal/record"
+	"auburnglade.example/glade/internal/relay"
+	"auburnglade.example/glade/internal/store"
+	"auburnglade.example/glade/internal/store/memstore"
+)
+
+// network carries calls between members of one test in memory, and can cut,
+// stall or corrupt them.
+type network struct {
+	mu      sync.Mutex
+	servers map[string]*peer.Server
+	cut     map[string]bool
+	stalled map[string]bool
+	// lie, when set for an address, changes what it answers.
+	lie map[string]func(*peerpb.FetchResponse)
+	// delay is how long an answer to Fetch is on its way.
+	delay map[string]time.Duration
+}
+
+func newNetwork() *network {
+	return &network{
+		servers: make(map[string]*peer.Server), cut: make(map[string]bool),
+		stalled: make(map[string]bool), lie: make(map[string]func(*peerpb.FetchResponse)),
+		delay: make(map[string]time.Duration),
+	}
+}
+
+func (n *network) with(change func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	change()
+}
+
+type link struct {
+	network  *network
+	from, to string
+}
+
+func (l link) reach(ctx context.Context) (*peer.Server, error) {
+	n := l.network
+	n.mu.Lock()
+	server, cut, stalled := n.servers[l.to], n.cut[l.to] || n.cut[l.from], n.stalled[l.to]
+	n.mu.Unlock()
+	switch {
+	case stalled:
+		<-ctx.Done()
+		return nil, ctx.Err()
+	case cut || server == nil:
+		return nil, twirp.NewError(twirp.Unavailable, "connection refused")
+	}
+	return server, nil
+}
+
+func (l link) Exchange(ctx context.Context, r *peerpb.Presence) (*peerpb.Presence, error) {
+	server, err := l.reach(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return server.Exchange(ctx, r)
+}
+
+func (l link) Fetch(ctx context.Context, r *peerpb.FetchRequest) (*peerpb.FetchResponse, error) {
+	server, err := l.reach(ctx)
+	if err != nil {
+		return nil, err
+	}
+	response, err := server.Fetch(ctx, r)
+	// What was cut or stalled while the answer was made doesn't arrive.
+	if _, lost := l.reach(ctx); lost != nil {
+		return nil, lost
+	}
+	l.network.mu.Lock()
+	lie, delay := l.network.lie[l.to], l.network.delay[l.to]
+	l.network.mu.Unlock()
+	time.Sleep(delay)
+	if err == nil && lie != nil {
+		lie(response)
+	}
+	return response, err
+}
+
+func (l link) Confirmed(ctx context.Context, r *peerpb.ConfirmedRequest) (*peerpb.ConfirmedResponse, error) {
+	server, err := l.reach(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return server.Confirmed(ctx, r)
+}
+
+// node is one member: feed, relay and registrar over the shared store.
+type node struct {
+	member    member.Member
+	feed      *feed.Feed
+	server    *peer.Server
+	relay     *relay.Relay
+	registrar *member.Registrar
+	checker   *invariant.Checker
+	stop      context.CancelFunc
+}
+
+// fleet is a set of members over one store and one network.
+type fleet struct {
+	t       *testing.T
+	store   *memstore.Store
+	network *network
+	nodes   []*node
+	wait    sync.WaitGroup
+}
+
+var zones = []string{"a", "b", "c"}
+
+func newFleet(t *testing.T, members int) *fleet {
+	f := &fleet{t: t, store: memstore.New(), network: newNetwork()}
+	for range members {
+		f.start(f.store)
+	}
+	return f
+}
+
+// start adds a member that reaches the store through s.
+func (f *fleet) start(s store.Store, options ...feed.Option) *node {
+	index := len(f.nodes)
+	self := member.Member{
+		ID: fmt.Sprintf("gateway-%d", index+1), Role: member.RoleGateway, Zone: zones[index%len(zones)],
+		PeerAddress: fmt.Sprintf("10.0.0.%d:7200", index+1), MaxSchema: record.MaxSchema,
+	}
+	checker := invariant.New(zerolog.Nop(), nil)
+	n := &node{member: self, checker: checker, feed: feed.New(s, zerolog.Nop(), checker, nil, options...)}
+	n.server = peer.NewServer(self, n.feed)
+	client := peer.NewClient(peer.SpeakingFor(n.server), peer.WithDial(func(address string) peerpb.Peer {
+		return link{f.network, self.PeerAddress, address}
+	}))
+	n.relay = relay.New(relay.Config{Feed: n.feed, Server: n.server, Client: client, Addresses: f.addresses(), Log: zerolog.Nop()})
+	n.registrar = member.NewRegistrar(s, self, 0, zerolog.Nop())
+	f.network.with(func() { f.network.servers[self.PeerAddress] = n.server })
+	f.nodes = append(f.nodes, n)
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stop = cancel
+	f.wait.Go(func() { _ = n.relay.Serve(ctx) })
+	f.wait.Go(func() { _ = n.registrar.Serve(ctx) })
+	return n
+}
+
+func (f *fleet) addresses() []string {
+	var list []string
+	for _, n := range f.nodes {
+		list = append(list, n.member.PeerAddress)
+	}
+	return list
+}
+
+// close ends every member and checks what must always have held.
+func (f *fleet) close() {
+	for _, n := range f.nodes {
+		n.stop()
+	}
+	f.wait.Wait()
+	for _, n := range f.nodes {
+		must.SliceEmpty(f.t, n.checker.Violations())
+	}
+}
+
+// write puts a policy in the store, as an accepted change.
+func (f *fleet) write(hold int) store.Revision {
+	return f.writeEnvelope(record.New(record.PolicyName, &record.Policy{MoveHoldSeconds: hold}))
+}
+
+func (f *fleet) writeEnvelope(envelope record.Envelope) store.Revision {
+	f.t.Helper()
+	key := keys.Spec(envelope.ID())
+	entry, _ := f.store.Get(context.Background(), key)
+	revision, err := f.store.CompareAndSwap(context.Background(), store.Write{
+		Key: key, Expect: entry.ModRevision, Value: encode(f.t, envelope),
+	})
+	must.NoError(f.t, err)
+	return revision
+}
+
+// behind names the members of nodes that don't hold a revision.
+func behind(nodes []*node, revision store.Revision) []string {
+	var list []string
+	for _, n := range nodes {
+		if n.feed.Served() < revision {
+			list = append(list, n.member.ID)
+		}
+	}
+	return list
+}
+
+// took returns how long it took, in virtual time, until every node held the
+// revision. It fails the test after limit.
+func (f *fleet) took(nodes []*node, revision store.Revision, limit time.Duration) time.Duration {
+	f.t.Helper()
+	began := time.Now()
+	for len(behind(nodes, revision)) > 0 {
+		if time.Since(began) > limit {
+			must.SliceEmpty(f.t, behind(nodes, revision))
+		}
+		time.Sleep(step)
+	}
+	return time.Since(began)
+}
+
+const step = 10 * time.Millisecond
+
+// relays returns the members that watch the store.
+func (f *fleet) relays() []*node {
+	var list []*node
+	for _, n := range f.nodes {
+		if n.server.Watching() {
+			list = append(list, n)
+		}
+	}
+	return list
+}
