Drive faults through separate processes, and judge from the stand-ins' counts

Cause: the story runs in one process and meets no kill, pause or outage. A gateway listens for callers only once it has a configuration: a replacement used to refuse what a balancer still sent to its predecessor's address.

--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,9 @@
 # The two commands of the README are `make run` and `make test`.
 
 BIN := bin
-BINARIES := glade-gateway glade-controller gladectl glade-dev glade-measure
+BINARIES := glade-gateway glade-controller gladectl glade-dev glade-soak glade-measure
 
-.PHONY: build run test lint unit story generate clean
+.PHONY: build run test lint unit story soak generate clean
 
 build:
 	go build -o $(BIN)/ $(addprefix ./cmd/,$(BINARIES))
@@ -27,6 +27,12 @@
 	$(BIN)/glade-dev --once --deployment klarlund
 	$(BIN)/glade-dev --once --deployment lindqvist
 
+# Faults through separate processes; longer by hand: make soak SEED=7 SECONDS=900
+SEED ?= 1
+SECONDS ?= 60
+soak: build
+	scripts/soak $(SEED) $(SECONDS)
+
 # Needs protoc; the generators are pinned in go.mod and the result is committed.
 generate:
 	go build -o $(BIN)/ google.golang.org/protobuf/cmd/protoc-gen-go github.com/twitchtv/twirp/protoc-gen-twirp
--- a/internal/daemon/controller.go
+++ b/internal/daemon/controller.go
@@ -71,5 +71,9 @@
 	tree.Add("journal", c.journal)
 	tree.Add("operators", httpserve.New("operators", c.settings.Listen.Operators, c.api, c.settings.Stop.Grace))
 	c.addCommonParts(tree, c.settings.Listen.Peers, c.settings.Listen.Admin, c.feed.Ready)
-	return tree.Run(ctx)
+	err := tree.Run(ctx)
+	if err == nil {
+		c.log.Info().Msg("Planned stop done.")
+	}
+	return err
 }
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"auburnglade.example/glade/internal/atmostonce"
 	"auburnglade.example/glade/internal/gateway"
@@ -11,6 +12,7 @@
 	"auburnglade.example/glade/internal/invariant"
 	"auburnglade.example/glade/internal/member"
 	"auburnglade.example/glade/internal/pause"
+	"auburnglade.example/glade/internal/supervise"
 	"auburnglade.example/glade/internal/telemetry"
 )
 
@@ -62,7 +64,7 @@
 	g.addCommonParts(back, g.settings.Listen.Peers, g.settings.Listen.Admin, g.gateway.Ready)
 
 	ended := make(chan error, 2)
-	go func() { ended <- front.Run(callers) }()
+	go func() { ended <- g.runFront(callers, front) }()
 	go func() { ended <- back.Run(rest) }()
 	select {
 	case err := <-ended:
@@ -86,6 +88,23 @@
 	return err
 }
 
+// readyPoll is the pause between two looks at readiness before the first.
+const readyPoll = 20 * time.Millisecond
+
+// runFront listens for callers once there is a configuration to serve them by.
+// A replacement that listened at once, under its predecessor's address, would
+// refuse the callers that a balancer still sends there; a closed port makes
+// the balancer go elsewhere.
+func (g *Gateway) runFront(ctx context.Context, front *supervise.Tree) error {
+	for !g.gateway.Ready() {
+		if ctx.Err() != nil {
+			return nil
+		}
+		pause.For(ctx, readyPoll)
+	}
+	return front.Run(ctx)
+}
+
 // stoppingAware asks callers to open their next connection elsewhere while the
 // gateway stops. Idle connections stay open until the notice is over: closing
 // one under a request that is on its way would cut it.
--- a/internal/devrun/devrun.go
+++ b/internal/devrun/devrun.go
@@ -147,7 +147,7 @@
 }
 
 func (r *Run) startPlatform() error {
-	r.Platform = standin.NewPlatform(r.shape(), servicePorts(r.records), standin.Options{
+	r.Platform = standin.NewPlatform(r.Shape(), servicePorts(r.records), standin.Options{
 		ListLag: listLag, RebootTime: rebootTime, WorkTime: workTime,
 	})
 	if err := r.Platform.Start(r.platformAddress()); err != nil {
@@ -181,8 +181,8 @@
 	return err
 }
 
-// shape is the deployment's shape at this instance's addresses.
-func (r *Run) shape() standin.Shape {
+// Shape returns the deployment's shape at this instance's addresses.
+func (r *Run) Shape() standin.Shape {
 	shape := standin.Shapes[r.Options.Deployment]
 	shape.AddressBlock = hostBlock + r.Options.Instance
 	return shape
@@ -260,7 +260,7 @@
 }
 
 func (r *Run) process(role string, index int) daemon.ProcessSettings {
-	shape := r.shape()
+	shape := r.Shape()
 	return daemon.ProcessSettings{
 		ID:     fmt.Sprintf("%s-%d", role, index+1),
 		Zone:   shape.Zones[index%len(shape.Zones)],
@@ -357,7 +357,7 @@
 	deadline := time.Now().Add(readyTimeout)
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		summary, err := r.fleet(ctx)
-		if err == nil && r.Balancer.Ready() == r.Options.Gateways && assigned(summary) == r.shape().Hosts {
+		if err == nil && r.Balancer.Ready() == r.Options.Gateways && assigned(summary) == r.Shape().Hosts {
 			return nil
 		}
 		pause.For(ctx, pollInterval)
--- a/internal/devrun/story.go
+++ b/internal/devrun/story.go
@@ -122,7 +122,7 @@
 // HostGroups returns the pool of each host as the story begins.
 func (r *Run) HostGroups(ctx context.Context) (map[string]string, error) {
 	groups := make(map[string]string)
-	for _, host := range r.shape().Build() {
+	for _, host := range r.Shape().Build() {
 		pool, err := r.poolOf(ctx, host.Name)
 		if err != nil {
 			return nil, err
