--- /dev/null
+++ b/internal/measure/capacity/capacity.go
@@ -0,0 +1,176 @@
+// Package capacity measures what one more host, pool, change or member costs,
+// and works out from these slopes what the two-year target needs. The rows of
+// docs/CAPACITY.md come from here.
+package capacity
+
+import (
+	"runtime"
+	"time"
+
+	"auburnglade.example/glade/internal/catalog"
+	"auburnglade.example/glade/internal/endpoint"
+	"auburnglade.example/glade/internal/hostrecord"
+	"auburnglade.example/glade/internal/keys"
+	"auburnglade.example/glade/internal/mover"
+	"auburnglade.example/glade/internal/standin"
+	"auburnglade.example/glade/internal/store"
+	"auburnglade.example/glade/internal/wave"
+)
+
+// Cmd is the subcommand.
+type Cmd struct {
+	Repeats int `help:"Times each point is measured; the median counts." default:"7"`
+}
+
+// Result is every slope and what it means at the target.
+type Result struct {
+	Slopes []Slope            `json:"slopes"`
+	Target map[string]float64 `json:"at_target"`
+}
+
+// Run implements the command.
+func (c *Cmd) Run(result *any) error {
+	r := Result{Target: make(map[string]float64)}
+	for _, sweep := range sweeps {
+		r.Slopes = append(r.Slopes, c.sweep(sweep))
+	}
+	for _, slope := range r.Slopes {
+		count := targetCounts[slope.Per]
+		r.Target[slope.Name+"_"+slope.Unit] = slope.At(count)
+	}
+	*result = r
+	return nil
+}
+
+// targetCounts is how many of each there are at the target.
+var targetCounts = map[string]float64{
+	"host":   float64(standin.ScaleTarget.Hosts),
+	"pool":   float64(standin.ScaleTarget.Pools),
+	"member": float64(standin.ScaleTarget.Members),
+}
+
+// sweep varies one count and measures one cost.
+type sweep struct {
+	name, unit, per string
+	counts          []int
+	shape           func(count int) standin.Scale
+	measure         func(s standin.Scale) float64
+}
+
+var (
+	hostCounts   = []int{125, 250, 500, 750, 1000, 1500}
+	poolCounts   = []int{33, 66, 131, 196, 261, 392}
+	memberCounts = []int{9, 18, 36, 72, 100}
+)
+
+func byHosts(count int) standin.Scale {
+	return standin.Scale{Hosts: count, Pools: standin.ScaleTarget.Pools / 4, Members: standin.ScaleTarget.Members}
+}
+
+func byPools(count int) standin.Scale {
+	return standin.Scale{Hosts: standin.ScaleTarget.Hosts, Pools: count, Members: standin.ScaleTarget.Members}
+}
+
+func byMembers(count int) standin.Scale {
+	return standin.Scale{Hosts: standin.ScaleTarget.Hosts, Pools: standin.ScaleTarget.Pools, Members: count}
+}
+
+var sweeps = []sweep{
+	{"snapshot_heap", "bytes", "host", hostCounts, byHosts, snapshotHeap},
+	{"snapshot_heap", "bytes", "pool", poolCounts, byPools, snapshotHeap},
+	{"snapshot_values", "bytes", "host", hostCounts, byHosts, snapshotValues},
+	{"snapshot_values", "bytes", "pool", poolCounts, byPools, snapshotValues},
+	{"snapshot_values", "bytes", "member", memberCounts, byMembers, snapshotValues},
+	{"apply_change", "us", "host", hostCounts, byHosts, applyChange},
+	{"apply_change", "us", "pool", poolCounts, byPools, applyChange},
+	{"resolve_endpoints", "us", "host", hostCounts, byHosts, resolveEndpoints},
+	{"resolve_endpoints", "us", "pool", poolCounts, byPools, resolveEndpoints},
+	{"plan_waves", "us", "host", hostCounts, byHosts, planWaves},
+	{"plan_moves", "us", "host", hostCounts, byHosts, planMoves},
+	{"plan_moves", "us", "pool", poolCounts, byPools, planMoves},
+}
+
+func (c *Cmd) sweep(s sweep) Slope {
+	counts := make([]float64, len(s.counts))
+	values := make([]float64, len(s.counts))
+	for i, count := range s.counts {
+		counts[i] = float64(count)
+		values[i] = median(c.Repeats, func() float64 { return s.measure(s.shape(count)) })
+	}
+	return fit(s.name, s.unit, s.per, counts, values)
+}
+
+// snapshotHeap is the heap that a process's configuration takes, in bytes.
+func snapshotHeap(s standin.Scale) float64 {
+	listing := s.Listing()
+	before := heapInUse()
+	snapshot := catalog.FromListing(nil, listing)
+	after := heapInUse()
+	runtime.KeepAlive(snapshot)
+	runtime.KeepAlive(listing)
+	return float64(after) - float64(before)
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// snapshotValues is what the shared keys hold in the store, in bytes: also
+// what a starting process is sent, apart from framing.
+func snapshotValues(s standin.Scale) float64 {
+	total := 0
+	for _, entry := range s.Listing().Entries {
+		total += len(entry.Key) + len(entry.Value)
+	}
+	return float64(total)
+}
+
+// applyChange is the time in microseconds that one change of a host record
+// takes until the new snapshot is in force.
+func applyChange(s standin.Scale) float64 {
+	snapshot := catalog.FromListing(nil, s.Listing())
+	const changes = 50
+	next := snapshot
+	began := time.Now()
+	for i := range changes {
+		changed := hostrecord.Record{Host: "host-0001", Pool: "pool-001", Phase: hostrecord.Draining}
+		entry := store.Entry{Key: keys.Host("host-0001"), Value: changed.Encode(), ModRevision: snapshot.Revision + store.Revision(i) + 1}
+		next = next.Apply(store.WatchBatch{Events: []store.Event{{Entry: entry}}, Revision: entry.ModRevision})
+	}
+	elapsed := time.Since(began)
+	runtime.KeepAlive(next)
+	return microseconds(elapsed) / changes
+}
+
+// resolveEndpoints is the time in microseconds that a gateway's whole routing
+// table takes.
+func resolveEndpoints(s standin.Scale) float64 {
+	snapshot := catalog.FromListing(nil, s.Listing())
+	hosts := s.HostList()
+	return timed(func() { runtime.KeepAlive(endpoint.Resolve(snapshot, hosts)) })
+}
+
+// planWaves is the time in microseconds that one wave over the whole fleet
+// takes to plan.
+func planWaves(s standin.Scale) float64 {
+	snapshot := catalog.FromListing(nil, s.Listing())
+	input := wave.Input{Name: "wave", Spec: snapshot.Waves()["wave"]}
+	for _, host := range s.HostList() {
+		input.Hosts = append(input.Hosts, wave.Host{
+			Name: host.Name, Zone: host.Zone, Rack: host.Rack, Record: snapshot.Hosts[host.Name].Record,
+		})
+	}
+	return timed(func() { runtime.KeepAlive(wave.Make(input)) })
+}
+
+// planMoves is the time in microseconds that the moves of a fleet in which one
+// pool lacks ten hosts take to plan.
+func planMoves(s standin.Scale) float64 {
+	snapshot := catalog.FromListing(nil, s.Listing())
+	input := mover.NewInput(snapshot, s.HostList())
+	return timed(func() { runtime.KeepAlive(mover.Make(input)) })
+}
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -10,6 +10,7 @@
 	"github.com/alecthomas/kong"
 
 	"auburnglade.example/glade/internal/buildinfo"
+	"auburnglade.example/glade/internal/measure/capacity"
 	"auburnglade.example/glade/internal/measure/storecalls"
 )
 
@@ -24,7 +25,8 @@
 	JSON    bool             `help:"Accepted for clarity: the output is one JSON object always."`
 	Version kong.VersionFlag `help:"Print the version and exit."`
 
-	Store storecalls.Cmd `cmd:"" help:"Cost of one call at the platform seam, in memory and over HTTP."`
+	Store    storecalls.Cmd `cmd:"" help:"Cost of one call at the platform seam, in memory and over HTTP."`
+	Capacity capacity.Cmd   `cmd:"" help:"Slopes: what one more host, pool or member costs, and what the target needs."`
 }
 
 // Main runs one measurement and returns the exit code.
