Spend store calls from one budget per process

Cause: every part of a process called the store as often as it liked. In an outage they all went on, and on its return they all came at once; a flood of status kept leases from being renewed.

Change: storebudget wraps the store for a whole process. A token bucket serves lease renewals first, then grants and claims, the configuration, operators' changes and status, each class leaving a reserve to those before it. Settings: [store] calls_per_second and fleet_calls_per_second.

--- a/internal/daemon/common.go
+++ b/internal/daemon/common.go
@@ -20,6 +20,7 @@
 	"auburnglade.example/glade/internal/platformhttp"
 	"auburnglade.example/glade/internal/record"
 	"auburnglade.example/glade/internal/relay"
+	"auburnglade.example/glade/internal/storebudget"
 	"auburnglade.example/glade/internal/supervise"
 	"auburnglade.example/glade/internal/telemetry"
 )
@@ -33,6 +34,7 @@
 	registry  *prometheus.Registry
 	invariant *invariant.Checker
 	platform  *platformhttp.Client
+	store     *storebudget.Budget
 	feed      *feed.Feed
 	registrar *member.Registrar
 	peers     *peer.Server
@@ -47,6 +49,7 @@
 	role        member.Role
 	process     ProcessSettings
 	platform    PlatformSettings
+	store       StoreSettings
 	log         LogSettings
 	trace       TraceSettings
 	peerAddress netip.AddrPort
@@ -76,8 +79,12 @@
 		return nil, err
 	}
 	c.invariant = invariant.New(telemetry.Part(c.log, "invariant"), c.registry)
-	c.feed = feed.New(c.platform, telemetry.Part(c.log, "feed"), c.invariant, c.registry)
-	c.registrar = member.NewRegistrar(c.platform, c.self, 0, telemetry.Part(c.log, "member"))
+	c.store = storebudget.New(c.platform, storebudget.Config{
+		Ceiling: o.store.Calls, FleetRate: o.store.FleetCalls, Members: c.members,
+		Log: telemetry.Part(c.log, "store"), Registerer: c.registry,
+	})
+	c.feed = feed.New(c.store, telemetry.Part(c.log, "feed"), c.invariant, c.registry)
+	c.registrar = member.NewRegistrar(c.store, c.self, 0, telemetry.Part(c.log, "member"))
 	c.peers = peer.NewServer(c.self, c.feed)
 	c.asker = peer.NewClient(peer.SpeakingFor(c.peers))
 	c.relay = relay.New(relay.Config{
@@ -87,6 +94,9 @@
 	return c, nil
 }
 
+// members counts the processes that share the store with this one.
+func (c *common) members() int { return len(c.feed.Snapshot().Members) }
+
 // newTree returns a supervisor tree; each tree counts its restarts under its
 // own name.
 func (c *common) newTree(name string) *supervise.Tree {
--- a/internal/daemon/controller.go
+++ b/internal/daemon/controller.go
@@ -11,6 +11,7 @@
 	"auburnglade.example/glade/internal/member"
 	"auburnglade.example/glade/internal/mover"
 	"auburnglade.example/glade/internal/operatorapi"
+	"auburnglade.example/glade/internal/storebudget"
 	"auburnglade.example/glade/internal/telemetry"
 )
 
@@ -22,6 +23,7 @@
 	*common
 	settings *ControllerSettings
 	confirm  *drainer.PeerConfirmer
+	status   *storebudget.StatusWriter
 	holder   *holder.Holder
 	drainer  *drainer.Drainer
 	mover    *mover.Mover
@@ -33,7 +35,7 @@
 func NewController(ctx context.Context, settings *ControllerSettings, logs io.Writer) (*Controller, error) {
 	base, err := newCommon(ctx, commonOptions{
 		binary: "glade-controller", role: member.RoleController, process: settings.Process,
-		platform: settings.Platform, log: settings.Log, trace: settings.Trace,
+		platform: settings.Platform, store: settings.Store, log: settings.Log, trace: settings.Trace,
 		peerAddress: settings.Listen.Peers, peers: settings.Peers, logs: logs,
 	})
 	if err != nil {
@@ -41,20 +43,21 @@
 	}
 	c := &Controller{common: base, settings: settings}
 	c.confirm = drainer.NewPeerConfirmer(base.feed, base.peers, base.asker)
-	c.holder = holder.New(base.platform, fleetShard, base.self.ID, settings.Decide.HoldTTL, telemetry.Part(base.log, "holder"))
+	c.holder = holder.New(base.store, fleetShard, base.self.ID, settings.Decide.HoldTTL, telemetry.Part(base.log, "holder"))
+	c.status = storebudget.NewStatusWriter(base.store, telemetry.Part(base.log, "status"))
 	c.drainer = drainer.New(drainer.Config{
-		Member: base.self.ID, Store: base.platform, Feed: base.feed, Hosts: base.platform, Pool: base.platform,
-		Confirmer: c.confirm, Shard: c.holder, Gate: budget.NewGate(base.platform), Invariant: base.invariant,
+		Member: base.self.ID, Store: base.store, Status: c.status, Feed: base.feed, Hosts: base.platform, Pool: base.platform,
+		Confirmer: c.confirm, Shard: c.holder, Gate: budget.NewGate(base.store), Invariant: base.invariant,
 		Log: telemetry.Part(base.log, "drainer"), Interval: settings.Decide.Interval,
 	})
 	c.mover = mover.New(mover.Config{
-		Member: base.self.ID, Store: base.platform, Feed: base.feed, Hosts: base.platform, Pool: base.platform,
-		Confirmer: c.confirm, Gate: budget.NewGate(base.platform), Shard: c.holder, Invariant: base.invariant,
+		Member: base.self.ID, Store: base.store, Feed: base.feed, Hosts: base.platform, Pool: base.platform,
+		Confirmer: c.confirm, Gate: budget.NewGate(base.store), Shard: c.holder, Invariant: base.invariant,
 		Log: telemetry.Part(base.log, "mover"), Interval: settings.Decide.Interval,
 	})
 	c.journal = operatorapi.NewJournal(base.feed)
 	c.api = operatorapi.New(operatorapi.Config{
-		Store: base.platform, Feed: base.feed, Confirmer: drainer.Live{Confirmer: c.confirm}, Journal: c.journal,
+		Store: base.store, Feed: base.feed, Confirmer: drainer.Live{Confirmer: c.confirm}, Journal: c.journal,
 		Log: telemetry.Part(base.log, "api"),
 	})
 	return c, nil
@@ -65,6 +68,7 @@
 func (c *Controller) Run(ctx context.Context) error {
 	tree := c.newTree("parts")
 	tree.Add("confirm", c.confirm)
+	tree.Add("status", c.status)
 	tree.Add("holder", c.holder)
 	tree.Add("drainer", c.drainer)
 	tree.Add("mover", c.mover)
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -28,7 +28,7 @@
 func NewGateway(ctx context.Context, settings *GatewaySettings, logs io.Writer) (*Gateway, error) {
 	base, err := newCommon(ctx, commonOptions{
 		binary: "glade-gateway", role: member.RoleGateway, process: settings.Process,
-		platform: settings.Platform, log: settings.Log, trace: settings.Trace,
+		platform: settings.Platform, store: settings.Store, log: settings.Log, trace: settings.Trace,
 		peerAddress: settings.Listen.Peers, peers: settings.Peers, logs: logs,
 	})
 	if err != nil {
@@ -36,7 +36,7 @@
 	}
 	g := &Gateway{common: base, settings: settings}
 	g.once = atmostonce.New(atmostonce.Config{
-		Ledger: atmostonce.NewPerKey(base.platform, 0), Log: telemetry.Part(base.log, "gateway/once"), Registry: base.registry,
+		Ledger: atmostonce.NewPerKey(base.store, 0), Log: telemetry.Part(base.log, "gateway/once"), Registry: base.registry,
 	})
 	g.gateway = gateway.New(gateway.Config{
 		Member: base.self.ID, Zone: settings.Process.Zone, Feed: base.feed, Hosts: base.platform,
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -5,6 +5,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"auburnglade.example/glade/internal/storebudget"
 )
 
 // ProcessSettings say who and where this process is.
@@ -19,6 +21,16 @@
 	URL string `ini:"url" want:"url" required:"true" help:"Base URL of the platform, with an IP number."`
 }
 
+// StoreSettings bound the calls to the platform's store.
+type StoreSettings struct {
+	Calls      int `ini:"calls_per_second" help:"Most calls a second that this process makes to the store."`
+	FleetCalls int `ini:"fleet_calls_per_second" help:"Calls a second that all processes together make while the store throttles or has just come back."`
+}
+
+func defaultStore() StoreSettings {
+	return StoreSettings{Calls: storebudget.DefaultCeiling, FleetCalls: storebudget.DefaultFleetRate}
+}
+
 // PeerSettings say where the other entry hosts are.
 type PeerSettings struct {
 	Addresses []netip.AddrPort `ini:"addresses" help:"Peer addresses of other processes, asked for the configuration when the store is away."`
@@ -60,6 +72,7 @@
 	Process  ProcessSettings  `ini:"process"`
 	Listen   GatewayListen    `ini:"listen"`
 	Platform PlatformSettings `ini:"platform"`
+	Store    StoreSettings    `ini:"store"`
 	Peers    PeerSettings     `ini:"peers"`
 	Stop     StopSettings     `ini:"stop"`
 	Log      LogSettings      `ini:"log"`
@@ -84,6 +97,7 @@
 	Process  ProcessSettings  `ini:"process"`
 	Listen   ControllerListen `ini:"listen"`
 	Platform PlatformSettings `ini:"platform"`
+	Store    StoreSettings    `ini:"store"`
 	Peers    PeerSettings     `ini:"peers"`
 	Decide   DecideSettings   `ini:"decide"`
 	Stop     StopSettings     `ini:"stop"`
@@ -95,6 +109,7 @@
 func DefaultGatewaySettings() *GatewaySettings {
 	return &GatewaySettings{
 		Process: ProcessSettings{Region: "main"},
+		Store:   defaultStore(),
 		Stop:    defaultStop(),
 		Log:     LogSettings{Level: "info"},
 	}
@@ -105,6 +120,7 @@
 	return &ControllerSettings{
 		Process: ProcessSettings{Region: "main"},
 		Decide:  DecideSettings{Interval: time.Second, HoldTTL: 6 * time.Second},
+		Store:   defaultStore(),
 		Stop:    defaultStop(),
 		Log:     LogSettings{Level: "info"},
 	}
--- a/internal/drainer/apply.go
+++ b/internal/drainer/apply.go
@@ -202,23 +202,14 @@
 	return visits
 }
 
-// publish writes a wave's status when it changed. Nothing reads it to decide.
-func (d *Drainer) publish(ctx context.Context, status wave.Status) {
+// publish has a wave's status written. Nothing reads it to decide.
+func (d *Drainer) publish(status wave.Status) {
 	data, err := json.Marshal(status)
-	if err != nil || d.published[status.Wave] == string(data) {
-		return
-	}
-	key := keys.Status(record.ID{Kind: record.KindWave, Name: status.Wave})
-	var expect store.Revision
-	entry, err := d.Store.Get(ctx, key)
-	if err == nil {
-		expect = entry.ModRevision
-	} else if !store.IsNotFound(err) {
-		return
-	}
-	if _, err := d.Store.CompareAndSwap(ctx, store.Write{Key: key, Expect: expect, Value: data}); err == nil {
-		d.published[status.Wave] = string(data)
+	if err != nil {
+		// A Status holds strings, numbers and lists of them only.
+		panic(err)
 	}
+	d.Status.Put(keys.Status(record.ID{Kind: record.KindWave, Name: status.Wave}), data)
 }
 
 func (o *observed) servicesOf(pool string) []string {
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -31,10 +31,16 @@
 // Shard tells whether this controller may act.
 type Shard interface{ Held() bool }
 
+// StatusSink has a status written under a key, sooner or later.
+type StatusSink interface {
+	Put(key string, value []byte)
+}
+
 // Config is what a Drainer is made of.
 type Config struct {
 	Member    string
 	Store     store.Store
+	Status    StatusSink
 	Feed      *feed.Feed
 	Hosts     fleet.HostList
 	Pool      fleet.PoolHosts
@@ -53,11 +59,10 @@
 // Drainer drives every wave in force while it holds the shard.
 type Drainer struct {
 	Config
-	seen      map[string]phaseSeen
-	healthy   map[string]time.Time
-	drained   map[string]string
-	refusals  map[string]string
-	published map[string]string
+	seen     map[string]phaseSeen
+	healthy  map[string]time.Time
+	drained  map[string]string
+	refusals map[string]string
 }
 
 // phaseSeen is when this process first saw a host record's revision.
@@ -72,12 +77,11 @@
 		config.Interval = DefaultInterval
 	}
 	return &Drainer{
-		Config:    config,
-		seen:      make(map[string]phaseSeen),
-		healthy:   make(map[string]time.Time),
-		drained:   make(map[string]string),
-		refusals:  make(map[string]string),
-		published: make(map[string]string),
+		Config:   config,
+		seen:     make(map[string]phaseSeen),
+		healthy:  make(map[string]time.Time),
+		drained:  make(map[string]string),
+		refusals: make(map[string]string),
 	}
 }
 
@@ -106,7 +110,7 @@
 		for _, step := range plan.Steps {
 			d.apply(ctx, observed, plan.Status.Wave, step)
 		}
-		d.publish(ctx, plan.Status)
+		d.publish(plan.Status)
 	}
 }
 
--- /dev/null
+++ b/internal/storebudget/class.go
@@ -0,0 +1,61 @@
+package storebudget
+
+import (
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"auburnglade.example/glade/internal/keys"
+	"auburnglade.example/glade/internal/store"
+)
+
+// Class is how important a call is; lower ones go first.
+type Class int
+
+// The classes.
+const (
+	// Lease keeps leases: a lost one costs far more calls than it saves.
+	Lease Class = iota
+	// Grant takes and gives back what must not be taken twice: disruption
+	// grants, claims of idempotency keys, host records.
+	Grant
+	// Follow keeps the configuration current.
+	Follow
+	// Spec is the operators' changes.
+	Spec
+	// Status is what the system says about itself.
+	Status
+
+	classes = int(Status) + 1
+)
+
+func (c Class) String() string {
+	return [classes]string{"lease", "grant", "follow", "spec", "status"}[c]
+}
+
+// reserve is the share of the bucket that a class leaves to those before it.
+var reserve = [classes]float64{0, 0.1, 0.2, 0.3, 0.5}
+
+// ofKey returns the class of a read or write of one key.
+func ofKey(key string) Class {
+	switch {
+	case strings.HasPrefix(key, keys.MemberPrefix), strings.HasPrefix(key, keys.HolderPrefix):
+		return Lease
+	case strings.HasPrefix(key, keys.SpecPrefix), strings.HasPrefix(key, keys.AuditPrefix):
+		return Spec
+	case strings.HasPrefix(key, keys.StatusPrefix):
+		return Status
+	}
+	return Grant
+}
+
+func isThrottled(err error) bool {
+	var target *store.ThrottledError
+	return errors.As(err, &target)
+}
+
+// isFailure reports whether the store gave no answer of its own.
+func isFailure(err error) bool {
+	var unavailable *store.UnavailableError
+	return errors.As(err, &unavailable) || store.IsUnknownOutcome(err)
+}
