Hold the endpoints' limits over all gateways together

Cause: each gateway admitted whatever came, so an endpoint of 8 slots saw as many requests at once as all gateways together cared to send it.

Change: internal/share splits each endpoint's slots and connections over the gateways of a view (exact sums, totals of a service within one unit of each other) and decides when a view may be settled; internal/sharekeeper keeps the agreement in one record of the store: while a next view is set everybody uses the smaller share of both, and it is settled once every member confirmed and every departed one has certainly ended. A new gateway starts at zero and isn't ready before. In a store outage everybody keeps the last agreed share on the promises of a quorum. internal/limit admits within the shares: a bounded fair queue per service, refusal at once of what can't be served in time, short waits under lasting overload, and a gate that counts idle connections too.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -41,7 +41,7 @@
 func (e *Failure) Unwrap() error { return e.Cause }
 
 // Dialer opens connections to endpoints.
-type Dialer func(ctx context.Context, network, address string) (net.Conn, error)
+type Dialer = func(ctx context.Context, network, address string) (net.Conn, error)
 
 const (
 	dialTimeout     = time.Second
@@ -54,11 +54,14 @@
 	http *http.Transport
 }
 
+// PlainDialer dials TCP with the transport's own time limit.
+func PlainDialer() Dialer { return (&net.Dialer{Timeout: dialTimeout}).DialContext }
+
 // NewTransport returns a transport that dials with dial, or plain TCP when
 // dial is nil. maxIdle bounds the idle connections kept per endpoint.
 func NewTransport(dial Dialer, maxIdle int) *Transport {
 	if dial == nil {
-		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+		dial = PlainDialer()
 	}
 	return &Transport{http: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -12,6 +12,7 @@
 	"auburnglade.example/glade/internal/invariant"
 	"auburnglade.example/glade/internal/member"
 	"auburnglade.example/glade/internal/pause"
+	"auburnglade.example/glade/internal/sharekeeper"
 	"auburnglade.example/glade/internal/supervise"
 	"auburnglade.example/glade/internal/telemetry"
 )
@@ -22,6 +23,7 @@
 	settings *GatewaySettings
 	gateway  *gateway.Gateway
 	once     *atmostonce.Keeper
+	shares   *sharekeeper.Keeper
 }
 
 // NewGateway builds a gateway that logs to logs; nothing runs before Run.
@@ -38,11 +40,13 @@
 	g.once = atmostonce.New(atmostonce.Config{
 		Ledger: atmostonce.NewPerKey(base.store, 0), Log: telemetry.Part(base.log, "gateway/once"), Registry: base.registry,
 	})
+	g.shares = newShares(base)
 	g.gateway = gateway.New(gateway.Config{
 		Member: base.self.ID, Zone: settings.Process.Zone, Feed: base.feed, Hosts: base.platform,
 		Invariant: base.invariant, Log: telemetry.Part(base.log, "gateway"), Registry: base.registry,
-		Tracer: base.tracer, WorksWith: base.feed.WorkedWith("gateway"), Once: g.once,
+		Tracer: base.tracer, WorksWith: base.feed.WorkedWith("gateway"), Once: g.once, Shares: g.shares,
 	})
+	g.shares.Usage = g.gateway
 	return g, nil
 }
 
@@ -61,7 +65,8 @@
 	back := g.newTree("parts")
 	back.Add("gateway", g.gateway)
 	back.Add("once", g.once)
-	g.addCommonParts(back, g.settings.Listen.Peers, g.settings.Listen.Admin, g.gateway.Ready)
+	back.Add("shares", g.shares)
+	g.addCommonParts(back, g.settings.Listen.Peers, g.settings.Listen.Admin, g.ready)
 
 	ended := make(chan error, 2)
 	go func() { ended <- g.runFront(callers, front) }()
@@ -80,6 +85,7 @@
 	g.invariant.Hold(invariant.EmptyAtExit, g.gateway.InFlight() == 0, func() string {
 		return "requests in flight at the end of a planned stop"
 	})
+	g.leaveShares()
 	stopRest()
 	if restErr := <-ended; err == nil {
 		err = restErr
@@ -91,12 +97,13 @@
 // readyPoll is the pause between two looks at readiness before the first.
 const readyPoll = 20 * time.Millisecond
 
-// runFront listens for callers once there is a configuration to serve them by.
+// runFront listens for callers once there is a configuration to serve them by
+// and a share of the endpoints to serve them with.
 // A replacement that listened at once, under its predecessor's address, would
 // refuse the callers that a balancer still sends there; a closed port makes
 // the balancer go elsewhere.
 func (g *Gateway) runFront(ctx context.Context, front *supervise.Tree) error {
-	for !g.gateway.Ready() {
+	for !g.ready() {
 		if ctx.Err() != nil {
 			return nil
 		}
--- /dev/null
+++ b/internal/daemon/shares.go
@@ -0,0 +1,36 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"auburnglade.example/glade/internal/peer"
+	"auburnglade.example/glade/internal/sharekeeper"
+	"auburnglade.example/glade/internal/telemetry"
+)
+
+const leaveTimeout = time.Second
+
+// newShares builds the keeper of this gateway's shares; its Usage is still to
+// be set.
+func newShares(base *common) *sharekeeper.Keeper {
+	keeper := sharekeeper.New(sharekeeper.Config{
+		Self: base.self, Store: base.platform, Feed: base.feed, Lease: base.registrar,
+		Asker:     &sharekeeper.PeerAsker{Client: peer.NewClient(peer.SpeakingFor(base.peers))},
+		Invariant: base.invariant, Log: telemetry.Part(base.log, "shares"), Registry: base.registry,
+	})
+	base.peers.SetShareRevision(keeper.Confirmed)
+	return keeper
+}
+
+// leaveShares lets the other gateways have this one's shares at once.
+func (g *Gateway) leaveShares() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	if err := g.shares.Leave(ctx); err != nil {
+		g.log.Warn().Err(err).Msg("Shares not handed back: the others wait for the lease to end.")
+	}
+}
+
+// ready holds the balancer off until this gateway has shares of the endpoints.
+func (g *Gateway) ready() bool { return g.gateway.Ready() && g.shares.Ready() }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,6 +45,8 @@
 	// HostInterval is the pause between two readings of the host list; zero
 	// means DefaultHostInterval.
 	HostInterval time.Duration
+	// Shares tells what this gateway may use of each endpoint.
+	Shares limit.Shares
 }
 
 // DefaultHostInterval is the pause between two readings of the host list.
@@ -90,13 +92,14 @@
 	if config.Tracer == nil {
 		config.Tracer = otel.GetTracerProvider()
 	}
+	limiter := limit.New(limit.Config{Shares: config.Shares, Registry: config.Registry})
 	return &Gateway{
 		Config:    config,
-		transport: attempt.NewTransport(nil, maxIdlePerEndpoint),
+		transport: attempt.NewTransport(limiter.Dialer(attempt.PlainDialer()), maxIdlePerEndpoint),
 		tracer:    config.Tracer.Tracer("auburnglade/gateway"),
 		metrics:   newMetrics(config.Registry),
 		balancer:  balance.New(config.Zone),
-		limiter:   limit.New(),
+		limiter:   limiter,
 	}
 }
 
--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -9,6 +9,7 @@
 	"auburnglade.example/glade/internal/endpoint"
 	"auburnglade.example/glade/internal/limit"
 	"auburnglade.example/glade/internal/outcome"
+	"auburnglade.example/glade/internal/share"
 )
 
 // acquire takes a slot on the best endpoint not tried yet.
@@ -31,6 +32,15 @@
 	slot.Release()
 }
 
+// Within reports whether all slots and connections in use are at most what of
+// allows.
+func (g *Gateway) Within(of func(service, host string) share.Units) bool {
+	return g.limiter.Within(of)
+}
+
+// CloseIdle closes connections to endpoints that carry no request.
+func (g *Gateway) CloseIdle() { g.transport.CloseIdle() }
+
 func refusalReason(err error) outcome.Reason {
 	var refused *limit.RefusedError
 	if errors.As(err, &refused) {
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -23,6 +23,9 @@
 	// MemberPrefix holds one record per live process, under its lease.
 	MemberPrefix = SharedPrefix + "member/"
 
+	// Shares holds the gateways' agreement on their shares of the endpoints.
+	Shares = SharedPrefix + "shares"
+
 	// StatePrefix holds what few processes read; nobody watches it whole.
 	StatePrefix = Root + "state/"
 	// StatusPrefix holds what the system says about each record.
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -1,13 +1,20 @@
-// Package limit admits requests to endpoints within their slots and
-// connections, and refuses early what can't be served in time.
+// Package limit admits requests to endpoints within this gateway's share of
+// their slots and connections, and refuses early what can't be served in time.
 package limit
 
 import (
 	"context"
 	"fmt"
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
 
 	"auburnglade.example/glade/internal/endpoint"
 	"auburnglade.example/glade/internal/outcome"
+	"auburnglade.example/glade/internal/share"
 )
 
 // Request is what admission needs to know of a caller's request.
@@ -15,7 +22,8 @@
 	Service string
 	// Caller identifies who calls, for fairness: an address without port.
 	Caller string
-	// Rank returns the endpoints that may take the request now, best first.
+	// Rank returns the endpoints that may take the request now, best first. It
+	// is called again, under a lock of the limiter, each time a slot is free.
 	Rank func() []endpoint.Endpoint
 }
 
@@ -23,6 +31,8 @@
 type RefusedError struct {
 	Service string
 	Reason  outcome.Reason
+	// RetryAfter is when a new try has a fair chance.
+	RetryAfter time.Duration
 }
 
 func (e *RefusedError) Error() string {
@@ -35,21 +45,254 @@
 	release  func()
 }
 
-// Release gives the slot back.
+// Release gives the slot back. Later calls have no effect.
 func (s *Slot) Release() { s.release() }
 
+// Shares tells what this gateway may use of an endpoint right now. It must be
+// safe for concurrent use and must not call the limiter.
+type Shares interface {
+	Of(service, host string) share.Units
+}
+
+type unbounded struct{}
+
+func (unbounded) Of(string, string) share.Units {
+	return share.Units{Slots: math.MaxInt32, Connections: math.MaxInt32}
+}
+
+// Config is what a Limiter is made of.
+type Config struct {
+	// Shares may be nil, which means that nothing bounds the requests to an
+	// endpoint: no other gateway and no limit is known.
+	Shares Shares
+	// Queue bounds what waits; the zero value means DefaultQueue.
+	Queue QueuePolicy
+	// Registry may be nil.
+	Registry prometheus.Registerer
+}
+
+// recheckInterval is how often a waiting request looks again for a slot that
+// came free without a release here: an endpoint returned or a share grew.
+const recheckInterval = 100 * time.Millisecond
+
 // Limiter hands out slots. It is safe for concurrent use.
-type Limiter struct{}
+type Limiter struct {
+	shares  Shares
+	policy  QueuePolicy
+	metrics *metrics
+	gate    *gate
+
+	mu       sync.Mutex
+	services map[string]*serviceState
+}
+
+// serviceState is one service's slots in use and its waiting requests. Each
+// service has its own: a flood of one takes nothing from another.
+type serviceState struct {
+	mu     sync.Mutex
+	inUse  map[string]int
+	queue  *fairQueue
+	meter  meter
+	strain strain
+}
+
+// New returns a limiter that admits within the shares.
+func New(config Config) *Limiter {
+	if config.Queue == (QueuePolicy{}) {
+		config.Queue = DefaultQueue
+	}
+	if config.Shares == nil {
+		config.Shares = unbounded{}
+	}
+	l := &Limiter{
+		shares: config.Shares, policy: config.Queue, metrics: newMetrics(config.Registry),
+		services: make(map[string]*serviceState),
+	}
+	l.gate = newGate(config.Shares, l.metrics)
+	return l
+}
+
+// Acquire returns a slot on the best ranked endpoint that has one. While none
+// has, the request waits in its service's queue, for no longer than it could
+// still be served within ctx's deadline. It returns *RefusedError.
+func (l *Limiter) Acquire(ctx context.Context, request Request) (*Slot, error) {
+	state := l.service(request.Service)
+	slot, w, err := l.admit(ctx, state, request)
+	if w == nil {
+		return slot, err
+	}
+	return l.await(ctx, state, w)
+}
 
-// New returns a limiter.
-func New() *Limiter { return &Limiter{} }
+func (l *Limiter) service(name string) *serviceState {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	state := l.services[name]
+	if state == nil {
+		state = &serviceState{inUse: make(map[string]int), queue: newFairQueue()}
+		l.services[name] = state
+	}
+	return state
+}
 
-// Acquire returns a slot on the best ranked endpoint that has one, waiting in
-// a bounded queue until ctx's deadline. It returns *RefusedError.
-func (l *Limiter) Acquire(_ context.Context, request Request) (*Slot, error) {
+// admit takes a slot, or queues the request, or refuses it.
+func (l *Limiter) admit(ctx context.Context, state *serviceState, request Request) (*Slot, *waiter, error) {
 	ranked := request.Rank()
 	if len(ranked) == 0 {
-		return nil, &RefusedError{Service: request.Service, Reason: outcome.NoEndpoint}
+		return nil, nil, l.refused(request, outcome.NoEndpoint, minRetryAfter)
+	}
+	now := time.Now()
+	state.mu.Lock()
+	defer state.mu.Unlock()
+	if state.queue.len() == 0 {
+		if slot := l.take(state, ranked, now); slot != nil {
+			state.strain.free()
+			return slot, nil, nil
+		}
+	}
+	slots := l.slots(ranked)
+	state.strain.observe(now, EstimateWait(state.queue.len(), slots, state.meter.mean), l.policy)
+	verdict := Judge(Arrival{
+		Queued: state.queue.len(), QueuedByCaller: state.queue.ofCaller(request.Caller),
+		LargestCaller: state.queue.largest(), Ahead: state.queue.ahead(request.Caller),
+		Slots: slots, MeanService: state.meter.mean,
+		Remaining: remaining(ctx, now), Strained: state.strain.lasting(now),
+	}, l.policy)
+	if !verdict.Admit {
+		return nil, nil, l.refused(request, outcome.Overloaded, verdict.RetryAfter)
+	}
+	if verdict.Evict {
+		l.evict(state)
+	}
+	w := &waiter{request: request, since: now, patience: verdict.Patience, ready: make(chan grant, 1)}
+	state.queue.push(w)
+	l.metrics.queued.WithLabelValues(request.Service).Set(float64(state.queue.len()))
+	return nil, w, nil
+}
+
+// evict refuses the newest request of the caller with the most waiting.
+func (l *Limiter) evict(state *serviceState) {
+	victim := state.queue.newestOfLargest()
+	if victim == nil {
+		return
+	}
+	state.queue.remove(victim)
+	wait := EstimateWait(state.queue.len(), 1, state.meter.mean)
+	victim.ready <- grant{err: l.refused(victim.request, outcome.Overloaded, retryAfter(wait))}
+}
+
+// await waits until the request has a slot, was evicted, or has lost its
+// chance.
+func (l *Limiter) await(ctx context.Context, state *serviceState, w *waiter) (*Slot, error) {
+	expired := time.NewTimer(w.patience)
+	defer expired.Stop()
+	recheck := time.NewTicker(recheckInterval)
+	defer recheck.Stop()
+	for {
+		select {
+		case granted := <-w.ready:
+			return granted.slot, granted.err
+		case <-recheck.C:
+			l.dispatch(state)
+		case <-expired.C:
+			return l.abandon(state, w)
+		case <-ctx.Done():
+			return l.abandon(state, w)
+		}
+	}
+}
+
+// abandon takes a request out of the queue, unless it was granted a slot just
+// before.
+func (l *Limiter) abandon(state *serviceState, w *waiter) (*Slot, error) {
+	state.mu.Lock()
+	removed := state.queue.remove(w)
+	state.mu.Unlock()
+	if !removed {
+		granted := <-w.ready
+		return granted.slot, granted.err
+	}
+	return nil, l.refused(w.request, outcome.Overloaded, retryAfter(time.Since(w.since)))
+}
+
+// take returns a slot on the first ranked endpoint whose share has one free.
+func (l *Limiter) take(state *serviceState, ranked []endpoint.Endpoint, now time.Time) *Slot {
+	for _, candidate := range ranked {
+		if state.inUse[candidate.Host] >= l.shares.Of(candidate.Service, candidate.Host).Slots {
+			continue
+		}
+		state.inUse[candidate.Host]++
+		l.gate.know(candidate)
+		return l.slot(state, candidate, now)
+	}
+	return nil
+}
+
+func (l *Limiter) slot(state *serviceState, taken endpoint.Endpoint, since time.Time) *Slot {
+	var released atomic.Bool
+	return &Slot{Endpoint: taken, release: func() {
+		if released.Swap(true) {
+			return
+		}
+		state.mu.Lock()
+		state.meter.add(time.Since(since))
+		state.inUse[taken.Host]--
+		if state.inUse[taken.Host] == 0 {
+			delete(state.inUse, taken.Host)
+		}
+		state.mu.Unlock()
+		l.dispatch(state)
+	}}
+}
+
+// scanned bounds how many waiting requests are looked at for one that can use
+// a free slot: the first may have tried the very endpoint already.
+const scanned = 4
+
+// dispatch grants free slots to waiting requests in their fair order.
+func (l *Limiter) dispatch(state *serviceState) {
+	state.mu.Lock()
+	defer state.mu.Unlock()
+	for l.dispatchOne(state) {
+		continue
+	}
+}
+
+func (l *Limiter) dispatchOne(state *serviceState) bool {
+	now := time.Now()
+	for _, w := range state.queue.first(scanned) {
+		slot := l.take(state, w.request.Rank(), now)
+		if slot == nil {
+			continue
+		}
+		state.queue.pop(w)
+		waited := now.Sub(w.since)
+		l.metrics.queued.WithLabelValues(w.request.Service).Set(float64(state.queue.len()))
+		l.metrics.waited.WithLabelValues(w.request.Service).Observe(waited.Seconds())
+		w.ready <- grant{slot: slot}
+		return true
+	}
+	return false
+}
+
+// slots returns this gateway's slots on the endpoints.
+func (l *Limiter) slots(ranked []endpoint.Endpoint) int {
+	total := 0
+	for _, e := range ranked {
+		total += l.shares.Of(e.Service, e.Host).Slots
+	}
+	return total
+}
+
+func (l *Limiter) refused(request Request, reason outcome.Reason, after time.Duration) error {
+	l.metrics.refused.WithLabelValues(request.Service, string(reason)).Inc()
+	return &RefusedError{Service: request.Service, Reason: reason, RetryAfter: after}
+}
+
+func remaining(ctx context.Context, now time.Time) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return noDeadline
 	}
-	return &Slot{Endpoint: ranked[0], release: func() {}}, nil
+	return deadline.Sub(now)
 }
--- /dev/null
+++ b/internal/limit/limit_test.go
@@ -0,0 +1,217 @@
+package limit
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+
+	"auburnglade.example/glade/internal/endpoint"
+	"auburnglade.example/glade/internal/outcome"
+	"auburnglade.example/glade/internal/share"
+)
+
+type fixedShares struct {
+	mu    sync.Mutex
+	units share.Units
+}
+
+func (f *fixedShares) Of(string, string) share.Units {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.units
+}
+
+func (f *fixedShares) set(units share.Units) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.units = units
+}
+
+func oneEndpoint(service string) func() []endpoint.Endpoint {
+	return func() []endpoint.Endpoint {
+		return []endpoint.Endpoint{{Service: service, Host: "host-001", Address: "10.0.0.1:8101", TakesWork: true}}
+	}
+}
+
+func newLimiter(slots int) (*Limiter, *fixedShares) {
+	shares := &fixedShares{units: share.Units{Slots: slots, Connections: slots}}
+	return New(Config{Shares: shares}), shares
+}
+
+func acquire(l *Limiter, service, caller string, timeout time.Duration) (*Slot, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	return l.Acquire(ctx, Request{Service: service, Caller: caller, Rank: oneEndpoint(service)})
+}
+
+// work holds a slot for a while and reports how long the caller waited.
+func work(l *Limiter, service, caller string, hold time.Duration) (waited time.Duration, err error) {
+	began := time.Now()
+	slot, err := acquire(l, service, caller, 10*time.Second)
+	if err != nil {
+		return time.Since(began), err
+	}
+	waited = time.Since(began)
+	time.Sleep(hold)
+	slot.Release()
+	return waited, nil
+}
+
+// One service is flooded by a hundred callers at once. Callers of another
+// service must find its slots free and wait for nothing.
+func TestFloodOfOneServiceLeavesOthersAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, _ := newLimiter(2)
+		var wait sync.WaitGroup
+		for i := range 400 {
+			wait.Go(func() { _, _ = work(l, "match", fmt.Sprintf("10.0.1.%d", i%100), 50*time.Millisecond) })
+		}
+		synctest.Wait()
+		for range 20 {
+			waited, err := work(l, "offers", "10.0.2.1", time.Millisecond)
+			must.NoError(t, err)
+			must.EqOp(t, 0, waited)
+		}
+		wait.Wait()
+	})
+}
+
+// One caller floods a service that another caller uses now and then. The
+// second one must be served within about one slot time per caller, and never
+// be refused for what the first has queued.
+func TestFloodOfOneCallerLeavesOthersServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, _ := newLimiter(1)
+		ctx, stop := context.WithCancel(t.Context())
+		var wait sync.WaitGroup
+		for range 400 {
+			wait.Go(func() {
+				for ctx.Err() == nil {
+					if _, err := work(l, "match", "10.0.1.1", 10*time.Millisecond); err != nil {
+						time.Sleep(10 * time.Millisecond)
+					}
+				}
+			})
+		}
+		time.Sleep(2 * time.Second)
+		for range 20 {
+			waited, err := work(l, "match", "10.0.2.1", 10*time.Millisecond)
+			must.NoError(t, err)
+			must.LessEq(t, 30*time.Millisecond, waited)
+			time.Sleep(20 * time.Millisecond)
+		}
+		stop()
+		wait.Wait()
+	})
+}
+
+// Work that can't end before its deadline is refused at once, with an estimate
+// of when to come back, and not when its deadline has passed.
+func TestHopelessWorkIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, _ := newLimiter(1)
+		_, err := work(l, "match", "10.0.1.1", 2*time.Second)
+		must.NoError(t, err)
+		busy, err := acquire(l, "match", "10.0.1.1", time.Minute)
+		must.NoError(t, err)
+		defer busy.Release()
+
+		began := time.Now()
+		_, err = acquire(l, "match", "10.0.1.1", time.Second)
+		var refused *RefusedError
+		must.True(t, errors.As(err, &refused))
+		must.EqOp(t, outcome.Overloaded, refused.Reason)
+		must.EqOp(t, 4*time.Second, refused.RetryAfter)
+		must.EqOp(t, 0, time.Since(began))
+	})
+}
+
+// Twice as much work comes as can be done, for ten seconds. What is served in
+// the second half must not have waited much beyond the target.
+func TestLastingOverloadKeepsWaitsShort(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, _ := newLimiter(4)
+		var mu sync.Mutex
+		var longest time.Duration
+		served := 0
+		var wait sync.WaitGroup
+		for i := range 1600 {
+			time.Sleep(6250 * time.Microsecond)
+			wait.Go(func() {
+				waited, err := work(l, "match", fmt.Sprintf("10.0.1.%d", i%40), 50*time.Millisecond)
+				mu.Lock()
+				defer mu.Unlock()
+				if err == nil && i > 800 {
+					longest = max(longest, waited)
+					served++
+				}
+			})
+		}
+		wait.Wait()
+		must.LessEq(t, 2*DefaultQueue.Target, longest)
+		must.GreaterEq(t, 390, served)
+	})
+}
+
+// A share that grows or an endpoint that returns serves who waits, without any
+// release.
+func TestGrownShareServesTheQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, shares := newLimiter(0)
+		go func() {
+			time.Sleep(300 * time.Millisecond)
+			shares.set(share.Units{Slots: 1, Connections: 1})
+		}()
+		slot, err := acquire(l, "match", "10.0.1.1", 10*time.Second)
+		must.NoError(t, err)
+		slot.Release()
+	})
+}
+
+// The share shrinks under work in progress: the limiter isn't within it until
+// that work has ended, and admits nothing meanwhile.
+func TestShrunkShareIsNotWithinUntilWorkEnds(t *testing.T) {
+	l, shares := newLimiter(2)
+	first, err := acquire(l, "match", "10.0.1.1", time.Second)
+	must.NoError(t, err)
+	second, err := acquire(l, "match", "10.0.1.1", time.Second)
+	must.NoError(t, err)
+	shares.set(share.Units{Slots: 1, Connections: 1})
+	must.False(t, l.Within(shares.Of))
+	first.Release()
+	must.True(t, l.Within(shares.Of))
+	second.Release()
+}
+
+// Idle connections count too: the gate lets a new one through only once an
+// old one has closed, and gives up with a typed error otherwise.
+func TestGateBoundsOpenConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, _ := newLimiter(2)
+		slot, err := acquire(l, "match", "10.0.1.1", time.Second)
+		must.NoError(t, err)
+		defer slot.Release()
+		dial := l.Dialer(func(context.Context, string, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			t.Cleanup(func() { _ = far.Close() })
+			return near, nil
+		})
+		first, err := dial(t.Context(), "tcp", slot.Endpoint.Address)
+		must.NoError(t, err)
+		_, err = dial(t.Context(), "tcp", slot.Endpoint.Address)
+		must.NoError(t, err)
+		_, err = dial(t.Context(), "tcp", slot.Endpoint.Address)
+		var full *ConnectionsFullError
+		must.True(t, errors.As(err, &full))
+		must.NoError(t, first.Close())
+		_, err = dial(t.Context(), "tcp", slot.Endpoint.Address)
+		must.NoError(t, err)
+	})
+}
--- a/internal/member/registrar.go
+++ b/internal/member/registrar.go
@@ -30,6 +30,7 @@
 	// validUntil is when, on this process's monotonic clock, the lease has
 	// certainly not yet ended at the store.
 	validUntil atomic.Pointer[time.Time]
+	generation atomic.Uint64
 }
 
 // NewRegistrar returns a registrar for member. A zero ttl means DefaultTTL.
@@ -46,6 +47,10 @@
 	return until != nil && time.Now().Before(*until)
 }
 
+// Generation changes with each new lease, before Valid is true of it: whoever
+// acts under a lease tells by it that the lease had ended in between.
+func (r *Registrar) Generation() uint64 { return r.generation.Load() }
+
 // Serve registers and heartbeats until ctx ends, then withdraws the record.
 // A store outage never ends it: the record is written again afterwards.
 func (r *Registrar) Serve(ctx context.Context) error {
@@ -96,6 +101,7 @@
 		return err
 	}
 	r.lease = lease.ID
+	r.generation.Add(1)
 	r.extend(asked)
 	return nil
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -38,6 +38,8 @@
 	mu sync.Mutex
 	// heard is the highest revision each process has told that it serves.
 	heard map[string]store.Revision
+	// shareRevision may be nil.
+	shareRevision func() int64
 }
 
 // NewServer returns a server that speaks for self.
@@ -45,6 +47,10 @@
 	return &Server{self: self, feed: f, heard: make(map[string]store.Revision)}
 }
 
+// SetShareRevision sets where the confirmed agreement on shares is read from.
+// Call it before the handler serves.
+func (s *Server) SetShareRevision(confirmed func() int64) { s.shareRevision = confirmed }
+
 // Handler returns the twirp handler and the path prefix to mount it under.
 func (s *Server) Handler() (prefix string, handler http.Handler) {
 	server := peerpb.NewPeerServer(s)
@@ -193,7 +199,7 @@
 	// Served is asked first: it never runs ahead of what is held.
 	served := s.feed.Served()
 	snapshot := s.feed.Snapshot()
-	return &peerpb.Presence{
+	presence := &peerpb.Presence{
 		Member:         s.self.ID,
 		Role:           string(s.self.Role),
 		Zone:           s.self.Zone,
@@ -206,6 +212,10 @@
 		SeenRevision:   int64(s.feed.Seen()),
 		Watching:       s.watching.Load(),
 	}
+	if s.shareRevision != nil {
+		presence.ShareRevision = s.shareRevision()
+	}
+	return presence
 }
 
 // Self returns the member this server speaks for.
--- /dev/null
+++ b/internal/share/view.go
@@ -0,0 +1,187 @@
+package share
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"auburnglade.example/glade/internal/store"
+)
+
+// Member is one gateway in a view.
+type Member struct {
+	// ID is unique per process start.
+	ID string `json:"id"`
+	// PeerAddress is IP number and port of its peer interface.
+	PeerAddress string `json:"peerAddress"`
+}
+
+// Service is one service's limits and endpoints in a view.
+type Service struct {
+	Slots       int `json:"slots"`
+	Connections int `json:"connections"`
+	// Hosts run its endpoints; sorted.
+	Hosts []string `json:"hosts"`
+}
+
+// Sorted returns the service with its hosts sorted.
+func (s Service) Sorted() Service {
+	slices.Sort(s.Hosts)
+	return s
+}
+
+// View is all that the shares are worked out from. Gateways with the same view
+// work out the same shares; nothing else enters.
+type View struct {
+	// Members are sorted by ID.
+	Members  []Member           `json:"members"`
+	Services map[string]Service `json:"services"`
+}
+
+// Has reports whether id is a member.
+func (v *View) Has(id string) bool {
+	return slices.ContainsFunc(v.Members, func(m Member) bool { return m.ID == id })
+}
+
+// IDs returns the members' IDs, sorted.
+func (v *View) IDs() []string {
+	ids := make([]string, len(v.Members))
+	for i, m := range v.Members {
+		ids[i] = m.ID
+	}
+	return ids
+}
+
+// SameMembers reports whether two views have the same members.
+func (v *View) SameMembers(other *View) bool { return slices.Equal(v.Members, other.Members) }
+
+// SameServices reports whether two views have the same limits and endpoints.
+func (v *View) SameServices(other *View) bool {
+	if len(v.Services) != len(other.Services) {
+		return false
+	}
+	for name, service := range v.Services {
+		theirs, ok := other.Services[name]
+		if !ok || !service.same(theirs) {
+			return false
+		}
+	}
+	return true
+}
+
+// limitsDiffer reports whether other has a service that v lacks, or has other
+// limits for it.
+func (v *View) limitsDiffer(other *View) bool {
+	for name, theirs := range other.Services {
+		service, ok := v.Services[name]
+		if !ok || service.Slots != theirs.Slots || service.Connections != theirs.Connections {
+			return true
+		}
+	}
+	return false
+}
+
+func (s Service) same(other Service) bool {
+	return s.Slots == other.Slots && s.Connections == other.Connections && slices.Equal(s.Hosts, other.Hosts)
+}
+
+// Agreement is the store's record of which views may be in use. The settled
+// view is the last one that gateways could grow into. While a next one is set,
+// every gateway uses the smaller of its shares in the two, so that the sum
+// over all gateways is within the limit whichever of the two each has seen.
+type Agreement struct {
+	// Revision is that of the stored record; it isn't part of the value.
+	Revision store.Revision `json:"-"`
+	// WriteID is unique per write, to find one's own write after a lost answer.
+	WriteID string `json:"writeId"`
+	Settled View   `json:"settled"`
+	Next    *View  `json:"next,omitempty"`
+	// Left names settled members that have stopped and said so themselves,
+	// after their last request.
+	Left []string `json:"left,omitempty"`
+}
+
+// DamagedError says that the stored agreement can't be read.
+type DamagedError struct{ Cause error }
+
+func (e *DamagedError) Error() string {
+	return fmt.Sprintf("the agreement on shares is damaged: %v", e.Cause)
+}
+
+func (e *DamagedError) Unwrap() error { return e.Cause }
+
+// Parse reads a stored agreement. It returns *DamagedError.
+func Parse(entry store.Entry) (Agreement, error) {
+	var a Agreement
+	if err := json.Unmarshal(entry.Value, &a); err != nil {
+		return Agreement{}, &DamagedError{Cause: err}
+	}
+	a.Revision = entry.ModRevision
+	return a, nil
+}
+
+// Encode returns the value to store.
+func (a Agreement) Encode() []byte {
+	data, err := json.Marshal(a)
+	if err != nil {
+		// An Agreement holds strings and numbers only.
+		panic(err)
+	}
+	return data
+}
+
+// Target is the view that the gateways are on their way to.
+func (a *Agreement) Target() *View {
+	if a.Next != nil {
+		return a.Next
+	}
+	return &a.Settled
+}
+
+// Departed returns the settled members that the next view doesn't have and
+// that haven't said themselves that they have stopped.
+func (a *Agreement) Departed() []Member {
+	if a.Next == nil {
+		return nil
+	}
+	var departed []Member
+	for _, m := range a.Settled.Members {
+		if !a.Next.Has(m.ID) && !slices.Contains(a.Left, m.ID) {
+			departed = append(departed, m)
+		}
+	}
+	return departed
+}
+
+// Quorum reports whether the members for which has is true are so many of the
+// view that no two disjoint sets can both be: more than half, or half with the
+// first member among them. An empty view has a quorum always.
+func (v *View) Quorum(has func(id string) bool) bool {
+	count := 0
+	for _, m := range v.Members {
+		if has(m.ID) {
+			count++
+		}
+	}
+	switch total := len(v.Members); {
+	case total == 0 || 2*count > total:
+		return true
+	case 2*count == total:
+		return has(v.Members[0].ID)
+	}
+	return false
+}
+
+// Without returns the agreement that follows when a member has stopped and
+// says so. The others' shares still count it until the next view is settled.
+func (a *Agreement) Without(id string) Agreement {
+	target := *a.Target()
+	next := View{Services: target.Services}
+	for _, m := range target.Members {
+		if m.ID != id {
+			next.Members = append(next.Members, m)
+		}
+	}
+	left := append(slices.Clone(a.Left), id)
+	return Agreement{Settled: a.Settled, Next: &next, Left: left}
+}
--- /dev/null
+++ b/internal/sharekeeper/advance.go
@@ -0,0 +1,273 @@
+package sharekeeper
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"auburnglade.example/glade/internal/catalog"
+	"auburnglade.example/glade/internal/keys"
+	"auburnglade.example/glade/internal/share"
+	"auburnglade.example/glade/internal/store"
+)
+
+// turnLength is how long each live gateway, in the order of their IDs, is left
+// to move the agreement on before the next one tries too. Compare-and-swap
+// makes it safe when several do.
+const turnLength = time.Second
+
+const (
+	// eagerFor is how long after a change the others are asked in each round.
+	eagerFor = 2 * time.Second
+	// listenInterval is the pause between two askings after that.
+	listenInterval = 500 * time.Millisecond
+)
+
+// heard is the last contact with a member and since when it has been so.
+type heard struct {
+	contact share.Contact
+	since   time.Time
+}
+
+// advance takes one step towards the live view being settled.
+func (k *Keeper) advance(ctx context.Context) {
+	snapshot := k.Feed.Snapshot()
+	observed := k.observe(snapshot)
+	k.trackLeases(snapshot, &observed.Agreement)
+	step := share.Decide(observed)
+	if step.Verb == share.Rest {
+		k.wantedAt = time.Time{}
+		return
+	}
+	if k.wantedAt.IsZero() {
+		k.wantedAt = time.Now()
+	}
+	if !k.myTurn(&observed.Live) {
+		return
+	}
+	if step.Verb == share.Wait {
+		k.listen(ctx, &observed.Agreement)
+		observed = k.observe(snapshot)
+		step = share.Decide(observed)
+	}
+	k.apply(ctx, &observed, step)
+}
+
+func (k *Keeper) observe(snapshot *catalog.Snapshot) share.Observed {
+	agreement := k.inForce.Load().agreement
+	observed := share.Observed{
+		Agreement: agreement,
+		Live:      liveView(snapshot, agreement.Left),
+		Heard:     make(map[string]share.Heard, len(k.heard)),
+		Unleased:  make(map[string]time.Duration, len(k.unleasedAt)),
+		Unchanged: time.Since(k.changedAt),
+		Waits:     waits(snapshot),
+	}
+	for id, h := range k.heard {
+		observed.Heard[id] = share.Heard{Contact: h.contact, For: time.Since(h.since)}
+	}
+	for id, since := range k.unleasedAt {
+		observed.Unleased[id] = time.Since(since)
+	}
+	return observed
+}
+
+// waits fences a silent member for the life of the promises it may hold and
+// then for the longest request timeout: what it admitted last carries that
+// deadline and is given up by it.
+func waits(snapshot *catalog.Snapshot) share.Waits {
+	var longest time.Duration
+	for _, spec := range snapshot.Services() {
+		longest = max(longest, spec.Timeout())
+	}
+	fence := promiseLife + longest
+	return share.Waits{Gone: goneWait, Fence: fence, Escape: escapeWait + fence}
+}
+
+// trackLeases notes since when settled members have no membership record. It
+// starts anew when this process's own lease lapses: what it saw then may be
+// the outage's view.
+func (k *Keeper) trackLeases(snapshot *catalog.Snapshot, agreement *share.Agreement) {
+	if !k.Lease.Valid() {
+		clear(k.unleasedAt)
+		clear(k.heard)
+		return
+	}
+	known := make(map[string]bool)
+	for _, m := range agreement.Settled.Members {
+		known[m.ID] = true
+		_, leased := snapshot.Members[m.ID]
+		_, tracked := k.unleasedAt[m.ID]
+		switch {
+		case leased:
+			delete(k.unleasedAt, m.ID)
+		case !tracked:
+			k.unleasedAt[m.ID] = time.Now()
+		}
+	}
+	for id := range k.unleasedAt {
+		if !known[id] {
+			delete(k.unleasedAt, id)
+		}
+	}
+}
+
+func (k *Keeper) myTurn(live *share.View) bool {
+	if !k.Lease.Valid() || k.left.Load() {
+		return false
+	}
+	for place, m := range live.Members {
+		if m.ID == k.Self.ID {
+			return time.Since(k.wantedAt) >= time.Duration(place)*turnLength
+		}
+	}
+	return false
+}
+
+// apply writes the step's agreement.
+func (k *Keeper) apply(ctx context.Context, observed *share.Observed, step share.Step) {
+	if step.Verb != share.Propose && step.Verb != share.Settle {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if step.Verb == share.Settle && k.returned(ctx, observed.Agreement.Departed()) {
+		return
+	}
+	if err := k.write(ctx, observed.Agreement.Revision, step.Agreement); err != nil {
+		if !store.IsConflict(err) {
+			k.Log.Warn().Err(err).Str("verb", string(step.Verb)).Msg("Agreement not written.")
+		}
+		return
+	}
+	k.Log.Info().Str("verb", string(step.Verb)).Str("reason", step.Reason).
+		Int("members", len(step.Agreement.Target().Members)).Msg("Agreement on shares moved on.")
+}
+
+// returned reports whether a departed member may hold a lease again. The
+// snapshot may be behind the store, which is asked right before settling: a
+// member that registers after this finds the agreement without it.
+func (k *Keeper) returned(ctx context.Context, departed []share.Member) bool {
+	for _, m := range departed {
+		if _, err := k.Store.Get(ctx, keys.Member(m.ID)); !store.IsNotFound(err) {
+			return true
+		}
+	}
+	return false
+}
+
+func (k *Keeper) write(ctx context.Context, expect store.Revision, next share.Agreement) error {
+	next.WriteID = uuid.NewString()
+	value := next.Encode()
+	revision, err := store.Swap(ctx, k.Store, store.Write{Key: keys.Shares, Expect: expect, Value: value})
+	if err != nil {
+		return err
+	}
+	next.Revision = revision
+	if revision > k.inForce.Load().agreement.Revision {
+		k.install(next)
+	}
+	return nil
+}
+
+// listen asks every member that settling depends on.
+func (k *Keeper) listen(ctx context.Context, agreement *share.Agreement) {
+	settling := time.Since(k.changedAt) < eagerFor
+	if agreement.Next == nil || !settling && time.Since(k.listenedAt) < listenInterval {
+		return
+	}
+	k.listenedAt = time.Now()
+	members := append(agreement.Departed(), agreement.Next.Members...)
+	asked := time.Now()
+	answers := k.ask(ctx, members)
+	for id, a := range answers {
+		contact := contactOf(id, a, agreement.Revision)
+		if before, known := k.heard[id]; known && before.contact == contact {
+			continue
+		}
+		since := asked
+		if contact == share.Confirmed {
+			// It may have promised something until just before it answered.
+			since = time.Now()
+		}
+		k.heard[id] = heard{contact: contact, since: since}
+	}
+}
+
+func contactOf(id string, a asking, revision store.Revision) share.Contact {
+	var ended *PeerEndedError
+	switch {
+	case errors.As(a.err, &ended):
+		return share.Gone
+	case a.err != nil:
+		return share.Silent
+	case a.answer.Member != id:
+		// Another process listens where it did.
+		return share.Gone
+	case a.answer.Revision >= revision:
+		return share.Confirmed
+	}
+	return share.Behind
+}
+
+type asking struct {
+	answer Answer
+	err    error
+}
+
+// ask asks members side by side; this process answers for itself.
+func (k *Keeper) ask(ctx context.Context, members []share.Member) map[string]asking {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	answers := make(map[string]asking, len(members))
+	for _, m := range members {
+		if m.ID == k.Self.ID {
+			mu.Lock()
+			answers[m.ID] = asking{answer: Answer{Member: m.ID, Revision: store.Revision(k.confirmed.Load())}}
+			mu.Unlock()
+			continue
+		}
+		wait.Go(func() {
+			answer, err := k.Asker.Ask(ctx, m)
+			mu.Lock()
+			defer mu.Unlock()
+			answers[m.ID] = asking{answer: answer, err: err}
+		})
+	}
+	wait.Wait()
+	return answers
+}
+
+// leaveTries bounds how often a leaving gateway tries to say so.
+const leaveTries = 5
+
+// Leave tells the others that this gateway uses nothing any more, so that they
+// needn't wait for its lease to end. Call it after the last request. Without
+// it, or when the store is away, the others wait.
+func (k *Keeper) Leave(ctx context.Context) error {
+	k.left.Store(true)
+	k.Usage.CloseIdle()
+	var err error
+	for range leaveTries {
+		var entry store.Entry
+		if entry, err = k.Store.Get(ctx, keys.Shares); err != nil {
+			return err
+		}
+		var current share.Agreement
+		if current, err = share.Parse(entry); err != nil {
+			return err
+		}
+		next := current.Without(k.Self.ID)
+		next.WriteID = uuid.NewString()
+		_, err = store.Swap(ctx, k.Store, store.Write{Key: keys.Shares, Expect: entry.ModRevision, Value: next.Encode()})
+		if !store.IsConflict(err) {
+			return err
+		}
+	}
+	return err
+}
--- /dev/null
+++ b/internal/sharekeeper/keeper.go
@@ -0,0 +1,249 @@
+// Package sharekeeper keeps this gateway's shares of the endpoints' slots and
+// connections in step with those of the others. What is agreed stands in one
+// record of the platform's store; docs/design/limits.md has the rules and why
+// they are enough.
+package sharekeeper
+
+import (
+	"context"
+	"math"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"auburnglade.example/glade/internal/feed"
+	"auburnglade.example/glade/internal/invariant"
+	"auburnglade.example/glade/internal/member"
+	"auburnglade.example/glade/internal/pause"
+	"auburnglade.example/glade/internal/share"
+	"auburnglade.example/glade/internal/store"
+)
+
+// Lease tells about this process's membership lease.
+type Lease interface {
+	// Valid reports whether the lease is certainly still held.
+	Valid() bool
+	// Generation changes with each new lease, before Valid is true of it.
+	Generation() uint64
+}
+
+// Usage is what this gateway uses at the endpoints.
+type Usage interface {
+	// Within reports whether everything in use is at most what of allows.
+	Within(of func(service, host string) share.Units) bool
+	// CloseIdle closes connections that carry no request.
+	CloseIdle()
+}
+
+// Asker asks other gateways.
+type Asker interface {
+	// Ask returns which process answers at the member's address and the
+	// revision of the agreement that it has confirmed. It returns
+	// *PeerEndedError when nothing listens there.
+	Ask(ctx context.Context, m share.Member) (Answer, error)
+}
+
+// Answer is what a gateway says of its shares.
+type Answer struct {
+	Member   string
+	Revision store.Revision
+}
+
+// UsesNothing is the revision that a gateway confirms that has stopped using
+// any share until it has read the agreement anew.
+const UsesNothing = store.Revision(math.MaxInt64)
+
+// Config is what a Keeper is made of.
+type Config struct {
+	Self      member.Member
+	Store     store.Store
+	Feed      *feed.Feed
+	Lease     Lease
+	Asker     Asker
+	Usage     Usage
+	Invariant *invariant.Checker
+	Log       zerolog.Logger
+	Registry  prometheus.Registerer
+	// Interval is the pause between two rounds; zero means DefaultInterval.
+	Interval time.Duration
+}
+
+// DefaultInterval is the pause between two rounds. A round without anything to
+// do makes no call.
+const DefaultInterval = 100 * time.Millisecond
+
+const (
+	// promiseLife is how long another gateway's answer lets this one hold on to
+	// its share without a lease, from before it was asked.
+	promiseLife = 3 * time.Second
+	// holdInterval is the pause between two askings while the lease is lapsed.
+	holdInterval = time.Second
+	// goneWait is how long an address must refuse connections: a supervisor
+	// restarts a lone listener in a fraction of it.
+	goneWait = time.Second
+	// escapeWait is how long the store must have been reachable from here, with
+	// a quorum of gateways away from it, before they count as ended.
+	escapeWait = time.Minute
+	// yieldAfter is how long a gateway without a lease and a quorum waits to
+	// learn the newer agreement before it gives up its shares.
+	yieldAfter = 10 * time.Second
+	// unreadyAfter is how long no share may be used before readiness fails: the
+	// moment between a lapsed lease and the others' answers is no reason to.
+	unreadyAfter = time.Second
+)
+
+// Keeper follows the agreement and helps to move it on.
+type Keeper struct {
+	Config
+	metrics *metrics
+
+	// inForce is the agreement and this member's shares under it.
+	inForce atomic.Pointer[inForce]
+	// confirmed is the newest agreement that all use here is within.
+	confirmed atomic.Int64
+	// verified is the lease generation under which the agreement was read.
+	verified atomic.Uint64
+	// holdUntil is until when the others' promises stand in for the lease.
+	holdUntil atomic.Pointer[time.Time]
+	// superseded is set when another gateway has confirmed a newer agreement
+	// while the lease was lapsed; only reading the agreement anew clears it.
+	superseded atomic.Bool
+	left       atomic.Bool
+	usableAt   atomic.Pointer[time.Time]
+
+	// Used by Serve alone.
+	changedAt  time.Time
+	wantedAt   time.Time
+	heldAsked  time.Time
+	listenedAt time.Time
+	heard      map[string]heard
+	unleasedAt map[string]time.Time
+}
+
+type inForce struct {
+	agreement share.Agreement
+	table     *share.Table
+}
+
+// New returns a keeper whose shares are all zero until Serve has an agreement
+// that this gateway is part of.
+func New(config Config) *Keeper {
+	if config.Interval == 0 {
+		config.Interval = DefaultInterval
+	}
+	k := &Keeper{
+		Config: config, metrics: newMetrics(config.Registry),
+		heard: make(map[string]heard), unleasedAt: make(map[string]time.Time),
+	}
+	k.install(share.Agreement{})
+	return k
+}
+
+// Of returns what this gateway may use of an endpoint right now.
+func (k *Keeper) Of(service, host string) share.Units {
+	current := k.inForce.Load()
+	if !k.usable() {
+		return share.Units{}
+	}
+	return current.table.Of(service, host)
+}
+
+// Confirmed returns the revision of the agreement that everything in use here
+// is within, for other gateways to ask.
+func (k *Keeper) Confirmed() int64 { return k.confirmed.Load() }
+
+// Ready reports whether this gateway has shares that it may use.
+func (k *Keeper) Ready() bool {
+	if !k.inForce.Load().agreement.Settled.Has(k.Self.ID) {
+		return false
+	}
+	at := k.usableAt.Load()
+	return k.usable() || at != nil && time.Since(*at) < unreadyAfter
+}
+
+// usable reports whether any share may be used. A process that was paused
+// finds the lease lapsed on its monotonic clock and stops at once. One that
+// holds a new lease since must first read the agreement: the others may have
+// taken its share in between, and its snapshot may be as old as the pause.
+func (k *Keeper) usable() bool {
+	if k.superseded.Load() || k.left.Load() {
+		return false
+	}
+	// In this order: a lease that lapses and is granted anew between the two
+	// shows another generation.
+	if k.Lease.Valid() && k.Lease.Generation() == k.verified.Load() {
+		return true
+	}
+	until := k.holdUntil.Load()
+	return until != nil && time.Now().Before(*until)
+}
+
+// Serve follows the agreement until ctx ends.
+func (k *Keeper) Serve(ctx context.Context) error {
+	for ctx.Err() == nil {
+		_, changed := k.Feed.Current()
+		k.round(ctx)
+		timer := time.NewTimer(pause.Jitter(k.Interval))
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+	return ctx.Err()
+}
+
+func (k *Keeper) round(ctx context.Context) {
+	k.follow()
+	k.verify(ctx)
+	k.hold(ctx)
+	k.confirm()
+	k.advance(ctx)
+	if k.usable() {
+		now := time.Now()
+		k.usableAt.Store(&now)
+	}
+}
+
+// install puts an agreement in force. The table is in force before anything is
+// confirmed: an admission that read the one before has been counted by then.
+func (k *Keeper) install(a share.Agreement) {
+	table := share.NewTable(&a, k.Self.ID)
+	k.Invariant.Hold(invariant.SharesWithinLimit, share.WithinLimits(&a), func() string {
+		return "the shares of an endpoint don't sum to its limit"
+	})
+	k.inForce.Store(&inForce{agreement: a, table: table})
+	k.changedAt = time.Now()
+	k.metrics.revision.Set(float64(a.Revision))
+	k.metrics.slots.Set(float64(table.Total()))
+	for id, h := range k.heard {
+		if h.contact == share.Confirmed || h.contact == share.Behind {
+			delete(k.heard, id)
+		}
+	}
+}
+
+// confirm tells the others that this gateway is within the agreement once what
+// it uses has shrunk to that.
+func (k *Keeper) confirm() {
+	current := k.inForce.Load()
+	of := current.table.Of
+	revision := current.agreement.Revision
+	if k.superseded.Load() {
+		of = nothing
+		revision = UsesNothing
+	}
+	if k.confirmed.Load() == int64(revision) {
+		return
+	}
+	if !k.Usage.Within(of) {
+		k.Usage.CloseIdle()
+		return
+	}
+	k.confirmed.Store(int64(revision))
+}
+
+func nothing(string, string) share.Units { return share.Units{} }
--- /dev/null
+++ b/internal/sharekeeper/peers.go
@@ -0,0 +1,63 @@
+package sharekeeper
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"auburnglade.example/glade/internal/peer"
+	"auburnglade.example/glade/internal/share"
+	"auburnglade.example/glade/internal/store"
+)
+
+// PeerEndedError says that a member's address refuses connections.
+type PeerEndedError struct {
+	Member string
+	Cause  error
+}
+
+func (e *PeerEndedError) Error() string {
+	return fmt.Sprintf("nothing listens at the address of %s: %v", e.Member, e.Cause)
+}
+
+func (e *PeerEndedError) Unwrap() error { return e.Cause }
+
+// PeerAsker asks over the peer interface.
+type PeerAsker struct{ Client *peer.Client }
+
+// Ask implements Asker.
+func (p *PeerAsker) Ask(ctx context.Context, m share.Member) (Answer, error) {
+	presence, err := p.Client.Served(ctx, m.PeerAddress)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return Answer{}, &PeerEndedError{Member: m.ID, Cause: err}
+	}
+	if err != nil {
+		return Answer{}, err
+	}
+	return Answer{Member: presence.Member, Revision: store.Revision(presence.ShareRevision)}, nil
+}
+
+type metrics struct {
+	revision prometheus.Gauge
+	slots    prometheus.Gauge
+}
+
+func newMetrics(registerer prometheus.Registerer) *metrics {
+	m := &metrics{
+		revision: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "glade_share_agreement_revision",
+			Help: "Store revision of the agreement on shares in force in this process.",
+		}),
+		slots: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "glade_share_slots",
+			Help: "Endpoint slots that this gateway may use, over all endpoints.",
+		}),
+	}
+	if registerer != nil {
+		registerer.MustRegister(m.revision, m.slots)
+	}
+	return m
+}
