--- a/cmd/glade-soak/main.go
+++ b/cmd/glade-soak/main.go
@@ -18,6 +18,7 @@
 	"auburnglade.example/glade/internal/devrun"
 	"auburnglade.example/glade/internal/settings"
 	"auburnglade.example/glade/internal/soak"
+	"auburnglade.example/glade/internal/standin"
 )
 
 type cli struct {
@@ -32,6 +33,7 @@
 
 	Settings settingsCmd `cmd:"" help:"Write a settings file for each daemon."`
 	Plan     planCmd     `cmd:"" help:"Print the schedule, a fault a line: milliseconds, verb, target, milliseconds."`
+	Idle     idleCmd     `cmd:"" help:"Run a platform of any scale and count what idle daemons ask of it."`
 	Platform platformCmd `cmd:"" help:"Run the platform, the endpoints and the callers, and judge."`
 }
 
@@ -94,6 +96,25 @@
 	return nil
 }
 
+type idleCmd struct {
+	Hosts       int           `help:"Hosts of the fleet." default:"1000"`
+	Pools       int           `help:"Pools of the fleet." default:"261"`
+	ChangeEvery time.Duration `help:"Pause between two configuration changes; 0 makes none." default:"36s"`
+}
+
+// Run implements the command.
+func (i *idleCmd) Run(options soak.Options) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	report, err := soak.Idle(ctx, soak.IdleOptions{
+		Options: options, Scale: standin.Scale{Hosts: i.Hosts, Pools: i.Pools}, ChangeEvery: i.ChangeEvery,
+	}, os.Stdout)
+	if err != nil {
+		return err
+	}
+	return json.NewEncoder(os.Stdout).Encode(report)
+}
+
 type platformCmd struct{}
 
 // FaultyRunError says that a run did not hold what it must.
--- a/internal/devrun/devrun.go
+++ b/internal/devrun/devrun.go
@@ -150,13 +150,14 @@
 	r.Platform = standin.NewPlatform(r.Shape(), servicePorts(r.records), standin.Options{
 		ListLag: listLag, RebootTime: rebootTime, WorkTime: workTime,
 	})
-	if err := r.Platform.Start(r.platformAddress()); err != nil {
+	if err := r.Platform.Start(r.PlatformAddress()); err != nil {
 		return &SetupError{Part: "platform", Cause: err}
 	}
 	return nil
 }
 
-func (r *Run) platformAddress() string {
+// PlatformAddress is where the platform is reached, IP number and port.
+func (r *Run) PlatformAddress() string {
 	return r.loopback(platformBlock, 0, platformPort).String()
 }
 
@@ -247,7 +248,7 @@
 func (r *Run) GatewaySettings(index int) *daemon.GatewaySettings {
 	s := daemon.DefaultGatewaySettings()
 	s.Process = r.process("gateway", index)
-	s.Platform.URL = "http://" + r.platformAddress()
+	s.Platform.URL = "http://" + r.PlatformAddress()
 	s.Listen = daemon.GatewayListen{
 		Callers: r.loopback(gatewayBlock, index, callerPort),
 		Peers:   r.loopback(gatewayBlock, index, peerPort),
@@ -273,7 +274,7 @@
 func (r *Run) ControllerSettings(index int) *daemon.ControllerSettings {
 	s := daemon.DefaultControllerSettings()
 	s.Process = r.process("controller", index)
-	s.Platform.URL = "http://" + r.platformAddress()
+	s.Platform.URL = "http://" + r.PlatformAddress()
 	s.Listen = daemon.ControllerListen{
 		Operators: r.loopback(controllerBlock, index, operatorPort),
 		Peers:     r.loopback(controllerBlock, index, peerPort),
--- a/internal/measure/capacity/capacity.go
+++ b/internal/measure/capacity/capacity.go
@@ -157,6 +157,7 @@
 // planWaves is the time in microseconds that one wave over the whole fleet
 // takes to plan.
 func planWaves(s standin.Scale) float64 {
+	s.Wave = true
 	snapshot := catalog.FromListing(nil, s.Listing())
 	input := wave.Input{Name: "wave", Spec: snapshot.Waves()["wave"]}
 	for _, host := range s.HostList() {
--- /dev/null
+++ b/internal/soak/idle.go
@@ -0,0 +1,193 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"auburnglade.example/glade/internal/devrun"
+	"auburnglade.example/glade/internal/fleet/fakefleet"
+	"auburnglade.example/glade/internal/keys"
+	"auburnglade.example/glade/internal/pause"
+	"auburnglade.example/glade/internal/platformhttp"
+	"auburnglade.example/glade/internal/standin"
+	"auburnglade.example/glade/internal/store"
+	"auburnglade.example/glade/internal/store/memstore"
+)
+
+// IdleOptions shape a measurement of what control costs a node.
+type IdleOptions struct {
+	Options
+	Scale standin.Scale
+	// ChangeEvery is the pause between two configuration changes; zero makes
+	// none.
+	ChangeEvery time.Duration
+}
+
+// IdleReport is what the platform counted while the daemons were idle but for
+// the changes, over LengthSeconds.
+type IdleReport struct {
+	Hosts           int     `json:"hosts"`
+	Pools           int     `json:"pools"`
+	Members         int     `json:"members"`
+	LengthSeconds   float64 `json:"length_seconds"`
+	Changes         int     `json:"changes"`
+	ReadsPerSecond  float64 `json:"store_reads_per_second"`
+	WritesPerSecond float64 `json:"store_writes_per_second"`
+	LeasesPerSecond float64 `json:"store_lease_calls_per_second"`
+	WatchPerSecond  float64 `json:"store_watch_calls_per_second"`
+	OpenWatches     int64   `json:"store_open_watches"`
+	// BytesPerMemberSecond counts the platform's traffic, both ways, as HTTP
+	// bodies and headers on its listener.
+	BytesPerMemberSecond float64 `json:"platform_bytes_per_member_second"`
+}
+
+// EndLine is printed when the measured time is over.
+const EndLine = "END"
+
+const (
+	settleBefore  = 5 * time.Second
+	membersWithin = 60 * time.Second
+	memberPoll    = 100 * time.Millisecond
+)
+
+// Idle brings a platform of the given scale up without endpoints, waits for
+// the daemons to register, and counts their calls for the run's length.
+func Idle(ctx context.Context, options IdleOptions, out io.Writer) (IdleReport, error) {
+	kv := memstore.New()
+	if err := preload(ctx, kv, options.Scale); err != nil {
+		return IdleReport{}, err
+	}
+	run, err := devrun.New(options.devrun())
+	if err != nil {
+		return IdleReport{}, err
+	}
+	listener, err := net.Listen("tcp", run.PlatformAddress())
+	if err != nil {
+		return IdleReport{}, err
+	}
+	counting := &countingListener{Listener: listener}
+	hosts := fakefleet.New(options.Scale.HostList(), fakefleet.Options{ListLag: time.Second})
+	server := &http.Server{
+		Handler:           platformhttp.NewHandler(platformhttp.Backend{Store: kv, Hosts: hosts, Pool: hosts}),
+		ReadHeaderTimeout: time.Second,
+	}
+	go func() {
+		// Ends with Close.
+		_ = server.Serve(counting)
+	}()
+	defer server.Close()
+	members := options.Gateways + options.Controllers
+	if err := awaitMembers(ctx, kv, members); err != nil {
+		return IdleReport{}, err
+	}
+	pause.For(ctx, settleBefore)
+	m := &idleMeasure{kv: kv, listener: counting, options: options, members: members}
+	return m.run(ctx, out), nil
+}
+
+func preload(ctx context.Context, kv *memstore.Store, scale standin.Scale) error {
+	for _, entry := range scale.Listing().Entries {
+		if _, err := kv.CompareAndSwap(ctx, store.Write{Key: entry.Key, Value: entry.Value}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func awaitMembers(ctx context.Context, kv *memstore.Store, wanted int) error {
+	deadline := time.Now().Add(membersWithin)
+	for time.Now().Before(deadline) && ctx.Err() == nil {
+		listing, err := kv.List(ctx, keys.MemberPrefix)
+		if err == nil && len(listing.Entries) >= wanted {
+			return nil
+		}
+		pause.For(ctx, memberPoll)
+	}
+	return &devrun.SetupError{Part: "members", Cause: context.DeadlineExceeded}
+}
+
+type idleMeasure struct {
+	kv       *memstore.Store
+	listener *countingListener
+	options  IdleOptions
+	members  int
+	changes  int
+}
+
+func (m *idleMeasure) run(ctx context.Context, out io.Writer) IdleReport {
+	before, bytesBefore := m.kv.Counts(), m.listener.bytes.Load()
+	began := time.Now()
+	fmt.Fprintln(out, BeginLine)
+	m.change(ctx, began)
+	after, bytesAfter := m.kv.Counts(), m.listener.bytes.Load()
+	fmt.Fprintln(out, EndLine)
+	seconds := time.Since(began).Seconds()
+	rate := func(a, b int64) float64 { return float64(a-b) / seconds }
+	// A change costs this side a read and a write, which aren't the daemons'.
+	own := int64(m.changes)
+	return IdleReport{
+		Hosts: m.options.Scale.Hosts, Pools: m.options.Scale.Pools, Members: m.members,
+		LengthSeconds: seconds, Changes: m.changes,
+		ReadsPerSecond:       rate(after.Reads, before.Reads+own),
+		WritesPerSecond:      rate(after.Writes, before.Writes+own),
+		LeasesPerSecond:      rate(after.LeaseCalls, before.LeaseCalls),
+		WatchPerSecond:       rate(after.WatchCalls, before.WatchCalls),
+		OpenWatches:          after.OpenWatches,
+		BytesPerMemberSecond: rate(bytesAfter, bytesBefore) / float64(m.members),
+	}
+}
+
+// change writes one record again and again until the length is over.
+func (m *idleMeasure) change(ctx context.Context, began time.Time) {
+	key := m.options.Scale.Listing().Entries[0].Key
+	for time.Since(began) < m.options.Length && ctx.Err() == nil {
+		if m.options.ChangeEvery == 0 {
+			pause.For(ctx, m.options.Length-time.Since(began))
+			continue
+		}
+		pause.For(ctx, m.options.ChangeEvery)
+		entry, err := m.kv.Get(ctx, key)
+		if err != nil {
+			continue
+		}
+		if _, err := m.kv.CompareAndSwap(ctx, store.Write{Key: key, Expect: entry.ModRevision, Value: entry.Value}); err == nil {
+			m.changes++
+		}
+	}
+}
+
+// countingListener counts the bytes of all its connections, both ways.
+type countingListener struct {
+	net.Listener
+	bytes atomic.Int64
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{Conn: conn, bytes: &l.bytes}, nil
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
--- a/internal/standin/scale.go
+++ b/internal/standin/scale.go
@@ -13,9 +13,11 @@
 )
 
 // Scale is a synthetic fleet of any size, for measurements: a service, a pool
-// and a budget per pool, and a wave over all of them.
+// and a budget per pool.
 type Scale struct {
 	Hosts, Pools, Members int
+	// Wave adds a maintenance wave over all pools.
+	Wave bool
 }
 
 // ScaleTarget is the users' target in two years (the first letter); the members are
@@ -48,7 +50,9 @@
 		addRecord(record.New(name, &record.Pool{Services: []string{name}, Size: s.hostsIn(i)}))
 		addRecord(record.New(name, &record.Budget{Service: name, MinAvailable: s.hostsIn(i) * availableTenths / 10}))
 	}
-	addRecord(record.New("wave", &record.Wave{Pools: pools}))
+	if s.Wave {
+		addRecord(record.New("wave", &record.Wave{Pools: pools}))
+	}
 	for i := range s.Hosts {
 		host := fmt.Sprintf("host-%04d", i)
 		r := hostrecord.Record{Host: host, Pool: pools[i%len(pools)], Phase: hostrecord.Serving, WriteID: fmt.Sprintf("%036d", i)}
