--- a/internal/daemon/controller.go
+++ b/internal/daemon/controller.go
@@ -56,10 +56,7 @@
 		Log: telemetry.Part(base.log, "mover"), Interval: settings.Decide.Interval,
 	})
 	c.journal = operatorapi.NewJournal(base.feed)
-	c.api = operatorapi.New(operatorapi.Config{
-		Store: base.store, Feed: base.feed, Confirmer: drainer.Live{Confirmer: c.confirm}, Journal: c.journal,
-		Log: telemetry.Part(base.log, "api"),
-	})
+	c.api = c.newAPI()
 	return c, nil
 }
 
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,101 @@
+package explain_test
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"auburnglade.example/glade/internal/budget"
+	"auburnglade.example/glade/internal/catalog"
+	"auburnglade.example/glade/internal/explain"
+	"auburnglade.example/glade/internal/fleet"
+	"auburnglade.example/glade/internal/hostrecord"
+	"auburnglade.example/glade/internal/keys"
+	"auburnglade.example/glade/internal/record"
+	"auburnglade.example/glade/internal/store"
+	"auburnglade.example/glade/internal/wave"
+)
+
+func sample(t *testing.T) explain.View {
+	t.Helper()
+	var listing store.Listing
+	add := func(key string, value []byte) {
+		listing.Revision++
+		listing.Entries = append(listing.Entries, store.Entry{Key: key, Value: value, ModRevision: listing.Revision})
+	}
+	for _, envelope := range []record.Envelope{
+		record.New("match", &record.Service{PathPrefix: "/match/", Port: 1}),
+		record.New("match", &record.Pool{Size: 4, Services: []string{"match"}}),
+		record.New("match", &record.Budget{Service: "match", MinAvailable: 3, Margin: record.MarginRack}),
+		record.New("kernel", &record.Wave{Pools: []string{"match"}}),
+		record.New("report", &record.Job{Pool: "match", Team: "night"}),
+		record.New("night", &record.Quota{Team: "night"}),
+	} {
+		value, err := json.Marshal(envelope)
+		must.NoError(t, err)
+		add(keys.Spec(envelope.ID()), value)
+	}
+	for _, r := range []hostrecord.Record{
+		{Host: "host-1", Pool: "match", Phase: hostrecord.Serving},
+		{Host: "host-2", Pool: "match", Phase: hostrecord.Draining, Wave: "kernel", Operation: "op-2", NextPool: "rights"},
+		{Host: "host-3", Pool: "match", Phase: hostrecord.Serving, Visits: map[string]hostrecord.Visit{"kernel": {Result: hostrecord.Maintained, Seconds: 40}}},
+	} {
+		add(keys.Host(r.Host), r.Encode())
+	}
+	return explain.View{
+		Snapshot: catalog.FromListing(nil, listing),
+		Listed: map[string]fleet.Host{
+			"host-1": {Name: "host-1", Zone: "z1", Rack: "r1", State: fleet.HostLive},
+			"host-2": {Name: "host-2", Zone: "z1", Rack: "r1", State: fleet.HostLeaving},
+			"host-3": {Name: "host-3", Zone: "z2", Rack: "r2", State: fleet.HostLive},
+			"host-4": {Name: "host-4", Zone: "z2", Rack: "r2", State: fleet.HostLive},
+		},
+		Ledgers: map[string]budget.Ledger{"match": {Grants: map[string]budget.Grant{"host-2": {Operation: "op-2", Wave: "kernel"}}}},
+		Waves: map[string]wave.Status{"kernel": {
+			Wave: "kernel", Phase: wave.Running, Hosts: 3, Maintained: 1, Out: []string{"host-2"},
+			Waiting: map[string]string{"host-1": "no room in the budget"}, RemainingSeconds: 60, EstimatedFrom: "the mean of 1 hosts",
+		}},
+	}
+}
+
+func TestHostReasons(t *testing.T) {
+	v := sample(t)
+	cases := map[string][]string{
+		"host-1": {`belongs to pool "match" and is serving`, "zone z1, rack r1, listed live", `wave "kernel" will maintain it: no room in the budget`},
+		"host-2": {"lists it as leaving", `joins pool "rights"`, "waits until every gateway serves revision 8", "granted to operation op-2"},
+		"host-3": {`wave "kernel": maintained in 40 s`},
+		"host-4": {"belongs to no pool"},
+	}
+	for host, wanted := range cases {
+		reasons, known := explain.Host(v, host)
+		must.True(t, known)
+		text := strings.Join(reasons, "\n")
+		for _, want := range wanted {
+			must.StrContains(t, text, want)
+		}
+	}
+	_, known := explain.Host(v, "host-9")
+	must.False(t, known)
+}
+
+func TestRecordReasons(t *testing.T) {
+	v := sample(t)
+	cases := map[record.ID][]string{
+		{Kind: record.KindPool, Name: "match"}:    {"has 3 of 4 hosts: 2 in z1, 1 in z2", "lacks 1 hosts: 1 listed hosts belong to no pool", `host-2 is draining for "kernel"`, "BELOW ITS BUDGET", `host-2 leaves for pool "rights"`},
+		{Kind: record.KindWave, Name: "kernel"}:   {"running: 1 of 3 hosts maintained, 1 out", "about 1m0s left, from the mean of 1 hosts", "host-2 is out: draining", "host-1 is not out yet: no room"},
+		{Kind: record.KindJob, Name: "report"}:    {`waits: pool "match" takes no jobs`, `bounded by quota "night"`, "has not been placed yet"},
+		{Kind: record.KindService, Name: "match"}: {"2 of 3 endpoints available, 1 granted to maintenance, 3 needed with one rack lost", `host-2 is granted to operation op-2`},
+	}
+	for id, wanted := range cases {
+		reasons, known := explain.Record(v, id)
+		must.True(t, known)
+		text := strings.Join(reasons, "\n")
+		for _, want := range wanted {
+			must.StrContains(t, text, want)
+		}
+	}
+	_, known := explain.Record(v, record.ID{Kind: record.KindPool, Name: "none"})
+	must.False(t, known)
+}
--- /dev/null
+++ b/internal/explain/host.go
@@ -0,0 +1,139 @@
+package explain
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"auburnglade.example/glade/internal/catalog"
+	"auburnglade.example/glade/internal/fleet"
+	"auburnglade.example/glade/internal/hostrecord"
+	"auburnglade.example/glade/internal/record"
+)
+
+// Host explains a host: where it belongs, what it is doing, and what it waits
+// for. It reports false when neither a record nor the platform knows it.
+func Host(v View, name string) ([]string, bool) {
+	item, known := v.Snapshot.Hosts[name]
+	_, listed := v.Listed[name]
+	if !known {
+		if !listed {
+			return nil, false
+		}
+		return append(v.listing(name), "belongs to no pool: no pool that lacks hosts takes it, see explain Pool"), true
+	}
+	reasons := []string{fmt.Sprintf("belongs to pool %q and is %s", item.Pool, phaseOf(item))}
+	reasons = append(reasons, v.listing(name)...)
+	if item.NextPool != "" && item.NextPool != item.Pool {
+		reasons = append(reasons, fmt.Sprintf("joins pool %q when it returns", item.NextPool))
+	}
+	if item.TakesWork() {
+		reasons = append(reasons, v.waitingFor(name, item)...)
+	} else {
+		reasons = append(reasons, underMaintenance(item)...)
+	}
+	for _, service := range v.servicesOf(item.Pool) {
+		if grant, granted := v.Ledgers[service].Grants[name]; granted {
+			reasons = append(reasons, fmt.Sprintf("service %s counts it as out: granted to operation %s for %q", service, grant.Operation, grant.Wave))
+		}
+	}
+	for _, wave := range slices.Sorted(maps.Keys(item.Visits)) {
+		reasons = append(reasons, visitLine(wave, item.Visits[wave]))
+	}
+	return reasons, true
+}
+
+func phaseOf(item catalog.HostItem) hostrecord.Phase {
+	if item.Phase == "" {
+		return hostrecord.Serving
+	}
+	return item.Phase
+}
+
+func (v View) listing(name string) []string {
+	if v.Listed == nil {
+		return []string{"the platform's host list can't be read now"}
+	}
+	host, listed := v.Listed[name]
+	switch {
+	case !listed:
+		return []string{"the platform doesn't list it: it counts as unavailable"}
+	case host.State == fleet.HostLeaving:
+		return []string{fmt.Sprintf("is in zone %s, rack %s; the platform lists it as leaving: it counts as unavailable", host.Zone, host.Rack)}
+	}
+	return []string{fmt.Sprintf("is in zone %s, rack %s, listed live", host.Zone, host.Rack)}
+}
+
+// underMaintenance says what a host that is out waits for.
+func underMaintenance(item catalog.HostItem) []string {
+	var reasons []string
+	if item.Wave != "" {
+		since := ""
+		if !item.OutSince.IsZero() {
+			since = " since " + item.OutSince.UTC().Format("2006-01-02 15:04:05 UTC")
+		}
+		reasons = append(reasons, fmt.Sprintf("is out for %q%s, operation %s", item.Wave, since, item.Operation))
+	}
+	switch item.Phase {
+	case hostrecord.Draining:
+		reasons = append(reasons, fmt.Sprintf("waits until every gateway serves revision %d, then until its requests and tasks have ended or the drain deadline has passed", item.Revision))
+	case hostrecord.Rebooting:
+		reasons = append(reasons, fmt.Sprintf("waits for the platform to show another boot than %q", item.BootID))
+	case hostrecord.Proving:
+		reasons = append(reasons, "waits until it has been healthy for the proof time")
+	case hostrecord.Failed:
+		reasons = append(reasons, "waits for an operator: it did not come back whole, and its grant stays counted")
+	}
+	return reasons
+}
+
+// waitingFor says why waves that cover a serving host haven't taken it yet.
+func (v View) waitingFor(name string, item catalog.HostItem) []string {
+	var reasons []string
+	waves := v.Snapshot.Waves()
+	for _, waveName := range slices.Sorted(maps.Keys(waves)) {
+		spec := waves[waveName]
+		_, visited := item.Visits[waveName]
+		if visited || !slices.Contains(spec.Pools, item.Pool) || !spec.Covers(name) {
+			continue
+		}
+		reasons = append(reasons, fmt.Sprintf("wave %q will maintain it: %s", waveName, v.whyNotYet(waveName, name, spec)))
+	}
+	return reasons
+}
+
+func (v View) whyNotYet(waveName, host string, spec *record.Wave) string {
+	status, known := v.Waves[waveName]
+	switch {
+	case spec.Cancelled:
+		return "the wave is cancelled"
+	case spec.Paused:
+		return "the wave is paused"
+	case !known:
+		return "the wave has not been planned yet"
+	case status.Waiting[host] != "":
+		return status.Waiting[host]
+	case status.Reason != "":
+		return "the wave is " + string(status.Phase) + ", " + status.Reason
+	}
+	return fmt.Sprintf("not its turn yet, %d of %d hosts are out or done", status.Maintained+len(status.Out)+len(status.Failed), status.Hosts)
+}
+
+func (v View) servicesOf(pool string) []string {
+	spec := v.Snapshot.Pools()[pool]
+	if spec == nil {
+		return nil
+	}
+	return spec.Services
+}
+
+func visitLine(wave string, visit hostrecord.Visit) string {
+	line := fmt.Sprintf("wave %q: %s", wave, visit.Result)
+	if visit.Seconds > 0 {
+		line += fmt.Sprintf(" in %d s", visit.Seconds)
+	}
+	if visit.Reason != "" {
+		line += ", " + visit.Reason
+	}
+	return line
+}
--- /dev/null
+++ b/internal/forecast/forecast_test.go
@@ -0,0 +1,94 @@
+package forecast_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"auburnglade.example/glade/internal/catalog"
+	"auburnglade.example/glade/internal/fleet"
+	"auburnglade.example/glade/internal/forecast"
+	"auburnglade.example/glade/internal/hostrecord"
+	"auburnglade.example/glade/internal/keys"
+	"auburnglade.example/glade/internal/record"
+	"auburnglade.example/glade/internal/store"
+	"auburnglade.example/glade/internal/wave"
+)
+
+// sample is a fleet of one pool with ten hosts over five racks and two zones.
+func sample(t *testing.T, minAvailable int, margin record.FailureMargin, w *record.Wave) forecast.Input {
+	t.Helper()
+	input := forecast.Input{Now: time.Date(2026, 12, 2, 12, 0, 0, 0, time.UTC)}
+	var listing store.Listing
+	add := func(key string, value []byte) {
+		listing.Revision++
+		listing.Entries = append(listing.Entries, store.Entry{Key: key, Value: value, ModRevision: listing.Revision})
+	}
+	for _, envelope := range []record.Envelope{
+		record.New("match", &record.Service{PathPrefix: "/match/", Port: 1}),
+		record.New("match", &record.Pool{Size: 10, Services: []string{"match"}}),
+		record.New("match", &record.Budget{Service: "match", MinAvailable: minAvailable, Margin: margin}),
+		record.New("kernel", w),
+	} {
+		value, err := json.Marshal(envelope)
+		must.NoError(t, err)
+		add(keys.Spec(envelope.ID()), value)
+	}
+	for i := range 10 {
+		name := fmt.Sprintf("host-%02d", i)
+		input.Hosts = append(input.Hosts, fleet.Host{
+			Name: name, Zone: fmt.Sprintf("zone-%d", i%2), Rack: fmt.Sprintf("rack-%d", i/2), State: fleet.HostLive,
+		})
+		add(keys.Host(name), hostrecord.Record{Host: name, Pool: "match", Phase: hostrecord.Serving}.Encode())
+	}
+	input.Snapshot = catalog.FromListing(nil, listing)
+	return input
+}
+
+func TestWaveForecastReachesEveryHost(t *testing.T) {
+	spec := &record.Wave{Pools: []string{"match"}, DrainSeconds: 10, RebootSeconds: 20, ProofSeconds: 10}
+	got := forecast.Waves(sample(t, 8, record.MarginNone, spec))["kernel"]
+	must.Eq(t, wave.Finished, got.Phase)
+	must.Eq(t, 10, got.Maintained)
+	must.Between(t, 1, got.MostOut, 2)
+	perHost := int(wave.Bound(spec).Seconds())
+	must.Eq(t, perHost, got.SecondsPerHost)
+	// Two at once at most: five times a host's time is the least.
+	must.Between(t, 5*perHost, got.Seconds, 10*perHost)
+	must.Eq(t, 10*perHost, int(got.HostHoursOut*3600+0.5))
+}
+
+func TestWaveForecastNamesWhatTheBudgetForbids(t *testing.T) {
+	got := forecast.Waves(sample(t, 10, record.MarginNone, &record.Wave{Pools: []string{"match"}}))["kernel"]
+	must.Zero(t, got.Maintained)
+	must.MapLen(t, 10, got.Waiting)
+	must.StrContains(t, got.Waiting["host-00"], "match")
+}
+
+func TestWaveForecastWaitsForItsWindow(t *testing.T) {
+	spec := &record.Wave{
+		Pools: []string{"match"}, DrainSeconds: 10, RebootSeconds: 20, ProofSeconds: 10,
+		Windows: []record.Window{{From: "22:00", To: "04:00"}},
+	}
+	got := forecast.Waves(sample(t, 5, record.MarginNone, spec))["kernel"]
+	must.Eq(t, 10, got.Maintained)
+	must.Greater(t, 10*3600, got.Seconds)
+}
+
+func TestMoveForecastFillsALackingPool(t *testing.T) {
+	input := sample(t, 5, record.MarginNone, &record.Wave{Pools: []string{"match"}, Cancelled: true})
+	input.Hosts = append(input.Hosts, fleet.Host{Name: "host-10", Zone: "zone-0", Rack: "rack-9", State: fleet.HostLive})
+	grown := record.New("match", &record.Pool{Size: 11, Services: []string{"match"}})
+	value, err := json.Marshal(grown)
+	must.NoError(t, err)
+	revision := input.Snapshot.Revision + 1
+	input.Snapshot = input.Snapshot.Apply(store.WatchBatch{Revision: revision, Events: []store.Event{
+		{Entry: store.Entry{Key: keys.Spec(grown.ID()), Value: value, ModRevision: revision}},
+	}})
+	moves := forecast.Move(input)
+	must.SliceLen(t, 1, moves.Assign)
+	must.Eq(t, "host-10", moves.Assign[0].Host)
+}
--- a/internal/operatorapi/api.go
+++ b/internal/operatorapi/api.go
@@ -11,6 +11,8 @@
 	"github.com/rs/zerolog"
 
 	"auburnglade.example/glade/internal/feed"
+	"auburnglade.example/glade/internal/fleet"
+	"auburnglade.example/glade/internal/invariant"
 	"auburnglade.example/glade/internal/keys"
 	"auburnglade.example/glade/internal/record"
 	"auburnglade.example/glade/internal/store"
@@ -26,6 +28,11 @@
 	Store     store.Store
 	Feed      *feed.Feed
 	Confirmer Confirmer
+	// Hosts and Prober, when set, make status and explain tell more.
+	Hosts  fleet.HostList
+	Prober Prober
+	// Invariant, when set, holds the broken invariants of this process.
+	Invariant *invariant.Checker
 	// Journal remembers deletions for watches; it has to be served.
 	Journal *Journal
 	Log     zerolog.Logger
@@ -47,6 +54,8 @@
 	s.mux.HandleFunc("DELETE /v1/records/{kind}/{name}", s.remove)
 	s.mux.HandleFunc("GET /v1/status/{kind}/{name}", s.status)
 	s.mux.HandleFunc("GET /v1/fleet", s.fleet)
+	s.mux.HandleFunc("GET /v1/hosts", s.hosts)
+	s.mux.HandleFunc("POST /v1/plan", s.plan)
 	s.mux.HandleFunc("GET /v1/inforce", s.inForce)
 	s.mux.HandleFunc("GET /v1/watch", s.watch)
 	s.mux.HandleFunc("GET /v1/explain/{kind}/{name}", s.explain)
@@ -120,10 +129,6 @@
 	writeJSON(w, http.StatusOK, json.RawMessage(entry.Value))
 }
 
-func (s *Server) fleet(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, summarize(s.Feed.Snapshot()))
-}
-
 func (s *Server) inForce(w http.ResponseWriter, r *http.Request) {
 	revision, err := strconv.ParseInt(r.URL.Query().Get("revision"), 10, 64)
 	if err != nil {
@@ -134,25 +139,6 @@
 	writeJSON(w, http.StatusOK, InForce{Revision: store.Revision(revision), InForce: len(lagging) == 0, Lagging: lagging})
 }
 
-func (s *Server) explain(w http.ResponseWriter, r *http.Request) {
-	id, _ := pathID(r)
-	snapshot := s.Feed.Snapshot()
-	if r.PathValue("kind") == "Host" {
-		item, ok := snapshot.Hosts[id.Name]
-		if !ok {
-			writeError(w, &NotFoundError{ID: id})
-			return
-		}
-		writeJSON(w, http.StatusOK, Explanation{Subject: id.String(), Pool: item.Pool, Reasons: explainHost(item)})
-		return
-	}
-	if _, ok := snapshot.Raw[keys.Spec(id)]; !ok {
-		writeError(w, &NotFoundError{ID: id})
-		return
-	}
-	writeJSON(w, http.StatusOK, Explanation{Subject: id.String(), Reasons: s.explainRecord(r.Context(), snapshot, id)})
-}
-
 func pathID(r *http.Request) (record.ID, error) {
 	id := record.ID{Kind: record.Kind(r.PathValue("kind")), Name: r.PathValue("name")}
 	for _, kind := range record.Kinds {
--- a/internal/operatorapi/change.go
+++ b/internal/operatorapi/change.go
@@ -210,9 +210,12 @@
 func (s *Server) checkPut(ctx context.Context, c change) error {
 	snapshot := s.withMissing(ctx, s.Feed.Snapshot(), c.envelope)
 	maxSchema := member.SupportedSchema(snapshot, record.MaxSchema)
-	known := admission.KnownFields(nil)
+	var known admission.KnownFields
 	if len(record.UnknownFields(c.envelope)) > 0 {
-		known = s.fieldsBefore(ctx, c)
+		var err error
+		if known, err = s.fieldsBefore(ctx, c); err != nil {
+			return err
+		}
 	}
 	return admission.CheckPut(snapshot, c.envelope, maxSchema, known)
 }
@@ -235,17 +238,22 @@
 }
 
 // fieldsBefore returns the unknown fields that the version to be replaced has
-// already: a newer member wrote them, and they must survive an amendment.
-func (s *Server) fieldsBefore(ctx context.Context, c change) admission.KnownFields {
+// already: a newer member wrote them, and they must survive an amendment. When
+// that version is gone the operator reads of the conflict, not of fields that
+// they never wrote.
+func (s *Server) fieldsBefore(ctx context.Context, c change) (admission.KnownFields, error) {
 	entry, err := s.Store.Get(ctx, keys.Spec(c.id))
-	if err != nil || entry.ModRevision != c.expect {
-		return nil
+	switch {
+	case err != nil && !store.IsNotFound(err):
+		return nil, err
+	case entry.ModRevision != c.expect:
+		return nil, conflictWith(c, entry, err)
 	}
 	before, err := record.ParseEnvelope(entry.Value)
 	if err != nil {
-		return nil
+		return nil, nil
 	}
-	return record.UnknownFields(before)
+	return record.UnknownFields(before), nil
 }
 
 // checkDelete looks at the store's own listing: a record that was made to name
--- a/internal/operatorapi/client.go
+++ b/internal/operatorapi/client.go
@@ -96,6 +96,17 @@
 	return answer, err
 }
 
+// Plan says what applying the records would do. Nothing is written.
+func (c *Client) Plan(ctx context.Context, envelopes []record.Envelope) (PlanAnswer, error) {
+	var answer PlanAnswer
+	body, err := json.Marshal(envelopes)
+	if err != nil {
+		return answer, &record.SyntaxError{Cause: err}
+	}
+	err = c.call(ctx, http.MethodPost, "/v1/plan", nil, body, &answer)
+	return answer, err
+}
+
 // Delete removes the record at revision expect.
 func (c *Client) Delete(ctx context.Context, id record.ID, expect store.Revision) (Accepted, error) {
 	var answer Accepted
@@ -128,6 +139,13 @@
 	return answer, err
 }
 
+// Hosts returns the names of the hosts that have a record, sorted.
+func (c *Client) Hosts(ctx context.Context) ([]string, error) {
+	var answer []string
+	err := c.call(ctx, http.MethodGet, "/v1/hosts", nil, nil, &answer)
+	return answer, err
+}
+
 // Status decodes what the system says about a record into answer.
 func (c *Client) Status(ctx context.Context, id record.ID, answer any) error {
 	return c.call(ctx, http.MethodGet, fmt.Sprintf("/v1/status/%s/%s", id.Kind, url.PathEscape(id.Name)), nil, nil, answer)
--- /dev/null
+++ b/internal/operatorapi/fleet.go
@@ -0,0 +1,206 @@
+package operatorapi
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"net/http"
+	"slices"
+	"sort"
+	"strings"
+
+	"auburnglade.example/glade/internal/budget"
+	"auburnglade.example/glade/internal/catalog"
+	"auburnglade.example/glade/internal/explain"
+	"auburnglade.example/glade/internal/fleet"
+	"auburnglade.example/glade/internal/hostrecord"
+	"auburnglade.example/glade/internal/invariant"
+	"auburnglade.example/glade/internal/keys"
+	"auburnglade.example/glade/internal/member"
+	"auburnglade.example/glade/internal/record"
+	"auburnglade.example/glade/internal/store"
+	"auburnglade.example/glade/internal/wave"
+)
+
+// Prober asks members which revision they serve. Members that can't be asked
+// are left out of the answer.
+type Prober interface {
+	Served(ctx context.Context, members []member.Member) map[string]store.Revision
+}
+
+// MemberSummary is one live process.
+type MemberSummary struct {
+	member.Member
+	// Served is the revision it serves, zero when it could not be asked.
+	Served store.Revision `json:"served"`
+}
+
+// FleetSummary is the whole fleet at a glance.
+type FleetSummary struct {
+	Revision store.Revision `json:"revision"`
+	// Pools counts each pool's hosts by phase, Sizes is what the records ask for.
+	Pools    map[string]map[string]int    `json:"pools"`
+	Sizes    map[string]int               `json:"sizes"`
+	Services []explain.Availability       `json:"services"`
+	Members  []MemberSummary              `json:"members"`
+	Waves    []wave.Status                `json:"waves"`
+	Rejected map[string]catalog.Rejection `json:"rejected,omitempty"`
+	// Hosts holds the records of hosts that are out.
+	Hosts  map[string]hostrecord.Record `json:"hosts,omitempty"`
+	Phases map[hostrecord.Phase]int     `json:"phases"`
+	// Violations are the broken invariants that the asked controller saw; each
+	// process counts its own in glade_invariant_violations_total.
+	Violations []invariant.Violation `json:"violations,omitempty"`
+	// Warnings say what is missing from this summary and why.
+	Warnings []string `json:"warnings,omitempty"`
+}
+
+func (s *Server) fleet(w http.ResponseWriter, r *http.Request) {
+	view, warnings := s.view(r.Context())
+	summary := summarize(view)
+	summary.Warnings = warnings
+	var served map[string]store.Revision
+	members := member.All(view.Snapshot)
+	if s.Prober != nil {
+		served = s.Prober.Served(r.Context(), members)
+	}
+	for _, m := range members {
+		summary.Members = append(summary.Members, MemberSummary{Member: m, Served: served[m.ID]})
+	}
+	if s.Invariant != nil {
+		summary.Violations = s.Invariant.Violations()
+	}
+	writeJSON(w, http.StatusOK, summary)
+}
+
+func (s *Server) hosts(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, slices.Sorted(maps.Keys(s.Feed.Snapshot().Hosts)))
+}
+
+func (s *Server) explain(w http.ResponseWriter, r *http.Request) {
+	view, warnings := s.view(r.Context())
+	id := record.ID{Kind: record.Kind(r.PathValue("kind")), Name: r.PathValue("name")}
+	answer := Explanation{Subject: id.String()}
+	var known bool
+	if id.Kind == KindHost {
+		answer.Pool = view.Snapshot.Hosts[id.Name].Pool
+		answer.Reasons, known = explain.Host(view, id.Name)
+	} else {
+		answer.Reasons, known = explain.Record(view, id)
+	}
+	if !known {
+		writeError(w, &NotFoundError{ID: id})
+		return
+	}
+	for _, warning := range warnings {
+		answer.Reasons = append(answer.Reasons, "note: "+warning)
+	}
+	writeJSON(w, http.StatusOK, answer)
+}
+
+// KindHost explains a host; there are no operators' records of this kind.
+const KindHost record.Kind = "Host"
+
+// view reads what explanations rest on: two listings of the store and the host
+// list. What can't be read is left out and named.
+func (s *Server) view(ctx context.Context) (explain.View, []string) {
+	view := explain.View{
+		Snapshot: s.Feed.Snapshot(),
+		Ledgers:  make(map[string]budget.Ledger),
+		Waves:    make(map[string]wave.Status),
+		Statuses: make(map[record.ID]json.RawMessage),
+	}
+	var warnings []string
+	if err := s.readLedgers(ctx, view); err != nil {
+		warnings = append(warnings, "ledgers not read: "+err.Error())
+	}
+	if err := s.readStatuses(ctx, view); err != nil {
+		warnings = append(warnings, "statuses not read: "+err.Error())
+	}
+	if s.Hosts == nil {
+		return view, warnings
+	}
+	hosts, err := s.Hosts.Hosts(ctx)
+	if err != nil {
+		return view, append(warnings, "host list not read: "+err.Error())
+	}
+	view.Listed = make(map[string]fleet.Host, len(hosts))
+	for _, host := range hosts {
+		view.Listed[host.Name] = host
+	}
+	return view, warnings
+}
+
+func (s *Server) readLedgers(ctx context.Context, view explain.View) error {
+	listing, err := s.Store.List(ctx, keys.LedgerPrefix)
+	if err != nil {
+		return err
+	}
+	for _, entry := range listing.Entries {
+		ledger, err := budget.ParseLedger(entry.Key, entry.Value)
+		if err != nil {
+			return err
+		}
+		view.Ledgers[strings.TrimPrefix(entry.Key, keys.LedgerPrefix)] = ledger
+	}
+	return nil
+}
+
+// readStatuses passes over statuses that can't be read: nothing is decided
+// from them, and the next round of their writer replaces them.
+func (s *Server) readStatuses(ctx context.Context, view explain.View) error {
+	listing, err := s.Store.List(ctx, keys.StatusPrefix)
+	if err != nil {
+		return err
+	}
+	for _, entry := range listing.Entries {
+		kind, name, ok := strings.Cut(strings.TrimPrefix(entry.Key, keys.StatusPrefix), "/")
+		if !ok {
+			continue
+		}
+		view.Statuses[record.ID{Kind: record.Kind(kind), Name: name}] = asJSON(entry.Value)
+		var status wave.Status
+		if record.Kind(kind) == record.KindWave && json.Unmarshal(entry.Value, &status) == nil {
+			view.Waves[name] = status
+		}
+	}
+	return nil
+}
+
+func summarize(view explain.View) FleetSummary {
+	snapshot := view.Snapshot
+	summary := FleetSummary{
+		Revision: snapshot.Revision,
+		Pools:    make(map[string]map[string]int),
+		Sizes:    make(map[string]int),
+		Services: explain.Availabilities(view),
+		Rejected: make(map[string]catalog.Rejection),
+		Phases:   make(map[hostrecord.Phase]int),
+		Hosts:    make(map[string]hostrecord.Record),
+	}
+	for name, pool := range snapshot.Pools() {
+		summary.Pools[name] = make(map[string]int)
+		summary.Sizes[name] = pool.Size
+	}
+	for name, host := range snapshot.Hosts {
+		summary.Phases[host.Phase]++
+		if phases, ok := summary.Pools[host.Pool]; ok {
+			phases[string(host.Phase)]++
+		}
+		if host.Phase != hostrecord.Serving {
+			summary.Hosts[name] = host.Record
+		}
+	}
+	for name := range snapshot.Waves() {
+		status, known := view.Waves[name]
+		if !known {
+			status = wave.Status{Wave: name}
+		}
+		summary.Waves = append(summary.Waves, status)
+	}
+	sort.Slice(summary.Waves, func(i, j int) bool { return summary.Waves[i].Wave < summary.Waves[j].Wave })
+	for id, rejection := range snapshot.Rejected {
+		summary.Rejected[id.String()] = rejection
+	}
+	return summary
+}
--- /dev/null
+++ b/internal/operatorapi/plan.go
@@ -0,0 +1,138 @@
+package operatorapi
+
+import (
+	"encoding/json"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"auburnglade.example/glade/internal/admission"
+	"auburnglade.example/glade/internal/catalog"
+	"auburnglade.example/glade/internal/explain"
+	"auburnglade.example/glade/internal/fleet"
+	"auburnglade.example/glade/internal/forecast"
+	"auburnglade.example/glade/internal/keys"
+	"auburnglade.example/glade/internal/member"
+	"auburnglade.example/glade/internal/record"
+	"auburnglade.example/glade/internal/store"
+)
+
+// maxPlanBytes bounds the records of one plan together.
+const maxPlanBytes = 4 << 20
+
+// PlannedRecord is what applying one record would do.
+type PlannedRecord struct {
+	Record record.ID `json:"record"`
+	// Revision is that of the version that would be replaced, zero when the
+	// record is new.
+	Revision store.Revision `json:"revision,omitempty"`
+	// Refused says why the record would not be accepted.
+	Refused string             `json:"refused,omitempty"`
+	Faults  record.FieldErrors `json:"faults,omitempty"`
+}
+
+// PlanAnswer is what applying records would do to the fleet.
+type PlanAnswer struct {
+	Records []PlannedRecord `json:"records"`
+	// Waves are the forecasts of the planned waves, and of those whose course
+	// the records change.
+	Waves    []forecast.Wave        `json:"waves,omitempty"`
+	Moves    forecast.Moves         `json:"moves"`
+	Services []explain.Availability `json:"services,omitempty"`
+	Warnings []string               `json:"warnings,omitempty"`
+}
+
+func (s *Server) plan(w http.ResponseWriter, r *http.Request) {
+	var envelopes []record.Envelope
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxPlanBytes)).Decode(&envelopes)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		writeError(w, &TooLargeError{Limit: maxPlanBytes})
+		return
+	case err != nil:
+		writeError(w, &record.SyntaxError{Cause: err})
+		return
+	}
+	view, warnings := s.view(r.Context())
+	answer := PlanAnswer{Warnings: warnings}
+	var planned *catalog.Snapshot
+	planned, answer.Records = suppose(view.Snapshot, envelopes)
+	before := forecastInput(view, view.Snapshot)
+	after := forecastInput(view, planned)
+	answer.Waves = changedWaves(forecast.Waves(before), forecast.Waves(after))
+	answer.Moves = forecast.Move(after)
+	view.Snapshot = planned
+	answer.Services = explain.Availabilities(view)
+	writeJSON(w, http.StatusOK, answer)
+}
+
+// suppose returns the snapshot as if the records were in force, those that
+// would be refused left out. Later records may name earlier ones.
+func suppose(snapshot *catalog.Snapshot, envelopes []record.Envelope) (*catalog.Snapshot, []PlannedRecord) {
+	maxSchema := member.SupportedSchema(snapshot, record.MaxSchema)
+	var planned []PlannedRecord
+	for _, envelope := range envelopes {
+		current := snapshot.Raw[keys.Spec(envelope.ID())]
+		p := PlannedRecord{Record: envelope.ID(), Revision: current.ModRevision}
+		var known admission.KnownFields
+		if before, err := record.ParseEnvelope(current.Value); err == nil {
+			known = record.UnknownFields(before)
+		}
+		err := admission.CheckPut(snapshot, envelope, maxSchema, known)
+		value, encodeErr := json.Marshal(envelope)
+		var invalid *record.InvalidError
+		switch {
+		case errors.As(err, &invalid):
+			p.Refused, p.Faults = err.Error(), invalid.Faults
+		case err != nil:
+			p.Refused = err.Error()
+		case encodeErr != nil:
+			p.Refused = encodeErr.Error()
+		default:
+			revision := snapshot.Revision + 1
+			entry := store.Entry{Key: keys.Spec(envelope.ID()), Value: value, ModRevision: revision}
+			snapshot = snapshot.Apply(store.WatchBatch{Revision: revision, Events: []store.Event{{Entry: entry}}})
+		}
+		planned = append(planned, p)
+	}
+	return snapshot, planned
+}
+
+func forecastInput(view explain.View, snapshot *catalog.Snapshot) forecast.Input {
+	input := forecast.Input{Snapshot: snapshot, Ledgers: view.Ledgers, Now: time.Now()}
+	for _, name := range slices.Sorted(maps.Keys(view.Listed)) {
+		input.Hosts = append(input.Hosts, view.Listed[name])
+	}
+	if view.Listed == nil {
+		input.Hosts = assumeLive(snapshot)
+	}
+	return input
+}
+
+// assumeLive stands in for a host list that can't be read; the answer's
+// warnings say so.
+func assumeLive(snapshot *catalog.Snapshot) []fleet.Host {
+	var hosts []fleet.Host
+	for _, name := range slices.Sorted(maps.Keys(snapshot.Hosts)) {
+		item := snapshot.Hosts[name]
+		hosts = append(hosts, fleet.Host{Name: name, Zone: item.Zone, Rack: item.Rack, State: fleet.HostLive})
+	}
+	return hosts
+}
+
+// changedWaves returns the forecasts that the records are the cause of.
+func changedWaves(before, after map[string]forecast.Wave) []forecast.Wave {
+	var changed []forecast.Wave
+	for _, name := range slices.Sorted(maps.Keys(after)) {
+		was, existed := before[name]
+		is := after[name]
+		if !existed || was.Seconds != is.Seconds || was.Phase != is.Phase || was.Hosts != is.Hosts || was.MostOut != is.MostOut {
+			changed = append(changed, is)
+		}
+	}
+	return changed
+}
--- /dev/null
+++ b/internal/operatorapi/probe.go
@@ -0,0 +1,39 @@
+package operatorapi
+
+import (
+	"context"
+	"sync"
+
+	"auburnglade.example/glade/internal/member"
+	"auburnglade.example/glade/internal/peer"
+	"auburnglade.example/glade/internal/store"
+)
+
+// maxProbes bounds the members asked at once.
+const maxProbes = 16
+
+// PeerProber asks members over their peer interface.
+type PeerProber struct{ Client *peer.Client }
+
+// Served implements Prober.
+func (p *PeerProber) Served(ctx context.Context, members []member.Member) map[string]store.Revision {
+	var mu sync.Mutex
+	served := make(map[string]store.Revision, len(members))
+	room := make(chan struct{}, maxProbes)
+	var wait sync.WaitGroup
+	for _, m := range members {
+		room <- struct{}{}
+		wait.Go(func() {
+			defer func() { <-room }()
+			presence, err := p.Client.Served(ctx, m.PeerAddress)
+			if err != nil || presence.Member != m.ID {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			served[m.ID] = store.Revision(presence.ServedRevision)
+		})
+	}
+	wait.Wait()
+	return served
+}
--- /dev/null
+++ b/internal/operatorcli/cli_test.go
@@ -0,0 +1,305 @@
+package operatorcli_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test/must"
+
+	"auburnglade.example/glade/internal/catalog"
+	"auburnglade.example/glade/internal/feed"
+	"auburnglade.example/glade/internal/hostrecord"
+	"auburnglade.example/glade/internal/invariant"
+	"auburnglade.example/glade/internal/keys"
+	"auburnglade.example/glade/internal/operatorapi"
+	"auburnglade.example/glade/internal/operatorcli"
+	"auburnglade.example/glade/internal/record"
+	"auburnglade.example/glade/internal/store"
+	"auburnglade.example/glade/internal/store/memstore"
+	"auburnglade.example/glade/internal/wave"
+)
+
+type laggards []string
+
+func (l *laggards) Lagging(context.Context, store.Revision) []string { return *l }
+
+// desk is an operator's desk in front of one controller.
+type desk struct {
+	t       *testing.T
+	store   *memstore.Store
+	feed    *feed.Feed
+	lagging *laggards
+	url     string
+	dir     string
+	// before runs ahead of each request, to race it.
+	before atomic.Pointer[func(*http.Request)]
+}
+
+func newDesk(t *testing.T) *desk {
+	t.Helper()
+	s := memstore.New()
+	f := feed.New(s, zerolog.Nop(), invariant.New(zerolog.Nop(), nil), nil)
+	d := &desk{t: t, store: s, feed: f, lagging: &laggards{}, dir: t.TempDir()}
+	journal := operatorapi.NewJournal(f)
+	ctx, stop := context.WithCancel(context.Background())
+	go func() { _ = journal.Serve(ctx) }()
+	t.Cleanup(stop)
+	api := operatorapi.New(operatorapi.Config{Store: s, Feed: f, Confirmer: d.lagging, Journal: journal, Log: zerolog.Nop()})
+	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if before := d.before.Load(); before != nil {
+			(*before)(r)
+		}
+		api.ServeHTTP(w, r)
+		d.sync()
+	}))
+	t.Cleanup(front.Close)
+	d.url = front.URL
+	return d
+}
+
+func (d *desk) sync() {
+	listing, err := d.store.List(context.Background(), keys.SharedPrefix)
+	if err == nil {
+		d.feed.Install(catalog.FromListing(d.feed.Snapshot(), listing))
+	}
+}
+
+// run runs gladectl and checks its exit code.
+func (d *desk) run(code int, args ...string) (out, errOut string) {
+	d.t.Helper()
+	var stdout, stderr bytes.Buffer
+	got := operatorcli.Run(d.t.Context(), append([]string{"--server", d.url}, args...), &stdout, &stderr)
+	must.Eq(d.t, code, got, must.Sprintf("%v: %s%s", args, stdout.String(), stderr.String()))
+	return stdout.String(), stderr.String()
+}
+
+// file writes records to a file and returns its name.
+func (d *desk) file(envelopes ...record.Envelope) string {
+	d.t.Helper()
+	var text bytes.Buffer
+	for _, envelope := range envelopes {
+		must.NoError(d.t, json.NewEncoder(&text).Encode(envelope))
+	}
+	name := filepath.Join(d.dir, "records.json")
+	must.NoError(d.t, os.WriteFile(name, text.Bytes(), 0o600))
+	return name
+}
+
+// put writes straight into the store, as another operator might.
+func (d *desk) put(key string, value any) {
+	d.t.Helper()
+	data, err := json.Marshal(value)
+	must.NoError(d.t, err)
+	var expect store.Revision
+	if entry, err := d.store.Get(context.Background(), key); err == nil {
+		expect = entry.ModRevision
+	}
+	_, err = d.store.CompareAndSwap(context.Background(), store.Write{Key: key, Expect: expect, Value: data})
+	must.NoError(d.t, err)
+	d.sync()
+}
+
+func pool(size int) record.Envelope { return record.New("a", &record.Pool{Size: size}) }
+
+func kernel(spec record.Wave) record.Envelope {
+	spec.Pools = []string{"a"}
+	return record.New("kernel", &spec)
+}
+
+func TestExitCodes(t *testing.T) {
+	d := newDesk(t)
+	d.run(operatorcli.ExitOK, "apply", d.file(pool(1)))
+	d.run(operatorcli.ExitOK, "--help")
+	d.run(operatorcli.ExitOK, "--version")
+	d.run(operatorcli.ExitUsage, "no-such-command")
+	d.run(operatorcli.ExitUsage, "get", "Pool")
+	d.run(operatorcli.ExitInvalid, "apply", "none.json")
+	d.run(operatorcli.ExitInvalid, "apply", d.file(pool(-1)))
+	d.run(operatorcli.ExitNotFound, "get", "Pool", "b")
+	d.run(operatorcli.ExitNotFound, "explain", "Host", "none")
+	d.run(operatorcli.ExitNotFound, "pause", "none")
+	d.run(operatorcli.ExitConflict, "apply", "--if-revision", "99", d.file(pool(2)))
+	d.run(operatorcli.ExitDiffers, "diff", d.file(pool(2)))
+	d.run(operatorcli.ExitOK, "diff", d.file(pool(1)))
+	d.run(operatorcli.ExitInvalid, "plan", d.file(pool(-1)))
+	*d.lagging = laggards{"gateway-1"}
+	d.run(operatorcli.ExitTimeout, "wait", "--revision", "1", "--timeout", "1ms")
+	d.store.SetDown(true)
+	d.run(operatorcli.ExitUnreachable, "apply", d.file(pool(3)))
+	d.url = "http://127.0.0.1:1"
+	d.run(operatorcli.ExitUnreachable, "list")
+}
+
+// Another operator changes the record between this one's reading and writing.
+// This one must read which fields changed, and nothing of theirs is lost.
+func TestConflictShowsWhatTheOtherOperatorChanged(t *testing.T) {
+	d := newDesk(t)
+	d.run(operatorcli.ExitOK, "apply", d.file(pool(1)))
+	other := pool(7)
+	other.Author = "astrid"
+	race := func(r *http.Request) {
+		if r.Method == http.MethodPut {
+			d.before.Store(nil)
+			d.put(keys.Spec(other.ID()), other)
+		}
+	}
+	d.before.Store(&race)
+	_, errOut := d.run(operatorcli.ExitConflict, "apply", d.file(pool(2)))
+	must.StrContains(t, errOut, "astrid changed it (revision 2)")
+	must.StrContains(t, errOut, "-spec.size = 1")
+	must.StrContains(t, errOut, "+spec.size = 7")
+	out, _ := d.run(operatorcli.ExitOK, "get", "Pool", "a")
+	must.StrContains(t, out, `"size": 7`)
+}
+
+// A wave is paused while another operator amends it: the amendment is made
+// anew, both changes stand, and a field that no build here knows is kept.
+func TestAmendmentKeepsOthersChangesAndUnknownFields(t *testing.T) {
+	d := newDesk(t)
+	d.put(keys.Spec(pool(1).ID()), pool(1))
+	stored := kernel(record.Wave{})
+	stored.Spec = json.RawMessage(`{"pools":["a"],"colour":{"deep":1}}`)
+	d.put(keys.Spec(stored.ID()), stored)
+	race := func(r *http.Request) {
+		if r.Method == http.MethodPut {
+			d.before.Store(nil)
+			stored.Spec = json.RawMessage(`{"pools":["a"],"colour":{"deep":2},"maxParallel":3}`)
+			d.put(keys.Spec(stored.ID()), stored)
+		}
+	}
+	d.before.Store(&race)
+	d.run(operatorcli.ExitOK, "pause", "kernel")
+	d.run(operatorcli.ExitOK, "cancel", "kernel")
+	d.run(operatorcli.ExitOK, "resume", "kernel")
+	entry, err := d.store.Get(t.Context(), keys.Spec(stored.ID()))
+	must.NoError(t, err)
+	envelope, err := record.ParseEnvelope(entry.Value)
+	must.NoError(t, err)
+	must.EqJSON(t, `{"pools":["a"],"colour":{"deep":2},"maxParallel":3,"cancelled":true}`, string(envelope.Spec))
+}
+
+func TestResumeGoesPastFailuresOnlyOfAStoppedWave(t *testing.T) {
+	d := newDesk(t)
+	d.run(operatorcli.ExitOK, "apply", d.file(pool(1), kernel(record.Wave{Paused: true})))
+	generation := func() int { return d.feed.Snapshot().Waves()["kernel"].ResumeGeneration }
+	d.run(operatorcli.ExitOK, "resume", "kernel")
+	must.Zero(t, generation())
+	d.put(keys.Status(kernel(record.Wave{}).ID()), wave.Status{Wave: "kernel", Phase: wave.Stopped})
+	d.run(operatorcli.ExitOK, "resume", "kernel")
+	must.Eq(t, 1, generation())
+}
+
+func TestDrainMakesAWaveOfOneHost(t *testing.T) {
+	d := newDesk(t)
+	d.run(operatorcli.ExitOK, "apply", d.file(pool(1)))
+	d.put(keys.Host("host-1"), hostrecord.Record{Host: "host-1", Pool: "a", Phase: hostrecord.Serving})
+	d.put(keys.Host("host-2"), hostrecord.Record{Host: "host-2", Phase: hostrecord.Serving})
+	d.run(operatorcli.ExitOK, "drain", "host-1", "--name", "one")
+	spec := d.feed.Snapshot().Waves()["one"]
+	must.True(t, spec.Covers("host-1"))
+	must.False(t, spec.Covers("host-2"))
+	must.Eq(t, []string{"a"}, spec.Pools)
+	d.run(operatorcli.ExitFailed, "drain", "host-2")
+	out, _ := d.run(operatorcli.ExitOK, "explain", "Host", "host-1")
+	must.StrContains(t, out, `wave "one" will maintain it: the wave has not been planned yet`)
+}
+
+func TestApplyWaitNamesLaggingMembers(t *testing.T) {
+	d := newDesk(t)
+	*d.lagging = laggards{"gateway-2", "gateway-3"}
+	_, errOut := d.run(operatorcli.ExitTimeout, "apply", "--wait", "--timeout", "1ms", d.file(pool(1)))
+	must.StrContains(t, errOut, "not in force everywhere yet, behind: gateway-2, gateway-3")
+	must.StrContains(t, errOut, "still behind: [gateway-2 gateway-3]")
+	*d.lagging = nil
+	d.run(operatorcli.ExitOK, "apply", "--wait", d.file(pool(2)))
+}
+
+func TestWaitWaveShowsProgressOnStandardError(t *testing.T) {
+	d := newDesk(t)
+	d.run(operatorcli.ExitOK, "apply", d.file(pool(1), kernel(record.Wave{})))
+	id := kernel(record.Wave{}).ID()
+	d.put(keys.Status(id), wave.Status{Wave: "kernel", Phase: wave.Running, Hosts: 5, Maintained: 2, RemainingSeconds: 90})
+	calls := 0
+	finish := func(r *http.Request) {
+		if calls++; calls == 2 {
+			d.put(keys.Status(id), wave.Status{Wave: "kernel", Phase: wave.Finished, Hosts: 5, Maintained: 5})
+		}
+	}
+	d.before.Store(&finish)
+	out, errOut := d.run(operatorcli.ExitOK, "wait", "--wave", "kernel")
+	must.StrContains(t, errOut, "wave kernel running: 2 of 5 hosts maintained, 0 out, 0 failed, about 1m30s left")
+	must.StrContains(t, out, "wave kernel finished: 5 of 5")
+}
+
+func TestWatchPrintsDeletions(t *testing.T) {
+	d := newDesk(t)
+	d.run(operatorcli.ExitOK, "apply", d.file(pool(1)))
+	deleted := false
+	race := func(r *http.Request) {
+		if r.URL.Query().Get("after") != "0" && !deleted {
+			deleted = true
+			entry, err := d.store.Get(context.Background(), keys.Spec(pool(1).ID()))
+			must.NoError(t, err)
+			_, err = d.store.CompareAndSwap(context.Background(), store.Write{Key: entry.Key, Expect: entry.ModRevision, Delete: true})
+			must.NoError(t, err)
+			d.sync()
+		}
+	}
+	d.before.Store(&race)
+	out, _ := d.run(operatorcli.ExitOK, "watch", "--count", "2")
+	must.StrContains(t, out, "Pool/a at revision 1")
+	must.StrContains(t, out, "Pool/a deleted, seen at revision 2")
+}
+
+func TestStatusAndPlan(t *testing.T) {
+	d := newDesk(t)
+	service := record.New("a", &record.Service{PathPrefix: "/a/", Port: 1})
+	served := record.New("a", &record.Pool{Size: 2, Services: []string{"a"}})
+	budget := record.New("a", &record.Budget{Service: "a", MinAvailable: 1})
+	d.run(operatorcli.ExitOK, "apply", d.file(service, served, budget))
+	for _, host := range []string{"host-1", "host-2"} {
+		d.put(keys.Host(host), hostrecord.Record{Host: host, Pool: "a", Phase: hostrecord.Serving})
+	}
+	d.put(keys.Spec(record.ID{Kind: record.KindPool, Name: "bad"}), "nonsense")
+	out, _ := d.run(operatorcli.ExitOK, "status")
+	must.StrContains(t, out, "a        a      2/2        1       none    0        1 above budget")
+	must.StrContains(t, out, "REJECTED Pool/bad")
+	out, _ = d.run(operatorcli.ExitOK, "plan", d.file(kernel(record.Wave{})))
+	must.StrContains(t, out, "MaintenanceWave/kernel would be created")
+	must.StrContains(t, out, "wave kernel: 2 of 2 hosts, then finished")
+	must.StrContains(t, out, "most out       1 hosts at once")
+	_, err := d.store.Get(t.Context(), keys.Spec(kernel(record.Wave{}).ID()))
+	must.True(t, store.IsNotFound(err))
+	out, _ = d.run(operatorcli.ExitOK, "explain", "AvailabilityBudget", "a")
+	must.StrContains(t, out, "service a: 2 of 2 endpoints available, 1 needed")
+}
+
+func TestCompletionOffersCommandsKindsAndNames(t *testing.T) {
+	d := newDesk(t)
+	d.run(operatorcli.ExitOK, "apply", d.file(pool(1)))
+	t.Setenv("GLADE_SERVER", d.url)
+	complete := func(words ...string) []string {
+		var out bytes.Buffer
+		must.Zero(t, operatorcli.Run(t.Context(), append([]string{"--complete", "--"}, words...), &out, &out))
+		return strings.Fields(out.String())
+	}
+	must.SliceContains(t, complete(), "explain")
+	must.SliceContains(t, complete("get"), "Pool")
+	must.SliceContains(t, complete("get", "Pool"), "a")
+	must.SliceContains(t, complete("explain"), "Host")
+	must.SliceContains(t, complete("wait"), "--wave")
+	must.SliceContains(t, complete("completion"), "fish")
+	for _, shell := range []string{"bash", "zsh", "fish"} {
+		out, _ := d.run(operatorcli.ExitOK, "completion", shell)
+		must.StrContains(t, out, "gladectl --complete --")
+	}
+}
--- a/internal/operatorcli/commands.go
+++ b/internal/operatorcli/commands.go
@@ -9,23 +9,19 @@
 	"github.com/cockroachdb/errors"
 
 	"auburnglade.example/glade/internal/operatorapi"
-	"auburnglade.example/glade/internal/pause"
 	"auburnglade.example/glade/internal/record"
 	"auburnglade.example/glade/internal/store"
-	"auburnglade.example/glade/internal/wave"
 )
 
-const (
-	pollInterval = 200 * time.Millisecond
-	stdinName    = "-"
-)
+const stdinName = "-"
 
 // ApplyCmd puts the records of files in force.
 type ApplyCmd struct {
-	Files   []string      `arg:"" help:"Files of JSON records, one after another; - is standard input."`
-	Wait    bool          `help:"Return only when every live member serves the change."`
-	Timeout time.Duration `help:"How long to wait." default:"60s"`
-	DryRun  bool          `help:"Check only."`
+	Files      []string      `arg:"" help:"Files of JSON records, one after another; - is standard input."`
+	Wait       bool          `help:"Return only when every live member serves the change."`
+	Timeout    time.Duration `help:"How long to wait." default:"60s"`
+	DryRun     bool          `help:"Check only."`
+	IfRevision int64         `help:"Replace this revision only; takes a file with one record."`
 }
 
 // Run implements the command.
@@ -34,9 +30,12 @@
 	if err != nil {
 		return err
 	}
+	if c.IfRevision != 0 && len(envelopes) != 1 {
+		return &FileError{File: c.Files[0], Index: len(envelopes), Cause: &RevisionOfManyError{Records: len(envelopes)}}
+	}
 	var last store.Revision
 	for _, envelope := range envelopes {
-		accepted, changed, err := applyOne(env, envelope, c.DryRun)
+		accepted, changed, err := applyOne(env, envelope, store.Revision(c.IfRevision), c.DryRun)
 		if err != nil {
 			return err
 		}
@@ -51,21 +50,30 @@
 	return waitInForce(env, last, c.Timeout)
 }
 
-// applyOne reads the record first and replaces just the version it read. A
-// record that is already as asked for is left alone.
-func applyOne(env *Env, envelope record.Envelope, dryRun bool) (operatorapi.Accepted, bool, error) {
-	var expect store.Revision
+// RevisionOfManyError says that --if-revision was given for several records.
+type RevisionOfManyError struct{ Records int }
+
+func (e *RevisionOfManyError) Error() string {
+	return fmt.Sprintf("--if-revision takes a file with one record, got %d", e.Records)
+}
+
+// applyOne reads the record first and replaces just the version it read, or
+// the one that the operator named. A record that is already as asked for is
+// left alone.
+func applyOne(env *Env, envelope record.Envelope, named store.Revision, dryRun bool) (operatorapi.Accepted, bool, error) {
 	current, err := env.Client.Get(env.Context, envelope.ID())
-	if err == nil {
-		expect = current.Revision
-		if sameRecord(current.Stored, envelope) {
-			return operatorapi.Accepted{Record: envelope.ID(), Revision: expect}, false, nil
-		}
-	} else if !isNotFound(err) {
+	if err != nil && !isNotFound(err) {
 		return operatorapi.Accepted{}, false, err
 	}
+	if err == nil && sameRecord(current.Stored, envelope) {
+		return operatorapi.Accepted{Record: envelope.ID(), Revision: current.Revision}, false, nil
+	}
+	expect, had := current.Revision, current.Stored
+	if named != 0 && named != current.Revision {
+		expect, had = named, nil
+	}
 	accepted, err := env.Client.Put(env.Context, envelope, expect, dryRun)
-	return accepted, true, err
+	return accepted, true, asChanged(err, envelope.ID(), had)
 }
 
 // GetCmd shows one record.
@@ -141,86 +149,11 @@
 	}
 	accepted, err := env.Client.Delete(env.Context, id, current.Revision)
 	if err != nil {
-		return err
+		return asChanged(err, id, current.Stored)
 	}
 	return env.printAccepted(accepted, true)
 }
 
-// WatchCmd shows changes as they come.
-type WatchCmd struct {
-	After int64 `help:"Show changes after this revision; 0 starts with all records."`
-	Count int   `help:"End after this many changes; 0 never ends."`
-}
-
-// Run implements the command.
-func (c *WatchCmd) Run(env *Env) error {
-	after := store.Revision(c.After)
-	shown := 0
-	for env.Context.Err() == nil {
-		changes, err := env.Client.Watch(env.Context, after)
-		if err != nil {
-			return err
-		}
-		after = max(after, changes.Revision)
-		for _, changed := range changes.Records {
-			if err := env.printRecord(changed); err != nil {
-				return err
-			}
-			shown++
-			if c.Count > 0 && shown >= c.Count {
-				return nil
-			}
-		}
-	}
-	return nil
-}
-
-// WaitCmd waits for a wave's end or for a revision to be in force.
-type WaitCmd struct {
-	Wave     string        `help:"Wait until this wave has ended." xor:"what" required:""`
-	Revision int64         `help:"Wait until every live member serves this revision." xor:"what" required:""`
-	Timeout  time.Duration `help:"How long to wait." default:"30m"`
-}
-
-// Run implements the command.
-func (c *WaitCmd) Run(env *Env) error {
-	if c.Wave == "" {
-		return waitInForce(env, store.Revision(c.Revision), c.Timeout)
-	}
-	return waitWave(env, c.Wave, c.Timeout)
-}
-
-func waitInForce(env *Env, revision store.Revision, timeout time.Duration) error {
-	deadline := time.Now().Add(timeout)
-	var lagging []string
-	for time.Now().Before(deadline) && env.Context.Err() == nil {
-		answer, err := env.Client.InForce(env.Context, revision)
-		if err == nil && answer.InForce {
-			return nil
-		}
-		lagging = answer.Lagging
-		pause.For(env.Context, pollInterval)
-	}
-	return &TimeoutError{For: fmt.Sprintf("revision %d in force everywhere", revision), After: timeout, Lagging: lagging}
-}
-
-func waitWave(env *Env, name string, timeout time.Duration) error {
-	id := record.ID{Kind: record.KindWave, Name: name}
-	deadline := time.Now().Add(timeout)
-	for time.Now().Before(deadline) && env.Context.Err() == nil {
-		var status wave.Status
-		err := env.Client.Status(env.Context, id, &status)
-		if err != nil && !isNotFound(err) {
-			return err
-		}
-		if err == nil && (status.Done() || status.Phase == wave.Stopped) {
-			return env.printWave(status)
-		}
-		pause.For(env.Context, pollInterval)
-	}
-	return &TimeoutError{For: "end of wave " + name, After: timeout}
-}
-
 // StatusCmd shows the fleet, or one record's status.
 type StatusCmd struct {
 	Kind string `arg:"" optional:"" help:"Kind; the whole fleet when left out."`
--- /dev/null
+++ b/internal/operatorcli/exit.go
@@ -0,0 +1,157 @@
+package operatorcli
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"auburnglade.example/glade/internal/operatorapi"
+	"auburnglade.example/glade/internal/record"
+)
+
+// Exit codes of gladectl, documented in docs/operators/gladectl.md.
+const (
+	ExitOK          = 0
+	ExitFailed      = 1
+	ExitUsage       = 2
+	ExitInvalid     = 3
+	ExitConflict    = 4
+	ExitNotFound    = 5
+	ExitUnreachable = 6
+	ExitTimeout     = 7
+	// ExitDiffers is what diff returns when there is a difference.
+	ExitDiffers = 8
+	// ExitUnknown says that a change may or may not have been accepted.
+	ExitUnknown = 9
+)
+
+// TimeoutError says that a wait ended without what it waited for.
+type TimeoutError struct {
+	For     string
+	After   time.Duration
+	Lagging []string
+}
+
+func (e *TimeoutError) Error() string {
+	text := fmt.Sprintf("%s not reached after %s", e.For, e.After)
+	if len(e.Lagging) > 0 {
+		text += fmt.Sprintf("; still behind: %v", e.Lagging)
+	}
+	return text
+}
+
+// DiffersError says that files and records in force differ.
+type DiffersError struct{ Count int }
+
+func (e *DiffersError) Error() string { return fmt.Sprintf("%d records differ", e.Count) }
+
+// FileError says which file, and which record in it, can't be read.
+type FileError struct {
+	File  string
+	Index int
+	Cause error
+}
+
+func (e *FileError) Error() string {
+	return fmt.Sprintf("%s: record %d: %v", e.File, e.Index, e.Cause)
+}
+
+func (e *FileError) Unwrap() error { return e.Cause }
+
+// ChangedError says that another operator changed the record between this
+// operator's reading and writing.
+type ChangedError struct {
+	ID record.ID
+	// Had is the envelope this operator had, empty when there was none.
+	Had    json.RawMessage
+	Answer *operatorapi.ErrorAnswer
+}
+
+func (e *ChangedError) Error() string { return e.Answer.Message }
+
+func (e *ChangedError) Unwrap() error { return e.Answer }
+
+// asChanged adds what the operator had to a conflict.
+func asChanged(err error, id record.ID, had json.RawMessage) error {
+	var answer *operatorapi.ErrorAnswer
+	if errors.As(err, &answer) && answer.Code == operatorapi.CodeConflict {
+		return &ChangedError{ID: id, Had: had, Answer: answer}
+	}
+	return err
+}
+
+func exitCode(err error) int {
+	var answer *operatorapi.ErrorAnswer
+	var unreachable *operatorapi.UnreachableError
+	switch {
+	case errors.As(err, &answer):
+		return answerCode(answer.Code)
+	case errors.As(err, &unreachable):
+		return ExitUnreachable
+	case isA[*TimeoutError](err):
+		return ExitTimeout
+	case isA[*DiffersError](err):
+		return ExitDiffers
+	case isA[*FileError](err), isA[*RefusedError](err), isA[*record.InvalidError](err), isA[*record.SchemaError](err), isA[*record.SyntaxError](err):
+		return ExitInvalid
+	}
+	return ExitFailed
+}
+
+func answerCode(code operatorapi.Code) int {
+	switch code {
+	case operatorapi.CodeInvalid, operatorapi.CodeSchema, operatorapi.CodeBadRequest, operatorapi.CodeReferenced, operatorapi.CodeTooLarge:
+		return ExitInvalid
+	case operatorapi.CodeConflict, operatorapi.CodePrecondition:
+		return ExitConflict
+	case operatorapi.CodeNotFound:
+		return ExitNotFound
+	case operatorapi.CodeStoreAway, operatorapi.CodeRate:
+		return ExitUnreachable
+	case operatorapi.CodeUnknownOutcome:
+		return ExitUnknown
+	}
+	return ExitFailed
+}
+
+func report(out io.Writer, err error) {
+	fmt.Fprintln(out, "gladectl:", err)
+	var answer *operatorapi.ErrorAnswer
+	if errors.As(err, &answer) {
+		for _, fault := range answer.Faults {
+			fmt.Fprintf(out, "  %s: got %q, want %s\n", fault.Field, fault.Got, fault.Want)
+		}
+	}
+	var changed *ChangedError
+	if errors.As(err, &changed) && changed.Answer.Current != nil {
+		reportChange(out, changed)
+	}
+}
+
+// reportChange shows, field by field, what the other operator changed.
+func reportChange(out io.Writer, changed *ChangedError) {
+	current := changed.Answer.Current
+	theirs, err := record.ParseEnvelope(current.Stored)
+	if err != nil {
+		fmt.Fprintf(out, "it can't be read now: %v\n", err)
+		return
+	}
+	author := theirs.Author
+	if author == "" {
+		author = "another operator"
+	}
+	fmt.Fprintf(out, "since you read it, %s changed it (revision %d):\n", author, current.Revision)
+	// What isn't a record shows as a whole new one.
+	had, _ := record.ParseEnvelope(changed.Had)
+	for _, line := range diffLines(had, theirs) {
+		fmt.Fprintln(out, "  "+line)
+	}
+}
+
+func isA[T error](err error) bool {
+	var target T
+	return errors.As(err, &target)
+}
--- a/internal/operatorcli/print.go
+++ b/internal/operatorcli/print.go
@@ -4,13 +4,13 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"reflect"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"text/tabwriter"
 
 	"auburnglade.example/glade/internal/operatorapi"
-	"auburnglade.example/glade/internal/record"
 	"auburnglade.example/glade/internal/wave"
 )
 
@@ -70,26 +70,6 @@
 	return e.table("KIND\tNAME\tREVISION\tSTATE", rows)
 }
 
-func (e *Env) printFleet(summary operatorapi.FleetSummary) error {
-	if e.JSON {
-		return e.json(summary)
-	}
-	fmt.Fprintf(e.Out, "configuration revision %d, %d members, waves: %s\n\n",
-		summary.Revision, len(summary.Members), strings.Join(summary.Waves, ", "))
-	var rows [][]string
-	for name, phases := range summary.Pools {
-		rows = append(rows, []string{name, phaseCounts(phases)})
-	}
-	sort.Slice(rows, func(i, j int) bool { return rows[i][0] < rows[j][0] })
-	if err := e.table("POOL\tHOSTS", rows); err != nil {
-		return err
-	}
-	for id, rejection := range summary.Rejected {
-		fmt.Fprintf(e.Out, "rejected: %s: %s\n", id, rejection.Reason)
-	}
-	return nil
-}
-
 func phaseCounts(phases map[string]int) string {
 	var parts []string
 	for phase, count := range phases {
@@ -99,14 +79,28 @@
 	return strings.Join(parts, ", ")
 }
 
+func (e *Env) printChange(c change) error {
+	if e.JSON {
+		return e.json(c)
+	}
+	if c.Deleted {
+		fmt.Fprintf(e.Out, "%s deleted, seen at revision %d\n", c.Record.ID, c.Record.Revision)
+		return nil
+	}
+	return e.printRecord(c.Record)
+}
+
 func (e *Env) printWave(status wave.Status) error {
 	if e.JSON {
 		return e.json(status)
 	}
 	fmt.Fprintf(e.Out, "wave %s %s: %d of %d hosts maintained, %d failed\n",
 		status.Wave, status.Phase, status.Maintained, status.Hosts, len(status.Failed))
-	for host, reason := range status.Failed {
-		fmt.Fprintf(e.Out, "  %s: %s\n", host, reason)
+	if status.Reason != "" {
+		fmt.Fprintln(e.Out, "  "+status.Reason)
+	}
+	for _, host := range slices.Sorted(maps.Keys(status.Failed)) {
+		fmt.Fprintf(e.Out, "  %s: %s\n", host, status.Failed[host])
 	}
 	return nil
 }
@@ -122,79 +116,6 @@
 	return nil
 }
 
-func (e *Env) printDiff(envelope record.Envelope, stored json.RawMessage) {
-	fmt.Fprintf(e.Out, "--- %s in force\n+++ %s in file\n", envelope.ID(), envelope.ID())
-	var before record.Envelope
-	if len(stored) > 0 {
-		// What isn't a record shows as a whole new one.
-		before, _ = record.ParseEnvelope(stored)
-	}
-	printLines(e, "-", "+", comparable(before), comparable(envelope))
-}
-
-func printLines(e *Env, minus, plus string, before, after []string) {
-	for _, line := range before {
-		if !contains(after, line) {
-			fmt.Fprintln(e.Out, minus+line)
-		}
-	}
-	for _, line := range after {
-		if !contains(before, line) {
-			fmt.Fprintln(e.Out, plus+line)
-		}
-	}
-}
-
-// comparable flattens a record to sorted "path = value" lines.
-func comparable(envelope record.Envelope) []string {
-	if envelope.Kind == "" {
-		return nil
-	}
-	lines := []string{fmt.Sprintf("schema = %d", envelope.Schema)}
-	var spec any
-	if json.Unmarshal(envelope.Spec, &spec) == nil {
-		flatten("spec", spec, &lines)
-	}
-	sort.Strings(lines)
-	return lines
-}
-
-func flatten(path string, value any, lines *[]string) {
-	object, ok := value.(map[string]any)
-	if !ok {
-		text, err := json.Marshal(value)
-		if err == nil {
-			*lines = append(*lines, path+" = "+string(text))
-		}
-		return
-	}
-	for name, child := range object {
-		flatten(path+"."+name, child, lines)
-	}
-}
-
-func contains(lines []string, wanted string) bool {
-	for _, line := range lines {
-		if line == wanted {
-			return true
-		}
-	}
-	return false
-}
-
-// sameRecord compares schema and spec by value, not by spelling.
-func sameRecord(stored json.RawMessage, envelope record.Envelope) bool {
-	current, err := record.ParseEnvelope(stored)
-	if err != nil || current.Schema != envelope.Schema {
-		return false
-	}
-	var a, b any
-	if json.Unmarshal(current.Spec, &a) != nil || json.Unmarshal(envelope.Spec, &b) != nil {
-		return false
-	}
-	return reflect.DeepEqual(a, b)
-}
-
 func indent(raw json.RawMessage) string {
 	var out bytes.Buffer
 	if json.Indent(&out, raw, "", "  ") != nil {
--- /dev/null
+++ b/internal/operatorcli/wait.go
@@ -0,0 +1,93 @@
+package operatorcli
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"auburnglade.example/glade/internal/pause"
+	"auburnglade.example/glade/internal/record"
+	"auburnglade.example/glade/internal/store"
+	"auburnglade.example/glade/internal/wave"
+)
+
+const pollInterval = 200 * time.Millisecond
+
+// WaitCmd waits for a wave's end or for a revision to be in force.
+type WaitCmd struct {
+	Wave     string        `help:"Wait until this wave has ended." xor:"what" required:""`
+	Revision int64         `help:"Wait until every live member serves this revision." xor:"what" required:""`
+	Timeout  time.Duration `help:"How long to wait." default:"30m"`
+}
+
+// Run implements the command.
+func (c *WaitCmd) Run(env *Env) error {
+	if c.Wave == "" {
+		return waitInForce(env, store.Revision(c.Revision), c.Timeout)
+	}
+	return waitWave(env, c.Wave, c.Timeout)
+}
+
+func waitInForce(env *Env, revision store.Revision, timeout time.Duration) error {
+	deadline := time.Now().Add(timeout)
+	var lagging []string
+	said := ""
+	for time.Now().Before(deadline) && env.Context.Err() == nil {
+		answer, err := env.Client.InForce(env.Context, revision)
+		if err == nil && answer.InForce {
+			return nil
+		}
+		line := "no controller answers: " + fmt.Sprint(err)
+		if err == nil {
+			lagging = answer.Lagging
+			line = "behind: " + strings.Join(lagging, ", ")
+		}
+		if line != said {
+			env.progress("revision %d is not in force everywhere yet, %s", revision, line)
+			said = line
+		}
+		pause.For(env.Context, pollInterval)
+	}
+	return &TimeoutError{For: fmt.Sprintf("revision %d in force everywhere", revision), After: timeout, Lagging: lagging}
+}
+
+func waitWave(env *Env, name string, timeout time.Duration) error {
+	id := record.ID{Kind: record.KindWave, Name: name}
+	deadline := time.Now().Add(timeout)
+	said := ""
+	for time.Now().Before(deadline) && env.Context.Err() == nil {
+		var status wave.Status
+		err := env.Client.Status(env.Context, id, &status)
+		switch {
+		case isNotFound(err):
+			// The record may be gone, or not planned yet.
+			if _, err := env.Client.Get(env.Context, id); isNotFound(err) {
+				return err
+			}
+		case err != nil:
+			// Waiting goes on through an outage; the deadline ends it.
+			env.progress("no status: %v", err)
+		case status.Done() || status.Phase == wave.Stopped:
+			return env.printWave(status)
+		}
+		if line := progressLine(status); err == nil && line != said {
+			env.progress("wave %s %s", name, line)
+			said = line
+		}
+		pause.For(env.Context, pollInterval)
+	}
+	return &TimeoutError{For: "end of wave " + name, After: timeout}
+}
+
+// progressLine is a wave's progress with its estimated end.
+func progressLine(status wave.Status) string {
+	line := fmt.Sprintf("%s: %d of %d hosts maintained, %d out, %d failed",
+		status.Phase, status.Maintained, status.Hosts, len(status.Out), len(status.Failed))
+	if status.RemainingSeconds > 0 {
+		line += fmt.Sprintf(", about %s left", time.Duration(status.RemainingSeconds)*time.Second)
+	}
+	if status.Reason != "" && status.Phase != wave.Running {
+		line += ", " + status.Reason
+	}
+	return line
+}
