Read the host list once a process, on condition, within a bandwidth

Cause: every part of every process read the whole host list each second; at 1,000 hosts that was 91 KB a second per member of the 29 KB a node may spend. Change: the adapter asks with If-None-Match and takes gzip; a cache shares one reading among a process's parts and spreads readings of a long list that keeps changing, so that the average fits whatever the platform offers. The pacing test in virtual time: 60 readings a minute of an unchanged list, 2 of a list that is new each time. Weighed and left: relays passing list deltas on between peers, which needs no help from the platform but a protocol of ours.

--- a/internal/daemon/common.go
+++ b/internal/daemon/common.go
@@ -13,6 +13,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"auburnglade.example/glade/internal/feed"
+	"auburnglade.example/glade/internal/fleet/hostcache"
 	"auburnglade.example/glade/internal/httpserve"
 	"auburnglade.example/glade/internal/invariant"
 	"auburnglade.example/glade/internal/member"
@@ -34,6 +35,8 @@
 	registry  *prometheus.Registry
 	invariant *invariant.Checker
 	platform  *platformhttp.Client
+	// hosts is the platform's host list, read once for all parts.
+	hosts     *hostcache.Cache
 	store     *storebudget.Budget
 	feed      *feed.Feed
 	registrar *member.Registrar
@@ -74,6 +77,7 @@
 		registry: telemetry.NewRegistry(),
 		platform: platformhttp.NewClient(o.platform.URL),
 	}
+	c.hosts = hostcache.New(hostcache.Config{Source: c.platform, Interval: o.platform.HostsEvery})
 	c.tracer, c.stopTrace, err = telemetry.NewTracer(ctx, o.trace.URL, o.binary, id)
 	if err != nil {
 		return nil, err
--- a/internal/daemon/controller.go
+++ b/internal/daemon/controller.go
@@ -46,12 +46,12 @@
 	c.holder = holder.New(base.store, fleetShard, base.self.ID, settings.Decide.HoldTTL, telemetry.Part(base.log, "holder"))
 	c.status = storebudget.NewStatusWriter(base.store, telemetry.Part(base.log, "status"))
 	c.drainer = drainer.New(drainer.Config{
-		Member: base.self.ID, Store: base.store, Status: c.status, Feed: base.feed, Hosts: base.platform, Pool: base.platform,
+		Member: base.self.ID, Store: base.store, Status: c.status, Feed: base.feed, Hosts: base.hosts, Pool: base.platform,
 		Confirmer: c.confirm, Shard: c.holder, Gate: budget.NewGate(base.store), Invariant: base.invariant,
 		Log: telemetry.Part(base.log, "drainer"), Interval: settings.Decide.Interval,
 	})
 	c.mover = mover.New(mover.Config{
-		Member: base.self.ID, Store: base.store, Feed: base.feed, Hosts: base.platform, Pool: base.platform,
+		Member: base.self.ID, Store: base.store, Feed: base.feed, Hosts: base.hosts, Pool: base.platform,
 		Confirmer: c.confirm, Gate: budget.NewGate(base.store), Shard: c.holder, Invariant: base.invariant,
 		Log: telemetry.Part(base.log, "mover"), Interval: settings.Decide.Interval,
 	})
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -42,7 +42,7 @@
 	})
 	g.shares = newShares(base)
 	g.gateway = gateway.New(gateway.Config{
-		Member: base.self.ID, Zone: settings.Process.Zone, Feed: base.feed, Hosts: base.platform,
+		Member: base.self.ID, Zone: settings.Process.Zone, Feed: base.feed, Hosts: base.hosts,
 		Invariant: base.invariant, Log: telemetry.Part(base.log, "gateway"), Registry: base.registry,
 		Tracer: base.tracer, WorksWith: base.feed.WorkedWith("gateway"), Once: g.once, Shares: g.shares,
 	})
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -18,7 +18,8 @@
 
 // PlatformSettings say where the platform's services are.
 type PlatformSettings struct {
-	URL string `ini:"url" want:"url" required:"true" help:"Base URL of the platform, with an IP number."`
+	URL        string        `ini:"url" want:"url" required:"true" help:"Base URL of the platform, with an IP number."`
+	HostsEvery time.Duration `ini:"hosts_every" help:"Least time between two readings of the host list; a long list that keeps changing is read more rarely, within the bandwidth of a node."`
 }
 
 // StoreSettings bound the calls to the platform's store.
@@ -108,24 +109,28 @@
 // DefaultGatewaySettings returns the defaults; required keys are empty.
 func DefaultGatewaySettings() *GatewaySettings {
 	return &GatewaySettings{
-		Process: ProcessSettings{Region: "main"},
-		Store:   defaultStore(),
-		Stop:    defaultStop(),
-		Log:     LogSettings{Level: "info"},
+		Process:  ProcessSettings{Region: "main"},
+		Store:    defaultStore(),
+		Platform: defaultPlatform(),
+		Stop:     defaultStop(),
+		Log:      LogSettings{Level: "info"},
 	}
 }
 
 // DefaultControllerSettings returns the defaults; required keys are empty.
 func DefaultControllerSettings() *ControllerSettings {
 	return &ControllerSettings{
-		Process: ProcessSettings{Region: "main"},
-		Decide:  DecideSettings{Interval: time.Second, HoldTTL: 6 * time.Second},
-		Store:   defaultStore(),
-		Stop:    defaultStop(),
-		Log:     LogSettings{Level: "info"},
+		Process:  ProcessSettings{Region: "main"},
+		Decide:   DecideSettings{Interval: time.Second, HoldTTL: 6 * time.Second},
+		Store:    defaultStore(),
+		Platform: defaultPlatform(),
+		Stop:     defaultStop(),
+		Log:      LogSettings{Level: "info"},
 	}
 }
 
+func defaultPlatform() PlatformSettings { return PlatformSettings{HostsEvery: time.Second} }
+
 func defaultStop() StopSettings {
 	return StopSettings{Notice: 5 * time.Second, Grace: 40 * time.Second}
 }
--- a/internal/platformhttp/client.go
+++ b/internal/platformhttp/client.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"auburnglade.example/glade/internal/fleet"
@@ -26,6 +27,9 @@
 type Client struct {
 	base string
 	http *http.Client
+
+	mu     sync.Mutex
+	listed listedHosts
 }
 
 var (
@@ -94,13 +98,6 @@
 	return c.write(ctx, pathRevoke, leaseRequest{ID: id}, &empty{})
 }
 
-// Hosts implements fleet.HostList.
-func (c *Client) Hosts(ctx context.Context) ([]fleet.Host, error) {
-	var hosts []fleet.Host
-	err := c.read(ctx, pathHosts, empty{}, &hosts)
-	return hosts, err
-}
-
 // Condition implements fleet.PoolHosts.
 func (c *Client) Condition(ctx context.Context, host string) (fleet.HostCondition, error) {
 	var condition fleet.HostCondition
--- a/internal/platformhttp/server.go
+++ b/internal/platformhttp/server.go
@@ -52,9 +52,7 @@
 }
 
 func serveHosts(mux *http.ServeMux, b Backend) {
-	serve(mux, pathHosts, func(ctx context.Context, _ empty) ([]fleet.Host, error) {
-		return b.Hosts.Hosts(ctx)
-	})
+	mux.HandleFunc("GET "+pathHosts, serveHostList(b.Hosts))
 	serve(mux, pathCondition, func(ctx context.Context, r hostRequest) (fleet.HostCondition, error) {
 		return b.Pool.Condition(ctx, r.Host)
 	})
--- a/internal/platformhttp/wire.go
+++ b/internal/platformhttp/wire.go
@@ -12,7 +12,8 @@
 	"auburnglade.example/glade/internal/store"
 )
 
-// Paths of the calls; every call is a POST with a JSON body.
+// Paths of the calls; every call is a POST with a JSON body, but for the host
+// list, which is got on condition.
 const (
 	pathGet        = "/store/get"
 	pathList       = "/store/list"
