--- a/internal/platformhttp/client.go
+++ b/internal/platformhttp/client.go
@@ -6,7 +6,9 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"auburnglade.example/glade/internal/fleet"
@@ -189,6 +191,12 @@
 	if err != nil {
 		return false, &store.UnavailableError{Op: path, Cause: err}
 	}
+	// Without a connection nothing can have been sent: an outage of the
+	// platform is then "unavailable" and not "unknown", and costs no re-read.
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
 	httpRequest, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, bytes.NewReader(body))
 	if err != nil {
 		return false, &store.UnavailableError{Op: path, Cause: err}
@@ -197,7 +205,7 @@
 	httpRequest.GetBody = nil
 	response, err := c.http.Do(httpRequest)
 	if err != nil {
-		return true, &store.UnavailableError{Op: path, Cause: err}
+		return connected.Load(), &store.UnavailableError{Op: path, Cause: err}
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
--- /dev/null
+++ b/internal/supervise/supervise_test.go
@@ -0,0 +1,65 @@
+package supervise
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test/must"
+)
+
+type serviceFunc func(ctx context.Context) error
+
+func (f serviceFunc) Serve(ctx context.Context) error { return f(ctx) }
+
+// One part panics twice; its neighbour must not notice, and the restarts must
+// be counted under the part's own name.
+func TestPanickingPartRestartsAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tree := New("test", zerolog.Nop(), prometheus.NewRegistry())
+		var shaky, steady atomic.Int64
+		recovered := make(chan struct{})
+		tree.Add("shaky", serviceFunc(func(ctx context.Context) error {
+			if shaky.Add(1) <= 2 {
+				panic("a fault")
+			}
+			close(recovered)
+			<-ctx.Done()
+			return ctx.Err()
+		}))
+		tree.Add("steady", serviceFunc(func(ctx context.Context) error {
+			steady.Add(1)
+			<-ctx.Done()
+			return ctx.Err()
+		}))
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- tree.Run(ctx) }()
+		<-recovered
+		cancel()
+		must.NoError(t, <-ended)
+		must.EqOp(t, int64(1), steady.Load())
+		must.EqOp(t, 2.0, testutil.ToFloat64(tree.restarts.WithLabelValues("shaky")))
+		must.EqOp(t, 0.0, testutil.ToFloat64(tree.restarts.WithLabelValues("steady")))
+	})
+}
+
+// A part that fails at every start can't be healed by restarting it. The
+// process must end with a typed reason, so that the platform replaces it, and
+// not spin for ever.
+func TestPartThatKeepsFailingEndsTheProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tree := New("test", zerolog.Nop(), nil)
+		tree.Add("broken", serviceFunc(func(context.Context) error { return &PartFailedError{Part: "inner"} }))
+		err := tree.Run(t.Context())
+		var failed *PartFailedError
+		must.True(t, errors.As(err, &failed))
+		must.EqOp(t, "broken", failed.Part)
+		must.EqOp(t, failureThreshold, failed.Restarts)
+	})
+}
