Place jobs on workers, with the intent written before the act

Cause: nothing acted on the placement planner's plans, and the stand-in platform had no workers.

Change: package jobs, a supervised part of the controller. One value per pool holds its tasks, job progress, learned sizes and blame; one write per pool and round carries all of a round's starts and ends. Starts, checkpoints, throttles and stops follow the write, at most 64 calls at once. Leases are renewed per host in one call, also while the store is away. Tasks of a host that the platform can't reach are placed anew only after their lease has ended. fakeworkers is the stand-in for workers and counts for itself; the story runs sample jobs for both deployments and fails on a double run or a lost task.

Failures that the random run found, each mended: a job parked for ever because its team's habit made it look larger than any host; a host once cut off that nobody read again, so it never got a task; a task taken as never sent after a state was read again although another controller had sent it; a clock of an unreachable host that went on while another controller used the host; failures of tasks placed before a quarantine counted as failed probes.

The guards against a late Start are not hit by the random run; they need tests of their own.

--- a/internal/daemon/controller.go
+++ b/internal/daemon/controller.go
@@ -8,6 +8,7 @@
 	"auburnglade.example/glade/internal/drainer"
 	"auburnglade.example/glade/internal/holder"
 	"auburnglade.example/glade/internal/httpserve"
+	"auburnglade.example/glade/internal/jobs"
 	"auburnglade.example/glade/internal/member"
 	"auburnglade.example/glade/internal/mover"
 	"auburnglade.example/glade/internal/operatorapi"
@@ -27,6 +28,7 @@
 	holder   *holder.Holder
 	drainer  *drainer.Drainer
 	mover    *mover.Mover
+	jobs     *jobs.Manager
 	api      *operatorapi.Server
 	journal  *operatorapi.Journal
 }
@@ -55,6 +57,12 @@
 		Confirmer: c.confirm, Gate: budget.NewGate(base.store), Shard: c.holder, Invariant: base.invariant,
 		Log: telemetry.Part(base.log, "mover"), Interval: settings.Decide.Interval,
 	})
+	c.jobs = jobs.New(jobs.Config{
+		Member: base.self.ID, Store: base.platform, Feed: base.feed, Hosts: base.platform, Pool: base.platform,
+		Workers: base.platform, Shard: c.holder, Invariant: base.invariant, Metrics: jobs.NewMetrics(base.registry),
+		Log: telemetry.Part(base.log, "jobs"), Interval: settings.Decide.Interval,
+		LeaseTTL: settings.Jobs.LeaseTTL, ReportInterval: settings.Jobs.ReportInterval,
+	})
 	c.journal = operatorapi.NewJournal(base.feed)
 	c.api = c.newAPI()
 	return c, nil
@@ -69,6 +77,7 @@
 	tree.Add("holder", c.holder)
 	tree.Add("drainer", c.drainer)
 	tree.Add("mover", c.mover)
+	tree.Add("jobs", c.jobs)
 	tree.Add("journal", c.journal)
 	tree.Add("operators", httpserve.New("operators", c.settings.Listen.Operators, c.api, c.settings.Stop.Grace))
 	c.addCommonParts(tree, c.settings.Listen.Peers, c.settings.Listen.Admin, c.feed.Ready)
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"auburnglade.example/glade/internal/jobs"
 	"auburnglade.example/glade/internal/storebudget"
 )
 
@@ -93,6 +94,12 @@
 	HoldTTL  time.Duration `ini:"hold_ttl" help:"How long the decisions of a lost controller wait for another to take over."`
 }
 
+// JobsSettings shape how tasks are kept and watched on workers.
+type JobsSettings struct {
+	LeaseTTL       time.Duration `ini:"lease_ttl" help:"How long a task runs on when nobody renews it. A task of a host that the platform can't reach starts elsewhere only after that."`
+	ReportInterval time.Duration `ini:"report_interval" help:"Pause between two readings of the workers' usage reports."`
+}
+
 // ControllerSettings are the settings of glade-controller.
 type ControllerSettings struct {
 	Process  ProcessSettings  `ini:"process"`
@@ -101,6 +108,7 @@
 	Store    StoreSettings    `ini:"store"`
 	Peers    PeerSettings     `ini:"peers"`
 	Decide   DecideSettings   `ini:"decide"`
+	Jobs     JobsSettings     `ini:"jobs"`
 	Stop     StopSettings     `ini:"stop"`
 	Log      LogSettings      `ini:"log"`
 	Trace    TraceSettings    `ini:"trace"`
@@ -126,6 +134,7 @@
 		Platform: defaultPlatform(),
 		Stop:     defaultStop(),
 		Log:      LogSettings{Level: "info"},
+		Jobs:     JobsSettings{LeaseTTL: jobs.DefaultLeaseTTL, ReportInterval: jobs.DefaultReportInterval},
 	}
 }
 
--- a/internal/devrun/devrun.go
+++ b/internal/devrun/devrun.go
@@ -44,16 +44,22 @@
 
 // Shape of the stand-ins: fast enough that a run takes well under a minute.
 const (
-	listLag       = time.Second
-	rebootTime    = 400 * time.Millisecond
-	workTime      = 4 * time.Millisecond
-	thinkTime     = 20 * time.Millisecond
-	roundInterval = 100 * time.Millisecond
-	holdTTL       = 2 * time.Second
-	stopNotice    = time.Second
-	stopGrace     = 15 * time.Second
-	readyTimeout  = 30 * time.Second
-	pollInterval  = 50 * time.Millisecond
+	listLag    = time.Second
+	rebootTime = 400 * time.Millisecond
+	workTime   = 4 * time.Millisecond
+	// Tasks of jobs, their reports and their leases.
+	taskTime       = 1500 * time.Millisecond
+	reportLag      = 400 * time.Millisecond
+	checkpointTime = 100 * time.Millisecond
+	leaseTTL       = 5 * time.Second
+	reportInterval = 300 * time.Millisecond
+	thinkTime      = 20 * time.Millisecond
+	roundInterval  = 100 * time.Millisecond
+	holdTTL        = 2 * time.Second
+	stopNotice     = time.Second
+	stopGrace      = 15 * time.Second
+	readyTimeout   = 30 * time.Second
+	pollInterval   = 50 * time.Millisecond
 )
 
 // MaxInstance is the highest instance number.
@@ -149,6 +155,7 @@
 func (r *Run) startPlatform() error {
 	r.Platform = standin.NewPlatform(r.Shape(), servicePorts(r.records), standin.Options{
 		ListLag: listLag, RebootTime: rebootTime, WorkTime: workTime,
+		ReportLag: reportLag, CheckpointTime: checkpointTime, TaskTime: taskTime,
 	})
 	if err := r.Platform.Start(r.PlatformAddress()); err != nil {
 		return &SetupError{Part: "platform", Cause: err}
@@ -282,6 +289,7 @@
 	}
 	s.Peers.Addresses = r.peerAddresses()
 	s.Decide = daemon.DecideSettings{Interval: roundInterval, HoldTTL: holdTTL}
+	s.Jobs = daemon.JobsSettings{LeaseTTL: leaseTTL, ReportInterval: reportInterval}
 	s.Stop = daemon.StopSettings{Notice: stopNotice, Grace: stopGrace}
 	s.Log.Level = r.Options.LogLevel
 	return s
--- a/internal/devrun/story.go
+++ b/internal/devrun/story.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"auburnglade.example/glade/examples"
+	"auburnglade.example/glade/internal/fleet/fakeworkers"
 	"auburnglade.example/glade/internal/operatorapi"
 	"auburnglade.example/glade/internal/pause"
 	"auburnglade.example/glade/internal/record"
@@ -49,6 +50,12 @@
 		WatchCalls  int64 `json:"watch_calls"`
 		MostWatches int64 `json:"most_watches"`
 	} `json:"platform"`
+	Jobs struct {
+		// Expected is how many tasks the sample jobs have; the rest is counted
+		// by the workers.
+		Expected int `json:"expected"`
+		fakeworkers.Counts
+	} `json:"jobs"`
 	Seconds float64  `json:"seconds"`
 	Faults  []string `json:"faults"`
 }
@@ -88,6 +95,7 @@
 		run.MakeChanges(changesCtx, &report)
 	}()
 	err = run.tellWave(ctx, &report)
+	run.awaitJobs(ctx)
 	stopChanges()
 	<-changesEnded
 	pause.For(ctx, settleTime)
@@ -270,6 +278,7 @@
 	for _, violation := range violations {
 		report.Faults = append(report.Faults, string(violation.Rule)+": "+violation.Evidence)
 	}
+	report.Jobs.Expected, report.Jobs.Counts = r.expectedTasks(), r.Platform.Workers.Counts()
 	counts := r.Platform.Store.Counts()
 	report.Platform.Reads, report.Platform.Writes = counts.Reads, counts.Writes
 	report.Platform.LeaseCalls, report.Platform.WatchCalls = counts.LeaseCalls, counts.WatchCalls
@@ -298,6 +307,8 @@
 	fault(report.Wave.Hosts == 0 || report.Wave.Maintained != report.Wave.Hosts, "the wave did not maintain every host")
 	fault(report.Budget.Violations > 0, "an availability budget was broken")
 	fault(report.Config.Changes == 0, "no configuration change was measured")
+	fault(report.Jobs.Finished < report.Jobs.Expected, "a task of a job did not finish")
+	fault(report.Jobs.DoubleRuns > 0, "a task of a job ran twice at once")
 	fault(report.Endpoints.LateWork > 0, "a leaving endpoint got new work")
 }
 
--- a/internal/fleet/errors.go
+++ b/internal/fleet/errors.go
@@ -34,3 +34,15 @@
 func (e *StaleOperationError) Error() string {
 	return fmt.Sprintf("fleet: %s on host %q: operation %q is over or was never begun", e.Op, e.Host, e.Operation)
 }
+
+// TaskEndedError says that a task doesn't run on the host any more, or was
+// stopped before it came.
+type TaskEndedError struct {
+	Host  string
+	Task  string
+	State TaskState
+}
+
+func (e *TaskEndedError) Error() string {
+	return fmt.Sprintf("fleet: task %q has ended on host %q: %s", e.Task, e.Host, e.State)
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -91,8 +91,12 @@
 // Task is what a worker is asked to run.
 type Task struct {
 	// ID is the operation identity; starting the same ID twice runs it once.
-	ID        string           `json:"id"`
-	Job       string           `json:"job"`
+	ID  string `json:"id"`
+	Job string `json:"job"`
+	// Index says which of the job's tasks this is, from zero.
+	Index int `json:"index"`
+	// Declared is what the task is given: its worker ends it with
+	// ReasonOutOfMemory when it uses more memory.
 	Declared  record.Resources `json:"declared"`
 	Command   []string         `json:"command,omitempty"`
 	LeaseTTL  time.Duration    `json:"leaseTtl"`
@@ -100,12 +104,16 @@
 	Throttled bool             `json:"throttled,omitempty"`
 }
 
+// ReasonOutOfMemory is the reason of a task that used more memory than it was
+// given.
+const ReasonOutOfMemory = "out of memory"
+
 // TaskReport is a lagging usage report.
 type TaskReport struct {
 	ID    string    `json:"id"`
 	Job   string    `json:"job"`
 	State TaskState `json:"state"`
-	// Used is what the task really uses.
+	// Used is the most that the task has used so far.
 	Used record.Resources `json:"used"`
 	// RanFor is how long the task has run, as the worker counts it.
 	RanFor time.Duration `json:"ranFor"`
@@ -114,12 +122,21 @@
 
 // Workers runs tasks on hosts under leases: a task whose lease isn't renewed
 // is stopped by its worker.
+//
+// A worker remembers the tasks that ended, so that a Start which a paused
+// process sends, or a network delivers, after the task was stopped runs
+// nothing: it is refused with *TaskEndedError. Without that a task that has
+// been placed anew would run twice at once.
 type Workers interface {
 	Start(ctx context.Context, host string, task Task) error
 	// Renew extends the leases of all the given tasks on one host.
 	Renew(ctx context.Context, host string, taskIDs []string, ttl time.Duration) error
+	// Checkpoint saves the task's progress and ends it; it answers once the
+	// task has ended. It returns *TaskEndedError when the task doesn't run.
 	Checkpoint(ctx context.Context, host, taskID string) error
 	Throttle(ctx context.Context, host, taskID string, on bool) error
+	// Stop answers once the task doesn't run and never will, whether or not
+	// it was ever started there.
 	Stop(ctx context.Context, host, taskID string) error
 	// Reports returns the reports of every task the host still remembers. It
 	// lags by seconds.
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -33,6 +33,10 @@
 	EmptyAtExit Rule = "empty_at_exit"
 	// SharesWithinLimit: connection and slot shares sum to at most the limit.
 	SharesWithinLimit Rule = "shares_within_limit"
+	// TaskPlacedOnce: a task of a job is given to one worker at a time.
+	TaskPlacedOnce Rule = "task_placed_once"
+	// QuotaHeld: what we start never takes a team over its quota.
+	QuotaHeld Rule = "quota_held"
 )
 
 // Checker counts and reports violations. It is safe for concurrent use.
--- /dev/null
+++ b/internal/jobs/renew.go
@@ -0,0 +1,80 @@
+package jobs
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"auburnglade.example/glade/internal/fleet"
+	"auburnglade.example/glade/internal/keys"
+	"auburnglade.example/glade/internal/pause"
+	"auburnglade.example/glade/internal/store"
+)
+
+// outageLimit is how long tasks are renewed while the store doesn't answer and
+// the shard can't be held.
+const outageLimit = 6 * time.Hour
+
+// renewLoop renews leases, one call per host. It goes on while the store is
+// away: the outage of the store must not end running work, and no other
+// controller can take over without the store. Once the store answers and this
+// controller doesn't hold the shard, another one renews.
+func (m *Manager) renewLoop(ctx context.Context) {
+	heldAt := time.Now()
+	for ctx.Err() == nil {
+		switch {
+		case m.Shard.Held():
+			heldAt = time.Now()
+			m.renewAll(ctx)
+		case time.Since(heldAt) < outageLimit && m.storeAway(ctx):
+			m.renewAll(ctx)
+		default:
+			m.mu.Lock()
+			m.renewable = make(map[string][]string)
+			m.mu.Unlock()
+		}
+		pause.For(ctx, m.LeaseTTL/renewalsPerTTL)
+	}
+}
+
+func (m *Manager) storeAway(ctx context.Context) bool {
+	if len(m.renewables()) == 0 {
+		return false
+	}
+	_, err := m.Store.Get(ctx, keys.PlacementPrefix)
+	return err != nil && !store.IsNotFound(err)
+}
+
+func (m *Manager) renewAll(ctx context.Context) {
+	var wait sync.WaitGroup
+	for host, ids := range m.renewables() {
+		if len(ids) == 0 {
+			continue
+		}
+		wait.Add(1)
+		m.call(ctx, func(ctx context.Context) {
+			defer wait.Done()
+			ctx, cancel := context.WithTimeout(ctx, callTimeout)
+			defer cancel()
+			if err := m.Workers.Renew(ctx, host, ids, m.LeaseTTL); err != nil {
+				m.Log.Debug().Err(err).Str("host", host).Msg("Leases not renewed.")
+			}
+		})
+	}
+	wait.Wait()
+}
+
+func isHostUnknown(err error) bool {
+	var unknown *fleet.HostUnknownError
+	return errors.As(err, &unknown)
+}
+
+func taskEnded(err error) (fleet.TaskState, bool) {
+	var ended *fleet.TaskEndedError
+	if errors.As(err, &ended) {
+		return ended.State, true
+	}
+	return "", false
+}
--- /dev/null
+++ b/internal/jobs/state.go
@@ -0,0 +1,209 @@
+package jobs
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+
+	"auburnglade.example/glade/internal/keys"
+	"auburnglade.example/glade/internal/placement"
+	"auburnglade.example/glade/internal/record"
+	"auburnglade.example/glade/internal/store"
+)
+
+// Task is a task that was given to a worker. It stays in the state until it is
+// certain that it doesn't run any more.
+type Task struct {
+	// ID is the operation identity: the worker runs it at most once.
+	ID        string           `json:"id"`
+	Job       string           `json:"job"`
+	Index     int              `json:"index"`
+	Team      string           `json:"team"`
+	Priority  record.Priority  `json:"priority,omitempty"`
+	Host      string           `json:"host"`
+	Size      record.Resources `json:"size"`
+	Throttled bool             `json:"throttled,omitempty"`
+	// Leaving is how the task was told to end: checkpoint or stop.
+	Leaving placement.Verb `json:"leaving,omitempty"`
+	// After names the tasks that must have made room before it starts.
+	After    []string `json:"after,omitempty"`
+	ResumeOf string   `json:"resumeOf,omitempty"`
+}
+
+// JobState is how far a job has come.
+type JobState struct {
+	// Revision is that of the record it was last seen with.
+	Revision store.Revision `json:"revision"`
+	Done     Bits           `json:"done,omitempty"`
+	// AgeSeconds is how long ago the job was accepted, as far as controllers
+	// have been there to count.
+	AgeSeconds int `json:"ageSeconds"`
+	// Saved names by index the task whose checkpoint the next one resumes.
+	Saved map[int]string `json:"saved,omitempty"`
+}
+
+// State is everything that lasts about one pool's jobs: one value in the
+// store, written by compare-and-swap.
+type State struct {
+	Pool string `json:"pool"`
+	// Holder is the controller that wrote last. A new holder writes every
+	// state once before it places anything: whatever a paused predecessor
+	// still wants to write then conflicts.
+	Holder string               `json:"holder"`
+	Tasks  map[string]*Task     `json:"tasks,omitempty"`
+	Jobs   map[string]*JobState `json:"jobs,omitempty"`
+	Memory placement.Memory     `json:"memory"`
+	Blame  placement.Blame      `json:"blame"`
+	// Waiting and Parked are for operators; nothing is decided on them.
+	Waiting map[string]string `json:"waiting,omitempty"`
+	Parked  map[string]string `json:"parked,omitempty"`
+	// WriteID identifies the write that made this version.
+	WriteID string `json:"writeId"`
+}
+
+// maxStateBytes is how large a state may grow by new tasks, below what the
+// store takes, so that the end of a task can always be written.
+const maxStateBytes = store.MaxValueBytes * 9 / 10
+
+// DamagedError says that a stored state can't be read. The pool's jobs stand
+// still until an operator has mended it: placing anew what may be running
+// could run it twice.
+type DamagedError struct {
+	Key   string
+	Cause error
+}
+
+func (e *DamagedError) Error() string {
+	return fmt.Sprintf("placement %q is damaged: %v", e.Key, e.Cause)
+}
+
+func (e *DamagedError) Unwrap() error { return e.Cause }
+
+func newState(pool string) *State {
+	return &State{Pool: pool, Tasks: make(map[string]*Task), Jobs: make(map[string]*JobState)}
+}
+
+// ParseState reads a stored state.
+func ParseState(key string, value []byte) (*State, error) {
+	state := newState("")
+	if err := json.Unmarshal(value, state); err != nil {
+		return nil, &DamagedError{Key: key, Cause: err}
+	}
+	if keys.Placement(state.Pool) != key {
+		return nil, &DamagedError{Key: key, Cause: &MisplacedError{Pool: state.Pool}}
+	}
+	return state, nil
+}
+
+// MisplacedError says that a state stands under another pool's key.
+type MisplacedError struct{ Pool string }
+
+func (e *MisplacedError) Error() string { return fmt.Sprintf("it is the state of pool %q", e.Pool) }
+
+func (s *State) encode() []byte {
+	data, err := json.Marshal(s)
+	if err != nil {
+		// A State holds strings, numbers and maps of them only.
+		panic(err)
+	}
+	return data
+}
+
+func (s *State) sortedTasks() []*Task {
+	tasks := make([]*Task, 0, len(s.Tasks))
+	for _, task := range s.Tasks {
+		tasks = append(tasks, task)
+	}
+	sort.Slice(tasks, func(i, j int) bool { return tasks[i].ID < tasks[j].ID })
+	return tasks
+}
+
+// pending lists the indexes of a job that are neither done nor placed.
+func (s *State) pending(name string, spec *record.Job) []int {
+	placed := make(map[int]bool)
+	for _, task := range s.Tasks {
+		if task.Job == name {
+			placed[task.Index] = true
+		}
+	}
+	done := s.Jobs[name].Done
+	var pending []int
+	for i := range taskCount(spec) {
+		if !placed[i] && !done.Has(i) {
+			pending = append(pending, i)
+		}
+	}
+	return pending
+}
+
+func taskCount(spec *record.Job) int { return max(1, spec.Tasks) }
+
+// JobStatus says where a job stands, for operators.
+type JobStatus struct {
+	Tasks      int `json:"tasks"`
+	Finished   int `json:"finished"`
+	Placed     int `json:"placed"`
+	AgeSeconds int `json:"acceptedSecondsAgo"`
+	// Hosts counts the job's placed tasks by host.
+	Hosts   map[string]int `json:"hosts,omitempty"`
+	Waiting string         `json:"waits,omitempty"`
+	Parked  string         `json:"parked,omitempty"`
+}
+
+// Status returns where a job stands, and whether a controller has taken it up.
+func (s *State) Status(name string, spec *record.Job) (JobStatus, bool) {
+	job := s.Jobs[name]
+	if job == nil {
+		return JobStatus{}, false
+	}
+	status := JobStatus{
+		Tasks: taskCount(spec), Finished: job.Done.Count(), AgeSeconds: job.AgeSeconds,
+		Hosts: make(map[string]int), Waiting: s.Waiting[name], Parked: s.Parked[name],
+	}
+	for _, task := range s.Tasks {
+		if task.Job == name {
+			status.Placed++
+			status.Hosts[task.Host]++
+		}
+	}
+	return status, true
+}
+
+func sortedNames[T any](m map[string]T) []string {
+	names := make([]string, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Bits is a set of small numbers; ten thousand take 1.25 KB.
+type Bits []byte
+
+const bitsPerByte = 8
+
+// Has reports whether i is in the set.
+func (b Bits) Has(i int) bool {
+	return i/bitsPerByte < len(b) && b[i/bitsPerByte]>>(i%bitsPerByte)&1 == 1
+}
+
+// With returns the set with i in it.
+func (b Bits) With(i int) Bits {
+	for len(b) <= i/bitsPerByte {
+		b = append(b, 0)
+	}
+	b[i/bitsPerByte] |= 1 << (i % bitsPerByte)
+	return b
+}
+
+// Count returns how many numbers are in the set.
+func (b Bits) Count() int {
+	count := 0
+	for i := range len(b) * bitsPerByte {
+		if b.Has(i) {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/jobs/story_test.go
@@ -0,0 +1,225 @@
+package jobs
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"auburnglade.example/glade/internal/fleet"
+	"auburnglade.example/glade/internal/fleet/fakeworkers"
+	"auburnglade.example/glade/internal/hostrecord"
+	"auburnglade.example/glade/internal/record"
+)
+
+// An editor's urgent clearance arrives while long tasks fill every worker. It
+// must run within 1.5 s: a lesser task is checkpointed for it and goes on
+// later from where it was.
+func TestUrgentWorkStartsWithinAndDisplacedWorkGoesOn(t *testing.T) {
+	play(t, func(t *testing.T) {
+		b := newBench(t, 3, amount(4000, 4000), works(time.Minute))
+		b.pool("p", b.hosts...)
+		b.put("long", &record.Job{Pool: "p", Team: "t", Tasks: 3, Resources: amount(4000, 4000), ExpectedSeconds: 60})
+		c := b.start()
+		b.within(10*time.Second, "long tasks run", func() bool { return b.workers.Counts().Placed == 3 })
+		time.Sleep(20 * time.Second)
+		b.put("now", &record.Job{Pool: "p", Team: "t", Priority: record.PriorityUrgent, Resources: amount(4000, 4000), ExpectedSeconds: 60})
+		took := b.within(1500*time.Millisecond, "urgent task runs", func() bool { return b.workers.Counts().Placed == 4 })
+		t.Logf("urgent start after %s", took)
+		must.Eq(t, 1, b.workers.Counts().Checkpoints)
+		b.within(3*time.Minute, "all finish", func() bool { return b.workers.Counts().Finished == 4 })
+		b.finish(c)
+	})
+}
+
+// A host is drained for maintenance. Its tasks are checkpointed and go on
+// elsewhere, and nothing new starts there.
+func TestTasksLeaveDrainingHost(t *testing.T) {
+	play(t, func(t *testing.T) {
+		b := newBench(t, 2, amount(4000, 4000), works(time.Minute))
+		b.pool("p", b.hosts...)
+		b.put("j", &record.Job{Pool: "p", Team: "t", Tasks: 2, Resources: amount(1000, 1000), ExpectedSeconds: 60})
+		c := b.start()
+		b.within(10*time.Second, "tasks run", func() bool { return b.workers.Counts().Placed == 2 })
+		host := b.workers.Starts()[0].Host
+		b.phase(host, "p", hostrecord.Draining)
+		b.within(2*time.Second, "host empty", func() bool { return b.workers.InFlight(host) == 0 })
+		b.within(3*time.Minute, "all finish", func() bool { return b.workers.Counts().Finished == 2 })
+		for _, started := range b.workers.Starts()[2:] {
+			must.NotEq(t, host, started.Host)
+		}
+		b.finish(c)
+	})
+}
+
+// The holder ends without a word. The next one reads the state, goes on, and
+// renews in time: no task is lost or begun again.
+func TestFailoverLosesNoTask(t *testing.T) {
+	play(t, func(t *testing.T) {
+		b := newBench(t, 3, amount(4000, 4000), works(2*time.Minute))
+		b.pool("p", b.hosts...)
+		b.put("j", &record.Job{Pool: "p", Team: "t", Tasks: 6, Resources: amount(1000, 1000), ExpectedSeconds: 60})
+		first := b.start()
+		b.within(10*time.Second, "tasks run", func() bool { return b.workers.Counts().Placed == 6 })
+		second := b.start()
+		first.stop()
+		b.within(3*time.Minute, "all finish", func() bool { return b.workers.Counts().Finished == 6 })
+		must.Eq(t, 6, b.workers.Counts().Placed)
+		b.finish(second)
+	})
+}
+
+// The store is away for ten minutes. Running tasks go on under their leases,
+// which the last holder keeps renewing; nothing new starts until it is back.
+func TestStoreOutageEndsNoTask(t *testing.T) {
+	play(t, func(t *testing.T) {
+		b := newBench(t, 2, amount(4000, 4000), works(8*time.Minute))
+		b.pool("p", b.hosts...)
+		b.put("j", &record.Job{Pool: "p", Team: "t", Tasks: 4, Resources: amount(1000, 1000), ExpectedSeconds: 60})
+		first, second := b.start(), b.start()
+		b.within(10*time.Second, "tasks run", func() bool { return b.workers.Counts().Placed == 4 })
+		b.store.SetDown(true)
+		time.Sleep(10 * time.Minute)
+		must.Eq(t, 4, b.workers.Counts().Finished)
+		must.Zero(t, b.workers.Counts().LeaseEnds)
+		b.store.SetDown(false)
+		b.within(time.Minute, "ends are known", func() bool { return len(b.state("p").Tasks) == 0 })
+		must.Eq(t, 4, b.workers.Counts().Placed)
+		b.finish(first, second)
+	})
+}
+
+// A host is cut off with a task on it. The task may still run there, so it
+// starts elsewhere only after its lease has certainly ended.
+func TestTaskOfCutOffHostStartsElsewhereOnlyAfterItsLease(t *testing.T) {
+	play(t, func(t *testing.T) {
+		b := newBench(t, 2, amount(4000, 4000), works(10*time.Minute))
+		b.pool("p", b.hosts...)
+		b.put("j", &record.Job{Pool: "p", Team: "t", Resources: amount(1000, 1000), ExpectedSeconds: 60})
+		c := b.start()
+		b.within(10*time.Second, "task runs", func() bool { return b.workers.Counts().Placed == 1 })
+		b.workers.SetUnreachable(b.workers.Starts()[0].Host, true)
+		took := b.within(2*time.Minute, "task runs elsewhere", func() bool { return b.workers.Counts().Placed == 2 })
+		must.Greater(t, testTTL, took)
+		must.Eq(t, 1, b.workers.Counts().LeaseEnds)
+		b.finish(c)
+	})
+}
+
+// A host is cut off until its tasks are given up, and comes back with nothing
+// on it. It must get tasks again, although no reports are due from it.
+func TestHostThatWasCutOffGetsTasksAgain(t *testing.T) {
+	play(t, func(t *testing.T) {
+		b := newBench(t, 1, amount(4000, 4000), works(time.Minute))
+		b.pool("p", b.hosts...)
+		b.put("j", &record.Job{Pool: "p", Team: "t", Resources: amount(1000, 1000), ExpectedSeconds: 60})
+		c := b.start()
+		b.within(10*time.Second, "task runs", func() bool { return b.workers.Counts().Placed == 1 })
+		b.workers.SetUnreachable("h00", true)
+		b.within(2*time.Minute, "given up", func() bool { return len(b.state("p").Tasks) == 0 })
+		b.workers.SetUnreachable("h00", false)
+		b.within(2*time.Minute, "finishes", func() bool { return b.workers.Counts().Finished == 1 })
+		b.finish(c)
+	})
+}
+
+// One worker fails whatever it is given, and being always empty it draws all
+// the work. It is taken out after a few failures, proves itself once mended,
+// and no job is blamed.
+func TestBlackHoleWorkerIsQuarantinedAndGivenBack(t *testing.T) {
+	play(t, func(t *testing.T) {
+		b := newBench(t, 4, amount(4000, 4000), works(5*time.Second))
+		b.pool("p", b.hosts...)
+		b.workers.SetBlackHole("h00", true)
+		for i := range 8 {
+			b.put(fmt.Sprintf("j%d", i), &record.Job{Pool: "p", Team: "t", Tasks: 40, Resources: amount(1000, 1000), ExpectedSeconds: 5})
+		}
+		c := b.start()
+		b.within(time.Minute, "quarantine", func() bool { q, _ := b.state("p").Blame.Quarantined("h00"); return q })
+		failed := b.workers.Counts().Failed
+		must.LessEq(t, 12, failed)
+		time.Sleep(30 * time.Second)
+		must.Eq(t, failed, b.workers.Counts().Failed)
+		b.workers.SetBlackHole("h00", false)
+		b.within(3*time.Minute, "given back", func() bool { q, _ := b.state("p").Blame.Quarantined("h00"); return !q })
+		b.within(10*time.Minute, "all finish", func() bool { return b.workers.Counts().Finished == 320 })
+		must.MapEmpty(t, b.state("p").Blame.Faulty)
+		b.finish(c)
+	})
+}
+
+// A job fails wherever it runs while others run well beside it: it is parked
+// with the reason, no worker is blamed, and amending it lets it run again.
+func TestJobAtFaultIsParkedUntilAmended(t *testing.T) {
+	play(t, func(t *testing.T) {
+		behave := func(task fleet.Task) fakeworkers.Behaviour {
+			done := works(2 * time.Second)(task)
+			if task.Job == "bad" && len(task.Command) == 0 {
+				done.Fails = "exit 1"
+			}
+			return done
+		}
+		b := newBench(t, 4, amount(4000, 4000), behave)
+		b.pool("p", b.hosts...)
+		bad := &record.Job{Pool: "p", Team: "t", Resources: amount(1000, 1000), ExpectedSeconds: 5}
+		b.put("bad", bad)
+		b.put("good", &record.Job{Pool: "p", Team: "t", Tasks: 30, Resources: amount(1000, 1000), ExpectedSeconds: 5})
+		c := b.start()
+		b.within(2*time.Minute, "parked", func() bool { return b.state("p").Parked["bad"] != "" })
+		must.StrContains(t, b.state("p").Parked["bad"], "exit 1")
+		must.Eq(t, 3, b.workers.Counts().Failed)
+		for _, host := range b.hosts {
+			quarantined, _ := b.state("p").Blame.Quarantined(host)
+			must.False(t, quarantined)
+		}
+		bad.Command = []string{"mended"}
+		b.put("bad", bad)
+		b.within(time.Minute, "all finish", func() bool { return b.workers.Counts().Finished == 31 })
+		b.finish(c)
+	})
+}
+
+// Tasks need twice the memory that was declared. Each is killed once or twice
+// before the job's size is learned; none is given up, none blamed on a worker.
+func TestTasksThatRunOutOfMemoryAreGivenMore(t *testing.T) {
+	play(t, func(t *testing.T) {
+		behave := func(fleet.Task) fakeworkers.Behaviour {
+			return fakeworkers.Behaviour{Used: amount(500, 2000), Work: 5 * time.Second}
+		}
+		b := newBench(t, 2, amount(8000, 8000), behave)
+		b.pool("p", b.hosts...)
+		b.put("j", &record.Job{Pool: "p", Team: "t", Tasks: 20, Resources: amount(1000, 1000), ExpectedSeconds: 5})
+		c := b.start()
+		b.within(5*time.Minute, "all finish", func() bool { return b.workers.Counts().Finished == 20 })
+		must.MapEmpty(t, b.state("p").Blame.Workers)
+		b.finish(c)
+	})
+}
+
+// Two hundred jobs are cancelled at once. Those that hadn't begun cost nothing,
+// and the whole wave costs a few writes, not one per job.
+func TestWaveOfCancellationsIsCheap(t *testing.T) {
+	play(t, func(t *testing.T) {
+		b := newBench(t, 4, amount(4000, 4000), works(10*time.Minute))
+		b.pool("p", b.hosts...)
+		job := func(cancelled bool) *record.Job {
+			return &record.Job{Pool: "p", Team: "t", Resources: amount(1000, 1000), ExpectedSeconds: 60, Cancelled: cancelled}
+		}
+		for i := range 200 {
+			b.put(fmt.Sprintf("j%03d", i), job(false))
+		}
+		c := b.start()
+		b.within(30*time.Second, "workers full", func() bool { return b.workers.Counts().Placed == 16 })
+		time.Sleep(10 * time.Second)
+		before := b.store.Counts().Writes
+		for i := range 200 {
+			b.put(fmt.Sprintf("j%03d", i), job(true))
+		}
+		b.within(5*time.Second, "all stopped", func() bool { return b.workers.Counts().Stops == 16 })
+		time.Sleep(5 * time.Second)
+		must.Eq(t, 16, b.workers.Counts().Placed)
+		must.LessEq(t, 10, b.store.Counts().Writes-before-200)
+		b.finish(c)
+	})
+}
--- a/internal/mover/mover.go
+++ b/internal/mover/mover.go
@@ -161,7 +161,7 @@
 		input.Hosts = append(input.Hosts, Host{
 			Name: host.Name, Zone: host.Zone, Rack: host.Rack,
 			Live: host.State == fleet.HostLive || (known && !item.TakesWork()), Known: known, Record: item.Record,
-			WaveComing: known && waveComing(waves, item.Record), Remembered: remembered(waves, item.Record),
+			WaveComing: known && WaveComing(waves, item.Record), Remembered: remembered(waves, item.Record),
 		})
 	}
 	for name, item := range snapshot.Hosts {
@@ -175,7 +175,8 @@
 	return input
 }
 
-func waveComing(waves map[string]*record.Wave, r hostrecord.Record) bool {
+// WaveComing reports whether a running wave has yet to drain a serving host.
+func WaveComing(waves map[string]*record.Wave, r hostrecord.Record) bool {
 	if r.Phase != hostrecord.Serving {
 		return false
 	}
--- a/internal/operatorapi/fleet.go
+++ b/internal/operatorapi/fleet.go
@@ -15,6 +15,7 @@
 	"auburnglade.example/glade/internal/fleet"
 	"auburnglade.example/glade/internal/hostrecord"
 	"auburnglade.example/glade/internal/invariant"
+	"auburnglade.example/glade/internal/jobs"
 	"auburnglade.example/glade/internal/keys"
 	"auburnglade.example/glade/internal/member"
 	"auburnglade.example/glade/internal/record"
@@ -86,6 +87,9 @@
 		answer.Pool = view.Snapshot.Hosts[id.Name].Pool
 		answer.Reasons, known = explain.Host(view, id.Name)
 	} else {
+		if err := s.readPlacement(r.Context(), view, id); err != nil {
+			warnings = append(warnings, "placement not read: "+err.Error())
+		}
 		answer.Reasons, known = explain.Record(view, id)
 	}
 	if !known {
@@ -98,6 +102,33 @@
 	writeJSON(w, http.StatusOK, answer)
 }
 
+// readPlacement takes a job's status from its pool's state: jobs have none of
+// their own, which would cost the store a write per job.
+func (s *Server) readPlacement(ctx context.Context, view explain.View, id record.ID) error {
+	job := view.Snapshot.Jobs()[id.Name]
+	if id.Kind != record.KindJob || job == nil {
+		return nil
+	}
+	key := keys.Placement(job.Pool)
+	entry, err := s.Store.Get(ctx, key)
+	if store.IsNotFound(err) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	state, err := jobs.ParseState(key, entry.Value)
+	if err != nil {
+		return err
+	}
+	status, known := state.Status(id.Name, job)
+	if !known {
+		return nil
+	}
+	view.Statuses[id], err = json.Marshal(status)
+	return err
+}
+
 // KindHost explains a host; there are no operators' records of this kind.
 const KindHost record.Kind = "Host"
 
--- a/internal/placement/health.go
+++ b/internal/placement/health.go
@@ -23,6 +23,8 @@
 	Failures []string `json:"failures,omitempty"`
 	// Quarantined says that it gets no tasks but a probe.
 	Quarantined bool `json:"quarantined,omitempty"`
+	// Probing says that a probe was placed on it.
+	Probing bool `json:"probing,omitempty"`
 	// Strikes counts failed probes; each doubles the time to the next.
 	Strikes int `json:"strikes,omitempty"`
 }
@@ -53,8 +55,12 @@
 func (b *Blame) Failed(job, worker, reason string) {
 	w := b.worker(worker)
 	if w.Quarantined {
-		// A probe that failed says nothing of the job.
-		w.Strikes++
+		// A probe that failed says nothing of the job, and tasks placed before
+		// the quarantine that end in it are no further strikes.
+		if w.Probing {
+			w.Strikes++
+		}
+		w.Probing = false
 		return
 	}
 	w.Failures = append(w.Failures, job)
@@ -74,6 +80,13 @@
 	}
 }
 
+// Probe notes that a quarantined worker was given a task to prove itself.
+func (b *Blame) Probe(worker string) {
+	if w := b.Workers[worker]; w != nil && w.Quarantined {
+		w.Probing = true
+	}
+}
+
 // quarantine takes a worker out and clears the jobs that failed on it.
 func (b *Blame) quarantine(worker string) {
 	b.Workers[worker].Quarantined = true
--- a/internal/placement/learn.go
+++ b/internal/placement/learn.go
@@ -20,9 +20,11 @@
 	MemoryMB []int `json:"mem,omitempty"`
 	// RunSeconds are the run times of finished tasks.
 	RunSeconds []int `json:"run,omitempty"`
-	// Floor is the least that a task is given, raised when one ran out of
-	// memory or was seen using more than expected.
-	Floor record.Resources `json:"floor,omitzero"`
+	// Floor is the least memory that a task is given, raised when one ran out
+	// of it or was seen using more than expected.
+	Floor int `json:"floor,omitempty"`
+	// Proven is the memory that a task was seen to need at least.
+	Proven int `json:"proven,omitempty"`
 }
 
 // Ratios is by how much a team's declarations are off: used over declared, in
@@ -76,10 +78,11 @@
 // least that the next one is given. It reports whether that is news.
 func (m *Memory) Running(job string, used record.Resources) bool {
 	u := m.job(job)
-	if used.MemoryMB <= u.Floor.MemoryMB {
+	if used.MemoryMB <= u.Proven {
 		return false
 	}
-	u.Floor.MemoryMB = used.MemoryMB
+	u.Proven = used.MemoryMB
+	u.Floor = max(u.Floor, used.MemoryMB)
 	return true
 }
 
@@ -87,7 +90,8 @@
 // given.
 func (m *Memory) RanOut(job string, given record.Resources) {
 	u := m.job(job)
-	u.Floor.MemoryMB = max(u.Floor.MemoryMB, given.MemoryMB*growth)
+	u.Proven = max(u.Proven, given.MemoryMB+1)
+	u.Floor = max(u.Floor, given.MemoryMB*growth)
 }
 
 // Forget drops what was learned of jobs that keep refuses.
@@ -112,7 +116,7 @@
 	}
 	size := record.Resources{
 		MilliCPU:     max(leastCPU, expect(u.MilliCPU, r.MilliCPU, spec.Resources.MilliCPU)),
-		MemoryMB:     max(u.Floor.MemoryMB, expect(u.MemoryMB, r.MemoryMB, spec.Resources.MemoryMB)),
+		MemoryMB:     max(u.Floor, expect(u.MemoryMB, r.MemoryMB, spec.Resources.MemoryMB)),
 		Accelerators: spec.Resources.Accelerators,
 	}
 	run := time.Duration(expect(u.RunSeconds, r.Run, spec.ExpectedSeconds)) * time.Second
@@ -122,6 +126,21 @@
 	return size, run
 }
 
+// Least returns what one task of a job needs at least: what its own tasks were
+// seen to need, and before any was seen what is declared. A job is never held
+// to be too large for its pool on the habit of its team alone.
+func (m *Memory) Least(job string, spec *record.Job) record.Resources {
+	least := spec.Resources
+	size, _ := m.Expect(job, spec)
+	if u := m.Jobs[job]; u != nil && (len(u.MemoryMB) > 0 || u.Proven > 0) {
+		least.MemoryMB = u.Proven
+		least.MilliCPU = leastCPU
+	}
+	least.MilliCPU = min(least.MilliCPU, size.MilliCPU)
+	least.MemoryMB = min(least.MemoryMB, size.MemoryMB)
+	return least
+}
+
 func expect(own, ratios []int, declared int) int {
 	switch {
 	case len(own) >= enoughSamples:
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -32,8 +32,10 @@
 	// Pending lists the indexes of tasks that are neither finished nor placed.
 	Pending []int
 	// Size is what one task is expected to need, RunTime how long it is
-	// expected to run.
+	// expected to run. Least is what one task is known to need at least: where
+	// Size fits no worker it is cut to what there is, down to Least.
 	Size    record.Resources
+	Least   record.Resources
 	RunTime time.Duration
 	// Age is how long ago the job was accepted, at least.
 	Age time.Duration
@@ -146,6 +148,15 @@
 	}
 }
 
+// Cut returns size cut to at most room in every respect, but not below least.
+func Cut(size, room, least record.Resources) record.Resources {
+	return record.Resources{
+		MilliCPU:     max(least.MilliCPU, min(size.MilliCPU, room.MilliCPU)),
+		MemoryMB:     max(least.MemoryMB, min(size.MemoryMB, room.MemoryMB)),
+		Accelerators: size.Accelerators,
+	}
+}
+
 // Fits reports whether size is at most room in every respect.
 func Fits(size, room record.Resources) bool {
 	return size.MilliCPU <= room.MilliCPU && size.MemoryMB <= room.MemoryMB && size.Accelerators <= room.Accelerators
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -173,15 +173,32 @@
 		return "its pool has no hosts"
 	}
 	quota, bounded := p.input.Quotas[job.Spec.Team]
+	if bounded {
+		job.Size = Cut(job.Size, quota, job.Least)
+	}
 	if bounded && !Fits(job.Size, quota) {
 		return fmt.Sprintf("one task needs %s and the quota of team %s is %s", Show(job.Size), job.Spec.Team, Show(quota))
 	}
+	return p.cutToLargest(job)
+}
+
+// cutToLargest cuts a job that is expected to need more than any worker has,
+// but may do with less, to the worker that gives it the most memory.
+func (p *planner) cutToLargest(job *Job) string {
+	var largest *node
 	for _, n := range p.nodes {
 		if Fits(job.Size, n.Capacity) {
 			return ""
 		}
+		if Fits(job.Least, n.Capacity) && (largest == nil || n.Capacity.MemoryMB > largest.Capacity.MemoryMB) {
+			largest = n
+		}
+	}
+	if largest == nil {
+		return fmt.Sprintf("one task needs %s, more than any host of its pool has", Show(job.Least))
 	}
-	return fmt.Sprintf("one task needs %s, more than any host of its pool has", Show(job.Size))
+	job.Size = Cut(job.Size, largest.Capacity, job.Least)
+	return ""
 }
 
 func (p *planner) overQuota(job *Job) string {
--- a/internal/placement/plan_test.go
+++ b/internal/placement/plan_test.go
@@ -18,7 +18,7 @@
 }
 
 func job(name string, priority record.Priority, size record.Resources, tasks int) Job {
-	j := Job{Name: name, Spec: &record.Job{Team: "t", Priority: priority, Resources: size}, Size: size, RunTime: time.Minute}
+	j := Job{Name: name, Spec: &record.Job{Team: "t", Priority: priority, Resources: size}, Size: size, Least: size, RunTime: time.Minute}
 	for i := range tasks {
 		j.Pending = append(j.Pending, i)
 	}
@@ -75,6 +75,25 @@
 	must.Len(t, 1, Make(input).Starts)
 }
 
+// A team's other jobs use three times what they declare, so a new job of theirs
+// is expected to need more than any host has. It must be tried all the same:
+// only what its own tasks were seen to need may park it.
+func TestJobIsNotParkedOnTheHabitOfItsTeam(t *testing.T) {
+	var m Memory
+	spec := &record.Job{Team: "t", Resources: amount(1000, 2000)}
+	for range enoughSamples {
+		m.Finished("other", &record.Job{Team: "t", Resources: amount(1000, 1000)}, amount(1000, 3000), time.Second)
+	}
+	plan := func() Plan {
+		size, run := m.Expect("new", spec)
+		new := Job{Name: "new", Spec: spec, Pending: []int{0}, Size: size, Least: m.Least("new", spec), RunTime: run}
+		return Make(Input{Workers: []Worker{worker("w", 4000, 4000)}, Jobs: []Job{new}})
+	}
+	must.Eq(t, 4000, plan().Starts[0].Size.MemoryMB)
+	m.RanOut("new", amount(1000, 4000))
+	must.StrContains(t, plan().Parked["new"], "4001 MB")
+}
+
 // The nightly report has three hours left of its deadline and needs two: it
 // goes before ordinary work that came earlier, and may displace it.
 func TestJobAboutToMissItsDeadlineDisplacesOrdinaryWork(t *testing.T) {
@@ -172,6 +191,10 @@
 	must.True(t, quarantined)
 	must.Eq(t, firstProbe, after)
 	must.MapEmpty(t, b.Faulty)
+	b.Failed("d", "hole", "exit 1")
+	_, after = b.Quarantined("hole")
+	must.Eq(t, firstProbe, after)
+	b.Probe("hole")
 	b.Failed("a", "hole", "exit 1")
 	_, after = b.Quarantined("hole")
 	must.Eq(t, 2*firstProbe, after)
--- a/internal/platformhttp/wire.go
+++ b/internal/platformhttp/wire.go
@@ -79,6 +79,7 @@
 	TooLarge    *store.ValueTooLargeError  `json:"tooLarge,omitempty"`
 	HostUnknown *fleet.HostUnknownError    `json:"hostUnknown,omitempty"`
 	Stale       *fleet.StaleOperationError `json:"stale,omitempty"`
+	TaskEnded   *fleet.TaskEndedError      `json:"taskEnded,omitempty"`
 	Unavailable string                     `json:"unavailable,omitempty"`
 	Unknown     string                     `json:"unknown,omitempty"`
 	BadRequest  string                     `json:"badRequest,omitempty"`
@@ -100,6 +101,7 @@
 	case errors.As(err, &answer.Lease):
 	case errors.As(err, &answer.TooLarge):
 	case errors.As(err, &answer.HostUnknown):
+	case errors.As(err, &answer.TaskEnded):
 	case errors.As(err, &answer.Stale):
 	case errors.As(err, &unknown):
 		answer.Unknown = unknown.Cause.Error()
@@ -125,6 +127,8 @@
 		return a.TooLarge
 	case a.HostUnknown != nil:
 		return a.HostUnknown
+	case a.TaskEnded != nil:
+		return a.TaskEnded
 	case a.Stale != nil:
 		return a.Stale
 	case a.Unknown != "":
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -10,6 +10,7 @@
 
 	"auburnglade.example/glade/internal/fleet"
 	"auburnglade.example/glade/internal/fleet/fakefleet"
+	"auburnglade.example/glade/internal/fleet/fakeworkers"
 	"auburnglade.example/glade/internal/platformhttp"
 	"auburnglade.example/glade/internal/record"
 	"auburnglade.example/glade/internal/store/memstore"
@@ -63,6 +64,7 @@
 	Store     *memstore.Store
 	Fleet     *fakefleet.Fleet
 	Endpoints *Endpoints
+	Workers   *fakeworkers.Workers
 	server    *http.Server
 	address   string
 }
@@ -72,6 +74,26 @@
 	ListLag    time.Duration
 	RebootTime time.Duration
 	WorkTime   time.Duration
+	// ReportLag, CheckpointTime and TaskTime shape the workers.
+	ReportLag      time.Duration
+	CheckpointTime time.Duration
+	TaskTime       time.Duration
+}
+
+// What every task really uses, whatever it is given.
+const (
+	usedMilliCPU = 1000
+	usedMemoryMB = 2048
+)
+
+func (o Options) workers() fakeworkers.Options {
+	return fakeworkers.Options{
+		ReportLag: o.ReportLag, CheckpointTime: o.CheckpointTime,
+		Behave: func(fleet.Task) fakeworkers.Behaviour {
+			used := record.Resources{MilliCPU: usedMilliCPU, MemoryMB: usedMemoryMB}
+			return fakeworkers.Behaviour{Used: used, Work: o.TaskTime}
+		},
+	}
 }
 
 // NewPlatform returns a platform over the shape's hosts; each host serves the
@@ -82,13 +104,32 @@
 		Store:     memstore.New(),
 		Endpoints: NewEndpoints(hosts, services, options.WorkTime),
 	}
+	names := make([]string, len(hosts))
+	for i, host := range hosts {
+		names[i] = host.Name
+	}
+	p.Workers = fakeworkers.New(names, options.workers())
 	p.Fleet = fakefleet.New(hosts, fakefleet.Options{
 		ListLag: options.ListLag, RebootTime: options.RebootTime,
-		OnDown: p.Endpoints.Down, OnUp: p.Endpoints.Up, InFlight: p.Endpoints.InFlight,
+		OnDown: p.down, OnUp: p.up, InFlight: p.inFlight,
 	})
 	return p
 }
 
+func (p *Platform) down(host string) {
+	p.Endpoints.Down(host)
+	p.Workers.Down(host)
+}
+
+func (p *Platform) up(host string) {
+	p.Endpoints.Up(host)
+	p.Workers.Up(host)
+}
+
+func (p *Platform) inFlight(host string) int {
+	return p.Endpoints.InFlight(host) + p.Workers.InFlight(host)
+}
+
 // Start opens the endpoints and serves the platform at address, IP number and
 // port.
 func (p *Platform) Start(address string) error {
@@ -102,7 +143,8 @@
 	p.address = listener.Addr().String()
 	p.server = &http.Server{
 		Handler: platformhttp.NewHandler(platformhttp.Backend{
-			Store: p.Store, Hosts: p.Fleet, Pool: &drainNoter{Fleet: p.Fleet, endpoints: p.Endpoints},
+			Store: p.Store, Hosts: p.Fleet, Workers: p.Workers,
+			Pool: &drainNoter{Fleet: p.Fleet, endpoints: p.Endpoints},
 		}),
 		ReadHeaderTimeout: time.Second,
 	}
