Measure waves against simple policies, and work on whole pools at a time

Cause: nothing said whether the planner beats one host at a time or the whole budget at once. With k hosts out and r kept, a host costs 1 + r/k host-times. Change: glade-measure policy runs the planner and four baselines through the same scenarios in virtual time. A policy that counts buffer cost works on fewer pools at once, each at its full room; one that counts speed widens by two hosts for each that came back, and counts hosts that are back from their reboot. A baseline waited for ever for a host that was down before; it ends now.

--- /dev/null
+++ b/internal/measure/policy/control.go
@@ -0,0 +1,180 @@
+package policy
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"auburnglade.example/glade/internal/budget"
+	"auburnglade.example/glade/internal/hostrecord"
+	"auburnglade.example/glade/internal/record"
+	"auburnglade.example/glade/internal/wave"
+)
+
+// gateAsksHosts says that the gate asks the platform for the condition of a
+// service's hosts at the act, and doesn't rest on the lagging list alone.
+const gateAsksHosts = true
+
+// waveName is the one wave of a run.
+const waveName = "kernel"
+
+// fleetOf is the snapshot that a policy plans from.
+func (w *world) fleetOf() wave.Fleet {
+	input := wave.Input{Name: waveName, Spec: &w.spec}
+	var seats []budget.Seat
+	for _, h := range w.hosts {
+		if !h.known {
+			continue
+		}
+		seats = append(seats, budget.Seat{
+			Host: h.Name, Zone: h.Zone, Rack: h.Rack, Services: w.servicesOf(h),
+			Available: h.record.TakesWork() && w.listedLive(h),
+		})
+		if slices.Contains(w.spec.Pools, h.record.Pool) {
+			input.Hosts = append(input.Hosts, w.observe(h))
+		}
+	}
+	return wave.Fleet{
+		Waves: []wave.Input{input}, Book: budget.NewBook(w.budgets, seats), Policy: w.policy, Now: epoch.Add(w.now),
+	}
+}
+
+// epoch is the wall clock at virtual time zero.
+var epoch = time.Date(2026, time.December, 2, 20, 0, 0, 0, time.UTC)
+
+func (w *world) observe(h *host) wave.Host {
+	if w.memory.seen[h.Name].version != h.version {
+		w.memory.seen[h.Name] = seen{version: h.version, at: w.now}
+	}
+	if !h.up {
+		delete(w.memory.healthy, h.Name)
+	} else if _, ok := w.memory.healthy[h.Name]; !ok {
+		w.memory.healthy[h.Name] = w.now
+	}
+	observed := wave.Host{
+		Name: h.Name, Zone: h.Zone, Rack: h.Rack, Record: h.record,
+		Age: w.now - w.memory.seen[h.Name].at, Confirmed: true, Down: !w.listedLive(h),
+		Drained: h.record.Operation != "" && w.memory.drained[h.Name] == h.record.Operation,
+		Refusal: w.memory.refusals[h.Name],
+	}
+	if h.up {
+		observed.Reachable, observed.Healthy = true, true
+		observed.BootID, observed.LastOperation, observed.InFlight = h.bootID(), h.lastOp, w.inFlight(h)
+		observed.HealthyFor = w.now - w.memory.healthy[h.Name]
+	}
+	return observed
+}
+
+// apply takes one step as the drainer does.
+func (w *world) apply(step wave.Step) {
+	h := w.byName[step.Host]
+	switch step.Verb {
+	case wave.StartDrain:
+		w.startDrain(h, step)
+	case wave.DrainHost:
+		if h.up {
+			h.drained, h.drainedAt = true, w.now
+			w.memory.drained[h.Name] = h.record.Operation
+		}
+	case wave.Reboot:
+		if h.record.Phase != hostrecord.Rebooting {
+			w.write(h, func(r *hostrecord.Record) {
+				r.Phase = hostrecord.Rebooting
+				r.BootID = ""
+				if h.up {
+					r.BootID = h.bootID()
+				}
+			})
+		}
+		w.reboot(h)
+	case wave.AwaitProof:
+		delete(w.memory.healthy, h.Name)
+		w.write(h, func(r *hostrecord.Record) { r.Phase = hostrecord.Proving })
+	case wave.Return:
+		w.putBack(h, step)
+	case wave.GiveUp:
+		w.write(h, func(r *hostrecord.Record) {
+			r.Phase = hostrecord.Failed
+			r.Visits = map[string]hostrecord.Visit{waveName: *step.Visit}
+		})
+	}
+}
+
+func (w *world) startDrain(h *host, step wave.Step) {
+	if reason, ok := w.acquire(h); !ok {
+		w.memory.refusals[h.Name] = reason
+		return
+	}
+	delete(w.memory.refusals, h.Name)
+	w.operations++
+	w.write(h, func(r *hostrecord.Record) {
+		r.Phase, r.Wave, r.Operation = hostrecord.Draining, waveName, fmt.Sprintf("op-%d", w.operations)
+		r.OutSince, r.AlreadyDown = epoch.Add(w.now), step.AlreadyDown
+	})
+	w.meter.judge(w, h)
+}
+
+func (w *world) putBack(h *host, step wave.Step) {
+	h.drained = false
+	w.write(h, func(r *hostrecord.Record) {
+		if step.Visit != nil {
+			r.Visits = map[string]hostrecord.Visit{waveName: *step.Visit}
+		}
+		if r.NextPool != "" {
+			w.meter.moves++
+			r.Pool, r.NextPool = r.NextPool, ""
+		}
+		r.Phase, r.Wave, r.Operation, r.BootID = hostrecord.Serving, "", "", ""
+		r.OutSince, r.AlreadyDown = time.Time{}, false
+	})
+}
+
+// away reports whether no controller decides now.
+func (w *world) away() bool {
+	for _, at := range w.faults.failovers {
+		if w.now >= at && w.now < at+failoverTime {
+			w.memory = newMemory()
+			return true
+		}
+	}
+	for _, at := range w.faults.outages {
+		if w.now >= at && w.now < at+outageTime {
+			return true
+		}
+	}
+	return false
+}
+
+// operate is the operators: they resize two pools, and let a stopped wave go on
+// once they have looked at it.
+func (w *world) operate(status wave.Status) {
+	if w.resizeFrom != "" && w.now >= resizeAt {
+		w.resizeNow()
+	}
+	if status.Phase != wave.Stopped {
+		w.stoppedAt = 0
+		return
+	}
+	if w.stoppedAt == 0 {
+		w.stoppedAt = w.now
+	}
+	if w.now-w.stoppedAt >= operatorTime {
+		w.spec.ResumeGeneration++
+		w.stoppedAt = 0
+	}
+}
+
+// operatorTime is how long operators take to look at a stopped wave.
+const operatorTime = 10 * time.Minute
+
+func (w *world) resizeNow() {
+	pools := make(map[string]*record.Pool, len(w.pools))
+	for name, pool := range w.pools {
+		resized := *pool
+		pools[name] = &resized
+	}
+	pools[w.resizeFrom].Size--
+	pools[w.resizeTo].Size++
+	w.pools = pools
+	w.resized, w.resizeFrom = true, ""
+}
--- /dev/null
+++ b/internal/measure/policy/policy_test.go
@@ -0,0 +1,59 @@
+package policy
+
+import (
+	"os"
+	"strconv"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// runsVar asks for more runs than CI makes.
+const runsVar = "GLADE_POLICY_RUNS"
+
+func runs(t *testing.T) int {
+	text := os.Getenv(runsVar)
+	if text == "" {
+		return 3
+	}
+	n, err := strconv.Atoi(text)
+	must.NoError(t, err)
+	return n
+}
+
+// Whatever fails together, no act of ours breaks a budget or its margin, no
+// host is in two pools, and every wave ends.
+func TestOursHoldsUnderCorrelatedFailures(t *testing.T) {
+	for _, deployment := range []string{"klarlund", "lindqvist"} {
+		for run := range runs(t) {
+			s, err := newScenario(deployment, 1, run, true)
+			must.NoError(t, err)
+			o := play(s, ours{})
+			must.Eq(t, 0, o.violations)
+			must.Eq(t, 0, o.marginBroken)
+			must.Eq(t, 0, o.doublePool)
+			must.True(t, o.finished)
+		}
+	}
+}
+
+// The baselines go through the same gate and end as well: a comparison with a
+// baseline that is stuck says nothing.
+func TestBaselinesEnd(t *testing.T) {
+	for name, d := range deciders() {
+		s, err := newScenario("lindqvist", 1, 0, true)
+		must.NoError(t, err)
+		o := play(s, d)
+		must.True(t, o.finished, must.Sprint(name))
+		must.Eq(t, 0, o.violations, must.Sprint(name))
+	}
+}
+
+func TestNoPolicyBeatsTheLowerBound(t *testing.T) {
+	for name, d := range deciders() {
+		s, err := newScenario("klarlund", 2, 0, false)
+		must.NoError(t, err)
+		o := play(s, d)
+		must.GreaterEq(t, o.bound, o.rollout, must.Sprint(name))
+	}
+}
--- a/internal/wave/history.go
+++ b/internal/wave/history.go
@@ -80,9 +80,10 @@
 	return h
 }
 
-// width replays the outcomes: one more host at once for each that came back
-// whole, which doubles the width with each batch; fewer after a failure.
-func (h history) width(initial, limit int) (int, string) {
+// width replays the outcomes: growth more hosts at once for each that came back
+// whole, fewer after a failure. Hosts that are proving have shown that they
+// boot, which is what waves break most: they widen it ahead of their proof.
+func (h history) width(initial, limit, growth, proving int) (int, string) {
 	width, why := min(initial, limit), "starting small"
 	for i, o := range h.outcomes {
 		switch {
@@ -91,10 +92,11 @@
 			width = max(1, width/divisor)
 			why = fmt.Sprintf("shrunk after host %s failed, %s", o.host, kind)
 		case !o.late && width < limit:
-			width++
+			width = min(limit, width+growth)
 			why = "widening as hosts come back whole"
 		}
 	}
+	width = min(limit, width+growth*proving)
 	if width >= limit {
 		why = "as wide as budgets and policy allow"
 	}
--- a/internal/wave/lane.go
+++ b/internal/wave/lane.go
@@ -100,6 +100,7 @@
 // lanes it has begun.
 func (p *planner) ordered(lanes map[string]*lane, begun map[begunRacks]bool) []*lane {
 	held := p.history.heldRacks()
+	p.pools = len(lanes)
 	var all []*lane
 	for _, l := range lanes {
 		if l.waiting+l.out == 0 {
--- a/internal/wave/planner.go
+++ b/internal/wave/planner.go
@@ -25,6 +25,11 @@
 	// out counts hosts that the width is charged for, elsewhere those that
 	// another wave or a move has out.
 	out, elsewhere, started int
+	// proving counts those of out that are back from their reboot, and pools
+	// the wave's pools that have hosts.
+	proving, pools int
+	// limit is the width that the wave reaches while nothing fails.
+	limit int
 	// rotation is the lane that is asked next, exhausted says that none has a
 	// host left that the budgets let out.
 	rotation  int
@@ -89,6 +94,7 @@
 		p.status.Out = append(p.status.Out, host.Name)
 		if !host.Record.AlreadyDown {
 			p.out++
+			p.proving += yes(host.Record.Phase == hostrecord.Proving)
 		}
 	case placeDown:
 		p.down = append(p.down, host)
@@ -165,10 +171,22 @@
 	}
 	p.exhausted = len(taken) == 0
 	p.status.Safe = p.out + len(taken)
-	limit := widest(p.status.Safe, p.share)
-	p.status.Width, p.status.WidthWhy = p.history.width(first(limit, p.status.Hosts, p.share), limit)
+	p.setWidth()
+}
+
+// setWidth takes as many lanes as the policy works on at once, each as wide as
+// it safely is, and lets the wave's history say how much of that to use.
+func (p *planner) setWidth() {
+	for i, l := range p.lanes {
+		if i < poolsAtOnce(p.pools, p.share) || l.out > 0 {
+			p.limit += l.safe
+		}
+	}
+	start := first(p.limit, p.status.Hosts, p.share)
+	p.status.Width, p.status.WidthWhy = p.history.width(start, p.limit, growth(p.share), p.proving)
 	if most := p.input.Spec.MaxParallel; most > 0 && most < p.status.Width {
 		p.status.Width, p.status.WidthWhy = most, "the record's maxParallel"
+		p.limit = min(p.limit, most)
 	}
 }
 
@@ -215,10 +233,22 @@
 	p.exhausted = true
 }
 
+// Advance returns the steps that take a wave's hosts that are out further, and
+// starts none. LastChance says that nothing but hosts that were down before is
+// out or about to go out, so that those have no more time to come back.
+func Advance(fleet Fleet, input Input, lastChance bool) []Step {
+	if fleet.Book == nil {
+		fleet.Book = budget.NewBook(nil, nil)
+	}
+	p := &planner{input: input, fleet: fleet}
+	p.history = readHistory(input.Name, input.Spec.ResumeGeneration, input.Hosts)
+	p.advance(lastChance)
+	return p.steps
+}
+
 // advance takes every host that is out one transition further.
-func (p *planner) advance() {
+func (p *planner) advance(lastChance bool) {
 	sequence := p.history.lastSequence
-	lastChance := p.out+p.started+p.elsewhere == 0
 	for _, host := range p.input.Hosts {
 		if host.Record.Wave != p.input.Name {
 			continue
--- a/internal/wave/report.go
+++ b/internal/wave/report.go
@@ -76,10 +76,7 @@
 	if p.status.Phase != Running && p.status.Phase != Shut {
 		return
 	}
-	width := max(1, widest(p.status.Safe, p.share), p.status.Width)
-	if most := p.input.Spec.MaxParallel; most > 0 {
-		width = min(width, most)
-	}
+	width := max(1, p.limit)
 	remaining := batches(p.waiting, width, p.out) * mean
 	for _, l := range p.lanes {
 		remaining = max(remaining, batches(l.waiting, max(1, l.safe), l.out)*mean)
