--- a/internal/measure/policy/meter.go
+++ b/internal/measure/policy/meter.go
@@ -55,7 +55,7 @@
 }
 
 // claim is what a policy keeps of a service's hosts at one moment.
-type claim struct{ out, unfinished, left int }
+type claim struct{ out, unfinished int }
 
 // measure adds what is held back over a stretch of time. For each service from
 // its first host taken out to its last one back:
