Judge moves by the store's own history, through fail-over and faults

Cause: the acting part of the mover had no tests.

A judge follows the store's history and knows nothing of the mover: a pool changes only out of a granted drain, and what serves stays within the budget.

--- /dev/null
+++ b/internal/mover/harness_test.go
@@ -0,0 +1,283 @@
+package mover
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test/must"
+
+	"auburnglade.example/glade/internal/budget"
+	"auburnglade.example/glade/internal/feed"
+	"auburnglade.example/glade/internal/fleet"
+	"auburnglade.example/glade/internal/fleet/fakefleet"
+	"auburnglade.example/glade/internal/holder"
+	"auburnglade.example/glade/internal/hostrecord"
+	"auburnglade.example/glade/internal/invariant"
+	"auburnglade.example/glade/internal/keys"
+	"auburnglade.example/glade/internal/record"
+	"auburnglade.example/glade/internal/store"
+	"auburnglade.example/glade/internal/store/memstore"
+)
+
+// bench is a store, a fleet and any number of movers in virtual time.
+type bench struct {
+	t        *testing.T
+	store    *memstore.Store
+	fleet    *fakefleet.Fleet
+	inFlight atomic.Int64
+	checker  *invariant.Checker
+	wait     sync.WaitGroup
+	started  int
+	judge    *historyJudge
+}
+
+// nobodyLags says that every member serves every revision.
+type nobodyLags struct{}
+
+func (nobodyLags) Lagging(context.Context, store.Revision) []string { return nil }
+
+// controller can be ended, or made to believe that it holds.
+type controller struct {
+	stop    context.CancelFunc
+	holder  *holder.Holder
+	unaware atomic.Bool
+}
+
+func (c *controller) Held() bool { return c.unaware.Load() || c.holder.Held() }
+
+func newBench(t *testing.T, hosts int) *bench {
+	b := &bench{t: t, store: memstore.New(), checker: invariant.New(zerolog.Nop(), nil)}
+	var list []fleet.Host
+	for i := range hosts {
+		list = append(list, fleet.Host{Name: fmt.Sprintf("h%02d", i), Zone: fmt.Sprintf("z%d", i%3), Rack: fmt.Sprintf("r%d", i/3)})
+	}
+	b.fleet = fakefleet.New(list, fakefleet.Options{
+		ListLag: time.Second, InFlight: func(string) int { return int(b.inFlight.Load()) },
+	})
+	b.judge = newHistoryJudge(b.store)
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	b.wait.Go(func() { b.judge.follow(ctx) })
+	t.Cleanup(func() { stop(); b.wait.Wait() })
+	return b
+}
+
+func (b *bench) put(name string, spec record.Spec) {
+	envelope := record.New(name, spec)
+	value, err := json.Marshal(envelope)
+	must.NoError(b.t, err)
+	key := keys.Spec(envelope.ID())
+	for {
+		entry, err := b.store.Get(context.Background(), key)
+		if err == nil || store.IsNotFound(err) {
+			if _, err = b.store.CompareAndSwap(context.Background(), store.Write{Key: key, Expect: entry.ModRevision, Value: value}); err == nil {
+				return
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// pool puts a pool with a service and a budget of its own.
+func (b *bench) pool(name string, size, minimum int) {
+	b.put("s-"+name, &record.Service{PathPrefix: "/" + name + "/", Port: 80})
+	b.put("b-"+name, &record.Budget{Service: "s-" + name, MinAvailable: minimum})
+	b.resize(name, size)
+}
+
+func (b *bench) resize(name string, size int) {
+	b.put(name, &record.Pool{Size: size, Services: []string{"s-" + name}})
+}
+
+func (b *bench) start() *controller {
+	b.started++
+	member := fmt.Sprintf("c%d", b.started)
+	ctx, stop := context.WithCancel(context.Background())
+	b.t.Cleanup(stop)
+	c := &controller{stop: stop, holder: holder.New(b.store, "fleet", member, 3*time.Second, zerolog.Nop())}
+	f := feed.New(b.store, zerolog.Nop(), b.checker, nil)
+	m := New(Config{
+		Member: member, Store: b.store, Feed: f, Hosts: b.fleet, Pool: b.fleet, Confirmer: nobodyLags{},
+		Gate: budget.NewGate(b.store), Shard: c, Invariant: b.checker, Log: zerolog.Nop(),
+	})
+	for _, serve := range []func(context.Context) error{c.holder.Serve, f.Serve, m.Serve} {
+		b.wait.Go(func() { _ = serve(ctx) })
+	}
+	return c
+}
+
+// members returns how many hosts each pool has, serving ones only.
+func (b *bench) members() map[string]int {
+	listing, err := b.store.List(context.Background(), keys.HostPrefix)
+	counts := make(map[string]int)
+	if err != nil {
+		return counts
+	}
+	for _, entry := range listing.Entries {
+		if r, err := hostrecord.Parse(entry.Key, entry.Value); err == nil && r.Phase == hostrecord.Serving {
+			counts[r.Pool]++
+		}
+	}
+	return counts
+}
+
+func (b *bench) within(limit time.Duration, what string, condition func() bool) {
+	began := time.Now()
+	for !condition() {
+		if time.Since(began) > limit {
+			b.t.Fatalf("not within %s: %s; pools have %v", limit, what, b.members())
+		}
+		time.Sleep(limit / 500)
+	}
+}
+
+func (b *bench) sizes(want map[string]int) func() bool {
+	return func() bool {
+		have := b.members()
+		for pool, size := range want {
+			if have[pool] != size {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func (b *bench) finish(controllers ...*controller) {
+	for _, c := range controllers {
+		c.stop()
+	}
+	time.Sleep(time.Second)
+	must.SliceEmpty(b.t, b.checker.Violations())
+	b.judge.mu.Lock()
+	defer b.judge.mu.Unlock()
+	must.SliceEmpty(b.t, b.judge.faults)
+}
+
+// historyJudge reads the store's own history of host records and ledgers and
+// knows nothing of the mover: a host's pool may change only while the host is
+// drained and its old pool's service has granted it, and a service's serving
+// hosts never go below its budget by our doing.
+type historyJudge struct {
+	store   *memstore.Store
+	mu      sync.Mutex
+	hosts   map[string]hostrecord.Record
+	grants  map[string]map[string]budget.Grant
+	moves   int
+	faults  []string
+	minimum map[string]int
+}
+
+func newHistoryJudge(s *memstore.Store) *historyJudge {
+	return &historyJudge{
+		store: s, hosts: make(map[string]hostrecord.Record), grants: make(map[string]map[string]budget.Grant),
+		minimum: make(map[string]int),
+	}
+}
+
+func (j *historyJudge) follow(ctx context.Context) {
+	var after store.Revision
+	for ctx.Err() == nil {
+		batch, err := j.store.Watch(ctx, keys.Root, after)
+		if err != nil {
+			time.Sleep(100 * time.Millisecond)
+			continue
+		}
+		after = batch.Revision
+		for _, event := range batch.Events {
+			j.see(event)
+		}
+	}
+}
+
+func (j *historyJudge) see(event store.Event) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	key := event.Entry.Key
+	if service, ok := cut(key, keys.LedgerPrefix); ok {
+		ledger, _ := budget.ParseLedger(key, event.Entry.Value)
+		j.grants[service] = ledger.Grants
+	}
+	host, ok := cut(key, keys.HostPrefix)
+	if !ok {
+		return
+	}
+	before, known := j.hosts[host]
+	if event.Deleted {
+		delete(j.hosts, host)
+		return
+	}
+	after, _ := hostrecord.Parse(key, event.Entry.Value)
+	j.hosts[host] = after
+	if !known {
+		return
+	}
+	if before.Pool != after.Pool {
+		j.moves++
+		if before.Phase != hostrecord.Draining || after.Phase != hostrecord.Proving {
+			j.fault("host %s went from %s to %s while %s, then %s", host, before.Pool, after.Pool, before.Phase, after.Phase)
+		}
+	}
+	if after.Phase != hostrecord.Serving && after.Phase != hostrecord.Failed && j.grants["s-"+firstOf(after.PreviousPool, after.Pool)][host].Operation != after.Operation {
+		j.fault("host %s is %s without its grant", host, after.Phase)
+	}
+	j.checkBudget(before)
+}
+
+// moveCount returns how often a host changed pool.
+func (j *historyJudge) moveCount() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.moves
+}
+
+// records returns the host records as last seen.
+func (j *historyJudge) records() map[string]hostrecord.Record {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return maps.Clone(j.hosts)
+}
+
+// keep bounds from below how many hosts of a pool must serve.
+func (j *historyJudge) keep(pool string, minimum int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.minimum[pool] = minimum
+}
+
+func (j *historyJudge) checkBudget(changed hostrecord.Record) {
+	serving := 0
+	for _, r := range j.hosts {
+		if r.Pool == changed.Pool && r.Phase == hostrecord.Serving {
+			serving++
+		}
+	}
+	if serving < j.minimum[changed.Pool] {
+		j.fault("pool %s has %d serving hosts", changed.Pool, serving)
+	}
+}
+
+func (j *historyJudge) fault(format string, args ...any) {
+	j.faults = append(j.faults, fmt.Sprintf(format, args...))
+}
+
+func firstOf(a, b string) string {
+	if a != "" {
+		return a
+	}
+	return b
+}
+
+func cut(key, prefix string) (string, bool) {
+	if len(key) > len(prefix) && key[:len(prefix)] == prefix {
+		return key[len(prefix):], true
+	}
+	return "", false
+}
--- a/internal/mover/mover.go
+++ b/internal/mover/mover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -185,10 +186,8 @@
 		if visited || wave.Paused || wave.Cancelled || !wave.Covers(r.Host) {
 			continue
 		}
-		for _, pool := range wave.Pools {
-			if pool == r.Pool {
-				return true
-			}
+		if slices.Contains(wave.Pools, r.Pool) {
+			return true
 		}
 	}
 	return false
