Show that a late Start runs nothing, and mend the hole that showed

Cause: the random run doesn't hit the guards against a Start that is long on its way. Writing their tests showed a hole: a checkpoint answered with "doesn't run" was taken for the end of the task, but its Start may still arrive.

Change: only a Stop, which the worker remembers, ends a task that doesn't run.

Conclusion: no double run through late acts, as long as a worker that has rebooted gets no Start later than MaxActDelay.

--- a/internal/jobs/harness_test.go
+++ b/internal/jobs/harness_test.go
@@ -31,6 +31,8 @@
 	holdTTL  = 3 * time.Second
 	testLag  = 2 * time.Second
 	testRead = 3 * time.Second
+	// testSave is how long a checkpoint takes.
+	testSave = 200 * time.Millisecond
 )
 
 // bench is a small platform in virtual time with any number of controllers.
@@ -47,13 +49,25 @@
 
 // controller is one that can be ended, or made to believe that it holds.
 type controller struct {
-	stop   context.CancelFunc
-	holder *holder.Holder
+	stop  context.CancelFunc
+	letGo context.CancelFunc
+	// stopFeed ends the watch of the configuration.
+	stopFeed context.CancelFunc
+	holder   *holder.Holder
 	// unaware makes it go on as a holder whose lease lapsed while it was
 	// paused before its check, again and again.
 	unaware atomic.Bool
 }
 
+// lapse ends the controller's hold of its shard without its knowing.
+func (c *controller) lapse() {
+	c.unaware.Store(true)
+	c.letGo()
+}
+
+// blind lets no news of the configuration reach the controller any more.
+func (c *controller) blind() { c.stopFeed() }
+
 func (c *controller) Held() bool { return c.unaware.Load() || c.holder.Held() }
 
 // reach is the platform's word on hosts: one that is cut off isn't reachable.
@@ -76,7 +90,7 @@
 		b.hosts = append(b.hosts, name)
 		list = append(list, fleet.Host{Name: name, Zone: fmt.Sprintf("z%d", i%3), Capacity: size, State: fleet.HostLive})
 	}
-	b.workers = fakeworkers.New(b.hosts, fakeworkers.Options{ReportLag: testLag, CheckpointTime: 200 * time.Millisecond, Behave: behave})
+	b.workers = fakeworkers.New(b.hosts, fakeworkers.Options{ReportLag: testLag, CheckpointTime: testSave, Behave: behave})
 	b.fleet = fakefleet.New(list, fakefleet.Options{OnDown: b.workers.Down, OnUp: b.workers.Up, ListLag: testLag})
 	return b
 }
@@ -105,20 +119,25 @@
 	}
 }
 
-func (b *bench) start() *controller {
+func (b *bench) start() *controller { return b.startWith(b.workers) }
+
+// startWith starts a controller that reaches workers its own way.
+func (b *bench) startWith(workers fleet.Workers) *controller {
 	b.started++
 	member := fmt.Sprintf("c%d", b.started)
 	ctx, stop := context.WithCancel(context.Background())
-	c := &controller{stop: stop, holder: holder.New(b.store, "fleet", member, holdTTL, zerolog.Nop())}
+	holding, letGo := context.WithCancel(ctx)
+	watching, stopFeed := context.WithCancel(ctx)
+	c := &controller{stop: stop, letGo: letGo, stopFeed: stopFeed, holder: holder.New(b.store, "fleet", member, holdTTL, zerolog.Nop())}
 	b.t.Cleanup(stop)
 	f := feed.New(b.store, zerolog.Nop(), b.checker, nil)
 	m := New(Config{
-		Member: member, Store: b.store, Feed: f, Hosts: b.fleet, Pool: reach{b.fleet, b.workers}, Workers: b.workers,
+		Member: member, Store: b.store, Feed: f, Hosts: b.fleet, Pool: reach{b.fleet, b.workers}, Workers: workers,
 		Shard: c, Invariant: b.checker, Log: zerolog.Nop(), LeaseTTL: testTTL, ReportInterval: testRead,
 	})
-	for _, serve := range []func(context.Context) error{c.holder.Serve, f.Serve, m.Serve} {
-		b.wait.Go(func() { _ = serve(ctx) })
-	}
+	b.wait.Go(func() { _ = c.holder.Serve(holding) })
+	b.wait.Go(func() { _ = f.Serve(watching) })
+	b.wait.Go(func() { _ = m.Serve(ctx) })
 	return c
 }
 
--- a/internal/jobs/settle.go
+++ b/internal/jobs/settle.go
@@ -74,10 +74,10 @@
 		case o.err == nil, ended && state == fleet.TaskCheckpointed:
 			p.saved(task)
 			m.end(p, task, "checkpointed")
-		case ended && state == fleet.TaskStopped:
-			m.end(p, task, "stopped")
-		case !ended:
-			// It took too long or wasn't heard: stop it instead.
+		case !ended, state == fleet.TaskStopped:
+			// It took too long, wasn't heard, or doesn't run. It may not run
+			// because its Start is still on its way: only a Stop, which the
+			// worker remembers, makes sure that it never will.
 			task.Leaving = placement.Stop
 			sight.notBefore = time.Time{}
 		}
