Forward bodies and answers whole, and never another request's answer

Cause: the forwarder allocated a buffer a request, flushed each read, could retry nothing that has a body, and told a caller of a broken short answer by aborting. net/http's transport hands a left-over answer on a kept-alive connection to the next request when one waits for that connection. Change: bodies up to 64 KiB are read before a slot is taken and may be sent again when nothing went out; longer ones stream with a guard against stalling callers. Answers up to 64 KiB are read whole before the caller sees a byte, so that a broken one still gets an honest outcome, or another endpoint for a lookup. Trailers, 1xx answers, caller's deadline, body limit, refusals with a status of their own, a retry budget. An answer whose first byte was read before the request's first byte was written, or that names another request, is dropped. Conclusion: "not run" is told more often than before (a write that the kernel refused whole counts as nothing sent), another's answer is never passed on as far as HTTP/1.1 lets one see.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -10,9 +10,10 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
-	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"auburnglade.example/glade/internal/outcome"
 )
 
@@ -44,8 +45,13 @@
 type Dialer = func(ctx context.Context, network, address string) (net.Conn, error)
 
 const (
-	dialTimeout     = time.Second
-	idleConnTimeout = 30 * time.Second
+	// dialTimeout is short: an endpoint that can't be connected to has been
+	// sent nothing, so the caller is better served by another one.
+	dialTimeout = 500 * time.Millisecond
+	// idleConnTimeout is shorter than the idle time-outs usual at servers (5 s
+	// and up). The endpoint closing an idle connection just as a request leaves
+	// on it makes that request's outcome unknown, so this side closes first.
+	idleConnTimeout = 4 * time.Second
 	maxAnswerHeader = 256 << 10
 )
 
@@ -83,21 +89,29 @@
 func (t *Transport) CloseIdle() { t.http.CloseIdleConnections() }
 
 // Do sends request to endpoint once. The request's URL names path and query
-// only. On success the caller must close the answer's body.
-func (t *Transport) Do(request *http.Request, endpoint Endpoint) (*http.Response, *Failure) {
+// only; its header and body are the transport's from now on. On success the
+// caller must close the answer's body. inform may be nil.
+func (t *Transport) Do(request *http.Request, endpoint Endpoint, inform Inform) (*http.Response, *Failure) {
 	watch := connWatch{gate: gateOf(request.Context())}
-	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{GotConn: watch.gotConn})
+	ctx := httptrace.WithClientTrace(request.Context(), watch.trace(inform))
 	outgoing := request.WithContext(ctx)
 	outgoing.URL = &url.URL{
 		Scheme: "http", Host: endpoint.Address,
-		Path: request.URL.Path, RawPath: request.URL.RawPath, RawQuery: request.URL.RawQuery,
+		Path: request.URL.Path, RawPath: request.URL.RawPath,
+		RawQuery: request.URL.RawQuery, ForceQuery: request.URL.ForceQuery,
 	}
+	id := request.Header.Get(outcome.RequestIDHeader)
 	forbidReplay(outgoing)
 	response, err := t.http.RoundTrip(outgoing)
-	if err == nil {
-		return response, nil
+	if err != nil {
+		return nil, &Failure{Endpoint: endpoint, Reason: ReasonOf(ctx, watch.lost()), Sent: watch.seal(), Cause: err}
+	}
+	if foreign := watch.foreignAnswer(id, response); foreign != nil {
+		sent := watch.seal()
+		response.Body.Close()
+		return nil, &Failure{Endpoint: endpoint, Reason: outcome.ForeignAnswer, Sent: sent, Cause: foreign}
 	}
-	return nil, &Failure{Endpoint: endpoint, Reason: reasonOf(ctx, &watch), Sent: watch.seal(), Cause: err}
+	return response, nil
 }
 
 // forbidReplay keeps http.Transport from sending a request a second time by
@@ -135,49 +149,14 @@
 
 func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
 
-func reasonOf(ctx context.Context, watch *connWatch) outcome.Reason {
-	conn := watch.conn.Load()
+// ReasonOf returns why an attempt under ctx ended: the caller's leaving and
+// the deadline come before otherwise.
+func ReasonOf(ctx context.Context, otherwise outcome.Reason) outcome.Reason {
 	switch {
-	case conn != nil && conn.gateClosed():
-		return outcome.GateClosed
-	case ctx.Err() != nil:
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return outcome.TimedOut
-	case conn == nil:
-		return outcome.ConnectFailed
-	}
-	return outcome.EndpointLost
-}
-
-// connWatch remembers the connection an attempt got and how many writes that
-// connection had seen before.
-type connWatch struct {
-	gate   func() bool
-	conn   atomic.Pointer[sealedConn]
-	before atomic.Int64
-	// again is set when the transport got a second connection: with replay
-	// forbidden that only happens when nothing was written on the first.
-	again atomic.Bool
-}
-
-func (w *connWatch) gotConn(info httptrace.GotConnInfo) {
-	conn, ok := info.Conn.(*sealedConn)
-	if !ok {
-		return
-	}
-	if previous := w.conn.Load(); previous != nil && previous.seal() != w.before.Load() {
-		w.again.Store(true)
-	}
-	w.before.Store(conn.writes())
-	w.conn.Store(conn)
-	conn.setGate(w.gate)
-}
-
-// seal stops all further writes on the attempt's connection and reports
-// whether any was made for this attempt.
-func (w *connWatch) seal() (sent bool) {
-	conn := w.conn.Load()
-	if conn == nil {
-		return false
+	case ctx.Err() != nil:
+		return outcome.CallerGone
 	}
-	return conn.seal() != w.before.Load() || w.again.Load()
+	return otherwise
 }
--- /dev/null
+++ b/internal/attempt/watch.go
@@ -0,0 +1,104 @@
+package attempt
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"sync/atomic"
+
+	"auburnglade.example/glade/internal/outcome"
+)
+
+// ForeignAnswerError says that what came back isn't the answer to the
+// attempt's own request.
+type ForeignAnswerError struct {
+	// Early is true when the answer's first byte was there before the request
+	// was written.
+	Early bool
+	// Got and Want are the request identities, when the endpoint echoes one.
+	Got, Want string
+	// Status is set when the endpoint switched protocols unasked.
+	Status int
+}
+
+func (e *ForeignAnswerError) Error() string {
+	return fmt.Sprintf("answer isn't this request's own: early=%t, id %q, want %q, status %d", e.Early, e.Got, e.Want, e.Status)
+}
+
+// connWatch remembers the connection an attempt got.
+type connWatch struct {
+	gate func() bool
+	conn atomic.Pointer[sealedConn]
+	// again is set when the transport got a second connection after the first
+	// had been written to. With replay forbidden that can't be.
+	again atomic.Bool
+	// own is set when the answer's first byte came after the request's.
+	own atomic.Bool
+}
+
+// Inform is told of an informational (1xx) answer before the final one. It may
+// still be called while Do returns a failure.
+type Inform func(status int, header textproto.MIMEHeader) error
+
+func (w *connWatch) trace(inform Inform) *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{
+		GotConn: w.gotConn, GotFirstResponseByte: w.gotFirstByte, Got1xxResponse: inform,
+	}
+}
+
+func (w *connWatch) gotConn(info httptrace.GotConnInfo) {
+	conn, ok := info.Conn.(*sealedConn)
+	if !ok {
+		return
+	}
+	if previous := w.conn.Load(); previous != nil && previous.seal() {
+		w.again.Store(true)
+	}
+	conn.begin(w.gate)
+	w.conn.Store(conn)
+}
+
+func (w *connWatch) gotFirstByte() {
+	if conn := w.conn.Load(); conn != nil {
+		w.own.Store(conn.heardSinceWrite())
+	}
+}
+
+// lost is the reason of an attempt that failed by itself.
+func (w *connWatch) lost() outcome.Reason {
+	conn := w.conn.Load()
+	switch {
+	case conn == nil:
+		return outcome.ConnectFailed
+	case conn.gateClosed():
+		return outcome.GateClosed
+	}
+	return outcome.EndpointLost
+}
+
+// seal stops all further writes on the attempt's connection and reports
+// whether any was made for this attempt.
+func (w *connWatch) seal() (sent bool) {
+	conn := w.conn.Load()
+	if conn == nil {
+		return false
+	}
+	return conn.seal() || w.again.Load()
+}
+
+// foreignAnswer returns why the answer can't be the request's own, or nil.
+// What it can't see: an endpoint that echoes no identity and answers an
+// earlier request only after the next one was written on the same connection.
+func (w *connWatch) foreignAnswer(id string, response *http.Response) *ForeignAnswerError {
+	got := response.Header.Get(outcome.RequestIDHeader)
+	switch {
+	case !w.own.Load():
+		return &ForeignAnswerError{Early: true, Got: got, Want: id}
+	case got != "" && got != id:
+		return &ForeignAnswerError{Got: got, Want: id}
+	case response.StatusCode == http.StatusSwitchingProtocols:
+		return &ForeignAnswerError{Status: response.StatusCode}
+	}
+	return nil
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -1,184 +1,197 @@
 package gateway
 
 import (
-	"context"
-	"errors"
-	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
-	"go.opentelemetry.io/otel/propagation"
-	semconv "go.opentelemetry.io/otel/semconv/v1.26.0"
-	"go.opentelemetry.io/otel/trace"
+	"github.com/cockroachdb/errors"
 
 	"auburnglade.example/glade/internal/attempt"
 	"auburnglade.example/glade/internal/endpoint"
 	"auburnglade.example/glade/internal/invariant"
 	"auburnglade.example/glade/internal/limit"
 	"auburnglade.example/glade/internal/outcome"
+	"auburnglade.example/glade/internal/pause"
+	"auburnglade.example/glade/internal/retry"
 )
 
-const (
-	// maxAttempts bounds the attempts of one request.
-	maxAttempts = 3
-	// retryAfterSeconds is told to a caller whose request did not run.
-	retryAfterSeconds = 1
-	copyBufferBytes   = 32 << 10
-)
-
-// hopByHop are the headers that end at each hop (RFC 9110, section 7.6.1).
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
-var traceContext = propagation.TraceContext{}
-
-func (g *Gateway) startSpan(ctx context.Context, r *http.Request, service string) (context.Context, trace.Span) {
-	ctx = traceContext.Extract(ctx, propagation.HeaderCarrier(r.Header))
-	return g.tracer.Start(ctx, "gateway "+service, trace.WithSpanKind(trace.SpanKindServer),
-		trace.WithAttributes(semconv.HTTPRequestMethodKey.String(r.Method), semconv.URLPath(r.URL.Path)))
+// maxAttempts bounds the attempts of one request.
+const maxAttempts = 3
+
+// exchange is one caller's request on its way to an outcome.
+type exchange struct {
+	gateway *Gateway
+	w       http.ResponseWriter
+	r       *http.Request
+	service endpoint.Service
+	body    *requestBody
+	// id is the request's identity over all its hops.
+	id         string
+	idempotent bool
+	tried      map[string]bool
+	// sent is true once a byte of the request may have reached an endpoint
+	// that didn't refuse it.
+	sent bool
 }
 
 // forward sends the request until it has an answer or an honest failure.
 func (g *Gateway) forward(w http.ResponseWriter, r *http.Request, service endpoint.Service) {
-	idempotent := isIdempotent(service, r)
-	replayable := r.Body == nil || r.Body == http.NoBody
-	tried := make(map[string]bool)
-	sent := false
-	for attempts := 0; attempts < maxAttempts; attempts++ {
-		slot, err := g.acquire(r, service, tried)
+	body, err := g.takeBody(w, r)
+	if err != nil {
+		g.refuse(w, service.Name, err.Reason)
+		return
+	}
+	defer body.close()
+	x := &exchange{
+		gateway: g, w: w, r: r, service: service, body: body,
+		id: r.Header.Get(outcome.RequestIDHeader), idempotent: isIdempotent(service, r),
+	}
+	x.run()
+}
+
+func (x *exchange) run() {
+	g := x.gateway
+	g.retries.Of(x.service.Name).Earn()
+	for attempts := 1; ; attempts++ {
+		slot, err := g.acquire(x.r, x.service, x.tried)
 		if err != nil {
-			g.fail(w, service.Name, sent, refusalReason(err))
+			g.fail(x.w, x.service.Name, x.sent, refusalReason(err))
 			return
 		}
-		picked := slot.Endpoint
-		tried[picked.Host] = true
-		g.Invariant.Hold(invariant.SingleAttempt, idempotent || !sent, func() string {
-			return "second attempt of a non-idempotent request " + r.Header.Get(outcome.RequestIDHeader)
-		})
-		response, failure := g.attempt(r, picked)
+		failure := x.try(slot)
 		if failure == nil {
-			g.answerAndRelease(w, service.Name, response, slot)
 			return
 		}
-		g.release(slot, failure.Reason)
-		sent = sent || failure.Sent
-		g.metrics.failedAttempts.WithLabelValues(service.Name, string(failure.Reason)).Inc()
-		if r.Context().Err() != nil || (failure.Sent && !idempotent) || !replayable {
-			g.fail(w, service.Name, sent, failure.Reason)
+		x.note(slot.Endpoint, failure)
+		if attempts == maxAttempts || !x.mayRetry(failure) {
+			g.fail(x.w, x.service.Name, x.sent, failure.Reason)
 			return
 		}
+		g.metrics.retries.WithLabelValues(x.service.Name, string(failure.Reason)).Inc()
+		pause.For(x.r.Context(), retry.Backoff(attempts))
+	}
+}
+
+func (x *exchange) note(on endpoint.Endpoint, failure *attempt.Failure) {
+	if x.tried == nil {
+		x.tried = make(map[string]bool, maxAttempts)
 	}
-	g.fail(w, service.Name, sent, outcome.ConnectFailed)
+	x.tried[on.Host] = true
+	x.sent = x.sent || failure.Sent
+	x.gateway.metrics.failedAttempts.WithLabelValues(x.service.Name, string(failure.Reason)).Inc()
+	x.gateway.Log.Debug().Err(failure).Str("request", x.id).Msg("Attempt failed.")
 }
 
-// attempt sends the request to one endpoint. An endpoint that refuses before
+// mayRetry decides whether another attempt is safe and affordable. An attempt
+// that sent nothing is free: it put no work on any endpoint, so trying the next
+// one doesn't multiply load when a zone is lost.
+func (x *exchange) mayRetry(failure *attempt.Failure) bool {
+	if x.r.Context().Err() != nil || !x.body.replayable() {
+		return false
+	}
+	if failure.Sent && !x.idempotent {
+		return false
+	}
+	if !failure.Sent && failure.Reason != outcome.EndpointRefused {
+		return true
+	}
+	if x.gateway.retries.Of(x.service.Name).Spend() {
+		return true
+	}
+	x.gateway.metrics.retriesDenied.WithLabelValues(x.service.Name).Inc()
+	return false
+}
+
+// try makes one attempt on the slot's endpoint. It returns nil once the caller
+// has the answer, and panics with http.ErrAbortHandler when an answer breaks
+// off after its header went out.
+func (x *exchange) try(slot *limit.Slot) *attempt.Failure {
+	held := &heldSlot{gateway: x.gateway, slot: slot}
+	defer held.release(outcome.EndpointLost)
+	response, failure := x.send(slot.Endpoint)
+	if failure != nil {
+		held.release(failure.Reason)
+		return failure
+	}
+	defer response.Body.Close()
+	if length := answerLength(x.r.Method, response); length >= 0 && length <= largeBuffer {
+		return x.answerWhole(response, int(length), held)
+	}
+	x.answerStreaming(response, held)
+	return nil
+}
+
+// send sends the request to one endpoint. An endpoint that refuses before
 // starting says so itself, which counts as a failure with nothing sent.
-func (g *Gateway) attempt(r *http.Request, picked endpoint.Endpoint) (*http.Response, *attempt.Failure) {
-	ctx, span := g.tracer.Start(r.Context(), "attempt "+picked.Host, trace.WithSpanKind(trace.SpanKindClient))
+func (x *exchange) send(picked endpoint.Endpoint) (*http.Response, *attempt.Failure) {
+	g := x.gateway
+	ctx, span := g.startAttemptSpan(x.r.Context(), picked)
 	defer span.End()
-	outgoing := r.Clone(ctx)
-	outgoing.RequestURI = ""
-	outgoing.Close = false
-	removeHopByHop(outgoing.Header)
-	traceContext.Inject(ctx, propagation.HeaderCarrier(outgoing.Header))
-	if deadline, ok := ctx.Deadline(); ok {
-		outgoing.Header.Set(outcome.DeadlineHeader, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
-	}
+	g.Invariant.Hold(invariant.SingleAttempt, x.idempotent || !x.sent, func() string {
+		return "second attempt of non-idempotent request " + x.id + " on " + picked.Host
+	})
 	target := attempt.Endpoint{Host: picked.Host, Address: picked.Address}
-	response, failure := g.transport.Do(outgoing, target)
+	informer := &informer{w: x.w}
+	defer informer.end()
+	outgoing := x.outgoing(ctx)
+	began := time.Now()
+	response, failure := g.transport.Do(outgoing, target, informer.inform)
 	if failure != nil {
+		x.explain(failure)
+		noteFailure(span, failure)
 		return nil, failure
 	}
+	g.metrics.attemptSeconds.WithLabelValues(x.service.Name).Observe(time.Since(began).Seconds())
 	if response.Header.Get(outcome.Header) == string(outcome.NotRun) {
 		response.Body.Close()
-		return nil, &attempt.Failure{Endpoint: target, Reason: outcome.EndpointRefused, Sent: false}
+		failure = &attempt.Failure{Endpoint: target, Reason: outcome.EndpointRefused, Sent: false}
+		noteFailure(span, failure)
+		return nil, failure
 	}
 	return response, nil
 }
 
-// answerAndRelease holds the slot until the answer is through, also when the
-// copy breaks off and panics.
-func (g *Gateway) answerAndRelease(w http.ResponseWriter, service string, response *http.Response, slot *limit.Slot) {
-	reason := outcome.EndpointLost
-	defer func() { g.release(slot, reason) }()
-	g.answer(w, service, response)
-	reason = ""
-}
-
-// answer copies the endpoint's answer. A copy that breaks off aborts the
-// caller's connection, so that a truncated answer never looks whole.
-func (g *Gateway) answer(w http.ResponseWriter, service string, response *http.Response) {
-	defer response.Body.Close()
-	removeHopByHop(response.Header)
-	header := w.Header()
-	for name, values := range response.Header {
-		header[name] = values
-	}
-	for name := range response.Trailer {
-		header.Add("Trailer", name)
+// explain names the cause where that, and not the endpoint, broke the attempt
+// off: the caller's body, or this gateway's own share of connections.
+func (x *exchange) explain(failure *attempt.Failure) {
+	var full *limit.ConnectionsFullError
+	if errors.As(failure.Cause, &full) {
+		failure.Reason = outcome.Overloaded
+		return
 	}
-	header.Set(outcome.Header, string(outcome.Answered))
-	w.WriteHeader(response.StatusCode)
-	if err := copyFlushing(w, response.Body); err != nil {
-		g.metrics.requests.WithLabelValues(service, string(outcome.Unknown)).Inc()
-		g.Log.Debug().Err(err).Str("service", service).Msg("Answer broke off.")
-		panic(http.ErrAbortHandler)
+	if x.body.stream == nil || failure.Reason != outcome.EndpointLost {
+		return
 	}
-	for name, values := range response.Trailer {
-		header[name] = values
+	if refused := refusedBody(failure.Cause); refused.Reason != outcome.BadRequest {
+		failure.Reason = refused.Reason
 	}
-	g.metrics.requests.WithLabelValues(service, string(outcome.Answered)).Inc()
 }
 
-// copyFlushing copies body and flushes after each read, so that a slow stream
-// reaches the caller as it comes.
-func copyFlushing(w http.ResponseWriter, body io.Reader) error {
-	controller := http.NewResponseController(w)
-	buffer := make([]byte, copyBufferBytes)
-	for {
-		n, err := body.Read(buffer)
-		if n > 0 {
-			if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
-				return writeErr
-			}
-			// A writer that can't flush buffers only.
-			_ = controller.Flush()
-		}
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
+// heldSlot gives a slot back once, whichever way the attempt ends.
+type heldSlot struct {
+	gateway  *Gateway
+	slot     *limit.Slot
+	released bool
 }
 
-func (g *Gateway) fail(w http.ResponseWriter, service string, sent bool, reason outcome.Reason) {
-	if !sent {
-		g.refuse(w, service, reason)
+func (h *heldSlot) release(reason outcome.Reason) {
+	if h.released {
 		return
 	}
-	g.metrics.requests.WithLabelValues(service, string(outcome.Unknown)).Inc()
-	w.Header().Set(outcome.Header, string(outcome.Unknown))
-	w.Header().Set(outcome.ReasonHeader, string(reason))
-	http.Error(w, "unknown: the request may have run", outcome.StatusUnknown)
-}
-
-func (g *Gateway) refuse(w http.ResponseWriter, service string, reason outcome.Reason) {
-	g.metrics.requests.WithLabelValues(service, string(outcome.NotRun)).Inc()
-	w.Header().Set(outcome.Header, string(outcome.NotRun))
-	w.Header().Set(outcome.ReasonHeader, string(reason))
-	w.Header().Set("Retry-After", strconv.Itoa(retryAfterSeconds))
-	http.Error(w, "not run: the request did not start", outcome.StatusNotRun)
+	h.released = true
+	h.gateway.release(h.slot, reason)
 }
 
+// isIdempotent decides by the path as it came and as an endpoint may read it,
+// so that a doubled slash or a dot segment doesn't slip past a pattern.
 func isIdempotent(service endpoint.Service, r *http.Request) bool {
+	cleaned := cleanPath(r.URL.Path)
 	for _, pattern := range service.Spec.NonIdempotent {
-		if strings.HasPrefix(r.URL.Path, pattern.PathPrefix) && (pattern.Method == "" || pattern.Method == r.Method) {
+		if pattern.Method != "" && pattern.Method != r.Method {
+			continue
+		}
+		if strings.HasPrefix(r.URL.Path, pattern.PathPrefix) || strings.HasPrefix(cleaned, pattern.PathPrefix) {
 			return false
 		}
 	}
@@ -188,14 +201,3 @@
 	}
 	return false
 }
-
-func removeHopByHop(header http.Header) {
-	for _, field := range header.Values("Connection") {
-		for name := range strings.SplitSeq(field, ",") {
-			header.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHop {
-		header.Del(name)
-	}
-}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 	"go.opentelemetry.io/otel"
@@ -25,6 +24,7 @@
 	"auburnglade.example/glade/internal/limit"
 	"auburnglade.example/glade/internal/outcome"
 	"auburnglade.example/glade/internal/pause"
+	"auburnglade.example/glade/internal/retry"
 	"auburnglade.example/glade/internal/store"
 )
 
@@ -47,6 +47,8 @@
 	HostInterval time.Duration
 	// Shares tells what this gateway may use of each endpoint.
 	Shares limit.Shares
+	// MaxBodyBytes bounds a request's body; zero means DefaultMaxBodyBytes.
+	MaxBodyBytes int64
 }
 
 // DefaultHostInterval is the pause between two readings of the host list.
@@ -65,6 +67,7 @@
 
 	balancer *balance.Balancer
 	limiter  *limit.Limiter
+	retries  retry.Budgets
 
 	stopping atomic.Bool
 	inFlight atomic.Int64
@@ -89,6 +92,9 @@
 	if config.WorksWith == nil {
 		config.WorksWith = func(store.Revision) {}
 	}
+	if config.MaxBodyBytes == 0 {
+		config.MaxBodyBytes = DefaultMaxBodyBytes
+	}
 	if config.Tracer == nil {
 		config.Tracer = otel.GetTracerProvider()
 	}
@@ -179,13 +185,17 @@
 		g.refuse(w, "", outcome.NoRoute)
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), service.Spec.Timeout())
+	timeout, err := timeoutOf(r, service)
+	if err != nil {
+		g.refuse(w, service.Name, err.Reason)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), timeout)
 	defer cancel()
+	boundWriting(w, timeout)
 	ctx, span := g.startSpan(ctx, r, service.Name)
 	defer span.End()
-	if r.Header.Get(outcome.RequestIDHeader) == "" {
-		r.Header.Set(outcome.RequestIDHeader, uuid.NewString())
-	}
+	ensureRequestID(r)
 	g.serveOnce(w, r.WithContext(ctx), service)
 }
 
--- /dev/null
+++ b/internal/gateway/outgoing.go
@@ -0,0 +1,101 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"path"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.opentelemetry.io/otel/propagation"
+
+	"auburnglade.example/glade/internal/outcome"
+)
+
+// hopByHop are the headers that end at each hop (RFC 9110, section 7.6.1).
+// Expect ends here too: this side has answered it by reading the body.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// Names added to what goes to endpoints.
+const (
+	viaHeader       = "Via"
+	viaValue        = "1.1 glade"
+	forwardedFor    = "X-Forwarded-For"
+	userAgentHeader = "User-Agent"
+)
+
+// outgoing builds the request of one attempt.
+func (x *exchange) outgoing(ctx context.Context) *http.Request {
+	incoming := x.r
+	out := &http.Request{
+		Method: incoming.Method, URL: incoming.URL, Host: incoming.Host,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header: outgoingHeader(incoming),
+	}
+	x.body.attach(out)
+	traceContext.Inject(ctx, propagation.HeaderCarrier(out.Header))
+	if deadline, ok := ctx.Deadline(); ok {
+		out.Header[outcome.DeadlineHeader] = []string{strconv.FormatInt(time.Until(deadline).Milliseconds(), 10)}
+	}
+	return out.WithContext(ctx)
+}
+
+func outgoingHeader(incoming *http.Request) http.Header {
+	header := make(http.Header, len(incoming.Header)+headersAdded)
+	for name, values := range incoming.Header {
+		header[name] = values
+	}
+	removeHopByHop(header)
+	delete(header, "Expect")
+	delete(header, outcome.Header)
+	delete(header, outcome.ReasonHeader)
+	delete(header, outcome.LeavingHeader)
+	// The identity names the request over all hops, also when the caller lists
+	// it as a header of its own hop.
+	header[outcome.RequestIDHeader] = incoming.Header[outcome.RequestIDHeader]
+	header[viaHeader] = appended(header[viaHeader], viaValue)
+	header[forwardedFor] = appended(header[forwardedFor], callerOf(incoming))
+	if _, ok := header[userAgentHeader]; !ok {
+		// An empty value keeps net/http from adding its own name.
+		header[userAgentHeader] = noUserAgent
+	}
+	return header
+}
+
+// headersAdded is how many headers are added at most.
+const headersAdded = 8
+
+var noUserAgent = []string{""}
+
+// appended returns a fresh slice: the caller's header is shared by attempts.
+func appended(values []string, value string) []string {
+	return append(values[:len(values):len(values)], value)
+}
+
+// removeHopByHop deletes what ends at this hop, including what the sender
+// lists in Connection.
+func removeHopByHop(header http.Header) {
+	for _, field := range header["Connection"] {
+		for name := range strings.SplitSeq(field, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		delete(header, name)
+	}
+}
+
+func cleanPath(p string) string {
+	if !strings.Contains(p, "//") && !strings.Contains(p, "/.") {
+		return p
+	}
+	cleaned := path.Clean("/" + p)
+	if strings.HasSuffix(p, "/") && cleaned != "/" {
+		cleaned += "/"
+	}
+	return cleaned
+}
--- a/internal/gateway/recorder.go
+++ b/internal/gateway/recorder.go
@@ -34,7 +34,8 @@
 
 // WriteHeader implements http.ResponseWriter.
 func (r *recorder) WriteHeader(status int) {
-	if r.status == 0 {
+	final := status >= http.StatusOK
+	if r.status == 0 && final {
 		r.status = status
 		r.header = r.Header().Clone()
 		r.overflown = headerBytes(r.header) > maxKeptHeader || r.header.Get("Trailer") != ""
--- /dev/null
+++ b/internal/gateway/refuse.go
@@ -0,0 +1,35 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+
+	"auburnglade.example/glade/internal/outcome"
+)
+
+// retryAfterSeconds is told to a caller whose request did not run.
+const retryAfterSeconds = 1
+
+// fail tells the caller at once that its request has no answer: not run when
+// nothing was sent, unknown else.
+func (g *Gateway) fail(w http.ResponseWriter, service string, sent bool, reason outcome.Reason) {
+	if !sent {
+		g.refuse(w, service, reason)
+		return
+	}
+	g.metrics.requests.WithLabelValues(service, string(outcome.Unknown)).Inc()
+	w.Header().Set(outcome.Header, string(outcome.Unknown))
+	w.Header().Set(outcome.ReasonHeader, string(reason))
+	http.Error(w, "unknown: the request may have run", outcome.StatusUnknown)
+}
+
+func (g *Gateway) refuse(w http.ResponseWriter, service string, reason outcome.Reason) {
+	g.metrics.requests.WithLabelValues(service, string(outcome.NotRun)).Inc()
+	status, comeBack := outcome.StatusOf(reason)
+	w.Header().Set(outcome.Header, string(outcome.NotRun))
+	w.Header().Set(outcome.ReasonHeader, string(reason))
+	if comeBack {
+		w.Header().Set("Retry-After", strconv.Itoa(retryAfterSeconds))
+	}
+	http.Error(w, "not run: the request did not start", status)
+}
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -51,6 +51,20 @@
 	StatusKeyReused = http.StatusUnprocessableEntity
 )
 
+// StatusOf returns the status of a refusal. A request that would be refused
+// again as it is gets a status of its own kind and no Retry-After.
+func StatusOf(reason Reason) (status int, comeBack bool) {
+	switch reason {
+	case BadRequest:
+		return http.StatusBadRequest, false
+	case TooLarge:
+		return http.StatusRequestEntityTooLarge, false
+	case SlowCaller:
+		return http.StatusRequestTimeout, false
+	}
+	return StatusNotRun, true
+}
+
 // Reason is the fixed word given with NotRun and Unknown.
 type Reason string
 
@@ -64,6 +78,9 @@
 	EndpointRefused   Reason = "endpoint-refused"
 	EndpointLost      Reason = "endpoint-lost"
 	TimedOut          Reason = "timed-out"
+	CallerGone        Reason = "caller-gone"
+	SlowCaller        Reason = "slow-caller"
+	ForeignAnswer     Reason = "foreign-answer"
 	BadRequest        Reason = "bad-request"
 	TooLarge          Reason = "too-large"
 	KeyInUse          Reason = "key-in-use"
