Keep who changed what, and never a change without its entry

Cause: nobody could tell later who had changed a record, from what, to what.

Change: package audit. An entry with author, record, version before and after goes to the store before its change; the outcome is noted after it, with the next write of the page. Readers work out the outcome of entries whose controller ended in between, from the record's write identity and from later entries' versions before. gladectl audit shows it, with fields on request; stop-waves pauses every wave by the break-glass right.

Weighed: the entry after the change, found again by comparing records with pages, costs the same writes, but loses the author of a deletion, and of a version replaced before anyone compared. The entry first loses nothing; its price is entries without a change, which readers see through.

--- a/internal/daemon/controller.go
+++ b/internal/daemon/controller.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 
+	"auburnglade.example/glade/internal/audit"
 	"auburnglade.example/glade/internal/auth"
 	"auburnglade.example/glade/internal/budget"
 	"auburnglade.example/glade/internal/drainer"
@@ -32,6 +33,7 @@
 	jobs     *jobs.Manager
 	api      *operatorapi.Server
 	journal  *operatorapi.Journal
+	audit    *audit.Book
 }
 
 // NewController builds a controller that logs to logs; nothing runs before Run.
@@ -65,6 +67,7 @@
 		LeaseTTL: settings.Jobs.LeaseTTL, ReportInterval: settings.Jobs.ReportInterval,
 	})
 	c.journal = operatorapi.NewJournal(base.feed)
+	c.audit = c.newAudit()
 	c.api = c.newAPI()
 	return c, nil
 }
@@ -80,6 +83,7 @@
 	tree.Add("mover", c.mover)
 	tree.Add("jobs", c.jobs)
 	tree.Add("journal", c.journal)
+	tree.Add("audit", c.audit)
 	operators := httpserve.New("operators", c.settings.Listen.Operators, c.api, c.settings.Stop.Grace)
 	tree.Add("operators", c.trust.secure(operators, auth.Operators))
 	c.addCommonParts(tree, c.settings.Listen.Peers, c.settings.Listen.Admin, c.feed.Ready)
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -1,11 +1,20 @@
 package daemon
 
 import (
+	"auburnglade.example/glade/internal/audit"
 	"auburnglade.example/glade/internal/drainer"
 	"auburnglade.example/glade/internal/operatorapi"
 	"auburnglade.example/glade/internal/telemetry"
 )
 
+// newAudit returns the book of changes that this controller accepts.
+func (c *Controller) newAudit() *audit.Book {
+	return audit.NewBook(audit.Config{
+		Store: c.store, Member: c.self.ID, KeepDays: c.settings.Audit.KeepDays, Sweeps: c.holder.Held,
+		Log: telemetry.Part(c.log, "audit"), Registerer: c.registry,
+	})
+}
+
 // newAPI returns the operators' API of this controller.
 func (c *Controller) newAPI() *operatorapi.Server {
 	return operatorapi.New(operatorapi.Config{
@@ -16,6 +25,7 @@
 		Prober:    &operatorapi.PeerProber{Client: c.asker},
 		Invariant: c.invariant,
 		Journal:   c.journal,
+		Audit:     c.audit,
 		Operators: c.trust.operators(),
 		Log:       telemetry.Part(c.log, "api"),
 	})
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"auburnglade.example/glade/internal/audit"
 	"auburnglade.example/glade/internal/jobs"
 	"auburnglade.example/glade/internal/storebudget"
 )
@@ -101,6 +102,11 @@
 	ReportInterval time.Duration `ini:"report_interval" help:"Pause between two readings of the workers' usage reports."`
 }
 
+// AuditSettings shape the audit.
+type AuditSettings struct {
+	KeepDays int `ini:"keep_days" help:"How many days of changes by operators are kept."`
+}
+
 // ControllerSettings are the settings of glade-controller.
 type ControllerSettings struct {
 	Process  ProcessSettings  `ini:"process"`
@@ -114,6 +120,7 @@
 	Log      LogSettings      `ini:"log"`
 	Trace    TraceSettings    `ini:"trace"`
 	Keys     KeySettings      `ini:"keys"`
+	Audit    AuditSettings    `ini:"audit"`
 }
 
 // DefaultGatewaySettings returns the defaults; required keys are empty.
@@ -138,6 +145,7 @@
 		Stop:     defaultStop(),
 		Log:      LogSettings{Level: "info"},
 		Jobs:     JobsSettings{LeaseTTL: jobs.DefaultLeaseTTL, ReportInterval: jobs.DefaultReportInterval},
+		Audit:    AuditSettings{KeepDays: audit.DefaultKeepDays},
 		Keys:     defaultKeys(),
 	}
 }
--- a/internal/operatorapi/api.go
+++ b/internal/operatorapi/api.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"auburnglade.example/glade/internal/audit"
 	"auburnglade.example/glade/internal/auth"
 	"auburnglade.example/glade/internal/feed"
 	"auburnglade.example/glade/internal/fleet"
@@ -31,6 +32,8 @@
 	Confirmer Confirmer
 	// Operators tells who asks.
 	Operators auth.Identifier
+	// Audit, when set, keeps who changed what; it has to be served.
+	Audit *audit.Book
 	// Hosts and Prober, when set, make status and explain tell more.
 	Hosts  fleet.HostList
 	Prober Prober
@@ -59,6 +62,7 @@
 	s.mux.HandleFunc("GET /v1/fleet", s.fleet)
 	s.mux.HandleFunc("GET /v1/hosts", s.hosts)
 	s.mux.HandleFunc("POST "+planPath, s.plan)
+	s.mux.HandleFunc("GET /v1/audit", s.audit)
 	s.mux.HandleFunc("GET /v1/inforce", s.inForce)
 	s.mux.HandleFunc("GET /v1/watch", s.watch)
 	s.mux.HandleFunc("GET /v1/explain/{kind}/{name}", s.explain)
--- /dev/null
+++ b/internal/operatorapi/audited_test.go
@@ -0,0 +1,101 @@
+package operatorapi_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test/must"
+
+	"auburnglade.example/glade/internal/audit"
+	"auburnglade.example/glade/internal/keys"
+	"auburnglade.example/glade/internal/operatorapi"
+	"auburnglade.example/glade/internal/record"
+	"auburnglade.example/glade/internal/store"
+	"auburnglade.example/glade/internal/store/memstore"
+)
+
+func (b *bench) entries() []audit.Entry {
+	b.t.Helper()
+	answer, err := b.client.Audit(b.t.Context(), time.Now(), record.ID{}, "")
+	must.NoError(b.t, err)
+	return answer.Entries
+}
+
+func TestChangesAreAudited(t *testing.T) {
+	b := newBench(t, memstore.New())
+	first := b.put(pool("a", 1), 0)
+	second := b.put(pool("a", 2), first)
+	_, err := b.client.Put(t.Context(), pool("a", 3), first, false)
+	answerOf(t, err, operatorapi.CodeConflict)
+	_, err = b.client.Delete(t.Context(), pool("a", 2).ID(), second, true)
+	must.NoError(t, err)
+	got := b.entries()
+	must.SliceLen(t, 3, got, must.Sprint("a change that lost before it began leaves no entry"))
+	for i, e := range got {
+		must.Eq(t, "anyone at 127.0.0.1", e.Author)
+		must.Eq(t, audit.Accepted, e.Outcome)
+		must.Eq(t, i == 2, e.BreakGlass)
+	}
+	must.StrContains(t, string(got[1].Before), `"size":1`)
+	must.StrContains(t, string(got[1].After), `"size":2`)
+	must.Eq(t, audit.Delete, got[2].Verb)
+	must.StrContains(t, string(got[2].Before), `"size":2`)
+}
+
+// failingStore refuses writes below a prefix.
+type failingStore struct {
+	store.Store
+	prefix string
+	after  int
+}
+
+func (s *failingStore) CompareAndSwap(ctx context.Context, write store.Write) (store.Revision, error) {
+	if strings.HasPrefix(write.Key, s.prefix) {
+		if s.after--; s.after < 0 {
+			return 0, &store.UnavailableError{Op: "swap", Cause: context.DeadlineExceeded}
+		}
+	}
+	return s.Store.CompareAndSwap(ctx, write)
+}
+
+// The audit's page can't be written. The change must not be made: nobody could
+// tell later who made it.
+func TestNoChangeWithoutItsAuditEntry(t *testing.T) {
+	b := newBench(t, memstore.New())
+	b.server.Audit = audit.NewBook(audit.Config{
+		Store: &failingStore{Store: b.store, prefix: keys.AuditPrefix}, Member: "other", Log: zerolog.Nop(),
+	})
+	_, err := b.client.Put(t.Context(), pool("a", 1), 0, false)
+	answerOf(t, err, operatorapi.CodeStoreAway)
+	_, err = b.store.Get(t.Context(), keys.Spec(pool("a", 1).ID()))
+	must.True(t, store.IsNotFound(err))
+}
+
+// The entry is stored and the controller can't write the change any more, as
+// if it had died in between. The entry is there, and no change is claimed.
+func TestEntryWithoutItsChange(t *testing.T) {
+	b := newBench(t, memstore.New())
+	b.server.Store = &failingStore{Store: b.store, prefix: keys.SpecPrefix}
+	_, err := b.client.Put(t.Context(), pool("a", 1), 0, false)
+	answerOf(t, err, operatorapi.CodeStoreAway)
+	got := b.entries()
+	must.SliceLen(t, 1, got)
+	must.Eq(t, audit.NotFound, got[0].Outcome)
+	b.audit.Flush(t.Context())
+	must.Eq(t, audit.Refused, b.entries()[0].Outcome)
+}
+
+// The answer of the change is lost twice over: the entry is accepted once, and
+// its revision is that of the record.
+func TestLostAnswerIsAuditedOnce(t *testing.T) {
+	b := newBench(t, memstore.New())
+	b.store.LoseAnswers(2)
+	revision := b.put(pool("a", 1), 0)
+	b.audit.Flush(t.Context())
+	got := b.entries()
+	must.SliceLen(t, 1, got)
+	must.Eq(t, revision, got[0].Revision)
+}
--- a/internal/operatorapi/change.go
+++ b/internal/operatorapi/change.go
@@ -83,7 +83,7 @@
 
 // accept writes a change that was found good and answers.
 func (s *Server) accept(w http.ResponseWriter, r *http.Request, c change) {
-	revision, err := s.commit(r.Context(), c)
+	revision, err := s.audited(r, c)
 	if err != nil {
 		writeError(w, err)
 		return
--- a/internal/operatorapi/client.go
+++ b/internal/operatorapi/client.go
@@ -131,6 +131,19 @@
 // The envelope gets a write identity of its own, so that trying again through
 // another controller after a lost answer doesn't meet its own first try.
 func (c *Client) Put(ctx context.Context, envelope record.Envelope, expect store.Revision, dryRun bool) (Accepted, error) {
+	query := ""
+	if dryRun {
+		query = "?dryRun=true"
+	}
+	return c.put(ctx, envelope, expect, query)
+}
+
+// PutBreakingGlass is Put with the break-glass right, and is audited as such.
+func (c *Client) PutBreakingGlass(ctx context.Context, envelope record.Envelope, expect store.Revision) (Accepted, error) {
+	return c.put(ctx, envelope, expect, "?"+breakGlassParam+"=true")
+}
+
+func (c *Client) put(ctx context.Context, envelope record.Envelope, expect store.Revision, query string) (Accepted, error) {
 	var answer Accepted
 	envelope.WriteID = uuid.NewString()
 	envelope.Author = ""
@@ -138,11 +151,7 @@
 	if err != nil {
 		return answer, &record.SyntaxError{Cause: err}
 	}
-	path := recordPath(envelope.ID())
-	if dryRun {
-		path += "?dryRun=true"
-	}
-	err = c.call(ctx, http.MethodPut, path, precondition(expect), body, &answer)
+	err = c.call(ctx, http.MethodPut, recordPath(envelope.ID())+query, precondition(expect), body, &answer)
 	return answer, err
 }
 
@@ -187,6 +196,19 @@
 	return answer, err
 }
 
+// Audit returns the changes of one day in UTC. Empty filters pass everything.
+func (c *Client) Audit(ctx context.Context, day time.Time, id record.ID, author string) (AuditAnswer, error) {
+	var answer AuditAnswer
+	query := url.Values{"day": {day.UTC().Format(auditDayLayout)}}
+	for parameter, value := range map[string]string{"kind": string(id.Kind), "name": id.Name, "author": author} {
+		if value != "" {
+			query.Set(parameter, value)
+		}
+	}
+	err := c.call(ctx, http.MethodGet, "/v1/audit?"+query.Encode(), nil, nil, &answer)
+	return answer, err
+}
+
 // Fleet returns the whole fleet at a glance.
 func (c *Client) Fleet(ctx context.Context) (FleetSummary, error) {
 	var answer FleetSummary
--- a/internal/operatorcli/amend.go
+++ b/internal/operatorcli/amend.go
@@ -1,6 +1,7 @@
 package operatorcli
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"time"
@@ -9,6 +10,7 @@
 
 	"auburnglade.example/glade/internal/operatorapi"
 	"auburnglade.example/glade/internal/record"
+	"auburnglade.example/glade/internal/store"
 	"auburnglade.example/glade/internal/wave"
 )
 
@@ -69,7 +71,7 @@
 	for range maxAmendTries {
 		var accepted operatorapi.Accepted
 		var changed bool
-		accepted, changed, err = amendOnce(env, id, change)
+		accepted, changed, err = amendOnce(env, id, change, env.putPlainly)
 		if err == nil {
 			return env.printAccepted(accepted, changed)
 		}
@@ -80,7 +82,14 @@
 	return err
 }
 
-func amendOnce(env *Env, id record.ID, change func(*record.Wave)) (operatorapi.Accepted, bool, error) {
+// put writes a record at a revision.
+type put func(ctx context.Context, envelope record.Envelope, expect store.Revision) (operatorapi.Accepted, error)
+
+func (e *Env) putPlainly(ctx context.Context, envelope record.Envelope, expect store.Revision) (operatorapi.Accepted, error) {
+	return e.Client.Put(ctx, envelope, expect, false)
+}
+
+func amendOnce(env *Env, id record.ID, change func(*record.Wave), write put) (operatorapi.Accepted, bool, error) {
 	current, err := env.Client.Get(env.Context, id)
 	if err != nil {
 		return operatorapi.Accepted{}, false, err
@@ -92,7 +101,7 @@
 	if sameRecord(current.Stored, envelope) {
 		return operatorapi.Accepted{Record: id, Revision: current.Revision}, false, nil
 	}
-	accepted, err := env.Client.Put(env.Context, envelope, current.Revision, false)
+	accepted, err := write(env.Context, envelope, current.Revision)
 	return accepted, true, asChanged(err, id, current.Stored)
 }
 
--- a/internal/operatorcli/cli.go
+++ b/internal/operatorcli/cli.go
@@ -43,6 +43,8 @@
 	Pause      PauseCmd      `cmd:"" help:"Let a wave start no further host."`
 	Resume     ResumeCmd     `cmd:"" help:"Let a paused or stopped wave go on."`
 	Cancel     CancelCmd     `cmd:"" help:"End a wave once the hosts it has out are back."`
+	Audit      AuditCmd      `cmd:"" help:"Show who changed what."`
+	StopWaves  StopWavesCmd  `cmd:"" help:"Break glass: pause every wave at once."`
 	Completion CompletionCmd `cmd:"" help:"Print a shell's completion script."`
 }
 
