Give hosts that came back by themselves back to work, and plan waves together

Change: as told in the tests; the measurement judges budgets on conditions up to 3 s old, as the drainer does, and not on the list alone.

--- a/internal/budget/book.go
+++ b/internal/budget/book.go
@@ -16,6 +16,9 @@
 	Services []string
 	// Available is the pessimistic view, as in Endpoint.
 	Available bool
+	// held says that the book took the host out, which is not the same as a
+	// host that was found down: it can't be taken again, and not for free.
+	held bool
 }
 
 // Book answers what the budgets of a whole fleet still allow. It is built once
@@ -148,6 +151,9 @@
 	if !known {
 		return Decision{Reason: fmt.Sprintf("host %s is in no pool", host)}
 	}
+	if seat.held {
+		return Decision{Reason: "host is taken out already"}
+	}
 	for _, service := range seat.Services {
 		if decision := b.account(service).check(seat); !decision.Allowed {
 			return decision
@@ -189,7 +195,7 @@
 	if !known || !seat.Available {
 		return false
 	}
-	seat.Available = false
+	seat.Available, seat.held = false, true
 	b.count(seat, -1)
 	return true
 }
@@ -200,7 +206,7 @@
 	if !known || seat.Available {
 		return
 	}
-	seat.Available = true
+	seat.Available, seat.held = true, false
 	b.count(seat, 1)
 }
 
@@ -264,21 +270,6 @@
 	return buffer
 }
 
-// CheckReturned is Check of a host that is out, as if it were serving.
-func (b *Book) CheckReturned(host string) Decision {
-	seat, known := b.seats[host]
-	if !known {
-		return Decision{Allowed: true, Reason: "carries no service"}
-	}
-	if seat.Available {
-		return b.Check(host)
-	}
-	b.Undo(host)
-	decision := b.Check(host)
-	b.Hold(host)
-	return decision
-}
-
 // Margin returns the widest failure margin that any of the host's services
 // asks for.
 func (b *Book) Margin(host string) record.FailureMargin {
--- a/internal/measure/policy/baselines.go
+++ b/internal/measure/policy/baselines.go
@@ -87,6 +87,8 @@
 			}
 		case !host.Record.TakesWork():
 			tracked++
+		case host.Down && host.Reachable && host.Healthy:
+			tracked++
 		case host.Down:
 			down = append(down, host)
 		default:
--- a/internal/measure/policy/control.go
+++ b/internal/measure/policy/control.go
@@ -11,9 +11,9 @@
 	"auburnglade.example/glade/internal/wave"
 )
 
-// gateAsksHosts says that the gate asks the platform for the condition of a
-// service's hosts at the act, and doesn't rest on the lagging list alone.
-const gateAsksHosts = true
+// conditionAge is how old the platform's word on a serving host may be when the
+// drainer judges a budget on it. The list alone lags by up to a minute here.
+const conditionAge = 3 * time.Second
 
 // waveName is the one wave of a run.
 const waveName = "kernel"
@@ -28,7 +28,7 @@
 		}
 		seats = append(seats, budget.Seat{
 			Host: h.Name, Zone: h.Zone, Rack: h.Rack, Services: w.servicesOf(h),
-			Available: h.record.TakesWork() && w.listedLive(h),
+			Available: w.available(h),
 		})
 		if slices.Contains(w.spec.Pools, h.record.Pool) {
 			input.Hosts = append(input.Hosts, w.observe(h))
@@ -53,7 +53,7 @@
 	}
 	observed := wave.Host{
 		Name: h.Name, Zone: h.Zone, Rack: h.Rack, Record: h.record,
-		Age: w.now - w.memory.seen[h.Name].at, Confirmed: true, Down: !w.listedLive(h),
+		Age: w.now - w.memory.seen[h.Name].at, Confirmed: true, Down: !w.seemsUp(h),
 		Drained: h.record.Operation != "" && w.memory.drained[h.Name] == h.record.Operation,
 		Refusal: w.memory.refusals[h.Name],
 	}
--- a/internal/measure/policy/skip.go
+++ b/internal/measure/policy/skip.go
@@ -19,6 +19,7 @@
 		}
 		if len(h.flips) > 0 {
 			sooner(h.flips[len(h.flips)-1] + w.lag)
+			sooner(h.flips[len(h.flips)-1] + conditionAge)
 		}
 		if h.gone > 0 {
 			sooner(h.gone + replaceAfter)
--- a/internal/measure/policy/world.go
+++ b/internal/measure/policy/world.go
@@ -148,11 +148,11 @@
 	w.join(listed, fate{work: old.fate.work, reboot: old.fate.reboot})
 }
 
-// listedLive is the platform's list as it was a lag ago.
-func (w *world) listedLive(h *host) bool {
+// upAgo reports whether the host was up some time ago.
+func (w *world) upAgo(h *host, ago time.Duration) bool {
 	up := h.up
 	for _, at := range slices.Backward(h.flips) {
-		if at <= w.now-w.lag {
+		if at <= w.now-ago {
 			break
 		}
 		up = !up
@@ -160,6 +160,15 @@
 	return up
 }
 
+// listedLive is the platform's list, which lags.
+func (w *world) listedLive(h *host) bool { return w.upAgo(h, w.lag) }
+
+// seemsUp is what the controllers go by: listed live, and well when asked.
+func (w *world) seemsUp(h *host) bool { return w.listedLive(h) && w.upAgo(h, conditionAge) }
+
+// available is the pessimistic view that budgets are judged on.
+func (w *world) available(h *host) bool { return h.record.TakesWork() && w.seemsUp(h) }
+
 func (h *host) bootID() string { return fmt.Sprintf("boot-%d", h.boots) }
 
 func (w *world) inFlight(h *host) int {
@@ -208,9 +217,8 @@
 	return pool.Services
 }
 
-// view is what a gate knows of a service: records, the lagging list, and what
-// the platform says of each host at the act.
-func (w *world) view(service string, atAct bool) budget.View {
+// view is what a gate knows of a service.
+func (w *world) view(service string) budget.View {
 	view := budget.View{Service: service}
 	for _, b := range w.budgets {
 		if b.Service == service {
@@ -223,7 +231,7 @@
 		}
 		view.Endpoints = append(view.Endpoints, budget.Endpoint{
 			Host: h.Name, Zone: h.Zone, Rack: h.Rack,
-			Available: h.record.TakesWork() && w.listedLive(h) && (!atAct || h.up),
+			Available: w.available(h),
 		})
 	}
 	return view
@@ -232,7 +240,7 @@
 // acquire asks the gate for every service of the host.
 func (w *world) acquire(h *host) (string, bool) {
 	for _, service := range w.servicesOf(h) {
-		if decision := budget.Decide(w.view(service, gateAsksHosts), h.Name); !decision.Allowed {
+		if decision := budget.Decide(w.view(service), h.Name); !decision.Allowed {
 			return decision.Reason, false
 		}
 	}
--- a/internal/wave/advance.go
+++ b/internal/wave/advance.go
@@ -17,9 +17,6 @@
 type transition struct {
 	spec *record.Wave
 	host Host
-	// mayKeepOut says that the budgets would let the host out if it were
-	// serving; it matters for a host that came back by itself.
-	mayKeepOut bool
 	// lastChance says that the wave waits for nothing but hosts that were down
 	// before it reached them.
 	lastChance bool
@@ -62,18 +59,19 @@
 }
 
 // cameBackItself reports whether a host that was down before the wave took it
-// out is back at a time when the budgets wouldn't let it out. It was free of
-// the margin only because it was down.
+// out is well again without our reboot. It was free of the margin only because
+// it was down, so it goes back to work and waits for its turn; rebooting it now
+// would take out a host that the budgets weren't asked for.
 func (t transition) cameBackItself() bool {
-	return t.host.Record.AlreadyDown && t.host.Reachable && t.host.Healthy && !t.mayKeepOut
+	return t.host.Record.AlreadyDown && !t.taken() && t.host.Reachable && t.host.Healthy
 }
 
 func (t transition) rebooting() (Step, bool) {
 	switch {
+	case t.cameBackItself():
+		return t.step(Return, "came back by itself; it waits for its turn")
 	case t.restarted():
 		return t.step(AwaitProof, "host is back")
-	case t.host.Reachable && !t.taken() && t.cameBackItself():
-		return t.step(Return, "came back by itself; it waits for its turn")
 	case t.host.Reachable && !t.taken() && t.host.Age <= t.spec.Reboot():
 		// The process that wrote the intent ended, or lost its answer, before
 		// the platform took the act. Without another try a healthy host would
--- a/internal/wave/lane.go
+++ b/internal/wave/lane.go
@@ -41,19 +41,29 @@
 	available int
 	// begun says that the wave has been at the rack, zoneBegun at its zone.
 	begun, zoneBegun bool
-	// held racks come last: hosts of theirs failed in this wave.
-	held bool
+	// held racks come last: hosts of theirs failed in this wave. Before them
+	// come the hosts that leave the pool on their return: they take room for
+	// others along.
+	held, leaving bool
 }
 
-// begunRacks tells where a wave has been, by pool and by rack or zone.
-type begunRacks struct {
+func (r *rackQueue) lateness() int { return 2*yes(r.held) + yes(r.leaving) }
+
+// domainKey is a pool's part of a rack or zone.
+type domainKey struct {
 	pool, domain string
 }
 
+// queueKey tells the queues of a plan apart.
+type queueKey struct {
+	domainKey
+	leaving bool
+}
+
 func lanesOf(p *planner, book *budget.Book) []*lane {
 	lanes := make(map[string]*lane)
-	racks := make(map[begunRacks]*rackQueue)
-	begun := make(map[begunRacks]bool)
+	racks := make(map[queueKey]*rackQueue)
+	begun := make(map[domainKey]bool)
 	for _, host := range p.input.Hosts {
 		l := lanes[host.Record.Pool]
 		if l == nil {
@@ -63,11 +73,12 @@
 			}
 			lanes[host.Record.Pool] = l
 		}
-		at := begunRacks{l.pool, rackKey(host.Zone, host.Rack)}
-		r := racks[at]
+		at := domainKey{l.pool, rackKey(host.Zone, host.Rack)}
+		leaving := host.Record.NextPool != "" && host.Record.NextPool != l.pool
+		r := racks[queueKey{at, leaving}]
 		if r == nil {
-			r = &rackQueue{zone: host.Zone, rack: host.Rack}
-			racks[at] = r
+			r = &rackQueue{zone: host.Zone, rack: host.Rack, leaving: leaving}
+			racks[queueKey{at, leaving}] = r
 			l.racks = append(l.racks, r)
 		}
 		l.count(r, host)
@@ -78,10 +89,10 @@
 			r.hosts = append(r.hosts, host)
 		case placeOut:
 			l.out++
-			begun[at], begun[begunRacks{l.pool, host.Zone}] = true, true
+			begun[at], begun[domainKey{l.pool, host.Zone}] = true, true
 		case placeMaintained, placeFailed:
 			l.visited++
-			begun[at], begun[begunRacks{l.pool, host.Zone}] = true, true
+			begun[at], begun[domainKey{l.pool, host.Zone}] = true, true
 		}
 	}
 	return p.ordered(lanes, begun)
@@ -98,7 +109,7 @@
 // ordered sorts lanes and their racks. A wave that counts speed most goes at
 // the lane with the most left first, one that counts buffer cost finishes the
 // lanes it has begun.
-func (p *planner) ordered(lanes map[string]*lane, begun map[begunRacks]bool) []*lane {
+func (p *planner) ordered(lanes map[string]*lane, begun map[domainKey]bool) []*lane {
 	held := p.history.heldRacks()
 	p.pools = len(lanes)
 	var all []*lane
@@ -112,8 +123,8 @@
 		}
 		for _, r := range l.racks {
 			slices.SortFunc(r.hosts, func(a, b Host) int { return cmp.Compare(a.Name, b.Name) })
-			r.begun = begun[begunRacks{l.pool, rackKey(r.zone, r.rack)}]
-			r.zoneBegun = begun[begunRacks{l.pool, r.zone}]
+			r.begun = begun[domainKey{l.pool, rackKey(r.zone, r.rack)}]
+			r.zoneBegun = begun[domainKey{l.pool, r.zone}]
 			r.held = held[rackKey(r.zone, r.rack)]
 		}
 		slices.SortFunc(l.racks, compareRacks)
@@ -135,7 +146,7 @@
 // hosts that are out share the fate of few failure domains.
 func compareRacks(a, b *rackQueue) int {
 	return cmp.Or(
-		cmp.Compare(yes(a.held), yes(b.held)),
+		cmp.Compare(a.lateness(), b.lateness()),
 		cmp.Compare(yes(b.begun), yes(a.begun)),
 		cmp.Compare(yes(b.zoneBegun), yes(a.zoneBegun)),
 		cmp.Compare(a.zone, b.zone),
@@ -186,7 +197,7 @@
 	}
 	sorted := slices.Clone(l.racks)
 	slices.SortStableFunc(sorted, func(a, b *rackQueue) int {
-		return cmp.Or(cmp.Compare(yes(a.held), yes(b.held)), cmp.Compare(size(b), size(a)))
+		return cmp.Or(cmp.Compare(a.lateness(), b.lateness()), cmp.Compare(size(b), size(a)))
 	})
 	return sorted
 }
--- a/internal/wave/planner.go
+++ b/internal/wave/planner.go
@@ -19,9 +19,12 @@
 	steps   []Step
 	// down hosts take nothing from the budgets' room; waiting counts the
 	// others that are to be taken out, by lane.
-	down    []Host
-	lanes   []*lane
-	waiting int
+	down []Host
+	// unlisted hosts answer but the lagging list doesn't show them live: they
+	// may be back, or about to leave. They are left until nothing else is.
+	unlisted []Host
+	lanes    []*lane
+	waiting  int
 	// out counts hosts that the width is charged for, elsewhere those that
 	// another wave or a move has out.
 	out, elsewhere, started int
@@ -34,6 +37,8 @@
 	// host left that the budgets let out.
 	rotation  int
 	exhausted bool
+	// reserved says that it keeps what its next host needs from other waves.
+	reserved bool
 }
 
 // place is where one host stands in a wave.
@@ -46,6 +51,7 @@
 	placeMaintained
 	placeFailed
 	placeElsewhere
+	placeUnlisted
 )
 
 func newPlanner(input Input, fleet Fleet) *planner {
@@ -61,6 +67,9 @@
 		p.observe(host)
 	}
 	slices.Sort(p.status.Out)
+	if p.waiting+len(p.down)+len(p.status.Out)+p.elsewhere == 0 {
+		p.down, p.unlisted = p.unlisted, nil
+	}
 	p.lanes = lanesOf(p, fleet.Book)
 	p.status.Phase, p.status.Reason = p.phase()
 	return p
@@ -76,6 +85,8 @@
 		return placeFailed
 	case host.Record.Wave == p.input.Name:
 		return placeOut
+	case serving && host.Down && host.Reachable && host.Healthy:
+		return placeUnlisted
 	case serving && host.Down:
 		return placeDown
 	case serving:
@@ -98,6 +109,9 @@
 		}
 	case placeDown:
 		p.down = append(p.down, host)
+	case placeUnlisted:
+		p.unlisted = append(p.unlisted, host)
+		p.status.Waiting[host.Name] = "the platform's list does not show it live"
 	case placeWaiting:
 		p.waiting++
 	case placeElsewhere:
@@ -106,6 +120,9 @@
 	}
 }
 
+// visited counts the hosts that the wave is done with.
+func (p *planner) visited() int { return p.status.Maintained + len(p.status.Failed) }
+
 func failure(wave string, host Host) string {
 	if visit, visited := host.Record.Visits[wave]; visited {
 		return visit.Reason
@@ -116,7 +133,7 @@
 // phase returns why the wave starts no further host, or Running.
 func (p *planner) phase() (Phase, string) {
 	spec := p.input.Spec
-	left := p.waiting + len(p.down) + p.elsewhere + len(p.status.Out)
+	left := p.waiting + len(p.down) + len(p.unlisted) + p.elsewhere + len(p.status.Out)
 	switch {
 	case spec.Cancelled && len(p.status.Out) > 0:
 		return Cancelled, fmt.Sprintf("cancelled by an operator; %d hosts are still out", len(p.status.Out))
@@ -177,16 +194,19 @@
 // setWidth takes as many lanes as the policy works on at once, each as wide as
 // it safely is, and lets the wave's history say how much of that to use.
 func (p *planner) setWidth() {
-	for i, l := range p.lanes {
-		if i < poolsAtOnce(p.pools, p.share) || l.out > 0 {
+	most := poolsAtOnce(p.pools, p.share)
+	for _, l := range p.lanes {
+		// A lane that no budget lets out must not hold the place of another.
+		if l.safe > 0 && (most > 0 || l.out > 0) {
 			p.limit += l.safe
+			most--
 		}
 	}
 	start := first(p.limit, p.status.Hosts, p.share)
 	p.status.Width, p.status.WidthWhy = p.history.width(start, p.limit, growth(p.share), p.proving)
-	if most := p.input.Spec.MaxParallel; most > 0 && most < p.status.Width {
-		p.status.Width, p.status.WidthWhy = most, "the record's maxParallel"
-		p.limit = min(p.limit, most)
+	if bound := p.input.Spec.MaxParallel; bound > 0 && bound < p.status.Width {
+		p.status.Width, p.status.WidthWhy = bound, "the record's maxParallel"
+		p.limit = min(p.limit, bound)
 	}
 }
 
@@ -253,10 +273,7 @@
 		if host.Record.Wave != p.input.Name {
 			continue
 		}
-		t := transition{
-			spec: p.input.Spec, host: host, lastChance: lastChance,
-			mayKeepOut: p.fleet.Book.CheckReturned(host.Name).Allowed,
-		}
+		t := transition{spec: p.input.Spec, host: host, lastChance: lastChance}
 		step, due := t.next()
 		if !due {
 			continue
--- /dev/null
+++ b/internal/wave/property_test.go
@@ -0,0 +1,163 @@
+package wave
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"auburnglade.example/glade/internal/hostrecord"
+	"auburnglade.example/glade/internal/record"
+)
+
+// drawFleet draws pools that share services, their budgets, and up to three
+// waves over them.
+func drawFleet(t *rapid.T) *testFleet {
+	f := newTestFleet()
+	f.policy = &record.Policy{
+		BufferWeight: rapid.IntRange(0, 100).Draw(t, "buffer"), RolloutWeight: rapid.IntRange(0, 100).Draw(t, "rollout"),
+	}
+	margins := []record.FailureMargin{record.MarginNone, record.MarginHost, record.MarginRack, record.MarginZone}
+	names := []string{"p", "q", "r"}[:rapid.IntRange(1, 3).Draw(t, "pools")]
+	for _, name := range names {
+		hosts := rapid.IntRange(1, 12).Draw(t, "hosts")
+		f.pool(name, hosts, rapid.IntRange(0, hosts).Draw(t, "minimum"), rapid.SampledFrom(margins).Draw(t, "margin"))
+	}
+	for _, name := range names {
+		if rapid.Bool().Draw(t, "shares") {
+			f.carries[name] = slices.Compact([]string{"p", name})
+		}
+	}
+	for _, name := range []string{"a", "b", "c"}[:rapid.IntRange(1, 3).Draw(t, "waves")] {
+		f.waves[name] = &record.Wave{
+			Pools: names[:rapid.IntRange(1, len(names)).Draw(t, "covered")], MaxFailedHosts: 1000,
+			MaxParallel: rapid.IntRange(0, 3).Draw(t, "parallel"),
+		}
+	}
+	return f
+}
+
+// checkBudgets judges by counting anew, and not by the book.
+func (f *testFleet) checkBudgets(t *rapid.T, started Host) {
+	for _, b := range f.budgets {
+		left, loss := 0, make(map[string]int)
+		carries := false
+		for _, h := range f.hosts {
+			for _, service := range f.carries[h.Record.Pool] {
+				if service != b.Service {
+					continue
+				}
+				carries = carries || h.Name == started.Name
+				if h.Record.TakesWork() && !h.Down {
+					left++
+					loss[map[record.FailureMargin]string{record.MarginHost: h.Name, record.MarginRack: h.Zone + h.Rack, record.MarginZone: h.Zone}[b.Margin]]++
+				}
+			}
+		}
+		worst := 0
+		for domain, n := range loss {
+			if domain != "" && !started.Down {
+				worst = max(worst, n)
+			}
+		}
+		if carries && left-worst < b.MinAvailable {
+			t.Fatalf("service %s keeps %d less %d, needs %d, after %s", b.Service, left, worst, b.MinAvailable, started.Name)
+		}
+	}
+}
+
+// play applies a plan's steps; a host that fails stays down.
+func (f *testFleet) play(t *rapid.T, wave string, plan Plan) int {
+	for _, step := range plan.Steps {
+		h := f.host(step.Host)
+		if step.Verb == StartDrain {
+			before := *h
+			f.out(step.Host, wave, hostrecord.Draining).Record.AlreadyDown = step.AlreadyDown
+			f.checkBudgets(t, before)
+			continue
+		}
+		f.step(t, h, step)
+	}
+	return len(plan.Steps)
+}
+
+func (f *testFleet) step(t *rapid.T, h *Host, step Step) {
+	switch step.Verb {
+	case DrainHost:
+		h.Drained = true
+	case Reboot:
+		h.Record.Phase, h.LastOperation, h.Drained = hostrecord.Rebooting, h.Record.Operation, false
+		h.BootID, h.HealthyFor = h.BootID+"+", time.Hour
+		dies := rapid.IntRange(0, 9).Draw(t, "dies") == 0
+		h.Reachable, h.Healthy, h.Down = !dies, !dies, dies
+	case AwaitProof:
+		h.Record.Phase = hostrecord.Proving
+	case GiveUp:
+		h.Record.Phase = hostrecord.Failed
+		f.visit(h.Name, h.Record.Wave, *step.Visit)
+	case Return:
+		if step.Visit != nil {
+			f.visit(h.Name, h.Record.Wave, *step.Visit)
+		}
+		h.Record.Phase, h.Record.Wave, h.Record.Operation, h.Record.AlreadyDown = hostrecord.Serving, "", "", false
+	}
+}
+
+// failOver leaves of every host what is stored and what can be asked again.
+func (f *testFleet) failOver(t *rapid.T) {
+	for i := range f.hosts {
+		stored, err := hostrecord.Parse("host", f.hosts[i].Record.Encode())
+		must.NoError(t, err)
+		f.hosts[i].Record, f.hosts[i].Drained, f.hosts[i].Refusal = stored, false, ""
+	}
+}
+
+// Whatever fails and whenever the controller changes: no plan goes beyond a
+// budget or its margin, and every wave comes to an end, or says that no budget
+// lets its hosts out, with each host either maintained or named.
+func TestWavesKeepBudgetsAndEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := drawFleet(t)
+		names := []string{"a", "b", "c"}[:len(f.waves)]
+		const patience = 250
+		failovers := rapid.SliceOfN(rapid.IntRange(0, patience/2), 0, 6).Draw(t, "failovers")
+		for round := range patience {
+			if slices.Contains(failovers, round) {
+				f.failOver(t)
+			}
+			f.age()
+			steps, ended := 0, 0
+			for i, plan := range MakeAll(f.fleet()) {
+				if plan.Status.Done() || plan.Status.Phase == Blocked || plan.Status.Phase == Stopped {
+					ended++
+				}
+				if plan.Status.Phase == Finished && plan.Status.Maintained+len(plan.Status.Failed) != plan.Status.Hosts {
+					t.Fatalf("wave %s finished with hosts neither maintained nor named", names[i])
+				}
+				steps += f.play(t, names[i], plan)
+			}
+			if steps == 0 && ended == len(names) {
+				return
+			}
+		}
+		t.Fatalf("waves did not end: %v", describe(f))
+	})
+}
+
+// age lets every host sit in its phase past all deadlines.
+func (f *testFleet) age() {
+	for i := range f.hosts {
+		f.hosts[i].Age = 2 * time.Hour
+	}
+}
+
+func describe(f *testFleet) []string {
+	var all []string
+	for _, plan := range MakeAll(f.fleet()) {
+		all = append(all, fmt.Sprintf("%s %s: %s, waiting %v, out %v", plan.Status.Wave, plan.Status.Phase, plan.Status.Reason, plan.Status.Waiting, plan.Status.Out))
+	}
+	return all
+}
--- a/internal/wave/schedule.go
+++ b/internal/wave/schedule.go
@@ -15,10 +15,10 @@
 
 // MakeAll plans every wave, over one book of budgets, and returns the plans in
 // the order of fleet.Waves. Waves over the same services share the room there
-// is: the one with the fewest hosts out goes first, and one that gets none
-// keeps what it needs from the others until it does, so that none starves. No
-// wave waits for another while it holds anything that the other needs: a host
-// takes all its grants at once or none.
+// is: the one with the fewest hosts out goes first, and among those the one that
+// has seen to the fewest. One that gets none keeps what it needs from the others
+// until it does, so that none starves. No wave waits for another while it holds
+// anything that the other needs: a host takes all its grants at once or none.
 func MakeAll(fleet Fleet) []Plan {
 	if fleet.Book == nil {
 		fleet.Book = budget.NewBook(nil, nil)
@@ -35,7 +35,7 @@
 	plans := make([]Plan, len(s.planners))
 	for i, p := range s.planners {
 		s.block(p)
-		p.advance(p.out+p.started+p.elsewhere == 0)
+		p.advance(p.out+p.started+p.elsewhere+len(p.unlisted) == 0)
 		p.report()
 		plans[i] = Plan{Steps: p.steps, Status: p.status}
 	}
@@ -46,24 +46,21 @@
 type schedule struct {
 	fleet    Fleet
 	planners []*planner
-	// returning are the hosts that waves have out and that will be back.
-	returning []string
 }
 
 // share lets the waves start hosts in turn.
 func (s *schedule) share() {
 	turns := slices.Clone(s.planners)
 	slices.SortFunc(turns, func(a, b *planner) int {
-		return cmp.Or(cmp.Compare(a.out, b.out), cmp.Compare(a.input.Name, b.input.Name))
+		return cmp.Or(cmp.Compare(a.out, b.out), cmp.Compare(a.visited(), b.visited()), cmp.Compare(a.input.Name, b.input.Name))
 	})
 	for started := true; started; {
 		started = false
 		for _, p := range turns {
-			if !p.mayStart() {
-				continue
+			if p.mayStart() {
+				p.startNext()
+				started = started || !p.exhausted
 			}
-			p.startNext()
-			started = started || !p.exhausted
 			s.reserve(p)
 		}
 	}
@@ -75,9 +72,11 @@
 // both free at once. It is only done when hosts that are out are all that the
 // wave waits for: a wave that something else holds up must not hold others.
 func (s *schedule) reserve(p *planner) {
-	if !p.exhausted || p.out+p.started > 0 || len(s.planners) == 1 {
+	starved := p.exhausted && p.out+p.started == 0 && p.status.Phase == Running
+	if !starved || p.reserved || len(s.planners) == 1 {
 		return
 	}
+	p.reserved = true
 	if host, ok := s.onceReturned(p); ok {
 		s.fleet.Book.Hold(host.Name)
 	}
@@ -101,25 +100,24 @@
 	return host, found
 }
 
+// out returns the hosts that waves have out or take out in this plan, and that
+// will be back.
 func (s *schedule) out() []string {
-	if s.returning != nil {
-		return s.returning
-	}
-	s.returning = []string{}
+	var out []string
 	for _, p := range s.planners {
 		for _, host := range p.input.Hosts {
 			phase := host.Record.Phase
 			if phase != hostrecord.Failed && !host.Record.TakesWork() && s.fleet.Book.Knows(host.Name) {
-				s.returning = append(s.returning, host.Name)
+				out = append(out, host.Name)
 			}
 		}
 		for _, step := range p.steps {
 			if step.Verb == StartDrain && !step.AlreadyDown && s.fleet.Book.Knows(step.Host) {
-				s.returning = append(s.returning, step.Host)
+				out = append(out, step.Host)
 			}
 		}
 	}
-	return s.returning
+	return out
 }
 
 // block marks a wave whose hosts no budget lets out even with every host back:
--- /dev/null
+++ b/internal/wave/world_test.go
@@ -0,0 +1,111 @@
+package wave
+
+import (
+	"fmt"
+	"time"
+
+	"auburnglade.example/glade/internal/budget"
+	"auburnglade.example/glade/internal/hostrecord"
+	"auburnglade.example/glade/internal/record"
+)
+
+// evening is a Wednesday.
+var evening = time.Date(2026, time.December, 2, 20, 0, 0, 0, time.UTC)
+
+// testFleet is hosts and records of a test, moved on by hand.
+type testFleet struct {
+	hosts   []Host
+	budgets []*record.Budget
+	// carries gives the services of a pool's hosts.
+	carries map[string][]string
+	waves   map[string]*record.Wave
+	policy  *record.Policy
+	now     time.Time
+}
+
+func newTestFleet() *testFleet {
+	return &testFleet{
+		carries: make(map[string][]string), waves: make(map[string]*record.Wave), now: evening,
+		policy: &record.Policy{RolloutWeight: 1},
+	}
+}
+
+// pool adds a pool of hosts over three zones, two hosts to a rack, with one
+// service and its budget.
+func (f *testFleet) pool(name string, hosts, minimum int, margin record.FailureMargin) {
+	for i := range hosts {
+		f.hosts = append(f.hosts, Host{
+			Name: fmt.Sprintf("%s-%02d", name, i), Zone: fmt.Sprintf("z%d", i%3), Rack: fmt.Sprintf("r%d", i/6),
+			Record:    hostrecord.Record{Host: fmt.Sprintf("%s-%02d", name, i), Pool: name, Phase: hostrecord.Serving},
+			Confirmed: true, Reachable: true, Healthy: true, BootID: "boot-1",
+		})
+	}
+	f.carries[name] = []string{name}
+	f.budgets = append(f.budgets, &record.Budget{Service: name, MinAvailable: minimum, Margin: margin})
+}
+
+func (f *testFleet) host(name string) *Host {
+	for i := range f.hosts {
+		if f.hosts[i].Name == name {
+			return &f.hosts[i]
+		}
+	}
+	return nil
+}
+
+func (f *testFleet) visit(name, wave string, v hostrecord.Visit) {
+	h := f.host(name)
+	if h.Record.Visits == nil {
+		h.Record.Visits = make(map[string]hostrecord.Visit)
+	}
+	h.Record.Visits[wave] = v
+}
+
+func (f *testFleet) fleet() Fleet {
+	fleet := Fleet{Policy: f.policy, Now: f.now}
+	var seats []budget.Seat
+	for _, h := range f.hosts {
+		seats = append(seats, budget.Seat{
+			Host: h.Name, Zone: h.Zone, Rack: h.Rack, Services: f.carries[h.Record.Pool],
+			Available: h.Record.TakesWork() && !h.Down,
+		})
+	}
+	fleet.Book = budget.NewBook(f.budgets, seats)
+	for _, name := range []string{"a", "b", "c"} {
+		spec := f.waves[name]
+		if spec == nil {
+			continue
+		}
+		input := Input{Name: name, Spec: spec}
+		for _, h := range f.hosts {
+			for _, pool := range spec.Pools {
+				if h.Record.Pool == pool {
+					input.Hosts = append(input.Hosts, h)
+				}
+			}
+		}
+		fleet.Waves = append(fleet.Waves, input)
+	}
+	return fleet
+}
+
+// plan plans all waves and returns the first one's plan.
+func (f *testFleet) plan() Plan { return MakeAll(f.fleet())[0] }
+
+// starts returns the hosts that a plan takes out, in order.
+func starts(plan Plan) []string {
+	var hosts []string
+	for _, step := range plan.Steps {
+		if step.Verb == StartDrain {
+			hosts = append(hosts, step.Host)
+		}
+	}
+	return hosts
+}
+
+// out marks a host as taken out.
+func (f *testFleet) out(name, wave string, phase hostrecord.Phase) *Host {
+	h := f.host(name)
+	h.Record.Phase, h.Record.Wave, h.Record.Operation, h.Record.BootID = phase, wave, "op-"+name, "boot-1"
+	return h
+}
