Choose endpoints by load, latency, silence and zone, and leave failing ones out

Cause: endpoints were ranked by requests in flight alone; one that failed, hung or said that it leaves went on getting its share, and with the own zone lost every request was spent on it. Change: balance.Decide is pure (state in, ranking with reasons out): peak latency, the time an endpoint has been silent, a preference for the own zone that spills over, ejection that doubles and has a floor, slow start. An endpoint whose leaving a record, the host list or its own answer tells gets nothing from then on; each attempt asks right before it is sent, which NoWorkAfterLeaving asserts.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -3,70 +3,159 @@
 package balance
 
 import (
-	"sort"
 	"sync"
+	"time"
 
 	"auburnglade.example/glade/internal/endpoint"
 	"auburnglade.example/glade/internal/outcome"
 )
 
-// zonePenalty is how many requests more an endpoint in this zone may carry
-// before one in another zone is preferred.
-const zonePenalty = 2
-
 // Balancer ranks endpoints. It is safe for concurrent use.
 type Balancer struct {
-	zone string
+	zone  string
+	start time.Time
+
+	mu     sync.RWMutex
+	groups map[string]*group
+}
 
-	mu   sync.Mutex
-	load map[string]int
-	turn int
+// group is one service's endpoints. Each has a lock of its own, so that
+// services don't wait for each other.
+type group struct {
+	mu        sync.Mutex
+	endpoints []endpoint.Endpoint
+	states    map[string]*State
+	turn      int
+	// candidates and choices are reused by each ranking.
+	candidates []Candidate
+	choices    []Choice
 }
 
 // New returns a balancer for a gateway in zone.
 func New(zone string) *Balancer {
-	return &Balancer{zone: zone, load: make(map[string]int)}
+	return &Balancer{zone: zone, start: time.Now(), groups: make(map[string]*group)}
 }
 
-// Rank returns the endpoints that may take a request now, best first. Hosts in
-// tried are left out.
-func (b *Balancer) Rank(service endpoint.Service, tried map[string]bool) []endpoint.Endpoint {
+func (b *Balancer) now() time.Duration { return time.Since(b.start) }
+
+// Install takes over the endpoints in force. One that appears, or takes work
+// again, starts slowly; the first table of a gateway doesn't.
+func (b *Balancer) Install(services map[string]endpoint.Service) {
+	now := b.now()
+	for name, service := range services {
+		b.groupOf(name).install(now, service.Endpoints)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for name := range b.groups {
+		if _, ok := services[name]; !ok {
+			delete(b.groups, name)
+		}
+	}
+}
+
+func (b *Balancer) groupOf(service string) *group {
+	b.mu.RLock()
+	found := b.groups[service]
+	b.mu.RUnlock()
+	if found != nil {
+		return found
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.turn++
-	ranked := make([]endpoint.Endpoint, 0, len(service.Endpoints))
-	for i := range service.Endpoints {
-		candidate := service.Endpoints[(i+b.turn)%len(service.Endpoints)]
-		if candidate.TakesWork && !tried[candidate.Host] {
-			ranked = append(ranked, candidate)
+	if b.groups[service] == nil {
+		b.groups[service] = &group{states: make(map[string]*State)}
+	}
+	return b.groups[service]
+}
+
+func (g *group) install(now time.Duration, endpoints []endpoint.Endpoint) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	returnedAt := now
+	if g.endpoints == nil {
+		returnedAt = -1
+	}
+	g.endpoints = endpoints
+	listed := make(map[string]bool, len(endpoints))
+	for _, e := range endpoints {
+		listed[e.Address] = true
+		state := g.states[e.Address]
+		if state == nil {
+			state = &State{ReturnedAt: returnedAt}
+			g.states[e.Address] = state
+		}
+		state.configure(now, e.TakesWork)
+	}
+	for address, state := range g.states {
+		if !listed[address] {
+			// Requests in flight still end on it.
+			state.configure(now, false)
+			if state.InFlight == 0 {
+				delete(g.states, address)
+			}
 		}
 	}
-	sort.SliceStable(ranked, func(i, j int) bool { return b.cost(ranked[i]) < b.cost(ranked[j]) })
+}
+
+// Rank returns the endpoints that may take a request of the service now, best
+// first, from the table in force now: a request that has waited in a queue must
+// not go by an older one. Hosts in tried come only when there is no other.
+func (b *Balancer) Rank(service endpoint.Service, tried map[string]bool) []endpoint.Endpoint {
+	g := b.groupOf(service.Name)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.turn++
+	g.candidates = g.candidates[:0]
+	for _, e := range g.endpoints {
+		g.candidates = append(g.candidates, Candidate{Endpoint: e, State: *g.states[e.Address], Tried: tried[e.Host]})
+	}
+	g.choices = Decide(View{Zone: b.zone, Now: b.now(), Turn: g.turn, Candidates: g.candidates}, g.choices)
+	ranked := make([]endpoint.Endpoint, len(g.choices))
+	for i, choice := range g.choices {
+		ranked[i] = g.endpoints[choice.Index]
+	}
 	return ranked
 }
 
-func (b *Balancer) cost(candidate endpoint.Endpoint) int {
-	cost := b.load[candidate.Address]
-	if candidate.Zone != b.zone {
-		cost += zonePenalty
+// with runs change on an endpoint's state, if it is still known.
+func (b *Balancer) with(e endpoint.Endpoint, change func(now time.Duration, s *State)) {
+	g := b.groupOf(e.Service)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if state := g.states[e.Address]; state != nil {
+		change(b.now(), state)
 	}
-	return cost
 }
 
 // Begin counts a request on an endpoint until End.
 func (b *Balancer) Begin(e endpoint.Endpoint) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.load[e.Address]++
+	b.with(e, func(now time.Duration, s *State) { s.begin(now) })
 }
 
 // End reports how a request on an endpoint went; reason is empty when it was
 // answered.
-func (b *Balancer) End(e endpoint.Endpoint, _ outcome.Reason) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.load[e.Address]--
-	if b.load[e.Address] == 0 {
-		delete(b.load, e.Address)
-	}
+func (b *Balancer) End(e endpoint.Endpoint, reason outcome.Reason) {
+	b.with(e, func(now time.Duration, s *State) { s.end(now, reason) })
+}
+
+// Observe reports the time from sending a request to its answer's header.
+func (b *Balancer) Observe(e endpoint.Endpoint, latency time.Duration) {
+	b.with(e, func(now time.Duration, s *State) { s.observe(now, latency) })
+}
+
+// SaidLeaving reports that the endpoint itself says that it leaves.
+func (b *Balancer) SaidLeaving(e endpoint.Endpoint) {
+	b.with(e, func(now time.Duration, s *State) { s.sayLeaving(now) })
+}
+
+// LeavingFor returns for how long some source has been saying that the
+// endpoint leaves, and false when none does now.
+func (b *Balancer) LeavingFor(e endpoint.Endpoint) (since time.Duration, leaving bool) {
+	b.with(e, func(now time.Duration, s *State) {
+		if s.LeavingAt(now) != NotLeaving {
+			since, leaving = now-s.LeavingSince, true
+		}
+	})
+	return since, leaving
 }
--- /dev/null
+++ b/internal/balance/decide.go
@@ -0,0 +1,213 @@
+package balance
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"auburnglade.example/glade/internal/endpoint"
+)
+
+// Constants of the choice.
+const (
+	// zonePenalty is how many requests more an endpoint in this zone may carry
+	// before one in another zone is preferred: the spill-over.
+	zonePenalty = 2
+	// leastLatency keeps noise between fast endpoints from herding all work on
+	// one of them.
+	leastLatency = time.Millisecond
+	// latencyDecay is the time constant with which a latency seen is forgotten.
+	latencyDecay = 10 * time.Second
+	// slowStart is how long a returned endpoint works up to its full share.
+	slowStart = 10 * time.Second
+	// leastWeight is a returned endpoint's share at first.
+	leastWeight = 0.1
+	// floorShare is the share of a service's endpoints that must be healthy for
+	// ejected ones to be left out; below it they follow at the end, since more
+	// likely this gateway is cut off or all are overloaded.
+	floorShare = 0.5
+	// maxRanked bounds a ranking. Admission tries the next one when an
+	// endpoint's slots are taken; past the least loaded 32 waiting is better.
+	maxRanked = 32
+)
+
+// State is what a gateway knows of one endpoint. Times are on the monotonic
+// clock, counted from the balancer's start.
+type State struct {
+	InFlight int
+	// Latency is the peak seen, forgotten slowly; SeenAt is when.
+	Latency time.Duration
+	SeenAt  time.Duration
+	// ProgressAt is when the endpoint last answered, or got its first request
+	// after having none.
+	ProgressAt time.Duration
+	// Failures counts failed requests in a row.
+	Failures int
+	// Ejections counts ejections in a row and EjectedUntil ends the last one.
+	Ejections    int
+	EjectedUntil time.Duration
+	// ReturnedAt is when it came back; negative when it never was away.
+	ReturnedAt time.Duration
+	// Leaving says what source, if any, says that it leaves, LeavingSince when
+	// the first one said so. The endpoint's own word ends at WordUntil.
+	Leaving      Source
+	LeavingSince time.Duration
+	WordUntil    time.Duration
+}
+
+// Source is who says that an endpoint is leaving.
+type Source string
+
+// The sources.
+const (
+	NotLeaving Source = ""
+	// Configured: a host record or the platform's host list.
+	Configured Source = "configured"
+	// OwnWord: the endpoint itself.
+	OwnWord Source = "own-word"
+)
+
+// Reason says what decided an endpoint's place.
+type Reason string
+
+// The reasons.
+const (
+	Healthy   Reason = "healthy"
+	OtherZone Reason = "other-zone"
+	SlowStart Reason = "slow-start"
+	Ejected   Reason = "ejected"
+)
+
+// Candidate is one endpoint with its state.
+type Candidate struct {
+	Endpoint endpoint.Endpoint
+	State    State
+	// Tried is true when this request has already failed there.
+	Tried bool
+}
+
+// View is all that a choice depends on.
+type View struct {
+	// Zone is the gateway's.
+	Zone string
+	Now  time.Duration
+	// Turn spreads requests over endpoints with equal scores.
+	Turn       int
+	Candidates []Candidate
+}
+
+// Choice is one place of a ranking. A lower Score is better.
+type Choice struct {
+	// Index is the candidate's in the view.
+	Index  int
+	Score  float64
+	Reason Reason
+	order  int
+}
+
+// Decide ranks the candidates, best first, into out. It is pure. Endpoints that
+// leave are never in it. Ejected ones are only when too few healthy ones are
+// left, and then last. An endpoint that the request was tried on comes only
+// when there is no other.
+func Decide(view View, out []Choice) []Choice {
+	out = rank(view, out[:0], false)
+	if len(out) == 0 {
+		out = rank(view, out, true)
+	}
+	return out
+}
+
+func rank(view View, out []Choice, tried bool) []Choice {
+	serving, healthy := 0, 0
+	for i := range view.Candidates {
+		candidate := &view.Candidates[i]
+		if candidate.State.LeavingAt(view.Now) != NotLeaving {
+			continue
+		}
+		serving++
+		choice := judge(view, candidate)
+		if choice.Reason != Ejected {
+			healthy++
+		}
+		if candidate.Tried != tried {
+			continue
+		}
+		choice.Index = i
+		choice.order = (i + view.Turn) % len(view.Candidates)
+		out = append(out, choice)
+	}
+	slices.SortFunc(out, func(a, b Choice) int {
+		return cmp.Or(cmp.Compare(a.Score, b.Score), cmp.Compare(a.order, b.order))
+	})
+	if float64(healthy) >= floorShare*float64(serving) && healthy > 0 {
+		out = withoutEjected(out)
+	}
+	return out[:min(len(out), maxRanked)]
+}
+
+// withoutEjected cuts the ejected off, unless nothing would be left.
+func withoutEjected(out []Choice) []Choice {
+	first := slices.IndexFunc(out, func(c Choice) bool { return c.Reason == Ejected })
+	if first > 0 {
+		return out[:first]
+	}
+	return out
+}
+
+// ejectedScore puts ejected endpoints behind all others, the one whose time is
+// up first before the rest.
+const ejectedScore = math.MaxFloat32
+
+func judge(view View, candidate *Candidate) Choice {
+	state := &candidate.State
+	if state.EjectedUntil > view.Now {
+		return Choice{Score: ejectedScore * (1 + state.EjectedUntil.Seconds()), Reason: Ejected}
+	}
+	choice := Choice{Reason: Healthy}
+	load := float64(state.InFlight + 1)
+	if candidate.Endpoint.Zone != view.Zone {
+		load += zonePenalty
+		choice.Reason = OtherZone
+	}
+	weight := state.weight(view.Now)
+	if weight < 1 {
+		choice.Reason = SlowStart
+	}
+	choice.Score = load * state.expected(view.Now).Seconds() / weight
+	return choice
+}
+
+// expected is how long a request sent now is expected to take. An endpoint
+// that accepts and never answers shows no latency at all, so the time for which
+// it has been silent counts as well.
+func (s *State) expected(now time.Duration) time.Duration {
+	latency := s.decayed(now)
+	if s.InFlight > 0 {
+		latency = max(latency, now-s.ProgressAt)
+	}
+	return max(latency, leastLatency)
+}
+
+func (s *State) decayed(now time.Duration) time.Duration {
+	age := float64(now - s.SeenAt)
+	return time.Duration(float64(s.Latency) * math.Exp(-age/float64(latencyDecay)))
+}
+
+// weight grows from leastWeight to 1 while a returned endpoint warms up: with
+// its full share at once, empty caches and cold connections would make it fail
+// again.
+func (s *State) weight(now time.Duration) float64 {
+	if s.ReturnedAt < 0 || now-s.ReturnedAt >= slowStart {
+		return 1
+	}
+	return max(leastWeight, float64(now-s.ReturnedAt)/float64(slowStart))
+}
+
+// LeavingAt returns the source that says, as of now, that the endpoint leaves.
+func (s *State) LeavingAt(now time.Duration) Source {
+	if s.Leaving == OwnWord && now >= s.WordUntil {
+		return NotLeaving
+	}
+	return s.Leaving
+}
--- /dev/null
+++ b/internal/balance/decide_test.go
@@ -0,0 +1,112 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"auburnglade.example/glade/internal/endpoint"
+)
+
+const now = time.Hour
+
+// candidate returns a healthy, warm endpoint.
+func candidate(host, zone string, change func(s *State)) Candidate {
+	c := Candidate{
+		Endpoint: endpoint.Endpoint{Service: "offers", Host: host, Zone: zone, Address: host + ":1", TakesWork: true},
+		State:    State{ReturnedAt: -1, Latency: 10 * time.Millisecond, SeenAt: now, ProgressAt: now},
+	}
+	if change != nil {
+		change(&c.State)
+	}
+	return c
+}
+
+func hosts(candidates ...Candidate) string {
+	var names string
+	for _, choice := range Decide(View{Zone: "a", Now: now, Candidates: candidates}, nil) {
+		names += candidates[choice.Index].Endpoint.Host
+	}
+	return names
+}
+
+func TestDecideOrders(t *testing.T) {
+	busy := func(n int) func(*State) { return func(s *State) { s.InFlight = n } }
+	out := func(until time.Duration) func(*State) { return func(s *State) { s.EjectedUntil = until } }
+	for name, c := range map[string]struct {
+		want       string
+		candidates []Candidate
+	}{
+		"least in flight first":           {"yx", []Candidate{candidate("x", "a", busy(2)), candidate("y", "a", busy(1))}},
+		"faster first":                    {"yx", []Candidate{candidate("x", "a", func(s *State) { s.Latency *= 3 }), candidate("y", "a", nil)}},
+		"own zone before an idle other":   {"yx", []Candidate{candidate("x", "b", nil), candidate("y", "a", busy(1))}},
+		"spills over when own zone works": {"xy", []Candidate{candidate("x", "b", nil), candidate("y", "a", busy(3))}},
+		"returned one starts slowly":      {"yx", []Candidate{candidate("x", "a", func(s *State) { s.ReturnedAt = now - time.Second }), candidate("y", "a", busy(4))}},
+		"returned one is full later":      {"xy", []Candidate{candidate("x", "a", func(s *State) { s.ReturnedAt = now - slowStart }), candidate("y", "a", busy(1))}},
+		"silent one last":                 {"yx", []Candidate{candidate("x", "a", func(s *State) { s.InFlight, s.ProgressAt = 1, now-5*time.Second }), candidate("y", "b", busy(8))}},
+		"ejected left out":                {"yz", []Candidate{candidate("x", "a", out(now+1)), candidate("y", "a", nil), candidate("z", "a", nil)}},
+		"ejected back when time is up":    {"xy", []Candidate{candidate("x", "a", out(now)), candidate("y", "a", nil)}},
+		"ejected last below the floor":    {"zyx", []Candidate{candidate("x", "a", out(now+9)), candidate("y", "a", out(now+1)), candidate("z", "a", nil)}},
+		"all ejected, soonest first":      {"yx", []Candidate{candidate("x", "a", out(now+9)), candidate("y", "a", out(now+1))}},
+		"leaving left out":                {"y", []Candidate{candidate("x", "a", func(s *State) { s.Leaving = Configured }), candidate("y", "a", busy(8))}},
+		"leaving left out even when last": {"", []Candidate{candidate("x", "a", func(s *State) { s.Leaving = Configured })}},
+		"own word ends":                   {"x", []Candidate{candidate("x", "a", func(s *State) { s.Leaving, s.WordUntil = OwnWord, now })}},
+	} {
+		must.EqOp(t, c.want, hosts(c.candidates...), must.Sprint(name))
+	}
+}
+
+// A request that failed on an endpoint goes to another first, even when that
+// one is busier, and back to the same only when there is no other.
+func TestTriedComesOnlyWhenAlone(t *testing.T) {
+	tried := candidate("x", "a", nil)
+	tried.Tried = true
+	must.EqOp(t, "y", hosts(tried, candidate("y", "b", func(s *State) { s.InFlight = 7 })))
+	must.EqOp(t, "x", hosts(tried))
+}
+
+func TestEqualEndpointsTakeTurns(t *testing.T) {
+	candidates := []Candidate{candidate("x", "a", nil), candidate("y", "a", nil), candidate("z", "a", nil)}
+	first := make(map[int]int)
+	for turn := range 30 {
+		first[Decide(View{Zone: "a", Now: now, Turn: turn, Candidates: candidates}, nil)[0].Index]++
+	}
+	must.MapEq(t, map[int]int{0: 10, 1: 10, 2: 10}, first)
+}
+
+// Whatever state endpoints are in: none that leaves is ranked, none twice, and
+// the ranking is empty only when all leave.
+func TestDecideNeverEmptiesTheSet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		duration := rapid.Custom(func(t *rapid.T) time.Duration {
+			return time.Duration(rapid.Int64Range(0, int64(2*now)).Draw(t, "time"))
+		})
+		var candidates []Candidate
+		serving := 0
+		for i := range rapid.IntRange(0, 40).Draw(t, "endpoints") {
+			c := candidate(fmt.Sprint("h", i), rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone"), nil)
+			c.Tried = rapid.Bool().Draw(t, "tried")
+			c.State = State{
+				InFlight: rapid.IntRange(0, 64).Draw(t, "in flight"), Latency: duration.Draw(t, "latency"),
+				SeenAt: min(now, duration.Draw(t, "seen")), ProgressAt: min(now, duration.Draw(t, "progress")),
+				EjectedUntil: duration.Draw(t, "ejected"), ReturnedAt: duration.Draw(t, "returned"),
+				Leaving:   rapid.SampledFrom([]Source{NotLeaving, Configured, OwnWord}).Draw(t, "leaving"),
+				WordUntil: duration.Draw(t, "word"),
+			}
+			if c.State.LeavingAt(now) == NotLeaving {
+				serving++
+			}
+			candidates = append(candidates, c)
+		}
+		seen := make(map[int]bool)
+		for _, choice := range Decide(View{Zone: "a", Now: now, Candidates: candidates}, nil) {
+			must.False(t, seen[choice.Index])
+			must.EqOp(t, NotLeaving, candidates[choice.Index].State.LeavingAt(now))
+			seen[choice.Index] = true
+		}
+		must.EqOp(t, serving == 0, len(seen) == 0)
+	})
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -126,12 +126,14 @@
 // starting says so itself, which counts as a failure with nothing sent.
 func (x *exchange) send(picked endpoint.Endpoint) (*http.Response, *attempt.Failure) {
 	g := x.gateway
+	target := attempt.Endpoint{Host: picked.Host, Address: picked.Address}
+	if _, leaving := g.balancer.LeavingFor(picked); leaving {
+		// It began to leave between the ranking and now.
+		return nil, &attempt.Failure{Endpoint: target, Reason: outcome.NoEndpoint}
+	}
 	ctx, span := g.startAttemptSpan(x.r.Context(), picked)
 	defer span.End()
-	g.Invariant.Hold(invariant.SingleAttempt, x.idempotent || !x.sent, func() string {
-		return "second attempt of non-idempotent request " + x.id + " on " + picked.Host
-	})
-	target := attempt.Endpoint{Host: picked.Host, Address: picked.Address}
+	x.assertMaySend(picked)
 	informer := &informer{w: x.w}
 	defer informer.end()
 	outgoing := x.outgoing(ctx)
@@ -142,7 +144,7 @@
 		noteFailure(span, failure)
 		return nil, failure
 	}
-	g.metrics.attemptSeconds.WithLabelValues(x.service.Name).Observe(time.Since(began).Seconds())
+	x.observe(picked, response, time.Since(began))
 	if response.Header.Get(outcome.Header) == string(outcome.NotRun) {
 		response.Body.Close()
 		failure = &attempt.Failure{Endpoint: target, Reason: outcome.EndpointRefused, Sent: false}
@@ -152,6 +154,31 @@
 	return response, nil
 }
 
+// leavingGrace is how long after the first word of its leaving an endpoint may
+// still get work: none does in fact, since each attempt asks right before.
+const leavingGrace = 3 * time.Second
+
+func (x *exchange) assertMaySend(picked endpoint.Endpoint) {
+	g := x.gateway
+	g.Invariant.Hold(invariant.SingleAttempt, x.idempotent || !x.sent, func() string {
+		return "second attempt of non-idempotent request " + x.id + " on " + picked.Host
+	})
+	since, leaving := g.balancer.LeavingFor(picked)
+	g.Invariant.Hold(invariant.NoWorkAfterLeaving, !leaving || since < leavingGrace, func() string {
+		return "request " + x.id + " to " + picked.Host + ", leaving for " + since.String()
+	})
+}
+
+// observe tells the balancer what an answer says of its endpoint.
+func (x *exchange) observe(picked endpoint.Endpoint, response *http.Response, latency time.Duration) {
+	g := x.gateway
+	g.metrics.attemptSeconds.WithLabelValues(x.service.Name).Observe(latency.Seconds())
+	g.balancer.Observe(picked, latency)
+	if response.Header.Get(outcome.LeavingHeader) != "" {
+		g.balancer.SaidLeaving(picked)
+	}
+}
+
 // explain names the cause where that, and not the endpoint, broke the attempt
 // off: the caller's body, or this gateway's own share of connections.
 func (x *exchange) explain(failure *attempt.Failure) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,6 +47,8 @@
 	HostInterval time.Duration
 	// Shares tells what this gateway may use of each endpoint.
 	Shares limit.Shares
+	// Dial opens connections to endpoints; nil means plain TCP.
+	Dial attempt.Dialer
 	// MaxBodyBytes bounds a request's body; zero means DefaultMaxBodyBytes.
 	MaxBodyBytes int64
 }
@@ -95,13 +97,16 @@
 	if config.MaxBodyBytes == 0 {
 		config.MaxBodyBytes = DefaultMaxBodyBytes
 	}
+	if config.Dial == nil {
+		config.Dial = attempt.PlainDialer()
+	}
 	if config.Tracer == nil {
 		config.Tracer = otel.GetTracerProvider()
 	}
 	limiter := limit.New(limit.Config{Shares: config.Shares, Registry: config.Registry})
 	return &Gateway{
 		Config:    config,
-		transport: attempt.NewTransport(limiter.Dialer(attempt.PlainDialer()), maxIdlePerEndpoint),
+		transport: attempt.NewTransport(limiter.Dialer(config.Dial), maxIdlePerEndpoint),
 		tracer:    config.Tracer.Tracer("auburnglade/gateway"),
 		metrics:   newMetrics(config.Registry),
 		balancer:  balance.New(config.Zone),
@@ -139,6 +144,7 @@
 }
 
 func (g *Gateway) install(services map[string]endpoint.Service) {
+	g.balancer.Install(services)
 	next := &table{services: services}
 	for name, service := range services {
 		next.prefixes = append(next.prefixes, route{prefix: service.Spec.PathPrefix, service: name})
