Draw what a wave did to availability

Cause: after a wave nobody could see whether budgets had held, when, and which hosts took long.

Change: the deciding controller samples availability while a wave runs into one bounded record a wave, written once a minute; gladectl report wave draws it as one HTML page that opens offline, with an SVG plot per service against its budget, a bar per host, and the failures. Neighbouring samples are joined to the worst of both when there are more than 600. Histories go with their wave's record.

--- a/internal/daemon/controller.go
+++ b/internal/daemon/controller.go
@@ -84,6 +84,7 @@
 	tree.Add("jobs", c.jobs)
 	tree.Add("journal", c.journal)
 	tree.Add("audit", c.audit)
+	tree.Add("report", c.newRecorder())
 	operators := httpserve.New("operators", c.settings.Listen.Operators, c.api, c.settings.Stop.Grace)
 	tree.Add("operators", c.trust.secure(operators, auth.Operators))
 	c.addCommonParts(tree, c.settings.Listen.Peers, c.settings.Listen.Admin, c.feed.Ready)
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -4,6 +4,7 @@
 	"auburnglade.example/glade/internal/audit"
 	"auburnglade.example/glade/internal/drainer"
 	"auburnglade.example/glade/internal/operatorapi"
+	"auburnglade.example/glade/internal/report"
 	"auburnglade.example/glade/internal/telemetry"
 )
 
@@ -15,13 +16,21 @@
 	})
 }
 
+// newRecorder returns the part that samples what waves do to availability.
+func (c *Controller) newRecorder() *report.Recorder {
+	return report.NewRecorder(report.Config{
+		Store: c.store, Feed: c.feed, Hosts: c.hosts, Shard: c.holder, Log: telemetry.Part(c.log, "report"),
+		Sample: c.settings.Report.Sample, Write: c.settings.Report.Write,
+	})
+}
+
 // newAPI returns the operators' API of this controller.
 func (c *Controller) newAPI() *operatorapi.Server {
 	return operatorapi.New(operatorapi.Config{
 		Store:     c.store,
 		Feed:      c.feed,
 		Confirmer: drainer.Live{Confirmer: c.confirm},
-		Hosts:     c.platform,
+		Hosts:     c.hosts,
 		Prober:    &operatorapi.PeerProber{Client: c.asker},
 		Invariant: c.invariant,
 		Journal:   c.journal,
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -8,6 +8,7 @@
 
 	"auburnglade.example/glade/internal/audit"
 	"auburnglade.example/glade/internal/jobs"
+	"auburnglade.example/glade/internal/report"
 	"auburnglade.example/glade/internal/storebudget"
 )
 
@@ -107,6 +108,12 @@
 	KeepDays int `ini:"keep_days" help:"How many days of changes by operators are kept."`
 }
 
+// ReportSettings shape the history that reports of waves are drawn from.
+type ReportSettings struct {
+	Sample time.Duration `ini:"sample" help:"Pause between two samples of availability while a wave runs."`
+	Write  time.Duration `ini:"write" help:"Pause between two writes of a wave's samples to the store."`
+}
+
 // ControllerSettings are the settings of glade-controller.
 type ControllerSettings struct {
 	Process  ProcessSettings  `ini:"process"`
@@ -121,6 +128,7 @@
 	Trace    TraceSettings    `ini:"trace"`
 	Keys     KeySettings      `ini:"keys"`
 	Audit    AuditSettings    `ini:"audit"`
+	Report   ReportSettings   `ini:"report"`
 }
 
 // DefaultGatewaySettings returns the defaults; required keys are empty.
@@ -145,6 +153,7 @@
 		Stop:     defaultStop(),
 		Log:      LogSettings{Level: "info"},
 		Jobs:     JobsSettings{LeaseTTL: jobs.DefaultLeaseTTL, ReportInterval: jobs.DefaultReportInterval},
+		Report:   ReportSettings{Sample: report.DefaultSample, Write: report.DefaultWrite},
 		Audit:    AuditSettings{KeepDays: audit.DefaultKeepDays},
 		Keys:     defaultKeys(),
 	}
--- a/internal/devrun/devrun.go
+++ b/internal/devrun/devrun.go
@@ -309,6 +309,7 @@
 	s.Keys = r.keys.settingsFor(s.Process.ID, s.Listen.Peers)
 	s.Peers.Addresses = r.peerAddresses()
 	s.Decide = daemon.DecideSettings{Interval: roundInterval, HoldTTL: holdTTL}
+	s.Report = daemon.ReportSettings{Sample: time.Second, Write: 2 * time.Second}
 	s.Jobs = daemon.JobsSettings{LeaseTTL: leaseTTL, ReportInterval: reportInterval}
 	s.Stop = daemon.StopSettings{Notice: stopNotice, Grace: stopGrace}
 	s.Log.Level = r.Options.LogLevel
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -40,6 +40,8 @@
 	Moves = StatePrefix + "moves"
 	// PlacementPrefix holds one record per pool with its jobs' tasks.
 	PlacementPrefix = StatePrefix + "placement/"
+	// HistoryPrefix holds one record per wave: what it did to availability.
+	HistoryPrefix = StatePrefix + "history/"
 	// AuditPrefix holds one record per accepted change.
 	AuditPrefix = StatePrefix + "audit/"
 )
@@ -50,6 +52,9 @@
 // Status returns the key of a record's status.
 func Status(id record.ID) string { return StatusPrefix + string(id.Kind) + "/" + id.Name }
 
+// History returns the key of a wave's history.
+func History(wave string) string { return HistoryPrefix + wave }
+
 // Host returns the key of a host's record.
 func Host(host string) string { return HostPrefix + host }
 
--- a/internal/operatorapi/api.go
+++ b/internal/operatorapi/api.go
@@ -63,6 +63,7 @@
 	s.mux.HandleFunc("GET /v1/hosts", s.hosts)
 	s.mux.HandleFunc("POST "+planPath, s.plan)
 	s.mux.HandleFunc("GET /v1/audit", s.audit)
+	s.mux.HandleFunc("GET /v1/history/{wave}", s.history)
 	s.mux.HandleFunc("GET /v1/inforce", s.inForce)
 	s.mux.HandleFunc("GET /v1/watch", s.watch)
 	s.mux.HandleFunc("GET /v1/explain/{kind}/{name}", s.explain)
--- a/internal/operatorapi/client.go
+++ b/internal/operatorapi/client.go
@@ -21,6 +21,7 @@
 
 	"auburnglade.example/glade/internal/auth"
 	"auburnglade.example/glade/internal/record"
+	"auburnglade.example/glade/internal/report"
 	"auburnglade.example/glade/internal/store"
 )
 
@@ -209,6 +210,13 @@
 	return answer, err
 }
 
+// History returns what a wave did to availability so far.
+func (c *Client) History(ctx context.Context, wave string) (report.History, error) {
+	var answer report.History
+	err := c.call(ctx, http.MethodGet, "/v1/history/"+url.PathEscape(wave), nil, nil, &answer)
+	return answer, err
+}
+
 // Fleet returns the whole fleet at a glance.
 func (c *Client) Fleet(ctx context.Context) (FleetSummary, error) {
 	var answer FleetSummary
--- a/internal/operatorapi/fleet.go
+++ b/internal/operatorapi/fleet.go
@@ -19,6 +19,7 @@
 	"auburnglade.example/glade/internal/keys"
 	"auburnglade.example/glade/internal/member"
 	"auburnglade.example/glade/internal/record"
+	"auburnglade.example/glade/internal/report"
 	"auburnglade.example/glade/internal/store"
 	"auburnglade.example/glade/internal/wave"
 )
@@ -129,6 +130,24 @@
 	return err
 }
 
+func (s *Server) history(w http.ResponseWriter, r *http.Request) {
+	name := r.PathValue("wave")
+	entry, err := s.Store.Get(r.Context(), keys.History(name))
+	if store.IsNotFound(err) {
+		err = &NotFoundError{ID: record.ID{Kind: record.KindWave, Name: name}}
+	}
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	history, err := report.Parse(entry.Key, entry.Value)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, history)
+}
+
 // KindHost explains a host; there are no operators' records of this kind.
 const KindHost record.Kind = "Host"
 
--- a/internal/operatorcli/cli.go
+++ b/internal/operatorcli/cli.go
@@ -43,6 +43,7 @@
 	Pause      PauseCmd      `cmd:"" help:"Let a wave start no further host."`
 	Resume     ResumeCmd     `cmd:"" help:"Let a paused or stopped wave go on."`
 	Cancel     CancelCmd     `cmd:"" help:"End a wave once the hosts it has out are back."`
+	Report     ReportCmd     `cmd:"" help:"Draw a report."`
 	Audit      AuditCmd      `cmd:"" help:"Show who changed what."`
 	StopWaves  StopWavesCmd  `cmd:"" help:"Break glass: pause every wave at once."`
 	Completion CompletionCmd `cmd:"" help:"Print a shell's completion script."`
@@ -111,7 +112,7 @@
 		env.Err = nil
 	}
 	if err := command.Run(env); err != nil {
-		report(errOut, err)
+		printError(errOut, err)
 		return exitCode(err)
 	}
 	return ExitOK
--- a/internal/operatorcli/exit.go
+++ b/internal/operatorcli/exit.go
@@ -121,7 +121,7 @@
 	return ExitFailed
 }
 
-func report(out io.Writer, err error) {
+func printError(out io.Writer, err error) {
 	fmt.Fprintln(out, "gladectl:", err)
 	var answer *operatorapi.ErrorAnswer
 	if errors.As(err, &answer) {
