Measure moves and placements, and plan one large pool in n log n

Change: glade-measure placement. The planner looks at workers until it has enough to compare (64 with room, 32 ways to make some) and remembers sizes that found none. Kills for memory teach the team's habit too, and a task that used all its processors is taken to need more. A task that a worker calls finished is taken as finished at once: its report may be lost with the host's reboot.

At a factor of five the first task of a job is still a guess; only jobs of many tasks gain more.

--- a/internal/jobs/settle.go
+++ b/internal/jobs/settle.go
@@ -62,6 +62,13 @@
 	if o.err != nil && !ended {
 		sight.notBefore = time.Now().Add(retryPause)
 	}
+	if ended && state == fleet.TaskFinished {
+		// The report that tells what it used may be lost with its host's next
+		// reboot; the task would then run again.
+		p.done(task)
+		m.end(p, task, "finished")
+		return
+	}
 	switch o.verb {
 	case verbStart:
 		m.settleStart(p, task, o, state, ended)
@@ -95,7 +102,7 @@
 	case o.err == nil:
 		m.Metrics.starts.Inc()
 		sight.started, sight.startedAt, sight.throttled = true, time.Now(), o.throttled
-	case ended && (state == fleet.TaskFinished || state == fleet.TaskFailed):
+	case ended && state == fleet.TaskFailed:
 		// The next report tells how it ended.
 		sight.started, sight.startedAt = true, time.Now()
 	case ended:
@@ -127,7 +134,7 @@
 		p.finished(task, spec, report)
 		m.end(p, task, "finished")
 	case fleet.TaskFailed:
-		p.failed(task, report)
+		p.failed(task, spec, report)
 		m.end(p, task, "failed")
 	case fleet.TaskCheckpointed:
 		p.saved(task)
@@ -138,19 +145,23 @@
 }
 
 func (p *poolState) finished(task *Task, spec *record.Job, report fleet.TaskReport) {
+	if spec != nil {
+		p.Memory.Finished(task.Job, spec, task.Size, report.Used, report.RanFor)
+	}
+	p.done(task)
+}
+
+func (p *poolState) done(task *Task) {
 	if job := p.Jobs[task.Job]; job != nil {
 		job.Done = job.Done.With(task.Index)
 		delete(job.Saved, task.Index)
 	}
-	if spec != nil {
-		p.Memory.Finished(task.Job, spec, report.Used, report.RanFor)
-	}
 	p.Blame.Succeeded(task.Job, task.Host)
 }
 
-func (p *poolState) failed(task *Task, report fleet.TaskReport) {
+func (p *poolState) failed(task *Task, spec *record.Job, report fleet.TaskReport) {
 	if report.Reason == fleet.ReasonOutOfMemory {
-		p.Memory.RanOut(task.Job, task.Size)
+		p.Memory.RanOut(task.Job, spec, task.Size)
 		return
 	}
 	p.Blame.Failed(task.Job, task.Host, report.Reason)
--- /dev/null
+++ b/internal/measure/placement/acting.go
@@ -0,0 +1,207 @@
+package placement
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"auburnglade.example/glade/internal/feed"
+	"auburnglade.example/glade/internal/fleet"
+	"auburnglade.example/glade/internal/fleet/fakefleet"
+	"auburnglade.example/glade/internal/fleet/fakeworkers"
+	"auburnglade.example/glade/internal/hostrecord"
+	"auburnglade.example/glade/internal/invariant"
+	"auburnglade.example/glade/internal/jobs"
+	"auburnglade.example/glade/internal/keys"
+	"auburnglade.example/glade/internal/record"
+	"auburnglade.example/glade/internal/store"
+	"auburnglade.example/glade/internal/store/memstore"
+)
+
+// Acting is what the stand-ins counted of one controller at the target size,
+// in real time.
+type Acting struct {
+	Hosts       int     `json:"hosts"`
+	Pools       int     `json:"pools"`
+	Tasks       int     `json:"tasks"`
+	Urgent      int     `json:"urgent"`
+	FillSeconds float64 `json:"fill_seconds"`
+	// Urgent starts are from the record's write to the worker's start.
+	UrgentStartP50  float64 `json:"urgent_start_seconds_p50"`
+	UrgentStartP99  float64 `json:"urgent_start_seconds_p99"`
+	UrgentStartMax  float64 `json:"urgent_start_seconds_max"`
+	Displaced       int     `json:"displaced"`
+	DoubleRuns      int     `json:"double_runs"`
+	StoreWrites     float64 `json:"store_writes_per_second"`
+	StoreReads      float64 `json:"store_reads_per_second"`
+	IdleWrites      float64 `json:"idle_store_writes_per_second"`
+	IdleReads       float64 `json:"idle_store_reads_per_second"`
+	WorkerCallsIdle float64 `json:"idle_worker_calls_per_second"`
+	Violations      int     `json:"invariant_violations"`
+}
+
+// The acting run: every worker full of lesser work, urgent jobs one after the
+// other, pools in turn.
+const (
+	storeLatency   = 3 * time.Millisecond
+	checkpointTime = 300 * time.Millisecond
+	urgentPause    = 100 * time.Millisecond
+	idleSpan       = 30 * time.Second
+	fillTimeout    = 2 * time.Minute
+	tasksPerHost   = 4
+)
+
+// TimeoutError says that a part of the run didn't come to its end.
+type TimeoutError struct{ Part string }
+
+func (e *TimeoutError) Error() string { return "measurement: no end of " + e.Part }
+
+type held struct{}
+
+func (held) Held() bool { return true }
+
+type actingRun struct {
+	cmd     *Cmd
+	store   *memstore.Store
+	workers *fakeworkers.Workers
+	fleet   *fakefleet.Fleet
+	checker *invariant.Checker
+}
+
+func (c *Cmd) measureActing() (*Acting, error) {
+	r := &actingRun{cmd: c, store: memstore.New(), checker: invariant.New(zerolog.Nop(), nil)}
+	r.build()
+	ctx, stop := context.WithCancel(context.Background())
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	defer stop()
+	f := feed.New(r.store, zerolog.Nop(), r.checker, nil)
+	m := jobs.New(jobs.Config{
+		Member: "measured", Store: r.store, Feed: f, Hosts: r.fleet, Pool: r.fleet, Workers: r.workers,
+		Shard: held{}, Invariant: r.checker, Log: zerolog.Nop(),
+	})
+	r.store.SetLatency(storeLatency)
+	wait.Go(func() { _ = f.Serve(ctx) })
+	wait.Go(func() { _ = m.Serve(ctx) })
+	return r.observe()
+}
+
+func (r *actingRun) build() {
+	var hosts []fleet.Host
+	var names []string
+	capacity := record.Resources{MilliCPU: workerCPU, MemoryMB: workerMemory, Accelerators: accelerators}
+	perPool := make(map[string]int)
+	for i := range r.cmd.Hosts {
+		name, pool := fmt.Sprintf("host-%05d", i), poolName(i%r.cmd.Pools)
+		names = append(names, name)
+		perPool[pool]++
+		hosts = append(hosts, fleet.Host{Name: name, Zone: fmt.Sprintf("zone-%d", i%zoneCount), Capacity: capacity})
+		r.write(keys.Host(name), hostrecord.Record{Host: name, Pool: pool, Phase: hostrecord.Serving}.Encode())
+	}
+	r.fleet = fakefleet.New(hosts, fakefleet.Options{})
+	r.workers = fakeworkers.New(names, fakeworkers.Options{
+		ReportLag: 2 * time.Second, CheckpointTime: checkpointTime,
+		Behave: func(fleet.Task) fakeworkers.Behaviour {
+			return fakeworkers.Behaviour{Used: record.Resources{MilliCPU: 1000, MemoryMB: 1024}, Work: time.Hour}
+		},
+	})
+	for i := range r.cmd.Pools {
+		pool := poolName(i)
+		r.put(pool, &record.Pool{Size: perPool[pool], Jobs: true})
+		r.put("fill-"+pool, &record.Job{
+			Pool: pool, Team: fmt.Sprintf("team-%02d", i%teams), Tasks: perPool[pool] * tasksPerHost, ExpectedSeconds: 3600,
+			Resources: record.Resources{MilliCPU: workerCPU / tasksPerHost, MemoryMB: workerMemory / tasksPerHost}, Priority: record.PriorityLow,
+		})
+	}
+}
+
+func poolName(i int) string { return fmt.Sprintf("pool-%04d", i) }
+
+func (r *actingRun) put(name string, spec record.Spec) {
+	envelope := record.New(name, spec)
+	value, err := json.Marshal(envelope)
+	if err != nil {
+		// Specs of this package always encode.
+		panic(err)
+	}
+	r.write(keys.Spec(envelope.ID()), value)
+}
+
+func (r *actingRun) write(key string, value []byte) {
+	// The stand-in has no faults here.
+	_, _ = r.store.CompareAndSwap(context.Background(), store.Write{Key: key, Value: value})
+}
+
+func (r *actingRun) observe() (*Acting, error) {
+	a := &Acting{Hosts: r.cmd.Hosts, Pools: r.cmd.Pools, Tasks: r.cmd.Hosts * tasksPerHost, Urgent: r.cmd.Urgent}
+	began := time.Now()
+	if !r.await(a.Tasks, fillTimeout) {
+		return nil, &TimeoutError{Part: "the first placements"}
+	}
+	a.FillSeconds = time.Since(began).Seconds()
+	r.idle(a)
+	before, began := r.store.Counts(), time.Now()
+	sent := r.sendUrgent()
+	if !r.await(a.Tasks+len(sent), fillTimeout) {
+		return nil, &TimeoutError{Part: "the urgent starts"}
+	}
+	span := time.Since(began).Seconds()
+	after := r.store.Counts()
+	// The urgent records' own writes aren't the controller's.
+	a.StoreWrites = float64(after.Writes-before.Writes-int64(len(sent))) / span
+	a.StoreReads = float64(after.Reads-before.Reads) / span
+	r.urgentStarts(a, sent)
+	counts := r.workers.Counts()
+	a.Displaced, a.DoubleRuns = counts.Checkpoints+counts.Throttles, counts.DoubleRuns
+	a.Violations = len(r.checker.Violations())
+	return a, nil
+}
+
+// idle counts calls while nothing changes.
+func (r *actingRun) idle(a *Acting) {
+	time.Sleep(time.Second)
+	before, calls := r.store.Counts(), r.workers.Counts().Calls
+	time.Sleep(idleSpan)
+	after := r.store.Counts()
+	a.IdleWrites = float64(after.Writes-before.Writes) / idleSpan.Seconds()
+	a.IdleReads = float64(after.Reads-before.Reads) / idleSpan.Seconds()
+	a.WorkerCallsIdle = float64(r.workers.Counts().Calls-calls) / idleSpan.Seconds()
+}
+
+func (r *actingRun) sendUrgent() map[string]time.Time {
+	sent := make(map[string]time.Time)
+	for i := range r.cmd.Urgent {
+		name := fmt.Sprintf("urgent-%04d", i)
+		sent[name] = time.Now()
+		r.put(name, &record.Job{
+			Pool: poolName(i % r.cmd.Pools), Team: "urgent", Priority: record.PriorityUrgent, ExpectedSeconds: 60,
+			Resources: record.Resources{MilliCPU: workerCPU / tasksPerHost, MemoryMB: workerMemory / tasksPerHost},
+		})
+		time.Sleep(urgentPause)
+	}
+	return sent
+}
+
+func (r *actingRun) urgentStarts(a *Acting, sent map[string]time.Time) {
+	var delays []float64
+	for _, started := range r.workers.Starts() {
+		if at, urgent := sent[started.Task.Job]; urgent {
+			delays = append(delays, started.At.Sub(at).Seconds())
+		}
+	}
+	a.UrgentStartP50, a.UrgentStartP99 = quantile(delays, 0.5), quantile(delays, 0.99)
+	a.UrgentStartMax = quantile(delays, 1)
+}
+
+func (r *actingRun) await(placed int, limit time.Duration) bool {
+	for began := time.Now(); time.Since(began) < limit; time.Sleep(10 * time.Millisecond) {
+		if r.workers.Counts().Placed >= placed {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/placement/displace.go
+++ b/internal/placement/displace.go
@@ -23,16 +23,25 @@
 		return nil, nil
 	}
 	var best *eviction
-	for _, n := range f.able {
-		if n.Quarantine != "" {
+	ways := 0
+	for i := 0; i < len(p.nodes) && ways < enoughEvictions && !p.stuck.refuses(job.Size); i++ {
+		n := f.at(i)
+		if n.Quarantine != "" || !f.takes(n) {
 			continue
 		}
 		e := p.evict(n, job)
-		if e != nil && (best == nil || e.cost < best.cost) {
+		if e == nil {
+			continue
+		}
+		ways++
+		if best == nil || e.cost < best.cost {
 			best = e
 		}
 	}
 	if best == nil {
+		if len(job.Avoid) == 0 {
+			p.stuck.add(job.Size)
+		}
 		f.why = "no lesser work could make enough room"
 		return nil, nil
 	}
--- a/internal/placement/find.go
+++ b/internal/placement/find.go
@@ -2,20 +2,35 @@
 
 import (
 	"container/heap"
+	"hash/fnv"
 
 	"auburnglade.example/glade/internal/record"
 )
 
-// finder hands out the workers for one job's tasks, best first. It looks at
-// every worker once per job and then works on a heap, so that a job of many
-// tasks costs n log n.
+const (
+	// enoughFits is how many workers with room are compared for one job before
+	// the best of them is taken: in a pool of a thousand the best of all is
+	// hardly better than the best of sixty-four.
+	enoughFits = 64
+	// enoughEvictions is how many ways to make room are compared.
+	enoughEvictions = 32
+	// maxRefusals bounds the sizes remembered as finding no room.
+	maxRefusals = 16
+)
+
+// finder hands out the workers for one job's tasks, best first. It walks the
+// pool's workers once at most, from a place that the job's name picks, and
+// keeps the ones with room on a heap.
 type finder struct {
-	job   *Job
-	nodes candidates
-	// able lists the workers that are large enough and may take the job,
-	// whatever runs on them now.
-	able []*node
-	why  string
+	planner *planner
+	job     *Job
+	nodes   candidates
+	// walked counts the workers looked at so far.
+	walked, from int
+	// stays leaves out workers that a wave is about to drain.
+	stays bool
+	able  bool
+	why   string
 }
 
 type candidate struct {
@@ -45,59 +60,84 @@
 }
 
 func (p *planner) newFinder(job *Job) *finder {
-	f := &finder{job: job, why: "no worker that may take it is ready"}
-	for _, n := range p.nodes {
-		if n.takes(job) {
-			f.able = append(f.able, n)
-		}
-	}
-	f.keepLongTasksOffDrains()
-	for _, n := range f.able {
-		if Fits(job.Size, n.free) {
-			f.nodes = append(f.nodes, candidate{node: n, score: score(n, job.Size)})
-		}
+	f := &finder{planner: p, job: job, why: "no worker that may take it is ready"}
+	if len(p.nodes) > enoughFits {
+		hash := fnv.New32a()
+		hash.Write([]byte(job.Name))
+		f.from = int(hash.Sum32()) % len(p.nodes)
 	}
-	if len(f.able) > 0 {
-		f.why = "every worker that may take it is full"
-	}
-	heap.Init(&f.nodes)
+	f.stays = f.keepsOffDrains()
 	return f
 }
 
-func (n *node) takes(job *Job) bool {
-	if !n.Ready || n.Leaving || job.Avoid[n.Name] || !Fits(job.Size, n.Capacity) {
+// keepsOffDrains reports whether the workers that a wave is about to drain are
+// left out: when the job runs long and another worker could take it, now or
+// later. A job that must start now takes what there is.
+func (f *finder) keepsOffDrains() bool {
+	if f.job.RunTime < LongTask || f.job.class() <= 1 {
 		return false
 	}
-	return n.Quarantine == "" || (n.Probe && len(n.tasks) == 0 && n.free == n.Capacity)
+	for i := range f.planner.nodes {
+		if n := f.at(i); !n.DrainSoon && n.takes(f.job) {
+			return true
+		}
+	}
+	return false
 }
 
-// keepLongTasksOffDrains leaves out the workers that a wave is about to drain
-// when the job runs long and another worker could take it, now or later. A job
-// that must start now takes what there is.
-func (f *finder) keepLongTasksOffDrains() {
-	if f.job.RunTime < LongTask || f.job.class() <= 1 {
-		return
+func (f *finder) at(i int) *node {
+	nodes := f.planner.nodes
+	return nodes[(f.from+i)%len(nodes)]
+}
+
+func (f *finder) takes(n *node) bool {
+	return n.takes(f.job) && !(f.stays && n.DrainSoon)
+}
+
+// walk looks at further workers until enough with room are on the heap.
+func (f *finder) walk() {
+	if f.planner.full.refuses(f.job.Size) {
+		f.able, f.walked = true, len(f.planner.nodes)
 	}
-	var lasting []*node
-	for _, n := range f.able {
-		if !n.DrainSoon {
-			lasting = append(lasting, n)
+	for f.walked < len(f.planner.nodes) && len(f.nodes) < enoughFits {
+		n := f.at(f.walked)
+		f.walked++
+		if !f.takes(n) {
+			continue
+		}
+		f.able = true
+		if Fits(f.job.Size, n.free) {
+			heap.Push(&f.nodes, candidate{node: n, score: score(n, f.job.Size)})
 		}
 	}
-	if len(lasting) > 0 {
-		f.able = lasting
+	if f.able {
+		f.why = "every worker that may take it is full"
 	}
 }
 
 // next returns the best worker with room, or nil.
 func (f *finder) next() (*node, string) {
-	for len(f.nodes) > 0 {
+	for {
+		if len(f.nodes) == 0 {
+			f.walk()
+		}
+		if len(f.nodes) == 0 {
+			f.refused()
+			return nil, ""
+		}
 		best := heap.Pop(&f.nodes).(candidate)
 		if Fits(f.job.Size, best.node.free) {
 			return best.node, "best fit"
 		}
 	}
-	return nil, ""
+}
+
+// refused remembers a size for which the whole pool has no room, unless the
+// job is pickier than others.
+func (f *finder) refused() {
+	if len(f.job.Avoid) == 0 && !f.stays {
+		f.planner.full.add(f.job.Size)
+	}
 }
 
 // used offers a worker again after a task was put on it.
@@ -107,6 +147,32 @@
 	}
 }
 
+// refusals are the smallest sizes found to fit nowhere; what is at least as
+// large as one of them needn't look.
+type refusals []record.Resources
+
+func (r refusals) refuses(size record.Resources) bool {
+	for _, refused := range r {
+		if Fits(refused, size) {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *refusals) add(size record.Resources) {
+	if len(*r) < maxRefusals && !r.refuses(size) {
+		*r = append(*r, size)
+	}
+}
+
+func (n *node) takes(job *Job) bool {
+	if !n.Ready || n.Leaving || job.Avoid[n.Name] || !Fits(job.Size, n.Capacity) {
+		return false
+	}
+	return n.Quarantine == "" || (n.Probe && len(n.tasks) == 0 && n.free == n.Capacity)
+}
+
 // Weights of a score; lower is better.
 const (
 	drainPenalty       = 2.0
--- a/internal/placement/learn.go
+++ b/internal/placement/learn.go
@@ -55,14 +55,20 @@
 	maxRatio = 1000
 	// leastCPU is the least a task is given, in thousandths of a core.
 	leastCPU = 10
-	// growth is by how much a task's memory grows after it ran out.
-	growth = 2
+	// growth is by how much a task's memory grows after it ran out, and its
+	// processors after it used at least saturated percent of them.
+	growth    = 2
+	saturated = 95
 	// defaultRun is the expected run time when nothing is known of a job.
 	defaultRun = 5 * time.Minute
 )
 
-// Finished learns from a task that ended well.
-func (m *Memory) Finished(job string, spec *record.Job, peak record.Resources, ranFor time.Duration) {
+// Finished learns from a task that was given an amount and ended well. One that
+// used all the processors it was given would have used more.
+func (m *Memory) Finished(job string, spec *record.Job, given, peak record.Resources, ranFor time.Duration) {
+	if peak.MilliCPU*percent >= given.MilliCPU*saturated {
+		peak.MilliCPU = given.MilliCPU * growth
+	}
 	u := m.job(job)
 	seconds := max(1, int(ranFor/time.Second))
 	u.MilliCPU = keep(u.MilliCPU, peak.MilliCPU, jobSamples)
@@ -87,8 +93,12 @@
 }
 
 // RanOut learns from a task that was killed for using more memory than it was
-// given.
-func (m *Memory) RanOut(job string, given record.Resources) {
+// given; the spec may be nil.
+func (m *Memory) RanOut(job string, spec *record.Job, given record.Resources) {
+	if spec != nil {
+		r := m.team(spec.Team)
+		r.MemoryMB = keepRatio(r.MemoryMB, given.MemoryMB*growth, spec.Resources.MemoryMB)
+	}
 	u := m.job(job)
 	u.Proven = max(u.Proven, given.MemoryMB+1)
 	u.Floor = max(u.Floor, given.MemoryMB*growth)
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"sort"
@@ -21,6 +22,11 @@
 	nodes  []*node
 	byName map[string]*node
 	held   map[string]record.Resources
+	// full and stuck hold sizes that found no room, without and with lesser
+	// work making some.
+	full, stuck refusals
+	// kinds has one worker of each capacity.
+	kinds []*node
 	// acts holds the tasks told something in this plan.
 	acts map[string]bool
 	plan Plan
@@ -31,7 +37,7 @@
 	p := newPlanner(input)
 	p.endUnwanted()
 	jobs := slices.Clone(input.Jobs)
-	sort.SliceStable(jobs, func(i, j int) bool { return p.before(&jobs[i], &jobs[j]) })
+	p.order(jobs)
 	for i := range jobs {
 		p.place(&jobs[i])
 	}
@@ -50,6 +56,13 @@
 		p.nodes = append(p.nodes, n)
 		p.byName[worker.Name] = n
 	}
+	kinds := make(map[record.Resources]bool)
+	for _, n := range p.nodes {
+		if !kinds[n.Capacity] {
+			kinds[n.Capacity] = true
+			p.kinds = append(p.kinds, n)
+		}
+	}
 	sort.Slice(p.nodes, func(i, j int) bool { return p.nodes[i].Name < p.nodes[j].Name })
 	for team, held := range input.Held {
 		p.held[team] = held
@@ -115,21 +128,18 @@
 	return j.Spec.DeadlineSeconds > 0 && j.slack() < j.RunTime*riskMargin
 }
 
-func (p *planner) before(a, b *Job) bool {
-	if a.class() != b.class() {
-		return a.class() < b.class()
-	}
-	if a.slack() != b.slack() {
-		return a.slack() < b.slack()
-	}
-	shareA, shareB := p.share(a.Spec.Team), p.share(b.Spec.Team)
-	if shareA != shareB {
-		return shareA < shareB
-	}
-	if a.Age != b.Age {
-		return a.Age > b.Age
-	}
-	return a.Name < b.Name
+// order sorts jobs: by class, the least slack to a deadline, the team with the
+// least of its quota in use, the oldest, and the name.
+func (p *planner) order(jobs []Job) {
+	slices.SortStableFunc(jobs, func(a, b Job) int {
+		return cmp.Or(
+			cmp.Compare(a.class(), b.class()),
+			cmp.Compare(a.slack(), b.slack()),
+			cmp.Compare(p.share(a.Spec.Team), p.share(b.Spec.Team)),
+			cmp.Compare(b.Age, a.Age),
+			cmp.Compare(a.Name, b.Name),
+		)
+	})
 }
 
 // share is the part of its quota a team held when the plan began, so that the
@@ -186,7 +196,7 @@
 // but may do with less, to the worker that gives it the most memory.
 func (p *planner) cutToLargest(job *Job) string {
 	var largest *node
-	for _, n := range p.nodes {
+	for _, n := range p.kinds {
 		if Fits(job.Size, n.Capacity) {
 			return ""
 		}
