Store audit entries that come together in one write

Cause: entries were written one after another under one lock, which a slow store held: each operator waited for all before, and one who hung up could fail the page for the next.

Change: entries that come while a page is being written go together into the next write; the write doesn't end with one operator's connection; noting an outcome waits for no write.

Figures: 100 entries at once on a store that takes 1 s a call: at most 5 writes (TestEntriesThatComeTogetherAreWrittenTogether, virtual time).

--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -1,10 +1,13 @@
 package audit_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -120,6 +123,50 @@
 	}
 }
 
+// A hundred changes come at once while the store is slow. They go into few
+// writes, and none is missing.
+func TestEntriesThatComeTogetherAreWrittenTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := memstore.New()
+		s.SetLatency(time.Second)
+		b := newBook(s, "controller-1")
+		var wait sync.WaitGroup
+		for n := range 100 {
+			wait.Go(func() {
+				must.NoError(t, b.Begin(t.Context(), entry(n, "")))
+				b.Settle(fmt.Sprint("w", n), audit.Accepted, store.Revision(n+1))
+			})
+		}
+		wait.Wait()
+		must.LessEq(t, 5, s.Counts().Writes)
+		b.Flush(t.Context())
+		got := read(t, s, nil)
+		must.SliceLen(t, 100, got)
+		for _, e := range got {
+			must.Eq(t, audit.Accepted, e.Outcome)
+		}
+	})
+}
+
+// An operator hangs up while the store is slow. The entry may be stored or not,
+// but those of others are, and nobody waits for ever.
+func TestOperatorWhoHangsUpFailsNoOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := memstore.New()
+		s.SetLatency(time.Second)
+		b := newBook(s, "controller-1")
+		impatient, hangUp := context.WithCancel(t.Context())
+		var wait sync.WaitGroup
+		wait.Go(func() { _ = b.Begin(impatient, entry(0, "")) })
+		synctest.Wait()
+		wait.Go(func() { must.NoError(t, b.Begin(t.Context(), entry(1, ""))) })
+		synctest.Wait()
+		hangUp()
+		wait.Wait()
+		must.SliceContainsFunc(t, read(t, s, nil), "w1", func(e audit.Entry, writeID string) bool { return e.WriteID == writeID })
+	})
+}
+
 func TestPagesAreBoundedAndOldOnesCleared(t *testing.T) {
 	s := memstore.New()
 	b := newBook(s, "controller-1")
--- a/internal/audit/book.go
+++ b/internal/audit/book.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,7 +24,9 @@
 	pageBytes = 64 << 10
 	// settleDelay is how long outcomes wait to be written together.
 	settleDelay = time.Second
-	sweepPause  = time.Hour
+	// writeTimeout bounds the writes of one batch after another.
+	writeTimeout = 10 * time.Second
+	sweepPause   = time.Hour
 	// sweepDays is how many days beyond the retention are looked through, so
 	// that a fleet that was down for a week still clears them.
 	sweepDays = 10
@@ -50,7 +54,13 @@
 	Config
 	entries *prometheus.CounterVec
 
-	mu      sync.Mutex
+	// turn is held by whoever writes pages. It is apart from mu, so that a slow
+	// store holds up no one who only notes an outcome.
+	turn chan struct{}
+
+	mu    sync.Mutex
+	queue []*waiting
+	// current is the page that entries are appended to.
 	current *page
 	// dirty pages have outcomes that the store doesn't have yet.
 	dirty map[string]*page
@@ -59,6 +69,12 @@
 	next int
 }
 
+// waiting is an entry to be stored; done gets the result.
+type waiting struct {
+	entry Entry
+	done  chan error
+}
+
 // page is one stored page as this process, its only writer, knows it.
 type page struct {
 	key      string
@@ -81,7 +97,8 @@
 		config.KeepDays = DefaultKeepDays
 	}
 	b := &Book{
-		Config: config, dirty: make(map[string]*page), open: make(map[string]*page),
+		Config: config, turn: make(chan struct{}, 1),
+		dirty: make(map[string]*page), open: make(map[string]*page),
 		entries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "glade_audit_entries_total",
 			Help: "Changes by operators that were audited, by what became of them and whether glass was broken.",
@@ -94,41 +111,102 @@
 }
 
 // Begin stores an entry whose change has yet to be written. On an error the
-// change must not be made: it would leave no trace of who made it.
+// change must not be made: it would leave no trace of who made it. Entries that
+// come while a page is being written go together into the next write.
 func (b *Book) Begin(ctx context.Context, e Entry) error {
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	e.Member = b.Member
 	if e.At.IsZero() {
 		e.At = time.Now().UTC()
 	}
-	size := len(e.Before) + len(e.After)
-	p := b.pageFor(e.At.Format(dayLayout), size)
-	p.content.Entries = append(p.content.Entries, e)
-	p.bytes += size
-	if err := b.write(ctx, p); err != nil {
-		// The page may hold the entry all the same. The next entry begins
-		// another page, and this one's revision is read again before its
-		// outcomes are written.
-		p.content.Entries = p.content.Entries[:len(p.content.Entries)-1]
-		b.current = nil
+	w := &waiting{entry: e, done: make(chan error, 1)}
+	b.mu.Lock()
+	b.queue = append(b.queue, w)
+	b.mu.Unlock()
+	select {
+	case b.turn <- struct{}{}:
+		b.drain(ctx)
+		<-b.turn
+		return <-w.done
+	case err := <-w.done:
 		return err
+	case <-ctx.Done():
+		return &store.UnavailableError{Op: "audit", Cause: ctx.Err()}
+	}
+}
+
+// drain stores every waiting entry. One operator who hangs up must not fail
+// the entries of others, so the writes don't end with ctx.
+func (b *Book) drain(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), writeTimeout)
+	defer cancel()
+	for {
+		p, batch := b.takeBatch()
+		if len(batch) == 0 {
+			return
+		}
+		err := b.write(ctx, p)
+		b.begun(p, batch, err)
+		for _, w := range batch {
+			w.done <- err
+		}
 	}
-	b.open[e.WriteID] = p
-	return nil
 }
 
-func (b *Book) pageFor(day string, size int) *page {
-	p := b.current
-	if p != nil && p.day == day && p.bytes+size <= pageBytes {
-		return p
+// takeBatch appends waiting entries of one day to a page, as many as it takes,
+// and returns them.
+func (b *Book) takeBatch() (*page, []*waiting) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.queue) == 0 {
+		return nil, nil
+	}
+	p := b.pageFor(b.queue[0].entry)
+	taken := 0
+	for _, w := range b.queue {
+		if taken > 0 && !p.takes(w.entry) {
+			break
+		}
+		p.content.Entries = append(p.content.Entries, w.entry)
+		p.bytes += w.entry.size()
+		taken++
+	}
+	batch := b.queue[:taken]
+	b.queue = append([]*waiting(nil), b.queue[taken:]...)
+	return p, batch
+}
+
+// begun notes what became of a batch. When the write failed the page may hold
+// the entries all the same: the next entries begin another page, and this
+// one's revision is read again before its outcomes are written.
+func (b *Book) begun(p *page, batch []*waiting, err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if err != nil {
+		p.content.Entries = p.content.Entries[:len(p.content.Entries)-len(batch)]
+		b.current = nil
+		return
+	}
+	for _, w := range batch {
+		b.open[w.entry.WriteID] = p
+	}
+}
+
+func (b *Book) pageFor(e Entry) *page {
+	if b.current != nil && b.current.takes(e) {
+		return b.current
 	}
 	b.next++
-	p = &page{key: fmt.Sprintf("%s%s/%s/%06d", keys.AuditPrefix, day, b.Member, b.next), day: day}
-	b.current = p
-	return p
+	day := e.At.Format(dayLayout)
+	b.current = &page{key: fmt.Sprintf("%s%s/%s/%06d", keys.AuditPrefix, day, b.Member, b.next), day: day}
+	return b.current
+}
+
+func (p *page) takes(e Entry) bool {
+	return p.day == e.At.Format(dayLayout) && p.bytes+e.size() <= pageBytes
 }
 
+func (e Entry) size() int { return len(e.Before) + len(e.After) }
+
 // Settle notes the outcome of an entry; it is stored with the next write of
 // its page, or soon.
 func (b *Book) Settle(writeID string, outcome Outcome, revision store.Revision) {
@@ -169,34 +247,54 @@
 // Flush writes the outcomes that the store doesn't have. What fails is tried
 // again with the next flush; readers don't depend on it.
 func (b *Book) Flush(ctx context.Context) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for key, p := range b.dirty {
+	select {
+	case b.turn <- struct{}{}:
+	case <-ctx.Done():
+		return
+	}
+	defer func() { <-b.turn }()
+	for _, p := range b.dirtyPages() {
 		if err := b.write(ctx, p); err != nil {
-			b.Log.Debug().Err(err).Str("page", key).Msg("Outcomes not noted yet.")
-			return
+			b.Log.Debug().Err(err).Str("page", p.key).Msg("Outcomes not noted yet.")
+			b.mu.Lock()
+			b.dirty[p.key] = p
+			b.mu.Unlock()
 		}
 	}
 }
 
-// write stores a page as it is now.
+func (b *Book) dirtyPages() []*page {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Collect(maps.Values(b.dirty))
+}
+
+// write stores a page as it is now. The caller holds the turn.
 func (b *Book) write(ctx context.Context, p *page) error {
 	if err := b.ascertain(ctx, p); err != nil {
 		return err
 	}
+	b.mu.Lock()
+	wasDirty := b.dirty[p.key] != nil
+	delete(b.dirty, p.key)
 	p.content.WriteID = uuid.NewString()
 	value, err := json.Marshal(p.content)
+	b.mu.Unlock()
 	if err != nil {
 		return &DamagedError{Key: p.key, Cause: err}
 	}
 	revision, err := store.Swap(ctx, b.Store, store.Write{Key: p.key, Expect: p.revision, Value: value})
-	if err != nil {
-		p.uncertain = true
-		return err
+	if err == nil {
+		p.revision = revision
+		return nil
 	}
-	p.revision = revision
-	delete(b.dirty, p.key)
-	return nil
+	p.uncertain = true
+	if wasDirty {
+		b.mu.Lock()
+		b.dirty[p.key] = p
+		b.mu.Unlock()
+	}
+	return err
 }
 
 // ascertain reads at which revision a page is after a write whose outcome is
