Count operators' requests, and log connections that fail

Cause: the operators' API had no metrics of its own, and a refused TLS handshake went to standard error past the log. Of several clashes of a record a random one was named.

Change: requests by method and status, and the time of changes, are metrics; the HTTP servers' own lines are log entries with their part; every clash is named, in order. Tests of the admission check by itself.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -113,16 +113,18 @@
 // clashes finds what may stand only once: a service's budget, a path prefix, a
 // team's quota.
 func clashes(snapshot *catalog.Snapshot, name string, spec record.Spec) record.FieldErrors {
+	var faults record.FieldErrors
 	for id, item := range snapshot.Items {
 		if id.Name == name || id.Kind != spec.Kind() {
 			continue
 		}
 		field, value := sameIdentity(spec, item.Spec)
 		if field != "" {
-			return record.FieldErrors{{Field: field, Got: value, Want: "a value that " + id.String() + " doesn't have"}}
+			faults = append(faults, record.FieldError{Field: field, Got: value, Want: "a value that " + id.String() + " doesn't have"})
 		}
 	}
-	return nil
+	slices.SortFunc(faults, func(a, b record.FieldError) int { return strings.Compare(a.Want, b.Want) })
+	return faults
 }
 
 func sameIdentity(a, b record.Spec) (field, value string) {
--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,87 @@
+package admission_test
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+
+	"auburnglade.example/glade/internal/admission"
+	"auburnglade.example/glade/internal/catalog"
+	"auburnglade.example/glade/internal/keys"
+	"auburnglade.example/glade/internal/record"
+	"auburnglade.example/glade/internal/store"
+)
+
+func snapshotOf(t *testing.T, envelopes ...record.Envelope) *catalog.Snapshot {
+	t.Helper()
+	listing := store.Listing{Revision: store.Revision(len(envelopes))}
+	for i, envelope := range envelopes {
+		value, err := json.Marshal(envelope)
+		must.NoError(t, err)
+		listing.Entries = append(listing.Entries, store.Entry{Key: keys.Spec(envelope.ID()), Value: value, ModRevision: store.Revision(i + 1)})
+	}
+	return catalog.FromListing(nil, listing)
+}
+
+func service(name, prefix string) record.Envelope {
+	return record.New(name, &record.Service{PathPrefix: prefix, Port: 1})
+}
+
+func fields(t *testing.T, err error) []string {
+	t.Helper()
+	var invalid *record.InvalidError
+	must.True(t, errors.As(err, &invalid), must.Sprint(err))
+	var names []string
+	for _, fault := range invalid.Faults {
+		names = append(names, fault.Field)
+	}
+	return names
+}
+
+func TestWhatMayStandOnlyOnce(t *testing.T) {
+	snapshot := snapshotOf(t,
+		service("match", "/match/"), service("rights", "/rights/"),
+		record.New("match", &record.Budget{Service: "match", MinAvailable: 1}),
+		record.New("night", &record.Quota{Team: "night"}),
+	)
+	cases := map[string]record.Envelope{
+		"spec.pathPrefix": service("other", "/match/"),
+		"spec.service":    record.New("other", &record.Budget{Service: "match", MinAvailable: 1}),
+		"spec.team":       record.New("other", &record.Quota{Team: "night"}),
+	}
+	for field, envelope := range cases {
+		must.Eq(t, []string{field}, fields(t, admission.CheckPut(snapshot, envelope, record.MaxSchema, nil)))
+	}
+	must.NoError(t, admission.CheckPut(snapshot, service("match", "/match/"), record.MaxSchema, nil))
+}
+
+func TestEveryMissingReferenceIsNamed(t *testing.T) {
+	snapshot := snapshotOf(t, service("match", "/match/"))
+	pool := record.New("a", &record.Pool{Size: 1, Services: []string{"x", "match", "y"}})
+	must.Eq(t, []string{"spec.services[0]", "spec.services[2]"}, fields(t, admission.CheckPut(snapshot, pool, record.MaxSchema, nil)))
+	must.SliceLen(t, 2, admission.Missing(snapshot, pool))
+	job := record.New("j", &record.Job{Pool: "none", Team: "t"})
+	must.Eq(t, []string{"spec.pool"}, fields(t, admission.CheckPut(snapshot, job, record.MaxSchema, nil)))
+}
+
+// One member that doesn't know schema 2 yet keeps the whole fleet at schema 1.
+func TestSchemaGate(t *testing.T) {
+	pool := record.New("a", &record.Pool{Size: 1, MaxPerRack: 1})
+	var gated *record.SchemaError
+	must.True(t, errors.As(admission.CheckPut(catalog.Empty(), pool, 1, nil), &gated))
+	must.Eq(t, 1, gated.Max)
+	must.NoError(t, admission.CheckPut(catalog.Empty(), pool, 2, nil))
+}
+
+func TestDeleteNamesWhoRefers(t *testing.T) {
+	snapshot := snapshotOf(t, service("match", "/match/"),
+		record.New("b", &record.Pool{Size: 1, Services: []string{"match"}}),
+		record.New("a", &record.Budget{Service: "match"}),
+	)
+	var referenced *admission.ReferencedError
+	must.True(t, errors.As(admission.CheckDelete(snapshot, service("match", "").ID()), &referenced))
+	must.Eq(t, "[AvailabilityBudget/a Pool/b]", referenced.Error()[len("record Service/match is named by "):])
+	must.NoError(t, admission.CheckDelete(snapshot, record.ID{Kind: record.KindPool, Name: "b"}))
+}
--- a/internal/daemon/keys.go
+++ b/internal/daemon/keys.go
@@ -77,15 +77,17 @@
 type trust struct {
 	keyring  *auth.Keyring
 	insecure bool
+	log      zerolog.Logger
 }
 
 func newTrust(k KeySettings, log zerolog.Logger, registerer prometheus.Registerer) (trust, error) {
 	keyring, err := auth.NewKeyring(k.files(), k.Reload, log, registerer)
-	return trust{keyring: keyring, insecure: k.InsecureHTTP}, err
+	return trust{keyring: keyring, insecure: k.InsecureHTTP, log: log}, err
 }
 
 // secure puts TLS before a server, unless the settings ask for plain HTTP.
 func (t trust) secure(server *httpserve.Server, clients auth.Clients) *httpserve.Server {
+	server = server.WithLog(t.log)
 	if t.insecure {
 		return server
 	}
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -27,15 +27,16 @@
 // newAPI returns the operators' API of this controller.
 func (c *Controller) newAPI() *operatorapi.Server {
 	return operatorapi.New(operatorapi.Config{
-		Store:     c.store,
-		Feed:      c.feed,
-		Confirmer: drainer.Live{Confirmer: c.confirm},
-		Hosts:     c.hosts,
-		Prober:    &operatorapi.PeerProber{Client: c.asker},
-		Invariant: c.invariant,
-		Journal:   c.journal,
-		Audit:     c.audit,
-		Operators: c.trust.operators(),
-		Log:       telemetry.Part(c.log, "api"),
+		Store:      c.store,
+		Feed:       c.feed,
+		Confirmer:  drainer.Live{Confirmer: c.confirm},
+		Hosts:      c.hosts,
+		Prober:     &operatorapi.PeerProber{Client: c.asker},
+		Invariant:  c.invariant,
+		Journal:    c.journal,
+		Audit:      c.audit,
+		Registerer: c.registry,
+		Operators:  c.trust.operators(),
+		Log:        telemetry.Part(c.log, "api"),
 	})
 }
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -5,12 +5,15 @@
 	"context"
 	"crypto/tls"
 	"fmt"
+	"log"
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 )
 
 // Limits against slow and hostile clients.
@@ -42,11 +45,12 @@
 	// grace is how long requests in flight may take once ctx has ended.
 	grace time.Duration
 	tls   *tls.Config
+	log   zerolog.Logger
 }
 
 // New returns a server that isn't listening yet.
 func New(name string, address netip.AddrPort, handler http.Handler, grace time.Duration) *Server {
-	return &Server{name: name, address: address, handler: handler, grace: grace}
+	return &Server{name: name, address: address, handler: handler, grace: grace, log: zerolog.Nop()}
 }
 
 // WithTLS makes the server speak TLS only; nil leaves it at plain HTTP. It
@@ -56,6 +60,26 @@
 	return s
 }
 
+// WithLog makes the server log connections that fail, such as a refused TLS
+// handshake: without it an operator sees nothing of a wrong certificate. It
+// returns the server.
+func (s *Server) WithLog(log zerolog.Logger) *Server {
+	s.log = log
+	return s
+}
+
+// connectionLog turns the HTTP server's own lines into log entries.
+type connectionLog struct {
+	log  zerolog.Logger
+	name string
+}
+
+// Write implements io.Writer; each call is one line.
+func (l *connectionLog) Write(line []byte) (int, error) {
+	l.log.Warn().Str("server", l.name).Str("cause", strings.TrimSpace(string(line))).Msg("Connection failed.")
+	return len(line), nil
+}
+
 // Serve listens until ctx ends, then lets requests in flight finish. It
 // returns *ListenError when it can't listen.
 func (s *Server) Serve(ctx context.Context) error {
@@ -68,6 +92,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          log.New(&connectionLog{log: s.log, name: s.name}, "", 0),
 	}
 	ended := make(chan error, 1)
 	go func() { ended <- s.serve(server, listener) }()
--- a/internal/operatorapi/api.go
+++ b/internal/operatorapi/api.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"auburnglade.example/glade/internal/audit"
@@ -32,6 +33,8 @@
 	Confirmer Confirmer
 	// Operators tells who asks.
 	Operators auth.Identifier
+	// Registerer, when set, gets the metrics.
+	Registerer prometheus.Registerer
 	// Audit, when set, keeps who changed what; it has to be served.
 	Audit *audit.Book
 	// Hosts and Prober, when set, make status and explain tell more.
@@ -49,11 +52,12 @@
 	Config
 	mux     *http.ServeMux
 	limiter *limiter
+	metrics *metrics
 }
 
 // New returns a server; mount it as an http.Handler.
 func New(config Config) *Server {
-	s := &Server{Config: config, mux: http.NewServeMux(), limiter: newLimiter()}
+	s := &Server{Config: config, mux: http.NewServeMux(), limiter: newLimiter(), metrics: newMetrics(config.Registerer)}
 	s.mux.HandleFunc("GET /v1/records", s.list)
 	s.mux.HandleFunc("GET /v1/records/{kind}/{name}", s.get)
 	s.mux.HandleFunc("PUT /v1/records/{kind}/{name}", s.put)
@@ -72,6 +76,8 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w, done := s.metrics.count(w, r)
+	defer done()
 	if err := s.limiter.admit(r); err != nil {
 		writeError(w, err)
 		return
