--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -3,6 +3,7 @@
 package balance
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -54,6 +55,9 @@
 	}
 }
 
+// maxFirstTurn bounds the turn that a gateway begins with.
+const maxFirstTurn = 1 << 16
+
 func (b *Balancer) groupOf(service string) *group {
 	b.mu.RLock()
 	found := b.groups[service]
@@ -64,7 +68,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.groups[service] == nil {
-		b.groups[service] = &group{states: make(map[string]*State)}
+		// Gateways begin their turns at different endpoints.
+		b.groups[service] = &group{states: make(map[string]*State), turn: rand.IntN(maxFirstTurn)}
 	}
 	return b.groups[service]
 }
--- a/internal/balance/decide.go
+++ b/internal/balance/decide.go
@@ -174,10 +174,18 @@
 	if weight < 1 {
 		choice.Reason = SlowStart
 	}
-	choice.Score = load * state.expected(view.Now).Seconds() / weight
+	choice.Score = load * coarse(state.expected(view.Now)) / weight
 	return choice
 }
 
+// coarse rounds a latency down to a power of two. Endpoints that are about as
+// fast as each other must share work by load alone: by the exact latencies all
+// gateways would pick the one that happened to be fastest.
+func coarse(latency time.Duration) float64 {
+	_, exponent := math.Frexp(float64(latency))
+	return math.Ldexp(1, exponent)
+}
+
 // expected is how long a request sent now is expected to take. An endpoint
 // that accepts and never answers shows no latency at all, so the time for which
 // it has been silent counts as well.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,8 +56,10 @@
 // DefaultHostInterval is the pause between two readings of the host list.
 const DefaultHostInterval = time.Second
 
-// maxIdlePerEndpoint bounds idle connections to one endpoint.
-const maxIdlePerEndpoint = 8
+// maxIdlePerEndpoint bounds idle connections to one endpoint. The limiter's
+// share bounds them more closely; a lower bound here would close and open
+// connections under load.
+const maxIdlePerEndpoint = 64
 
 // Gateway serves callers. Mount it as an http.Handler and run Serve beside it.
 type Gateway struct {
@@ -134,7 +136,7 @@
 	defer cancel()
 	for ctx.Err() == nil {
 		snapshot, changed := g.Feed.Current()
-		g.install(endpoint.Resolve(snapshot, hosts))
+		g.Install(endpoint.Resolve(snapshot, hosts))
 		g.WorksWith(snapshot.Revision)
 		select {
 		case <-changed:
@@ -143,7 +145,9 @@
 	}
 }
 
-func (g *Gateway) install(services map[string]endpoint.Service) {
+// Install puts a table of services in force. Serve does so by itself; a program
+// without records calls it instead.
+func (g *Gateway) Install(services map[string]endpoint.Service) {
 	g.balancer.Install(services)
 	next := &table{services: services}
 	for name, service := range services {
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -34,7 +34,7 @@
 	t.Helper()
 	checker := invariant.New(zerolog.Nop(), nil)
 	g := New(Config{Member: "gateway-1", Zone: testZone, Invariant: checker, Log: zerolog.Nop()})
-	g.install(map[string]endpoint.Service{"offers": offersAt(addresses...)})
+	g.Install(map[string]endpoint.Service{"offers": offersAt(addresses...)})
 	server := httptest.NewServer(g)
 	t.Cleanup(func() {
 		server.Close()
--- a/internal/gateway/once_test.go
+++ b/internal/gateway/once_test.go
@@ -92,7 +92,7 @@
 		})
 	}
 	for _, g := range d.built {
-		g.install(map[string]endpoint.Service{"offers": service})
+		g.Install(map[string]endpoint.Service{"offers": service})
 	}
 }
 
--- a/internal/gateway/zone_test.go
+++ b/internal/gateway/zone_test.go
@@ -108,7 +108,7 @@
 	checker := invariant.New(zerolog.Nop(), nil)
 	t.Cleanup(func() { must.SliceEmpty(t, checker.Violations()) })
 	g := New(Config{Zone: testZone, Invariant: checker, Log: zerolog.Nop(), Dial: network.dial})
-	g.install(map[string]endpoint.Service{"offers": service})
+	g.Install(map[string]endpoint.Service{"offers": service})
 	return g
 }
 
