--- /dev/null
+++ b/internal/measure/limits/load.go
@@ -0,0 +1,280 @@
+package limits
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"auburnglade.example/glade/internal/endpoint"
+	"auburnglade.example/glade/internal/limit"
+	"auburnglade.example/glade/internal/share"
+)
+
+const (
+	serviceTime = 20 * time.Millisecond
+	deadline    = time.Second
+	seed        = 20261202
+)
+
+// capacity is how many requests per second one endpoint's slots carry.
+const capacity = float64(slotLimit) * float64(time.Second) / float64(serviceTime)
+
+// admit returns a release function, or nil when the request is refused or its
+// deadline passes first.
+type admit func(ctx context.Context, caller string) func()
+
+// queueKinds are the ways to queue that are compared: the gateway's own, and a
+// plain first-come-first-served queue in which each request waits until its
+// deadline.
+var queueKinds = []struct {
+	name string
+	make func(slots int) admit
+}{
+	{"limiter", limiterAdmit},
+	{"plain", plainAdmit},
+}
+
+type fixedShares int
+
+func (f fixedShares) Of(string, string) share.Units {
+	return share.Units{Slots: int(f), Connections: int(f)}
+}
+
+func limiterAdmit(slots int) admit {
+	limiter := limit.New(limit.Config{Shares: fixedShares(slots)})
+	ranked := []endpoint.Endpoint{{Service: "match", Host: "host-001", Address: "host-001"}}
+	return func(ctx context.Context, caller string) func() {
+		slot, err := limiter.Acquire(ctx, limit.Request{
+			Service: "match", Caller: caller, Rank: func() []endpoint.Endpoint { return ranked },
+		})
+		if err != nil {
+			return nil
+		}
+		return slot.Release
+	}
+}
+
+func plainAdmit(slots int) admit {
+	free := make(chan struct{}, slots)
+	return func(ctx context.Context, _ string) func() {
+		select {
+		case free <- struct{}{}:
+			return func() { <-free }
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// tally is what the callers of one run saw.
+type tally struct {
+	mu        sync.Mutex
+	sent      int
+	good      map[string]int
+	latencies []time.Duration
+}
+
+func (t *tally) total() int {
+	total := 0
+	for _, count := range t.good {
+		total += count
+	}
+	return total
+}
+
+// offer sends requests at a fixed rate, whatever becomes of them. A request
+// counts as good when it was worked on whole before its deadline.
+func offer(t *tally, length time.Duration, rate float64, caller func(i int) string, to func(i int) admit) {
+	var wait sync.WaitGroup
+	began := time.Now()
+	for i := 0; ; i++ {
+		at := time.Duration(float64(i) / rate * float64(time.Second))
+		if at >= length {
+			break
+		}
+		time.Sleep(at - time.Since(began))
+		t.sent++
+		wait.Go(func() { t.one(caller(i), to(i)) })
+	}
+	wait.Wait()
+}
+
+func (t *tally) one(caller string, take admit) {
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), deadline)
+	defer cancel()
+	release := take(ctx, caller)
+	if release == nil {
+		return
+	}
+	time.Sleep(serviceTime)
+	release()
+	took := time.Since(began)
+	if took > deadline {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.good[caller]++
+	t.latencies = append(t.latencies, took)
+}
+
+func newTally() *tally { return &tally{good: make(map[string]int)} }
+
+// Overload is what twice the capacity of one endpoint brings.
+type Overload struct {
+	Queue string `json:"queue"`
+	// Goodput is good requests by what the slots could carry.
+	Goodput float64 `json:"goodput"`
+	P50Ms   float64 `json:"p50_ms"`
+	P99Ms   float64 `json:"p99_ms"`
+}
+
+func measureOverload(length time.Duration) []Overload {
+	var list []Overload
+	for _, kind := range queueKinds {
+		take, t := kind.make(slotLimit), newTally()
+		random := rand.New(rand.NewPCG(seed, seed))
+		callers := make([]string, int(2*capacity*length.Seconds())+1)
+		for i := range callers {
+			callers[i] = fmt.Sprintf("10.0.0.%d", random.IntN(40))
+		}
+		offer(t, length, 2*capacity, func(i int) string { return callers[i%len(callers)] }, func(int) admit { return take })
+		slices.Sort(t.latencies)
+		list = append(list, Overload{
+			Queue: kind.name, Goodput: float64(t.total()) / (capacity * length.Seconds()),
+			P50Ms: percentile(t.latencies, 0.5), P99Ms: percentile(t.latencies, 0.99),
+		})
+	}
+	return list
+}
+
+// Fairness is what nine ordinary callers get, each asking for a twentieth of
+// the capacity, while a tenth one asks for twice of all of it.
+type Fairness struct {
+	Queue string `json:"queue"`
+	// Served is the share of the ordinary callers' requests that were good.
+	Served float64 `json:"ordinary_served"`
+	// JainIndex is over all ten callers' good requests, each by the smaller of
+	// what it asked for and an even share.
+	JainIndex float64 `json:"jain_index"`
+}
+
+const (
+	ordinaryCallers = 9
+	ordinaryShare   = 0.05
+	floodShare      = 2.0
+)
+
+func measureFairness(length time.Duration) []Fairness {
+	var list []Fairness
+	for _, kind := range queueKinds {
+		list = append(list, fairness(kind.name, kind.make(slotLimit), length))
+	}
+	return list
+}
+
+func fairness(name string, take admit, length time.Duration) Fairness {
+	flood, ordinary := newTally(), newTally()
+	to := func(int) admit { return take }
+	var wait sync.WaitGroup
+	wait.Go(func() { offer(flood, length, floodShare*capacity, func(int) string { return "flood" }, to) })
+	wait.Go(func() {
+		rate := ordinaryCallers * ordinaryShare * capacity
+		offer(ordinary, length, rate, func(i int) string { return fmt.Sprint("ordinary-", i%ordinaryCallers) }, to)
+	})
+	wait.Wait()
+	entitled := func(share float64) float64 { return share * capacity * length.Seconds() }
+	satisfied := []float64{min(1, float64(flood.total())/entitled(1-ordinaryCallers*ordinaryShare))}
+	for _, good := range ordinary.good {
+		satisfied = append(satisfied, min(1, float64(good)/entitled(ordinaryShare)))
+	}
+	for len(satisfied) <= ordinaryCallers {
+		satisfied = append(satisfied, 0)
+	}
+	return Fairness{
+		Queue: name, Served: float64(ordinary.total()) / float64(ordinary.sent), JainIndex: jain(satisfied),
+	}
+}
+
+func jain(values []float64) float64 {
+	sum, squares := 0.0, 0.0
+	for _, value := range values {
+		sum += value
+		squares += value * value
+	}
+	return sum * sum / (float64(len(values)) * squares)
+}
+
+// Uneven is the cost of slots that one gateway doesn't use and another could:
+// nine gateways share ten endpoints, the load is a part of what all slots
+// carry, and one gateway gets a larger part of it than the others.
+type Uneven struct {
+	Load float64 `json:"load"`
+	// Skew is the busiest gateway's load by an even one.
+	Skew float64 `json:"skew"`
+	// Lost is the share of all requests that were not good.
+	Lost float64 `json:"lost"`
+	// P99Ms is of the good ones.
+	P99Ms float64 `json:"p99_ms"`
+}
+
+const unevenGateways = 9
+
+func measureUneven(length time.Duration) []Uneven {
+	var list []Uneven
+	for _, load := range []float64{0.5, 0.8} {
+		for _, skew := range []float64{1, 1.5, 3} {
+			list = append(list, uneven(load, skew, length))
+		}
+	}
+	return list
+}
+
+func uneven(load, skew float64, length time.Duration) Uneven {
+	members := names("gateway", unevenGateways)
+	totals := totalsOf(share.Split("match", slotLimit, names("host", hostsPerService), members))
+	takes := make([]admit, unevenGateways)
+	for i := range takes {
+		takes[i] = limiterAdmit(totals[i])
+	}
+	random := rand.New(rand.NewPCG(seed, seed))
+	var turn atomic.Int64
+	rate := load * capacity * hostsPerService
+	picks := make([]int, int(rate*length.Seconds())+1)
+	for i := range picks {
+		picks[i] = pick(random, skew)
+	}
+	t := newTally()
+	offer(t, length, rate, func(int) string { return fmt.Sprint(turn.Add(1) % 40) },
+		func(i int) admit { return takes[picks[i%len(picks)]] })
+	slices.Sort(t.latencies)
+	return Uneven{
+		Load: load, Skew: skew, Lost: 1 - float64(t.total())/float64(t.sent), P99Ms: percentile(t.latencies, 0.99),
+	}
+}
+
+// pick picks a gateway at random; the first one skew times as often as if all
+// were even.
+func pick(random *rand.Rand, skew float64) int {
+	if random.Float64() < skew/unevenGateways {
+		return 0
+	}
+	return 1 + random.IntN(unevenGateways-1)
+}
+
+func percentile(sorted []time.Duration, share float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	place := min(int(share*float64(len(sorted))), len(sorted)-1)
+	return float64(sorted[place].Microseconds()) / 1000
+}
+
+func secondsOf(seconds float64) time.Duration {
+	return time.Duration(seconds * float64(time.Second))
+}
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -12,6 +12,7 @@
 	"auburnglade.example/glade/internal/buildinfo"
 	"auburnglade.example/glade/internal/measure/capacity"
 	"auburnglade.example/glade/internal/measure/gatewaycost"
+	"auburnglade.example/glade/internal/measure/limits"
 	"auburnglade.example/glade/internal/measure/placement"
 	"auburnglade.example/glade/internal/measure/policy"
 	"auburnglade.example/glade/internal/measure/storecalls"
@@ -33,6 +34,7 @@
 	Placement placement.Cmd   `cmd:"" help:"Moves and placements: planner time and growth, moves against the fewest, urgent starts, jobs finished."`
 	Capacity  capacity.Cmd    `cmd:"" help:"Slopes: what one more host, pool or member costs, and what the target needs."`
 	Gateway   gatewaycost.Cmd `cmd:"" help:"What a gateway adds to a request, against the direct path in the same run."`
+	Limits    limits.Cmd      `cmd:"" help:"Shares of slots: evenness, movement, joining, overload and fairness."`
 }
 
 // Main runs one measurement and returns the exit code.
