--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -9,6 +9,7 @@
 	"maps"
 
 	"auburnglade.example/glade/internal/record"
+	"auburnglade.example/glade/internal/store"
 )
 
 // Grant is one disruption that was let through. It counts until its outcome
@@ -23,6 +24,12 @@
 // Ledger holds a service's grants by host.
 type Ledger struct {
 	Grants map[string]Grant `json:"grants"`
+	// Seen is the configuration revision that a decision must rest on at
+	// least: that of the newest host record whose grant was given back. A
+	// controller that is further behind still sees that host serving from
+	// before its maintenance, and would count an endpoint that the grant no
+	// longer takes out.
+	Seen store.Revision `json:"seen,omitempty"`
 	// WriteID identifies the write that made this version.
 	WriteID string `json:"writeId,omitempty"`
 }
@@ -39,6 +46,9 @@
 // View is everything a decision about one service rests on.
 type View struct {
 	Service string
+	// Revision is that of the configuration the view was made from; zero
+	// leaves Ledger.Seen unchecked.
+	Revision store.Revision
 	// Budgets are all the records that bound this service; each must hold.
 	Budgets   []*record.Budget
 	Endpoints []Endpoint
@@ -173,13 +183,13 @@
 		grants = make(map[string]Grant)
 	}
 	grants[host] = grant
-	return Ledger{Grants: grants}
+	return Ledger{Grants: grants, Seen: l.Seen}
 }
 
-func (l Ledger) without(host string) Ledger {
+func (l Ledger) without(host string, seen store.Revision) Ledger {
 	grants := maps.Clone(l.Grants)
 	delete(grants, host)
-	return Ledger{Grants: grants}
+	return Ledger{Grants: grants, Seen: max(l.Seen, seen)}
 }
 
 func (l Ledger) encode() []byte {
--- a/internal/budget/gate.go
+++ b/internal/budget/gate.go
@@ -33,9 +33,12 @@
 }
 
 // Gate is the one way to a disruption. It is safe for concurrent use by any
-// number of controllers: the ledger's compare-and-swap decides.
+// number of controllers: the ledger's compare-and-swap decides. It remembers
+// the ledgers it saw, so that a grant costs one write and no read as long as
+// no other controller writes the same ledger.
 type Gate struct {
-	store store.Store
+	store   store.Store
+	ledgers ledgers
 }
 
 // NewGate returns a gate over the platform's store.
@@ -44,7 +47,7 @@
 // Acquire takes a grant for host in every given service, in a fixed order, and
 // gives back those it got when one is refused. It returns *RefusedError when a
 // budget doesn't allow it. view returns what is known of a service apart from
-// the ledger, which Acquire reads itself.
+// the ledger, which Acquire knows itself.
 func (g *Gate) Acquire(ctx context.Context, host string, grant Grant, services []string, view func(service string) View) error {
 	ordered := slices.Sorted(slices.Values(services))
 	for i, service := range ordered {
@@ -65,22 +68,30 @@
 }
 
 func (g *Gate) acquireOne(ctx context.Context, host string, grant Grant, service string, view View) error {
+	entry, err := g.ledgers.take(ctx, service)
+	if err != nil {
+		return err
+	}
+	defer entry.done()
 	for range maxSwapTries {
-		ledger, revision, err := g.Ledger(ctx, service)
-		if err != nil {
+		if err := entry.load(ctx, g.store, anyAge); err != nil {
 			return err
 		}
-		if held, ok := ledger.Grants[host]; ok {
-			if held.Operation == grant.Operation {
-				return nil
+		refusal := entry.refuse(host, grant, view)
+		if refusal != nil && entry.old() {
+			// Another controller may have given grants back since.
+			if err := entry.load(ctx, g.store, 0); err != nil {
+				return err
 			}
-			return &RefusedError{Service: service, Host: host, Reason: "granted to operation " + held.Operation}
+			refusal = entry.refuse(host, grant, view)
 		}
-		view.Ledger = ledger
-		if decision := Decide(view, host); !decision.Allowed {
-			return &RefusedError{Service: service, Host: host, Reason: decision.Reason}
+		switch {
+		case refusal != nil:
+			return refusal
+		case entry.holds(host, grant.Operation):
+			return nil
 		}
-		err = g.swap(ctx, service, revision, ledger.with(host, grant))
+		err := entry.swap(ctx, g.store, entry.ledger.with(host, grant))
 		if !store.IsConflict(err) {
 			return err
 		}
@@ -88,18 +99,55 @@
 	return &ContendedError{Service: service}
 }
 
-// Release gives a grant back. Releasing one that isn't held is no error.
+// refuse returns *RefusedError as an error, or nil.
+func (l *ledgerEntry) refuse(host string, grant Grant, view View) error {
+	refused := func(reason string) error {
+		return &RefusedError{Service: l.service, Host: host, Reason: reason}
+	}
+	if held, ok := l.ledger.Grants[host]; ok {
+		if held.Operation == grant.Operation {
+			return nil
+		}
+		return refused("granted to operation " + held.Operation)
+	}
+	if view.Revision > 0 && view.Revision < l.ledger.Seen {
+		return refused("this controller's configuration is behind the ledger")
+	}
+	view.Ledger = l.ledger
+	if decision := Decide(view, host); !decision.Allowed {
+		return refused(decision.Reason)
+	}
+	return nil
+}
+
+// Release gives a grant back whose host was never marked out. Releasing one
+// that isn't held is no error.
 func (g *Gate) Release(ctx context.Context, service, host, operation string) error {
+	return g.ReleaseAfter(ctx, service, host, operation, 0)
+}
+
+// ReleaseAfter gives a grant back once the host's record at the given revision
+// says that it serves again. No controller that hasn't seen that revision is
+// granted anything from then on.
+func (g *Gate) ReleaseAfter(ctx context.Context, service, host, operation string, seen store.Revision) error {
+	entry, err := g.ledgers.take(ctx, service)
+	if err != nil {
+		return err
+	}
+	defer entry.done()
 	for range maxSwapTries {
-		ledger, revision, err := g.Ledger(ctx, service)
-		if err != nil {
+		age := anyAge
+		if !entry.holds(host, operation) {
+			// What is remembered may be older than the grant.
+			age = 0
+		}
+		if err := entry.load(ctx, g.store, age); err != nil {
 			return err
 		}
-		held, ok := ledger.Grants[host]
-		if !ok || held.Operation != operation {
+		if !entry.holds(host, operation) {
 			return nil
 		}
-		err = g.swap(ctx, service, revision, ledger.without(host))
+		err := entry.swap(ctx, g.store, entry.ledger.without(host, seen))
 		if !store.IsConflict(err) {
 			return err
 		}
@@ -107,24 +155,56 @@
 	return &ContendedError{Service: service}
 }
 
-// Ledger reads a service's ledger; an absent one is empty at revision zero.
-func (g *Gate) Ledger(ctx context.Context, service string) (Ledger, store.Revision, error) {
-	key := keys.Ledger(service)
-	entry, err := g.store.Get(ctx, key)
-	if store.IsNotFound(err) {
-		return Ledger{}, 0, nil
+// Holds reports whether the operation has its grant. Only a "no" costs a read:
+// a grant that this gate saw ends with its operation.
+func (g *Gate) Holds(ctx context.Context, service, host, operation string) (bool, error) {
+	entry, err := g.ledgers.take(ctx, service)
+	if err != nil {
+		return false, err
+	}
+	defer entry.done()
+	if entry.holds(host, operation) {
+		return true, nil
 	}
+	err = entry.load(ctx, g.store, 0)
+	return err == nil && entry.holds(host, operation), err
+}
+
+// All reads every ledger in one call, by service. Damaged ones are left out:
+// nothing is granted in them.
+func (g *Gate) All(ctx context.Context) (map[string]Ledger, error) {
+	listing, err := g.store.List(ctx, keys.LedgerPrefix)
 	if err != nil {
-		return Ledger{}, 0, err
+		return nil, err
 	}
-	ledger, err := ParseLedger(key, entry.Value)
-	return ledger, entry.ModRevision, err
+	all := make(map[string]Ledger, len(listing.Entries))
+	for _, stored := range listing.Entries {
+		ledger, err := ParseLedger(stored.Key, stored.Value)
+		if err != nil {
+			continue
+		}
+		service := stored.Key[len(keys.LedgerPrefix):]
+		all[service] = ledger
+		entry, err := g.ledgers.take(ctx, service)
+		if err != nil {
+			return nil, err
+		}
+		entry.note(ledger, stored.ModRevision)
+		entry.done()
+	}
+	return all, nil
 }
 
-func (g *Gate) swap(ctx context.Context, service string, revision store.Revision, ledger Ledger) error {
+// swap writes the ledger over the one remembered.
+func (l *ledgerEntry) swap(ctx context.Context, s store.Store, ledger Ledger) error {
 	ledger.WriteID = uuid.NewString()
-	_, err := store.Swap(ctx, g.store, store.Write{
-		Key: keys.Ledger(service), Expect: revision, Value: ledger.encode(),
+	revision, err := store.Swap(ctx, s, store.Write{
+		Key: keys.Ledger(l.service), Expect: l.revision, Value: ledger.encode(),
 	})
-	return err
+	if err != nil {
+		l.forget()
+		return err
+	}
+	l.note(ledger, revision)
+	return nil
 }
--- a/internal/daemon/common.go
+++ b/internal/daemon/common.go
@@ -61,7 +61,9 @@
 	peerAddress netip.AddrPort
 	peers       PeerSettings
 	keys        KeySettings
-	logs        io.Writer
+	// memberTTL is the membership lease; zero means member.DefaultTTL.
+	memberTTL time.Duration
+	logs      io.Writer
 }
 
 const incarnationLength = 8
@@ -96,7 +98,7 @@
 		Log: telemetry.Part(c.log, "store"), Registerer: c.registry,
 	})
 	c.feed = feed.New(c.store, telemetry.Part(c.log, "feed"), c.invariant, c.registry)
-	c.registrar = member.NewRegistrar(c.store, c.self, 0, telemetry.Part(c.log, "member"))
+	c.registrar = member.NewRegistrar(c.store, c.self, o.memberTTL, telemetry.Part(c.log, "member"))
 	c.peers = peer.NewServer(c.self, c.feed)
 	c.asker = c.newAsker()
 	c.relay = relay.New(relay.Config{
--- a/internal/daemon/controller.go
+++ b/internal/daemon/controller.go
@@ -18,8 +18,13 @@
 	"auburnglade.example/glade/internal/telemetry"
 )
 
-// fleetShard is the one shard that all decisions are in so far.
-const fleetShard = "fleet"
+// The shards beside those of single waves.
+const (
+	movesShard  = "moves"
+	jobsShard   = "jobs"
+	auditShard  = "audit"
+	reportShard = "report"
+)
 
 // Controller is one glade-controller.
 type Controller struct {
@@ -27,7 +32,7 @@
 	settings *ControllerSettings
 	confirm  *drainer.PeerConfirmer
 	status   *storebudget.StatusWriter
-	holder   *holder.Holder
+	shards   *holder.Holder
 	drainer  *drainer.Drainer
 	mover    *mover.Mover
 	jobs     *jobs.Manager
@@ -41,28 +46,28 @@
 	base, err := newCommon(ctx, commonOptions{
 		binary: "glade-controller", role: member.RoleController, process: settings.Process,
 		platform: settings.Platform, store: settings.Store, log: settings.Log, trace: settings.Trace,
-		peerAddress: settings.Listen.Peers, peers: settings.Peers, keys: settings.Keys, logs: logs,
+		peerAddress: settings.Listen.Peers, peers: settings.Peers, keys: settings.Keys, memberTTL: settings.Decide.HoldTTL, logs: logs,
 	})
 	if err != nil {
 		return nil, err
 	}
 	c := &Controller{common: base, settings: settings}
 	c.confirm = drainer.NewPeerConfirmer(base.feed, base.peers, base.asker)
-	c.holder = holder.New(base.store, fleetShard, base.self.ID, settings.Decide.HoldTTL, telemetry.Part(base.log, "holder"))
+	c.shards = holder.New(base.self.ID, base.feed, base.registrar)
 	c.status = storebudget.NewStatusWriter(base.store, telemetry.Part(base.log, "status"))
 	c.drainer = drainer.New(drainer.Config{
 		Member: base.self.ID, Store: base.store, Status: c.status, Feed: base.feed, Hosts: base.hosts, Pool: base.platform,
-		Confirmer: c.confirm, Shard: c.holder, Gate: budget.NewGate(base.store), Invariant: base.invariant,
-		Log: telemetry.Part(base.log, "drainer"), Interval: settings.Decide.Interval,
+		Confirmer: c.confirm, Shards: c.shards, Gate: budget.NewGate(base.store), Invariant: base.invariant,
+		Registry: base.registry, Log: telemetry.Part(base.log, "drainer"), Interval: settings.Decide.Interval,
 	})
 	c.mover = mover.New(mover.Config{
 		Member: base.self.ID, Store: base.store, Feed: base.feed, Hosts: base.hosts, Pool: base.platform,
-		Confirmer: c.confirm, Gate: budget.NewGate(base.store), Shard: c.holder, Invariant: base.invariant,
+		Confirmer: c.confirm, Gate: budget.NewGate(base.store), Shard: c.shards.Shard(movesShard), Invariant: base.invariant,
 		Log: telemetry.Part(base.log, "mover"), Interval: settings.Decide.Interval,
 	})
 	c.jobs = jobs.New(jobs.Config{
 		Member: base.self.ID, Store: base.platform, Feed: base.feed, Hosts: base.platform, Pool: base.platform,
-		Workers: base.platform, Shard: c.holder, Invariant: base.invariant, Metrics: jobs.NewMetrics(base.registry),
+		Workers: base.platform, Shard: c.shards.Shard(jobsShard), Invariant: base.invariant, Metrics: jobs.NewMetrics(base.registry),
 		Log: telemetry.Part(base.log, "jobs"), Interval: settings.Decide.Interval,
 		LeaseTTL: settings.Jobs.LeaseTTL, ReportInterval: settings.Jobs.ReportInterval,
 	})
@@ -78,7 +83,6 @@
 	tree := c.newTree("parts")
 	tree.Add("confirm", c.confirm)
 	tree.Add("status", c.status)
-	tree.Add("holder", c.holder)
 	tree.Add("drainer", c.drainer)
 	tree.Add("mover", c.mover)
 	tree.Add("jobs", c.jobs)
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -11,7 +11,7 @@
 // newAudit returns the book of changes that this controller accepts.
 func (c *Controller) newAudit() *audit.Book {
 	return audit.NewBook(audit.Config{
-		Store: c.store, Member: c.self.ID, KeepDays: c.settings.Audit.KeepDays, Sweeps: c.holder.Held,
+		Store: c.store, Member: c.self.ID, KeepDays: c.settings.Audit.KeepDays, Sweeps: c.shards.Shard(auditShard).Held,
 		Log: telemetry.Part(c.log, "audit"), Registerer: c.registry,
 	})
 }
@@ -19,7 +19,7 @@
 // newRecorder returns the part that samples what waves do to availability.
 func (c *Controller) newRecorder() *report.Recorder {
 	return report.NewRecorder(report.Config{
-		Store: c.store, Feed: c.feed, Hosts: c.hosts, Shard: c.holder, Log: telemetry.Part(c.log, "report"),
+		Store: c.store, Feed: c.feed, Hosts: c.hosts, Shard: c.shards.Shard(reportShard), Log: telemetry.Part(c.log, "report"),
 		Sample: c.settings.Report.Sample, Write: c.settings.Report.Write,
 	})
 }
--- a/internal/drainer/apply.go
+++ b/internal/drainer/apply.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -12,31 +11,88 @@
 	"auburnglade.example/glade/internal/catalog"
 	"auburnglade.example/glade/internal/fleet"
 	"auburnglade.example/glade/internal/hostrecord"
-	"auburnglade.example/glade/internal/keys"
-	"auburnglade.example/glade/internal/record"
 	"auburnglade.example/glade/internal/store"
 	"auburnglade.example/glade/internal/wave"
 )
 
-func (d *Drainer) apply(ctx context.Context, o *observed, waveName string, step wave.Step) {
-	if !d.Shard.Held() {
+// starting reports whether the wave is taking a host out right now.
+func (d *Drainer) starting(waveName string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, m := range d.hosts {
+		if m.starting == waveName {
+			return true
+		}
+	}
+	return false
+}
+
+// start applies a step in the background, unless one is under way for the host
+// or too many are. It is planned again in the next round.
+func (d *Drainer) start(ctx context.Context, o *observed, waveName string, step wave.Step) {
+	d.mu.Lock()
+	m := d.memoryOf(step.Host)
+	busy := m.busy
+	m.busy = true
+	if !busy && step.Verb == wave.StartDrain {
+		m.starting = waveName
+	}
+	d.mu.Unlock()
+	if busy {
 		return
 	}
-	item := o.snapshot.Hosts[step.Host]
-	err := d.step(ctx, o, waveName, step, item)
+	select {
+	case d.slots <- struct{}{}:
+	default:
+		d.ended(step.Host)
+		return
+	}
+	d.acting.Go(func() {
+		defer func() {
+			<-d.slots
+			d.ended(step.Host)
+		}()
+		if d.applyOne(ctx, o, waveName, step) == nil {
+			d.signal()
+		}
+	})
+}
+
+func (d *Drainer) ended(host string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	m := d.memoryOf(host)
+	m.busy, m.starting = false, ""
+}
+
+// applyOne returns the step's error, which it has dealt with: what failed waits
+// for the next interval.
+func (d *Drainer) applyOne(ctx context.Context, o *observed, waveName string, step wave.Step) error {
+	err := d.step(ctx, o, waveName, step, o.hosts[step.Host])
+	if errors.HasType(err, (*fleet.StaleOperationError)(nil)) {
+		err = d.finishEnded(ctx, o, waveName, o.hosts[step.Host])
+	}
 	var refused *budget.RefusedError
+	d.mu.Lock()
+	m := d.memoryOf(step.Host)
+	m.refusal = ""
+	if errors.As(err, &refused) {
+		m.refusal = refused.Reason
+	}
+	d.mu.Unlock()
 	switch {
-	case errors.As(err, &refused):
-		d.refusals[step.Host] = refused.Reason
-	case store.IsConflict(err):
-		// Someone changed the record in between; the next round observes it.
+	case refused != nil:
+		d.metrics.refused.Inc()
+	case store.IsConflict(err), errors.HasType(err, (*NotHeldError)(nil)):
+		// Someone else goes on with the host; the next round observes it.
 	case err != nil:
 		d.Log.Warn().Err(err).Str("host", step.Host).Str("verb", string(step.Verb)).Msg("Step not applied.")
 	default:
-		delete(d.refusals, step.Host)
+		d.metrics.steps.WithLabelValues(string(step.Verb)).Inc()
 		d.Log.Info().Str("host", step.Host).Str("wave", waveName).Str("verb", string(step.Verb)).
 			Str("reason", step.Reason).Msg("Step applied.")
 	}
+	return err
 }
 
 func (d *Drainer) step(ctx context.Context, o *observed, waveName string, step wave.Step, item catalog.HostItem) error {
@@ -44,20 +100,16 @@
 	case wave.StartDrain:
 		return d.startDrain(ctx, o, waveName, step, item)
 	case wave.DrainHost:
-		if err := d.Pool.Drain(ctx, item.Host, item.Operation); err != nil {
-			return err
-		}
-		d.drained[item.Host] = item.Operation
-		return nil
+		return d.drain(ctx, waveName, item)
 	case wave.Reboot:
-		return d.reboot(ctx, o, item)
+		return d.reboot(ctx, o, waveName, item)
 	case wave.AwaitProof:
-		delete(d.healthy, item.Host)
-		return d.write(ctx, item, func(r *hostrecord.Record) { r.Phase = hostrecord.Proving })
+		d.conditions.forget(item.Host)
+		return d.write(ctx, waveName, item, func(r *hostrecord.Record) { r.Phase = hostrecord.Proving })
 	case wave.Return:
-		return d.putBack(ctx, o, step, item)
+		return d.putBack(ctx, o, waveName, step, item)
 	case wave.GiveUp:
-		return d.write(ctx, item, func(r *hostrecord.Record) {
+		return d.write(ctx, waveName, item, func(r *hostrecord.Record) {
 			r.Phase = hostrecord.Failed
 			r.Visits = visited(r, step.Visit)
 		})
@@ -68,175 +120,166 @@
 // startDrain takes the grants first and writes the intent second: a host is
 // never marked out without its budget.
 func (d *Drainer) startDrain(ctx context.Context, o *observed, waveName string, step wave.Step, item catalog.HostItem) error {
+	if err := d.mayStart(o, item); err != nil {
+		return err
+	}
 	operation := uuid.NewString()
 	grant := budget.Grant{Operation: operation, Wave: waveName, Holder: d.Member}
 	services := o.servicesOf(item.Pool)
-	view := func(service string) budget.View { return o.view(service) }
-	if err := d.Gate.Acquire(ctx, item.Host, grant, services, view); err != nil {
+	if err := d.Gate.Acquire(ctx, item.Host, grant, services, o.view); err != nil {
 		return err
 	}
-	err := d.write(ctx, item, func(r *hostrecord.Record) {
-		r.Phase = hostrecord.Draining
-		r.Wave = waveName
-		r.Operation = operation
-		r.OutSince = time.Now().UTC()
-		r.AlreadyDown = step.AlreadyDown
-	})
-	if store.IsConflict(err) {
-		return errors.CombineErrors(err, d.releaseAll(ctx, services, item.Host, operation))
+	err := d.mayStart(o, item)
+	if err == nil {
+		err = d.write(ctx, waveName, item, func(r *hostrecord.Record) {
+			r.Phase = hostrecord.Draining
+			r.Wave = waveName
+			r.Operation = operation
+			r.Granted = services
+			r.OutSince = time.Now().UTC()
+			r.AlreadyDown = step.AlreadyDown
+		})
+	}
+	if err == nil || store.IsUnknownOutcome(err) {
+		// Of an unknown outcome the sweep finds out: it fences the record
+		// before it gives a grant back.
+		return err
+	}
+	for _, service := range services {
+		if releaseErr := d.Gate.Release(ctx, service, item.Host, operation); releaseErr != nil {
+			return errors.CombineErrors(err, releaseErr)
+		}
 	}
 	return err
 }
 
-// reboot writes the boot seen before, then acts. Should the process end in
-// between, the next round finds the phase and acts again: the operation
-// identity makes the platform take it once.
-func (d *Drainer) reboot(ctx context.Context, o *observed, item catalog.HostItem) error {
-	if item.Phase == hostrecord.Rebooting {
-		// The platform never took the act: ask again, without a write that
-		// would start the host's deadline anew.
-		return d.Pool.Reboot(ctx, item.Host, item.Operation)
-	}
-	err := d.write(ctx, item, func(r *hostrecord.Record) {
-		r.Phase = hostrecord.Rebooting
-		r.BootID = o.states[item.Host].BootID
-	})
-	if err != nil {
-		return err
+// mayStart refuses to take a host out on an old view: a controller that was
+// paused while it decided would act on a fleet that is no longer there. It also
+// keeps two visits apart by the time that an act of the earlier one may still
+// be on its way, for platforms that don't refuse it.
+func (d *Drainer) mayStart(o *observed, item catalog.HostItem) error {
+	if time.Since(o.at) > decisionAge || time.Since(o.list.at) > decisionAge {
+		return &StaleDecisionError{Host: item.Host, Age: time.Since(o.at)}
 	}
-	if !d.Shard.Held() {
-		return nil
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if m := d.memoryOf(item.Host); item.LastOperation != "" && time.Since(m.at) < fleet.MaxActDelay {
+		return &budget.RefusedError{Host: item.Host, Reason: "its last visit ended a moment ago"}
 	}
-	return d.Pool.Reboot(ctx, item.Host, item.Operation)
+	return nil
 }
 
-// putBack writes the host back to work before it gives the grants back: in
-// between the budget is only the more cautious.
-func (d *Drainer) putBack(ctx context.Context, o *observed, step wave.Step, item catalog.HostItem) error {
-	if err := d.Pool.Undrain(ctx, item.Host, item.Operation); err != nil {
+func (d *Drainer) drain(ctx context.Context, waveName string, item catalog.HostItem) error {
+	if err := d.mayAct(ctx, waveName, item); err != nil {
 		return err
 	}
-	operation := item.Operation
-	err := d.write(ctx, item, func(r *hostrecord.Record) {
-		r.Visits = visited(r, step.Visit)
-		r.Phase = hostrecord.Serving
-		r.Wave = ""
-		r.Operation = ""
-		r.BootID = ""
-		r.OutSince = time.Time{}
-		r.AlreadyDown = false
-	})
-	if err != nil {
+	if err := d.Pool.Drain(ctx, item.Host, item.Operation); err != nil {
 		return err
 	}
-	return d.releaseAll(ctx, o.servicesOf(item.Pool), item.Host, operation)
-}
-
-func (d *Drainer) releaseAll(ctx context.Context, services []string, host, operation string) error {
-	for _, service := range services {
-		if err := d.Gate.Release(ctx, service, host, operation); err != nil {
-			return err
-		}
-	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	m := d.memoryOf(item.Host)
+	m.drained, m.changed = item.Operation, time.Now()
 	return nil
 }
 
-// releaseOrphans gives back grants whose host record shows no maintenance:
-// their controller ended between the two writes. The host record is written
-// anew first, so that the ended controller, should it only have been paused,
-// loses its compare-and-swap and can't start on a grant that is gone.
-func (d *Drainer) releaseOrphans(ctx context.Context, o *observed) {
-	for service := range o.snapshot.Services() {
-		ledger, _, err := d.Gate.Ledger(ctx, service)
+// reboot writes the boot seen before, then acts. Should the process end in
+// between, or its answer be lost, the next round finds the phase and acts
+// again: the operation identity makes the platform take it once.
+func (d *Drainer) reboot(ctx context.Context, o *observed, waveName string, item catalog.HostItem) error {
+	state, known := o.states[item.Host]
+	again := item.Phase == hostrecord.Rebooting
+	moved := known && state.Reachable && state.BootID != item.BootID
+	if !again || moved {
+		// A host that restarted by itself since has another boot: without the
+		// new one on record, that boot would pass for our reboot's.
+		err := d.write(ctx, waveName, item, func(r *hostrecord.Record) {
+			r.Phase = hostrecord.Rebooting
+			r.BootID = state.BootID
+		})
 		if err != nil {
-			d.Log.Warn().Err(err).Str("service", service).Msg("Ledger not read.")
-			continue
-		}
-		for host, grant := range ledger.Grants {
-			if !d.orphaned(o, host, grant) {
-				continue
-			}
-			if err := d.releaseOrphan(ctx, o, service, host, grant); err != nil && !store.IsConflict(err) {
-				d.Log.Warn().Err(err).Str("host", host).Msg("Orphaned grant kept.")
-			}
+			return err
 		}
 	}
-}
-
-const orphanAge = 5 * time.Second
-
-func (d *Drainer) orphaned(o *observed, host string, grant budget.Grant) bool {
-	item, known := o.snapshot.Hosts[host]
-	settled := time.Since(d.seen[host].at) > orphanAge
-	return known && settled && d.Shard.Held() && item.Operation != grant.Operation
-}
-
-func (d *Drainer) releaseOrphan(ctx context.Context, o *observed, service, host string, grant budget.Grant) error {
-	if err := d.write(ctx, o.snapshot.Hosts[host], func(*hostrecord.Record) {}); err != nil {
+	if err := d.mayAct(ctx, waveName, item); err != nil {
 		return err
 	}
-	return d.Gate.Release(ctx, service, host, grant.Operation)
-}
-
-func (d *Drainer) write(ctx context.Context, item catalog.HostItem, change func(*hostrecord.Record)) error {
-	next := item.Record
-	change(&next)
-	next.WriteID = uuid.NewString()
-	_, err := store.Swap(ctx, d.Store, store.Write{
-		Key: keys.Host(item.Host), Expect: item.Revision, Value: next.Encode(),
-	})
-	return err
+	if known && state.LastOperation == item.Operation {
+		return nil
+	}
+	err := d.Pool.Reboot(ctx, item.Host, item.Operation)
+	if !errors.HasType(err, (*fleet.StaleOperationError)(nil)) {
+		return err
+	}
+	// The platform was never told of the drain, or lost it with a restart of
+	// its own.
+	if err := d.Pool.Drain(ctx, item.Host, item.Operation); err != nil {
+		return err
+	}
+	return d.Pool.Reboot(ctx, item.Host, item.Operation)
 }
 
-// visited returns the record's visits with the one that a step leaves, if it
-// leaves any.
-func visited(r *hostrecord.Record, visit *hostrecord.Visit) map[string]hostrecord.Visit {
-	if visit == nil {
-		return r.Visits
+// putBack writes the host back to work before it gives the grants back: in
+// between the budget is only the more cautious.
+func (d *Drainer) putBack(ctx context.Context, o *observed, waveName string, step wave.Step, item catalog.HostItem) error {
+	if err := d.mayReturn(o, item); err != nil {
+		return err
 	}
-	visits := make(map[string]hostrecord.Visit, len(r.Visits)+1)
-	for name, earlier := range r.Visits {
-		visits[name] = earlier
+	if err := d.mayAct(ctx, waveName, item); err != nil {
+		return err
 	}
-	visits[r.Wave] = *visit
-	return visits
+	return d.endVisit(ctx, o, waveName, step.Visit, item)
 }
 
-// publish has a wave's status written. Nothing reads it to decide.
-func (d *Drainer) publish(status wave.Status) {
-	data, err := json.Marshal(status)
-	if err != nil {
-		// A Status holds strings, numbers and lists of them only.
-		panic(err)
+// finishEnded ends a visit whose operation has ended at the platform: a return
+// was begun there and never written. Nothing can be done under the operation
+// any more, so that without this the host would stay out for ever.
+func (d *Drainer) finishEnded(ctx context.Context, o *observed, waveName string, item catalog.HostItem) error {
+	if err := d.mayAct(ctx, waveName, item); err != nil {
+		return err
 	}
-	d.Status.Put(keys.Status(record.ID{Kind: record.KindWave, Name: status.Wave}), data)
+	return d.endVisit(ctx, o, waveName, nil, item)
 }
 
-func (o *observed) servicesOf(pool string) []string {
-	spec := o.snapshot.Pools()[pool]
-	if spec == nil {
-		return nil
+func (d *Drainer) endVisit(ctx context.Context, o *observed, waveName string, visit *hostrecord.Visit, item catalog.HostItem) error {
+	if err := d.Pool.Undrain(ctx, item.Host, item.Operation); err != nil {
+		return err
 	}
-	return spec.Services
+	services := granted(o, item)
+	err := d.write(ctx, waveName, item, func(r *hostrecord.Record) {
+		r.Visits = visited(r, visit)
+		if r.NextPool != "" {
+			r.Pool, r.NextPool = r.NextPool, ""
+		}
+		r.LastOperation = r.Operation
+		r.Phase, r.Wave, r.Operation, r.BootID = hostrecord.Serving, "", "", ""
+		r.Granted, r.OutSince, r.AlreadyDown = nil, time.Time{}, false
+	})
+	if err != nil {
+		return err
+	}
+	return d.giveBack(ctx, item, services)
 }
 
-// view is pessimistic: a host counts as available only when its record says
-// that it serves and the platform lists it live.
-func (o *observed) view(service string) budget.View {
-	view := budget.View{Service: service}
-	for _, b := range o.snapshot.Budgets() {
-		if b.Service == service {
-			view.Budgets = append(view.Budgets, b)
+// giveBack releases the grants of a host that serves again. What it can't
+// release the sweep will.
+func (d *Drainer) giveBack(ctx context.Context, item catalog.HostItem, services []string) error {
+	d.mu.Lock()
+	seen := d.memoryOf(item.Host).own.Revision
+	d.mu.Unlock()
+	for _, service := range services {
+		if err := d.Gate.ReleaseAfter(ctx, service, item.Host, item.Operation, seen); err != nil {
+			return err
 		}
 	}
-	for _, pool := range o.snapshot.PoolsOf(service) {
-		for _, name := range o.snapshot.HostsOf(pool) {
-			host, listed := o.listed[name]
-			view.Endpoints = append(view.Endpoints, budget.Endpoint{
-				Host: name, Zone: host.Zone, Rack: host.Rack,
-				Available: listed && host.State == fleet.HostLive && o.snapshot.Hosts[name].TakesWork(),
-			})
-		}
+	return nil
+}
+
+// granted are the services in whose ledgers the visit holds grants; records
+// written before they were kept there fall back on the pool's.
+func granted(o *observed, item catalog.HostItem) []string {
+	if item.Granted != nil {
+		return item.Granted
 	}
-	return view
+	return o.servicesOf(item.Pool)
 }
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -6,9 +6,10 @@
 import (
 	"context"
 	"maps"
-	"slices"
+	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"auburnglade.example/glade/internal/budget"
@@ -17,7 +18,6 @@
 	"auburnglade.example/glade/internal/fleet"
 	"auburnglade.example/glade/internal/invariant"
 	"auburnglade.example/glade/internal/pause"
-	"auburnglade.example/glade/internal/record"
 	"auburnglade.example/glade/internal/store"
 	"auburnglade.example/glade/internal/wave"
 )
@@ -28,14 +28,21 @@
 	Lagging(ctx context.Context, revision store.Revision) []string
 }
 
-// Shard tells whether this controller may act.
-type Shard interface{ Held() bool }
-
 // StatusSink has a status written under a key, sooner or later.
 type StatusSink interface {
 	Put(key string, value []byte)
 }
 
+// Shards tells which shards this controller may act on. Each wave is one, and
+// so is the sweep over the whole fleet.
+type Shards interface{ Holds(shard string) bool }
+
+// The shards of a drainer.
+const (
+	waveShard  = "wave/"
+	sweepShard = "sweep"
+)
+
 // Config is what a Drainer is made of.
 type Config struct {
 	Member    string
@@ -45,30 +52,48 @@
 	Hosts     fleet.HostList
 	Pool      fleet.PoolHosts
 	Confirmer Confirmer
-	Shard     Shard
+	Shards    Shards
 	Gate      *budget.Gate
 	Invariant *invariant.Checker
 	Log       zerolog.Logger
-	// Interval is the pause between two rounds; zero means DefaultInterval.
+	Registry  prometheus.Registerer
+	// Workers, when set, run tasks on the hosts of pools with jobs; they are
+	// checkpointed before a reboot.
+	Workers fleet.Workers
+	// Interval is the longest pause between two rounds; zero means
+	// DefaultInterval. Changes of the configuration start a round earlier.
 	Interval time.Duration
 }
 
-// DefaultInterval is the pause between two rounds.
-const DefaultInterval = time.Second
+const (
+	// DefaultInterval is the longest pause between two rounds.
+	DefaultInterval = time.Second
+	// gapsPerInterval sets the shortest pause between two rounds: however much
+	// changes, there are at most this many rounds an interval.
+	gapsPerInterval = 10
+	// maxActs bounds the steps applied at once, so that one slow host holds up
+	// no other.
+	maxActs = 16
+	// decisionAge is how old a view of the fleet may be for a host to be taken
+	// out on it.
+	decisionAge = 5 * time.Second
+)
 
-// Drainer drives every wave in force while it holds the shard.
+// Drainer drives every wave in force whose shard it holds.
 type Drainer struct {
 	Config
-	seen     map[string]phaseSeen
-	healthy  map[string]time.Time
-	drained  map[string]string
-	refusals map[string]string
-}
+	metrics    *metrics
+	conditions *conditions
+	sweeper    *sweeper
+	publisher  *publisher
+	wake       chan struct{}
+	slots      chan struct{}
+	acting     sync.WaitGroup
 
-// phaseSeen is when this process first saw a host record's revision.
-type phaseSeen struct {
-	revision store.Revision
-	at       time.Time
+	mu    sync.Mutex
+	hosts map[string]*hostMemory
+	specs map[string]wave.Input
+	list  listing
 }
 
 // New returns a drainer.
@@ -77,149 +102,159 @@
 		config.Interval = DefaultInterval
 	}
 	return &Drainer{
-		Config:   config,
-		seen:     make(map[string]phaseSeen),
-		healthy:  make(map[string]time.Time),
-		drained:  make(map[string]string),
-		refusals: make(map[string]string),
+		Config:     config,
+		metrics:    newMetrics(config.Registry),
+		conditions: newConditions(config.Pool),
+		sweeper:    newSweeper(),
+		publisher:  newPublisher(config.Status),
+		wake:       make(chan struct{}, 1),
+		slots:      make(chan struct{}, maxActs),
+		hosts:      make(map[string]*hostMemory),
+		specs:      make(map[string]wave.Input),
 	}
 }
 
 // Serve drives waves until ctx ends.
 func (d *Drainer) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if d.Shard.Held() {
-			d.Round(ctx)
-		}
-		pause.For(ctx, d.Interval)
+		_, changed := d.Feed.Current()
+		d.Round(ctx)
+		pause.For(ctx, d.Interval/gapsPerInterval)
+		d.await(ctx, changed)
 	}
+	d.acting.Wait()
 	return ctx.Err()
 }
 
-// Round observes once and applies the steps that are due.
+// await returns once something may be due: the configuration changed, a step
+// ended, or the interval is over.
+func (d *Drainer) await(ctx context.Context, changed <-chan struct{}) {
+	timer := time.NewTimer(d.Interval)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-d.wake:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// Round observes once and starts the steps that are due.
 func (d *Drainer) Round(ctx context.Context) {
 	snapshot := d.Feed.Snapshot()
-	hosts, err := d.Hosts.Hosts(ctx)
-	if err != nil {
+	if d.Shards.Holds(sweepShard) {
+		d.sweep(ctx, snapshot)
+	}
+	waves := d.wavesOf(snapshot)
+	if !d.anyHeld(waves) {
+		return
+	}
+	if err := d.readList(ctx); err != nil {
 		d.Log.Warn().Err(err).Msg("Host list not read.")
 		return
 	}
-	observed := d.observe(ctx, snapshot, hosts)
-	d.releaseOrphans(ctx, observed)
+	observed := d.observe(ctx, snapshot, waves)
 	for _, plan := range wave.MakeAll(d.fleetOf(observed)) {
-		for _, step := range plan.Steps {
-			d.apply(ctx, observed, plan.Status.Wave, step)
-		}
-		d.publish(plan.Status)
+		d.apply(ctx, observed, plan)
 	}
 }
 
-// fleetOf is the snapshot that all waves are planned from.
-func (d *Drainer) fleetOf(o *observed) wave.Fleet {
-	planned := wave.Fleet{Policy: o.snapshot.Policy(), Now: time.Now()}
-	waves := o.snapshot.Waves()
-	if len(waves) == 0 {
-		return planned
-	}
-	for _, name := range slices.Sorted(maps.Keys(waves)) {
-		spec := waves[name]
-		planned.Waves = append(planned.Waves, wave.Input{Name: name, Spec: spec, Hosts: d.waveHosts(o, spec)})
-	}
-	var views []budget.View
-	for service := range o.snapshot.Services() {
-		views = append(views, o.view(service))
+// anyHeld reports whether this controller holds a wave that isn't over.
+func (d *Drainer) anyHeld(waves []waveInForce) bool {
+	for _, w := range waves {
+		if d.Shards.Holds(waveShard+w.name) && !d.publisher.over(w) {
+			return true
+		}
 	}
-	planned.Book = budget.BookOf(views)
-	return planned
+	return false
 }
 
-// observed is one round's view of the fleet.
-type observed struct {
-	snapshot *catalog.Snapshot
-	listed   map[string]fleet.Host
-	states   map[string]fleet.HostCondition
-	lagging  map[store.Revision]bool
-}
-
-func (d *Drainer) observe(ctx context.Context, snapshot *catalog.Snapshot, hosts []fleet.Host) *observed {
-	o := &observed{
-		snapshot: snapshot,
-		listed:   make(map[string]fleet.Host, len(hosts)),
-		states:   make(map[string]fleet.HostCondition),
-		lagging:  make(map[store.Revision]bool),
-	}
-	for _, host := range hosts {
-		o.listed[host.Name] = host
+// apply starts a plan's steps. The publisher hears of the plan last, so that
+// the end of a wave is never told before it.
+func (d *Drainer) apply(ctx context.Context, o *observed, plan wave.Plan) {
+	shard := waveShard + plan.Status.Wave
+	if !d.Shards.Holds(shard) {
+		return
 	}
-	for name, item := range snapshot.Hosts {
-		if d.seen[name].revision != item.Revision {
-			d.seen[name] = phaseSeen{revision: item.Revision, at: time.Now()}
-		}
-		if item.TakesWork() && item.Wave == "" {
+	starting := d.starting(plan.Status.Wave)
+	for _, step := range plan.Steps {
+		if step.Verb == wave.StartDrain && starting {
+			// The plan can't know yet which hosts those starts will have
+			// taken out; another host on top could go over the wave's width.
 			continue
 		}
-		d.inspect(ctx, o, name, item)
+		d.start(ctx, o, plan.Status.Wave, step)
+	}
+	if w := o.waves[plan.Status.Wave]; !w.abandoned {
+		d.publisher.publish(w, plan.Status, o.anyOut(w.name))
 	}
-	return o
 }
 
-// inspect asks the platform about a host that is out.
-func (d *Drainer) inspect(ctx context.Context, o *observed, host string, item catalog.HostItem) {
-	condition, err := d.Pool.Condition(ctx, host)
+// listing is the platform's host list as last read.
+type listing struct {
+	hosts map[string]fleet.Host
+	// places is where each host was when it was last listed: a host that is
+	// away isn't listed, and still belongs to its failure domain.
+	places map[string]fleet.Host
+	at     time.Time
+}
+
+// readList reads the host list at most once an interval.
+func (d *Drainer) readList(ctx context.Context) error {
+	if time.Since(d.list.at) < d.Interval {
+		return nil
+	}
+	asked := time.Now()
+	hosts, err := d.Hosts.Hosts(ctx)
 	if err != nil {
-		delete(d.healthy, host)
-		return
+		return err
 	}
-	o.states[host] = condition
-	if !condition.Healthy {
-		delete(d.healthy, host)
-	} else if _, ok := d.healthy[host]; !ok {
-		d.healthy[host] = time.Now()
+	next := listing{at: asked, hosts: make(map[string]fleet.Host, len(hosts)), places: maps.Clone(d.list.places)}
+	if next.places == nil {
+		next.places = make(map[string]fleet.Host, len(hosts))
 	}
-	if _, asked := o.lagging[item.Revision]; !asked {
-		o.lagging[item.Revision] = len(d.Confirmer.Lagging(ctx, item.Revision)) > 0
+	for _, host := range hosts {
+		next.hosts[host.Name] = host
+		next.places[host.Name] = host
 	}
+	// Steps under way still read the earlier maps.
+	d.list = next
+	return nil
 }
 
-func (d *Drainer) waveHosts(o *observed, spec *record.Wave) []wave.Host {
-	var hosts []wave.Host
-	for _, pool := range spec.Pools {
-		for _, name := range o.snapshot.HostsOf(pool) {
-			if spec.Covers(name) {
-				hosts = append(hosts, d.waveHost(o, name))
-			}
-		}
+// signal starts the next round early.
+func (d *Drainer) signal() {
+	select {
+	case d.wake <- struct{}{}:
+	default:
 	}
-	return hosts
 }
 
-func (d *Drainer) waveHost(o *observed, name string) wave.Host {
-	item := o.snapshot.Hosts[name]
-	condition := o.states[name]
-	host := wave.Host{
-		Name:          name,
-		Zone:          o.listed[name].Zone,
-		Rack:          o.listed[name].Rack,
-		Record:        item.Record,
-		Age:           time.Since(d.seen[name].at),
-		Confirmed:     !o.lagging[item.Revision],
-		Reachable:     condition.Reachable,
-		Healthy:       condition.Healthy,
-		BootID:        condition.BootID,
-		InFlight:      condition.InFlight,
-		LastOperation: condition.LastOperation,
-		Down:          o.down(name),
-		Drained:       item.Operation != "" && d.drained[name] == item.Operation,
-		Refusal:       d.refusals[name],
-	}
-	if since, ok := d.healthy[name]; ok {
-		host.HealthyFor = time.Since(since)
-	}
-	return host
+// waveInForce is a wave's record, or what is left of a deleted one.
+type waveInForce struct {
+	name  string
+	input wave.Input
+	// revision is that of the configuration the wave was looked up in.
+	revision store.Revision
+	// abandoned says that the record is gone while hosts are still out for it.
+	abandoned bool
 }
 
-// down reports whether the platform's list doesn't show a host as live.
-func (o *observed) down(name string) bool {
-	host, listed := o.listed[name]
-	return !listed || host.State != fleet.HostLive
+// wavesOf returns the waves in force and those that were deleted with hosts
+// still out: without them these hosts would stay out for ever, with their
+// grants.
+func (d *Drainer) wavesOf(snapshot *catalog.Snapshot) []waveInForce {
+	waves := make(map[string]waveInForce)
+	for name, spec := range snapshot.Waves() {
+		input := wave.Input{Name: name, Spec: spec}
+		d.specs[name] = input
+		waves[name] = waveInForce{name: name, input: input, revision: snapshot.Revision}
+	}
+	for _, item := range snapshot.Hosts {
+		if _, known := waves[item.Wave]; item.Wave == "" || known {
+			continue
+		}
+		waves[item.Wave] = waveInForce{name: item.Wave, input: d.abandoned(item.Wave), revision: snapshot.Revision, abandoned: true}
+	}
+	return sorted(waves)
 }
--- /dev/null
+++ b/internal/drainer/metrics.go
@@ -0,0 +1,27 @@
+package drainer
+
+import "github.com/prometheus/client_golang/prometheus"
+
+type metrics struct {
+	steps   *prometheus.CounterVec
+	refused prometheus.Counter
+	orphans prometheus.Counter
+}
+
+func newMetrics(registerer prometheus.Registerer) *metrics {
+	m := &metrics{
+		steps: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "glade_drainer_steps_total", Help: "Steps of hosts through maintenance that this controller applied, by verb.",
+		}, []string{"verb"}),
+		refused: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "glade_drainer_refusals_total", Help: "Hosts that a budget did not let out when asked.",
+		}),
+		orphans: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "glade_drainer_orphaned_grants_total", Help: "Grants released because no host record stood for them.",
+		}),
+	}
+	if registerer != nil {
+		registerer.MustRegister(m.steps, m.refused, m.orphans)
+	}
+	return m
+}
--- /dev/null
+++ b/internal/drainer/observe.go
@@ -0,0 +1,282 @@
+package drainer
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"auburnglade.example/glade/internal/budget"
+	"auburnglade.example/glade/internal/catalog"
+	"auburnglade.example/glade/internal/fleet"
+	"auburnglade.example/glade/internal/hostrecord"
+	"auburnglade.example/glade/internal/record"
+	"auburnglade.example/glade/internal/store"
+	"auburnglade.example/glade/internal/wave"
+)
+
+// hostMemory is what this process remembers of one host. Losing it costs time
+// and nothing else.
+type hostMemory struct {
+	// revision is the newest one seen of the host's record, at is when.
+	revision store.Revision
+	at       time.Time
+	// own is this process's last write, which may be ahead of the feed.
+	own *catalog.HostItem
+	// drained is the operation the platform was told to drain the host under,
+	// changed is when the host last went a step further.
+	drained string
+	changed time.Time
+	refusal string
+	busy    bool
+	// starting is the wave that is taking the host out right now.
+	starting string
+	tasks    taskMemory
+}
+
+// observed is one round's view of the fleet.
+type observed struct {
+	at       time.Time
+	snapshot *catalog.Snapshot
+	hosts    map[string]catalog.HostItem
+	list     listing
+	waves    map[string]waveInForce
+	states   map[string]condition
+	lagging  map[store.Revision]bool
+	tasks    map[string]int
+}
+
+func (d *Drainer) observe(ctx context.Context, snapshot *catalog.Snapshot, waves []waveInForce) *observed {
+	o := &observed{
+		at: time.Now(), snapshot: snapshot, list: d.list,
+		hosts:   make(map[string]catalog.HostItem, len(snapshot.Hosts)),
+		waves:   make(map[string]waveInForce, len(waves)),
+		lagging: make(map[store.Revision]bool),
+		tasks:   make(map[string]int),
+	}
+	for _, w := range waves {
+		o.waves[w.name] = w
+	}
+	d.mu.Lock()
+	for name, item := range snapshot.Hosts {
+		o.hosts[name] = d.remember(name, item)
+	}
+	d.mu.Unlock()
+	o.states = d.conditions.refresh(ctx, d.questions(o))
+	for _, item := range o.hosts {
+		if _, asked := o.lagging[item.Revision]; item.Phase == hostrecord.Draining && item.Wave != "" && !asked {
+			o.lagging[item.Revision] = len(d.Confirmer.Lagging(ctx, item.Revision)) > 0
+		}
+	}
+	d.countTasks(ctx, o)
+	return o
+}
+
+// remember returns the newest record known of a host: this process's own last
+// write may not have come back through the feed yet. Without it the next round
+// would plan on a host as it was before. The caller holds mu.
+func (d *Drainer) remember(name string, item catalog.HostItem) catalog.HostItem {
+	m := d.memoryOf(name)
+	if m.own != nil && m.own.Revision > item.Revision {
+		item = *m.own
+	} else {
+		m.own = nil
+	}
+	if m.revision != item.Revision {
+		m.revision, m.at = item.Revision, time.Now()
+	}
+	return item
+}
+
+// memoryOf returns what is remembered of a host; the caller holds mu.
+func (d *Drainer) memoryOf(host string) *hostMemory {
+	m := d.hosts[host]
+	if m == nil {
+		m = &hostMemory{}
+		d.hosts[host] = m
+	}
+	return m
+}
+
+// questions lists the hosts whose condition this round needs: those out for a
+// wave held here, as of now, and those that serve next to hosts of such a
+// wave, as of lately. The calls are at most hosts out per interval plus hosts
+// serving per servingAge.
+func (d *Drainer) questions(o *observed) []question {
+	services := make(map[string]bool)
+	for name, w := range o.waves {
+		if !d.Shards.Holds(waveShard + name) {
+			continue
+		}
+		for _, pool := range w.input.Spec.Pools {
+			for _, service := range o.servicesOf(pool) {
+				services[service] = true
+			}
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var questions []question
+	for name, item := range o.hosts {
+		switch {
+		case item.Wave != "" && d.Shards.Holds(waveShard+item.Wave):
+			questions = append(questions, question{host: name, maxAge: d.Interval, after: d.memoryOf(name).changed})
+		case item.TakesWork() && slices.ContainsFunc(o.servicesOf(item.Pool), func(s string) bool { return services[s] }):
+			questions = append(questions, question{host: name, maxAge: servingAge})
+		}
+	}
+	return questions
+}
+
+// fleetOf is the snapshot that all waves are planned from. Every controller
+// plans all of them, and applies those it holds: the plans agree on who gets
+// what the budgets allow. The book is made from records alone: a grant without
+// a record lasts for moments, and the gate counts it. A remembered ledger could
+// be behind, and a wave that it blocks would never ask the gate to read it anew.
+func (d *Drainer) fleetOf(o *observed) wave.Fleet {
+	planned := wave.Fleet{Policy: o.snapshot.Policy(), Now: time.Now()}
+	d.mu.Lock()
+	for _, w := range sorted(o.waves) {
+		w.input.Hosts = d.waveHosts(o, w)
+		planned.Waves = append(planned.Waves, w.input)
+	}
+	d.mu.Unlock()
+	var views []budget.View
+	for service := range o.snapshot.Services() {
+		views = append(views, o.view(service))
+	}
+	planned.Book = budget.BookOf(views)
+	return planned
+}
+
+// waveHosts are the hosts of the wave's pools and those it has out elsewhere:
+// a host may have left the pool, or the pool the wave, since it was taken out.
+func (d *Drainer) waveHosts(o *observed, w waveInForce) []wave.Host {
+	var hosts []wave.Host
+	spec := w.input.Spec
+	for _, item := range o.hosts {
+		visited := slices.Contains(spec.Pools, item.Pool) && spec.Covers(item.Host)
+		if visited || item.Wave == w.name {
+			hosts = append(hosts, d.waveHost(o, item))
+		}
+	}
+	slices.SortFunc(hosts, func(a, b wave.Host) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return hosts
+}
+
+// waveHost never makes a host look further than is known: one whose condition
+// isn't known is unreachable with work in flight. Taken for idle it would be
+// rebooted under its requests.
+func (d *Drainer) waveHost(o *observed, item catalog.HostItem) wave.Host {
+	m := d.memoryOf(item.Host)
+	state, known := o.states[item.Host]
+	place := o.placeOf(item.Host)
+	lagging, asked := o.lagging[item.Revision]
+	host := wave.Host{
+		Name: item.Host, Zone: place.Zone, Rack: place.Rack, Record: item.Record,
+		Age:       time.Since(m.at),
+		Confirmed: asked && !lagging,
+		Down:      !o.available(item.Host),
+		Drained:   item.Operation != "" && m.drained == item.Operation,
+		Refusal:   m.refusal,
+		InFlight:  unknownInFlight,
+		BootID:    item.BootID,
+	}
+	if !known || state.asked.Before(m.changed) {
+		return host
+	}
+	host.Reachable, host.Healthy, host.LastOperation = state.Reachable, state.Healthy, state.LastOperation
+	host.InFlight = state.InFlight + o.tasks[item.Host]
+	host.BootID = state.BootID
+	if state.Healthy {
+		host.HealthyFor = time.Since(state.healthySince)
+	}
+	return host
+}
+
+// unknownInFlight stands for work that may be there.
+const unknownInFlight = 1
+
+// available is the pessimistic view: the host's record says that it serves,
+// the platform lists it live, and when lately asked it was well. The list alone
+// lags, and would let a batch begin while a rack is already gone.
+func (o *observed) available(name string) bool {
+	host, listed := o.list.hosts[name]
+	state, known := o.states[name]
+	return listed && host.State == fleet.HostLive && o.hosts[name].TakesWork() &&
+		known && state.Reachable && state.Healthy
+}
+
+// anyOut reports whether any host is out for the wave, failed ones included.
+func (o *observed) anyOut(waveName string) bool {
+	for _, item := range o.hosts {
+		if item.Wave == waveName {
+			return true
+		}
+	}
+	return false
+}
+
+// placeOf returns where a host is, or was when it was last known.
+func (o *observed) placeOf(name string) fleet.Host {
+	if place, known := o.list.places[name]; known {
+		return place
+	}
+	item := o.hosts[name]
+	return fleet.Host{Name: name, Zone: item.Zone, Rack: item.Rack}
+}
+
+func (o *observed) servicesOf(pool string) []string {
+	spec := o.snapshot.Pools()[pool]
+	if spec == nil {
+		return nil
+	}
+	return spec.Services
+}
+
+func (o *observed) view(service string) budget.View {
+	view := budget.View{Service: service, Revision: o.snapshot.Revision}
+	for _, b := range o.snapshot.Budgets() {
+		if b.Service == service {
+			view.Budgets = append(view.Budgets, b)
+		}
+	}
+	for _, pool := range o.snapshot.PoolsOf(service) {
+		for _, name := range o.snapshot.HostsOf(pool) {
+			place := o.placeOf(name)
+			view.Endpoints = append(view.Endpoints, budget.Endpoint{
+				Host: name, Zone: place.Zone, Rack: place.Rack, Available: o.available(name),
+			})
+		}
+	}
+	return view
+}
+
+// abandoned is the plan's input for a deleted wave: as if it were cancelled,
+// with the durations it had as far as this process knows them.
+func (d *Drainer) abandoned(name string) wave.Input {
+	spec := record.Wave{}
+	if last, known := d.specs[name]; known {
+		spec = *last.Spec
+	}
+	spec.Pools, spec.Cancelled = nil, true
+	return wave.Input{Name: name, Spec: &spec}
+}
+
+func sorted(waves map[string]waveInForce) []waveInForce {
+	list := make([]waveInForce, 0, len(waves))
+	for _, w := range waves {
+		list = append(list, w)
+	}
+	slices.SortFunc(list, func(a, b waveInForce) int {
+		if a.name < b.name {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -1,120 +1,119 @@
-// Package holder shares decisions among controllers: one of them at a time
-// holds a shard under a lease. Holding is only economy, so that not everyone
-// does the same work; safety rests on the compare-and-swap of each record.
+// Package holder shares decisions among the live controllers. Every shard, a
+// wave for one, belongs to the live controller that rendezvous hashing picks
+// from the membership. Holding costs no call of its own: the membership lease
+// that each controller has anyway is the lease on all its shards. Holding is
+// only economy, so that not everyone does the same work; safety rests on the
+// compare-and-swap of each record and on operation identities.
 package holder
 
 import (
-	"context"
-	"encoding/json"
-	"sync/atomic"
+	"slices"
+	"sync"
 	"time"
 
-	"github.com/rs/zerolog"
+	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
 
-	"auburnglade.example/glade/internal/keys"
-	"auburnglade.example/glade/internal/pause"
+	"auburnglade.example/glade/internal/catalog"
+	"auburnglade.example/glade/internal/member"
 	"auburnglade.example/glade/internal/store"
 )
 
-// DefaultTTL is how long a dead holder blocks its shard.
-const DefaultTTL = 6 * time.Second
+// Settle is how long a shard's new holder waits before it acts. Every process
+// that follows the store at all sees a change of membership within that time,
+// so the earlier holder has stopped by itself. It overlaps only when its
+// configuration lags by more, and then compare-and-swap decides.
+const Settle = 500 * time.Millisecond
 
-const renewalsPerTTL = 3
+// Membership is this process's own registration.
+type Membership interface {
+	// Valid reports whether the lease is certainly still held, by the
+	// monotonic clock.
+	Valid() bool
+	// Registered is the revision at which the record was last written.
+	Registered() store.Revision
+}
+
+// Feed hands out the configuration in force.
+type Feed interface{ Snapshot() *catalog.Snapshot }
 
-// Holder tries to hold one shard for one member.
+// Holder tells which shards a controller holds. It is safe for concurrent use.
 type Holder struct {
-	store  store.Store
-	shard  string
-	member string
-	ttl    time.Duration
-	log    zerolog.Logger
-
-	lease store.LeaseID
-	until atomic.Pointer[time.Time]
-}
+	self       string
+	feed       Feed
+	membership Membership
 
-// New returns a holder that holds nothing yet. A zero ttl means DefaultTTL.
-func New(s store.Store, shard, member string, ttl time.Duration, log zerolog.Logger) *Holder {
-	if ttl == 0 {
-		ttl = DefaultTTL
-	}
-	return &Holder{store: s, shard: shard, member: member, ttl: ttl, log: log}
+	mu       sync.Mutex
+	revision store.Revision
+	view     view
+	// earlier is the membership before the last change, changed when this
+	// process saw that change.
+	earlier view
+	changed time.Time
 }
 
-// Held reports whether the shard is certainly held right now, by the
-// monotonic clock. Check it right before every act: a paused process wakes
-// believing what it believed before.
-func (h *Holder) Held() bool {
-	until := h.until.Load()
-	return until != nil && time.Now().Before(*until)
+// view is a membership and who holds what under it.
+type view struct {
+	controllers []string
+	hash        *rendezvous.Rendezvous
 }
 
-// Serve holds the shard whenever it is free until ctx ends.
-func (h *Holder) Serve(ctx context.Context) error {
-	for ctx.Err() == nil {
-		if err := h.renew(ctx); err != nil && !store.IsConflict(err) {
-			h.log.Debug().Err(err).Str("shard", h.shard).Msg("Shard not renewed.")
-		}
-		pause.For(ctx, pause.Jitter(h.ttl/renewalsPerTTL))
-	}
-	h.release()
-	return ctx.Err()
+// New returns a holder for the controller named self.
+func New(self string, f Feed, m Membership) *Holder {
+	return &Holder{self: self, feed: f, membership: m}
 }
 
-func (h *Holder) renew(ctx context.Context) error {
-	asked := time.Now()
-	if h.lease == 0 {
-		return h.take(ctx, asked)
-	}
-	_, err := h.store.KeepAlive(ctx, h.lease)
-	if store.IsLeaseExpired(err) {
-		h.log.Warn().Str("shard", h.shard).Msg("Shard lost.")
-		h.lease = 0
-		h.until.Store(nil)
-		return h.take(ctx, asked)
+// Holds reports whether the shard is held right now. Check it right before
+// every act: a paused process wakes believing what it believed before.
+func (h *Holder) Holds(shard string) bool {
+	snapshot := h.feed.Snapshot()
+	// A process that was away for longer than its lease registers anew. Until
+	// it sees its own new registration it may be looking at a membership from
+	// before it was away.
+	if !h.membership.Valid() || snapshot.Revision < h.membership.Registered() {
+		return false
 	}
-	if err == nil {
-		h.extend(asked)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.follow(snapshot)
+	if h.view.holderOf(shard) != h.self {
+		return false
 	}
-	return err
+	return h.earlier.holderOf(shard) == h.self || time.Since(h.changed) >= Settle
 }
 
-func (h *Holder) take(ctx context.Context, asked time.Time) error {
-	key := keys.Holder(h.shard)
-	if _, err := h.store.Get(ctx, key); !store.IsNotFound(err) {
-		return err
-	}
-	lease, err := h.store.Grant(ctx, h.ttl)
-	if err != nil {
-		return err
+// follow takes over the snapshot's membership; the caller holds mu.
+func (h *Holder) follow(snapshot *catalog.Snapshot) {
+	if snapshot.Revision <= h.revision {
+		return
 	}
-	value, err := json.Marshal(map[string]string{"member": h.member})
-	if err != nil {
-		return err
+	h.revision = snapshot.Revision
+	var controllers []string
+	for _, m := range member.OfRole(snapshot, member.RoleController) {
+		controllers = append(controllers, m.ID)
 	}
-	if _, err := h.store.CompareAndSwap(ctx, store.Write{Key: key, Value: value, Lease: lease.ID}); err != nil {
-		// Whatever became of the write, the lease must not keep the shard.
-		_ = h.store.Revoke(ctx, lease.ID)
-		return err
+	if slices.Equal(controllers, h.view.controllers) {
+		return
 	}
-	h.lease = lease.ID
-	h.extend(asked)
-	h.log.Info().Str("shard", h.shard).Msg("Shard held.")
-	return nil
+	h.earlier, h.changed = h.view, time.Now()
+	h.view = view{controllers: controllers, hash: rendezvous.New(controllers, xxhash.Sum64String)}
 }
 
-func (h *Holder) extend(asked time.Time) {
-	until := asked.Add(h.ttl)
-	h.until.Store(&until)
+func (v view) holderOf(shard string) string {
+	if v.hash == nil {
+		return ""
+	}
+	return v.hash.Lookup(shard)
 }
 
-func (h *Holder) release() {
-	h.until.Store(nil)
-	if h.lease == 0 {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	// Without the store's answer the lease simply runs out.
-	_ = h.store.Revoke(ctx, h.lease)
+// Shard is one shard of a Holder.
+type Shard struct {
+	holder *Holder
+	name   string
 }
+
+// Shard returns the named shard.
+func (h *Holder) Shard(name string) Shard { return Shard{holder: h, name: name} }
+
+// Held reports whether the shard is held right now.
+func (s Shard) Held() bool { return s.holder.Holds(s.name) }
--- a/internal/hostrecord/hostrecord.go
+++ b/internal/hostrecord/hostrecord.go
@@ -44,6 +44,12 @@
 	// Wave and Operation name the maintenance under way; empty while serving.
 	Wave      string `json:"wave,omitempty"`
 	Operation string `json:"operation,omitempty"`
+	// Granted names the services in whose ledgers the operation holds a grant.
+	// The pool's services may change while the host is out.
+	Granted []string `json:"granted,omitempty"`
+	// LastOperation is the operation of the maintenance before, of which an
+	// act may still be on its way.
+	LastOperation string `json:"lastOperation,omitempty"`
 	// BootID is the boot seen before the reboot, to tell a return from a host
 	// that hasn't gone down yet.
 	BootID string `json:"bootId,omitempty"`
--- a/internal/jobs/harness_test.go
+++ b/internal/jobs/harness_test.go
@@ -21,6 +21,7 @@
 	"auburnglade.example/glade/internal/hostrecord"
 	"auburnglade.example/glade/internal/invariant"
 	"auburnglade.example/glade/internal/keys"
+	"auburnglade.example/glade/internal/member"
 	"auburnglade.example/glade/internal/record"
 	"auburnglade.example/glade/internal/store"
 	"auburnglade.example/glade/internal/store/memstore"
@@ -53,7 +54,7 @@
 	letGo context.CancelFunc
 	// stopFeed ends the watch of the configuration.
 	stopFeed context.CancelFunc
-	holder   *holder.Holder
+	shard    holder.Shard
 	// unaware makes it go on as a holder whose lease lapsed while it was
 	// paused before its check, again and again.
 	unaware atomic.Bool
@@ -68,7 +69,7 @@
 // blind lets no news of the configuration reach the controller any more.
 func (c *controller) blind() { c.stopFeed() }
 
-func (c *controller) Held() bool { return c.unaware.Load() || c.holder.Held() }
+func (c *controller) Held() bool { return c.unaware.Load() || c.shard.Held() }
 
 // reach is the platform's word on hosts: one that is cut off isn't reachable.
 type reach struct {
@@ -124,18 +125,20 @@
 // startWith starts a controller that reaches workers its own way.
 func (b *bench) startWith(workers fleet.Workers) *controller {
 	b.started++
-	member := fmt.Sprintf("c%d", b.started)
+	name := fmt.Sprintf("c%d", b.started)
 	ctx, stop := context.WithCancel(context.Background())
 	holding, letGo := context.WithCancel(ctx)
 	watching, stopFeed := context.WithCancel(ctx)
-	c := &controller{stop: stop, letGo: letGo, stopFeed: stopFeed, holder: holder.New(b.store, "fleet", member, holdTTL, zerolog.Nop())}
+	c := &controller{stop: stop, letGo: letGo, stopFeed: stopFeed}
 	b.t.Cleanup(stop)
 	f := feed.New(b.store, zerolog.Nop(), b.checker, nil)
+	registrar := member.NewRegistrar(b.store, member.Member{ID: name, Role: member.RoleController}, holdTTL, zerolog.Nop())
+	c.shard = holder.New(name, f, registrar).Shard("jobs")
 	m := New(Config{
-		Member: member, Store: b.store, Feed: f, Hosts: b.fleet, Pool: reach{b.fleet, b.workers}, Workers: workers,
+		Member: name, Store: b.store, Feed: f, Hosts: b.fleet, Pool: reach{b.fleet, b.workers}, Workers: workers,
 		Shard: c, Invariant: b.checker, Log: zerolog.Nop(), LeaseTTL: testTTL, ReportInterval: testRead,
 	})
-	b.wait.Go(func() { _ = c.holder.Serve(holding) })
+	b.wait.Go(func() { _ = registrar.Serve(holding) })
 	b.wait.Go(func() { _ = f.Serve(watching) })
 	b.wait.Go(func() { _ = m.Serve(ctx) })
 	return c
--- a/internal/member/registrar.go
+++ b/internal/member/registrar.go
@@ -31,6 +31,7 @@
 	// certainly not yet ended at the store.
 	validUntil atomic.Pointer[time.Time]
 	generation atomic.Uint64
+	registered atomic.Int64
 }
 
 // NewRegistrar returns a registrar for member. A zero ttl means DefaultTTL.
@@ -51,6 +52,10 @@
 // acts under a lease tells by it that the lease had ended in between.
 func (r *Registrar) Generation() uint64 { return r.generation.Load() }
 
+// Registered returns the revision at which the record was last written under a
+// new lease, zero before the first time.
+func (r *Registrar) Registered() store.Revision { return store.Revision(r.registered.Load()) }
+
 // Serve registers and heartbeats until ctx ends, then withdraws the record.
 // A store outage never ends it: the record is written again afterwards.
 func (r *Registrar) Serve(ctx context.Context) error {
@@ -97,9 +102,11 @@
 		return err
 	}
 	write := store.Write{Key: r.member.key(), Expect: expect, Value: r.member.encode(), Lease: lease.ID}
-	if _, err := r.store.CompareAndSwap(ctx, write); err != nil {
+	revision, err := r.store.CompareAndSwap(ctx, write)
+	if err != nil {
 		return err
 	}
+	r.registered.Store(int64(revision))
 	r.lease = lease.ID
 	r.generation.Add(1)
 	r.extend(asked)
--- a/internal/mover/harness_test.go
+++ b/internal/mover/harness_test.go
@@ -21,6 +21,7 @@
 	"auburnglade.example/glade/internal/hostrecord"
 	"auburnglade.example/glade/internal/invariant"
 	"auburnglade.example/glade/internal/keys"
+	"auburnglade.example/glade/internal/member"
 	"auburnglade.example/glade/internal/record"
 	"auburnglade.example/glade/internal/store"
 	"auburnglade.example/glade/internal/store/memstore"
@@ -46,11 +47,11 @@
 // controller can be ended, or made to believe that it holds.
 type controller struct {
 	stop    context.CancelFunc
-	holder  *holder.Holder
+	shard   holder.Shard
 	unaware atomic.Bool
 }
 
-func (c *controller) Held() bool { return c.unaware.Load() || c.holder.Held() }
+func (c *controller) Held() bool { return c.unaware.Load() || c.shard.Held() }
 
 func newBench(t *testing.T, hosts int) *bench {
 	b := &bench{t: t, store: memstore.New(), checker: invariant.New(zerolog.Nop(), nil)}
@@ -98,16 +99,17 @@
 
 func (b *bench) start() *controller {
 	b.started++
-	member := fmt.Sprintf("c%d", b.started)
+	name := fmt.Sprintf("c%d", b.started)
 	ctx, stop := context.WithCancel(context.Background())
 	b.t.Cleanup(stop)
-	c := &controller{stop: stop, holder: holder.New(b.store, "fleet", member, 3*time.Second, zerolog.Nop())}
 	f := feed.New(b.store, zerolog.Nop(), b.checker, nil)
+	registrar := member.NewRegistrar(b.store, member.Member{ID: name, Role: member.RoleController}, 3*time.Second, zerolog.Nop())
+	c := &controller{stop: stop, shard: holder.New(name, f, registrar).Shard("moves")}
 	m := New(Config{
-		Member: member, Store: b.store, Feed: f, Hosts: b.fleet, Pool: b.fleet, Confirmer: nobodyLags{},
+		Member: name, Store: b.store, Feed: f, Hosts: b.fleet, Pool: b.fleet, Confirmer: nobodyLags{},
 		Gate: budget.NewGate(b.store), Shard: c, Invariant: b.checker, Log: zerolog.Nop(),
 	})
-	for _, serve := range []func(context.Context) error{c.holder.Serve, f.Serve, m.Serve} {
+	for _, serve := range []func(context.Context) error{registrar.Serve, f.Serve, m.Serve} {
 		b.wait.Go(func() { _ = serve(ctx) })
 	}
 	return c
