Keep host record fields that this build doesn't know

Cause: a controller of an older build that changed a host's record wrote back only the fields it knew, and wiped out what a newer one had noted.

Change: the unknown fields are read, kept and written back.

Conclusion: old and new controllers can take turns at a record.

--- a/internal/hostrecord/hostrecord.go
+++ b/internal/hostrecord/hostrecord.go
@@ -6,6 +6,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"reflect"
+	"strings"
 	"time"
 )
 
@@ -73,6 +76,10 @@
 	Visits map[string]Visit `json:"visits,omitempty"`
 	// WriteID identifies the write that made this version.
 	WriteID string `json:"writeId,omitempty"`
+	// Unknown holds the fields that this build doesn't know. They are written
+	// back as they were: during an upgrade old and new controllers take turns
+	// at the same record, and an old one must not wipe out what a new one noted.
+	Unknown map[string]json.RawMessage `json:"-"`
 }
 
 // Visit is how one wave ended on one host.
@@ -110,9 +117,34 @@
 	if err := json.Unmarshal(value, &record); err != nil {
 		return Record{}, &DamagedError{Key: key, Cause: err}
 	}
+	record.Unknown = unknownFields(value)
 	return record, nil
 }
 
+func unknownFields(value []byte) map[string]json.RawMessage {
+	var fields map[string]json.RawMessage
+	if json.Unmarshal(value, &fields) != nil {
+		return nil
+	}
+	for name := range knownFields {
+		delete(fields, name)
+	}
+	if len(fields) == 0 {
+		return nil
+	}
+	return fields
+}
+
+// knownFields are the names of Record's own fields as stored.
+var knownFields = func() map[string]bool {
+	names := make(map[string]bool)
+	for field := range reflect.TypeFor[Record]().Fields() {
+		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+		names[name] = true
+	}
+	return names
+}()
+
 // Encode returns the stored form.
 func (r Record) Encode() []byte {
 	data, err := json.Marshal(r)
@@ -120,7 +152,25 @@
 		// A Record holds plain values and maps of them only.
 		panic(err)
 	}
-	return data
+	if len(r.Unknown) == 0 {
+		return data
+	}
+	return r.withUnknown(data)
+}
+
+func (r Record) withUnknown(data []byte) []byte {
+	fields := make(map[string]json.RawMessage)
+	if err := json.Unmarshal(data, &fields); err != nil {
+		// It was encoded a moment ago.
+		panic(err)
+	}
+	maps.Copy(fields, r.Unknown)
+	merged, err := json.Marshal(fields)
+	if err != nil {
+		// Both parts were read from valid JSON.
+		panic(err)
+	}
+	return merged
 }
 
 // TakesWork reports whether callers' requests and new tasks may go to the host.
