Let a gateway take part once it serves its own registration

Cause: a gateway could become ready with a configuration older than its registration. Hosts whose stop was confirmed by the members before it could still get its callers' requests.

Change: readiness waits until the revision of the gateway's own first registration is served; while the store is away it doesn't, as nothing is stopped then. A heartbeat that hangs is given up while there is time for another before the lease ends. A membership record that can't be read counts as one of the oldest schema.

Figures: 3 lease calls per TTL and member, no reads or writes (test, 100 TTLs). Tests: paused, replaced, isolated member, lost answer to the registration.

--- a/internal/daemon/shares.go
+++ b/internal/daemon/shares.go
@@ -31,5 +31,8 @@
 	}
 }
 
-// ready holds the balancer off until this gateway has shares of the endpoints.
-func (g *Gateway) ready() bool { return g.gateway.Ready() && g.shares.Ready() }
+// ready holds the balancer off until this gateway has shares of the endpoints,
+// and serves what was in force when it became a member.
+func (g *Gateway) ready() bool {
+	return g.gateway.Ready() && g.shares.Ready() && g.registrar.Joined(g.feed.Served())
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -9,6 +9,7 @@
 
 	"auburnglade.example/glade/internal/catalog"
 	"auburnglade.example/glade/internal/keys"
+	"auburnglade.example/glade/internal/record"
 	"auburnglade.example/glade/internal/store"
 )
 
@@ -80,10 +81,15 @@
 }
 
 // SupportedSchema returns the newest schema that every member understands;
-// own is this process's, for the time before anyone has registered.
+// own is this process's, for the time before anyone has registered. A member
+// whose record can't be read is taken to understand the oldest one only.
 func SupportedSchema(snapshot *catalog.Snapshot, own int) int {
 	supported := own
-	for _, m := range All(snapshot) {
+	for _, entry := range snapshot.Members {
+		m, err := Parse(entry)
+		if err != nil {
+			return record.MinSchema
+		}
 		supported = min(supported, m.MaxSchema)
 	}
 	return supported
--- a/internal/member/registrar.go
+++ b/internal/member/registrar.go
@@ -27,6 +27,10 @@
 	log    zerolog.Logger
 
 	lease store.LeaseID
+	// joined is the revision of the first record written.
+	joined atomic.Int64
+	// failing is set while the last heartbeat had no success.
+	failing atomic.Bool
 	// validUntil is when, on this process's monotonic clock, the lease has
 	// certainly not yet ended at the store.
 	validUntil atomic.Pointer[time.Time]
@@ -56,11 +60,28 @@
 // new lease, zero before the first time.
 func (r *Registrar) Registered() store.Revision { return store.Revision(r.registered.Load()) }
 
+// Joined reports whether a process that serves a revision may take part. Once
+// it has registered it must serve the configuration as of its registration:
+// whatever was decided before, such as to stop a host, was decided without its
+// confirmation. While the store is away nothing is decided, and a process takes
+// part unregistered. A later registration doesn't count: after an outage every
+// process makes one, and all would drop out together.
+func (r *Registrar) Joined(served store.Revision) bool {
+	if registered := store.Revision(r.joined.Load()); registered != 0 {
+		return served >= registered
+	}
+	return r.failing.Load()
+}
+
 // Serve registers and heartbeats until ctx ends, then withdraws the record.
-// A store outage never ends it: the record is written again afterwards.
+// A store outage never ends it: the record is written again afterwards. It
+// makes heartbeatsPerTTL lease calls per ttl, and a grant, a read and a write
+// for each registration.
 func (r *Registrar) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if err := r.beat(ctx); err != nil {
+		err := r.beatInTime(ctx)
+		r.failing.Store(err != nil)
+		if err != nil {
 			r.log.Warn().Err(err).Msg("Heartbeat failed.")
 			pause.For(ctx, pause.Jitter(retryPause))
 			continue
@@ -71,6 +92,14 @@
 	return ctx.Err()
 }
 
+// beatInTime gives up on a heartbeat that hangs while there is still time for
+// another before the lease ends.
+func (r *Registrar) beatInTime(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, r.ttl/heartbeatsPerTTL)
+	defer cancel()
+	return r.beat(ctx)
+}
+
 func (r *Registrar) beat(ctx context.Context) error {
 	asked := time.Now()
 	if r.lease == 0 {
@@ -107,6 +136,7 @@
 		return err
 	}
 	r.registered.Store(int64(revision))
+	r.joined.CompareAndSwap(0, int64(revision))
 	r.lease = lease.ID
 	r.generation.Add(1)
 	r.extend(asked)
--- /dev/null
+++ b/internal/member/registrar_test.go
@@ -0,0 +1,192 @@
+package member_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test/must"
+
+	"auburnglade.example/glade/internal/catalog"
+	"auburnglade.example/glade/internal/keys"
+	"auburnglade.example/glade/internal/member"
+	"auburnglade.example/glade/internal/store"
+	"auburnglade.example/glade/internal/store/memstore"
+)
+
+const ttl = 9 * time.Second
+
+var self = member.Member{ID: "gateway-1-x", Role: member.RoleGateway, Zone: "a", PeerAddress: "10.0.0.1:7200", MaxSchema: 2}
+
+// running starts a registrar over s and returns it with what ends it.
+func running(s store.Store, m member.Member) (*member.Registrar, func()) {
+	r := member.NewRegistrar(s, m, ttl, zerolog.Nop())
+	ctx, cancel := context.WithCancel(context.Background())
+	var wait sync.WaitGroup
+	wait.Go(func() { _ = r.Serve(ctx) })
+	return r, func() { cancel(); wait.Wait() }
+}
+
+func present(t *testing.T, s *memstore.Store, id string) bool {
+	t.Helper()
+	_, err := s.Get(t.Context(), keys.Member(id))
+	return err == nil
+}
+
+// pausedStore holds every renewal back while the process is paused, as the
+// calls of a stopped process are. A value in the channel is the pause.
+type pausedStore struct {
+	store.Store
+	paused chan struct{}
+}
+
+func newPausedStore(s store.Store) *pausedStore {
+	return &pausedStore{Store: s, paused: make(chan struct{}, 1)}
+}
+
+func (p *pausedStore) KeepAlive(ctx context.Context, id store.LeaseID) (store.Lease, error) {
+	p.paused <- struct{}{}
+	defer func() { <-p.paused }()
+	return p.Store.KeepAlive(context.WithoutCancel(ctx), id)
+}
+
+func (p *pausedStore) pause()  { p.paused <- struct{}{} }
+func (p *pausedStore) resume() { <-p.paused }
+
+// A member makes three lease calls per TTL and holds one lease, however long
+// it runs: the store's owner counts every call.
+func TestHeartbeatRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := memstore.New()
+		_, stop := running(s, self)
+		defer stop()
+		time.Sleep(time.Second)
+		before := s.Counts()
+		time.Sleep(100 * ttl)
+		after := s.Counts()
+		must.Between(t, 290, after.LeaseCalls-before.LeaseCalls, 310)
+		must.Eq(t, before.Writes, after.Writes)
+		must.Eq(t, before.Reads, after.Reads)
+	})
+}
+
+// The process is paused for longer than its lease. It must not take itself for
+// a member the moment it wakes, and its record must be gone by then; it is
+// back a heartbeat later.
+func TestPausedMemberLosesItsLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := memstore.New()
+		paused := newPausedStore(s)
+		r, stop := running(paused, self)
+		defer stop()
+		time.Sleep(time.Second)
+		must.True(t, r.Valid())
+		paused.pause()
+		time.Sleep(2 * ttl)
+		must.False(t, r.Valid())
+		must.False(t, present(t, s, self.ID))
+		paused.resume()
+		time.Sleep(ttl)
+		must.True(t, r.Valid())
+		must.True(t, present(t, s, self.ID))
+	})
+}
+
+// The store is away for longer than the lease. The member stops counting
+// itself in before the store drops its record, and writes it again afterwards.
+func TestOutageLongerThanTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := memstore.New()
+		r, stop := running(s, self)
+		defer stop()
+		time.Sleep(time.Second)
+		s.SetDown(true)
+		for range 200 {
+			time.Sleep(100 * time.Millisecond)
+			gone := len(s.Backup().Keys()) == 0
+			must.False(t, gone && r.Valid())
+		}
+		must.False(t, r.Valid())
+		s.SetDown(false)
+		time.Sleep(3 * time.Second)
+		must.True(t, r.Valid())
+		must.True(t, present(t, s, self.ID))
+	})
+}
+
+// The answer to the registration is lost after it took effect. The member
+// registers again under another lease, and the end of the first one doesn't
+// take the record with it.
+func TestLostAnswerToRegistration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := memstore.New()
+		s.LoseAnswers(1)
+		r, stop := running(s, self)
+		defer stop()
+		time.Sleep(3 * ttl)
+		must.True(t, r.Valid())
+		must.True(t, present(t, s, self.ID))
+	})
+}
+
+// A host is replaced: the new process has the settings of the old one, whose
+// record still stands. Both are members until the old lease ends, because the
+// old process may be alive and serving.
+func TestReplacedHostIsAnotherMember(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := memstore.New()
+		paused := newPausedStore(s)
+		_, stopOld := running(paused, self)
+		time.Sleep(time.Second)
+		paused.pause()
+		next := self
+		next.ID = "gateway-1-y"
+		_, stop := running(s, next)
+		defer stop()
+		time.Sleep(time.Second)
+		must.True(t, present(t, s, self.ID))
+		must.True(t, present(t, s, next.ID))
+		time.Sleep(ttl)
+		must.False(t, present(t, s, self.ID))
+		must.True(t, present(t, s, next.ID))
+		paused.resume()
+		stopOld()
+	})
+}
+
+// A process may take part once it serves the configuration of its own
+// registration; while the store is away, without one.
+func TestJoined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := memstore.New()
+		s.SetDown(true)
+		r, stop := running(s, self)
+		defer stop()
+		must.False(t, r.Joined(0))
+		time.Sleep(time.Second)
+		must.True(t, r.Joined(0))
+		s.SetDown(false)
+		time.Sleep(3 * time.Second)
+		must.False(t, r.Joined(0))
+		must.True(t, r.Joined(1))
+	})
+}
+
+// One member of the old build, or one whose record can't be read, keeps the
+// newer schema out until it has left.
+func TestSupportedSchema(t *testing.T) {
+	entry := func(id, value string, revision store.Revision) store.Entry {
+		return store.Entry{Key: keys.Member(id), Value: []byte(value), ModRevision: revision}
+	}
+	entries := []store.Entry{entry("a", `{"id":"a","maxSchema":2}`, 1), entry("b", `{"id":"b","maxSchema":1}`, 2), entry("c", `{`, 3)}
+	supported := func(entries ...store.Entry) int {
+		return member.SupportedSchema(catalog.FromListing(nil, store.Listing{Entries: entries, Revision: 3}), 2)
+	}
+	must.Eq(t, 2, supported())
+	must.Eq(t, 2, supported(entries[0]))
+	must.Eq(t, 1, supported(entries[0], entries[1]))
+	must.Eq(t, 1, supported(entries[0], entries[2]))
+}
