Take a store that never answers to be away

Cause: a call whose deadline passed was taken for a caller that stopped, so a stalled store never opened the breaker.

Change: only cancelled calls say nothing about the store.

--- a/internal/drainer/confirm.go
+++ b/internal/drainer/confirm.go
@@ -21,7 +21,7 @@
 	leaseMargin = 2 * time.Second
 	// askPause is the least time between two rounds of asking for the same
 	// revision, so that many askers don't become a storm.
-	askPause = 100 * time.Millisecond
+	askPause = 50 * time.Millisecond
 	// maxAsked bounds the gateways asked at once.
 	maxAsked = 16
 )
--- a/internal/storebudget/budget.go
+++ b/internal/storebudget/budget.go
@@ -8,6 +8,7 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
@@ -144,8 +145,9 @@
 	case isThrottled(err):
 		b.breaker.answered(probe)
 		b.bucket.slowDown()
-	case ctx.Err() != nil && isFailure(err):
-		// The caller gave up; that says nothing about the store.
+	case errors.Is(ctx.Err(), context.Canceled) && isFailure(err):
+		// The caller stopped; that says nothing about the store. A deadline
+		// that passed does: a store that never answers fails no other way.
 		b.breaker.unanswered(probe)
 	case isFailure(err):
 		b.breaker.failed(probe)
