--- /dev/null
+++ b/internal/measure/configspread/fleet.go
@@ -0,0 +1,243 @@
+package configspread
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"auburnglade.example/glade/internal/feed"
+	"auburnglade.example/glade/internal/hostrecord"
+	"auburnglade.example/glade/internal/invariant"
+	"auburnglade.example/glade/internal/keys"
+	"auburnglade.example/glade/internal/member"
+	"auburnglade.example/glade/internal/peer"
+	"auburnglade.example/glade/internal/record"
+	"auburnglade.example/glade/internal/relay"
+	"auburnglade.example/glade/internal/store"
+	"auburnglade.example/glade/internal/store/memstore"
+	"auburnglade.example/glade/internal/storebudget"
+)
+
+// fleet is whole members of one store in one process.
+type fleet struct {
+	ctx     context.Context
+	cancel  context.CancelFunc
+	store   *memstore.Store
+	zones   int
+	bytes   atomic.Int64
+	members []*node
+	peers   []string
+	wait    sync.WaitGroup
+	hold    int
+	policy  store.Revision
+}
+
+// node is one member.
+type node struct {
+	feed   *feed.Feed
+	server *http.Server
+}
+
+func newFleet(ctx context.Context, zones, hosts, pools int) (*fleet, error) {
+	f := &fleet{store: memstore.New(), zones: zones}
+	f.ctx, f.cancel = context.WithCancel(ctx)
+	for i := range pools {
+		envelope := record.New(fmt.Sprintf("pool-%d", i), &record.Pool{Size: 4})
+		if err := f.put(keys.Spec(envelope.ID()), encode(envelope)); err != nil {
+			return nil, err
+		}
+	}
+	for i := range hosts {
+		host := hostrecord.Record{Host: fmt.Sprintf("host-%04d", i), Pool: fmt.Sprintf("pool-%d", i%pools), Phase: hostrecord.Serving}
+		if err := f.put(keys.Host(host.Host), host.Encode()); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+func (f *fleet) put(key string, value []byte) error {
+	_, err := f.store.CompareAndSwap(f.ctx, store.Write{Key: key, Value: value})
+	return err
+}
+
+// start adds a member as a daemon would run it.
+func (f *fleet) start() (*node, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	index := len(f.members)
+	self := member.Member{
+		ID: fmt.Sprintf("gateway-%03d", index), Role: member.RoleGateway, Zone: fmt.Sprintf("zone-%d", index%f.zones),
+		PeerAddress: listener.Addr().String(), MaxSchema: record.MaxSchema,
+	}
+	n := &node{}
+	log := zerolog.Nop()
+	budget := storebudget.New(f.store, storebudget.Config{
+		Members: func() int { return len(n.feed.Snapshot().Members) }, Log: log,
+	})
+	n.feed = feed.New(budget, log, invariant.New(log, nil), nil)
+	server := peer.NewServer(self, n.feed)
+	client := peer.NewClient(peer.SpeakingFor(server))
+	spread := relay.New(relay.Config{Feed: n.feed, Server: server, Client: client, Addresses: f.addresses(), Log: log})
+	registrar := member.NewRegistrar(budget, self, 0, log)
+	_, handler := server.Handler()
+	n.server = &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
+	f.members = append(f.members, n)
+	f.peers = append(f.peers, self.PeerAddress)
+	f.wait.Go(func() { _ = n.server.Serve(&countingListener{Listener: listener, bytes: &f.bytes}) })
+	f.wait.Go(func() { _ = spread.Serve(f.ctx) })
+	f.wait.Go(func() { _ = registrar.Serve(f.ctx) })
+	return n, nil
+}
+
+// configured is how many peers each member's settings name.
+const configured = 9
+
+func (f *fleet) addresses() []string { return f.peers[:min(configured, len(f.peers))] }
+
+func encode(envelope record.Envelope) []byte {
+	data, err := json.Marshal(envelope)
+	if err != nil {
+		// An envelope always encodes.
+		panic(err)
+	}
+	return data
+}
+
+func (f *fleet) stop() {
+	f.cancel()
+	for _, n := range f.members {
+		_ = n.server.Close()
+	}
+	f.wait.Wait()
+}
+
+// change has one change accepted and returns the milliseconds until the last
+// member had it.
+func (f *fleet) change(ctx context.Context) (float64, error) {
+	f.hold++
+	envelope := record.New(record.PolicyName, &record.Policy{MoveHoldSeconds: f.hold})
+	revision, err := f.store.CompareAndSwap(ctx, store.Write{
+		Key: keys.Spec(envelope.ID()), Expect: f.policy, Value: encode(envelope),
+	})
+	if err != nil {
+		return 0, err
+	}
+	f.policy = revision
+	began := time.Now()
+	for _, n := range f.members {
+		if err := awaitRevision(ctx, n.feed, revision); err != nil {
+			return 0, err
+		}
+	}
+	return milliseconds(time.Since(began)), nil
+}
+
+// LateError says that a member never got a change.
+type LateError struct{ Revision, Has store.Revision }
+
+func (e *LateError) Error() string {
+	return fmt.Sprintf("a member is still at revision %d, wanted %d", e.Has, e.Revision)
+}
+
+func awaitRevision(ctx context.Context, f *feed.Feed, revision store.Revision) error {
+	ctx, cancel := context.WithTimeout(ctx, inForceTimeout)
+	defer cancel()
+	for {
+		snapshot, changed := f.Current()
+		if snapshot.Revision >= revision {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return &LateError{Revision: revision, Has: snapshot.Revision}
+		}
+	}
+}
+
+// calls returns every call that reached the store.
+func (f *fleet) calls() int64 {
+	c := f.store.Counts()
+	return c.Reads + c.Writes + c.LeaseCalls + c.WatchCalls + c.Refused
+}
+
+// observe returns what the fleet costs while run runs.
+func (f *fleet) observe(run func()) Cost {
+	bytes, calls, cpu, began := f.bytes.Load(), f.calls(), cpuTime(), time.Now()
+	counts := f.store.Counts()
+	run()
+	after := f.store.Counts()
+	seconds := time.Since(began).Seconds()
+	members := float64(len(f.members))
+	cost := Cost{
+		// Each byte is spent by the two members at its ends.
+		BytesPerMember: 2 * float64(f.bytes.Load()-bytes) / seconds / members,
+		StoreCalls:     float64(f.calls()-calls) / seconds,
+		LeaseCalls:     float64(after.LeaseCalls-counts.LeaseCalls) / seconds,
+		FollowCalls:    float64(after.Reads+after.WatchCalls-counts.Reads-counts.WatchCalls) / seconds,
+		CPUPerMember:   100 * (cpuTime() - cpu).Seconds() / seconds / members,
+	}
+	cost.StoreCallsPerMember = cost.StoreCalls / members
+	return cost
+}
+
+func cpuTime() time.Duration {
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func heapMB() float64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc) / (1 << 20)
+}
+
+// countingListener counts what goes through the connections it accepts.
+type countingListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+// Accept implements net.Listener.
+func (l *countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{Conn: conn, bytes: l.bytes}, nil
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
