Bound callers' connections, and tell refused callers when to come back

Cause: a caller could hold any number of connections, and every refusal said "in one second", also when the queue was many seconds long.

Change: httpserve takes limits: open connections in all and by client address, header time and size, idle time; the gateway's [callers] section sets them. A connection over a bound gets a whole "not run" answer at once instead of waiting unseen in the backlog. Retry-After of a request that wasn't admitted comes from the limiter's estimate; an unknown outcome carries none.

--- /dev/null
+++ b/internal/daemon/callers.go
@@ -0,0 +1,37 @@
+package daemon
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"auburnglade.example/glade/internal/httpserve"
+	"auburnglade.example/glade/internal/outcome"
+)
+
+// newCallerServer returns the server that callers reach, within the bounds of
+// the settings.
+func (g *Gateway) newCallerServer() *httpserve.Server {
+	refused := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "glade_callers_refused_connections_total",
+		Help: "Callers' connections refused at once, by the bound that they were over.",
+	}, []string{"bound"})
+	g.registry.MustRegister(refused)
+	s := g.settings.Callers
+	return httpserve.New("callers", g.settings.Listen.Callers, g.stoppingAware(), g.settings.Stop.Grace).
+		WithLimits(httpserve.Limits{
+			Connections: s.Connections, PerClient: s.PerCaller,
+			HeaderTimeout: s.HeaderTimeout, HeaderBytes: s.HeaderBytes, IdleTimeout: s.IdleTimeout,
+			Refusal:   connectionRefusal(),
+			OnRefused: func(bound httpserve.Bound) { refused.WithLabelValues(string(bound)).Inc() },
+		})
+}
+
+// connectionRefusal is a whole answer that says "not run": nothing of the
+// request has been read.
+func connectionRefusal() []byte {
+	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\n%s: %s\r\n%s: %s\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
+		outcome.StatusNotRun, http.StatusText(outcome.StatusNotRun),
+		outcome.Header, outcome.NotRun, outcome.ReasonHeader, outcome.Overloaded)
+}
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -8,7 +8,6 @@
 
 	"auburnglade.example/glade/internal/atmostonce"
 	"auburnglade.example/glade/internal/gateway"
-	"auburnglade.example/glade/internal/httpserve"
 	"auburnglade.example/glade/internal/invariant"
 	"auburnglade.example/glade/internal/member"
 	"auburnglade.example/glade/internal/pause"
@@ -66,7 +65,7 @@
 	defer stopRest()
 
 	front := g.newTree("callers")
-	front.Add("callers", httpserve.New("callers", g.settings.Listen.Callers, g.stoppingAware(), g.settings.Stop.Grace))
+	front.Add("callers", g.newCallerServer())
 	back := g.newTree("parts")
 	back.Add("gateway", g.gateway)
 	back.Add("once", g.once)
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"auburnglade.example/glade/internal/audit"
+	"auburnglade.example/glade/internal/httpserve"
 	"auburnglade.example/glade/internal/jobs"
 	"auburnglade.example/glade/internal/report"
 	"auburnglade.example/glade/internal/storebudget"
@@ -71,10 +72,27 @@
 	Admin   netip.AddrPort `ini:"admin" required:"true" help:"Address of /metrics, /healthz and /readyz."`
 }
 
+// CallerSettings bound what callers may hold of a gateway.
+type CallerSettings struct {
+	Connections   int           `ini:"max_connections" help:"Most open connections of all callers. 0 means no bound."`
+	PerCaller     int           `ini:"max_connections_per_caller" help:"Most open connections of one caller, by IP address. 0 means no bound; raise it when the balancer hides the callers' addresses."`
+	HeaderTimeout time.Duration `ini:"header_timeout" help:"How long a request's header may take to arrive."`
+	HeaderBytes   int           `ini:"max_header_bytes" help:"Largest header of a request, in bytes."`
+	IdleTimeout   time.Duration `ini:"idle_timeout" help:"How long a connection may carry no request."`
+}
+
+func defaultCallers() CallerSettings {
+	return CallerSettings{
+		Connections: 4096, PerCaller: 1024, HeaderTimeout: httpserve.DefaultHeaderTimeout,
+		HeaderBytes: httpserve.DefaultHeaderBytes, IdleTimeout: httpserve.DefaultIdleTimeout,
+	}
+}
+
 // GatewaySettings are the settings of glade-gateway.
 type GatewaySettings struct {
 	Process  ProcessSettings  `ini:"process"`
 	Listen   GatewayListen    `ini:"listen"`
+	Callers  CallerSettings   `ini:"callers"`
 	Platform PlatformSettings `ini:"platform"`
 	Store    StoreSettings    `ini:"store"`
 	Peers    PeerSettings     `ini:"peers"`
@@ -137,6 +155,7 @@
 		Process:  ProcessSettings{Region: "main"},
 		Store:    defaultStore(),
 		Platform: defaultPlatform(),
+		Callers:  defaultCallers(),
 		Stop:     defaultStop(),
 		Log:      LogSettings{Level: "info"},
 		Keys:     defaultKeys(),
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -56,6 +56,7 @@
 	for attempts := 1; ; attempts++ {
 		slot, err := g.acquire(x.r, x.service, x.tried)
 		if err != nil {
+			tellWhen(x.w.Header(), err)
 			g.fail(x.w, x.service.Name, x.sent, refusalReason(err))
 			return
 		}
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -7,8 +7,12 @@
 	"auburnglade.example/glade/internal/outcome"
 )
 
-// retryAfterSeconds is told to a caller whose request did not run.
-const retryAfterSeconds = 1
+const (
+	retryAfterHeader = "Retry-After"
+	// retryAfterSeconds is told to a caller whose request did not run, when
+	// nothing better is known.
+	retryAfterSeconds = 1
+)
 
 // fail tells the caller at once that its request has no answer: not run when
 // nothing was sent, unknown else.
@@ -17,6 +21,7 @@
 		g.refuse(w, service, reason)
 		return
 	}
+	w.Header().Del(retryAfterHeader)
 	g.metrics.requests.WithLabelValues(service, string(outcome.Unknown)).Inc()
 	w.Header().Set(outcome.Header, string(outcome.Unknown))
 	w.Header().Set(outcome.ReasonHeader, string(reason))
@@ -28,8 +33,11 @@
 	status, comeBack := outcome.StatusOf(reason)
 	w.Header().Set(outcome.Header, string(outcome.NotRun))
 	w.Header().Set(outcome.ReasonHeader, string(reason))
-	if comeBack {
-		w.Header().Set("Retry-After", strconv.Itoa(retryAfterSeconds))
+	switch {
+	case !comeBack:
+		w.Header().Del(retryAfterHeader)
+	case w.Header().Get(retryAfterHeader) == "":
+		w.Header().Set(retryAfterHeader, strconv.Itoa(retryAfterSeconds))
 	}
 	http.Error(w, "not run: the request did not start", status)
 }
--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"math"
 	"net"
 	"net/http"
+	"strconv"
 
 	"github.com/cockroachdb/errors"
 
@@ -49,6 +51,14 @@
 	return outcome.Overloaded
 }
 
+// tellWhen sets when a caller whose request was not admitted has a fair chance.
+func tellWhen(header http.Header, err error) {
+	var refused *limit.RefusedError
+	if errors.As(err, &refused) && refused.RetryAfter > 0 {
+		header.Set(retryAfterHeader, strconv.Itoa(int(math.Ceil(refused.RetryAfter.Seconds()))))
+	}
+}
+
 func callerOf(r *http.Request) string {
 	host, _, err := net.SplitHostPort(r.RemoteAddr)
 	if err != nil {
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -2,6 +2,7 @@
 package httpserve
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"fmt"
@@ -16,11 +17,11 @@
 	"github.com/rs/zerolog"
 )
 
-// Limits against slow and hostile clients.
+// Limits against slow and hostile clients, unless a server has its own.
 const (
-	readHeaderTimeout = 5 * time.Second
-	idleTimeout       = 60 * time.Second
-	maxHeaderBytes    = 64 << 10
+	DefaultHeaderTimeout = 5 * time.Second
+	DefaultIdleTimeout   = 60 * time.Second
+	DefaultHeaderBytes   = 64 << 10
 )
 
 // ListenError says that an address can't be listened on.
@@ -43,9 +44,10 @@
 	address netip.AddrPort
 	handler http.Handler
 	// grace is how long requests in flight may take once ctx has ended.
-	grace time.Duration
-	tls   *tls.Config
-	log   zerolog.Logger
+	grace  time.Duration
+	tls    *tls.Config
+	limits Limits
+	log    zerolog.Logger
 }
 
 // New returns a server that isn't listening yet.
@@ -80,6 +82,12 @@
 	return len(line), nil
 }
 
+// WithLimits bounds what clients may hold of the server. It returns the server.
+func (s *Server) WithLimits(limits Limits) *Server {
+	s.limits = limits
+	return s
+}
+
 // Serve listens until ctx ends, then lets requests in flight finish. It
 // returns *ListenError when it can't listen.
 func (s *Server) Serve(ctx context.Context) error {
@@ -89,13 +97,13 @@
 	}
 	server := &http.Server{
 		Handler:           s.handler,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+		ReadHeaderTimeout: cmp.Or(s.limits.HeaderTimeout, DefaultHeaderTimeout),
+		IdleTimeout:       cmp.Or(s.limits.IdleTimeout, DefaultIdleTimeout),
+		MaxHeaderBytes:    cmp.Or(s.limits.HeaderBytes, DefaultHeaderBytes),
 		ErrorLog:          log.New(&connectionLog{log: s.log, name: s.name}, "", 0),
 	}
 	ended := make(chan error, 1)
-	go func() { ended <- s.serve(server, listener) }()
+	go func() { ended <- s.serve(server, newLimitedListener(listener, s.limits)) }()
 	select {
 	case err := <-ended:
 		return err
