Take fewer steps per forwarded request, and measure the floor of net/http

Change: a replay by net/http's transport is stopped at its second connection, so that a GET needs no probing of an empty body (a goroutine and a timer each); request identities come from a counter under a random prefix; the choice reads endpoints' states in place; one look fewer at the balancer. NoWorkAfterLeaving is now asserted from the time of sending. The measurement has a third path, a bare second hop on net/http that only copies, and measures memory while the heap is small.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -88,13 +87,12 @@
 // CloseIdle closes connections that carry no request.
 func (t *Transport) CloseIdle() { t.http.CloseIdleConnections() }
 
-// Do sends request to endpoint once. The request's URL names path and query
-// only; its header and body are the transport's from now on. On success the
-// caller must close the answer's body. inform may be nil.
-func (t *Transport) Do(request *http.Request, endpoint Endpoint, inform Inform) (*http.Response, *Failure) {
-	watch := connWatch{gate: gateOf(request.Context())}
-	ctx := httptrace.WithClientTrace(request.Context(), watch.trace(inform))
-	outgoing := request.WithContext(ctx)
+// Do sends request to endpoint once, within ctx. The request's URL names path
+// and query only; its header and body are the transport's from now on. On
+// success the caller must close the answer's body. inform may be nil.
+func (t *Transport) Do(ctx context.Context, request *http.Request, endpoint Endpoint, inform Inform) (*http.Response, *Failure) {
+	watch := connWatch{gate: gateOf(ctx)}
+	outgoing := request.WithContext(httptrace.WithClientTrace(ctx, watch.trace(inform)))
 	outgoing.URL = &url.URL{
 		Scheme: "http", Host: endpoint.Address,
 		Path: request.URL.Path, RawPath: request.URL.RawPath,
@@ -118,22 +116,15 @@
 // itself. It does so on a dead kept-alive connection for requests it takes
 // for replayable: GET and the like without a body, and any request with an
 // idempotency key header whose body is empty or has GetBody. The symptom is a
-// licence offer issued twice. A body that is not nil, not http.NoBody and has
-// no GetBody is never replayable; methods that would then be framed as chunked
-// keep their empty body and carry the key under a name that the transport's
-// exact look-up doesn't find (header names are case-insensitive on the wire).
+// licence offer issued twice. A body without GetBody is never replayable, and
+// the key goes under a name that the transport's exact look-up doesn't find
+// (header names are case-insensitive on the wire). What is left, a GET without
+// a body, is stopped at its second connection: see connWatch.
 func forbidReplay(request *http.Request) {
 	request.GetBody = nil
 	hideHeader(request.Header, "Idempotency-Key", "idempotency-key")
 	hideHeader(request.Header, "X-Idempotency-Key", "x-idempotency-key")
-	if request.Body != nil && request.Body != http.NoBody {
-		return
-	}
-	switch request.Method {
-	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
-		request.Body = io.NopCloser(emptyBody{})
-		request.ContentLength = 0
-	default:
+	if request.Body == nil {
 		request.Body = http.NoBody
 	}
 }
@@ -145,10 +136,6 @@
 	}
 }
 
-type emptyBody struct{}
-
-func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
-
 // ReasonOf returns why an attempt under ctx ended: the caller's leaving and
 // the deadline come before otherwise.
 func ReasonOf(ctx context.Context, otherwise outcome.Reason) outcome.Reason {
--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -72,11 +72,11 @@
 			transport := NewTransport(nil, 1)
 			endpoint := Endpoint{Host: "host-001", Address: address}
 
-			response, failure := transport.Do(newRequest(t, c.method, c.header), endpoint, nil)
+			response, failure := transport.Do(t.Context(), newRequest(t, c.method, c.header), endpoint, nil)
 			must.Nil(t, failure)
 			must.NoError(t, response.Body.Close())
 
-			_, failure = transport.Do(newRequest(t, c.method, c.header), endpoint, nil)
+			_, failure = transport.Do(t.Context(), newRequest(t, c.method, c.header), endpoint, nil)
 			must.NotNil(t, failure)
 			must.True(t, failure.Sent)
 			must.EqOp(t, int64(2), read.Load())
@@ -109,7 +109,7 @@
 	address := listener.Addr().String()
 	must.NoError(t, listener.Close())
 
-	_, failure := NewTransport(nil, 1).Do(newRequest(t, http.MethodPost, ""), Endpoint{Address: address}, nil)
+	_, failure := NewTransport(nil, 1).Do(t.Context(), newRequest(t, http.MethodPost, ""), Endpoint{Address: address}, nil)
 	must.NotNil(t, failure)
 	must.False(t, failure.Sent)
 }
--- a/internal/attempt/watch.go
+++ b/internal/attempt/watch.go
@@ -31,7 +31,7 @@
 	gate func() bool
 	conn atomic.Pointer[sealedConn]
 	// again is set when the transport got a second connection after the first
-	// had been written to. With replay forbidden that can't be.
+	// had been written to: it is about to send the request once more.
 	again atomic.Bool
 	// own is set when the answer's first byte came after the request's.
 	own atomic.Bool
@@ -47,6 +47,9 @@
 	}
 }
 
+// gotConn is called for each connection before anything is written on it. One
+// for a replay is closed to writes there and then, so that only one connection
+// ever carries the request.
 func (w *connWatch) gotConn(info httptrace.GotConnInfo) {
 	conn, ok := info.Conn.(*sealedConn)
 	if !ok {
@@ -55,10 +58,16 @@
 	if previous := w.conn.Load(); previous != nil && previous.seal() {
 		w.again.Store(true)
 	}
-	conn.begin(w.gate)
+	gate := w.gate
+	if w.again.Load() {
+		gate = never
+	}
+	conn.begin(gate)
 	w.conn.Store(conn)
 }
 
+func never() bool { return false }
+
 func (w *connWatch) gotFirstByte() {
 	if conn := w.conn.Load(); conn != nil {
 		w.own.Store(conn.heardSinceWrite())
@@ -69,6 +78,8 @@
 func (w *connWatch) lost() outcome.Reason {
 	conn := w.conn.Load()
 	switch {
+	case w.again.Load():
+		return outcome.EndpointLost
 	case conn == nil:
 		return outcome.ConnectFailed
 	case conn.gateClosed():
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -112,8 +112,9 @@
 	defer g.mu.Unlock()
 	g.turn++
 	g.candidates = g.candidates[:0]
-	for _, e := range g.endpoints {
-		g.candidates = append(g.candidates, Candidate{Endpoint: e, State: *g.states[e.Address], Tried: tried[e.Host]})
+	for i := range g.endpoints {
+		e := &g.endpoints[i]
+		g.candidates = append(g.candidates, Candidate{Zone: e.Zone, State: g.states[e.Address], Tried: len(tried) > 0 && tried[e.Host]})
 	}
 	g.choices = Decide(View{Zone: b.zone, Now: b.now(), Turn: g.turn, Candidates: g.candidates}, g.choices)
 	ranked := make([]endpoint.Endpoint, len(g.choices))
@@ -144,9 +145,18 @@
 	b.with(e, func(now time.Duration, s *State) { s.end(now, reason) })
 }
 
-// Observe reports the time from sending a request to its answer's header.
-func (b *Balancer) Observe(e endpoint.Endpoint, latency time.Duration) {
-	b.with(e, func(now time.Duration, s *State) { s.observe(now, latency) })
+// Observe reports the time from sending a request to its answer's header. It
+// returns for how long the endpoint had been leaving when the request was sent,
+// zero when it wasn't.
+func (b *Balancer) Observe(e endpoint.Endpoint, latency time.Duration) (leaving time.Duration) {
+	b.with(e, func(now time.Duration, s *State) {
+		sent := now - latency
+		if s.LeavingAt(sent) != NotLeaving {
+			leaving = max(0, sent-s.LeavingSince)
+		}
+		s.observe(now, latency)
+	})
+	return leaving
 }
 
 // SaidLeaving reports that the endpoint itself says that it leaves.
--- a/internal/balance/decide.go
+++ b/internal/balance/decide.go
@@ -5,8 +5,6 @@
 	"math"
 	"slices"
 	"time"
-
-	"auburnglade.example/glade/internal/endpoint"
 )
 
 // Constants of the choice.
@@ -79,10 +77,10 @@
 	Ejected   Reason = "ejected"
 )
 
-// Candidate is one endpoint with its state.
+// Candidate is one endpoint with its state, which a decision only reads.
 type Candidate struct {
-	Endpoint endpoint.Endpoint
-	State    State
+	Zone  string
+	State *State
 	// Tried is true when this request has already failed there.
 	Tried bool
 }
@@ -160,13 +158,13 @@
 const ejectedScore = math.MaxFloat32
 
 func judge(view View, candidate *Candidate) Choice {
-	state := &candidate.State
+	state := candidate.State
 	if state.EjectedUntil > view.Now {
 		return Choice{Score: ejectedScore * (1 + state.EjectedUntil.Seconds()), Reason: Ejected}
 	}
 	choice := Choice{Reason: Healthy}
 	load := float64(state.InFlight + 1)
-	if candidate.Endpoint.Zone != view.Zone {
+	if candidate.Zone != view.Zone {
 		load += zonePenalty
 		choice.Reason = OtherZone
 	}
--- a/internal/balance/decide_test.go
+++ b/internal/balance/decide_test.go
@@ -7,28 +7,37 @@
 
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
-
-	"auburnglade.example/glade/internal/endpoint"
 )
 
 const now = time.Hour
 
+// named is a candidate with a name for the test's eyes.
+type named struct {
+	Candidate
+	name string
+}
+
 // candidate returns a healthy, warm endpoint.
-func candidate(host, zone string, change func(s *State)) Candidate {
-	c := Candidate{
-		Endpoint: endpoint.Endpoint{Service: "offers", Host: host, Zone: zone, Address: host + ":1", TakesWork: true},
-		State:    State{ReturnedAt: -1, Latency: 10 * time.Millisecond, SeenAt: now, ProgressAt: now},
-	}
+func candidate(name, zone string, change func(s *State)) named {
+	state := &State{ReturnedAt: -1, Latency: 10 * time.Millisecond, SeenAt: now, ProgressAt: now}
 	if change != nil {
-		change(&c.State)
+		change(state)
+	}
+	return named{Candidate{Zone: zone, State: state}, name}
+}
+
+func view(turn int, candidates ...named) View {
+	v := View{Zone: "a", Now: now, Turn: turn}
+	for _, c := range candidates {
+		v.Candidates = append(v.Candidates, c.Candidate)
 	}
-	return c
+	return v
 }
 
-func hosts(candidates ...Candidate) string {
+func hosts(candidates ...named) string {
 	var names string
-	for _, choice := range Decide(View{Zone: "a", Now: now, Candidates: candidates}, nil) {
-		names += candidates[choice.Index].Endpoint.Host
+	for _, choice := range Decide(view(0, candidates...), nil) {
+		names += candidates[choice.Index].name
 	}
 	return names
 }
@@ -38,22 +47,22 @@
 	out := func(until time.Duration) func(*State) { return func(s *State) { s.EjectedUntil = until } }
 	for name, c := range map[string]struct {
 		want       string
-		candidates []Candidate
+		candidates []named
 	}{
-		"least in flight first":           {"yx", []Candidate{candidate("x", "a", busy(2)), candidate("y", "a", busy(1))}},
-		"faster first":                    {"yx", []Candidate{candidate("x", "a", func(s *State) { s.Latency *= 3 }), candidate("y", "a", nil)}},
-		"own zone before an idle other":   {"yx", []Candidate{candidate("x", "b", nil), candidate("y", "a", busy(1))}},
-		"spills over when own zone works": {"xy", []Candidate{candidate("x", "b", nil), candidate("y", "a", busy(3))}},
-		"returned one starts slowly":      {"yx", []Candidate{candidate("x", "a", func(s *State) { s.ReturnedAt = now - time.Second }), candidate("y", "a", busy(4))}},
-		"returned one is full later":      {"xy", []Candidate{candidate("x", "a", func(s *State) { s.ReturnedAt = now - slowStart }), candidate("y", "a", busy(1))}},
-		"silent one last":                 {"yx", []Candidate{candidate("x", "a", func(s *State) { s.InFlight, s.ProgressAt = 1, now-5*time.Second }), candidate("y", "b", busy(8))}},
-		"ejected left out":                {"yz", []Candidate{candidate("x", "a", out(now+1)), candidate("y", "a", nil), candidate("z", "a", nil)}},
-		"ejected back when time is up":    {"xy", []Candidate{candidate("x", "a", out(now)), candidate("y", "a", nil)}},
-		"ejected last below the floor":    {"zyx", []Candidate{candidate("x", "a", out(now+9)), candidate("y", "a", out(now+1)), candidate("z", "a", nil)}},
-		"all ejected, soonest first":      {"yx", []Candidate{candidate("x", "a", out(now+9)), candidate("y", "a", out(now+1))}},
-		"leaving left out":                {"y", []Candidate{candidate("x", "a", func(s *State) { s.Leaving = Configured }), candidate("y", "a", busy(8))}},
-		"leaving left out even when last": {"", []Candidate{candidate("x", "a", func(s *State) { s.Leaving = Configured })}},
-		"own word ends":                   {"x", []Candidate{candidate("x", "a", func(s *State) { s.Leaving, s.WordUntil = OwnWord, now })}},
+		"least in flight first":           {"yx", []named{candidate("x", "a", busy(2)), candidate("y", "a", busy(1))}},
+		"faster first":                    {"yx", []named{candidate("x", "a", func(s *State) { s.Latency *= 3 }), candidate("y", "a", nil)}},
+		"own zone before an idle other":   {"yx", []named{candidate("x", "b", nil), candidate("y", "a", busy(1))}},
+		"spills over when own zone works": {"xy", []named{candidate("x", "b", nil), candidate("y", "a", busy(3))}},
+		"returned one starts slowly":      {"yx", []named{candidate("x", "a", func(s *State) { s.ReturnedAt = now - time.Second }), candidate("y", "a", busy(4))}},
+		"returned one is full later":      {"xy", []named{candidate("x", "a", func(s *State) { s.ReturnedAt = now - slowStart }), candidate("y", "a", busy(1))}},
+		"silent one last":                 {"yx", []named{candidate("x", "a", func(s *State) { s.InFlight, s.ProgressAt = 1, now-5*time.Second }), candidate("y", "b", busy(8))}},
+		"ejected left out":                {"yz", []named{candidate("x", "a", out(now+1)), candidate("y", "a", nil), candidate("z", "a", nil)}},
+		"ejected back when time is up":    {"xy", []named{candidate("x", "a", out(now)), candidate("y", "a", nil)}},
+		"ejected last below the floor":    {"zyx", []named{candidate("x", "a", out(now+9)), candidate("y", "a", out(now+1)), candidate("z", "a", nil)}},
+		"all ejected, soonest first":      {"yx", []named{candidate("x", "a", out(now+9)), candidate("y", "a", out(now+1))}},
+		"leaving left out":                {"y", []named{candidate("x", "a", func(s *State) { s.Leaving = Configured }), candidate("y", "a", busy(8))}},
+		"leaving left out even when last": {"", []named{candidate("x", "a", func(s *State) { s.Leaving = Configured })}},
+		"own word ends":                   {"x", []named{candidate("x", "a", func(s *State) { s.Leaving, s.WordUntil = OwnWord, now })}},
 	} {
 		must.EqOp(t, c.want, hosts(c.candidates...), must.Sprint(name))
 	}
@@ -69,10 +78,10 @@
 }
 
 func TestEqualEndpointsTakeTurns(t *testing.T) {
-	candidates := []Candidate{candidate("x", "a", nil), candidate("y", "a", nil), candidate("z", "a", nil)}
+	candidates := []named{candidate("x", "a", nil), candidate("y", "a", nil), candidate("z", "a", nil)}
 	first := make(map[int]int)
 	for turn := range 30 {
-		first[Decide(View{Zone: "a", Now: now, Turn: turn, Candidates: candidates}, nil)[0].Index]++
+		first[Decide(view(turn, candidates...), nil)[0].Index]++
 	}
 	must.MapEq(t, map[int]int{0: 10, 1: 10, 2: 10}, first)
 }
@@ -84,12 +93,12 @@
 		duration := rapid.Custom(func(t *rapid.T) time.Duration {
 			return time.Duration(rapid.Int64Range(0, int64(2*now)).Draw(t, "time"))
 		})
-		var candidates []Candidate
+		var candidates []named
 		serving := 0
 		for i := range rapid.IntRange(0, 40).Draw(t, "endpoints") {
 			c := candidate(fmt.Sprint("h", i), rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone"), nil)
 			c.Tried = rapid.Bool().Draw(t, "tried")
-			c.State = State{
+			c.State = &State{
 				InFlight: rapid.IntRange(0, 64).Draw(t, "in flight"), Latency: duration.Draw(t, "latency"),
 				SeenAt: min(now, duration.Draw(t, "seen")), ProgressAt: min(now, duration.Draw(t, "progress")),
 				EjectedUntil: duration.Draw(t, "ejected"), ReturnedAt: duration.Draw(t, "returned"),
@@ -102,7 +111,7 @@
 			candidates = append(candidates, c)
 		}
 		seen := make(map[int]bool)
-		for _, choice := range Decide(View{Zone: "a", Now: now, Candidates: candidates}, nil) {
+		for _, choice := range Decide(view(0, candidates...), nil) {
 			must.False(t, seen[choice.Index])
 			must.EqOp(t, NotLeaving, candidates[choice.Index].State.LeavingAt(now))
 			seen[choice.Index] = true
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -139,7 +139,7 @@
 	defer informer.end()
 	outgoing := x.outgoing(ctx)
 	began := time.Now()
-	response, failure := g.transport.Do(outgoing, target, informer.inform)
+	response, failure := g.transport.Do(ctx, outgoing, target, informer.inform)
 	if failure != nil {
 		x.explain(failure)
 		noteFailure(span, failure)
@@ -155,26 +155,25 @@
 	return response, nil
 }
 
-// leavingGrace is how long after the first word of its leaving an endpoint may
-// still get work: none does in fact, since each attempt asks right before.
-const leavingGrace = 3 * time.Second
-
 func (x *exchange) assertMaySend(picked endpoint.Endpoint) {
-	g := x.gateway
-	g.Invariant.Hold(invariant.SingleAttempt, x.idempotent || !x.sent, func() string {
+	x.gateway.Invariant.Hold(invariant.SingleAttempt, x.idempotent || !x.sent, func() string {
 		return "second attempt of non-idempotent request " + x.id + " on " + picked.Host
 	})
-	since, leaving := g.balancer.LeavingFor(picked)
-	g.Invariant.Hold(invariant.NoWorkAfterLeaving, !leaving || since < leavingGrace, func() string {
-		return "request " + x.id + " to " + picked.Host + ", leaving for " + since.String()
-	})
 }
 
-// observe tells the balancer what an answer says of its endpoint.
+// leavingGrace is how long after the first word of its leaving an endpoint may
+// still get work: none does in fact, since each attempt asks right before.
+const leavingGrace = 3 * time.Second
+
+// observe tells the balancer what an answer says of its endpoint, and asserts
+// that the endpoint wasn't leaving already when the request was sent.
 func (x *exchange) observe(picked endpoint.Endpoint, response *http.Response, latency time.Duration) {
 	g := x.gateway
 	g.metrics.attemptSeconds.WithLabelValues(x.service.Name).Observe(latency.Seconds())
-	g.balancer.Observe(picked, latency)
+	left := g.balancer.Observe(picked, latency)
+	g.Invariant.Hold(invariant.NoWorkAfterLeaving, left < leavingGrace, func() string {
+		return "request " + x.id + " was sent to " + picked.Host + ", which had been leaving for " + left.String()
+	})
 	if response.Header.Get(outcome.LeavingHeader) != "" {
 		g.balancer.SaidLeaving(picked)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 	"go.opentelemetry.io/otel"
@@ -73,6 +74,10 @@
 	limiter  *limit.Limiter
 	retries  retry.Budgets
 
+	// idPrefix and lastID make the identities of requests that bring none.
+	idPrefix string
+	lastID   atomic.Uint64
+
 	stopping atomic.Bool
 	inFlight atomic.Int64
 }
@@ -113,6 +118,7 @@
 		metrics:   newMetrics(config.Registry),
 		balancer:  balance.New(config.Zone),
 		limiter:   limiter,
+		idPrefix:  uuid.NewString() + "-",
 	}
 }
 
@@ -205,7 +211,7 @@
 	boundWriting(w, timeout)
 	ctx, span := g.startSpan(ctx, r, service.Name)
 	defer span.End()
-	ensureRequestID(r)
+	g.ensureRequestID(r)
 	g.serveOnce(w, r.WithContext(ctx), service)
 }
 
--- a/internal/gateway/incoming.go
+++ b/internal/gateway/incoming.go
@@ -7,8 +7,6 @@
 	"strings"
 	"time"
 
-	"github.com/google/uuid"
-
 	"auburnglade.example/glade/internal/endpoint"
 	"auburnglade.example/glade/internal/outcome"
 )
@@ -16,6 +14,7 @@
 const (
 	// maxIDLength bounds a caller's own request identity.
 	maxIDLength = 128
+	idBase      = 36
 	// writeSlack is how long past its deadline a request's answer may still be
 	// written, so that a refusal at the deadline gets through.
 	writeSlack = 2 * time.Second
@@ -62,11 +61,14 @@
 }
 
 // ensureRequestID gives the request an identity unless it brings a usable one.
-func ensureRequestID(r *http.Request) {
+// The prefix is random for each start of a process, so that no two processes
+// ever give the same.
+func (g *Gateway) ensureRequestID(r *http.Request) {
 	if id := r.Header.Get(outcome.RequestIDHeader); id != "" && len(id) <= maxIDLength && isPlain(id) {
 		return
 	}
-	r.Header.Set(outcome.RequestIDHeader, uuid.NewString())
+	id := g.idPrefix + strconv.FormatUint(g.lastID.Add(1), idBase)
+	r.Header[outcome.RequestIDHeader] = []string{id}
 }
 
 func isPlain(text string) bool {
--- a/internal/gateway/outgoing.go
+++ b/internal/gateway/outgoing.go
@@ -28,7 +28,7 @@
 	userAgentHeader = "User-Agent"
 )
 
-// outgoing builds the request of one attempt.
+// outgoing builds the request of one attempt, to be sent within ctx.
 func (x *exchange) outgoing(ctx context.Context) *http.Request {
 	incoming := x.r
 	out := &http.Request{
@@ -41,7 +41,7 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		out.Header[outcome.DeadlineHeader] = []string{strconv.FormatInt(time.Until(deadline).Milliseconds(), 10)}
 	}
-	return out.WithContext(ctx)
+	return out
 }
 
 func outgoingHeader(incoming *http.Request) http.Header {
--- a/internal/measure/gatewaycost/bench.go
+++ b/internal/measure/gatewaycost/bench.go
@@ -2,9 +2,11 @@
 
 import (
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
@@ -26,6 +28,7 @@
 type bench struct {
 	endpoints []string
 	gateway   string
+	plain     string
 	servers   []*http.Server
 }
 
@@ -50,10 +53,38 @@
 	})
 	g.Install(map[string]endpoint.Service{service.Name: service})
 	var err error
-	b.gateway, err = b.serve(g)
+	if b.gateway, err = b.serve(g); err != nil {
+		b.close()
+		return nil, err
+	}
+	b.plain, err = b.serve(plainHop(b.endpoints))
 	return b, err
 }
 
+// plainHop passes requests on in turn and nothing else.
+func plainHop(endpoints []string) http.Handler {
+	transport := &http.Transport{MaxIdleConnsPerHost: plainIdle, DisableCompression: true}
+	var turn atomic.Uint64
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		address := endpoints[turn.Add(1)%uint64(len(endpoints))]
+		out := r.Clone(r.Context())
+		out.URL.Scheme, out.URL.Host, out.RequestURI = "http", address, ""
+		response, err := transport.RoundTrip(out)
+		if err != nil {
+			w.WriteHeader(http.StatusBadGateway)
+			return
+		}
+		defer response.Body.Close()
+		maps.Copy(w.Header(), response.Header)
+		w.WriteHeader(response.StatusCode)
+		// A caller that breaks off is counted on its own side.
+		_, _ = io.Copy(w, response.Body)
+	})
+}
+
+// plainIdle keeps the plain hop from opening connections under load.
+const plainIdle = 64
+
 func (b *bench) serve(handler http.Handler) (address string, err error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/measure/gatewaycost/cmd.go
+++ b/internal/measure/gatewaycost/cmd.go
@@ -39,13 +39,18 @@
 
 // Level is one number of callers. Latencies are in microseconds.
 type Level struct {
-	Callers         int     `json:"callers"`
-	Direct          Path    `json:"direct"`
-	Gateway         Path    `json:"gateway"`
+	Callers int  `json:"callers"`
+	Direct  Path `json:"direct"`
+	Gateway Path `json:"gateway"`
+	// Plain is a bare second hop on net/http, without routing, limits, choice
+	// or outcomes: the least that any gateway built on it costs.
+	Plain           Path    `json:"plain"`
 	RatioThroughput float64 `json:"ratio_throughput"`
 	RatioCPU        float64 `json:"ratio_cpu"`
-	AddedP50Us      float64 `json:"added_p50_us"`
-	AddedP99Us      float64 `json:"added_p99_us"`
+	// RatioPlain is the plain hop's throughput over the direct path's.
+	RatioPlain float64 `json:"ratio_plain"`
+	AddedP50Us float64 `json:"added_p50_us"`
+	AddedP99Us float64 `json:"added_p99_us"`
 	// AddedCPUUs and AddedAllocations are per request, gateway less direct.
 	AddedCPUUs       float64 `json:"added_cpu_us"`
 	AddedAllocations float64 `json:"added_allocations"`
@@ -81,6 +86,10 @@
 	}
 	defer bench.close()
 	r := Result{Endpoints: c.Endpoints, BodyBytes: c.BodyBytes, RatioThroughput: 1}
+	// First, while the heap is small: later what the levels leave would hide it.
+	if r.MemoryPerConnectionBytes, err = memoryPerConnection(bench, c.Idle); err != nil {
+		return err
+	}
 	stopProfile, err := startProfile(c.Profile)
 	if err != nil {
 		return err
@@ -98,9 +107,6 @@
 	if r.Sizes, err = sizes(bench); err != nil {
 		return err
 	}
-	if r.MemoryPerConnectionBytes, err = memoryPerConnection(bench, c.Idle); err != nil {
-		return err
-	}
 	*result = r
 	return nil
 }
@@ -127,9 +133,11 @@
 	defer direct.close()
 	through := newLoad(callers, []string{bench.gateway}, answerPath(c.BodyBytes), 0)
 	defer through.close()
+	plain := newLoad(callers, []string{bench.plain}, answerPath(c.BodyBytes), 0)
+	defer plain.close()
 	// The first round opens connections and isn't counted.
 	for round := range c.Rounds + 1 {
-		for _, load := range []*load{direct, through} {
+		for _, load := range []*load{direct, through, plain} {
 			if err := load.run(c.Round); err != nil {
 				return Level{}, err
 			}
@@ -138,13 +146,14 @@
 			}
 		}
 	}
-	return compare(callers, direct.path(), through.path()), nil
+	return compare(callers, direct.path(), through.path(), plain.path()), nil
 }
 
-func compare(callers int, direct, through Path) Level {
+func compare(callers int, direct, through, plain Path) Level {
 	return Level{
-		Callers: callers, Direct: direct, Gateway: through,
+		Callers: callers, Direct: direct, Gateway: through, Plain: plain,
 		RatioThroughput:  through.PerSecond / direct.PerSecond,
+		RatioPlain:       plain.PerSecond / direct.PerSecond,
 		RatioCPU:         through.CPUUs / direct.CPUUs,
 		AddedP50Us:       through.P50Us - direct.P50Us,
 		AddedP99Us:       through.P99Us - direct.P99Us,
