--- a/internal/feed/storefollow.go
+++ b/internal/feed/storefollow.go
@@ -109,6 +109,14 @@
 	return &WentBackError{Store: at, InForce: inForce}
 }
 
+// StoreWentBack reports whether the store was last seen behind the
+// configuration in force.
+func (f *Feed) StoreWentBack() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.wentBack
+}
+
 func (f *Feed) reportForward() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,122 @@
+package peer_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test/must"
+
+	"auburnglade.example/glade/internal/catalog"
+	"auburnglade.example/glade/internal/feed"
+	"auburnglade.example/glade/internal/invariant"
+	"auburnglade.example/glade/internal/keys"
+	"auburnglade.example/glade/internal/member"
+	"auburnglade.example/glade/internal/peer"
+	"auburnglade.example/glade/internal/peer/peerpb"
+	"auburnglade.example/glade/internal/store"
+)
+
+func newServer(id string) (*peer.Server, *feed.Feed) {
+	f := feed.New(nil, zerolog.Nop(), invariant.New(zerolog.Nop(), nil), nil)
+	return peer.NewServer(member.Member{ID: id, PeerAddress: id}, f), f
+}
+
+// listing has hosts with records of the given size.
+func listing(revision store.Revision, hosts, bytes int) store.Listing {
+	list := store.Listing{Revision: revision}
+	for i := range hosts {
+		name := fmt.Sprintf("host-%d", i)
+		value, _ := json.Marshal(map[string]string{"host": name, "phase": "serving", "wave": strings.Repeat("w", bytes)})
+		list.Entries = append(list.Entries, store.Entry{Key: keys.Host(name), Value: value, ModRevision: revision})
+	}
+	return list
+}
+
+// A configuration of 6 MB goes over in several answers, each of bounded size,
+// over real HTTP. Without pages the answer would be cut by the reader's bound.
+func TestWholeSnapshotInPages(t *testing.T) {
+	server, source := newServer("a")
+	source.Install(catalog.FromListing(nil, listing(7, 12, 500<<10)))
+	prefix, handler := server.Handler()
+	web := httptest.NewServer(handler)
+	defer web.Close()
+	must.StrHasPrefix(t, "/twirp", prefix)
+	news, err := peer.NewClient().Fetch(t.Context(), web.Listener.Addr().String(), 0, 0)
+	must.NoError(t, err)
+	_, target := newServer("b")
+	must.NoError(t, target.Patch(news.Delta))
+	must.Eq(t, source.Snapshot().Digest, target.Snapshot().Digest)
+}
+
+// movingPeer puts a newer snapshot in force after the first page.
+type movingPeer struct {
+	*peer.Server
+	move func()
+}
+
+func (m movingPeer) Fetch(ctx context.Context, r *peerpb.FetchRequest) (*peerpb.FetchResponse, error) {
+	response, err := m.Server.Fetch(ctx, r)
+	m.move()
+	return response, err
+}
+
+// The configuration changes while somebody is paging through it, more often
+// than old snapshots are kept. The pages of one answer belong together all the
+// same; two halves of different revisions would be a configuration that never
+// was.
+func TestPagesBelongTogether(t *testing.T) {
+	server, source := newServer("a")
+	revision := store.Revision(7)
+	source.Install(catalog.FromListing(nil, listing(revision, 12, 200<<10)))
+	moving := movingPeer{server, func() {
+		// Five other askers push out what was kept for this one.
+		for range 5 {
+			if revision < 12 {
+				revision++
+				source.Install(catalog.FromListing(nil, listing(revision, 12, 200<<10)))
+				_, _ = server.Fetch(t.Context(), &peerpb.FetchRequest{})
+			}
+		}
+	}}
+	client := peer.NewClient(peer.WithDial(func(string) peerpb.Peer { return moving }))
+	news, err := client.Fetch(t.Context(), "a", 0, 0)
+	must.NoError(t, err)
+	_, target := newServer("b")
+	must.NoError(t, target.Patch(news.Delta))
+}
+
+// A process that is behind finds out from any message, and one that holds the
+// same contents at a lower revision moves on without fetching.
+func TestAnyMessageTellsWhoIsBehind(t *testing.T) {
+	ahead, source := newServer("a")
+	source.Install(catalog.FromListing(nil, listing(7, 3, 10)))
+	server, f := newServer("b")
+	var asked []string
+	server.OnAhead(func(address string) { asked = append(asked, address) })
+	server.Hear(ahead.Presence())
+	must.Eq(t, []string{"a"}, asked)
+	must.Eq(t, 7, f.Seen())
+	f.Install(source.Snapshot())
+	source.Install(source.Snapshot().Apply(store.WatchBatch{Revision: 9}))
+	server.Hear(ahead.Presence())
+	must.Eq(t, []string{"a"}, asked)
+	must.Eq(t, 9, f.Snapshot().Revision)
+}
+
+// What one process has heard others serve is passed on, so that a controller
+// asks a few relays instead of every gateway.
+func TestConfirmedSecondHand(t *testing.T) {
+	server, f := newServer("relay")
+	f.Install(catalog.FromListing(nil, listing(7, 3, 10)))
+	server.Hear(&peerpb.Presence{Member: "g1", ServedRevision: 7})
+	server.Hear(&peerpb.Presence{Member: "g2", ServedRevision: 6})
+	server.Hear(&peerpb.Presence{Member: "g1", ServedRevision: 5})
+	answer, err := server.Confirmed(t.Context(), &peerpb.ConfirmedRequest{Revision: 7})
+	must.NoError(t, err)
+	must.SliceContainsAll(t, []string{"relay", "g1"}, answer.Members)
+}
