--- a/internal/drainer/apply.go
+++ b/internal/drainer/apply.go
@@ -207,18 +207,24 @@
 	if known && state.LastOperation == item.Operation {
 		return nil
 	}
-	err := d.Pool.Reboot(ctx, item.Host, item.Operation)
-	if !errors.HasType(err, (*fleet.StaleOperationError)(nil)) {
-		return err
+	if !again && d.drainedUnder(item) {
+		return d.Pool.Reboot(ctx, item.Host, item.Operation)
 	}
-	// The platform was never told of the drain, or lost it with a restart of
-	// its own.
+	// The platform may not know of the drain: the host couldn't be reached
+	// before its deadline, or another controller asked, or a restart of the
+	// platform lost it. A reboot is only taken after its drain.
 	if err := d.Pool.Drain(ctx, item.Host, item.Operation); err != nil {
 		return err
 	}
 	return d.Pool.Reboot(ctx, item.Host, item.Operation)
 }
 
+func (d *Drainer) drainedUnder(item catalog.HostItem) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.memoryOf(item.Host).drained == item.Operation
+}
+
 // putBack writes the host back to work before it gives the grants back: in
 // between the budget is only the more cautious.
 func (d *Drainer) putBack(ctx context.Context, o *observed, waveName string, step wave.Step, item catalog.HostItem) error {
--- a/internal/drainer/controller_test.go
+++ b/internal/drainer/controller_test.go
@@ -28,9 +28,10 @@
 	follower := feed.New(c.stall, testLog(), c.checker, nil)
 	self := member.Member{ID: c.id, Role: member.RoleController}
 	registrar := member.NewRegistrar(c.stall, self, holdTTL, testLog())
+	c.shards = holder.New(c.id, follower, registrar)
 	c.drainer = drainer.New(drainer.Config{
 		Member: c.id, Store: c.stall, Status: c, Feed: follower, Hosts: c.stall, Pool: c.stall, Confirmer: w,
-		Shards: holder.New(c.id, follower, registrar), Gate: budget.NewGate(c.stall), Invariant: c.checker, Log: testLog(), Interval: time.Second,
+		Shards: c.shards, Gate: budget.NewGate(c.stall), Invariant: c.checker, Log: testLog(), Interval: time.Second,
 	})
 	c.ended.Go(func() { _ = follower.Serve(ctx) })
 	c.ended.Go(func() { _ = registrar.Serve(ctx) })
--- a/internal/drainer/soak_test.go
+++ b/internal/drainer/soak_test.go
@@ -43,7 +43,10 @@
 
 func soak(t *testing.T, seed uint64) {
 	ctx, cancel := context.WithCancel(t.Context())
-	w := newWorld(t, ctx, seed, 2+int(seed%3), fakefleet.Options{ListLag: listLag, RebootTime: rebootTime})
+	w := newWorld(t, ctx, seed, 2+int(seed%3), fakefleet.Options{
+		ListLag: listLag, RebootTime: rebootTime, Forgetful: seed%4 == 0,
+	})
+	defer w.end(cancel)
 	s := &soaker{world: w, dead: make(map[string]bool), waves: make(map[string]*record.Wave)}
 	s.newWave()
 	for range soakSteps {
@@ -58,11 +61,6 @@
 	w.judge(t)
 	w.judgeEnd(t, s.dead)
 	s.judgeWaves(t)
-	cancel()
-	synctest.Wait()
-	for _, c := range w.controllers {
-		c.ended.Wait()
-	}
 }
 
 // soaker plays the operators and the bad luck.
--- a/internal/drainer/stall_test.go
+++ b/internal/drainer/stall_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"auburnglade.example/glade/internal/fleet"
@@ -24,6 +25,8 @@
 	until time.Time
 	// before, when set, is called with each call's name before it is made.
 	before func(call string)
+	// blind makes every question for a host's condition fail.
+	blind atomic.Bool
 }
 
 func (s *stall) pause(d time.Duration) {
@@ -95,24 +98,32 @@
 
 func (s *stall) Condition(ctx context.Context, host string) (fleet.HostCondition, error) {
 	s.wait("condition")
+	if s.blind.Load() {
+		return fleet.HostCondition{}, &fleet.UnreachableError{Op: "condition", Host: host}
+	}
 	return s.PoolHosts.Condition(ctx, host)
 }
 
-// late keeps a call alive although its caller has given up: what is on the
-// wire can't be called back.
-func late(ctx context.Context) context.Context { return context.WithoutCancel(ctx) }
+// act makes an act on the platform however late, and although its caller has
+// given up: what is on the wire can't be called back. Only a platform that
+// doesn't refuse acts of ended operations gets them within fleet.MaxActDelay.
+func (s *stall) act(ctx context.Context, verb, host, operation string, act func(context.Context, string, string) error) error {
+	began := time.Now()
+	s.wait(verb + " " + host)
+	if s.world.boundedDelay && time.Since(began) > fleet.MaxActDelay {
+		return &fleet.UnreachableError{Op: verb, Host: host, Sent: true}
+	}
+	return act(context.WithoutCancel(ctx), host, operation)
+}
 
 func (s *stall) Drain(ctx context.Context, host, operation string) error {
-	s.wait("drain " + host)
-	return s.PoolHosts.Drain(late(ctx), host, operation)
+	return s.act(ctx, "drain", host, operation, s.PoolHosts.Drain)
 }
 
 func (s *stall) Undrain(ctx context.Context, host, operation string) error {
-	s.wait("undrain " + host)
-	return s.PoolHosts.Undrain(late(ctx), host, operation)
+	return s.act(ctx, "undrain", host, operation, s.PoolHosts.Undrain)
 }
 
 func (s *stall) Reboot(ctx context.Context, host, operation string) error {
-	s.wait("reboot " + host)
-	return s.PoolHosts.Reboot(late(ctx), host, operation)
+	return s.act(ctx, "reboot", host, operation, s.PoolHosts.Reboot)
 }
--- a/internal/drainer/world_test.go
+++ b/internal/drainer/world_test.go
@@ -20,6 +20,7 @@
 	"auburnglade.example/glade/internal/feed"
 	"auburnglade.example/glade/internal/fleet"
 	"auburnglade.example/glade/internal/fleet/fakefleet"
+	"auburnglade.example/glade/internal/holder"
 	"auburnglade.example/glade/internal/hostrecord"
 	"auburnglade.example/glade/internal/invariant"
 	"auburnglade.example/glade/internal/keys"
@@ -54,9 +55,11 @@
 	mu          sync.Mutex
 	controllers []*controller
 	started     int
-	serving     map[string]bool
-	floors      map[string][]floor
-	faults      []string
+	// boundedDelay has acts that are later than fleet.MaxActDelay dropped.
+	boundedDelay bool
+	serving      map[string]bool
+	floors       map[string][]floor
+	faults       []string
 }
 
 // floor is a budget's demand from a moment on.
@@ -68,6 +71,7 @@
 type controller struct {
 	id      string
 	stall   *stall
+	shards  *holder.Holder
 	drainer *drainer.Drainer
 	checker *invariant.Checker
 	stop    context.CancelFunc
@@ -82,6 +86,7 @@
 		serving: make(map[string]bool), floors: make(map[string][]floor),
 	}
 	options.InFlight = w.inFlight
+	w.boundedDelay = options.Forgetful
 	w.fleet = fakefleet.New(worldHosts(), options)
 	w.put(record.KindService, "a", &record.Service{PathPrefix: "/a/", Port: 8001})
 	w.put(record.KindService, "b", &record.Service{PathPrefix: "/b/", Port: 8002})
@@ -223,9 +228,14 @@
 func (w *world) audit() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	records := w.records()
+	records, ledgers := w.records(), w.ledgers()
 	down := w.downSince()
 	for host, r := range records {
+		for _, service := range r.Granted {
+			if ledgers[service].Grants[host].Operation != r.Operation {
+				w.fault("%s is %s under %s without a grant of %s", host, r.Phase, r.Operation, service)
+			}
+		}
 		takenOut := w.serving[host] && !r.TakesWork()
 		w.serving[host] = r.TakesWork()
 		if !takenOut {
@@ -343,4 +353,24 @@
 	}
 }
 
+// end stops every controller and waits for it.
+func (w *world) end(cancel context.CancelFunc) {
+	cancel()
+	for _, c := range w.controllers {
+		c.ended.Wait()
+	}
+}
+
+// holderOf returns the controller that holds a wave, or nil.
+func (w *world) holderOf(waveName string) *controller {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, c := range w.controllers {
+		if c.shards.Holds("wave/" + waveName) {
+			return c
+		}
+	}
+	return nil
+}
+
 func testLog() zerolog.Logger { return zerolog.New(io.Discard) }
--- a/internal/member/registrar.go
+++ b/internal/member/registrar.go
@@ -108,6 +108,7 @@
 	_, err := r.store.KeepAlive(ctx, r.lease)
 	if store.IsLeaseExpired(err) {
 		r.lease = 0
+		r.validUntil.Store(nil)
 		return r.register(ctx, asked)
 	}
 	if err == nil {
@@ -150,7 +151,10 @@
 	r.validUntil.Store(&until)
 }
 
+// withdraw ends the lease here before it ends it at the store: from then on
+// others act.
 func (r *Registrar) withdraw() {
+	r.validUntil.Store(nil)
 	if r.lease == 0 {
 		return
 	}
