Serve callers over TLS too, and explain jobs from their pool's tasks

Cause: callers' interface stayed plain HTTP without the settings saying so. explain and status knew jobs' records only, and nothing of the tasks on a host.

Explaining a job or a host reads the state of one pool, and says what is placed where, what waits or is parked and why; status of a job comes from there too.

--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -6,12 +6,13 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"auburnglade.example/glade/internal/auth"
 	"auburnglade.example/glade/internal/httpserve"
 	"auburnglade.example/glade/internal/outcome"
 )
 
 // newCallerServer returns the server that callers reach, within the bounds of
-// the settings.
+// the settings. It speaks TLS unless they say that the balancer does.
 func (g *Gateway) newCallerServer() *httpserve.Server {
 	refused := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "glade_callers_refused_connections_total",
@@ -19,13 +20,17 @@
 	}, []string{"bound"})
 	g.registry.MustRegister(refused)
 	s := g.settings.Callers
-	return httpserve.New("callers", g.settings.Listen.Callers, g.stoppingAware(), g.settings.Stop.Grace).
+	server := httpserve.New("callers", g.settings.Listen.Callers, g.stoppingAware(), g.settings.Stop.Grace).
 		WithLimits(httpserve.Limits{
 			Connections: s.Connections, PerClient: s.PerCaller,
 			HeaderTimeout: s.HeaderTimeout, HeaderBytes: s.HeaderBytes, IdleTimeout: s.IdleTimeout,
 			Refusal:   connectionRefusal(),
 			OnRefused: func(bound httpserve.Bound) { refused.WithLabelValues(string(bound)).Inc() },
 		})
+	if g.settings.Listen.CallersHTTP {
+		return server
+	}
+	return g.trust.secure(server, auth.NoClients)
 }
 
 // connectionRefusal is a whole answer that says "not run": nothing of the
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -68,8 +68,10 @@
 // GatewayListen are the addresses of a gateway.
 type GatewayListen struct {
 	Callers netip.AddrPort `ini:"callers" required:"true" help:"Address that callers reach, IP number and port."`
-	Peers   netip.AddrPort `ini:"peers" required:"true" help:"Address that other processes reach."`
-	Admin   netip.AddrPort `ini:"admin" required:"true" help:"Address of /metrics, /healthz and /readyz."`
+	// CallersHTTP is for a balancer that ends TLS itself.
+	CallersHTTP bool           `ini:"callers_http" help:"Serve callers over plain HTTP, behind a balancer that ends TLS."`
+	Peers       netip.AddrPort `ini:"peers" required:"true" help:"Address that other processes reach."`
+	Admin       netip.AddrPort `ini:"admin" required:"true" help:"Address of /metrics, /healthz and /readyz."`
 }
 
 // CallerSettings bound what callers may hold of a gateway.
--- a/internal/devrun/devrun.go
+++ b/internal/devrun/devrun.go
@@ -222,7 +222,7 @@
 		return err
 	}
 	r.Balancer = standin.NewBalancer(targets)
-	r.Balancer.ProbeTLS(r.keys.probe())
+	r.Balancer.SpeakTLS(r.keys.probe())
 	go func() {
 		// Ends with ctx.
 		_ = r.Balancer.Serve(ctx)
--- a/internal/devrun/guide.go
+++ b/internal/devrun/guide.go
@@ -18,8 +18,8 @@
   gladectl apply --wait examples/%[1]s/wave.json    start a maintenance wave
   gladectl wait --wave december-kernel              wait for its end
   gladectl explain Host host-001                    why a host is where it is
-  curl -i "http://%[5]s%[6]s?token=hello"           call an endpoint yourself
+  curl -i %[7]s%[5]s%[6]s?token=hello"           call an endpoint yourself
 
 Interrupt with Ctrl-C: everything stops as planned.
-`, r.Options.Deployment, r.Options.Gateways, r.Options.Controllers, r.keys.exports(r.OperatorAddress()), r.CallerAddress(), r.Callers().Idempotent[0])
+`, r.Options.Deployment, r.Options.Gateways, r.Options.Controllers, r.keys.exports(r.OperatorAddress()), r.CallerAddress(), r.Callers().Idempotent[0], r.keys.curl())
 }
--- a/internal/devrun/keys.go
+++ b/internal/devrun/keys.go
@@ -113,6 +113,14 @@
 	}
 }
 
+// curl returns how a caller's address begins for curl.
+func (k *keyStore) curl() string {
+	if k == nil {
+		return `"http://`
+	}
+	return "--cacert " + k.path(caFile) + ` "https://`
+}
+
 // exports returns the lines that point gladectl at the deployment.
 func (k *keyStore) exports(address string) string {
 	if k == nil {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -4,13 +4,13 @@
 package explain
 
 import (
-	"encoding/json"
 	"fmt"
 	"slices"
 
 	"auburnglade.example/glade/internal/budget"
 	"auburnglade.example/glade/internal/catalog"
 	"auburnglade.example/glade/internal/fleet"
+	"auburnglade.example/glade/internal/jobs"
 	"auburnglade.example/glade/internal/record"
 	"auburnglade.example/glade/internal/wave"
 )
@@ -24,8 +24,9 @@
 	Ledgers map[string]budget.Ledger
 	// Waves are the waves' statuses by wave.
 	Waves map[string]wave.Status
-	// Statuses are the stored statuses of all records.
-	Statuses map[record.ID]json.RawMessage
+	// Placements hold the pools' tasks by pool; only explanations of jobs and
+	// hosts need them.
+	Placements map[string]*jobs.State
 }
 
 // Availability is one service against its budgets.
@@ -126,7 +127,7 @@
 	case *record.Wave:
 		reasons = append(reasons, v.wave(id.Name, spec)...)
 	case *record.Job:
-		reasons = append(reasons, v.job(id, spec)...)
+		reasons = append(reasons, v.job(id.Name, spec)...)
 	case *record.Service:
 		reasons = append(reasons, v.availability(id.Name).String())
 		reasons = append(reasons, v.grants(id.Name)...)
--- a/internal/explain/host.go
+++ b/internal/explain/host.go
@@ -37,12 +37,32 @@
 			reasons = append(reasons, fmt.Sprintf("service %s counts it as out: granted to operation %s for %q", service, grant.Operation, grant.Wave))
 		}
 	}
+	reasons = append(reasons, v.tasks(name, item.Pool)...)
 	for _, wave := range slices.Sorted(maps.Keys(item.Visits)) {
 		reasons = append(reasons, visitLine(wave, item.Visits[wave]))
 	}
 	return reasons, true
 }
 
+// tasks says which jobs' tasks the host runs.
+func (v View) tasks(host, pool string) []string {
+	state := v.Placements[pool]
+	if state == nil {
+		return nil
+	}
+	counts := make(map[string]int)
+	for _, task := range state.Tasks {
+		if task.Host == host {
+			counts[task.Job]++
+		}
+	}
+	var lines []string
+	for _, job := range slices.Sorted(maps.Keys(counts)) {
+		lines = append(lines, fmt.Sprintf("runs %d tasks of job %q", counts[job], job))
+	}
+	return lines
+}
+
 func phaseOf(item catalog.HostItem) hostrecord.Phase {
 	if item.Phase == "" {
 		return hostrecord.Serving
--- a/internal/explain/record.go
+++ b/internal/explain/record.go
@@ -1,7 +1,6 @@
 package explain
 
 import (
-	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
@@ -9,6 +8,7 @@
 	"time"
 
 	"auburnglade.example/glade/internal/hostrecord"
+	"auburnglade.example/glade/internal/jobs"
 	"auburnglade.example/glade/internal/record"
 	"auburnglade.example/glade/internal/wave"
 )
@@ -109,7 +109,7 @@
 		status.Phase, status.Maintained, status.Hosts, len(status.Out), len(status.Failed))
 }
 
-func (v View) job(id record.ID, spec *record.Job) []string {
+func (v View) job(name string, spec *record.Job) []string {
 	var reasons []string
 	if spec.Cancelled {
 		reasons = append(reasons, "is cancelled")
@@ -126,27 +126,30 @@
 			reasons = append(reasons, fmt.Sprintf("team %s is bounded by quota %q", spec.Team, name))
 		}
 	}
-	status, known := v.Statuses[id]
+	state := v.Placements[spec.Pool]
+	if state == nil {
+		return append(reasons, fmt.Sprintf("has not been taken up: nothing is known of placements in pool %q", spec.Pool))
+	}
+	status, known := state.Status(name, spec)
 	if !known {
-		return append(reasons, "has not been placed yet: no controller has published its status")
+		return append(reasons, "has not been taken up yet by the controller that decides")
 	}
-	return append(reasons, statusLines(status)...)
+	return append(reasons, placed(status)...)
 }
 
-// statusLines shows a status one field a line.
-func statusLines(status json.RawMessage) []string {
-	var fields map[string]any
-	if err := json.Unmarshal(status, &fields); err != nil {
-		return []string{"its status can't be read: " + err.Error()}
+func placed(status jobs.JobStatus) []string {
+	accepted := time.Duration(status.AgeSeconds) * time.Second
+	reasons := []string{fmt.Sprintf("%d of %d tasks finished, %d placed, accepted %s ago", status.Finished, status.Tasks, status.Placed, accepted)}
+	for _, host := range slices.Sorted(maps.Keys(status.Hosts)) {
+		reasons = append(reasons, fmt.Sprintf("%d on %s", status.Hosts[host], host))
 	}
-	var lines []string
-	for _, name := range slices.Sorted(maps.Keys(fields)) {
-		text, err := json.Marshal(fields[name])
-		if err == nil {
-			lines = append(lines, name+": "+strings.Trim(string(text), `"`))
-		}
+	if status.Parked != "" {
+		reasons = append(reasons, "is parked until an operator or the fleet changes something: "+status.Parked)
 	}
-	return lines
+	if status.Waiting != "" {
+		reasons = append(reasons, "waits: "+status.Waiting)
+	}
+	return reasons
 }
 
 func (v View) grants(service string) []string {
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -103,7 +103,7 @@
 		ErrorLog:          log.New(&connectionLog{log: s.log, name: s.name}, "", 0),
 	}
 	ended := make(chan error, 1)
-	go func() { ended <- s.serve(server, newLimitedListener(listener, s.limits)) }()
+	go func() { ended <- s.serve(server, newLimitedListener(listener, s.connectionLimits())) }()
 	select {
 	case err := <-ended:
 		return err
@@ -112,6 +112,17 @@
 	return s.stop(server)
 }
 
+// connectionLimits leaves the refusal out over TLS: in plain text before the
+// handshake it would read as a broken server. A connection closed before the
+// handshake tells the client as surely that nothing was read.
+func (s *Server) connectionLimits() Limits {
+	limits := s.limits
+	if s.tls != nil {
+		limits.Refusal = nil
+	}
+	return limits
+}
+
 func (s *Server) serve(server *http.Server, listener net.Listener) error {
 	if s.tls == nil {
 		return server.Serve(listener)
--- a/internal/operatorapi/api.go
+++ b/internal/operatorapi/api.go
@@ -136,6 +136,15 @@
 
 func (s *Server) status(w http.ResponseWriter, r *http.Request) {
 	id, _ := pathID(r)
+	if id.Kind == record.KindJob {
+		status, err := s.jobStatus(r.Context(), id)
+		if err != nil {
+			writeError(w, err)
+			return
+		}
+		writeJSON(w, http.StatusOK, status)
+		return
+	}
 	entry, err := s.Store.Get(r.Context(), keys.Status(id))
 	if store.IsNotFound(err) {
 		writeError(w, &NotFoundError{ID: id})
--- a/internal/operatorapi/fleet.go
+++ b/internal/operatorapi/fleet.go
@@ -82,15 +82,15 @@
 func (s *Server) explain(w http.ResponseWriter, r *http.Request) {
 	view, warnings := s.view(r.Context())
 	id := record.ID{Kind: record.Kind(r.PathValue("kind")), Name: r.PathValue("name")}
+	if err := s.readPlacement(r.Context(), view, poolFor(view.Snapshot, id)); err != nil {
+		warnings = append(warnings, "placement not read: "+err.Error())
+	}
 	answer := Explanation{Subject: id.String()}
 	var known bool
 	if id.Kind == KindHost {
 		answer.Pool = view.Snapshot.Hosts[id.Name].Pool
 		answer.Reasons, known = explain.Host(view, id.Name)
 	} else {
-		if err := s.readPlacement(r.Context(), view, id); err != nil {
-			warnings = append(warnings, "placement not read: "+err.Error())
-		}
 		answer.Reasons, known = explain.Record(view, id)
 	}
 	if !known {
@@ -103,14 +103,25 @@
 	writeJSON(w, http.StatusOK, answer)
 }
 
-// readPlacement takes a job's status from its pool's state: jobs have none of
-// their own, which would cost the store a write per job.
-func (s *Server) readPlacement(ctx context.Context, view explain.View, id record.ID) error {
-	job := view.Snapshot.Jobs()[id.Name]
+// poolFor returns the pool whose tasks say more about a job or a host.
+func poolFor(snapshot *catalog.Snapshot, id record.ID) string {
+	if id.Kind == KindHost {
+		return snapshot.Hosts[id.Name].Pool
+	}
+	job := snapshot.Jobs()[id.Name]
 	if id.Kind != record.KindJob || job == nil {
+		return ""
+	}
+	return job.Pool
+}
+
+// readPlacement reads a pool's tasks. Jobs have no status of their own, which
+// would cost the store a write per job.
+func (s *Server) readPlacement(ctx context.Context, view explain.View, pool string) error {
+	if pool == "" {
 		return nil
 	}
-	key := keys.Placement(job.Pool)
+	key := keys.Placement(pool)
 	entry, err := s.Store.Get(ctx, key)
 	if store.IsNotFound(err) {
 		return nil
@@ -118,16 +129,26 @@
 	if err != nil {
 		return err
 	}
-	state, err := jobs.ParseState(key, entry.Value)
-	if err != nil {
-		return err
+	view.Placements[pool], err = jobs.ParseState(key, entry.Value)
+	return err
+}
+
+// jobStatus returns where a job stands, from its pool's tasks.
+func (s *Server) jobStatus(ctx context.Context, id record.ID) (jobs.JobStatus, error) {
+	view := explain.View{Snapshot: s.Feed.Snapshot(), Placements: make(map[string]*jobs.State)}
+	job := view.Snapshot.Jobs()[id.Name]
+	if job == nil {
+		return jobs.JobStatus{}, &NotFoundError{ID: id}
 	}
-	status, known := state.Status(id.Name, job)
-	if !known {
-		return nil
+	if err := s.readPlacement(ctx, view, job.Pool); err != nil {
+		return jobs.JobStatus{}, err
 	}
-	view.Statuses[id], err = json.Marshal(status)
-	return err
+	if state := view.Placements[job.Pool]; state != nil {
+		if status, known := state.Status(id.Name, job); known {
+			return status, nil
+		}
+	}
+	return jobs.JobStatus{}, &NotFoundError{ID: id}
 }
 
 func (s *Server) history(w http.ResponseWriter, r *http.Request) {
@@ -155,10 +176,10 @@
 // list. What can't be read is left out and named.
 func (s *Server) view(ctx context.Context) (explain.View, []string) {
 	view := explain.View{
-		Snapshot: s.Feed.Snapshot(),
-		Ledgers:  make(map[string]budget.Ledger),
-		Waves:    make(map[string]wave.Status),
-		Statuses: make(map[record.ID]json.RawMessage),
+		Snapshot:   s.Feed.Snapshot(),
+		Ledgers:    make(map[string]budget.Ledger),
+		Waves:      make(map[string]wave.Status),
+		Placements: make(map[string]*jobs.State),
 	}
 	var warnings []string
 	if err := s.readLedgers(ctx, view); err != nil {
@@ -199,18 +220,15 @@
 // readStatuses passes over statuses that can't be read: nothing is decided
 // from them, and the next round of their writer replaces them.
 func (s *Server) readStatuses(ctx context.Context, view explain.View) error {
-	listing, err := s.Store.List(ctx, keys.StatusPrefix)
+	prefix := keys.Status(record.ID{Kind: record.KindWave})
+	listing, err := s.Store.List(ctx, prefix)
 	if err != nil {
 		return err
 	}
 	for _, entry := range listing.Entries {
-		kind, name, ok := strings.Cut(strings.TrimPrefix(entry.Key, keys.StatusPrefix), "/")
-		if !ok {
-			continue
-		}
-		view.Statuses[record.ID{Kind: record.Kind(kind), Name: name}] = asJSON(entry.Value)
+		name := strings.TrimPrefix(entry.Key, prefix)
 		var status wave.Status
-		if record.Kind(kind) == record.KindWave && json.Unmarshal(entry.Value, &status) == nil {
+		if json.Unmarshal(entry.Value, &status) == nil {
 			view.Waves[name] = status
 		}
 	}
--- a/internal/standin/callers.go
+++ b/internal/standin/callers.go
@@ -35,6 +35,7 @@
 	ready   []Target
 	http    *http.Client
 	scheme  string
+	tls     *tls.Config
 }
 
 // NewBalancer returns a balancer over the targets.
@@ -42,10 +43,10 @@
 	return &Balancer{targets: targets, scheme: "http://", http: &http.Client{Timeout: probeTimeout}}
 }
 
-// ProbeTLS makes the balancer probe over TLS; nil leaves it at plain HTTP.
-func (b *Balancer) ProbeTLS(config *tls.Config) {
+// SpeakTLS makes the balancer and its callers speak TLS; nil leaves it at plain HTTP.
+func (b *Balancer) SpeakTLS(config *tls.Config) {
 	if config != nil {
-		b.scheme = "https://"
+		b.scheme, b.tls = "https://", config
 		b.http.Transport = &http.Transport{TLSClientConfig: config}
 	}
 }
@@ -156,7 +157,7 @@
 }
 
 func (c *Callers) caller(ctx context.Context) {
-	client := &http.Client{Timeout: callerTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	client := &http.Client{Timeout: callerTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1, TLSClientConfig: c.Balancer.tls}}
 	defer client.CloseIdleConnections()
 	for ctx.Err() == nil {
 		c.one(client)
@@ -179,7 +180,7 @@
 		c.noteNonIdempotent(token)
 	}
 	c.add(&c.counts.Sent)
-	first := send(client, target, method, path, token)
+	first := c.send(client, target, method, path, token)
 	c.judge(token, first)
 	if method == http.MethodPost {
 		c.maybeRepeat(client, target, path, token, first)
@@ -193,8 +194,8 @@
 	body    []byte
 }
 
-func send(client *http.Client, target Target, method, path, token string) reply {
-	request, err := http.NewRequest(method, "http://"+target.Callers+path+"?"+TokenParam+"="+token, nil)
+func (c *Callers) send(client *http.Client, target Target, method, path, token string) reply {
+	request, err := http.NewRequest(method, c.Balancer.scheme+target.Callers+path+"?"+TokenParam+"="+token, nil)
 	if err != nil {
 		return reply{}
 	}
--- a/internal/standin/repeats.go
+++ b/internal/standin/repeats.go
@@ -37,7 +37,7 @@
 		return
 	}
 	c.add(&c.counts.Repeats.Sent)
-	second := send(client, target, http.MethodPost, path, token)
+	second := c.send(client, target, http.MethodPost, path, token)
 	if second.outcome != outcome.Answered {
 		c.add(&c.counts.Repeats.Refused)
 		return
