Fail a run when an endpoint saw more requests than it has slots

Cause: the stand-in endpoints counted the most requests at once, and nothing judged the count.

Change: the story and the soak name it as a fault.

--- a/internal/devrun/story.go
+++ b/internal/devrun/story.go
@@ -310,6 +310,7 @@
 	fault(report.Jobs.Finished < report.Jobs.Expected, "a task of a job did not finish")
 	fault(report.Jobs.DoubleRuns > 0, "a task of a job ran twice at once")
 	fault(report.Endpoints.LateWork > 0, "a leaving endpoint got new work")
+	fault(report.Endpoints.PeakInFlight > record.DefaultSlots, "an endpoint ran more requests at once than it has slots")
 }
 
 // minimumAvailable returns, by pool, the most that any of its services' budgets
