--- a/internal/auth/auth_test.go
+++ b/internal/auth/auth_test.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 	"github.com/shoenig/test/must"
 
@@ -340,6 +341,31 @@
 	}
 }
 
+// An operator's alert on certificates that are about to end needs the one in
+// force, after a reload too.
+func TestExpiryOfTheCertificateInForceIsShown(t *testing.T) {
+	fleet, operators := newCA(t, "fleet"), newCA(t, "operators")
+	files := newMember(t, fleet, operators, "controller-1")
+	registry := prometheus.NewRegistry()
+	k, err := auth.NewKeyring(files.Files, time.Hour, zerolog.Nop(), registry)
+	must.NoError(t, err)
+	shown := func() float64 {
+		families, err := registry.Gather()
+		must.NoError(t, err)
+		for _, family := range families {
+			if family.GetName() == "glade_certificate_expires_timestamp_seconds" {
+				return family.GetMetric()[0].GetGauge().GetValue()
+			}
+		}
+		return -1
+	}
+	must.Positive(t, shown())
+	ends := time.Now().Add(90 * time.Minute)
+	files.pair(issue(t, fleet, "controller-1", auth.RoleMember, ends))
+	must.Eq(t, "", k.Reload(""))
+	must.Eq(t, float64(ends.Unix()), shown())
+}
+
 func TestOnlyTLS13(t *testing.T) {
 	fleet, operators := newCA(t, "fleet"), newCA(t, "operators")
 	k := newMember(t, fleet, operators, "controller-1").keyring()
--- a/internal/auth/keyring.go
+++ b/internal/auth/keyring.go
@@ -62,13 +62,29 @@
 			Help: "Changes of key files that were taken, or refused because they were damaged.",
 		}, []string{"result"}),
 	}
+	k.current.Store(material)
 	if registerer != nil {
-		registerer.MustRegister(k.reloads)
+		registerer.MustRegister(k.reloads, k.expiry())
 	}
-	k.current.Store(material)
 	return k, nil
 }
 
+// expiry shows when the certificate in force ends. A fleet whose certificates
+// run out on one day loses all its members at once, and nothing else would say
+// so before.
+func (k *Keyring) expiry() prometheus.Collector {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "glade_certificate_expires_timestamp_seconds",
+		Help: "When this process's certificate ends, in seconds since 1970; 0 without one.",
+	}, func() float64 {
+		certificate := k.current.Load().Certificate
+		if certificate == nil || certificate.Leaf == nil {
+			return 0
+		}
+		return float64(certificate.Leaf.NotAfter.Unix())
+	})
+}
+
 // Serve follows the files until ctx ends. It polls: a file that a platform
 // mounts anew isn't always seen by a watch.
 func (k *Keyring) Serve(ctx context.Context) error {
