Let no host change pool out of a wave's drain before its reboot

Cause: a wave that puts a host back before its reboot (cancelled, for one) sent it straight into its next pool, with its old pool's work perhaps still in flight.

Change: the drainer takes the next pool only once the host has rebooted, and asserts that; the move then takes a drain of its own. The mover keeps which services granted a move in the host record and gives back just those, lets the earlier maintenance's late acts pass before it drains, and acts on no view older than five seconds.

Conclusion: one pool at any moment, with waves and moves at once.

--- a/internal/drainer/apply.go
+++ b/internal/drainer/apply.go
@@ -254,7 +254,9 @@
 	services := granted(o, item)
 	err := d.write(ctx, waveName, item, func(r *hostrecord.Record) {
 		r.Visits = visited(r, visit)
-		if r.NextPool != "" {
+		// A host that is put back before its reboot may still have its old
+		// pool's work in flight: its move waits for another drain.
+		if r.NextPool != "" && r.Phase != hostrecord.Draining {
 			r.Pool, r.NextPool = r.NextPool, ""
 		}
 		r.LastOperation = r.Operation
--- a/internal/drainer/guard.go
+++ b/internal/drainer/guard.go
@@ -136,12 +136,13 @@
 }
 
 // onePool reports whether a change of record leaves the host in one pool: it
-// changes only for the next pool on record, and only while the host is out.
+// changes only for the next pool on record, and only once the host has been
+// rebooted, so that none of its old pool's work is left on it.
 func onePool(before, after hostrecord.Record) bool {
 	if after.Host != before.Host {
 		return false
 	}
-	return after.Pool == before.Pool || after.Pool == before.NextPool && !before.TakesWork()
+	return after.Pool == before.Pool || after.Pool == before.NextPool && !before.TakesWork() && before.Phase != hostrecord.Draining
 }
 
 // visited returns the record's visits with one more; a nil visit leaves what
--- a/internal/mover/act.go
+++ b/internal/mover/act.go
@@ -36,6 +36,9 @@
 	if move.WithWave {
 		return m.write(ctx, item, func(r *hostrecord.Record) { r.NextPool = move.To })
 	}
+	if item.LastOperation != "" && time.Since(m.firstSeen(item)) < fleet.MaxActDelay {
+		return &UnsettledError{Host: item.Host}
+	}
 	operation := operationPrefix + uuid.NewString()
 	services := servicesOf(snapshot, item.Pool)
 	view := func(service string) budget.View { return budgetView(snapshot, listed, service) }
@@ -44,7 +47,7 @@
 		return err
 	}
 	err := m.write(ctx, item, func(r *hostrecord.Record) {
-		r.Phase, r.Operation, r.NextPool = hostrecord.Draining, operation, move.To
+		r.Phase, r.Operation, r.NextPool, r.Granted = hostrecord.Draining, operation, move.To, services
 	})
 	if store.IsConflict(err) {
 		return errors.CombineErrors(err, m.release(ctx, services, item.Host, operation))
@@ -58,13 +61,29 @@
 
 // forget removes the record of a host that is gone for good, then gives back
 // what it may still hold. Should the host come back, it is a new host.
-func (m *Mover) forget(ctx context.Context, snapshot *catalog.Snapshot, host string) error {
-	item := snapshot.Hosts[host]
+func (m *Mover) forget(ctx context.Context, item catalog.HostItem) error {
+	host := item.Host
 	_, err := store.Swap(ctx, m.Store, store.Write{Key: keys.Host(host), Expect: item.Revision, Delete: true})
 	if err != nil || item.Operation == "" {
 		return err
 	}
-	return m.release(ctx, servicesOf(snapshot, item.Pool), host, item.Operation)
+	return m.release(ctx, item.Granted, host, item.Operation)
+}
+
+// UnsettledError says that an act of a host's maintenance before may still be
+// on its way to it: an undrain that comes late would end the next drain.
+type UnsettledError struct{ Host string }
+
+func (e *UnsettledError) Error() string {
+	return fmt.Sprintf("an act of the maintenance before may still be on its way to host %s", e.Host)
+}
+
+// firstSeen is when this process first saw the host's record as it is.
+func (m *Mover) firstSeen(item catalog.HostItem) time.Time {
+	if m.seen[item.Host].revision != item.Revision {
+		m.seen[item.Host] = seenRecord{revision: item.Revision, at: time.Now()}
+	}
+	return m.seen[item.Host].at
 }
 
 // advance takes every host in a move of its own one step further.
@@ -78,17 +97,14 @@
 		if verb == Wait {
 			continue
 		}
-		m.try(name, string(verb), reason, func() error { return m.step(ctx, snapshot, item, verb) })
+		m.try(name, string(verb), reason, func() error { return m.step(ctx, item, verb) })
 	}
 }
 
 func (m *Mover) transit(ctx context.Context, snapshot *catalog.Snapshot, item catalog.HostItem) Transit {
 	host := item.Host
-	if m.seen[host].revision != item.Revision {
-		m.seen[host] = seenRecord{revision: item.Revision, at: time.Now()}
-	}
 	t := Transit{
-		Record: item.Record, Age: time.Since(m.seen[host].at),
+		Record: item.Record, Age: time.Since(m.firstSeen(item)),
 		Drained: m.drained[host] == item.Operation,
 		Target:  snapshot.Pools()[item.NextPool] != nil,
 	}
@@ -106,7 +122,7 @@
 	return t
 }
 
-func (m *Mover) step(ctx context.Context, snapshot *catalog.Snapshot, item catalog.HostItem, verb Verb) error {
+func (m *Mover) step(ctx context.Context, item catalog.HostItem, verb Verb) error {
 	switch verb {
 	case DrainHost:
 		if err := m.Pool.Drain(ctx, item.Host, item.Operation); err != nil {
@@ -121,7 +137,7 @@
 			r.Phase = hostrecord.Proving
 		})
 	case Return, GiveBack:
-		return m.putBack(ctx, snapshot, item)
+		return m.putBack(ctx, item)
 	case GiveUp:
 		return m.write(ctx, item, func(r *hostrecord.Record) { r.Phase, r.NextPool = hostrecord.Failed, "" })
 	}
@@ -131,22 +147,19 @@
 // putBack lets the host serve before it gives the grants back: in between the
 // budget is only the more cautious. A controller that ends in between leaves
 // orphaned grants, which the drainer finds by their operation.
-func (m *Mover) putBack(ctx context.Context, snapshot *catalog.Snapshot, item catalog.HostItem) error {
+func (m *Mover) putBack(ctx context.Context, item catalog.HostItem) error {
 	if err := m.Pool.Undrain(ctx, item.Host, item.Operation); err != nil {
 		return err
 	}
-	granted := item.Pool
-	if item.PreviousPool != "" {
-		granted = item.PreviousPool
-	}
 	err := m.write(ctx, item, func(r *hostrecord.Record) {
-		r.Phase, r.Operation, r.NextPool, r.PreviousPool = hostrecord.Serving, "", "", ""
+		r.LastOperation = r.Operation
+		r.Phase, r.Operation, r.NextPool, r.PreviousPool, r.Granted = hostrecord.Serving, "", "", "", nil
 	})
 	if err != nil {
 		return err
 	}
 	delete(m.drained, item.Host)
-	return m.release(ctx, servicesOf(snapshot, granted), item.Host, item.Operation)
+	return m.release(ctx, item.Granted, item.Host, item.Operation)
 }
 
 func (m *Mover) release(ctx context.Context, services []string, host, operation string) error {
--- a/internal/mover/mover.go
+++ b/internal/mover/mover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -50,6 +51,9 @@
 	// maxMoves bounds the hosts in moves of their own at once, for the whole
 	// fleet: a wrong record is seen before it has moved everything.
 	maxMoves = 10
+	// decisionAge is how old a view may be that is acted on: one from before a
+	// pause may show a fleet that is no longer there.
+	decisionAge = 5 * time.Second
 )
 
 // Mover applies assignments and moves while it holds the shard.
@@ -60,6 +64,8 @@
 	healthy map[string]time.Time
 	drained map[string]string
 	reasons map[string]string
+	// observed is when the view that is acted on was complete.
+	observed time.Time
 }
 
 // seenRecord is when this process first saw a host record's revision.
@@ -111,6 +117,11 @@
 	for _, host := range hosts {
 		listed[host.Name] = host
 	}
+	for _, item := range snapshot.Hosts {
+		m.firstSeen(item)
+	}
+	maps.DeleteFunc(m.seen, func(host string, _ seenRecord) bool { return snapshot.Hosts[host].Revision == 0 })
+	m.observed = time.Now()
 	m.advance(ctx, snapshot)
 	m.apply(ctx, snapshot, listed, Make(input))
 }
@@ -123,7 +134,7 @@
 		m.try(change.Host, "withdraw", change.Reason, func() error { return m.withdraw(ctx, snapshot.Hosts[change.Host]) })
 	}
 	for _, change := range plan.Forget {
-		m.try(change.Host, "forget", change.Reason, func() error { return m.forget(ctx, snapshot, change.Host) })
+		m.try(change.Host, "forget", change.Reason, func() error { return m.forget(ctx, snapshot.Hosts[change.Host]) })
 	}
 	for _, move := range plan.Moves {
 		m.try(move.Host, "move", move.Reason, func() error { return m.begin(ctx, snapshot, listed, move) })
@@ -133,7 +144,7 @@
 // try runs one act if the shard is still held, and logs how it went once per
 // reason.
 func (m *Mover) try(host, verb, reason string, act func() error) {
-	if !m.Shard.Held() {
+	if !m.Shard.Held() || time.Since(m.observed) > decisionAge {
 		return
 	}
 	err := act()
