Measure claims, write them in one shard, and keep old claims without answers

Cause: the number of shards and the pause between writes were guesses, and a shard that filled up dropped the newest answers first.

Change: glade-measure atmostonce compares a record per claim, groups written by every gateway, and groups written by an owner with 1, 2 and 4 shards. One shard with 10 ms is the default now. Archives beyond the newest 8 MB are stripped of their answers by one write each; their claims stay for the retention, 30 minutes, which is four times the longest window.

--- a/internal/atmostonce/claim.go
+++ b/internal/atmostonce/claim.go
@@ -134,7 +134,7 @@
 
 // DefaultRetention is how long a claim is kept at least, far beyond any
 // caller's repeats.
-const DefaultRetention = time.Hour
+const DefaultRetention = 30 * time.Minute
 
 // MaxWindow bounds a claim's window, so that a claim outlives every attempt
 // made under it many times over.
--- a/internal/atmostonce/grouped.go
+++ b/internal/atmostonce/grouped.go
@@ -16,7 +16,7 @@
 // Defaults of a Grouped ledger; docs/design/at-most-once.md has the figures
 // that chose them.
 const (
-	DefaultShards = 2
+	DefaultShards = 1
 	DefaultPace   = 10 * time.Millisecond
 	DefaultLinger = 50 * time.Millisecond
 )
--- a/internal/atmostonce/grouped_test.go
+++ b/internal/atmostonce/grouped_test.go
@@ -23,12 +23,12 @@
 		w := &world{store: memstore.New(), makeNode: makeGrouped, runs: make(map[int][]time.Time), first: make(map[int]string)}
 		w.heal()
 		ctx, cancel := context.WithCancel(context.Background())
+		defer w.wait.Wait()
+		defer cancel()
 		for i := range gateways {
 			w.start(ctx, i)
 		}
 		test(w)
-		cancel()
-		w.wait.Wait()
 	})
 }
 
@@ -103,7 +103,7 @@
 // small and go away once they have expired.
 func TestClaimsOutliveTheirGatewayAndAreRemovedInTime(t *testing.T) {
 	inBubble(t, 1, func(w *world) {
-		const claims = 400
+		const claims = 800
 		body := strings.Repeat("x", 1000)
 		for i := range claims {
 			ticket := claimed(t, w.nodes[0], fmt.Sprint("offer-", i))
@@ -131,6 +131,35 @@
 	})
 }
 
+// More answers come in than the store shall keep. The oldest answers go, their
+// claims stay: a repeat is told that its answer is gone, and never runs again,
+// whether or not the gateway is still the same.
+func TestOldAnswersGoAndTheirClaimsStay(t *testing.T) {
+	inBubble(t, 1, func(w *world) {
+		const claims, answerBytes = 5000, 4 << 10
+		body := strings.Repeat("x", answerBytes)
+		for i := range claims {
+			ticket := claimed(t, w.nodes[0], fmt.Sprint("offer-", i))
+			ticket.End(ResultAnswered, &Answer{Status: http.StatusOK, Body: fmt.Append(nil, i, body)})
+		}
+		time.Sleep(time.Second)
+		for range 2 {
+			must.Nil(t, found(t, w.nodes[0], "offer-0").Answer)
+			must.EqOp(t, Answered, found(t, w.nodes[0], "offer-0").State)
+			last := found(t, w.nodes[0], fmt.Sprint("offer-", claims-1))
+			must.EqOp(t, fmt.Sprint(claims-1, body), string(last.Answer.Body))
+			w.kill(w.nodes[0])
+			w.start(context.Background(), 0)
+		}
+		total := 0
+		for _, bytes := range sizes(t, w.store) {
+			total += bytes
+		}
+		must.Less(t, claims*answerBytes, total)
+		w.nodes[0].stop()
+	})
+}
+
 // maxKept is the largest answer that the gateway keeps, with room for its
 // entry.
 const maxKept = 7 << 10
--- a/internal/atmostonce/index.go
+++ b/internal/atmostonce/index.go
@@ -101,8 +101,6 @@
 	index       *index
 	nowMs       int64
 	retentionMs int64
-	// keepAnswers is false when the shard has no room for answers.
-	keepAnswers bool
 	// changed holds the keys that this batch changes; nil means freed.
 	changed map[ID]*slot
 	plan    plan
@@ -181,9 +179,6 @@
 	}
 	entry := encodeSettlement(settlement)
 	entry.AtMs = d.nowMs
-	if !d.keepAnswers {
-		entry.Answer = nil
-	}
 	d.plan.entries = append(d.plan.entries, entry)
 	if settlement.Result == ResultNotRun {
 		d.changed[settlement.ID] = nil
--- a/internal/atmostonce/journal.go
+++ b/internal/atmostonce/journal.go
@@ -18,11 +18,12 @@
 const (
 	// maxHeadBytes bounds a head, far under store.MaxValueBytes: every write
 	// sends it whole.
-	maxHeadBytes = 32 << 10
-	// fullArchives is the number of archives from which answers are no longer
-	// kept, and maxArchives that from which claims are refused.
-	fullArchives = 512
-	maxArchives  = 1024
+	maxHeadBytes = 64 << 10
+	// maxAnswered bounds the archives that keep their answers: the newest 8 MB.
+	// Older ones are stripped of them and keep the claims.
+	maxAnswered = 128
+	// maxArchives bounds all archives; claims are refused from there on.
+	maxArchives = 4096
 )
 
 // journal is one process's view of one shard in the store.
@@ -61,6 +62,8 @@
 	of       store.Revision
 	revision store.Revision
 	clockMs  int64
+	// answered is set while it may hold answers.
+	answered bool
 }
 
 func newJournal(s store.Store, shard int, retention time.Duration) *journal {
@@ -85,9 +88,7 @@
 		if err = j.sync(ctx); err != nil {
 			return nil, mayBeWritten, err
 		}
-		d := decider{
-			index: j.index, nowMs: j.nowMs(), retentionMs: j.retentionMs, keepAnswers: len(j.archives) < fullArchives,
-		}
+		d := decider{index: j.index, nowMs: j.nowMs(), retentionMs: j.retentionMs}
 		p := d.decide(batch)
 		if len(p.entries) == 0 && !j.unfenced {
 			if j.fresh() {
@@ -98,7 +99,7 @@
 		}
 		err = j.write(ctx, p.entries, d.nowMs)
 		if err == nil {
-			j.collect(ctx)
+			j.tidy(ctx)
 			return p.results, false, nil
 		}
 		mayBeWritten = mayBeWritten || store.IsUnknownOutcome(err)
@@ -198,10 +199,12 @@
 	if err != nil {
 		return err
 	}
+	answered := false
 	for _, e := range old.Entries {
 		j.index.fold(e, of)
+		answered = answered || e.Answer != nil
 	}
-	j.archives = append(j.archives, archive{of: of, revision: entry.ModRevision, clockMs: old.ClockMs})
+	j.archives = append(j.archives, archive{of: of, revision: entry.ModRevision, clockMs: old.ClockMs, answered: answered})
 	return nil
 }
 
@@ -279,17 +282,35 @@
 	}
 	// On a conflict another process archived the same head; the archive's own
 	// revision is then learnt at the next load.
-	j.archives = append(j.archives, archive{of: j.revision, revision: revision, clockMs: j.head.ClockMs})
+	j.archives = append(j.archives, archive{of: j.revision, revision: revision, clockMs: j.head.ClockMs, answered: true})
 	j.index.moved(j.head.Entries, j.revision)
 	return nil
 }
 
-// collect deletes one archive that has expired whole. A failure leaves it to a
-// later write or process.
-func (j *journal) collect(ctx context.Context) {
-	if len(j.archives) == 0 || j.head.ClockMs-j.archives[0].clockMs < j.retentionMs {
+// tidy deletes one archive that has expired whole, or strips one of its
+// answers. What fails is left to a later write or process; there is at most
+// one tidying to a write and about one to a hundred requests.
+func (j *journal) tidy(ctx context.Context) {
+	if len(j.archives) == 0 {
+		return
+	}
+	if j.head.ClockMs-j.archives[0].clockMs >= j.retentionMs {
+		j.deleteOldest(ctx)
 		return
 	}
+	kept := 0
+	for i := len(j.archives) - 1; i >= 0; i-- {
+		if !j.archives[i].answered {
+			continue
+		}
+		if kept++; kept > maxAnswered {
+			j.strip(ctx, &j.archives[i])
+			return
+		}
+	}
+}
+
+func (j *journal) deleteOldest(ctx context.Context) {
 	oldest := j.archives[0]
 	if oldest.revision != 0 {
 		_, err := store.Swap(ctx, j.store, store.Write{Key: j.archiveKey(oldest.of), Expect: oldest.revision, Delete: true})
@@ -300,6 +321,33 @@
 	j.archives = j.archives[1:]
 }
 
+// strip rewrites an archive without its answers. Whoever reads it then finds
+// the claims and their results all the same.
+func (j *journal) strip(ctx context.Context, a *archive) {
+	entry, err := j.store.Get(ctx, j.archiveKey(a.of))
+	if store.IsNotFound(err) {
+		a.answered = false
+	}
+	if err != nil {
+		return
+	}
+	old, err := decodeHead(entry)
+	if err != nil {
+		return
+	}
+	for _, e := range old.Entries {
+		e.Answer = nil
+	}
+	value, err := proto.Marshal(old)
+	if err != nil {
+		return
+	}
+	revision, err := store.Swap(ctx, j.store, store.Write{Key: entry.Key, Expect: entry.ModRevision, Value: value})
+	if err == nil {
+		a.revision, a.answered = revision, false
+	}
+}
+
 // archivedAnswer reads an answer back that is no longer in memory; nil when it
 // is gone.
 func (j *journal) archivedAnswer(ctx context.Context, of store.Revision, id ID) (*Answer, error) {
--- a/internal/atmostonce/perkey.go
+++ b/internal/atmostonce/perkey.go
@@ -13,7 +13,8 @@
 )
 
 // PerKey is the ledger with one store record per claim: a write before the
-// request is forwarded, and one after it.
+// request is forwarded, and one after it. Gateways use Grouped; this one is the
+// plain way that it is measured and tested against.
 type PerKey struct {
 	store     store.Store
 	retention time.Duration
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -91,7 +91,7 @@
 	if x.r.Context().Err() != nil || !x.body.replayable() {
 		return false
 	}
-	if failure.Sent && !x.idempotent {
+	if failure.Sent && !x.idempotent || failure.Reason == outcome.GateClosed {
 		return false
 	}
 	if !failure.Sent && failure.Reason != outcome.EndpointRefused {
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -10,6 +10,7 @@
 	"github.com/alecthomas/kong"
 
 	"auburnglade.example/glade/internal/buildinfo"
+	"auburnglade.example/glade/internal/measure/atmostonce"
 	"auburnglade.example/glade/internal/measure/capacity"
 	"auburnglade.example/glade/internal/measure/configspread"
 	"auburnglade.example/glade/internal/measure/gatewaycost"
@@ -30,13 +31,14 @@
 	JSON    bool             `help:"Accepted for clarity: the output is one JSON object always."`
 	Version kong.VersionFlag `help:"Print the version and exit."`
 
-	Config    configspread.Cmd `cmd:"" help:"How fast and at what cost a change is in force everywhere."`
-	Policy    policy.Cmd       `cmd:"" help:"The wave, move and placement decisions against simple policies, in virtual time."`
-	Store     storecalls.Cmd   `cmd:"" help:"Cost of one call at the platform seam, in memory and over HTTP."`
-	Placement placement.Cmd    `cmd:"" help:"Moves and placements: planner time and growth, moves against the fewest, urgent starts, jobs finished."`
-	Capacity  capacity.Cmd     `cmd:"" help:"Slopes: what one more host, pool or member costs, and what the target needs."`
-	Gateway   gatewaycost.Cmd  `cmd:"" help:"What a gateway adds to a request, against the direct path in the same run."`
-	Limits    limits.Cmd       `cmd:"" help:"Shares of slots: evenness, movement, joining, overload and fairness."`
+	Config     configspread.Cmd `cmd:"" help:"How fast and at what cost a change is in force everywhere."`
+	Policy     policy.Cmd       `cmd:"" help:"The wave, move and placement decisions against simple policies, in virtual time."`
+	Store      storecalls.Cmd   `cmd:"" help:"Cost of one call at the platform seam, in memory and over HTTP."`
+	Placement  placement.Cmd    `cmd:"" help:"Moves and placements: planner time and growth, moves against the fewest, urgent starts, jobs finished."`
+	Capacity   capacity.Cmd     `cmd:"" help:"Slopes: what one more host, pool or member costs, and what the target needs."`
+	Gateway    gatewaycost.Cmd  `cmd:"" help:"What a gateway adds to a request, against the direct path in the same run."`
+	Limits     limits.Cmd       `cmd:"" help:"Shares of slots: evenness, movement, joining, overload and fairness."`
+	AtMostOnce atmostonce.Cmd   `cmd:"" name:"atmostonce" help:"Claims of idempotency keys: store calls and added time for each way that was weighed."`
 }
 
 // Main runs one measurement and returns the exit code.
