--- /dev/null
+++ b/internal/catalog/bench_test.go
@@ -0,0 +1,70 @@
+package catalog_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"auburnglade.example/glade/internal/catalog"
+	"auburnglade.example/glade/internal/hostrecord"
+	"auburnglade.example/glade/internal/keys"
+	"auburnglade.example/glade/internal/record"
+	"auburnglade.example/glade/internal/store"
+)
+
+// target is the configuration at the size of the target: 1,000 hosts in 261
+// pools, with budgets and services.
+func target(b *testing.B) *catalog.Snapshot {
+	b.Helper()
+	var listing store.Listing
+	add := func(key string, value []byte) {
+		listing.Revision++
+		listing.Entries = append(listing.Entries, store.Entry{Key: key, Value: value, ModRevision: listing.Revision})
+	}
+	for i := range 261 {
+		service, pool := fmt.Sprintf("service-%d", i), fmt.Sprintf("pool-%d", i)
+		for _, envelope := range []record.Envelope{
+			record.New(service, &record.Service{PathPrefix: "/" + service + "/", Port: 8080}),
+			record.New(pool, &record.Pool{Services: []string{service}, Size: 4}),
+			record.New(service, &record.Budget{Service: service, MinAvailable: 3}),
+		} {
+			value, err := json.Marshal(envelope)
+			if err != nil {
+				b.Fatal(err)
+			}
+			add(keys.Spec(envelope.ID()), value)
+		}
+	}
+	for i := range 1000 {
+		add(keys.Host(fmt.Sprintf("host-%d", i)), host(i, hostrecord.Serving))
+	}
+	return catalog.FromListing(nil, listing)
+}
+
+func host(i int, phase hostrecord.Phase) []byte {
+	return hostrecord.Record{Host: fmt.Sprintf("host-%d", i), Pool: fmt.Sprintf("pool-%d", i%261), Phase: phase}.Encode()
+}
+
+// BenchmarkApplyHostPhase is one host's change of phase at the target's size.
+func BenchmarkApplyHostPhase(b *testing.B) {
+	snapshot := target(b)
+	value := host(7, hostrecord.Draining)
+	b.ReportAllocs()
+	for b.Loop() {
+		revision := snapshot.Revision + 1
+		snapshot = snapshot.Apply(store.WatchBatch{Revision: revision, Events: []store.Event{
+			{Entry: store.Entry{Key: keys.Host("host-7"), Value: value, ModRevision: revision}},
+		}})
+	}
+}
+
+// BenchmarkHostsOfEveryPool is what one round of a decision asks.
+func BenchmarkHostsOfEveryPool(b *testing.B) {
+	snapshot := target(b)
+	b.ReportAllocs()
+	for b.Loop() {
+		for pool := range snapshot.Pools() {
+			_ = snapshot.HostsOf(pool)
+		}
+	}
+}
--- a/internal/relay/fleet_test.go
+++ b/internal/relay/fleet_test.go
@@ -34,6 +34,8 @@
 	lie map[string]func(*peerpb.FetchResponse)
 	// delay is how long an answer to Fetch is on its way.
 	delay map[string]time.Duration
+	// exchanges and confirmations count the calls of each kind.
+	exchanges, confirmations int
 }
 
 func newNetwork() *network {
@@ -71,6 +73,7 @@
 }
 
 func (l link) Exchange(ctx context.Context, r *peerpb.Presence) (*peerpb.Presence, error) {
+	l.network.with(func() { l.network.exchanges++ })
 	server, err := l.reach(ctx)
 	if err != nil {
 		return nil, err
@@ -99,6 +102,7 @@
 }
 
 func (l link) Confirmed(ctx context.Context, r *peerpb.ConfirmedRequest) (*peerpb.ConfirmedResponse, error) {
+	l.network.with(func() { l.network.confirmations++ })
 	server, err := l.reach(ctx)
 	if err != nil {
 		return nil, err
@@ -111,6 +115,7 @@
 	member    member.Member
 	feed      *feed.Feed
 	server    *peer.Server
+	client    *peer.Client
 	relay     *relay.Relay
 	registrar *member.Registrar
 	checker   *invariant.Checker
@@ -137,19 +142,22 @@
 }
 
 // start adds a member that reaches the store through s.
-func (f *fleet) start(s store.Store, options ...feed.Option) *node {
+func (f *fleet) start(s store.Store) *node { return f.startBuild(s, record.MaxSchema) }
+
+// startBuild adds a member of a build that understands schemas up to maxSchema.
+func (f *fleet) startBuild(s store.Store, maxSchema int) *node {
 	index := len(f.nodes)
 	self := member.Member{
 		ID: fmt.Sprintf("gateway-%d", index+1), Role: member.RoleGateway, Zone: zones[index%len(zones)],
-		PeerAddress: fmt.Sprintf("10.0.0.%d:7200", index+1), MaxSchema: record.MaxSchema,
+		PeerAddress: fmt.Sprintf("10.0.0.%d:7200", index+1), MaxSchema: maxSchema,
 	}
 	checker := invariant.New(zerolog.Nop(), nil)
-	n := &node{member: self, checker: checker, feed: feed.New(s, zerolog.Nop(), checker, nil, options...)}
+	n := &node{member: self, checker: checker, feed: feed.New(s, zerolog.Nop(), checker, nil, feed.WithMaxSchema(maxSchema))}
 	n.server = peer.NewServer(self, n.feed)
-	client := peer.NewClient(peer.SpeakingFor(n.server), peer.WithDial(func(address string) peerpb.Peer {
+	n.client = peer.NewClient(peer.SpeakingFor(n.server), peer.WithDial(func(address string) peerpb.Peer {
 		return link{f.network, self.PeerAddress, address}
 	}))
-	n.relay = relay.New(relay.Config{Feed: n.feed, Server: n.server, Client: client, Addresses: f.addresses(), Log: zerolog.Nop()})
+	n.relay = relay.New(relay.Config{Feed: n.feed, Server: n.server, Client: n.client, Addresses: f.addresses(), Log: zerolog.Nop()})
 	n.registrar = member.NewRegistrar(s, self, 0, zerolog.Nop())
 	f.network.with(func() { f.network.servers[self.PeerAddress] = n.server })
 	f.nodes = append(f.nodes, n)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -8,7 +8,6 @@
 
 	"github.com/shoenig/test/must"
 
-	"auburnglade.example/glade/internal/feed"
 	"auburnglade.example/glade/internal/peer/peerpb"
 	"auburnglade.example/glade/internal/record"
 	"auburnglade.example/glade/internal/relay"
@@ -152,7 +151,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 6)
 		defer f.close()
-		old := f.start(f.store, feed.WithMaxSchema(1))
+		old := f.startBuild(f.store, 1)
 		time.Sleep(settle)
 		f.writeEnvelope(record.New("web", &record.Pool{Size: 3}))
 		f.took(f.nodes, f.writeEnvelope(record.New("web", &record.Pool{Size: 4, MaxPerRack: 2})), time.Minute)
