--- a/internal/drainer/confirm.go
+++ b/internal/drainer/confirm.go
@@ -97,7 +97,9 @@
 // Lagging implements Confirmer. A gateway that can't be asked lags until its
 // lease has certainly ended: its record is gone, and a margin has passed.
 func (c *PeerConfirmer) Lagging(ctx context.Context, revision store.Revision) []string {
-	lagging := c.LaggingLive(ctx, revision)
+	gateways := member.OfRole(c.feed.Snapshot(), member.RoleGateway)
+	c.track(gateways)
+	lagging := c.lagging(ctx, gateways, revision)
 	for _, id := range c.waited() {
 		if c.server.Heard(id) < revision {
 			lagging = append(lagging, id)
@@ -107,31 +109,29 @@
 	return lagging
 }
 
-// LaggingLive returns the gateways in the membership that may serve an older
-// revision, sorted. It is what an operator who waits for a change asks.
-func (c *PeerConfirmer) LaggingLive(ctx context.Context, revision store.Revision) []string {
-	snapshot := c.feed.Snapshot()
-	gateways := member.OfRole(snapshot, member.RoleGateway)
-	c.track(gateways)
-	behind := c.unconfirmed(gateways, revision)
+// lagging returns those of members that may serve an older revision.
+func (c *PeerConfirmer) lagging(ctx context.Context, members []member.Member, revision store.Revision) []string {
+	behind := c.unconfirmed(members, revision)
 	if len(behind) > 0 && c.mayAsk(revision) {
-		c.askRelays(ctx, relay.All(member.All(snapshot)), revision)
+		c.askRelays(ctx, relay.All(member.All(c.feed.Snapshot())), revision)
 		c.askThemselves(ctx, c.unconfirmed(behind, revision))
 		behind = c.unconfirmed(behind, revision)
 	}
-	var lagging []string
-	for _, gateway := range behind {
-		lagging = append(lagging, gateway.ID)
+	var ids []string
+	for _, m := range behind {
+		ids = append(ids, m.ID)
 	}
-	return lagging
+	return ids
 }
 
-// Live answers for the gateways in the membership only.
+// Live answers for every process in the membership, controllers included, and
+// for nobody who has left it. It is what an operator who waits for a change
+// asks.
 type Live struct{ Confirmer *PeerConfirmer }
 
 // Lagging implements operatorapi.Confirmer.
 func (l Live) Lagging(ctx context.Context, revision store.Revision) []string {
-	return l.Confirmer.LaggingLive(ctx, revision)
+	return l.Confirmer.lagging(ctx, member.All(l.Confirmer.feed.Snapshot()), revision)
 }
 
 // waited returns the gateways that are gone but for less than the margin.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -189,6 +189,9 @@
 
 // Heard returns the highest revision a process has told that it serves.
 func (s *Server) Heard(id string) store.Revision {
+	if id == s.self.ID {
+		return s.feed.Served()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.heard[id]
