Show in gladectl status which members saw invariants broken

Cause: status showed the broken invariants of the asked controller only; the others' stood in their metrics and logs. Change: each member's presence carries its count, which status asks for with the served revision; no further message. A member that can't be asked is named so.

--- a/internal/daemon/common.go
+++ b/internal/daemon/common.go
@@ -100,6 +100,7 @@
 	c.feed = feed.New(c.store, telemetry.Part(c.log, "feed"), c.invariant, c.registry)
 	c.registrar = member.NewRegistrar(c.store, c.self, o.memberTTL, telemetry.Part(c.log, "member"))
 	c.peers = peer.NewServer(c.self, c.feed)
+	c.peers.SetViolations(func() int64 { return int64(len(c.invariant.Violations())) })
 	c.asker = c.newAsker()
 	c.relay = relay.New(relay.Config{
 		Feed: c.feed, Server: c.peers, Client: c.asker, Addresses: o.peers.strings(),
--- a/internal/operatorapi/fleet.go
+++ b/internal/operatorapi/fleet.go
@@ -24,10 +24,18 @@
 	"auburnglade.example/glade/internal/wave"
 )
 
-// Prober asks members which revision they serve. Members that can't be asked
+// Prober asks members what they say of themselves. Members that can't be asked
 // are left out of the answer.
 type Prober interface {
-	Served(ctx context.Context, members []member.Member) map[string]store.Revision
+	Probe(ctx context.Context, members []member.Member) map[string]Probe
+}
+
+// Probe is what one member says of itself.
+type Probe struct {
+	// Served is the revision it serves.
+	Served store.Revision
+	// Violations counts the broken invariants it has seen, a hundred at most.
+	Violations int
 }
 
 // MemberSummary is one live process.
@@ -35,6 +43,9 @@
 	member.Member
 	// Served is the revision it serves, zero when it could not be asked.
 	Served store.Revision `json:"served"`
+	// Violations counts the broken invariants that it saw, a hundred at most;
+	// its log and glade_invariant_violations_total have them all.
+	Violations int `json:"violations,omitempty"`
 }
 
 // FleetSummary is the whole fleet at a glance.
@@ -50,8 +61,8 @@
 	// Hosts holds the records of hosts that are out.
 	Hosts  map[string]hostrecord.Record `json:"hosts,omitempty"`
 	Phases map[hostrecord.Phase]int     `json:"phases"`
-	// Violations are the broken invariants that the asked controller saw; each
-	// process counts its own in glade_invariant_violations_total.
+	// Violations are the broken invariants that the asked controller saw, with
+	// their evidence; Members has the other processes' counts.
 	Violations []invariant.Violation `json:"violations,omitempty"`
 	// Warnings say what is missing from this summary and why.
 	Warnings []string `json:"warnings,omitempty"`
@@ -61,13 +72,15 @@
 	view, warnings := s.view(r.Context())
 	summary := summarize(view)
 	summary.Warnings = warnings
-	var served map[string]store.Revision
+	var probes map[string]Probe
 	members := member.All(view.Snapshot)
 	if s.Prober != nil {
-		served = s.Prober.Served(r.Context(), members)
+		probes = s.Prober.Probe(r.Context(), members)
 	}
 	for _, m := range members {
-		summary.Members = append(summary.Members, MemberSummary{Member: m, Served: served[m.ID]})
+		summary.Members = append(summary.Members, MemberSummary{
+			Member: m, Served: probes[m.ID].Served, Violations: probes[m.ID].Violations,
+		})
 	}
 	if s.Invariant != nil {
 		summary.Violations = s.Invariant.Violations()
--- /dev/null
+++ b/internal/operatorapi/fleet_test.go
@@ -0,0 +1,51 @@
+package operatorapi_test
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test/must"
+
+	"auburnglade.example/glade/internal/invariant"
+	"auburnglade.example/glade/internal/keys"
+	"auburnglade.example/glade/internal/member"
+	"auburnglade.example/glade/internal/operatorapi"
+	"auburnglade.example/glade/internal/store"
+	"auburnglade.example/glade/internal/store/memstore"
+)
+
+// oneAnswers answers for gateway-1 alone.
+type oneAnswers struct{}
+
+func (oneAnswers) Probe(context.Context, []member.Member) map[string]operatorapi.Probe {
+	return map[string]operatorapi.Probe{"gateway-1": {Served: 5, Violations: 2}}
+}
+
+// The fleet at a glance names members that can't be asked, and what broken
+// invariants anyone saw.
+func TestFleetShowsMembersAndViolations(t *testing.T) {
+	b := newBench(t, memstore.New())
+	for _, id := range []string{"gateway-1", "gateway-2"} {
+		value, err := json.Marshal(member.Member{ID: id, Role: member.RoleGateway, MaxSchema: 2})
+		must.NoError(t, err)
+		_, err = b.store.CompareAndSwap(t.Context(), store.Write{Key: keys.Member(id), Value: value})
+		must.NoError(t, err)
+	}
+	b.sync()
+	b.server.Prober = oneAnswers{}
+	b.server.Invariant = invariant.New(zerolog.Nop(), nil)
+	b.server.Invariant.Hold(invariant.OnePool, false, func() string { return "host-1 in two pools" })
+	fleet, err := b.client.Fleet(t.Context())
+	must.NoError(t, err)
+	must.SliceLen(t, 2, fleet.Members)
+	must.Eq(t, 5, fleet.Members[0].Served)
+	must.Eq(t, 2, fleet.Members[0].Violations)
+	must.Zero(t, fleet.Members[1].Served)
+	must.Eq(t, "host-1 in two pools", fleet.Violations[0].Evidence)
+	b.store.SetDown(true)
+	fleet, err = b.client.Fleet(t.Context())
+	must.NoError(t, err)
+	must.SliceLen(t, 2, fleet.Warnings)
+}
--- a/internal/operatorapi/probe.go
+++ b/internal/operatorapi/probe.go
@@ -15,10 +15,10 @@
 // PeerProber asks members over their peer interface.
 type PeerProber struct{ Client *peer.Client }
 
-// Served implements Prober.
-func (p *PeerProber) Served(ctx context.Context, members []member.Member) map[string]store.Revision {
+// Probe implements Prober.
+func (p *PeerProber) Probe(ctx context.Context, members []member.Member) map[string]Probe {
 	var mu sync.Mutex
-	served := make(map[string]store.Revision, len(members))
+	probes := make(map[string]Probe, len(members))
 	room := make(chan struct{}, maxProbes)
 	var wait sync.WaitGroup
 	for _, m := range members {
@@ -31,9 +31,9 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			served[m.ID] = store.Revision(presence.ServedRevision)
+			probes[m.ID] = Probe{Served: store.Revision(presence.ServedRevision), Violations: int(presence.Violations)}
 		})
 	}
 	wait.Wait()
-	return served
+	return probes
 }
--- a/internal/operatorcli/printfleet.go
+++ b/internal/operatorcli/printfleet.go
@@ -29,14 +29,21 @@
 	for _, id := range slices.Sorted(maps.Keys(summary.Rejected)) {
 		fmt.Fprintf(e.Out, "REJECTED %s: %s\n", id, summary.Rejected[id].Reason)
 	}
+	violated := len(summary.Violations)
 	for _, violation := range summary.Violations {
 		fmt.Fprintf(e.Out, "INVARIANT VIOLATED %s: %s\n", violation.Rule, violation.Evidence)
 	}
+	for _, m := range summary.Members {
+		if m.Violations > 0 {
+			violated += m.Violations
+			fmt.Fprintf(e.Out, "INVARIANTS VIOLATED on %s: %d, see its log\n", m.ID, m.Violations)
+		}
+	}
 	for _, warning := range summary.Warnings {
 		fmt.Fprintln(e.Out, "WARNING", warning)
 	}
-	if len(summary.Rejected)+len(summary.Violations)+len(summary.Warnings) == 0 {
-		fmt.Fprintln(e.Out, "no rejected records, no invariant violated")
+	if len(summary.Rejected)+violated+len(summary.Warnings) == 0 {
+		fmt.Fprintln(e.Out, "no rejected records, no invariant violated by a member that could be asked")
 	}
 	return nil
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -40,6 +40,8 @@
 	heard map[string]store.Revision
 	// shareRevision may be nil.
 	shareRevision func() int64
+	// violations may be nil.
+	violations func() int64
 }
 
 // NewServer returns a server that speaks for self.
@@ -51,6 +53,10 @@
 // Call it before the handler serves.
 func (s *Server) SetShareRevision(confirmed func() int64) { s.shareRevision = confirmed }
 
+// SetViolations sets where the count of broken invariants is read from. Call it
+// before the handler serves.
+func (s *Server) SetViolations(count func() int64) { s.violations = count }
+
 // Handler returns the twirp handler and the path prefix to mount it under.
 func (s *Server) Handler() (prefix string, handler http.Handler) {
 	server := peerpb.NewPeerServer(s)
@@ -218,6 +224,9 @@
 	if s.shareRevision != nil {
 		presence.ShareRevision = s.shareRevision()
 	}
+	if s.violations != nil {
+		presence.Violations = s.violations()
+	}
 	return presence
 }
 
