--- a/internal/drainer/acting_test.go
+++ b/internal/drainer/acting_test.go
@@ -253,3 +253,48 @@
 		t.Logf("took over after %s from a lost holder with a lease of %s, after %s from a planned stop", crash, holdTTL, planned)
 	})
 }
+
+// The store is away for a minute in the middle of a wave. Nothing new may go
+// out: no grant can be written. Hosts that are out stay out, counted, and the
+// wave goes on by itself once the store is back.
+func TestStoreOutageDisruptsNothingNew(t *testing.T) {
+	inWorld(t, 3, fakefleet.Options{}, func(w *world) {
+		w.put(record.KindWave, "w", smallWave())
+		w.within(time.Minute, "two hosts are out or were", func() bool { return w.acts(fakefleet.VerbDrain) >= 2 })
+		w.store.SetDown(true)
+		out := 0
+		for _, r := range w.records() {
+			if !r.TakesWork() {
+				out++
+			}
+		}
+		before := w.acts(fakefleet.VerbUndrain) + out
+		time.Sleep(time.Minute)
+		must.LessEq(t, before, w.acts(fakefleet.VerbDrain))
+		w.store.SetDown(false)
+		for _, host := range []string{"h01", "h02", "h03", "h04", "h05", "h06", "h07", "h08"} {
+			w.within(5*time.Minute, "the wave visits "+host, w.visited("w", host))
+		}
+	})
+}
+
+// Eight hosts of one service are visited by three controllers. A visit is one
+// write each for the grant, four phases and the release; what else the store is
+// asked is a listing of the ledgers every ten seconds, and no more for more
+// controllers.
+func TestStoreCallsOfAWave(t *testing.T) {
+	inWorld(t, 3, fakefleet.Options{}, func(w *world) {
+		w.put(record.KindWave, "w", smallWave())
+		before, began := w.store.Counts(), time.Now()
+		for _, host := range []string{"h01", "h02", "h03", "h04", "h05", "h06", "h07", "h08"} {
+			w.within(5*time.Minute, "the wave visits "+host, w.visited("w", host))
+		}
+		w.within(time.Minute, "no grant is left", func() bool { return len(w.ledgers()["a"].Grants) == 0 })
+		after, took := w.store.Counts(), time.Since(began)
+		const visitWrites = 6
+		writes, reads := after.Writes-before.Writes, after.Reads-before.Reads
+		t.Logf("%d writes, %d reads in %s", writes, reads, took)
+		must.Eq(t, visitWrites*poolSize, writes)
+		must.LessEq(t, int64(took/(10*time.Second))+2, reads)
+	})
+}
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -57,9 +57,6 @@
 	Invariant *invariant.Checker
 	Log       zerolog.Logger
 	Registry  prometheus.Registerer
-	// Workers, when set, run tasks on the hosts of pools with jobs; they are
-	// checkpointed before a reboot.
-	Workers fleet.Workers
 	// Interval is the longest pause between two rounds; zero means
 	// DefaultInterval. Changes of the configuration start a round earlier.
 	Interval time.Duration
--- a/internal/drainer/observe.go
+++ b/internal/drainer/observe.go
@@ -30,7 +30,6 @@
 	busy    bool
 	// starting is the wave that is taking the host out right now.
 	starting string
-	tasks    taskMemory
 }
 
 // observed is one round's view of the fleet.
@@ -42,7 +41,6 @@
 	waves    map[string]waveInForce
 	states   map[string]condition
 	lagging  map[store.Revision]bool
-	tasks    map[string]int
 }
 
 func (d *Drainer) observe(ctx context.Context, snapshot *catalog.Snapshot, waves []waveInForce) *observed {
@@ -51,7 +49,6 @@
 		hosts:   make(map[string]catalog.HostItem, len(snapshot.Hosts)),
 		waves:   make(map[string]waveInForce, len(waves)),
 		lagging: make(map[store.Revision]bool),
-		tasks:   make(map[string]int),
 	}
 	for _, w := range waves {
 		o.waves[w.name] = w
@@ -67,7 +64,6 @@
 			o.lagging[item.Revision] = len(d.Confirmer.Lagging(ctx, item.Revision)) > 0
 		}
 	}
-	d.countTasks(ctx, o)
 	return o
 }
 
@@ -98,16 +94,17 @@
 }
 
 // questions lists the hosts whose condition this round needs: those out for a
-// wave held here, as of now, and those that serve next to hosts of such a
-// wave, as of lately. The calls are at most hosts out per interval plus hosts
+// wave held here, as of now, and those that serve next to hosts that such a
+// wave may take out, as of lately. The calls are at most hosts out per interval plus hosts
 // serving per servingAge.
 func (d *Drainer) questions(o *observed) []question {
 	services := make(map[string]bool)
 	for name, w := range o.waves {
-		if !d.Shards.Holds(waveShard + name) {
+		spec := w.input.Spec
+		if spec.Paused || spec.Cancelled || d.publisher.over(w) || !d.Shards.Holds(waveShard+name) {
 			continue
 		}
-		for _, pool := range w.input.Spec.Pools {
+		for _, pool := range spec.Pools {
 			for _, service := range o.servicesOf(pool) {
 				services[service] = true
 			}
@@ -190,7 +187,7 @@
 		return host
 	}
 	host.Reachable, host.Healthy, host.LastOperation = state.Reachable, state.Healthy, state.LastOperation
-	host.InFlight = state.InFlight + o.tasks[item.Host]
+	host.InFlight = state.InFlight
 	host.BootID = state.BootID
 	if state.Healthy {
 		host.HealthyFor = time.Since(state.healthySince)
