Refuse changes and disruptions while the store is behind

Cause: a store restored from a backup accepted changes that did not come into force, and its old ledgers would have counted grants that are long given.

Change: relays see the store behind and say so with every message; every process then refuses writes of records, host records and ledgers. Leases and claims go on. What a process saw lapses after 20 s unless it sees it again.

--- a/internal/daemon/common.go
+++ b/internal/daemon/common.go
@@ -94,7 +94,7 @@
 	}
 	c.invariant = invariant.New(telemetry.Part(c.log, "invariant"), c.registry)
 	c.store = storebudget.New(c.platform, storebudget.Config{
-		Ceiling: o.store.Calls, FleetRate: o.store.FleetCalls, Members: c.members,
+		Ceiling: o.store.Calls, FleetRate: o.store.FleetCalls, Members: c.members, CheckWrite: c.checkWrite,
 		Log: telemetry.Part(c.log, "store"), Registerer: c.registry,
 	})
 	c.feed = feed.New(c.store, telemetry.Part(c.log, "feed"), c.invariant, c.registry)
@@ -118,6 +118,9 @@
 // members counts the processes that share the store with this one.
 func (c *common) members() int { return len(c.feed.Snapshot().Members) }
 
+// checkWrite keeps changes and disruptions from a store that went back.
+func (c *common) checkWrite(key string) error { return c.feed.CheckWrite(key) }
+
 // newTree returns a supervisor tree; each tree counts its restarts under its
 // own name.
 func (c *common) newTree(name string) *supervise.Tree {
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
@@ -34,6 +35,10 @@
 	worked map[string]store.Revision
 	// wentBack is set while the store shows an older revision than ours.
 	wentBack bool
+	// sawBack is when this process last saw that.
+	sawBack time.Time
+	// heardBack is when a peer last told that it sees that.
+	heardBack time.Time
 }
 
 // Option shapes a feed.
--- a/internal/feed/storefollow.go
+++ b/internal/feed/storefollow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
 	"auburnglade.example/glade/internal/catalog"
@@ -11,13 +12,25 @@
 	"auburnglade.example/glade/internal/store"
 )
 
-const retryPause = 500 * time.Millisecond
+const (
+	retryPause = 500 * time.Millisecond
+	// heardBackLife is how long a peer's word that the store is behind counts:
+	// a few polls.
+	heardBackLife = 10 * time.Second
+	// sawBackLife is how long what this process saw itself counts: a relay looks
+	// again within less.
+	sawBackLife = 20 * time.Second
+)
 
 // WentBackError says that the store shows an older revision than the one in
 // force, as after a restore from a backup. The configuration in force stays.
+// Store is zero when only a peer has seen it.
 type WentBackError struct{ Store, InForce store.Revision }
 
 func (e *WentBackError) Error() string {
+	if e.Store == 0 {
+		return fmt.Sprintf("the store is behind revision %d in force: it was restored or replaced", e.InForce)
+	}
 	return fmt.Sprintf("the store is at revision %d, behind %d in force", e.Store, e.InForce)
 }
 
@@ -106,15 +119,50 @@
 			Msg("The store went back: it was restored or replaced. The configuration in force is kept.")
 	}
 	f.wentBack = true
+	f.sawBack = time.Now()
 	return &WentBackError{Store: at, InForce: inForce}
 }
 
-// StoreWentBack reports whether the store was last seen behind the
-// configuration in force.
+// StoreWentBack reports whether this process, or a peer a moment ago, sees the
+// store behind the configuration in force. What is written to it then doesn't
+// come into force, and its ledgers may lack what has been granted since.
 func (f *Feed) StoreWentBack() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.wentBack
+	return f.seesBackLocked() || (!f.heardBack.IsZero() && time.Since(f.heardBack) < heardBackLife)
+}
+
+// SeesStoreBack reports whether this process itself sees it. Only that is told
+// to peers: news of it that went in circles would never end.
+func (f *Feed) SeesStoreBack() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.seesBackLocked()
+}
+
+// seesBackLocked lets what was seen lapse: a process that is no relay any more
+// doesn't look again, and would go on saying it for ever.
+func (f *Feed) seesBackLocked() bool {
+	return f.wentBack && time.Since(f.sawBack) < sawBackLife
+}
+
+// HearStoreWentBack takes note that a peer sees the store behind.
+func (f *Feed) HearStoreWentBack() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.heardBack = time.Now()
+}
+
+// CheckWrite returns *WentBackError for a write that must not be made while the
+// store is behind: an operator's change, which would be accepted and not come
+// into force, and a disruption, whose grant would be counted by an old ledger.
+func (f *Feed) CheckWrite(key string) error {
+	for _, prefix := range []string{keys.SpecPrefix, keys.HostPrefix, keys.LedgerPrefix} {
+		if strings.HasPrefix(key, prefix) && f.StoreWentBack() {
+			return &WentBackError{InForce: f.Snapshot().Revision}
+		}
+	}
+	return nil
 }
 
 func (f *Feed) reportForward() {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -167,6 +167,9 @@
 	}
 	s.Note(from.Member, store.Revision(from.ServedRevision))
 	s.feed.Hear(store.Revision(from.SeenRevision))
+	if from.StoreBehind {
+		s.feed.HearStoreWentBack()
+	}
 	return true
 }
 
@@ -220,6 +223,7 @@
 		Digest:         snapshot.Digest,
 		SeenRevision:   int64(s.feed.Seen()),
 		Watching:       s.watching.Load(),
+		StoreBehind:    s.feed.SeesStoreBack(),
 	}
 	if s.shareRevision != nil {
 		presence.ShareRevision = s.shareRevision()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -8,9 +8,11 @@
 
 	"github.com/shoenig/test/must"
 
+	"auburnglade.example/glade/internal/keys"
 	"auburnglade.example/glade/internal/peer/peerpb"
 	"auburnglade.example/glade/internal/record"
 	"auburnglade.example/glade/internal/relay"
+	"auburnglade.example/glade/internal/store"
 )
 
 const settle = 15 * time.Second
@@ -161,3 +163,55 @@
 		must.Eq(t, 4, f.nodes[0].feed.Snapshot().Pools()["web"].Size)
 	})
 }
+
+// The store is restored from a backup. Nobody's configuration goes back, and
+// every process, relay or not, refuses changes and disruptions until the store
+// has passed what is in force; leases and claims go on.
+func TestStoreRestoredFromBackup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 12)
+		defer f.close()
+		time.Sleep(settle)
+		backup := f.store.Backup()
+		var revision store.Revision
+		for hold := range 10 {
+			revision = f.write(hold + 1)
+		}
+		f.took(f.nodes, revision, time.Minute)
+		f.store.Restore(backup)
+		time.Sleep(settle)
+		must.SliceEmpty(t, behind(f.nodes, revision))
+		for _, n := range f.nodes {
+			must.Eq(t, 10, n.feed.Snapshot().Policy().MoveHoldSeconds)
+			must.Error(t, n.feed.CheckWrite(keys.Ledger("s")))
+			must.NoError(t, n.feed.CheckWrite(keys.Member(n.member.ID)))
+		}
+		for hold := range 40 {
+			f.write(100 + hold)
+		}
+		time.Sleep(3 * settle)
+		for _, n := range f.nodes {
+			must.Eq(t, 139, n.feed.Snapshot().Policy().MoveHoldSeconds)
+			must.NoError(t, n.feed.CheckWrite(keys.Ledger("s")))
+		}
+	})
+}
+
+// The store throttles every call for a minute. What is in force stays, a host
+// that starts has it from its peers, and a change is in force within seconds
+// once the store takes calls again.
+func TestStoreThrottled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 9)
+		defer f.close()
+		time.Sleep(settle)
+		revision := f.write(60)
+		f.took(f.nodes, revision, time.Minute)
+		f.store.SetThrottled(true)
+		time.Sleep(time.Minute)
+		must.Less(t, 2*time.Second, f.took([]*node{f.start(f.store)}, revision, time.Minute))
+		must.SliceEmpty(t, behind(f.nodes, revision))
+		f.store.SetThrottled(false)
+		must.Less(t, 10*time.Second, f.took(f.nodes, f.write(61), time.Minute))
+	})
+}
--- a/internal/storebudget/budget.go
+++ b/internal/storebudget/budget.go
@@ -25,7 +25,9 @@
 	// service takes about two thousand reads and several hundred writes.
 	FleetRate int
 	// Members returns how many processes share FleetRate.
-	Members    func() int
+	Members func() int
+	// CheckWrite, when set, says why a key must not be written at present.
+	CheckWrite func(key string) error
 	Log        zerolog.Logger
 	Registerer prometheus.Registerer
 }
@@ -41,6 +43,7 @@
 // the store is away; nothing has happened then.
 type Budget struct {
 	inner   store.Store
+	check   func(key string) error
 	bucket  *bucket
 	breaker *breaker
 	metrics *metrics
@@ -65,6 +68,7 @@
 	}
 	return &Budget{
 		inner:   inner,
+		check:   config.CheckWrite,
 		bucket:  newBucket(float64(config.Ceiling), floor),
 		breaker: newBreaker(config.Log, m),
 		metrics: m,
@@ -86,6 +90,11 @@
 
 // CompareAndSwap implements store.Store.
 func (b *Budget) CompareAndSwap(ctx context.Context, write store.Write) (store.Revision, error) {
+	if b.check != nil {
+		if err := b.check(write.Key); err != nil {
+			return 0, &store.UnavailableError{Op: "compare-and-swap", Cause: err}
+		}
+	}
 	return spend(ctx, b, "compare-and-swap", ofKey(write.Key), func() (store.Revision, error) {
 		return b.inner.CompareAndSwap(ctx, write)
 	})
