--- a/internal/atmostonce/grouped.go
+++ b/internal/atmostonce/grouped.go
@@ -115,7 +115,9 @@
 	}
 	answer, err := s.journal.archivedAnswer(ctx, result.archive, claim.ID)
 	if err != nil {
-		return Verdict{}, &AwayError{ID: claim.ID, Cause: err}
+		// It did run: its caller must come back for the answer, not be told
+		// "not run".
+		return Verdict{State: InProgress, RetryAfter: repeatAfter}, nil
 	}
 	result.verdict.Answer = answer
 	return result.verdict, nil
--- a/internal/atmostonce/grouped_test.go
+++ b/internal/atmostonce/grouped_test.go
@@ -175,6 +175,25 @@
 	return all
 }
 
+// An offer is answered, then the store goes down, and the caller repeats. The
+// owner still knows the key, so the repeat gets its answer, and an unclear one
+// is told so; only a key that nobody can look up is refused as not run.
+func TestRepeatsAreAnsweredFromMemoryInAnOutage(t *testing.T) {
+	inBubble(t, 2, func(w *world) {
+		claimed(t, w.nodes[0], "offer").End(ResultAnswered, &Answer{Status: http.StatusOK, Body: []byte("first")})
+		claimed(t, w.nodes[0], "order").End(ResultUnclear, nil)
+		time.Sleep(time.Second)
+		w.store.SetDown(true)
+		for range 3 {
+			must.EqOp(t, "first", string(found(t, w.nodes[1], "offer").Answer.Body))
+			must.EqOp(t, Unclear, found(t, w.nodes[1], "order").State)
+			_, _, err := w.nodes[1].keeper.Begin(context.Background(), request("another"))
+			must.Error(t, err)
+			time.Sleep(time.Minute)
+		}
+	})
+}
+
 // An outage must not turn every caller into a store call: refusals come at
 // once while the breaker is open, and the store sees few tries.
 func TestOutageIsNotMetWithAStampede(t *testing.T) {
--- a/internal/atmostonce/journal.go
+++ b/internal/atmostonce/journal.go
@@ -113,6 +113,26 @@
 	return nil, mayBeWritten, err
 }
 
+// fromMemory answers a batch that could not be written. A key that is known to
+// be claimed stays claimed, so a repeat is told of it without the store; all
+// else fails. The view may be behind: a claim freed since then reads as in
+// progress, which costs its caller a wait.
+func (j *journal) fromMemory(batch []*operation, cause error, mayBeWritten bool) []operationResult {
+	d := decider{index: j.index, nowMs: j.nowMs(), retentionMs: j.retentionMs}
+	results := make([]operationResult, len(batch))
+	for i, op := range batch {
+		results[i].err = &AwayError{ID: op.id(), MayBeWritten: mayBeWritten, Cause: cause}
+		if op.claim == nil {
+			continue
+		}
+		known, ok := d.lookup(op.claim.ID)
+		if ok && known.identity != op.claim.Identity {
+			results[i] = d.judge(op.claim, known)
+		}
+	}
+	return results
+}
+
 func (j *journal) fresh() bool { return time.Since(j.received) < freshFor }
 
 // nowMs is the shard's clock: the last head's, and the time since that head
--- a/internal/atmostonce/shard.go
+++ b/internal/atmostonce/shard.go
@@ -113,9 +113,6 @@
 	if s.stopped {
 		return &StoppedError{}
 	}
-	if time.Now().Before(s.blockedUntil) {
-		return s.lastErr
-	}
 	s.pending = append(s.pending, op)
 	signal(s.wake)
 	if op.urgent() {
@@ -203,21 +200,38 @@
 }
 
 func (s *shard) commit(ctx context.Context, batch []*operation) {
+	if err := s.blocked(); err != nil {
+		deliver(batch, s.journal.fromMemory(batch, err, false))
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	results, mayBeWritten, err := s.journal.commit(ctx, batch)
 	s.noteStore(err)
 	if err != nil {
-		fail(batch, err, mayBeWritten)
-		return
+		results = s.journal.fromMemory(batch, err, mayBeWritten)
 	}
+	deliver(batch, results)
+}
+
+func deliver(batch []*operation, results []operationResult) {
 	for i, op := range batch {
 		op.done <- results[i]
 	}
 }
 
-// noteStore opens a breaker after a failure: while it is open, claims are
-// refused at once and the store is left alone, however many callers call.
+// blocked returns why the store is left alone just now, and nil when it isn't.
+func (s *shard) blocked() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if time.Now().Before(s.blockedUntil) {
+		return s.lastErr
+	}
+	return nil
+}
+
+// noteStore opens a breaker after a failure: while it is open the store is left
+// alone, however many callers call, and claims are answered from memory.
 func (s *shard) noteStore(err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/gateway/once.go
+++ b/internal/gateway/once.go
@@ -36,9 +36,9 @@
 		g.refuse(w, service.Name, outcome.BadRequest)
 		return
 	}
-	body, reason := readKeyedBody(r)
-	if reason != "" {
-		g.refuse(w, service.Name, reason)
+	body, refused := readKeyedBody(w, r)
+	if refused != nil {
+		g.refuse(w, service.Name, refused.Reason)
 		return
 	}
 	ticket, verdict, err := g.Once.Begin(r.Context(), atmostonce.Request{
@@ -52,7 +52,7 @@
 		return
 	}
 	if ticket == nil {
-		g.answerRepeat(w, service.Name, verdict)
+		g.answerRepeat(w, r, service.Name, verdict)
 		return
 	}
 	g.forwardClaimed(w, r, service, ticket)
@@ -79,20 +79,16 @@
 	return context.WithCancel(detached)
 }
 
-// readKeyedBody reads the body and gives the request a fresh reader over it.
-func readKeyedBody(r *http.Request) ([]byte, outcome.Reason) {
+// readKeyedBody reads the body and gives the request a fresh reader over it. A
+// slow caller holds no slot meanwhile and is cut off like any other.
+func readKeyedBody(w http.ResponseWriter, r *http.Request) ([]byte, *BodyRefusedError) {
 	if r.Body == nil || r.Body == http.NoBody {
-		return nil, ""
+		return nil, nil
 	}
-	if r.ContentLength > maxKeyedBody {
-		return nil, outcome.TooLarge
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxKeyedBody+1))
+	guard := &stallGuard{source: http.MaxBytesReader(w, r.Body, maxKeyedBody), controller: http.NewResponseController(w)}
+	body, err := io.ReadAll(guard)
 	if err != nil {
-		return nil, outcome.BadRequest
-	}
-	if len(body) > maxKeyedBody {
-		return nil, outcome.TooLarge
+		return nil, refusedBody(err)
 	}
 	r.ContentLength = int64(len(body))
 	r.TransferEncoding = nil
@@ -100,11 +96,11 @@
 	if len(body) > 0 {
 		r.Body = io.NopCloser(bytes.NewReader(body))
 	}
-	return body, ""
+	return body, nil
 }
 
 // answerRepeat answers a request whose key was claimed before.
-func (g *Gateway) answerRepeat(w http.ResponseWriter, service string, verdict atmostonce.Verdict) {
+func (g *Gateway) answerRepeat(w http.ResponseWriter, r *http.Request, service string, verdict atmostonce.Verdict) {
 	switch verdict.State {
 	case atmostonce.Answered:
 		if verdict.Answer == nil {
@@ -112,14 +108,11 @@
 			return
 		}
 		g.metrics.requests.WithLabelValues(service, string(outcome.Answered)).Inc()
-		replay(w, verdict.Answer)
+		replay(w, r.Header.Get(outcome.RequestIDHeader), verdict.Answer)
 	case atmostonce.InProgress:
 		g.refuseRepeat(w, service, outcome.KeyInUse, verdict.RetryAfter)
 	case atmostonce.KeyReused:
-		g.metrics.requests.WithLabelValues(service, string(outcome.NotRun)).Inc()
-		w.Header().Set(outcome.Header, string(outcome.NotRun))
-		w.Header().Set(outcome.ReasonHeader, string(outcome.KeyReused))
-		http.Error(w, "not run: the idempotency key belongs to another request", outcome.StatusKeyReused)
+		g.refuse(w, service, outcome.KeyReused)
 	default:
 		g.refuseRepeat(w, service, outcome.KeyUnclear, 0)
 	}
@@ -137,13 +130,15 @@
 	http.Error(w, "unknown: an earlier request with this key may have run", outcome.StatusUnknown)
 }
 
-func replay(w http.ResponseWriter, answer *atmostonce.Answer) {
+// replay gives the first answer again, as the answer to this request.
+func replay(w http.ResponseWriter, id string, answer *atmostonce.Answer) {
 	header := w.Header()
 	for name, values := range answer.Header {
 		header[name] = values
 	}
 	header.Set(outcome.Header, string(outcome.Answered))
 	header.Set(outcome.ReplayedHeader, "true")
+	header.Set(outcome.RequestIDHeader, id)
 	w.WriteHeader(answer.Status)
 	// A caller that has gone may repeat once more.
 	_, _ = w.Write(answer.Body)
--- a/internal/gateway/once_test.go
+++ b/internal/gateway/once_test.go
@@ -301,3 +301,32 @@
 	close(gone)
 	must.EqOp(t, "offer run 1", d.settled(1, "offer", "work").body)
 }
+
+// The endpoint sends early hints before its answer, and trailers after it. The
+// hints must not pass for the answer that is kept, and an answer whose trailers
+// are not kept must not be given again without them.
+func TestHintsAndTrailersAreNotKeptAsAnswers(t *testing.T) {
+	d := newDeployment(t, 2)
+	d.during = func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(outcome.IdempotencyKeyHeader) == "trailed" {
+			w.Header().Set(http.TrailerPrefix+"Checksum", "1")
+			return
+		}
+		w.WriteHeader(http.StatusEarlyHints)
+	}
+	must.EqOp(t, "hinted run 1", d.send(0, "hinted", "work").body)
+	must.EqOp(t, "hinted run 1", d.settled(1, "hinted", "work").body)
+	must.EqOp(t, outcome.Answered, d.send(0, "trailed", "work").outcome)
+	must.EqOp(t, outcome.AnswerNotKept, d.settled(1, "trailed", "work").reason)
+}
+
+// A repeat carries an identity of its own, and its answer must name that one,
+// or the caller takes it for an answer to another request.
+func TestRepeatIsAnsweredUnderItsOwnRequestID(t *testing.T) {
+	d := newDeployment(t, 1)
+	first := d.send(0, "offer", "work").header.Get(outcome.RequestIDHeader)
+	second := d.settled(0, "offer", "work")
+	must.EqOp(t, "true", second.header.Get(outcome.ReplayedHeader))
+	must.NotEqOp(t, "", second.header.Get(outcome.RequestIDHeader))
+	must.NotEqOp(t, first, second.header.Get(outcome.RequestIDHeader))
+}
--- a/internal/gateway/recorder.go
+++ b/internal/gateway/recorder.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 
 	"auburnglade.example/glade/internal/atmostonce"
 	"auburnglade.example/glade/internal/outcome"
@@ -77,7 +78,7 @@
 		if !finished {
 			return atmostonce.ResultUnclear, nil
 		}
-		if r.overflown {
+		if r.overflown || r.hasLateTrailer() {
 			return atmostonce.ResultAnswered, nil
 		}
 		return atmostonce.ResultAnswered, &atmostonce.Answer{Status: r.status, Header: r.header, Body: r.body}
@@ -85,6 +86,17 @@
 	return atmostonce.ResultUnclear, nil
 }
 
+// hasLateTrailer reports whether the endpoint sent trailers that it didn't
+// announce: an answer with trailers isn't kept.
+func (r *recorder) hasLateTrailer() bool {
+	for name := range r.Header() {
+		if strings.HasPrefix(name, http.TrailerPrefix) {
+			return true
+		}
+	}
+	return false
+}
+
 func headerBytes(header http.Header) int {
 	total := 0
 	for name, values := range header {
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -61,6 +61,8 @@
 		return http.StatusRequestEntityTooLarge, false
 	case SlowCaller:
 		return http.StatusRequestTimeout, false
+	case KeyReused:
+		return StatusKeyReused, false
 	}
 	return StatusNotRun, true
 }
