Trade hosts for a pool that is left in a single zone

Cause: a pool could end up in one failure domain by shrinking and growing, and nothing moved because no size was amiss.

Change: after the hold such a pool trades a host with a pool that stays spread. The random test checks trades on their own (a pool that is over or under its size may trade, which leaves it as large as it was) and the fewest moves without them, as strictly as before.

Conclusion: two moves per pool concerned, none when nothing can be gained.

--- a/internal/mover/holds.go
+++ b/internal/mover/holds.go
@@ -18,10 +18,13 @@
 	// Absent holds how long a host has been missing from the platform's list
 	// or failed.
 	Absent map[string]time.Duration `json:"absent,omitempty"`
+	// OneZone holds how long a pool has been in a single zone although it may
+	// be in others.
+	OneZone map[string]time.Duration `json:"oneZone,omitempty"`
 }
 
 // Empty reports whether no reason holds.
-func (l Lasted) Empty() bool { return len(l.Lacking)+len(l.Over)+len(l.Absent) == 0 }
+func (l Lasted) Empty() bool { return len(l.Lacking)+len(l.Over)+len(l.Absent)+len(l.OneZone) == 0 }
 
 // Age returns the reasons that hold now, those that held before longer by
 // passed. A reason that has ceased starts anew when it comes back: a pool that
@@ -31,6 +34,7 @@
 		Lacking: make(map[string][]time.Duration),
 		Over:    make(map[string][]time.Duration),
 		Absent:  l.absent(input.Hosts, passed),
+		OneZone: make(map[string]time.Duration),
 	}
 	input.Lasted = next
 	c := newCensus(input)
@@ -50,6 +54,14 @@
 			next.Over[name] = grown(l.Over[name], -lack, passed)
 		}
 	}
+	for name := range c.sizes {
+		if before, held := l.OneZone[name]; c.inOneZone(name) {
+			next.OneZone[name] = before
+			if held {
+				next.OneZone[name] += passed
+			}
+		}
+	}
 	return next
 }
 
--- a/internal/mover/lasted.go
+++ b/internal/mover/lasted.go
@@ -111,6 +111,9 @@
 	for name := range l.Absent {
 		set["absent/"+name] = 1
 	}
+	for name := range l.OneZone {
+		set["one-zone/"+name] = 1
+	}
 	return set
 }
 
--- a/internal/mover/plan.go
+++ b/internal/mover/plan.go
@@ -64,8 +64,9 @@
 	Forget []Change
 	// Waiting says by pool why its missing hosts don't come now.
 	Waiting map[string]string
-	// LowerBound is the fewest moves that fill what Moves fills: the deficits
-	// that hosts without a pool can't cover.
+	// LowerBound is the fewest moves that do what Moves does: the deficits that
+	// hosts without a pool can't cover, and two for each pool that is traded
+	// out of a single zone.
 	LowerBound int
 }
 
@@ -156,7 +157,9 @@
 	for name := range deficits {
 		reasons[name] = p.census.why(name)
 	}
+	picked := make(map[string]bool)
 	for _, pick := range round.picks() {
+		picked[pick.host.Name] = true
 		if pick.from == noPool {
 			p.plan.Assign = append(p.plan.Assign, Assignment{Host: pick.host.Name, Pool: pick.to, Reason: reasons[pick.to]})
 			continue
@@ -165,6 +168,7 @@
 		p.begin(pick, fmt.Sprintf("pool %s has lacked hosts and pool %s has had too many for %s", pick.to, pick.from, p.input.Hold))
 	}
 	p.explain(deficits)
+	p.spread(picked)
 }
 
 // goOn begins the moves that were planned to go with a wave which no longer
