--- /dev/null
+++ b/internal/daemon/rolling_test.go
@@ -0,0 +1,198 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"auburnglade.example/glade/internal/fleet"
+	"auburnglade.example/glade/internal/fleet/fakefleet"
+	"auburnglade.example/glade/internal/hostrecord"
+	"auburnglade.example/glade/internal/keys"
+	"auburnglade.example/glade/internal/outcome"
+	"auburnglade.example/glade/internal/pause"
+	"auburnglade.example/glade/internal/platformhttp"
+	"auburnglade.example/glade/internal/record"
+	"auburnglade.example/glade/internal/standin"
+	"auburnglade.example/glade/internal/store"
+	"auburnglade.example/glade/internal/store/memstore"
+)
+
+// rollingFleet is a platform with one endpoint, two gateways and a balancer,
+// on loopback.
+type rollingFleet struct {
+	t        *testing.T
+	platform string
+	runs     atomic.Int64
+	balancer *standin.Balancer
+	gateways []*runningGateway
+}
+
+type runningGateway struct {
+	gateway *Gateway
+	target  standin.Target
+	stop    context.CancelFunc
+	ended   chan error
+}
+
+func newRollingFleet(t *testing.T) *rollingFleet {
+	t.Helper()
+	f := &rollingFleet{t: t}
+	served := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.runs.Add(1)
+		// In flight for long enough that each stop meets some.
+		time.Sleep(20 * time.Millisecond)
+		_, _ = io.WriteString(w, r.URL.Query().Get("token"))
+	}))
+	t.Cleanup(served.Close)
+	address := netip.MustParseAddrPort(strings.TrimPrefix(served.URL, "http://"))
+	hosts := fakefleet.New([]fleet.Host{{Name: "host-001", Address: address.Addr().String(), Zone: "zone-a"}}, fakefleet.Options{})
+	backing := memstore.New()
+	f.put(backing, record.KindService, "offers", record.Service{PathPrefix: "/offers/", Port: int(address.Port()), SlotsPerEndpoint: 64})
+	f.put(backing, record.KindPool, "front", record.Pool{Services: []string{"offers"}, Size: 1})
+	f.write(backing, keys.Host("host-001"), hostrecord.Record{Host: "host-001", Pool: "front", Phase: hostrecord.Serving}.Encode())
+	platform := httptest.NewServer(platformhttp.NewHandler(platformhttp.Backend{Store: backing, Hosts: hosts, Pool: hosts}))
+	t.Cleanup(platform.Close)
+	f.platform = platform.URL
+	f.balancer = standin.NewBalancer(nil)
+	return f
+}
+
+func (f *rollingFleet) put(s store.Store, kind record.Kind, name string, spec any) {
+	body, err := json.Marshal(spec)
+	must.NoError(f.t, err)
+	envelope := record.Envelope{Kind: kind, Name: name, Schema: 1, Spec: body}
+	value, err := json.Marshal(envelope)
+	must.NoError(f.t, err)
+	f.write(s, keys.Spec(envelope.ID()), value)
+}
+
+func (f *rollingFleet) write(s store.Store, key string, value []byte) {
+	_, err := s.CompareAndSwap(f.t.Context(), store.Write{Key: key, Value: value})
+	must.NoError(f.t, err)
+}
+
+// start runs a gateway on addresses that were free a moment ago.
+func (f *rollingFleet) start(name string) *runningGateway {
+	settings := DefaultGatewaySettings()
+	settings.Process = ProcessSettings{ID: name, Zone: "zone-a"}
+	settings.Platform.URL = f.platform
+	settings.Listen = GatewayListen{Callers: freeAddress(f.t), Peers: freeAddress(f.t), Admin: freeAddress(f.t)}
+	settings.Keys.InsecureHTTP = true
+	settings.Stop.Notice = time.Second
+	settings.Log.Level = "error"
+	gateway, err := NewGateway(f.t.Context(), settings, f.t.Output())
+	must.NoError(f.t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	running := &runningGateway{
+		gateway: gateway, stop: stop, ended: make(chan error, 1),
+		target: standin.Target{Callers: settings.Listen.Callers.String(), Admin: settings.Listen.Admin.String()},
+	}
+	go func() { running.ended <- gateway.Run(ctx) }()
+	f.gateways = append(f.gateways, running)
+	return running
+}
+
+// awaitReady waits until the balancer sends callers to n gateways.
+func (f *rollingFleet) awaitReady(n int) {
+	var targets []standin.Target
+	for _, g := range f.gateways {
+		targets = append(targets, g.target)
+	}
+	f.balancer.SetTargets(targets)
+	for f.balancer.Ready() != n {
+		must.NoError(f.t, f.t.Context().Err())
+		pause.For(f.t.Context(), time.Millisecond)
+	}
+}
+
+// retire stops the oldest gateway as planned and waits for its end.
+func (f *rollingFleet) retire() {
+	oldest := f.gateways[0]
+	f.gateways = f.gateways[1:]
+	oldest.stop()
+	must.NoError(f.t, <-oldest.ended)
+	must.SliceEmpty(f.t, oldest.gateway.Violations())
+}
+
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer listener.Close()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+// Every gateway is replaced while callers call. Each stop meets requests in
+// flight and kept-alive connections; no caller may see a connection error, a
+// refusal or another's answer, and every request must run once.
+func TestRollingRestartLosesNoRequest(t *testing.T) {
+	f := newRollingFleet(t)
+	probing, stopProbing := context.WithCancel(t.Context())
+	defer stopProbing()
+	go func() { _ = f.balancer.Serve(probing) }()
+	f.start("gateway-1")
+	f.start("gateway-2")
+	f.awaitReady(2)
+
+	calling, stopCalling := context.WithCancel(t.Context())
+	var sent atomic.Int64
+	var callers sync.WaitGroup
+	for range 16 {
+		callers.Go(func() { f.call(calling, &sent) })
+	}
+	for _, name := range []string{"gateway-3", "gateway-4"} {
+		f.start(name)
+		f.awaitReady(3)
+		f.retire()
+		f.awaitReady(2)
+	}
+	stopCalling()
+	callers.Wait()
+	t.Logf("requests %d", sent.Load())
+	must.Greater(t, 100, sent.Load())
+	must.EqOp(t, sent.Load(), f.runs.Load())
+	for range 2 {
+		f.retire()
+	}
+}
+
+// call sends offers one after the other on kept-alive connections.
+func (f *rollingFleet) call(ctx context.Context, sent *atomic.Int64) {
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	for ctx.Err() == nil {
+		target, ok := f.balancer.Pick()
+		if !ok {
+			f.t.Error("no gateway takes callers")
+			return
+		}
+		token := time.Duration(sent.Add(1)).String()
+		request, err := http.NewRequest(http.MethodPost, "http://"+target.Callers+"/offers/issue?token="+token, nil)
+		if err != nil {
+			f.t.Error(err)
+			return
+		}
+		response, err := transport.RoundTrip(request)
+		if err != nil {
+			f.t.Errorf("request lost: %v", err)
+			return
+		}
+		body, err := io.ReadAll(response.Body)
+		response.Body.Close()
+		if err != nil || string(body) != token || response.Header.Get(outcome.Header) != string(outcome.Answered) {
+			f.t.Errorf("request %s: %s %q, %v", token, response.Header.Get(outcome.ReasonHeader), body, err)
+		}
+	}
+}
