Bound a slow caller's body also when it carries an idempotency key

Change: the guard against stalling and the size limit sit on the body from the start, whoever reads it; the limit is a setting, [callers] max_body_bytes. Measured: the test of the slow caller, now with a key too, gets 408 not-run. Conclusion: no body is read without a deadline any more.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -49,6 +49,7 @@
 		Member: base.self.ID, Zone: settings.Process.Zone, Feed: base.feed, Hosts: base.hosts,
 		Invariant: base.invariant, Log: telemetry.Part(base.log, "gateway"), Registry: base.registry,
 		Tracer: base.tracer, WorksWith: base.feed.WorkedWith("gateway"), Once: g.once, Shares: g.shares,
+		MaxBodyBytes: int64(settings.Callers.BodyBytes),
 	})
 	g.shares.Usage = g.gateway
 	return g, nil
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"auburnglade.example/glade/internal/audit"
+	"auburnglade.example/glade/internal/gateway"
 	"auburnglade.example/glade/internal/httpserve"
 	"auburnglade.example/glade/internal/jobs"
 	"auburnglade.example/glade/internal/report"
@@ -80,13 +81,14 @@
 	PerCaller     int           `ini:"max_connections_per_caller" help:"Most open connections of one caller, by IP address. 0 means no bound; raise it when the balancer hides the callers' addresses."`
 	HeaderTimeout time.Duration `ini:"header_timeout" help:"How long a request's header may take to arrive."`
 	HeaderBytes   int           `ini:"max_header_bytes" help:"Largest header of a request, in bytes."`
+	BodyBytes     int           `ini:"max_body_bytes" help:"Largest body of a request, in bytes."`
 	IdleTimeout   time.Duration `ini:"idle_timeout" help:"How long a connection may carry no request."`
 }
 
 func defaultCallers() CallerSettings {
 	return CallerSettings{
 		Connections: 4096, PerCaller: 1024, HeaderTimeout: httpserve.DefaultHeaderTimeout,
-		HeaderBytes: httpserve.DefaultHeaderBytes, IdleTimeout: httpserve.DefaultIdleTimeout,
+		HeaderBytes: httpserve.DefaultHeaderBytes, BodyBytes: gateway.DefaultMaxBodyBytes, IdleTimeout: httpserve.DefaultIdleTimeout,
 	}
 }
 
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -58,20 +58,35 @@
 	current *attemptBody
 }
 
+// guardBody bounds the body's size and how long the caller may take for each
+// part of it, whoever reads it.
+func (g *Gateway) guardBody(w http.ResponseWriter, r *http.Request) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return
+	}
+	r.Body = &stallGuard{
+		source: http.MaxBytesReader(w, r.Body, g.MaxBodyBytes), controller: http.NewResponseController(w),
+	}
+}
+
 // takeBody reads a small body whole, before any endpoint's slot is taken: a
 // slow caller holds none.
-func (g *Gateway) takeBody(w http.ResponseWriter, r *http.Request) (*requestBody, *BodyRefusedError) {
+func (g *Gateway) takeBody(r *http.Request) (*requestBody, *BodyRefusedError) {
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return &requestBody{}, nil
 	}
 	if r.ContentLength > g.MaxBodyBytes {
 		return nil, &BodyRefusedError{Reason: outcome.TooLarge}
 	}
-	controller := http.NewResponseController(w)
 	body := &requestBody{length: r.ContentLength, trailer: r.Trailer}
-	body.guard = &stallGuard{source: http.MaxBytesReader(w, r.Body, g.MaxBodyBytes), controller: controller}
+	guard, fromCaller := r.Body.(*stallGuard)
+	if !fromCaller {
+		// It was read before, for its fingerprint; nothing can stall.
+		guard = &stallGuard{source: r.Body}
+	}
+	body.guard = guard
 	if r.ContentLength > largeBuffer {
-		body.streamFrom(body.guard)
+		body.streamFrom(guard)
 		return body, nil
 	}
 	if err := body.fill(); err != nil {
@@ -113,8 +128,10 @@
 // side.
 func (b *requestBody) streamFrom(source io.Reader) {
 	b.stream = source
-	// Only HTTP/1 servers need it, and they have it.
-	_ = b.guard.controller.EnableFullDuplex()
+	if b.guard.controller != nil {
+		// Only HTTP/1 servers need it, and they have it.
+		_ = b.guard.controller.EnableFullDuplex()
+	}
 }
 
 // readFull fills buffer and reads on until the end is seen where the source
@@ -231,7 +248,8 @@
 // Without it a caller that sends a byte a minute holds a slot for as long as
 // the service's time-out.
 type stallGuard struct {
-	source      io.Reader
+	source io.ReadCloser
+	// controller is nil for a body that is in memory.
 	controller  *http.ResponseController
 	atEnd       atomic.Bool
 	interrupted atomic.Bool
@@ -241,8 +259,7 @@
 var longAgo = time.Unix(1, 0)
 
 func (s *stallGuard) Read(p []byte) (int, error) {
-	// A writer without deadlines is a test's; the request's own deadline holds.
-	_ = s.controller.SetReadDeadline(time.Now().Add(bodyStall))
+	s.setDeadline(time.Now().Add(bodyStall))
 	if s.interrupted.Load() {
 		return 0, errBodyClosed
 	}
@@ -253,11 +270,21 @@
 	return n, err
 }
 
+// Close implements io.Closer.
+func (s *stallGuard) Close() error { return s.source.Close() }
+
+func (s *stallGuard) setDeadline(deadline time.Time) {
+	if s.controller != nil {
+		// A writer without deadlines is a test's; the request's own holds.
+		_ = s.controller.SetReadDeadline(deadline)
+	}
+}
+
 // finished lifts the deadline: the server goes on watching the connection for
 // the caller's leaving, which a deadline left behind would report falsely.
 func (s *stallGuard) finished() {
 	s.atEnd.Store(true)
-	_ = s.controller.SetReadDeadline(time.Time{})
+	s.setDeadline(time.Time{})
 }
 
 // interrupt ends a read under way and all later ones, so that giving up a
@@ -267,5 +294,5 @@
 		return
 	}
 	s.interrupted.Store(true)
-	_ = s.controller.SetReadDeadline(longAgo)
+	s.setDeadline(longAgo)
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -37,7 +37,7 @@
 
 // forward sends the request until it has an answer or an honest failure.
 func (g *Gateway) forward(w http.ResponseWriter, r *http.Request, service endpoint.Service) {
-	body, err := g.takeBody(w, r)
+	body, err := g.takeBody(r)
 	if err != nil {
 		g.refuse(w, service.Name, err.Reason)
 		return
--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -13,9 +13,12 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/shoenig/test/must"
 
+	"auburnglade.example/glade/internal/atmostonce"
 	"auburnglade.example/glade/internal/outcome"
+	"auburnglade.example/glade/internal/store/memstore"
 )
 
 func TestForwardsBodiesOfEverySize(t *testing.T) {
@@ -307,18 +310,23 @@
 }
 
 // A caller sends its header and then nothing. It must be refused as not run
-// without ever having held an endpoint's slot.
+// without ever having held an endpoint's slot, also when its idempotency key
+// means that the body is read before the key is claimed.
 func TestSlowCallerHoldsNoSlot(t *testing.T) {
 	g := startGateway(t, startEndpoint(t, func(http.ResponseWriter, *http.Request) { t.Error("nothing may reach the endpoint") }))
-	body, writer := io.Pipe()
-	defer writer.Close()
-	request := httptest.NewRequest(http.MethodPost, "/offers/issue/1", body)
-	request.ContentLength = 10
-	recorder := &stallingRecorder{ResponseRecorder: httptest.NewRecorder(), writer: writer}
-	g.ServeHTTP(recorder, request)
-	must.EqOp(t, http.StatusRequestTimeout, recorder.Code)
-	must.EqOp(t, string(outcome.NotRun), recorder.Header().Get(outcome.Header))
-	must.EqOp(t, string(outcome.SlowCaller), recorder.Header().Get(outcome.ReasonHeader))
+	keeper := atmostonce.New(atmostonce.Config{Ledger: atmostonce.NewPerKey(memstore.New(), 0), Log: zerolog.Nop()})
+	for _, once := range []*atmostonce.Keeper{nil, keeper} {
+		g.Once = once
+		body, writer := io.Pipe()
+		request := httptest.NewRequest(http.MethodPost, "/offers/issue/1", body)
+		request.ContentLength = 10
+		request.Header.Set(outcome.IdempotencyKeyHeader, "offer-1")
+		recorder := &stallingRecorder{ResponseRecorder: httptest.NewRecorder(), writer: writer}
+		g.ServeHTTP(recorder, request)
+		must.EqOp(t, http.StatusRequestTimeout, recorder.Code)
+		must.EqOp(t, string(outcome.NotRun), recorder.Header().Get(outcome.Header))
+		must.EqOp(t, string(outcome.SlowCaller), recorder.Header().Get(outcome.ReasonHeader))
+	}
 }
 
 // stallingRecorder lets a read deadline run out at once.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -209,6 +209,7 @@
 	ctx, cancel := context.WithTimeout(r.Context(), timeout)
 	defer cancel()
 	boundWriting(w, timeout)
+	g.guardBody(w, r)
 	ctx, span := g.startSpan(ctx, r, service.Name)
 	defer span.End()
 	g.ensureRequestID(r)
--- a/internal/gateway/once.go
+++ b/internal/gateway/once.go
@@ -85,8 +85,8 @@
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
 	}
-	guard := &stallGuard{source: http.MaxBytesReader(w, r.Body, maxKeyedBody), controller: http.NewResponseController(w)}
-	body, err := io.ReadAll(guard)
+	// The guard against stalling is on the body already.
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxKeyedBody))
 	if err != nil {
 		return nil, refusedBody(err)
 	}
