Give back a grant whose answer was lost at once, and read the list often enough

Change: an unknown outcome is released with the rest; the list is read at least every 2.5 s of decisions; keys.Holder is gone. A story shows that a reboot which hangs for two minutes holds up no other host. Measured: TestSlowHostHoldsUpNoOther: two other hosts are visited while the first hangs.

--- a/internal/budget/gate.go
+++ b/internal/budget/gate.go
@@ -55,7 +55,11 @@
 		if err == nil {
 			continue
 		}
-		for _, held := range ordered[:i] {
+		taken := ordered[:i]
+		if store.IsUnknownOutcome(err) {
+			taken = ordered[:i+1]
+		}
+		for _, held := range taken {
 			if releaseErr := g.Release(ctx, held, host, grant.Operation); releaseErr != nil {
 				// The grant stays counted: cautious, and found again by the
 				// next pass over orphaned grants.
--- a/internal/drainer/acting_test.go
+++ b/internal/drainer/acting_test.go
@@ -298,3 +298,26 @@
 		must.LessEq(t, int64(took/(10*time.Second))+2, reads)
 	})
 }
+
+// One host's reboot hangs for two minutes in the platform. Acted on one after
+// the other, every other host of the controller would wait with it, out of
+// service and counted.
+func TestSlowHostHoldsUpNoOther(t *testing.T) {
+	inWorld(t, 1, fakefleet.Options{}, func(w *world) {
+		c := w.controllers[0]
+		c.stall.mu.Lock()
+		c.stall.before = func(call string) {
+			if call == "reboot h01" {
+				time.Sleep(2 * time.Minute)
+			}
+		}
+		c.stall.mu.Unlock()
+		w.put(record.KindWave, "slow", smallWave("h01"))
+		w.within(time.Minute, "h01 is told to reboot", func() bool { return w.phase("h01") == hostrecord.Rebooting })
+		w.put(record.KindWave, "w", smallWave("h02", "h03"))
+		w.within(time.Minute, "the wave visits h02", w.visited("w", "h02"))
+		w.within(time.Minute, "the wave visits h03", w.visited("w", "h03"))
+		must.Eq(t, hostrecord.Rebooting, w.phase("h01"))
+		w.within(5*time.Minute, "h01 serves", func() bool { return w.phase("h01") == hostrecord.Serving })
+	})
+}
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -196,9 +196,10 @@
 	at     time.Time
 }
 
-// readList reads the host list at most once an interval.
+// readList reads the host list at most once an interval, and often enough for
+// decisions to rest on it.
 func (d *Drainer) readList(ctx context.Context) error {
-	if time.Since(d.list.at) < d.Interval {
+	if time.Since(d.list.at) < min(d.Interval, decisionAge/2) {
 		return nil
 	}
 	asked := time.Now()
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -34,8 +34,6 @@
 	LedgerPrefix = StatePrefix + "ledger/"
 	// ClaimPrefix holds claims of idempotency keys.
 	ClaimPrefix = StatePrefix + "claim/"
-	// HolderPrefix holds which controller decides for which shard.
-	HolderPrefix = StatePrefix + "holder/"
 	// Moves holds how long each reason to move a host has lasted.
 	Moves = StatePrefix + "moves"
 	// PlacementPrefix holds one record per pool with its jobs' tasks.
@@ -67,9 +65,6 @@
 // Member returns the key of a process's membership record.
 func Member(id string) string { return MemberPrefix + id }
 
-// Holder returns the key that names a shard's holder.
-func Holder(shard string) string { return HolderPrefix + shard }
-
 // ParseSpec returns the record a spec key names, and whether it is one.
 func ParseSpec(key string) (record.ID, bool) {
 	rest, ok := strings.CutPrefix(key, SpecPrefix)
--- a/internal/storebudget/class.go
+++ b/internal/storebudget/class.go
@@ -39,7 +39,7 @@
 // ofKey returns the class of a read or write of one key.
 func ofKey(key string) Class {
 	switch {
-	case strings.HasPrefix(key, keys.MemberPrefix), strings.HasPrefix(key, keys.HolderPrefix):
+	case strings.HasPrefix(key, keys.MemberPrefix):
 		return Lease
 	case strings.HasPrefix(key, keys.SpecPrefix), strings.HasPrefix(key, keys.AuditPrefix):
 		return Spec
