Measure what it costs to take over a shard of claims

Change: glade-measure atmostonce also fills a shard through one gateway and lets another make its first claim.

--- a/internal/measure/atmostonce/atmostonce.go
+++ b/internal/measure/atmostonce/atmostonce.go
@@ -4,6 +4,7 @@
 package atmostonce
 
 import (
+	"net/http"
 	"time"
 
 	"auburnglade.example/glade/internal/atmostonce"
@@ -19,6 +20,8 @@
 	WorkTime     time.Duration `help:"Time that an endpoint takes." default:"20ms"`
 	AnswerBytes  int           `help:"Size of an answer's body." default:"300"`
 	Seed         uint64        `help:"Seed of the arrivals." default:"1"`
+
+	TakeoverClaims int `help:"Claims in the shard that a gateway takes over." default:"20000"`
 }
 
 // Result is the measurement's.
@@ -27,6 +30,8 @@
 	StoreLatencyMs float64 `json:"store_latency_ms"`
 	Seed           uint64  `json:"seed"`
 	Rows           []Row   `json:"rows"`
+
+	Takeover Takeover `json:"takeover"`
 }
 
 // Row is one way at one rate. A tenth of the requests is repeated through
@@ -101,8 +106,19 @@
 			b.close()
 		}
 	}
+	var err error
+	if r.Takeover, err = c.measureTakeover(); err != nil {
+		return err
+	}
 	*result = r
 	return nil
 }
 
+func (c *Cmd) answer() *atmostonce.Answer {
+	return &atmostonce.Answer{
+		Status: http.StatusOK, Body: make([]byte, c.AnswerBytes),
+		Header: http.Header{"Content-Type": {"application/json"}, "Date": {time.Now().Format(http.TimeFormat)}},
+	}
+}
+
 func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
--- a/internal/measure/atmostonce/bench.go
+++ b/internal/measure/atmostonce/bench.go
@@ -170,10 +170,7 @@
 	b.row.MaxRuns = max(b.row.MaxRuns, b.runs[n])
 	b.mu.Unlock()
 	time.Sleep(b.cmd.WorkTime)
-	ticket.End(atmostonce.ResultAnswered, &atmostonce.Answer{
-		Status: http.StatusOK, Body: make([]byte, b.cmd.AnswerBytes),
-		Header: http.Header{"Content-Type": {"application/json"}, "Date": {time.Now().Format(http.TimeFormat)}},
-	})
+	ticket.End(atmostonce.ResultAnswered, b.cmd.answer())
 }
 
 func (b *bench) report(rate int, before memstore.Counts) Row {
--- /dev/null
+++ b/internal/measure/atmostonce/takeover.go
@@ -0,0 +1,88 @@
+package atmostonce
+
+import (
+	"context"
+	"runtime"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"auburnglade.example/glade/internal/atmostonce"
+	"auburnglade.example/glade/internal/keys"
+	"auburnglade.example/glade/internal/store/memstore"
+)
+
+// Takeover is what it costs a gateway to own a shard that another filled.
+type Takeover struct {
+	Claims       int     `json:"claims"`
+	StoredValues int     `json:"stored_values"`
+	StoredBytes  int     `json:"stored_bytes"`
+	LargestValue int     `json:"largest_value_bytes"`
+	FirstClaimMs float64 `json:"first_claim_ms"`
+	HeapPerClaim float64 `json:"heap_bytes_per_claim"`
+}
+
+const fillers = 200
+
+// measureTakeover fills a store with answered claims through one gateway and
+// lets another make its first claim.
+func (c *Cmd) measureTakeover() (Takeover, error) {
+	s := memstore.New()
+	b := &bench{cmd: c, store: s, runs: make(map[int]int)}
+	first, stopFirst := serveOne(s)
+	var wait sync.WaitGroup
+	for filler := range fillers {
+		wait.Go(func() {
+			for n := filler; n < c.TakeoverClaims; n += fillers {
+				if ticket, _, err := first.Begin(context.Background(), b.claim(n)); err == nil && ticket != nil {
+					ticket.End(atmostonce.ResultAnswered, c.answer())
+				}
+			}
+		})
+	}
+	wait.Wait()
+	stopFirst()
+	t := Takeover{Claims: c.TakeoverClaims}
+	listing, err := s.List(context.Background(), keys.ClaimPrefix)
+	if err != nil {
+		return t, err
+	}
+	for _, entry := range listing.Entries {
+		t.StoredValues++
+		t.StoredBytes += len(entry.Value)
+		t.LargestValue = max(t.LargestValue, len(entry.Value))
+	}
+	before := heapBytes()
+	second, stopSecond := serveOne(s)
+	defer stopSecond()
+	began := time.Now()
+	if _, _, err := second.Begin(context.Background(), b.claim(c.TakeoverClaims)); err != nil {
+		return t, err
+	}
+	t.FirstClaimMs = milliseconds(time.Since(began))
+	t.HeapPerClaim = float64(heapBytes()-before) / float64(max(c.TakeoverClaims, 1))
+	runtime.KeepAlive(second)
+	return t, nil
+}
+
+func serveOne(s *memstore.Store) (keeper *atmostonce.Keeper, stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	keeper = atmostonce.New(atmostonce.Config{
+		Ledger: atmostonce.NewGrouped(atmostonce.GroupedConfig{Store: s, Self: "only"}), Log: zerolog.Nop(),
+	})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		// Ends with ctx, once what is left is settled.
+		_ = keeper.Serve(ctx)
+	}()
+	return keeper, func() { cancel(); <-ended }
+}
+
+func heapBytes() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
