Count history as status and lists by their prefix in the store budget

A listing of wave status went before operators' changes. While the store is behind, placements are refused too: they would be decided by old tasks.

--- a/internal/feed/storefollow.go
+++ b/internal/feed/storefollow.go
@@ -155,9 +155,10 @@
 
 // CheckWrite returns *WentBackError for a write that must not be made while the
 // store is behind: an operator's change, which would be accepted and not come
-// into force, and a disruption, whose grant would be counted by an old ledger.
+// into force, and a disruption or a placement, which would be decided by old
+// ledgers and tasks.
 func (f *Feed) CheckWrite(key string) error {
-	for _, prefix := range []string{keys.SpecPrefix, keys.HostPrefix, keys.LedgerPrefix} {
+	for _, prefix := range []string{keys.SpecPrefix, keys.HostPrefix, keys.LedgerPrefix, keys.PlacementPrefix} {
 		if strings.HasPrefix(key, prefix) && f.StoreWentBack() {
 			return &WentBackError{InForce: f.Snapshot().Revision}
 		}
--- a/internal/storebudget/budget.go
+++ b/internal/storebudget/budget.go
@@ -85,7 +85,7 @@
 
 // List implements store.Store.
 func (b *Budget) List(ctx context.Context, prefix string) (store.Listing, error) {
-	return spend(ctx, b, "list", Follow, func() (store.Listing, error) { return b.inner.List(ctx, prefix) })
+	return spend(ctx, b, "list", ofKey(prefix), func() (store.Listing, error) { return b.inner.List(ctx, prefix) })
 }
 
 // CompareAndSwap implements store.Store.
--- a/internal/storebudget/class.go
+++ b/internal/storebudget/class.go
@@ -36,14 +36,16 @@
 // reserve is the share of the bucket that a class leaves to those before it.
 var reserve = [classes]float64{0, 0.1, 0.2, 0.3, 0.5}
 
-// ofKey returns the class of a read or write of one key.
+// ofKey returns the class of a call for a key or for the keys under a prefix.
 func ofKey(key string) Class {
 	switch {
+	case key == keys.SharedPrefix:
+		return Follow
 	case strings.HasPrefix(key, keys.MemberPrefix):
 		return Lease
 	case strings.HasPrefix(key, keys.SpecPrefix), strings.HasPrefix(key, keys.AuditPrefix):
 		return Spec
-	case strings.HasPrefix(key, keys.StatusPrefix):
+	case strings.HasPrefix(key, keys.StatusPrefix), strings.HasPrefix(key, keys.HistoryPrefix):
 		return Status
 	}
 	return Grant
