Release a moved host's grants with the revision that a decision must rest on

Cause: the mover gave its grants back without saying from which configuration on they may be missing. A controller further behind still counts the host in the pool that it has left, and could be granted another host on it. Change: the mover releases by ReleaseAfter with the revision of the record that says where the host serves now, and its views name their revision.

--- a/internal/mover/act.go
+++ b/internal/mover/act.go
@@ -151,7 +151,7 @@
 	if err := m.Pool.Undrain(ctx, item.Host, item.Operation); err != nil {
 		return err
 	}
-	err := m.write(ctx, item, func(r *hostrecord.Record) {
+	served, err := m.swap(ctx, item, func(r *hostrecord.Record) {
 		r.LastOperation = r.Operation
 		r.Phase, r.Operation, r.NextPool, r.PreviousPool, r.Granted = hostrecord.Serving, "", "", "", nil
 	})
@@ -159,7 +159,12 @@
 		return err
 	}
 	delete(m.drained, item.Host)
-	return m.release(ctx, item.Granted, item.Host, item.Operation)
+	for _, service := range item.Granted {
+		if err := m.Gate.ReleaseAfter(ctx, service, item.Host, item.Operation, served); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 func (m *Mover) release(ctx context.Context, services []string, host, operation string) error {
@@ -172,17 +177,22 @@
 }
 
 func (m *Mover) write(ctx context.Context, item catalog.HostItem, change func(*hostrecord.Record)) error {
+	_, err := m.swap(ctx, item, change)
+	return err
+}
+
+// swap is write that returns the record's new revision.
+func (m *Mover) swap(ctx context.Context, item catalog.HostItem, change func(*hostrecord.Record)) (store.Revision, error) {
 	next := item.Record
 	change(&next)
 	legal := m.Invariant.Hold(invariant.OnePool, changeAllowed(item.Record, next), func() string {
 		return fmt.Sprintf("host %s would change from pool %q to %q while %s", item.Host, item.Pool, next.Pool, item.Phase)
 	})
 	if !legal {
-		return &IllegalChangeError{Host: item.Host, From: item.Pool, To: next.Pool, Phase: item.Phase}
+		return 0, &IllegalChangeError{Host: item.Host, From: item.Pool, To: next.Pool, Phase: item.Phase}
 	}
 	next.WriteID = uuid.NewString()
-	_, err := store.Swap(ctx, m.Store, store.Write{Key: keys.Host(item.Host), Expect: item.Revision, Value: next.Encode()})
-	return err
+	return store.Swap(ctx, m.Store, store.Write{Key: keys.Host(item.Host), Expect: item.Revision, Value: next.Encode()})
 }
 
 // IllegalChangeError says that a host was about to change pool while it could
@@ -216,7 +226,7 @@
 // budgetView is pessimistic: a host counts as available only when its record
 // says that it serves and the platform lists it live.
 func budgetView(snapshot *catalog.Snapshot, listed map[string]fleet.Host, service string) budget.View {
-	view := budget.View{Service: service}
+	view := budget.View{Service: service, Revision: snapshot.Revision}
 	for _, b := range snapshot.Budgets() {
 		if b.Service == service {
 			view.Budgets = append(view.Budgets, b)
