Give the claim of a key a span of its own

Cause: a trace of a keyed request showed a gap where it waited for its claim.

Change: a span "claim" around the call of the shard's owner and the store.

--- a/internal/gateway/once.go
+++ b/internal/gateway/once.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"time"
 
+	"go.opentelemetry.io/otel/trace"
+
 	"auburnglade.example/glade/internal/atmostonce"
 	"auburnglade.example/glade/internal/attempt"
 	"auburnglade.example/glade/internal/endpoint"
@@ -41,11 +43,7 @@
 		g.refuse(w, service.Name, refused.Reason)
 		return
 	}
-	ticket, verdict, err := g.Once.Begin(r.Context(), atmostonce.Request{
-		ID:          atmostonce.NewID(service.Name, r.Header.Get(outcome.CallerHeader), key),
-		Fingerprint: atmostonce.NewFingerprint(r.Method, r.URL.RequestURI(), body),
-		Window:      service.Spec.Timeout(),
-	})
+	ticket, verdict, err := g.claim(r, service, key, body)
 	if err != nil {
 		g.Log.Debug().Err(err).Str("service", service.Name).Msg("Key not claimed.")
 		g.refuse(w, service.Name, outcome.StoreAway)
@@ -58,6 +56,18 @@
 	g.forwardClaimed(w, r, service, ticket)
 }
 
+// claim claims a request's key under a span of its own: it is a hop to the
+// owner of the key's shard and to the store.
+func (g *Gateway) claim(r *http.Request, service endpoint.Service, key string, body []byte) (*atmostonce.Ticket, atmostonce.Verdict, error) {
+	ctx, span := g.tracer.Start(r.Context(), "claim", trace.WithSpanKind(trace.SpanKindClient))
+	defer span.End()
+	return g.Once.Begin(ctx, atmostonce.Request{
+		ID:          atmostonce.NewID(service.Name, r.Header.Get(outcome.CallerHeader), key),
+		Fingerprint: atmostonce.NewFingerprint(r.Method, r.URL.RequestURI(), body),
+		Window:      service.Spec.Timeout(),
+	})
+}
+
 // forwardClaimed forwards a request under its claim. It goes on when the
 // caller goes away, so that the caller's repeat gets the answer.
 func (g *Gateway) forwardClaimed(w http.ResponseWriter, r *http.Request, service endpoint.Service, ticket *atmostonce.Ticket) {
