Show when a controller holds a wave and when it must not

Change: three tests of the holder alone. Measured: without the check of the registration the woken controller's test fails, without the wait the joining one's; 300 waves fall to 3 controllers with 70 to 130 each.

--- /dev/null
+++ b/internal/holder/holder_test.go
@@ -0,0 +1,99 @@
+package holder
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"auburnglade.example/glade/internal/catalog"
+	"auburnglade.example/glade/internal/keys"
+	"auburnglade.example/glade/internal/member"
+	"auburnglade.example/glade/internal/store"
+)
+
+// fixedFeed hands out one membership.
+type fixedFeed struct{ snapshot *catalog.Snapshot }
+
+func (f *fixedFeed) Snapshot() *catalog.Snapshot { return f.snapshot }
+
+func (f *fixedFeed) show(t *testing.T, revision store.Revision, controllers ...string) {
+	t.Helper()
+	listing := store.Listing{Revision: revision}
+	for _, id := range controllers {
+		value, err := json.Marshal(member.Member{ID: id, Role: member.RoleController})
+		must.NoError(t, err)
+		listing.Entries = append(listing.Entries, store.Entry{Key: keys.Member(id), Value: value, ModRevision: 1})
+	}
+	f.snapshot = catalog.FromListing(nil, listing)
+}
+
+type registration struct {
+	valid bool
+	at    store.Revision
+}
+
+func (r *registration) Valid() bool                { return r.valid }
+func (r *registration) Registered() store.Revision { return r.at }
+
+func TestEachShardHasOneHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		members := []string{"a", "b", "c"}
+		feed := &fixedFeed{}
+		feed.show(t, 5, members...)
+		held := make(map[string]int)
+		for _, id := range members {
+			h := New(id, feed, &registration{valid: true, at: 5})
+			must.False(t, h.Holds("wave/0"))
+			time.Sleep(Settle)
+			for shard := range 300 {
+				if h.Holds(fmt.Sprintf("wave/%d", shard)) {
+					held[id]++
+				}
+			}
+		}
+		must.Eq(t, 300, held["a"]+held["b"]+held["c"])
+		for _, id := range members {
+			must.Between(t, 70, held[id], 130)
+		}
+	})
+}
+
+// A controller is paused past its lease, and another takes its waves over. When
+// it wakes it registers anew at once, and its lease is good again, but its
+// configuration is still the one from before the pause, in which it is alone.
+// It would go on with waves that the other one drives.
+func TestWokenControllerHoldsNothingBeforeItSeesItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed, lease := &fixedFeed{}, &registration{valid: true, at: 5}
+		feed.show(t, 5, "a")
+		h := New("a", feed, lease)
+		h.Holds("wave/1")
+		time.Sleep(Settle)
+		must.True(t, h.Holds("wave/1"))
+		lease.valid = false
+		must.False(t, h.Holds("wave/1"))
+		lease.valid, lease.at = true, 9
+		must.False(t, h.Holds("wave/1"))
+		feed.show(t, 9, "a")
+		must.True(t, h.Holds("wave/1"))
+	})
+}
+
+// A controller joins. Until the one that held a wave has seen it, both would
+// drive it; the new one waits as long as that takes.
+func TestNewHolderWaitsForTheOldOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := &fixedFeed{}
+		feed.show(t, 5, "a")
+		joined := New("b", feed, &registration{valid: true, at: 6})
+		must.False(t, joined.Holds("wave/1"))
+		feed.show(t, 6, "b")
+		must.False(t, joined.Holds("wave/1"))
+		time.Sleep(Settle)
+		must.True(t, joined.Holds("wave/1"))
+	})
+}
