--- a/internal/explain/record.go
+++ b/internal/explain/record.go
@@ -92,6 +92,10 @@
 		remaining := time.Duration(status.RemainingSeconds) * time.Second
 		reasons = append(reasons, fmt.Sprintf("about %s left, from %s", remaining, status.EstimatedFrom))
 	}
+	for _, claim := range status.Buffers {
+		reasons = append(reasons, fmt.Sprintf("service %s holds back %d hosts: up to %d for the wave, %d out now; %s",
+			claim.Service, claim.Held(), claim.Limit, claim.Out, claim.Reason))
+	}
 	for _, host := range status.Out {
 		reasons = append(reasons, fmt.Sprintf("%s is out: %s", host, phaseOf(v.Snapshot.Hosts[host])))
 	}
--- a/internal/wave/report.go
+++ b/internal/wave/report.go
@@ -111,6 +111,7 @@
 			claim := byService[service]
 			if claim == nil {
 				buffer, _ := p.fleet.Book.Buffer(service)
+				buffer.Service = service
 				claim = &Claim{Buffer: buffer}
 				byService[service] = claim
 			}
--- a/internal/wave/types.go
+++ b/internal/wave/types.go
@@ -131,6 +131,10 @@
 	Limit int `json:"limit"`
 }
 
+// Held is what the service keeps from other uses: hosts out or that may be, and
+// those kept for its failure margin.
+func (c Claim) Held() int { return max(c.Out, c.Limit) + c.Reserve }
+
 // Done reports whether the wave will do nothing more. A cancelled wave is only
 // done once the hosts it had out are back.
 func (s Status) Done() bool {
--- a/internal/wave/wave_test.go
+++ b/internal/wave/wave_test.go
@@ -311,6 +311,21 @@
 	must.StrContains(t, f.plan().Status.Reason, "no window of the week is that long")
 }
 
+// A service is claimed while the wave works on it: two for the wave and one for
+// the margin here, and nothing for the pool that hasn't been begun.
+func TestStatusSaysWhatEachServiceHoldsBack(t *testing.T) {
+	f := newTestFleet()
+	f.pool("match", 10, 7, record.MarginHost)
+	f.pool("rights", 10, 7, record.MarginHost)
+	f.policy = &record.Policy{BufferWeight: 1}
+	f.waves["a"] = &record.Wave{Pools: []string{"match", "rights"}}
+	buffers := f.plan().Status.Buffers
+	must.Len(t, 1, buffers)
+	must.Eq(t, "match", buffers[0].Service)
+	must.Eq(t, 3, buffers[0].Held())
+	must.Eq(t, "9 available, 7 needed, 1 kept for the loss of one host", buffers[0].Reason)
+}
+
 func TestCancelledWaveIsDoneOnceItsHostsAreBack(t *testing.T) {
 	f := newTestFleet()
 	f.pool("match", 4, 2, record.MarginNone)
