--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -16,6 +16,9 @@
 	// callTimeout bounds a call that doesn't wait for news, and what one that
 	// does may take on top of its wait.
 	callTimeout = time.Second
+	// wholeTimeout bounds one page of a snapshot: two megabytes between busy
+	// hosts take longer than an answer that there is nothing new.
+	wholeTimeout = 5 * time.Second
 	// maxPages bounds the pages of one snapshot: far more than the store holds.
 	maxPages        = 256
 	maxIdlePerPeer  = 2
@@ -135,7 +138,11 @@
 }
 
 func (c *Client) fetchOnce(ctx context.Context, peer peerpb.Peer, request *peerpb.FetchRequest, wait time.Duration) (*peerpb.FetchResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	timeout := wait + callTimeout
+	if wait == 0 {
+		timeout = wholeTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	response, err := peer.Fetch(ctx, request)
 	if err != nil {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -112,6 +112,9 @@
 }
 
 func (s *Server) awaitNews(ctx context.Context, after store.Revision, wait time.Duration) {
+	if wait <= 0 {
+		return
+	}
 	timeout := time.NewTimer(min(wait, maxWait))
 	defer timeout.Stop()
 	for {
--- a/internal/relay/fleet_test.go
+++ b/internal/relay/fleet_test.go
@@ -34,6 +34,9 @@
 	lie map[string]func(*peerpb.FetchResponse)
 	// delay is how long an answer to Fetch is on its way.
 	delay map[string]time.Duration
+	// ended closes when the process at an address ends, which resets its
+	// connections: calls under way fail at once.
+	ended map[string]chan struct{}
 	// exchanges and confirmations count the calls of each kind.
 	exchanges, confirmations int
 }
@@ -42,7 +45,7 @@
 	return &network{
 		servers: make(map[string]*peer.Server), cut: make(map[string]bool),
 		stalled: make(map[string]bool), lie: make(map[string]func(*peerpb.FetchResponse)),
-		delay: make(map[string]time.Duration),
+		delay: make(map[string]time.Duration), ended: make(map[string]chan struct{}),
 	}
 }
 
@@ -52,6 +55,14 @@
 	change()
 }
 
+// end is the end of the process at an address.
+func (n *network) end(address string) {
+	n.with(func() {
+		n.cut[address] = true
+		close(n.ended[address])
+	})
+}
+
 type link struct {
 	network  *network
 	from, to string
@@ -86,6 +97,18 @@
 	if err != nil {
 		return nil, err
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	l.network.mu.Lock()
+	ended := l.network.ended[l.to]
+	l.network.mu.Unlock()
+	go func() {
+		select {
+		case <-ended:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	response, err := server.Fetch(ctx, r)
 	// What was cut or stalled while the answer was made doesn't arrive.
 	if _, lost := l.reach(ctx); lost != nil {
@@ -159,7 +182,10 @@
 	}))
 	n.relay = relay.New(relay.Config{Feed: n.feed, Server: n.server, Client: n.client, Addresses: f.addresses(), Log: zerolog.Nop()})
 	n.registrar = member.NewRegistrar(s, self, 0, zerolog.Nop())
-	f.network.with(func() { f.network.servers[self.PeerAddress] = n.server })
+	f.network.with(func() {
+		f.network.servers[self.PeerAddress] = n.server
+		f.network.ended[self.PeerAddress] = make(chan struct{})
+	})
 	f.nodes = append(f.nodes, n)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -51,7 +51,7 @@
 		for _, n := range f.nodes {
 			if n.member.Zone == "a" && n.server.Watching() {
 				n.stop()
-				f.network.with(func() { f.network.cut[n.member.PeerAddress] = true })
+				f.network.end(n.member.PeerAddress)
 				continue
 			}
 			left = append(left, n)
