Fuzz what a peer sends

Cause: peers' messages had no fuzz target. Change: FuzzFetchResponse feeds an answer, whatever its bytes, to a process with a configuration in force.

--- /dev/null
+++ b/internal/peer/fuzz_test.go
@@ -0,0 +1,60 @@
+package peer
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
+
+	"auburnglade.example/glade/internal/catalog"
+	"auburnglade.example/glade/internal/keys"
+	"auburnglade.example/glade/internal/peer/peerpb"
+	"auburnglade.example/glade/internal/store"
+)
+
+// FuzzFetchResponse feeds a peer's answer, whatever its bytes, to a process
+// that has a configuration in force. It must neither panic, nor go back, nor
+// take over anything whose digest isn't the one announced; what it keeps must
+// be what it had.
+func FuzzFetchResponse(f *testing.F) {
+	inForce := catalog.FromListing(nil, store.Listing{Revision: 5, Entries: []store.Entry{
+		{Key: keys.Host("host-001"), Value: []byte(`{"host":"host-001","phase":"serving"}`), ModRevision: 4},
+		{Key: keys.SpecPrefix + "Quota/a", Value: []byte(`{"kind":"Quota","name":"a","schema":1,"spec":{"team":"a","resources":{"milliCpu":1,"memoryMb":1}}}`), ModRevision: 5},
+	}})
+	f.Add(encoded(f, inForce.Whole()))
+	later := inForce.Apply(store.WatchBatch{Revision: 9, Events: []store.Event{
+		{Entry: store.Entry{Key: keys.Host("host-002"), Value: []byte(`{`), ModRevision: 9}},
+		{Entry: store.Entry{Key: keys.Host("host-001"), ModRevision: 8}, Deleted: true},
+	}})
+	f.Add(encoded(f, later.Whole()))
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var response peerpb.FetchResponse
+		if proto.Unmarshal(data, &response) != nil {
+			return
+		}
+		delta := decodeDelta(&response)
+		next, err := inForce.Patch(delta)
+		must.GreaterEq(t, inForce.Revision, next.Revision)
+		if err != nil {
+			must.True(t, next == inForce)
+			return
+		}
+		if delta.Revision > inForce.Revision || delta.Whole {
+			must.EqOp(t, delta.Digest, next.Digest)
+		}
+		// What was taken over can be passed on and taken over again.
+		again, err := catalog.Empty().Patch(next.Whole())
+		must.NoError(t, err)
+		must.EqOp(t, next.Digest, again.Digest)
+	})
+}
+
+func encoded(f *testing.F, delta catalog.Delta) []byte {
+	f.Helper()
+	var response peerpb.FetchResponse
+	encodeDelta(&response, delta)
+	data, err := proto.Marshal(&response)
+	must.NoError(f, err)
+	return data
+}
