Let gladectl wait return when a wave goes no further

A blocked wave, whose hosts no budget lets out even with every host back, was waited for until the timeout, half an hour by default; a stopped one returned 0 like a finished one, so that a pipeline went on as if its hosts were done.

Change: both end the wait at once with exit code 11, the status on standard output and the reason on standard error. A halt that stands at the very first look gets three seconds: the status from before a resume is still there for about one, and the wait used to end on it.

Resume followed by wait returned "stopped" before, and "finished" now.

Conclusion: exit code 0 of a wait means that the wave has ended.

--- a/internal/operatorcli/cli_test.go
+++ b/internal/operatorcli/cli_test.go
@@ -243,6 +243,48 @@
 	must.StrContains(t, out, "wave kernel finished: 5 of 5")
 }
 
+// What the operator sees: a pipeline that waits for a wave hangs until its
+// timeout, or goes on as if the wave had ended. The wave runs, then no budget
+// lets any host out, or too many hosts fail; nothing will happen by itself.
+func TestWaitWaveReturnsWhenTheWaveGoesNoFurther(t *testing.T) {
+	for _, phase := range []wave.Phase{wave.Blocked, wave.Stopped} {
+		d := newDesk(t)
+		d.run(operatorcli.ExitOK, "apply", d.file(pool(1), kernel(record.Wave{})))
+		id := kernel(record.Wave{}).ID()
+		d.put(keys.Status(id), wave.Status{Wave: "kernel", Phase: wave.Running, Hosts: 5, Maintained: 2})
+		calls := 0
+		halt := func(*http.Request) {
+			if calls++; calls == 2 {
+				d.put(keys.Status(id), wave.Status{Wave: "kernel", Phase: phase, Reason: "none may go", Hosts: 5, Maintained: 2})
+			}
+		}
+		d.before.Store(&halt)
+		out, errOut := d.run(operatorcli.ExitHalted, "wait", "--wave", "kernel", "--timeout", "20s")
+		must.Eq(t, 2, calls)
+		must.StrContains(t, errOut, "wave kernel is "+string(phase)+": none may go")
+		must.StrContains(t, out, "wave kernel "+string(phase)+": 2 of 5")
+	}
+}
+
+// What the operator sees: resume, then wait, and the wait ends at once with the
+// stop that was just lifted. The status is written by a controller a moment
+// after the record has changed.
+func TestWaitWaveOutlastsTheStatusFromBeforeAResume(t *testing.T) {
+	d := newDesk(t)
+	d.run(operatorcli.ExitOK, "apply", d.file(pool(1), kernel(record.Wave{})))
+	id := kernel(record.Wave{}).ID()
+	d.put(keys.Status(id), wave.Status{Wave: "kernel", Phase: wave.Stopped, Hosts: 5})
+	calls := 0
+	goOn := func(*http.Request) {
+		if calls++; calls == 3 {
+			d.put(keys.Status(id), wave.Status{Wave: "kernel", Phase: wave.Finished, Hosts: 5, Maintained: 5})
+		}
+	}
+	d.before.Store(&goOn)
+	out, _ := d.run(operatorcli.ExitOK, "wait", "--wave", "kernel")
+	must.StrContains(t, out, "wave kernel finished: 5 of 5")
+}
+
 func TestWatchPrintsDeletions(t *testing.T) {
 	d := newDesk(t)
 	d.run(operatorcli.ExitOK, "apply", d.file(pool(1)))
--- a/internal/operatorcli/exit.go
+++ b/internal/operatorcli/exit.go
@@ -10,6 +10,7 @@
 
 	"auburnglade.example/glade/internal/operatorapi"
 	"auburnglade.example/glade/internal/record"
+	"auburnglade.example/glade/internal/wave"
 )
 
 // Exit codes of gladectl, documented in docs/operators/gladectl.md.
@@ -28,6 +29,8 @@
 	ExitUnknown = 9
 	// ExitNotAllowed says that no key was good, or that its role doesn't suffice.
 	ExitNotAllowed = 10
+	// ExitHalted says that a wave that was waited for goes no further by itself.
+	ExitHalted = 11
 )
 
 // TimeoutError says that a wait ended without what it waited for.
@@ -45,6 +48,18 @@
 	return text
 }
 
+// HaltedError says that a wave stopped for its failures, or that no budget lets
+// any of its hosts out even with all others back.
+type HaltedError struct {
+	Wave   string
+	Phase  wave.Phase
+	Reason string
+}
+
+func (e *HaltedError) Error() string {
+	return fmt.Sprintf("wave %s is %s: %s", e.Wave, e.Phase, e.Reason)
+}
+
 // DiffersError says that files and records in force differ.
 type DiffersError struct{ Count int }
 
@@ -95,6 +110,8 @@
 		return ExitUnreachable
 	case isA[*TimeoutError](err):
 		return ExitTimeout
+	case isA[*HaltedError](err):
+		return ExitHalted
 	case isA[*DiffersError](err):
 		return ExitDiffers
 	case isA[*FileError](err), isA[*RefusedError](err), isA[*record.InvalidError](err), isA[*record.SchemaError](err), isA[*record.SyntaxError](err):
--- a/internal/operatorcli/wait.go
+++ b/internal/operatorcli/wait.go
@@ -5,17 +5,25 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"auburnglade.example/glade/internal/pause"
 	"auburnglade.example/glade/internal/record"
 	"auburnglade.example/glade/internal/store"
 	"auburnglade.example/glade/internal/wave"
 )
 
-const pollInterval = 200 * time.Millisecond
+const (
+	pollInterval = 200 * time.Millisecond
+	// staleFor is how long a halt that stands at the first look must stand: a
+	// controller needs about a second to say that a wave goes on, and a wait
+	// right after a resume would otherwise end on the status from before it.
+	staleFor = 3 * time.Second
+)
 
 // WaitCmd waits for a wave's end or for a revision to be in force.
 type WaitCmd struct {
-	Wave     string        `help:"Wait until this wave has ended." xor:"what" required:""`
+	Wave     string        `help:"Wait until this wave has ended, or goes no further." xor:"what" required:""`
 	Revision int64         `help:"Wait until every live member serves this revision." xor:"what" required:""`
 	Timeout  time.Duration `help:"How long to wait." default:"30m"`
 }
@@ -53,8 +61,9 @@
 
 func waitWave(env *Env, name string, timeout time.Duration) error {
 	id := record.ID{Kind: record.KindWave, Name: name}
-	deadline := time.Now().Add(timeout)
-	said := ""
+	began := time.Now()
+	deadline := began.Add(timeout)
+	said, fresh := "", false
 	for time.Now().Before(deadline) && env.Context.Err() == nil {
 		var status wave.Status
 		err := env.Client.Status(env.Context, id, &status)
@@ -67,8 +76,12 @@
 		case err != nil:
 			// Waiting goes on through an outage; the deadline ends it.
 			env.progress("no status: %v", err)
-		case status.Done() || status.Phase == wave.Stopped:
+		case status.Done():
 			return env.printWave(status)
+		case !halted(status):
+			fresh = true
+		case fresh || time.Since(began) >= staleFor:
+			return errors.CombineErrors(&HaltedError{Wave: name, Phase: status.Phase, Reason: status.Reason}, env.printWave(status))
 		}
 		if line := progressLine(status); err == nil && line != said {
 			env.progress("wave %s %s", name, line)
@@ -79,6 +92,11 @@
 	return &TimeoutError{For: "end of wave " + name, After: timeout}
 }
 
+// halted reports whether a wave goes no further until someone changes something.
+func halted(status wave.Status) bool {
+	return status.Phase == wave.Stopped || status.Phase == wave.Blocked
+}
+
 // progressLine is a wave's progress with its estimated end.
 func progressLine(status wave.Status) string {
 	line := fmt.Sprintf("%s: %d of %d hosts maintained, %d out, %d failed",
