Return a host to its old pool when the one it was to join is gone

Cause: a host in maintenance that is to change pools came back into the next pool on record, also when operators had removed that pool meanwhile. It served nobody there, and the mover, which counts such a host where it was, had to bring it back with a second drain.

Change: the drainer looks whether the pool is in force as it writes the return. If it isn't, the host stays in its old pool; if that is gone as well, the record names a pool that isn't in force, carries no service, and the mover gives the host to a pool that lacks one.

Conclusion: drainer and mover agree on where a host belongs.

--- a/internal/drainer/acting_test.go
+++ b/internal/drainer/acting_test.go
@@ -121,6 +121,29 @@
 	})
 }
 
+// A host in maintenance is to join another pool on its return, and operators
+// remove that pool while it reboots. It came back into a pool that is no longer
+// there: it served nobody, and its old pool had one host less until the mover
+// brought it back with a second drain. With both pools gone it is in neither.
+func TestHostBoundForARemovedPoolStaysWhereItWas(t *testing.T) {
+	for _, removed := range [][]string{{"p9"}, {"p3", "p9"}} {
+		inWorld(t, 1, fakefleet.Options{}, func(w *world) {
+			w.put(record.KindPool, "p9", &record.Pool{Services: []string{"c"}, Size: 1})
+			w.putHost(hostrecord.Record{Host: "h17", Pool: "p3", NextPool: "p9", Phase: hostrecord.Serving})
+			w.put(record.KindWave, "w", &record.Wave{Pools: []string{"p3"}, Hosts: []string{"h17"}})
+			w.within(time.Minute, "h17 reboots", func() bool { return w.phase("h17") == hostrecord.Rebooting })
+			for _, pool := range removed {
+				w.remove(keys.Spec(record.ID{Kind: record.KindPool, Name: pool}))
+			}
+			w.within(20*time.Minute, "h17 serves", func() bool { return w.phase("h17") == hostrecord.Serving })
+			h17 := w.records()["h17"]
+			must.Eq(t, "p3", h17.Pool)
+			must.Eq(t, "", h17.NextPool)
+			w.within(time.Minute, "no grant is left", func() bool { return len(w.ledgers()["c"].Grants) == 0 })
+		})
+	}
+}
+
 // The holder is paused between writing that a host reboots and telling the
 // platform. Its lease ends, another controller reboots the host and brings it
 // back. Then the first one wakes inside its call: the reboot arrives a minute
--- a/internal/drainer/apply.go
+++ b/internal/drainer/apply.go
@@ -257,7 +257,7 @@
 		// A host that is put back before its reboot may still have its old
 		// pool's work in flight: its move waits for another drain.
 		if r.NextPool != "" && r.Phase != hostrecord.Draining {
-			r.Pool, r.NextPool = r.NextPool, ""
+			r.Pool, r.NextPool = d.poolOnReturn(r), ""
 		}
 		r.LastOperation = r.Operation
 		r.Phase, r.Wave, r.Operation, r.BootID = hostrecord.Serving, "", "", ""
@@ -269,6 +269,18 @@
 	return d.giveBack(ctx, item, services)
 }
 
+// poolOnReturn is the pool that a host bound for another one comes back to. The
+// operators may have removed that one while the host was out: in it the host
+// would serve nobody, although the pool it came from may lack it. So it stays
+// where it was, as the mover's count has it. Should that pool be gone too, the
+// host is in none that is in force, and the mover may give it to any.
+func (d *Drainer) poolOnReturn(r *hostrecord.Record) string {
+	if d.Feed.Snapshot().Pools()[r.NextPool] == nil {
+		return r.Pool
+	}
+	return r.NextPool
+}
+
 // giveBack releases the grants of a host that serves again. What it can't
 // release the sweep will.
 func (d *Drainer) giveBack(ctx context.Context, item catalog.HostItem, services []string) error {
