--- a/internal/balance/decide_test.go
+++ b/internal/balance/decide_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -9,6 +10,14 @@
 	"pgregory.net/rapid"
 )
 
+// CI draws the same cases each time; -rapid.seed and -rapid.checks ask for
+// others and more.
+func init() {
+	if err := flag.Set("rapid.seed", "20261202"); err != nil {
+		panic(err)
+	}
+}
+
 const now = time.Hour
 
 // named is a candidate with a name for the test's eyes.
--- a/internal/mover/plan_test.go
+++ b/internal/mover/plan_test.go
@@ -1,6 +1,7 @@
 package mover
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -12,6 +13,14 @@
 	"auburnglade.example/glade/internal/record"
 )
 
+// CI draws the same cases each time; -rapid.seed and -rapid.checks ask for
+// others and more.
+func init() {
+	if err := flag.Set("rapid.seed", "20261202"); err != nil {
+		panic(err)
+	}
+}
+
 const testHold = 5 * time.Minute
 
 func serving(name, zone, pool string) Host {
--- a/internal/placement/plan_test.go
+++ b/internal/placement/plan_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -11,6 +12,14 @@
 	"auburnglade.example/glade/internal/record"
 )
 
+// CI draws the same cases each time; -rapid.seed and -rapid.checks ask for
+// others and more.
+func init() {
+	if err := flag.Set("rapid.seed", "20261202"); err != nil {
+		panic(err)
+	}
+}
+
 func amount(cpu, mem int) record.Resources { return record.Resources{MilliCPU: cpu, MemoryMB: mem} }
 
 func worker(name string, cpu, mem int) Worker {
--- a/internal/share/split_test.go
+++ b/internal/share/split_test.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"flag"
 	"fmt"
 	"slices"
 	"testing"
@@ -9,6 +10,14 @@
 	"pgregory.net/rapid"
 )
 
+// CI draws the same cases each time; -rapid.seed and -rapid.checks ask for
+// others and more.
+func init() {
+	if err := flag.Set("rapid.seed", "20261202"); err != nil {
+		panic(err)
+	}
+}
+
 func names(prefix string, count int) []string {
 	list := make([]string, count)
 	for i := range list {
