Don't move hosts for one that is in maintenance

The platform doesn't list a host that is rebooting, and the mover counted every unlisted host as lost after the hold of 5 minutes, although its own wave had it out: the pool lacked it, a spare host or one of another pool moved in, and one was too many when it came back.

Change: a host that is out for a wave or a move is in hand until it serves or is given up, and only then may be missing. A given-up host is replaced as before.

The new test failed with one assignment planned for a host that was only rebooting.

--- a/internal/mover/census.go
+++ b/internal/mover/census.go
@@ -62,7 +62,7 @@
 			c.moving++
 		}
 	}
-	lost := !host.Live && c.input.Lasted.Absent[host.Name] >= c.input.Hold
+	lost := host.missing() && c.input.Lasted.Absent[host.Name] >= c.input.Hold
 	broken := host.Record.Phase == hostrecord.Failed && c.input.Lasted.Absent[host.Name] >= c.input.Hold
 	if lost || broken {
 		return
--- a/internal/mover/holds.go
+++ b/internal/mover/holds.go
@@ -78,8 +78,7 @@
 		}
 	}
 	for _, host := range hosts {
-		away := !host.Live || host.Record.Phase == hostrecord.Failed
-		if !host.Known || !away {
+		if !host.missing() && host.Record.Phase != hostrecord.Failed {
 			continue
 		}
 		before, seen := l.Absent[host.Name]
--- a/internal/mover/plan.go
+++ b/internal/mover/plan.go
@@ -26,6 +26,16 @@
 	Remembered bool
 }
 
+// missing reports whether the platform has lost a host that it should list. One
+// that is out for a wave or a move restarts by our own doing, for longer than
+// the hold if it takes its time, and is in hand until it serves or is given up.
+// Counted as lost, its pool would lack it, another host would move in, and that
+// one would be too many when it is back.
+func (h Host) missing() bool {
+	inHand := !h.Record.TakesWork() && h.Record.Phase != hostrecord.Failed
+	return h.Known && !h.Live && !inHand
+}
+
 // Input is the snapshot a plan is made from.
 type Input struct {
 	Pools map[string]*record.Pool
--- a/internal/mover/plan_test.go
+++ b/internal/mover/plan_test.go
@@ -95,6 +95,29 @@
 	must.Len(t, 1, age(build(func(i int) bool { return i == 0 })).Moves)
 }
 
+// What operators see: a wave moves hosts between pools whose sizes nobody has
+// changed. A host takes longer to reboot than the hold, and the platform doesn't
+// list it meanwhile; counted as lost, its pool lacked it and was given another.
+// Once the wave has given it up, the pool does lack it.
+func TestHostInMaintenanceIsNotLost(t *testing.T) {
+	for _, phase := range []hostrecord.Phase{hostrecord.Draining, hostrecord.Rebooting, hostrecord.Proving} {
+		out := serving("h1", "z1", "a")
+		out.Live = false
+		out.Record.Phase, out.Record.Wave, out.Record.Operation = phase, "w", "op"
+		input := Input{
+			Pools: map[string]*record.Pool{"a": {Size: 2}, "b": {Size: 1}},
+			Hosts: []Host{out, serving("h2", "z2", "a"), serving("h3", "z1", "b"), serving("h4", "z2", "b"), serving("h5", "z2", "")},
+			Hold:  testHold,
+		}
+		input = settled(input)
+		plan := Make(input)
+		must.SliceEmpty(t, plan.Moves)
+		must.SliceEmpty(t, plan.Assign)
+		input.Hosts[0].Record.Phase = hostrecord.Failed
+		must.Len(t, 1, Make(settled(input)).Assign)
+	}
+}
+
 // The record of a host that is gone is kept while a wave still has it in hand,
 // so that its grant stays counted, and for long enough that a late host list
 // or an hour without the region never drops it.
