Let no second change of membership cut a new holder's wait short

Cause: a new holder waits 500 ms so that the old one has seen the change, but only the last change counted. A second change within that time found this process the holder on both sides of it, and it acted at once. Found while reading how a fail-over could place tasks twice; the compare-and-swap of each record kept such an overlap harmless, but not free. Change: every membership that was replaced less than the wait ago must have this process as the holder.

--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -46,10 +46,15 @@
 	mu       sync.Mutex
 	revision store.Revision
 	view     view
-	// earlier is the membership before the last change, changed when this
-	// process saw that change.
-	earlier view
-	changed time.Time
+	// past are the memberships that others may still go by: those replaced less
+	// than Settle ago.
+	past []pastView
+}
+
+// pastView is a membership and when this process saw it replaced.
+type pastView struct {
+	view
+	replaced time.Time
 }
 
 // view is a membership and who holds what under it.
@@ -79,7 +84,10 @@
 	if h.view.holderOf(shard) != h.self {
 		return false
 	}
-	return h.earlier.holderOf(shard) == h.self || time.Since(h.changed) >= Settle
+	h.past = slices.DeleteFunc(h.past, func(p pastView) bool { return time.Since(p.replaced) >= Settle })
+	// One view back isn't enough: of two changes in quick succession the second
+	// would hide that the first one made this process the holder a moment ago.
+	return !slices.ContainsFunc(h.past, func(p pastView) bool { return p.holderOf(shard) != h.self })
 }
 
 // follow takes over the snapshot's membership; the caller holds mu.
@@ -95,7 +103,7 @@
 	if slices.Equal(controllers, h.view.controllers) {
 		return
 	}
-	h.earlier, h.changed = h.view, time.Now()
+	h.past = append(h.past, pastView{h.view, time.Now()})
 	h.view = view{controllers: controllers, hash: rendezvous.New(controllers, xxhash.Sum64String)}
 }
 
--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -97,3 +97,31 @@
 		must.True(t, joined.Holds("wave/1"))
 	})
 }
+
+// A controller takes shards over from another one, and right after a third
+// joins. The second change must not cut the wait short that the first one
+// began: the old holder may not have seen it yet, and both would act.
+func TestSecondChangeDoesNotCutTheWaitShort(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := &fixedFeed{}
+		feed.show(t, 5, "a")
+		h := New("b", feed, &registration{valid: true, at: 6})
+		holds := func() (held int) {
+			for shard := range 100 {
+				if h.Holds(fmt.Sprintf("wave/%d", shard)) {
+					held++
+				}
+			}
+			return held
+		}
+		must.Zero(t, holds())
+		time.Sleep(Settle)
+		feed.show(t, 6, "b")
+		must.Zero(t, holds())
+		time.Sleep(Settle / 2)
+		feed.show(t, 7, "b", "c")
+		must.Zero(t, holds())
+		time.Sleep(Settle / 2)
+		must.Positive(t, holds())
+	})
+}
