Lend slots and connections to a gateway that starts in a store outage

Cause: a gateway that starts while the store is away has the configuration from its peers, but no share of the endpoints, since nobody can shrink for it in the store. It wasn't ready until the store was back.

Change: a gateway whose heartbeat fails lends to one without a share too, a slot and a connection of its own share at a time. Both count at the lender until returned, or for the longest request timeout and 2 s. The borrower opens one connection per loan for one request, closes it with the request, and returns the loan after that. It starts nothing on a loan after 2 s. It is ready while a peer says, once a second, that it lends.

Nobody but the lender knows of such a loan. So a dead or silent member of the settled view is waited for as long as loans last: the longest request timeout and 2 s after its address refuses, in place of 1 s, also without an outage.

Conclusion: the wait after a kill is the price; a planned stop has none.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -46,12 +46,14 @@
 		Ledger: ledger, Log: telemetry.Part(base.log, "gateway/once"), Registry: base.registry,
 	})
 	g.shares = newShares(base)
+	broker := lending.NewBroker(base.self.ID, g.shares, base.trust.dialTLS())
+	g.shares.Lenders = broker
 	g.gateway = gateway.New(gateway.Config{
 		Member: base.self.ID, Zone: settings.Process.Zone, Feed: base.feed, Hosts: base.hosts,
 		Invariant: base.invariant, Log: telemetry.Part(base.log, "gateway"), Registry: base.registry,
 		Tracer: base.tracer, WorksWith: base.feed.WorkedWith("gateway"), Once: g.once, Shares: g.shares,
 		MaxBodyBytes: int64(settings.Callers.BodyBytes),
-		Broker:       lending.NewBroker(base.self.ID, g.shares, base.trust.dialTLS()),
+		Broker:       broker,
 	})
 	g.shares.Usage = g.gateway
 	g.lendShares()
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -110,7 +110,7 @@
 func (x *exchange) try(slot *limit.Slot) *attempt.Failure {
 	held := &heldSlot{gateway: x.gateway, slot: slot}
 	defer held.release(outcome.EndpointLost)
-	response, failure := x.send(slot.Endpoint)
+	response, failure := x.send(slot)
 	if failure != nil {
 		held.release(failure.Reason)
 		return failure
@@ -125,8 +125,8 @@
 
 // send sends the request to one endpoint. An endpoint that refuses before
 // starting says so itself, which counts as a failure with nothing sent.
-func (x *exchange) send(picked endpoint.Endpoint) (*http.Response, *attempt.Failure) {
-	g := x.gateway
+func (x *exchange) send(slot *limit.Slot) (*http.Response, *attempt.Failure) {
+	g, picked := x.gateway, slot.Endpoint
 	target := attempt.Endpoint{Host: picked.Host, Address: picked.Address}
 	if _, leaving := g.balancer.LeavingFor(picked); leaving {
 		// It began to leave between the ranking and now.
@@ -138,6 +138,7 @@
 	informer := &informer{w: x.w}
 	defer informer.end()
 	outgoing := x.outgoing(ctx)
+	outgoing.Close = slot.SingleUse
 	began := time.Now()
 	response, failure := g.transport.Do(ctx, outgoing, target, informer.inform)
 	if failure != nil {
--- a/internal/lending/lending.go
+++ b/internal/lending/lending.go
@@ -18,6 +18,9 @@
 
 // View tells with whom slots may be lent and borrowed.
 type View interface {
+	// LendsTo reports whether slots may be lent to the gateway, and whether
+	// connections go with them because it has no share of its own.
+	LendsTo(id string) (may, connections bool)
 	// Member returns a member of the view in force.
 	Member(id string) (share.Member, bool)
 	// Others returns the other members.
@@ -27,9 +30,6 @@
 }
 
 const (
-	// holdMargin is how much longer than the longest request a loan is counted:
-	// for as long it can be used for new requests.
-	holdMargin    = 2 * time.Second
 	returnTimeout = time.Second
 	// maxLent bounds one loan; a borrower asks for fewer.
 	maxLent         = 64
@@ -53,19 +53,20 @@
 	return server.PathPrefix(), server
 }
 
-// Lend implements lendpb.Lender. A borrower that isn't in the view could not be
-// told to stop.
+// Lend implements lendpb.Lender.
 func (s *Server) Lend(_ context.Context, request *lendpb.LendRequest) (*lendpb.LendResponse, error) {
 	response := &lendpb.LendResponse{Lender: s.Self}
-	if _, known := s.View.Member(request.Borrower); !known || s.Stopping() {
+	may, connections := s.View.LendsTo(request.Borrower)
+	if !may || s.Stopping() {
 		return response, nil
 	}
 	if request.Count < 0 || request.Count > maxLent {
 		return nil, twirp.InvalidArgumentError("count", "want 0 to 64")
 	}
-	hold := s.View.LongestTimeout() + holdMargin
+	hold := s.View.LongestTimeout() + share.LoanMargin
+	response.Connections = connections
 	response.HoldMs = hold.Milliseconds()
-	for _, loan := range s.Limiter.Lend(request.Service, request.Hosts, int(request.Count), hold) {
+	for _, loan := range s.Limiter.Lend(request.Service, request.Hosts, int(request.Count), hold, connections) {
 		response.Loans = append(response.Loans, &lendpb.Loan{Id: loan.ID, Host: loan.Host})
 	}
 	return response, nil
@@ -114,13 +115,34 @@
 		// What was lent without our knowing ends by the lender's own count.
 		return limit.Loans{}
 	}
-	loans := limit.Loans{Lender: lender.ID, Until: asked.Add(time.Duration(response.HoldMs) * time.Millisecond)}
+	loans := limit.Loans{
+		Lender: lender.ID, Until: asked.Add(time.Duration(response.HoldMs) * time.Millisecond),
+		Connections: response.Connections, StartBy: asked.Add(share.LoanMargin),
+	}
 	for _, loan := range response.Loans {
 		loans.Loans = append(loans.Loans, limit.Loan{ID: loan.Id, Host: loan.Host})
 	}
 	return loans
 }
 
+// Willing reports whether any of the others would lend to this gateway.
+func (b *Broker) Willing(ctx context.Context) bool {
+	others := b.view.Others()
+	willing := make(chan bool, len(others))
+	for _, m := range others {
+		go func() {
+			response, err := b.lender(m).Lend(ctx, &lendpb.LendRequest{Borrower: b.self})
+			willing <- err == nil && response.Lender == m.ID && response.HoldMs > 0
+		}()
+	}
+	for range others {
+		if <-willing {
+			return true
+		}
+	}
+	return false
+}
+
 // Return implements limit.Broker.
 func (b *Broker) Return(lender string, ids []uint64) {
 	m, known := b.view.Member(lender)
--- a/internal/lending/lending_test.go
+++ b/internal/lending/lending_test.go
@@ -24,6 +24,11 @@
 	return share.Member{}, false
 }
 
+func (v fixedView) LendsTo(id string) (may, connections bool) {
+	_, known := v.Member(id)
+	return known, false
+}
+
 func (v fixedView) Others() []share.Member        { return v }
 func (v fixedView) LongestTimeout() time.Duration { return 10 * time.Second }
 
--- a/internal/limit/gate.go
+++ b/internal/limit/gate.go
@@ -34,8 +34,14 @@
 
 	mu        sync.Mutex
 	endpoints map[string]*gatedEndpoint
+	// lent is how many connections of this gateway's share others may open, and
+	// borrowed how many of theirs may be opened here.
+	lent, borrowed map[hostOf]int
 }
 
+// hostOf names one endpoint.
+type hostOf struct{ service, host string }
+
 type gatedEndpoint struct {
 	endpoint endpoint.Endpoint
 	open     int
@@ -44,7 +50,10 @@
 }
 
 func newGate(shares Shares, m *metrics) *gate {
-	return &gate{shares: shares, metrics: m, endpoints: make(map[string]*gatedEndpoint)}
+	return &gate{
+		shares: shares, metrics: m, endpoints: make(map[string]*gatedEndpoint),
+		lent: make(map[hostOf]int), borrowed: make(map[hostOf]int),
+	}
 }
 
 // know remembers whose address it is that is going to be dialled.
@@ -108,7 +117,9 @@
 }
 
 func (g *gate) limit(known *gatedEndpoint) int {
-	return g.shares.Of(known.endpoint.Service, known.endpoint.Host).Connections
+	e := known.endpoint
+	of := hostOf{service: e.Service, host: e.Host}
+	return g.shares.Of(e.Service, e.Host).Connections - g.lent[of] + g.borrowed[of]
 }
 
 func (g *gate) leave(address string) {
@@ -125,7 +136,14 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, known := range g.endpoints {
-		if known.open > of(known.endpoint.Service, known.endpoint.Host).Connections {
+		e := known.endpoint
+		key := hostOf{service: e.Service, host: e.Host}
+		if max(known.open-g.borrowed[key], 0)+g.lent[key] > of(e.Service, e.Host).Connections {
+			return false
+		}
+	}
+	for key, count := range g.lent {
+		if count > of(key.service, key.host).Connections {
 			return false
 		}
 	}
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -44,7 +44,10 @@
 // Slot is one endpoint's slot, held until Release.
 type Slot struct {
 	Endpoint endpoint.Endpoint
-	release  func()
+	// SingleUse says that the connection used must be closed with the request:
+	// it is another gateway's.
+	SingleUse bool
+	release   func()
 }
 
 // Release gives the slot back. Later calls have no effect.
@@ -105,6 +108,7 @@
 	// asking is set while another gateway is asked for slots.
 	asking atomic.Bool
 
+	name   string
 	mu     sync.Mutex
 	inUse  map[string]int
 	queue  *fairQueue
@@ -166,7 +170,7 @@
 	state := l.services[name]
 	if state == nil {
 		state = &serviceState{
-			inUse: make(map[string]int), queue: newFairQueue(), borrowedInUse: make(map[*borrowed]bool),
+			name: name, inUse: make(map[string]int), queue: newFairQueue(), borrowedInUse: make(map[*borrowed]bool),
 		}
 		l.services[name] = state
 	}
--- a/internal/limit/loans.go
+++ b/internal/limit/loans.go
@@ -25,6 +25,10 @@
 	// have ended: the lender counts them for that long from when it lent them,
 	// and the borrower from before it asked.
 	Until time.Time
+	// Connections says that each loan brings one of the lender's connections
+	// along. Such loans start nothing after StartBy.
+	Connections bool
+	StartBy     time.Time
 }
 
 // Broker borrows slots from other gateways. It must not call the limiter.
@@ -51,6 +55,9 @@
 	state *serviceState
 	host  string
 	timer *time.Timer
+	// connection is set when one of this gateway's connections is lent too.
+	connection bool
+	service    string
 }
 
 // lendBook holds what is lent.
@@ -61,8 +68,9 @@
 }
 
 // Lend lends up to count free slots of a service's endpoints for hold at most.
-// It keeps half of what is free, and all while requests wait here.
-func (l *Limiter) Lend(service string, hosts []string, count int, hold time.Duration) []Loan {
+// It keeps half of what is free, and all while requests wait here. With
+// connections, a connection of this gateway's share goes with each slot.
+func (l *Limiter) Lend(service string, hosts []string, count int, hold time.Duration, connections bool) []Loan {
 	state := l.service(service)
 	state.mu.Lock()
 	defer state.mu.Unlock()
@@ -78,8 +86,12 @@
 	free = free[:min(count, (len(free)+1)/2)]
 	loans := make([]Loan, 0, len(free))
 	for _, host := range free {
+		if connections && !l.gate.lend(service, host) {
+			continue
+		}
 		state.inUse[host]++
-		loans = append(loans, Loan{ID: l.book.add(l, &lent{state: state, host: host}, hold), Host: host})
+		entry := &lent{state: state, service: service, host: host, connection: connections}
+		loans = append(loans, Loan{ID: l.book.add(l, entry, hold), Host: host})
 	}
 	l.metrics.lent.Add(float64(len(loans)))
 	return loans
@@ -106,6 +118,9 @@
 			continue
 		}
 		entry.timer.Stop()
+		if entry.connection {
+			l.gate.takeBack(entry.service, entry.host)
+		}
 		entry.state.mu.Lock()
 		entry.state.giveBack(entry.host)
 		entry.state.mu.Unlock()
@@ -119,6 +134,11 @@
 	lender string
 	host   string
 	until  time.Time
+	// connection is set when the lender's connection came with it, which is
+	// used for one request at a time and closed with it; startBy is then when
+	// the loan starts its last request.
+	connection bool
+	startBy    time.Time
 	// terms are those it was taken under; other terms end it.
 	terms *Terms
 }
@@ -166,7 +186,7 @@
 			if loan.host != candidate.Host || ends.After(loan.until) || loan.terms != l.terms.Load() {
 				continue
 			}
-			if l.shares.Of(candidate.Service, candidate.Host).Connections <= state.inUse[loan.host]+state.borrowedOf(loan.host) {
+			if !l.connects(state, candidate, loan, now) {
 				continue
 			}
 			state.idleLoans = append(state.idleLoans[:i], state.idleLoans[i+1:]...)
@@ -178,6 +198,15 @@
 	return nil
 }
 
+// connects reports whether a request on the loan has a connection for sure.
+func (l *Limiter) connects(state *serviceState, candidate endpoint.Endpoint, loan *borrowed, now time.Time) bool {
+	if loan.connection {
+		return now.Before(loan.startBy)
+	}
+	own := l.shares.Of(candidate.Service, candidate.Host).Connections
+	return own > state.inUse[loan.host]+state.borrowedOf(loan.host)
+}
+
 func (s *serviceState) borrowedOf(host string) int {
 	count := 0
 	for loan := range s.borrowedInUse {
@@ -190,7 +219,7 @@
 
 func (l *Limiter) borrowedSlot(state *serviceState, taken endpoint.Endpoint, loan *borrowed, since time.Time) *Slot {
 	var released atomic.Bool
-	return &Slot{Endpoint: taken, release: func() {
+	return &Slot{Endpoint: taken, SingleUse: loan.connection, release: func() {
 		if released.Swap(true) {
 			return
 		}
@@ -204,27 +233,52 @@
 	}}
 }
 
-// returnIdle returns loans that nobody here waits for, or all idle ones.
+// returnIdle returns loans that nobody here waits for, or all idle ones. One
+// that brought its connection is kept for as long as it may start a request:
+// there is no share here to serve the next one with.
 func (l *Limiter) returnIdle(state *serviceState, all bool) {
 	state.mu.Lock()
 	terms, now := l.terms.Load(), time.Now()
-	byLender := make(map[string][]uint64)
+	byLender := make(map[string][]*borrowed)
 	kept := state.idleLoans[:0]
 	for _, loan := range state.idleLoans {
-		useful := state.queue.len() > 0 && loan.terms == terms && now.Before(loan.until)
+		useful := state.queue.len() > 0 && now.Before(loan.until)
+		if loan.connection {
+			useful = now.Before(loan.startBy)
+		}
+		useful = useful && loan.terms == terms
 		if useful && !all {
 			kept = append(kept, loan)
 			continue
 		}
-		byLender[loan.lender] = append(byLender[loan.lender], loan.id)
+		if loan.connection {
+			// Its connection may still be closing.
+			state.borrowedInUse[loan] = true
+		}
+		byLender[loan.lender] = append(byLender[loan.lender], loan)
 	}
 	state.idleLoans = kept
 	state.mu.Unlock()
-	for lender, ids := range byLender {
-		go l.broker.Return(lender, ids)
+	for lender, loans := range byLender {
+		go l.handBack(state, lender, loans)
 	}
 }
 
+// handBack returns loans once the connections that came with them are closed.
+func (l *Limiter) handBack(state *serviceState, lender string, loans []*borrowed) {
+	ids := make([]uint64, len(loans))
+	for i, loan := range loans {
+		ids[i] = loan.id
+		if loan.connection {
+			l.gate.surrender(state.name, loan.host, loan.until)
+			state.mu.Lock()
+			delete(state.borrowedInUse, loan)
+			state.mu.Unlock()
+		}
+	}
+	l.broker.Return(lender, ids)
+}
+
 // borrow asks another gateway for slots, one asking at a time per service.
 func (l *Limiter) borrow(state *serviceState, service string, ranked []endpoint.Endpoint) {
 	terms := l.terms.Load()
@@ -250,12 +304,19 @@
 func (l *Limiter) receive(state *serviceState, got Loans, terms *Terms) {
 	state.mu.Lock()
 	for _, loan := range got.Loans {
+		if got.Connections {
+			l.gate.borrow(state.name, loan.Host)
+		}
 		state.idleLoans = append(state.idleLoans, &borrowed{
 			id: loan.ID, lender: got.Lender, host: loan.Host, until: got.Until, terms: terms,
+			connection: got.Connections, startBy: got.StartBy,
 		})
 	}
 	state.mu.Unlock()
 	l.metrics.borrowed.Add(float64(len(got.Loans)))
+	if got.Connections {
+		time.AfterFunc(time.Until(got.StartBy), func() { l.returnIdle(state, false) })
+	}
 	l.dispatch(state)
 	l.returnIdle(state, false)
 }
--- a/internal/measure/limits/uneven.go
+++ b/internal/measure/limits/uneven.go
@@ -153,7 +153,7 @@
 	time.Sleep(2 * messageDelay)
 	return limit.Loans{
 		Lender: names("gateway", unevenGateways)[lender], Until: asked.Add(loanHold),
-		Loans: b.office.limiters[lender].Lend(service, hosts, count, loanHold),
+		Loans: b.office.limiters[lender].Lend(service, hosts, count, loanHold, false),
 	}
 }
 
--- a/internal/member/registrar.go
+++ b/internal/member/registrar.go
@@ -52,6 +52,10 @@
 	return until != nil && time.Now().Before(*until)
 }
 
+// Failing reports whether the last heartbeat had no success: the store may be
+// away, though the lease still holds.
+func (r *Registrar) Failing() bool { return r.failing.Load() }
+
 // Generation changes with each new lease, before Valid is true of it: whoever
 // acts under a lease tells by it that the lease had ended in between.
 func (r *Registrar) Generation() uint64 { return r.generation.Load() }
--- a/internal/share/view.go
+++ b/internal/share/view.go
@@ -4,10 +4,15 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"time"
 
 	"auburnglade.example/glade/internal/store"
 )
 
+// LoanMargin is how much longer than the longest request a lent slot is counted
+// by its lender: for as long it can be used for new requests.
+const LoanMargin = 2 * time.Second
+
 // Member is one gateway in a view.
 type Member struct {
 	// ID is unique per process start.
--- a/internal/sharekeeper/advance.go
+++ b/internal/sharekeeper/advance.go
@@ -79,10 +79,13 @@
 
 // waits fences a silent member for the life of the promises it may hold and
 // then for the longest request timeout: what it admitted last carries that
-// deadline and is given up by it.
+// deadline and is given up by it. What it lent to a gateway without a share is
+// used LoanMargin longer, also when its own process has ended: nobody else
+// knows of those loans.
 func waits(snapshot *catalog.Snapshot) share.Waits {
-	fence := promiseLife + longestTimeout(snapshot)
-	return share.Waits{Gone: goneWait, Fence: fence, Escape: escapeWait + fence}
+	loan := longestTimeout(snapshot) + share.LoanMargin
+	fence := promiseLife + loan
+	return share.Waits{Gone: max(goneWait, loan), Fence: fence, Escape: escapeWait + fence}
 }
 
 func longestTimeout(snapshot *catalog.Snapshot) time.Duration {
--- a/internal/sharekeeper/churn_test.go
+++ b/internal/sharekeeper/churn_test.go
@@ -64,7 +64,7 @@
 		return
 	case "start":
 		if len(list) < maxGateways {
-			f.start()
+			f.startFromPeer()
 		}
 		return
 	}
--- a/internal/sharekeeper/fleet_test.go
+++ b/internal/sharekeeper/fleet_test.go
@@ -97,6 +97,7 @@
 	id      string
 	fleet   *fleet
 	keeper  *Keeper
+	feed    *feed.Feed
 	limiter *limit.Limiter
 	stop    context.CancelFunc
 	// work ends with the process, at once, as when it is killed.
@@ -109,6 +110,10 @@
 	// load, when set, is one more than the number of callers.
 	load  atomic.Int64
 	place int
+	// served counts the requests that were answered, and slow makes all of them
+	// take their whole deadline.
+	served atomic.Int64
+	slow   atomic.Bool
 	// feedLate holds back the configuration alone.
 	feedLate atomic.Bool
 	stopped  atomic.Bool
@@ -156,12 +161,14 @@
 	self := member.Member{ID: id, Role: member.RoleGateway, Zone: "uppsala-1", PeerAddress: id, MaxSchema: 1}
 	follower := feed.New(seam, zerolog.Nop(), f.checker, nil)
 	registrar := member.NewRegistrar(seam, self, 0, zerolog.Nop())
+	g.feed = follower
 	g.keeper = New(Config{
 		Self: self, Store: seam, Feed: follower, Lease: registrar, Asker: &gatedAsker{from: g},
 		Invariant: f.checker, Log: zerolog.Nop(), Interval: testInterval,
 	})
 	g.limiter = limit.New(limit.Config{Shares: g.keeper, Broker: &gatedBroker{from: g}})
 	g.keeper.Usage = g
+	g.keeper.Lenders = &gatedBroker{from: g}
 	f.mu.Lock()
 	f.gateways[id] = g
 	f.mu.Unlock()
@@ -207,7 +214,7 @@
 			pauseFor(g.work, 100*time.Millisecond)
 			continue
 		}
-		g.carry(ctx, dial, random)
+		g.carry(ctx, dial, random, slot.SingleUse)
 		slot.Release()
 		cancel()
 	}
@@ -224,7 +231,7 @@
 }
 
 // carry sends one request: most are short, some take their whole deadline.
-func (g *testGateway) carry(ctx context.Context, dial limit.Dialer, random *rand.Rand) {
+func (g *testGateway) carry(ctx context.Context, dial limit.Dialer, random *rand.Rand, single bool) {
 	conn := g.idle.take()
 	if conn == nil {
 		opened, err := dial(ctx, "tcp", "10.0.0.1:8101")
@@ -234,13 +241,14 @@
 		conn = opened
 	}
 	hold := time.Duration(50+random.IntN(1000)) * time.Millisecond
-	if random.IntN(20) == 0 {
+	if random.IntN(20) == 0 || g.slow.Load() {
 		hold = 2 * serviceTimeout
 	}
 	g.fleet.endpoint.begin()
 	pauseFor(ctx, hold)
 	g.fleet.endpoint.end()
-	if ctx.Err() != nil || !g.idle.keep(conn) {
+	g.served.Add(1)
+	if ctx.Err() != nil || single || !g.idle.keep(conn) {
 		_ = conn.Close()
 	}
 }
--- a/internal/sharekeeper/keeper.go
+++ b/internal/sharekeeper/keeper.go
@@ -27,6 +27,8 @@
 type Lease interface {
 	// Valid reports whether the lease is certainly still held.
 	Valid() bool
+	// Failing reports whether the last try to keep it had no success.
+	Failing() bool
 	// Generation changes with each new lease, before Valid is true of it.
 	Generation() uint64
 }
@@ -51,6 +53,12 @@
 	Ask(ctx context.Context, m share.Member) (Answer, error)
 }
 
+// Lenders are the gateways that slots can be borrowed from.
+type Lenders interface {
+	// Willing reports whether any of them would lend to this gateway.
+	Willing(ctx context.Context) bool
+}
+
 // Answer is what a gateway says of its shares.
 type Answer struct {
 	Member   string
@@ -63,12 +71,14 @@
 
 // Config is what a Keeper is made of.
 type Config struct {
-	Self      member.Member
-	Store     store.Store
-	Feed      *feed.Feed
-	Lease     Lease
-	Asker     Asker
-	Usage     Usage
+	Self  member.Member
+	Store store.Store
+	Feed  *feed.Feed
+	Lease Lease
+	Asker Asker
+	Usage Usage
+	// Lenders may be nil: then a gateway without a share is never ready.
+	Lenders   Lenders
 	Invariant *invariant.Checker
 	Log       zerolog.Logger
 	Registry  prometheus.Registerer
@@ -118,11 +128,14 @@
 	superseded atomic.Bool
 	left       atomic.Bool
 	usableAt   atomic.Pointer[time.Time]
+	// willingAt is from before others last said that they lend to this gateway.
+	willingAt atomic.Pointer[time.Time]
 
 	// Used by Serve alone.
 	changedAt  time.Time
 	wantedAt   time.Time
 	heldAsked  time.Time
+	lentAsked  time.Time
 	listenedAt time.Time
 	heard      map[string]heard
 	unleasedAt map[string]time.Time
@@ -165,10 +178,11 @@
 // is within, for other gateways to ask.
 func (k *Keeper) Confirmed() int64 { return k.confirmed.Load() }
 
-// Ready reports whether this gateway has shares that it may use.
+// Ready reports whether this gateway has shares that it may use, or others lend
+// to it meanwhile.
 func (k *Keeper) Ready() bool {
 	if !k.inForce.Load().agreement.Settled.Has(k.Self.ID) {
-		return false
+		return k.borrows()
 	}
 	return k.usable() || k.unusableFor() < unreadyAfter
 }
@@ -210,6 +224,7 @@
 	k.follow()
 	k.verify(ctx)
 	k.hold(ctx)
+	k.seek(ctx)
 	k.confirm()
 	k.advance(ctx)
 	now := time.Now()
@@ -260,13 +275,14 @@
 	k.confirmed.Store(int64(revision))
 }
 
-// setTerms lets slots be borrowed from the other members of the view that this
-// gateway is on its way to, while it is a member itself. A lender that isn't
+// setTerms lets slots be borrowed from the other members of the view that the
+// gateways are on its way to, unless this one is leaving it. A lender that isn't
 // may be dead, and its share taken over once everybody has confirmed that.
 func (k *Keeper) setTerms(current *inForce) {
 	terms := &limit.Terms{Lenders: make(map[string]bool)}
 	target := current.agreement.Target()
-	if !k.superseded.Load() && target.Has(k.Self.ID) {
+	leaving := current.agreement.Settled.Has(k.Self.ID) && !target.Has(k.Self.ID)
+	if !k.superseded.Load() && !leaving {
 		for _, m := range target.Members {
 			terms.Lenders[m.ID] = m.ID != k.Self.ID
 		}
--- a/internal/sharekeeper/seams_test.go
+++ b/internal/sharekeeper/seams_test.go
@@ -147,15 +147,37 @@
 	if lender == nil {
 		return limit.Loans{}
 	}
-	if _, known := lender.keeper.Member(b.from.id); !known {
+	may, connections := lender.keeper.LendsTo(b.from.id)
+	if !may {
 		return limit.Loans{}
 	}
-	hold := lender.keeper.LongestTimeout() + time.Second
-	loans := lender.limiter.Lend(service, hosts, count, hold)
+	hold := lender.keeper.LongestTimeout() + share.LoanMargin
+	loans := lender.limiter.Lend(service, hosts, count, hold, connections)
 	if !b.pass(ctx, m) {
 		return limit.Loans{}
 	}
-	return limit.Loans{Lender: m.ID, Loans: loans, Until: asked.Add(hold)}
+	return limit.Loans{
+		Lender: m.ID, Loans: loans, Until: asked.Add(hold), Connections: connections, StartBy: asked.Add(share.LoanMargin),
+	}
+}
+
+// Willing implements Lenders.
+func (b *gatedBroker) Willing(ctx context.Context) bool {
+	for _, m := range b.from.keeper.Others() {
+		if !b.pass(ctx, m) {
+			continue
+		}
+		b.from.fleet.mu.Lock()
+		lender := b.from.fleet.gateways[m.ID]
+		b.from.fleet.mu.Unlock()
+		if lender == nil {
+			continue
+		}
+		if may, _ := lender.keeper.LendsTo(b.from.id); may {
+			return true
+		}
+	}
+	return false
 }
 
 func (b *gatedBroker) Return(lender string, ids []uint64) {
