Judge moves and waves on one view of the fleet

Cause: the drainer counts a host as available when its record says that it serves, the platform lists it live and it was well when asked at most 3 s ago. The mover had its own copy of that logic without the third part. The list lags: while a rack was gone and still listed, a move took a further host of the same service out, below the budget.

Change: the view and the asking of hosts are in internal/hostview, used by both. The mover asks only while a move of its own is planned, and only the hosts that serve next to the one that is to move. The drainer decides as before.

Conclusion: a move never counts a host as available that a wave wouldn't.

--- a/internal/drainer/apply.go
+++ b/internal/drainer/apply.go
@@ -68,9 +68,9 @@
 // applyOne returns the step's error, which it has dealt with: what failed waits
 // for the next interval.
 func (d *Drainer) applyOne(ctx context.Context, o *observed, waveName string, step wave.Step) error {
-	err := d.step(ctx, o, waveName, step, o.hosts[step.Host])
+	err := d.step(ctx, o, waveName, step, o.Records[step.Host])
 	if errors.HasType(err, (*fleet.StaleOperationError)(nil)) {
-		err = d.finishEnded(ctx, o, waveName, o.hosts[step.Host])
+		err = d.finishEnded(ctx, o, waveName, o.Records[step.Host])
 	}
 	var refused *budget.RefusedError
 	d.mu.Lock()
@@ -104,7 +104,7 @@
 	case wave.Reboot:
 		return d.reboot(ctx, o, waveName, item)
 	case wave.AwaitProof:
-		d.conditions.forget(item.Host)
+		d.asker.Forget(item.Host)
 		return d.write(ctx, waveName, item, func(r *hostrecord.Record) { r.Phase = hostrecord.Proving })
 	case wave.Return:
 		return d.putBack(ctx, o, waveName, step, item)
@@ -125,8 +125,8 @@
 	}
 	operation := uuid.NewString()
 	grant := budget.Grant{Operation: operation, Wave: waveName, Holder: d.Member}
-	services := o.servicesOf(item.Pool)
-	if err := d.Gate.Acquire(ctx, item.Host, grant, services, o.view); err != nil {
+	services := o.ServicesOf(item.Pool)
+	if err := d.Gate.Acquire(ctx, item.Host, grant, services, o.Budget); err != nil {
 		return err
 	}
 	err := d.mayStart(o, item)
@@ -158,7 +158,7 @@
 // keeps two visits apart by the time that an act of the earlier one may still
 // be on its way, for platforms that don't refuse it.
 func (d *Drainer) mayStart(o *observed, item catalog.HostItem) error {
-	if time.Since(o.at) > decisionAge || time.Since(o.list.at) > decisionAge {
+	if time.Since(o.at) > decisionAge || time.Since(o.listed) > decisionAge {
 		return &StaleDecisionError{Host: item.Host, Age: time.Since(o.at)}
 	}
 	d.mu.Lock()
@@ -187,7 +187,7 @@
 // between, or its answer be lost, the next round finds the phase and acts
 // again: the operation identity makes the platform take it once.
 func (d *Drainer) reboot(ctx context.Context, o *observed, waveName string, item catalog.HostItem) error {
-	state, known := o.states[item.Host]
+	state, known := o.States[item.Host]
 	again := item.Phase == hostrecord.Rebooting
 	moved := known && state.Reachable && state.BootID != item.BootID
 	if !again || moved {
@@ -301,5 +301,5 @@
 	if item.Granted != nil {
 		return item.Granted
 	}
-	return o.servicesOf(item.Pool)
+	return o.ServicesOf(item.Pool)
 }
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -16,6 +16,7 @@
 	"auburnglade.example/glade/internal/catalog"
 	"auburnglade.example/glade/internal/feed"
 	"auburnglade.example/glade/internal/fleet"
+	"auburnglade.example/glade/internal/hostview"
 	"auburnglade.example/glade/internal/invariant"
 	"auburnglade.example/glade/internal/pause"
 	"auburnglade.example/glade/internal/store"
@@ -79,13 +80,13 @@
 // Drainer drives every wave in force whose shard it holds.
 type Drainer struct {
 	Config
-	metrics    *metrics
-	conditions *conditions
-	sweeper    *sweeper
-	publisher  *publisher
-	wake       chan struct{}
-	slots      chan struct{}
-	acting     sync.WaitGroup
+	metrics   *metrics
+	asker     *hostview.Asker
+	sweeper   *sweeper
+	publisher *publisher
+	wake      chan struct{}
+	slots     chan struct{}
+	acting    sync.WaitGroup
 
 	mu    sync.Mutex
 	hosts map[string]*hostMemory
@@ -99,15 +100,15 @@
 		config.Interval = DefaultInterval
 	}
 	return &Drainer{
-		Config:     config,
-		metrics:    newMetrics(config.Registry),
-		conditions: newConditions(config.Pool),
-		sweeper:    newSweeper(),
-		publisher:  newPublisher(config.Status),
-		wake:       make(chan struct{}, 1),
-		slots:      make(chan struct{}, maxActs),
-		hosts:      make(map[string]*hostMemory),
-		specs:      make(map[string]wave.Input),
+		Config:    config,
+		metrics:   newMetrics(config.Registry),
+		asker:     hostview.NewAsker(config.Pool),
+		sweeper:   newSweeper(),
+		publisher: newPublisher(config.Status),
+		wake:      make(chan struct{}, 1),
+		slots:     make(chan struct{}, maxActs),
+		hosts:     make(map[string]*hostMemory),
+		specs:     make(map[string]wave.Input),
 	}
 }
 
--- a/internal/drainer/guard.go
+++ b/internal/drainer/guard.go
@@ -88,7 +88,7 @@
 // one that the platform hasn't shown to have taken. It would take down a host
 // that serves, outside every budget.
 func (d *Drainer) mayReturn(o *observed, item catalog.HostItem) error {
-	state, known := o.states[item.Host]
+	state, known := o.States[item.Host]
 	if known && state.LastOperation == item.Operation {
 		return nil
 	}
--- a/internal/drainer/observe.go
+++ b/internal/drainer/observe.go
@@ -9,6 +9,7 @@
 	"auburnglade.example/glade/internal/catalog"
 	"auburnglade.example/glade/internal/fleet"
 	"auburnglade.example/glade/internal/hostrecord"
+	"auburnglade.example/glade/internal/hostview"
 	"auburnglade.example/glade/internal/record"
 	"auburnglade.example/glade/internal/store"
 	"auburnglade.example/glade/internal/wave"
@@ -34,19 +35,21 @@
 
 // observed is one round's view of the fleet.
 type observed struct {
-	at       time.Time
-	snapshot *catalog.Snapshot
-	hosts    map[string]catalog.HostItem
-	list     listing
-	waves    map[string]waveInForce
-	states   map[string]condition
-	lagging  map[store.Revision]bool
+	hostview.View
+	at time.Time
+	// listed is when the platform's list was read.
+	listed  time.Time
+	waves   map[string]waveInForce
+	lagging map[store.Revision]bool
 }
 
 func (d *Drainer) observe(ctx context.Context, snapshot *catalog.Snapshot, waves []waveInForce) *observed {
 	o := &observed{
-		at: time.Now(), snapshot: snapshot, list: d.list,
-		hosts:   make(map[string]catalog.HostItem, len(snapshot.Hosts)),
+		View: hostview.View{
+			Snapshot: snapshot, Listed: d.list.hosts, Places: d.list.places,
+			Records: make(map[string]catalog.HostItem, len(snapshot.Hosts)),
+		},
+		at: time.Now(), listed: d.list.at,
 		waves:   make(map[string]waveInForce, len(waves)),
 		lagging: make(map[store.Revision]bool),
 	}
@@ -55,11 +58,11 @@
 	}
 	d.mu.Lock()
 	for name, item := range snapshot.Hosts {
-		o.hosts[name] = d.remember(name, item)
+		o.Records[name] = d.remember(name, item)
 	}
 	d.mu.Unlock()
-	o.states = d.conditions.refresh(ctx, d.questions(o))
-	for _, item := range o.hosts {
+	o.States = d.asker.Refresh(ctx, d.questions(o))
+	for _, item := range o.Records {
 		if _, asked := o.lagging[item.Revision]; item.Phase == hostrecord.Draining && item.Wave != "" && !asked {
 			o.lagging[item.Revision] = len(d.Confirmer.Lagging(ctx, item.Revision)) > 0
 		}
@@ -95,9 +98,9 @@
 
 // questions lists the hosts whose condition this round needs: those out for a
 // wave held here, as of now, and those that serve next to hosts that such a
-// wave may take out, as of lately. The calls are at most hosts out per interval plus hosts
-// serving per servingAge.
-func (d *Drainer) questions(o *observed) []question {
+// wave may take out, as of lately. The calls are at most hosts out per interval
+// plus hosts serving per hostview.ServingAge.
+func (d *Drainer) questions(o *observed) []hostview.Question {
 	services := make(map[string]bool)
 	for name, w := range o.waves {
 		spec := w.input.Spec
@@ -105,20 +108,17 @@
 			continue
 		}
 		for _, pool := range spec.Pools {
-			for _, service := range o.servicesOf(pool) {
+			for _, service := range o.ServicesOf(pool) {
 				services[service] = true
 			}
 		}
 	}
+	questions := o.Serving(services)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var questions []question
-	for name, item := range o.hosts {
-		switch {
-		case item.Wave != "" && d.Shards.Holds(waveShard+item.Wave):
-			questions = append(questions, question{host: name, maxAge: d.Interval, after: d.memoryOf(name).changed})
-		case item.TakesWork() && slices.ContainsFunc(o.servicesOf(item.Pool), func(s string) bool { return services[s] }):
-			questions = append(questions, question{host: name, maxAge: servingAge})
+	for name, item := range o.Records {
+		if item.Wave != "" && d.Shards.Holds(waveShard+item.Wave) {
+			questions = append(questions, hostview.Question{Host: name, MaxAge: d.Interval, After: d.memoryOf(name).changed})
 		}
 	}
 	return questions
@@ -130,7 +130,7 @@
 // a record lasts for moments, and the gate counts it. A remembered ledger could
 // be behind, and a wave that it blocks would never ask the gate to read it anew.
 func (d *Drainer) fleetOf(o *observed) wave.Fleet {
-	planned := wave.Fleet{Policy: o.snapshot.Policy(), Now: time.Now()}
+	planned := wave.Fleet{Policy: o.Snapshot.Policy(), Now: time.Now()}
 	d.mu.Lock()
 	for _, w := range sorted(o.waves) {
 		w.input.Hosts = d.waveHosts(o, w)
@@ -138,8 +138,8 @@
 	}
 	d.mu.Unlock()
 	var views []budget.View
-	for service := range o.snapshot.Services() {
-		views = append(views, o.view(service))
+	for service := range o.Snapshot.Services() {
+		views = append(views, o.Budget(service))
 	}
 	planned.Book = budget.BookOf(views)
 	return planned
@@ -150,7 +150,7 @@
 func (d *Drainer) waveHosts(o *observed, w waveInForce) []wave.Host {
 	var hosts []wave.Host
 	spec := w.input.Spec
-	for _, item := range o.hosts {
+	for _, item := range o.Records {
 		visited := slices.Contains(spec.Pools, item.Pool) && spec.Covers(item.Host)
 		if visited || item.Wave == w.name {
 			hosts = append(hosts, d.waveHost(o, item))
@@ -170,21 +170,21 @@
 // rebooted under its requests.
 func (d *Drainer) waveHost(o *observed, item catalog.HostItem) wave.Host {
 	m := d.memoryOf(item.Host)
-	state, known := o.states[item.Host]
-	place := o.placeOf(item.Host)
+	state, known := o.States[item.Host]
+	place := o.PlaceOf(item.Host)
 	lagging, asked := o.lagging[item.Revision]
 	host := wave.Host{
 		Name: item.Host, Zone: place.Zone, Rack: place.Rack, Record: item.Record,
 		Age:       time.Since(m.at),
 		Confirmed: asked && !lagging,
-		Down:      !o.available(item.Host),
+		Down:      !o.Available(item.Host),
 		Drained:   item.Operation != "" && m.drained == item.Operation,
 		Refusal:   m.refusal,
 		InFlight:  unknownInFlight,
 		BootID:    item.BootID,
 	}
-	if !known || state.asked.Before(m.changed) {
-		listed, ok := o.list.hosts[item.Host]
+	if !known || state.Asked.Before(m.changed) {
+		listed, ok := o.Listed[item.Host]
 		host.Unknown = ok && listed.State == fleet.HostLive
 		return host
 	}
@@ -192,7 +192,7 @@
 	host.InFlight = state.InFlight
 	host.BootID = state.BootID
 	if state.Healthy {
-		host.HealthyFor = time.Since(state.healthySince)
+		host.HealthyFor = time.Since(state.HealthySince)
 	}
 	return host
 }
@@ -200,19 +200,9 @@
 // unknownInFlight stands for work that may be there.
 const unknownInFlight = 1
 
-// available is the pessimistic view: the host's record says that it serves,
-// the platform lists it live, and when lately asked it was well. The list alone
-// lags, and would let a batch begin while a rack is already gone.
-func (o *observed) available(name string) bool {
-	host, listed := o.list.hosts[name]
-	state, known := o.states[name]
-	return listed && host.State == fleet.HostLive && o.hosts[name].TakesWork() &&
-		known && state.Reachable && state.Healthy
-}
-
 // anyOut reports whether any host is out for the wave, failed ones included.
 func (o *observed) anyOut(waveName string) bool {
-	for _, item := range o.hosts {
+	for _, item := range o.Records {
 		if item.Wave == waveName {
 			return true
 		}
@@ -220,41 +210,6 @@
 	return false
 }
 
-// placeOf returns where a host is, or was when it was last known.
-func (o *observed) placeOf(name string) fleet.Host {
-	if place, known := o.list.places[name]; known {
-		return place
-	}
-	item := o.hosts[name]
-	return fleet.Host{Name: name, Zone: item.Zone, Rack: item.Rack}
-}
-
-func (o *observed) servicesOf(pool string) []string {
-	spec := o.snapshot.Pools()[pool]
-	if spec == nil {
-		return nil
-	}
-	return spec.Services
-}
-
-func (o *observed) view(service string) budget.View {
-	view := budget.View{Service: service, Revision: o.snapshot.Revision}
-	for _, b := range o.snapshot.Budgets() {
-		if b.Service == service {
-			view.Budgets = append(view.Budgets, b)
-		}
-	}
-	for _, pool := range o.snapshot.PoolsOf(service) {
-		for _, name := range o.snapshot.HostsOf(pool) {
-			place := o.placeOf(name)
-			view.Endpoints = append(view.Endpoints, budget.Endpoint{
-				Host: name, Zone: place.Zone, Rack: place.Rack, Available: o.available(name),
-			})
-		}
-	}
-	return view
-}
-
 // abandoned is the plan's input for a deleted wave: as if it were cancelled,
 // with the durations it had as far as this process knows them.
 func (d *Drainer) abandoned(name string) wave.Input {
--- /dev/null
+++ b/internal/hostview/asker.go
@@ -0,0 +1,146 @@
+// Package hostview is the pessimistic view of the fleet that hosts are taken out
+// on, for waves and for moves alike: the platform's list lags, so that hosts are
+// asked how they are besides.
+package hostview
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"auburnglade.example/glade/internal/fleet"
+)
+
+const (
+	// ServingAge is how old the condition of a serving host may be when a
+	// budget is judged on it: with H hosts next to a wave that costs at most
+	// H/ServingAge calls a second.
+	ServingAge = 3 * time.Second
+	// askTimeout bounds one question, patience how long a round waits for its
+	// answers: a host that hangs delays no other.
+	askTimeout = 2 * time.Second
+	patience   = 250 * time.Millisecond
+	// maxAsking bounds the questions asked at once.
+	maxAsking = 32
+)
+
+// Question asks for a host's condition at most MaxAge old and asked after a
+// moment.
+type Question struct {
+	Host   string
+	MaxAge time.Duration
+	After  time.Time
+}
+
+// Condition is a host's condition as it was when it was asked for.
+type Condition struct {
+	fleet.HostCondition
+	Asked time.Time
+	// HealthySince is when this process first saw the host healthy in the
+	// boot it is in, without a break.
+	HealthySince time.Time
+}
+
+// Asker asks hosts how they are, in the background.
+type Asker struct {
+	pool  fleet.PoolHosts
+	slots chan struct{}
+
+	mu     sync.Mutex
+	known  map[string]Condition
+	asking map[string]bool
+}
+
+// NewAsker returns an asker that knows nothing yet.
+func NewAsker(pool fleet.PoolHosts) *Asker {
+	return &Asker{
+		pool: pool, slots: make(chan struct{}, maxAsking),
+		known: make(map[string]Condition), asking: make(map[string]bool),
+	}
+}
+
+// Refresh asks what isn't known well enough and returns what is known after at
+// most patience. A host without an answer that is good enough is left out.
+func (a *Asker) Refresh(ctx context.Context, questions []Question) map[string]Condition {
+	var wait sync.WaitGroup
+	for _, q := range questions {
+		if a.start(q) {
+			wait.Add(1)
+			go func() {
+				defer wait.Done()
+				a.ask(ctx, q.Host)
+			}()
+		}
+	}
+	a.waitFor(&wait)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	fresh := make(map[string]Condition, len(questions))
+	for _, q := range questions {
+		if state, known := a.known[q.Host]; known && q.answeredBy(state, patience) {
+			fresh[q.Host] = state
+		}
+	}
+	return fresh
+}
+
+// answeredBy allows for the time that the round itself takes.
+func (q Question) answeredBy(state Condition, grace time.Duration) bool {
+	return time.Since(state.Asked) <= q.MaxAge+grace && !state.Asked.Before(q.After)
+}
+
+// start reports whether the question has to be asked, and notes that it is.
+func (a *Asker) start(q Question) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	state, known := a.known[q.Host]
+	if a.asking[q.Host] || known && q.answeredBy(state, 0) {
+		return false
+	}
+	a.asking[q.Host] = true
+	return true
+}
+
+func (a *Asker) waitFor(wait *sync.WaitGroup) {
+	done := make(chan struct{})
+	go func() {
+		wait.Wait()
+		close(done)
+	}()
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	}
+}
+
+func (a *Asker) ask(ctx context.Context, host string) {
+	a.slots <- struct{}{}
+	defer func() { <-a.slots }()
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	asked := time.Now()
+	answer, err := a.pool.Condition(ctx, host)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.asking, host)
+	if err != nil {
+		// Whatever was known may have changed: a proof of health starts anew.
+		delete(a.known, host)
+		return
+	}
+	state := Condition{HostCondition: answer, Asked: asked, HealthySince: asked}
+	before, known := a.known[host]
+	if known && before.Healthy && answer.Healthy && before.BootID == answer.BootID {
+		state.HealthySince = before.HealthySince
+	}
+	a.known[host] = state
+}
+
+// Forget starts a host's proof of health anew.
+func (a *Asker) Forget(host string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.known, host)
+}
--- a/internal/mover/act.go
+++ b/internal/mover/act.go
@@ -12,6 +12,7 @@
 	"auburnglade.example/glade/internal/catalog"
 	"auburnglade.example/glade/internal/fleet"
 	"auburnglade.example/glade/internal/hostrecord"
+	"auburnglade.example/glade/internal/hostview"
 	"auburnglade.example/glade/internal/invariant"
 	"auburnglade.example/glade/internal/keys"
 	"auburnglade.example/glade/internal/store"
@@ -31,8 +32,8 @@
 // begin starts a move. With a wave coming it only writes where the host goes
 // on its return. Otherwise it takes the old pool's grants first and writes the
 // intent second, so that a host is never marked out without its budget.
-func (m *Mover) begin(ctx context.Context, snapshot *catalog.Snapshot, listed map[string]fleet.Host, move Move) error {
-	item := snapshot.Hosts[move.Host]
+func (m *Mover) begin(ctx context.Context, view *hostview.View, move Move) error {
+	item := view.Records[move.Host]
 	if move.WithWave {
 		return m.write(ctx, item, func(r *hostrecord.Record) { r.NextPool = move.To })
 	}
@@ -40,10 +41,9 @@
 		return &UnsettledError{Host: item.Host}
 	}
 	operation := operationPrefix + uuid.NewString()
-	services := servicesOf(snapshot, item.Pool)
-	view := func(service string) budget.View { return budgetView(snapshot, listed, service) }
+	services := view.ServicesOf(item.Pool)
 	grant := budget.Grant{Operation: operation, Holder: m.Member}
-	if err := m.Gate.Acquire(ctx, item.Host, grant, services, view); err != nil {
+	if err := m.Gate.Acquire(ctx, item.Host, grant, services, view.Budget); err != nil {
 		return err
 	}
 	err := m.write(ctx, item, func(r *hostrecord.Record) {
@@ -214,32 +214,3 @@
 	}
 	return before.Phase == hostrecord.Draining && before.NextPool == after.Pool && after.Phase == hostrecord.Proving
 }
-
-func servicesOf(snapshot *catalog.Snapshot, pool string) []string {
-	spec := snapshot.Pools()[pool]
-	if spec == nil {
-		return nil
-	}
-	return spec.Services
-}
-
-// budgetView is pessimistic: a host counts as available only when its record
-// says that it serves and the platform lists it live.
-func budgetView(snapshot *catalog.Snapshot, listed map[string]fleet.Host, service string) budget.View {
-	view := budget.View{Service: service, Revision: snapshot.Revision}
-	for _, b := range snapshot.Budgets() {
-		if b.Service == service {
-			view.Budgets = append(view.Budgets, b)
-		}
-	}
-	for _, pool := range snapshot.PoolsOf(service) {
-		for _, name := range snapshot.HostsOf(pool) {
-			host, known := listed[name]
-			view.Endpoints = append(view.Endpoints, budget.Endpoint{
-				Host: name, Zone: host.Zone, Rack: host.Rack,
-				Available: known && host.State == fleet.HostLive && snapshot.Hosts[name].TakesWork(),
-			})
-		}
-	}
-	return view
-}
--- a/internal/mover/harness_test.go
+++ b/internal/mover/harness_test.go
@@ -62,14 +62,16 @@
 // Holds implements drainer.Shards: every wave is decided where moves are.
 func (c *controller) Holds(string) bool { return c.Held() }
 
-func newBench(t *testing.T, hosts int) *bench {
+func newBench(t *testing.T, hosts int) *bench { return newLaggingBench(t, hosts, time.Second) }
+
+func newLaggingBench(t *testing.T, hosts int, listLag time.Duration) *bench {
 	b := &bench{t: t, store: memstore.New(), checker: invariant.New(zerolog.Nop(), nil)}
 	var list []fleet.Host
 	for i := range hosts {
 		list = append(list, fleet.Host{Name: fmt.Sprintf("h%02d", i), Zone: fmt.Sprintf("z%d", i%3), Rack: fmt.Sprintf("r%d", i/3)})
 	}
 	b.fleet = fakefleet.New(list, fakefleet.Options{
-		ListLag: time.Second, RebootTime: 20 * time.Second, InFlight: func(string) int { return int(b.inFlight.Load()) },
+		ListLag: listLag, RebootTime: 20 * time.Second, InFlight: func(string) int { return int(b.inFlight.Load()) },
 	})
 	b.judge = newHistoryJudge(b.store)
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/mover/mover.go
+++ b/internal/mover/mover.go
@@ -13,6 +13,7 @@
 	"auburnglade.example/glade/internal/feed"
 	"auburnglade.example/glade/internal/fleet"
 	"auburnglade.example/glade/internal/hostrecord"
+	"auburnglade.example/glade/internal/hostview"
 	"auburnglade.example/glade/internal/invariant"
 	"auburnglade.example/glade/internal/pause"
 	"auburnglade.example/glade/internal/record"
@@ -59,6 +60,7 @@
 // Mover applies assignments and moves while it holds the shard.
 type Mover struct {
 	Config
+	asker   *hostview.Asker
 	lasted  *lastedRecord
 	seen    map[string]seenRecord
 	healthy map[string]time.Time
@@ -80,7 +82,7 @@
 		config.Interval = DefaultInterval
 	}
 	return &Mover{
-		Config: config, lasted: &lastedRecord{store: config.Store},
+		Config: config, asker: hostview.NewAsker(config.Pool), lasted: &lastedRecord{store: config.Store},
 		seen: make(map[string]seenRecord), healthy: make(map[string]time.Time),
 		drained: make(map[string]string), reasons: make(map[string]string),
 	}
@@ -136,9 +138,30 @@
 	for _, change := range plan.Forget {
 		m.try(change.Host, "forget", change.Reason, func() error { return m.forget(ctx, snapshot.Hosts[change.Host]) })
 	}
+	if len(plan.Moves) == 0 {
+		return
+	}
+	view := m.view(ctx, snapshot, listed, plan.Moves)
 	for _, move := range plan.Moves {
-		m.try(move.Host, "move", move.Reason, func() error { return m.begin(ctx, snapshot, listed, move) })
+		m.try(move.Host, "move", move.Reason, func() error { return m.begin(ctx, view, move) })
+	}
+}
+
+// view asks the hosts how they are that serve next to those that are to move by
+// themselves. That costs nothing while no such move is planned.
+func (m *Mover) view(ctx context.Context, snapshot *catalog.Snapshot, listed map[string]fleet.Host, moves []Move) *hostview.View {
+	view := &hostview.View{Snapshot: snapshot, Records: snapshot.Hosts, Listed: listed, Places: listed}
+	services := make(map[string]bool)
+	for _, move := range moves {
+		if move.WithWave {
+			continue
+		}
+		for _, service := range view.ServicesOf(move.From) {
+			services[service] = true
+		}
 	}
+	view.States = m.asker.Refresh(ctx, view.Serving(services))
+	return view
 }
 
 // try runs one act if the shard is still held, and logs how it went once per
--- a/internal/mover/story_test.go
+++ b/internal/mover/story_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"testing"
 	"testing/synctest"
@@ -147,6 +148,43 @@
 	})
 }
 
+// Two of a pool's hosts die with their rack, and the platform goes on listing
+// them as live. Counted as available, they let a move take a third host out, and
+// callers find three endpoints where the budget promises four. The move waits
+// until the two are back.
+func TestMoveCountsNoHostThatIsListedButGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newLaggingBench(t, 12, time.Hour)
+		b.put(record.PolicyName, &record.Policy{MoveHoldSeconds: 20})
+		b.pool("a", 6, 4)
+		b.pool("b", 6, 1)
+		c := b.start()
+		b.within(time.Minute, "every host has a pool", b.sizes(map[string]int{"a": 6, "b": 6}))
+		var members []string
+		for name, r := range b.judge.records() {
+			if r.Pool == "a" {
+				members = append(members, name)
+			}
+		}
+		slices.Sort(members)
+		must.Eq(t, []string{"h03", "h05"}, members[2:4], must.Sprint("the hosts of rack r1"))
+		for _, host := range members[2:4] {
+			b.fleet.Crash(host, 2*time.Minute)
+		}
+		listed, err := b.fleet.Hosts(t.Context())
+		must.NoError(t, err)
+		must.SliceLen(t, 12, listed, must.Sprint("the list doesn't lag"))
+		b.resize("a", 5)
+		b.resize("b", 7)
+		time.Sleep(100 * time.Second)
+		for _, act := range b.fleet.Acts() {
+			must.Eq(t, fakefleet.VerbCrash, act.Verb, must.Sprint(act))
+		}
+		b.within(2*time.Minute, "the move is made", b.sizes(map[string]int{"a": 5, "b": 7}))
+		b.finish(c)
+	})
+}
+
 const ciSeeds = 6
 
 // Half an hour of everything at once: pools are resized and removed again and
