Plan moves every fifth round

Cause: the controller that holds the fleet planned moves over all hosts each second, two thirds of its processor time when idle (profile, 1,000 hosts). Change: the mover takes one round in five; its reasons last for minutes.

--- a/internal/daemon/controller.go
+++ b/internal/daemon/controller.go
@@ -26,6 +26,11 @@
 	reportShard = "report"
 )
 
+// moverRounds is how many of the other parts' rounds pass to one of the mover:
+// a reason to move has to last for minutes, and its plan over the whole fleet
+// was most of what an idle controller did.
+const moverRounds = 5
+
 // Controller is one glade-controller.
 type Controller struct {
 	*common
@@ -63,7 +68,7 @@
 	c.mover = mover.New(mover.Config{
 		Member: base.self.ID, Store: base.store, Feed: base.feed, Hosts: base.hosts, Pool: base.platform,
 		Confirmer: c.confirm, Gate: budget.NewGate(base.store), Shard: c.shards.Shard(movesShard), Invariant: base.invariant,
-		Log: telemetry.Part(base.log, "mover"), Interval: settings.Decide.Interval,
+		Log: telemetry.Part(base.log, "mover"), Interval: moverRounds * settings.Decide.Interval,
 	})
 	c.jobs = jobs.New(jobs.Config{
 		Member: base.self.ID, Store: base.store, Feed: base.feed, Hosts: base.hosts, Pool: base.platform,
