Keep one counting listener and no dead code in the decisions

Cause: the listener that counts bytes stood in configspread and in the soak runs, the sorted names of a map in mover and jobs although the standard library has them; wave.Status.Remaining had no caller, and budget.View.Available only a test.

Change: internal/bytecount serves both; slices.Sorted(maps.Keys()) and strings.Compare replace what was written by hand; the two methods are gone, and the property test counts what is left itself.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -107,9 +107,6 @@
 		service, left, reserve, marginName(budget.Margin), budget.MinAvailable)
 }
 
-// Available returns how many endpoints are available and not granted away.
-func (v View) Available() int { return len(v.remaining("")) }
-
 func (v View) remaining(without string) []Endpoint {
 	var left []Endpoint
 	for _, e := range v.Endpoints {
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -133,6 +133,6 @@
 				}
 			}
 		}
-		must.Eq(t, view.Available(), book.account("match").available)
+		must.Eq(t, len(view.remaining("")), book.account("match").available)
 	})
 }
--- a/internal/drainer/observe.go
+++ b/internal/drainer/observe.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"auburnglade.example/glade/internal/budget"
@@ -156,12 +158,7 @@
 			hosts = append(hosts, d.waveHost(o, item))
 		}
 	}
-	slices.SortFunc(hosts, func(a, b wave.Host) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(hosts, func(a, b wave.Host) int { return strings.Compare(a.Name, b.Name) })
 	return hosts
 }
 
@@ -222,15 +219,5 @@
 }
 
 func sorted(waves map[string]waveInForce) []waveInForce {
-	list := make([]waveInForce, 0, len(waves))
-	for _, w := range waves {
-		list = append(list, w)
-	}
-	slices.SortFunc(list, func(a, b waveInForce) int {
-		if a.name < b.name {
-			return -1
-		}
-		return 1
-	})
-	return list
+	return slices.SortedFunc(maps.Values(waves), func(a, b waveInForce) int { return strings.Compare(a.name, b.name) })
 }
--- a/internal/jobs/decide.go
+++ b/internal/jobs/decide.go
@@ -49,12 +49,12 @@
 }
 
 func (m *Manager) logParked(p *poolState, plan placement.Plan) {
-	for _, job := range sortedNames(plan.Parked) {
+	for _, job := range slices.Sorted(maps.Keys(plan.Parked)) {
 		if p.Parked[job] != plan.Parked[job] {
 			m.Log.Warn().Str("job", job).Str("reason", plan.Parked[job]).Msg("Job parked.")
 		}
 	}
-	for _, job := range sortedNames(p.Parked) {
+	for _, job := range slices.Sorted(maps.Keys(p.Parked)) {
 		if plan.Parked[job] == "" {
 			m.Log.Info().Str("job", job).Msg("Job parked no longer.")
 		}
@@ -152,7 +152,7 @@
 			last.Unwanted = "its host left the pool"
 		}
 	}
-	for _, name := range sortedNames(p.Jobs) {
+	for _, name := range slices.Sorted(maps.Keys(p.Jobs)) {
 		if spec := v.jobs[name]; spec != nil && spec.Pool == p.Pool && !spec.Cancelled {
 			job := m.jobInput(p, name, spec)
 			if len(job.Pending) > 0 {
--- a/internal/jobs/observe.go
+++ b/internal/jobs/observe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -31,7 +32,7 @@
 		snapshot: snapshot, jobs: snapshot.Jobs(), workers: make(map[string][]placement.Worker),
 		quotas: make(map[string]record.Resources),
 	}
-	v.pools = sortedNames(m.jobsOf(snapshot))
+	v.pools = slices.Sorted(maps.Keys(m.jobsOf(snapshot)))
 	for _, quota := range snapshot.Quotas() {
 		v.quotas[quota.Team] = quota.Resources
 	}
--- a/internal/jobs/persist.go
+++ b/internal/jobs/persist.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -29,7 +31,7 @@
 			delete(m.pools, name)
 		}
 	}
-	for _, name := range sortedNames(m.pools) {
+	for _, name := range slices.Sorted(maps.Keys(m.pools)) {
 		p := m.pools[name]
 		if p.stuck || !m.Shard.Held() {
 			continue
--- a/internal/jobs/state.go
+++ b/internal/jobs/state.go
@@ -169,15 +169,6 @@
 	return status, true
 }
 
-func sortedNames[T any](m map[string]T) []string {
-	names := make([]string, 0, len(m))
-	for name := range m {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
-}
-
 // Bits is a set of small numbers; ten thousand take 1.25 KB.
 type Bits []byte
 
--- a/internal/measure/configspread/fleet.go
+++ b/internal/measure/configspread/fleet.go
@@ -14,6 +14,7 @@
 
 	"github.com/rs/zerolog"
 
+	"auburnglade.example/glade/internal/bytecount"
 	"auburnglade.example/glade/internal/feed"
 	"auburnglade.example/glade/internal/hostrecord"
 	"auburnglade.example/glade/internal/invariant"
@@ -95,7 +96,7 @@
 	n.server = &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
 	f.members = append(f.members, n)
 	f.peers = append(f.peers, self.PeerAddress)
-	f.wait.Go(func() { _ = n.server.Serve(&countingListener{Listener: listener, bytes: &f.bytes}) })
+	f.wait.Go(func() { _ = n.server.Serve(&bytecount.Listener{Listener: listener, Bytes: &f.bytes}) })
 	f.wait.Go(func() { _ = spread.Serve(f.ctx) })
 	f.wait.Go(func() { _ = registrar.Serve(f.ctx) })
 	return n, nil
@@ -207,37 +208,3 @@
 	runtime.ReadMemStats(&stats)
 	return float64(stats.HeapAlloc) / (1 << 20)
 }
-
-// countingListener counts what goes through the connections it accepts.
-type countingListener struct {
-	net.Listener
-	bytes *atomic.Int64
-}
-
-// Accept implements net.Listener.
-func (l *countingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &countingConn{Conn: conn, bytes: l.bytes}, nil
-}
-
-type countingConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-// Read implements net.Conn.
-func (c *countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-// Write implements net.Conn.
-func (c *countingConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
--- a/internal/mover/act.go
+++ b/internal/mover/act.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -88,7 +90,7 @@
 
 // advance takes every host in a move of its own one step further.
 func (m *Mover) advance(ctx context.Context, snapshot *catalog.Snapshot) {
-	for _, name := range sortedNames(snapshot.Hosts) {
+	for _, name := range slices.Sorted(maps.Keys(snapshot.Hosts)) {
 		item := snapshot.Hosts[name]
 		if !InOwnDrain(item.Record) || item.Phase == hostrecord.Failed {
 			continue
--- a/internal/mover/census.go
+++ b/internal/mover/census.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"sort"
 
@@ -44,7 +45,7 @@
 		}
 		c.count(host)
 	}
-	c.zones = sortedNames(zones)
+	c.zones = slices.Sorted(maps.Keys(zones))
 	return c
 }
 
--- a/internal/mover/plan.go
+++ b/internal/mover/plan.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -134,7 +135,7 @@
 // withdraw takes back moves that haven't begun and whose pool needs no host
 // any more.
 func (p *planner) withdraw() {
-	for _, name := range sortedNames(p.census.incoming) {
+	for _, name := range slices.Sorted(maps.Keys(p.census.incoming)) {
 		over := p.census.members[name] - p.census.sizes[name]
 		for _, host := range p.census.incoming[name] {
 			if host.Record.Phase != hostrecord.Serving || (over <= 0 && p.census.exists(name)) {
@@ -159,7 +160,7 @@
 		round.narrow(name, min(lasting, lack-round.filled(name)))
 	}
 	surplus := p.lastingSurplus()
-	for _, name := range sortedNames(surplus) {
+	for _, name := range slices.Sorted(maps.Keys(surplus)) {
 		round.addGroup(name, surplus[name])
 	}
 	round.run()
@@ -188,7 +189,7 @@
 	for _, change := range p.plan.Withdraw {
 		withdrawn[change.Host] = true
 	}
-	for _, name := range sortedNames(p.census.incoming) {
+	for _, name := range slices.Sorted(maps.Keys(p.census.incoming)) {
 		for _, host := range p.census.incoming[name] {
 			planned := pick{host: host, from: host.Record.Pool, to: name}
 			if host.Record.Phase == hostrecord.Serving && host.Live && !withdrawn[host.Name] && !p.waits(planned) {
@@ -262,12 +263,3 @@
 func lastingCount(lasted []time.Duration, hold time.Duration) int {
 	return sort.Search(len(lasted), func(i int) bool { return lasted[i] < hold })
 }
-
-func sortedNames[T any](m map[string]T) []string {
-	names := make([]string, 0, len(m))
-	for name := range m {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
--- a/internal/mover/round.go
+++ b/internal/mover/round.go
@@ -1,6 +1,10 @@
 package mover
 
-import "sort"
+import (
+	"maps"
+	"slices"
+	"sort"
+)
 
 // round matches hosts on offer with the deficits of pools, zone by zone, as a
 // flow from giving groups over zones to pools. Hosts without a pool flow
@@ -44,7 +48,7 @@
 	for _, zone := range c.zones {
 		r.zones[zone] = r.net.node()
 	}
-	for _, pool := range sortedNames(deficits) {
+	for _, pool := range slices.Sorted(maps.Keys(deficits)) {
 		r.addPool(pool)
 	}
 	return r
@@ -136,7 +140,7 @@
 func (r *round) offersIn(zone string) ([]pick, map[string]int) {
 	var offers []pick
 	quotas := make(map[string]int)
-	for _, group := range sortedNames(r.census.movable) {
+	for _, group := range slices.Sorted(maps.Keys(r.census.movable)) {
 		b, ok := r.out[groupZone{group, zone}]
 		if !ok || r.net.flow(b.edge) == 0 {
 			continue
@@ -151,7 +155,7 @@
 
 func (r *round) takersIn(zone string) []string {
 	var pools []string
-	for _, pool := range sortedNames(r.deficits) {
+	for _, pool := range slices.Sorted(maps.Keys(r.deficits)) {
 		if b, ok := r.in[groupZone{pool, zone}]; ok && r.net.flow(b.edge) > 0 {
 			pools = append(pools, pool)
 		}
--- a/internal/mover/spread.go
+++ b/internal/mover/spread.go
@@ -1,13 +1,17 @@
 package mover
 
-import "fmt"
+import (
+	"fmt"
+	"maps"
+	"slices"
+)
 
 // spread trades hosts for pools that have been in a single zone for the hold
 // although they may be in others: the loss of that zone would take all of such
 // a pool. A trade costs two moves and leaves every size as it is, so it is made
 // only when no move that is needed anyway has spread the pool.
 func (p *planner) spread(picked map[string]bool) {
-	for _, name := range sortedNames(p.input.Pools) {
+	for _, name := range slices.Sorted(maps.Keys(p.input.Pools)) {
 		if p.input.Lasted.OneZone[name] < p.input.Hold || !p.census.inOneZone(name) {
 			continue
 		}
@@ -47,7 +51,7 @@
 func (p *planner) trade(pool string, picked map[string]bool) (give, take pick, found bool) {
 	for _, zone := range p.census.zones {
 		for _, mine := range p.offers(pool, zone, picked) {
-			for _, other := range sortedNames(p.input.Pools) {
+			for _, other := range slices.Sorted(maps.Keys(p.input.Pools)) {
 				if other == pool || !p.census.allows(other, mine) {
 					continue
 				}
--- a/internal/soak/idle.go
+++ b/internal/soak/idle.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"auburnglade.example/glade/internal/bytecount"
 	"auburnglade.example/glade/internal/devrun"
 	"auburnglade.example/glade/internal/fleet/fakefleet"
 	"auburnglade.example/glade/internal/keys"
@@ -70,7 +71,7 @@
 	if err != nil {
 		return IdleReport{}, err
 	}
-	counting := &countingListener{Listener: listener}
+	counting := &bytecount.Listener{Listener: listener, Bytes: new(atomic.Int64)}
 	hosts := fakefleet.New(options.Scale.HostList(), fakefleet.Options{ListLag: time.Second})
 	server := &http.Server{
 		Handler:           platformhttp.NewHandler(platformhttp.Backend{Store: kv, Hosts: hosts, Pool: hosts}),
@@ -113,18 +114,18 @@
 
 type idleMeasure struct {
 	kv       *memstore.Store
-	listener *countingListener
+	listener *bytecount.Listener
 	options  IdleOptions
 	members  int
 	changes  int
 }
 
 func (m *idleMeasure) run(ctx context.Context, out io.Writer) IdleReport {
-	before, bytesBefore := m.kv.Counts(), m.listener.bytes.Load()
+	before, bytesBefore := m.kv.Counts(), m.listener.Bytes.Load()
 	began := time.Now()
 	fmt.Fprintln(out, BeginLine)
 	m.change(ctx, began)
-	after, bytesAfter := m.kv.Counts(), m.listener.bytes.Load()
+	after, bytesAfter := m.kv.Counts(), m.listener.Bytes.Load()
 	fmt.Fprintln(out, EndLine)
 	seconds := time.Since(began).Seconds()
 	rate := func(a, b int64) float64 { return float64(a-b) / seconds }
@@ -160,34 +161,3 @@
 		}
 	}
 }
-
-// countingListener counts the bytes of all its connections, both ways.
-type countingListener struct {
-	net.Listener
-	bytes atomic.Int64
-}
-
-func (l *countingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &countingConn{Conn: conn, bytes: &l.bytes}, nil
-}
-
-type countingConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (c *countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-func (c *countingConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
--- a/internal/wave/report.go
+++ b/internal/wave/report.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"math"
 	"slices"
-	"time"
+	"strings"
 )
 
 // estimateStep rounds estimates, so that a status isn't written anew for
@@ -122,13 +122,5 @@
 	for _, claim := range byService {
 		p.status.Buffers = append(p.status.Buffers, *claim)
 	}
-	slices.SortFunc(p.status.Buffers, func(a, b Claim) int {
-		if a.Service < b.Service {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(p.status.Buffers, func(a, b Claim) int { return strings.Compare(a.Service, b.Service) })
 }
-
-// Remaining is the estimate to the wave's end.
-func (s Status) Remaining() time.Duration { return time.Duration(s.RemainingSeconds) * time.Second }
