Take the machine's speed out of five tests' verdicts

A caller's deadline of 200 ms real time had to outlast the way to the endpoint; a header of 64 KB had to be there within 50 ms; three waits gave up after 1 s, 3 s and 5 s. Change: the deadline test runs in virtual time, and now asserts that the caller is answered at 200 ms exactly and the endpoint is told 199 or 200 ms, where it took anything up to 200 and any time. The large header goes to a server of its own with a minute's patience; the slow one's connection may end with a reset, and must end without an answer. The waits give up after a minute. Conclusion: left on the clock is the one second that a claim may take at the store.

--- a/internal/auth/auth_test.go
+++ b/internal/auth/auth_test.go
@@ -100,10 +100,13 @@
 	return server.URL
 }
 
+// hung is when a test gives up. It decides nothing on a machine that is merely busy.
+const hung = time.Minute
+
 func memberClient(t *testing.T, k *auth.Keyring) *http.Client {
 	transport := &http.Transport{DialTLSContext: k.DialTLS}
 	t.Cleanup(transport.CloseIdleConnections)
-	return &http.Client{Transport: transport, Timeout: 5 * time.Second}
+	return &http.Client{Transport: transport, Timeout: hung}
 }
 
 func status(client *http.Client, url string, header ...string) (int, error) {
--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -200,23 +201,29 @@
 // A caller's own deadline is shorter than the service's. The endpoint is told
 // what is left, and the caller gets "unknown" then and not at the service's.
 func TestCallersDeadlineIsHonoured(t *testing.T) {
-	told := make(chan string, 1)
-	address := startEndpoint(t, func(_ http.ResponseWriter, r *http.Request) {
-		told <- r.Header.Get(outcome.DeadlineHeader)
-		<-r.Context().Done()
+	synctest.Test(t, func(t *testing.T) {
+		network := newPipeNetwork()
+		told := make(chan string, 1)
+		g := pipeGateway(t, network, func(string) http.HandlerFunc {
+			return func(_ http.ResponseWriter, r *http.Request) {
+				told <- r.Header.Get(outcome.DeadlineHeader)
+				<-r.Context().Done()
+			}
+		})
+		request := httptest.NewRequest(http.MethodPost, "/offers/issue/1", nil)
+		request.Header.Set(outcome.DeadlineHeader, "200")
+		recorder := httptest.NewRecorder()
+		began := time.Now()
+		g.ServeHTTP(recorder, request)
+		must.EqOp(t, 200*time.Millisecond, time.Since(began))
+		must.EqOp(t, outcome.StatusUnknown, recorder.Code)
+		wantOutcome(t, recorder.Result(), outcome.Unknown, outcome.TimedOut)
+		left, err := strconv.Atoi(<-told)
+		must.NoError(t, err)
+		must.Between(t, 199, left, 200)
+		g.CloseIdle()
+		network.close()
 	})
-	g := startGateway(t, address)
-	request, err := http.NewRequest(http.MethodPost, g.server.URL+"/offers/issue/1", nil)
-	must.NoError(t, err)
-	request.Header.Set(outcome.DeadlineHeader, "200")
-	response, err := g.client.Do(request)
-	must.NoError(t, err)
-	defer response.Body.Close()
-	must.EqOp(t, outcome.StatusUnknown, response.StatusCode)
-	wantOutcome(t, response, outcome.Unknown, outcome.TimedOut)
-	left, err := strconv.Atoi(<-told)
-	must.NoError(t, err)
-	must.Between(t, 0, left, 200)
 }
 
 func TestRefusesWhatCantBeServed(t *testing.T) {
--- a/internal/gateway/once_test.go
+++ b/internal/gateway/once_test.go
@@ -141,11 +141,14 @@
 	}
 }
 
+// hung is when a test gives up. It decides nothing on a machine that is merely busy.
+const hung = time.Minute
+
 // settled repeats through a gateway until the first attempt is settled and the
 // store back.
 func (d *deployment) settled(gateway int, key, body string) answer {
 	d.t.Helper()
-	for range 500 {
+	for began := time.Now(); time.Since(began) < hung; {
 		if got := d.send(gateway, key, body); got.reason != outcome.KeyInUse && got.reason != outcome.StoreAway {
 			return got
 		}
--- a/internal/httpserve/connlimit_test.go
+++ b/internal/httpserve/connlimit_test.go
@@ -8,9 +8,11 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/shoenig/test/must"
 )
 
@@ -86,14 +88,16 @@
 // A caller sends a header without end, byte by byte or all at once. The
 // connection is closed, and the slot it would hold is free again.
 func TestSlowAndLargeHeadersEndTheConnection(t *testing.T) {
-	address := startLimited(t, Limits{HeaderTimeout: 50 * time.Millisecond, HeaderBytes: 1 << 10})
-	slow := dial(t, address)
+	slow := dial(t, startLimited(t, Limits{HeaderTimeout: 50 * time.Millisecond}))
 	_, err := io.WriteString(slow, "GET / HTTP/1.1\r\nHost: ")
 	must.NoError(t, err)
-	_, err = io.ReadAll(slow)
-	must.NoError(t, err)
+	answer, err := io.ReadAll(slow)
+	// On a busy machine the time is over before the header's start is there; the
+	// connection then ends with a reset.
+	must.True(t, err == nil || errors.Is(err, syscall.ECONNRESET))
+	must.SliceEmpty(t, answer)
 
-	large := dial(t, address)
+	large := dial(t, startLimited(t, Limits{HeaderTimeout: time.Minute, HeaderBytes: 1 << 10}))
 	_, err = io.WriteString(large, "GET / HTTP/1.1\r\nHost: x\r\nFill: "+strings.Repeat("x", 64<<10)+"\r\n\r\n")
 	must.NoError(t, err)
 	response, err := http.ReadResponse(bufio.NewReader(large), nil)
--- a/internal/platformhttp/platformhttp_test.go
+++ b/internal/platformhttp/platformhttp_test.go
@@ -135,6 +135,9 @@
 	must.EqOp(t, fleet.HostLeaving, third[0].State)
 }
 
+// hung is when a test gives up. It decides nothing on a machine that is merely busy.
+const hung = time.Minute
+
 // A watcher that goes away must not hold a watch at the platform.
 func TestCancelledWatchEnds(t *testing.T) {
 	client, kv, _ := newPlatform(t, nil)
@@ -145,8 +148,8 @@
 		ended <- err
 	}()
 	opened := func(wanted int64) func() bool { return func() bool { return kv.Counts().OpenWatches == wanted } }
-	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(opened(1))))
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(opened(1)), wait.Timeout(hung)))
 	cancel()
 	must.Error(t, <-ended)
-	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(opened(0))))
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(opened(0)), wait.Timeout(hung)))
 }
