Let the rolling restart wait for traffic, and fail when a gateway can't start

Cause: the test wanted more than 100 requests in the time that its stops took, which a slow machine may not make. A gateway that ended before it was ready, such as one whose port another process took in between, left the test waiting for the package's timeout without a reason. Change: each stop waits for 50 more requests since the new gateway is there; an end before readiness fails the test with its error.

--- a/internal/daemon/rolling_test.go
+++ b/internal/daemon/rolling_test.go
@@ -101,8 +101,11 @@
 	}
 	go func() { running.ended <- gateway.Run(ctx) }()
 	for !accepts(running) {
-		must.NoError(f.t, f.t.Context().Err())
-		pause.For(f.t.Context(), time.Millisecond)
+		select {
+		case err := <-running.ended:
+			must.NoError(f.t, err, must.Sprint("ended before it was ready"))
+		case <-time.After(time.Millisecond):
+		}
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -110,6 +113,14 @@
 	return running
 }
 
+// await waits until callers have sent n more requests, so that each stop meets
+// traffic however slow the machine is.
+func (f *rollingFleet) await(sent *atomic.Int64, n int64) {
+	for until := sent.Load() + n; sent.Load() < until && !f.t.Failed(); {
+		pause.For(f.t.Context(), time.Millisecond)
+	}
+}
+
 // accepts reports whether a gateway is ready and listens.
 func accepts(g *runningGateway) bool {
 	if !g.gateway.ready() {
@@ -161,6 +172,8 @@
 	return netip.MustParseAddrPort(listener.Addr().String())
 }
 
+const trafficBeforeStop = 50
+
 // Every gateway is replaced while callers call. Each stop meets requests in
 // flight and kept-alive connections; no caller may see a connection error, a
 // refusal or another's answer, and every request must run once.
@@ -177,12 +190,14 @@
 	}
 	for _, name := range []string{"gateway-3", "gateway-4"} {
 		f.start(name)
+		f.await(&sent, trafficBeforeStop)
 		f.retire(1)
 	}
+	f.await(&sent, trafficBeforeStop)
 	stopCalling()
 	callers.Wait()
 	t.Logf("requests %d", sent.Load())
-	must.Greater(t, 100, sent.Load())
+	must.GreaterEq(t, 3*trafficBeforeStop, sent.Load())
 	must.EqOp(t, sent.Load(), f.runs.Load())
 	f.retire(2)
 }
