--- a/internal/measure/policy/policy_test.go
+++ b/internal/measure/policy/policy_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"fmt"
 	"os"
 	"strconv"
 	"testing"
@@ -21,19 +22,29 @@
 	return n
 }
 
+// beside runs a play beside the others of its test: each has a world of its own.
+func beside(t *testing.T, name string, run func(t *testing.T)) {
+	t.Run(name, func(t *testing.T) {
+		t.Parallel()
+		run(t)
+	})
+}
+
 // Whatever fails together, no act of ours breaks a budget or its margin, no
 // host is in two pools, and every wave ends.
 func TestOursHoldsUnderCorrelatedFailures(t *testing.T) {
 	for _, deployment := range []string{"klarlund", "lindqvist"} {
 		for run := range runs(t) {
-			s, err := newScenario(deployment, 1, run, true)
-			must.NoError(t, err)
-			o := play(s, ours{})
-			must.Eq(t, 0, o.violations)
-			must.Eq(t, 0, o.marginBroken)
-			must.Eq(t, 0, o.doublePool)
-			must.True(t, o.finished)
-			must.Eq(t, 1, o.jobsFinished)
+			beside(t, fmt.Sprintf("%s-%d", deployment, run), func(t *testing.T) {
+				s, err := newScenario(deployment, 1, run, true)
+				must.NoError(t, err)
+				o := play(s, ours{})
+				must.Eq(t, 0, o.violations)
+				must.Eq(t, 0, o.marginBroken)
+				must.Eq(t, 0, o.doublePool)
+				must.True(t, o.finished)
+				must.Eq(t, 1, o.jobsFinished)
+			})
 		}
 	}
 }
@@ -50,15 +61,19 @@
 // baseline that is stuck says nothing.
 func TestBaselinesEnd(t *testing.T) {
 	for name, d := range deciders() {
-		o := play(drawn(t, "lindqvist", 1, true), d)
-		must.True(t, o.finished, must.Sprint(name))
-		must.Eq(t, 0, o.violations, must.Sprint(name))
+		beside(t, name, func(t *testing.T) {
+			o := play(drawn(t, "lindqvist", 1, true), d)
+			must.True(t, o.finished)
+			must.Eq(t, 0, o.violations)
+		})
 	}
 }
 
 func TestNoPolicyBeatsTheLowerBound(t *testing.T) {
 	for name, d := range deciders() {
-		o := play(drawn(t, "klarlund", 2, false), d)
-		must.GreaterEq(t, o.bound, o.rollout, must.Sprint(name))
+		beside(t, name, func(t *testing.T) {
+			o := play(drawn(t, "klarlund", 2, false), d)
+			must.GreaterEq(t, o.bound, o.rollout)
+		})
 	}
 }
