--- a/internal/devrun/devrun.go
+++ b/internal/devrun/devrun.go
@@ -4,16 +4,11 @@
 package devrun
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
-	"net/netip"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"auburnglade.example/glade/examples"
 	"auburnglade.example/glade/internal/daemon"
 	"auburnglade.example/glade/internal/invariant"
@@ -65,27 +60,6 @@
 	pollInterval   = 50 * time.Millisecond
 )
 
-// MaxInstance is the highest instance number.
-const MaxInstance = 49
-
-// Blocks of loopback addresses, by the second number: instance i has its hosts
-// in 127.(hostBlock+i), its nth gateway at 127.(gatewayBlock+i).0.n, and so on.
-const (
-	hostBlock       = 10
-	gatewayBlock    = 60
-	controllerBlock = 110
-	platformBlock   = 160
-)
-
-// Ports of the loopback addresses.
-const (
-	platformPort = 7400
-	callerPort   = 7100
-	peerPort     = 7200
-	operatorPort = 7300
-	adminPort    = 7500
-)
-
 // SetupError says which part of a run could not be set up.
 type SetupError struct {
 	Part  string
@@ -101,9 +75,8 @@
 	Options  Options
 	Platform *standin.Platform
 	Balancer *standin.Balancer
-	// Client reaches the first controller.
+	// Client reaches whichever controller answers.
 	Client  *operatorapi.Client
-	clients []*operatorapi.Client
 	records []record.Envelope
 	keys    *keyStore
 	daemons []runningDaemon
@@ -175,37 +148,6 @@
 	return nil
 }
 
-// PlatformAddress is where the platform is reached, IP number and port.
-func (r *Run) PlatformAddress() string {
-	return r.loopback(platformBlock, 0, platformPort).String()
-}
-
-// connect makes clients of every controller.
-func (r *Run) connect() error {
-	for i := range r.Options.Controllers {
-		address := r.loopback(controllerBlock, i, operatorPort).String()
-		client, err := r.keys.client(address)
-		if err != nil {
-			return &SetupError{Part: "client", Cause: err}
-		}
-		r.clients = append(r.clients, client)
-	}
-	r.Client = r.clients[0]
-	return nil
-}
-
-// call asks one controller after the other until one can be reached.
-func (r *Run) call(ask func(*operatorapi.Client) error) error {
-	var err error
-	for _, client := range r.clients {
-		var unreachable *operatorapi.UnreachableError
-		if err = ask(client); !errors.As(err, &unreachable) {
-			return err
-		}
-	}
-	return err
-}
-
 // Shape returns the deployment's shape at this instance's addresses.
 func (r *Run) Shape() standin.Shape {
 	shape := standin.Shapes[r.Options.Deployment]
@@ -269,124 +211,11 @@
 	r.daemons = append(r.daemons, running)
 }
 
-// GatewaySettings returns the settings of the gateway with the given index.
-func (r *Run) GatewaySettings(index int) *daemon.GatewaySettings {
-	s := daemon.DefaultGatewaySettings()
-	s.Process = r.process("gateway", index)
-	s.Platform.URL = "http://" + r.PlatformAddress()
-	s.Listen = daemon.GatewayListen{
-		Callers: r.loopback(gatewayBlock, index, callerPort),
-		Peers:   r.loopback(gatewayBlock, index, peerPort),
-		Admin:   r.loopback(gatewayBlock, index, adminPort),
-	}
-	s.Keys = r.keys.settingsFor(s.Process.ID, s.Listen.Peers)
-	s.Peers.Addresses = r.peerAddresses()
-	s.Stop = daemon.StopSettings{Notice: stopNotice, Grace: stopGrace}
-	s.Log.Level = r.Options.LogLevel
-	return s
-}
-
-func (r *Run) process(role string, index int) daemon.ProcessSettings {
-	shape := r.Shape()
-	return daemon.ProcessSettings{
-		ID:     fmt.Sprintf("%s-%d", role, index+1),
-		Zone:   shape.Zones[index%len(shape.Zones)],
-		Region: shape.Region,
-	}
-}
-
-// ControllerSettings returns the settings of the controller with the given
-// index.
-func (r *Run) ControllerSettings(index int) *daemon.ControllerSettings {
-	s := daemon.DefaultControllerSettings()
-	s.Process = r.process("controller", index)
-	s.Platform.URL = "http://" + r.PlatformAddress()
-	s.Listen = daemon.ControllerListen{
-		Operators: r.loopback(controllerBlock, index, operatorPort),
-		Peers:     r.loopback(controllerBlock, index, peerPort),
-		Admin:     r.loopback(controllerBlock, index, adminPort),
-	}
-	s.Keys = r.keys.settingsFor(s.Process.ID, s.Listen.Peers)
-	s.Peers.Addresses = r.peerAddresses()
-	s.Decide = daemon.DecideSettings{Interval: roundInterval, HoldTTL: holdTTL}
-	s.Report = daemon.ReportSettings{Sample: time.Second, Write: 2 * time.Second}
-	s.Jobs = daemon.JobsSettings{LeaseTTL: leaseTTL, ReportInterval: reportInterval}
-	s.Stop = daemon.StopSettings{Notice: stopNotice, Grace: stopGrace}
-	s.Log.Level = r.Options.LogLevel
-	return s
-}
-
-func (r *Run) peerAddresses() []netip.AddrPort {
-	var addresses []netip.AddrPort
-	for i := range r.Options.Controllers {
-		addresses = append(addresses, r.loopback(controllerBlock, i, peerPort))
-	}
-	for i := range r.Options.Gateways {
-		addresses = append(addresses, r.loopback(gatewayBlock, i, peerPort))
-	}
-	return addresses
-}
-
-// OperatorAddress is where gladectl reaches the first controller.
-func (r *Run) OperatorAddress() string { return r.loopback(controllerBlock, 0, operatorPort).String() }
-
-// CallerAddress is where callers reach the first gateway.
-func (r *Run) CallerAddress() string { return r.loopback(gatewayBlock, 0, callerPort).String() }
-
-func (r *Run) loopback(block, index, port int) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(block + r.Options.Instance), 0, byte(index + 1)}), uint16(port))
-}
-
-func (r *Run) applyAll(ctx context.Context, records []record.Envelope) error {
-	for _, envelope := range records {
-		if err := r.Apply(ctx, envelope); err != nil {
-			return &SetupError{Part: envelope.ID().String(), Cause: err}
-		}
-	}
-	return nil
-}
-
-// Apply puts a new record in force. It tries again while the controller is starting or still behind the
-// record just written before.
-func (r *Run) Apply(ctx context.Context, envelope record.Envelope) error {
-	var err error
-	deadline := time.Now().Add(readyTimeout)
-	for time.Now().Before(deadline) && ctx.Err() == nil {
-		err = r.call(func(c *operatorapi.Client) error {
-			_, putErr := c.Put(ctx, envelope, 0, false)
-			return putErr
-		})
-		if err == nil || isOurs(err, envelope) {
-			return nil
-		}
-		pause.For(ctx, pollInterval)
-	}
-	return err
-}
-
-// isOurs reports whether a conflict is with an earlier try of the same put.
-func isOurs(err error, envelope record.Envelope) bool {
-	var answer *operatorapi.ErrorAnswer
-	if !errors.As(err, &answer) || answer.Current == nil {
-		return false
-	}
-	current, parseErr := record.ParseEnvelope(answer.Current.Stored)
-	return parseErr == nil && bytes.Equal(compact(current.Spec), compact(envelope.Spec))
-}
-
-func compact(raw json.RawMessage) []byte {
-	var out bytes.Buffer
-	if json.Compact(&out, raw) != nil {
-		return raw
-	}
-	return out.Bytes()
-}
-
 // awaitReady waits until every gateway takes callers and every pool is filled.
 func (r *Run) awaitReady(ctx context.Context) error {
 	deadline := time.Now().Add(readyTimeout)
 	for time.Now().Before(deadline) && ctx.Err() == nil {
-		summary, err := r.fleet(ctx)
+		summary, err := r.Client.Fleet(ctx)
 		if err == nil && r.Balancer.Ready() == r.Options.Gateways && assigned(summary) == r.Shape().Hosts {
 			return nil
 		}
@@ -395,14 +224,6 @@
 	return &SetupError{Part: "deployment", Cause: context.DeadlineExceeded}
 }
 
-func (r *Run) fleet(ctx context.Context) (summary operatorapi.FleetSummary, err error) {
-	err = r.call(func(c *operatorapi.Client) error {
-		summary, err = c.Fleet(ctx)
-		return err
-	})
-	return summary, err
-}
-
 func assigned(summary operatorapi.FleetSummary) int {
 	total := 0
 	for _, phases := range summary.Pools {
--- a/internal/devrun/keys.go
+++ b/internal/devrun/keys.go
@@ -87,12 +87,20 @@
 	return s
 }
 
-// client returns a client of the controller at address.
-func (k *keyStore) client(address string) (*operatorapi.Client, error) {
+// client returns a client of the controllers at the addresses.
+func (k *keyStore) client(addresses []string) (*operatorapi.Client, error) {
+	scheme := "https://"
 	if k == nil {
-		return operatorapi.NewClient("http://" + address), nil
+		scheme = "http://"
+	}
+	bases := make([]string, len(addresses))
+	for i, address := range addresses {
+		bases[i] = scheme + address
+	}
+	client := operatorapi.NewClient(bases...)
+	if k == nil {
+		return client, nil
 	}
-	client := operatorapi.NewClient("https://" + address)
 	return client, client.Use(operatorapi.Credentials{CA: k.path(caFile), TokenFile: k.path(tokenFile)})
 }
 
--- a/internal/devrun/story.go
+++ b/internal/devrun/story.go
@@ -10,7 +10,6 @@
 	"auburnglade.example/glade/internal/pause"
 	"auburnglade.example/glade/internal/record"
 	"auburnglade.example/glade/internal/standin"
-	"auburnglade.example/glade/internal/store"
 	"auburnglade.example/glade/internal/wave"
 )
 
@@ -158,7 +157,7 @@
 	deadline := began.Add(waveTimeout)
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		var status wave.Status
-		err := r.call(func(c *operatorapi.Client) error { return c.Status(ctx, sample.ID(), &status) })
+		err := r.Client.Status(ctx, sample.ID(), &status)
 		if err == nil {
 			report.Wave.Hosts = status.Hosts
 			report.Wave.Maintained = status.Maintained
@@ -178,7 +177,7 @@
 func (r *Run) MakeChanges(ctx context.Context, report *Report) {
 	id := record.ID{Kind: record.KindPolicy, Name: record.PolicyName}
 	for hold := 60; ctx.Err() == nil; hold++ {
-		current, err := r.get(ctx, id)
+		current, err := r.Client.Get(ctx, id)
 		if err != nil {
 			pause.For(ctx, pollInterval)
 			continue
@@ -189,7 +188,7 @@
 			return
 		}
 		began := time.Now()
-		accepted, err := r.put(ctx, envelope, current.Revision)
+		accepted, err := r.Client.Put(ctx, envelope, current.Revision, false)
 		if err == nil {
 			r.measureInForce(ctx, report, accepted, began)
 		}
@@ -197,30 +196,6 @@
 	}
 }
 
-func (r *Run) get(ctx context.Context, id record.ID) (got operatorapi.Record, err error) {
-	err = r.call(func(c *operatorapi.Client) error {
-		got, err = c.Get(ctx, id)
-		return err
-	})
-	return got, err
-}
-
-func (r *Run) put(ctx context.Context, envelope record.Envelope, expect store.Revision) (accepted operatorapi.Accepted, err error) {
-	err = r.call(func(c *operatorapi.Client) error {
-		accepted, err = c.Put(ctx, envelope, expect, false)
-		return err
-	})
-	return accepted, err
-}
-
-func (r *Run) inForce(ctx context.Context, revision store.Revision) (answer operatorapi.InForce, err error) {
-	err = r.call(func(c *operatorapi.Client) error {
-		answer, err = c.InForce(ctx, revision)
-		return err
-	})
-	return answer, err
-}
-
 func amendPolicy(current operatorapi.Record, hold int) (record.Envelope, error) {
 	envelope, err := record.ParseEnvelope(current.Stored)
 	if err != nil {
@@ -238,7 +213,7 @@
 
 func (r *Run) measureInForce(ctx context.Context, report *Report, accepted operatorapi.Accepted, began time.Time) {
 	for time.Since(began) < inForceTimeout && ctx.Err() == nil {
-		answer, err := r.inForce(ctx, accepted.Revision)
+		answer, err := r.Client.InForce(ctx, accepted.Revision)
 		if err == nil && answer.InForce {
 			report.Config.Changes++
 			report.Config.MaxInForceSeconds = max(report.Config.MaxInForceSeconds, time.Since(began).Seconds())
@@ -252,11 +227,7 @@
 }
 
 func (r *Run) poolOf(ctx context.Context, host string) (string, error) {
-	var explanation operatorapi.Explanation
-	err := r.call(func(c *operatorapi.Client) (err error) {
-		explanation, err = c.Explain(ctx, record.ID{Kind: "Host", Name: host})
-		return err
-	})
+	explanation, err := r.Client.Explain(ctx, record.ID{Kind: "Host", Name: host})
 	if err != nil {
 		return "", err
 	}
