Count a request on its endpoint before the next one is ranked

Cause: TestEndpointsThatNeverAnswerGetNoMoreWork failed now and then (42 against a bound of 30 with GOMAXPROCS=12, 33 with 2). The fault was the gateway's: a request was ranked before the limiter's lock and counted on its endpoint after it, so requests that came at once were all ranked on the same load and crowded on the gateway's own zone, here on endpoints that hang. Change: a request is ranked, given its slot and counted under one lock of its service. Conclusion: ranking now holds the service's lock of the limiter; what that costs under load was not measured.

--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -16,15 +16,12 @@
 
 // acquire takes a slot on the best endpoint not tried yet.
 func (g *Gateway) acquire(r *http.Request, service endpoint.Service, tried map[string]bool) (*limit.Slot, error) {
-	slot, err := g.limiter.Acquire(r.Context(), limit.Request{
+	return g.limiter.Acquire(r.Context(), limit.Request{
 		Service: service.Name,
 		Caller:  callerOf(r),
 		Rank:    func() []endpoint.Endpoint { return g.balancer.Rank(service, tried) },
+		Taken:   g.balancer.Begin,
 	})
-	if err == nil {
-		g.balancer.Begin(slot.Endpoint)
-	}
-	return slot, err
 }
 
 // release gives a slot back and tells the balancer how the request went;
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -25,8 +25,18 @@
 	// Caller identifies who calls, for fairness: an address without port.
 	Caller string
 	// Rank returns the endpoints that may take the request now, best first. It
-	// is called again, under a lock of the limiter, each time a slot is free.
+	// is called under a lock of the limiter, again each time a slot is free.
 	Rank func() []endpoint.Endpoint
+	// Taken, when set, is told the endpoint whose slot was taken, under the
+	// same lock. If load were counted later, requests that come at once would
+	// all be ranked on the same counts and go to the same endpoints.
+	Taken func(e endpoint.Endpoint)
+}
+
+func (r Request) taken(slot *Slot) {
+	if r.Taken != nil {
+		r.Taken(slot.Endpoint)
+	}
 }
 
 // RefusedError says that a request was not admitted; it did not run.
@@ -179,16 +189,17 @@
 
 // admit takes a slot, or queues the request, or refuses it.
 func (l *Limiter) admit(ctx context.Context, state *serviceState, request Request) (*Slot, *waiter, error) {
+	now := time.Now()
+	state.mu.Lock()
+	defer state.mu.Unlock()
 	ranked := request.Rank()
 	if len(ranked) == 0 {
 		return nil, nil, l.refused(request, outcome.NoEndpoint, minRetryAfter)
 	}
-	now := time.Now()
-	state.mu.Lock()
-	defer state.mu.Unlock()
 	if state.queue.len() == 0 {
 		if slot := l.take(state, ranked, now, endOf(ctx)); slot != nil {
 			state.strain.free()
+			request.taken(slot)
 			return slot, nil, nil
 		}
 	}
@@ -318,6 +329,7 @@
 			continue
 		}
 		state.queue.pop(w)
+		w.request.taken(slot)
 		waited := now.Sub(w.since)
 		l.metrics.queued.WithLabelValues(w.request.Service).Set(float64(state.queue.len()))
 		l.metrics.waited.WithLabelValues(w.request.Service).Observe(waited.Seconds())
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net"
+	"runtime"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -215,3 +217,44 @@
 		must.NoError(t, err)
 	})
 }
+
+// Sixty requests come at once, and each ranks endpoints by the load counted so
+// far. Counted only once a request has left the limiter, load lags behind the
+// ranking, and they crowd on the endpoints that were free a moment ago.
+func TestRequestsAtOnceAreRankedOnCurrentLoad(t *testing.T) {
+	const endpoints, each = 6, 10
+	l, _ := newLimiter(endpoints * each)
+	var mu sync.Mutex
+	load := make([]int, endpoints)
+	host := func(i int) string { return fmt.Sprint("host-", i) }
+	rank := func() []endpoint.Endpoint {
+		mu.Lock()
+		order := []int{0, 1, 2, 3, 4, 5}
+		slices.SortStableFunc(order, func(a, b int) int { return load[a] - load[b] })
+		mu.Unlock()
+		runtime.Gosched()
+		var ranked []endpoint.Endpoint
+		for _, i := range order {
+			ranked = append(ranked, endpoint.Endpoint{Service: "offers", Host: host(i), Address: host(i) + ":80", TakesWork: true})
+		}
+		return ranked
+	}
+	taken := func(e endpoint.Endpoint) {
+		mu.Lock()
+		defer mu.Unlock()
+		for i := range load {
+			if host(i) == e.Host {
+				load[i]++
+			}
+		}
+	}
+	var wait sync.WaitGroup
+	for range endpoints * each {
+		wait.Go(func() {
+			_, err := l.Acquire(t.Context(), Request{Service: "offers", Caller: "c", Rank: rank, Taken: taken})
+			must.NoError(t, err)
+		})
+	}
+	wait.Wait()
+	must.Eq(t, []int{each, each, each, each, each, each}, load)
+}
