Count the fewest moves of a whole run, not of one plan

Cause: with failures at the target's size glade-measure policy showed 3 moves against a bound of 2. The bound was the largest LowerBound of any single plan, which the planner under measurement gave itself. Moves that become due one after the other are all needed: in the first run a pool lacked a host for the hold at 31 minutes, and two others did at 52, which is 3, and the bound said 2. It was also wrong the other way: a planner that takes hosts in maintenance for lost raises its own bound.

Change: the measurement counts what is due from the hosts' fates and the platform's list, sharing no code with the planner. Plan.LowerBound, which nothing else read, is gone.

--- a/internal/measure/policy/control.go
+++ b/internal/measure/policy/control.go
@@ -176,5 +176,5 @@
 	pools[w.resizeFrom].Size--
 	pools[w.resizeTo].Size++
 	w.pools = pools
-	w.resized, w.resizeFrom = true, ""
+	w.resizeFrom = ""
 }
--- a/internal/measure/policy/meter.go
+++ b/internal/measure/policy/meter.go
@@ -14,7 +14,6 @@
 	marginBroken int
 	doublePool   int
 	moves        int
-	fewestMoves  int
 	// buffer is in host-hours.
 	buffer   float64
 	services map[string]*serviceMeter
--- a/internal/measure/policy/moves.go
+++ b/internal/measure/policy/moves.go
@@ -47,9 +47,7 @@
 	for _, move := range plan.Moves {
 		w.beginMove(w.byName[move.Host], move)
 	}
-	if w.resized {
-		w.meter.fewestMoves = max(w.meter.fewestMoves, plan.LowerBound)
-	}
+	w.fewest.pass(w, passed)
 	w.finishMoves()
 }
 
--- a/internal/measure/policy/policy.go
+++ b/internal/measure/policy/policy.go
@@ -91,7 +91,7 @@
 // A run doesn't wait for it for ever: a host that comes in the place of one that
 // is gone may fill the pool instead.
 func (w *world) moving() bool {
-	due := w.resizeFrom != "" || w.meter.moves < w.meter.fewestMoves
+	due := w.resizeFrom != "" || w.meter.moves < w.fewest.moves
 	return due && w.now < movesEnd
 }
 
@@ -106,6 +106,6 @@
 	}
 	o.buffer = w.meter.buffer / float64(max(1, o.maintained))
 	o.jobsFinished, o.urgentP99 = w.load.figures(w.now)
-	o.moves, o.fewestMoves = w.meter.moves, w.meter.fewestMoves
+	o.moves, o.fewestMoves = w.meter.moves, w.fewest.moves
 	o.violations, o.marginBroken, o.doublePool = w.meter.violations, w.meter.marginBroken, w.meter.doublePool
 }
--- a/internal/measure/policy/policy_test.go
+++ b/internal/measure/policy/policy_test.go
@@ -44,6 +44,7 @@
 				must.Eq(t, 0, o.doublePool)
 				must.True(t, o.finished)
 				must.Eq(t, 1, o.jobsFinished)
+				must.LessEq(t, o.fewestMoves, o.moves)
 			})
 		}
 	}
--- a/internal/measure/policy/world.go
+++ b/internal/measure/policy/world.go
@@ -44,9 +44,9 @@
 	// operations numbers the operation identities.
 	operations int
 	lostRack   bool
-	resized    bool
 	stoppedAt  time.Duration
 	lasted     mover.Lasted
+	fewest     *fewest
 }
 
 // memory is what a controller process remembers and loses on a fail-over.
@@ -74,9 +74,11 @@
 	for _, listed := range s.hosts {
 		w.join(listed, s.fates[listed.Name])
 	}
-	for name, pool := range s.deal() {
+	dealt := s.deal()
+	for name, pool := range dealt {
 		w.assign(w.byName[name], pool)
 	}
+	w.fewest = newFewest(dealt)
 	w.meter = newMeter(w)
 	return w
 }
--- a/internal/mover/plan.go
+++ b/internal/mover/plan.go
@@ -75,10 +75,6 @@
 	Forget []Change
 	// Waiting says by pool why its missing hosts don't come now.
 	Waiting map[string]string
-	// LowerBound is the fewest moves that do what Moves does: the deficits that
-	// hosts without a pool can't cover, and two for each pool that is traded
-	// out of a single zone.
-	LowerBound int
 }
 
 // Limits of a plan.
@@ -175,7 +171,6 @@
 			p.plan.Assign = append(p.plan.Assign, Assignment{Host: pick.host.Name, Pool: pick.to, Reason: reasons[pick.to]})
 			continue
 		}
-		p.plan.LowerBound++
 		p.begin(pick, fmt.Sprintf("pool %s has lacked hosts and pool %s has had too many for %s", pick.to, pick.from, p.input.Hold))
 	}
 	p.explain(deficits)
--- a/internal/mover/spread.go
+++ b/internal/mover/spread.go
@@ -24,7 +24,6 @@
 		reason := fmt.Sprintf("all hosts of pool %s have been in %s for %s", name, give.host.Zone, p.input.Hold)
 		for _, move := range []pick{give, take} {
 			p.census.settle(move)
-			p.plan.LowerBound++
 			p.begin(move, reason)
 		}
 	}
