Let the mover wait for every answer of a slow platform

Cause: the mover asks how hosts are before a move, as the drainer does, and waited for 250 ms. An answer that comes later serves the drainer's next round, a second on; the mover's rounds are five seconds apart, and by then it is too old. On a platform that takes longer than that to answer no host would ever move.

Change: how long a round waits is the asker's user's to say. The drainer keeps 250 ms, the mover waits for as long as a question may take, 2 s, and only in rounds that have a move to begin.

Conclusion: a slow platform delays moves and doesn't end them.

--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -72,6 +72,8 @@
 	// maxActs bounds the steps applied at once, so that one slow host holds up
 	// no other.
 	maxActs = 16
+	// patience is how long a round waits to hear how hosts are.
+	patience = 250 * time.Millisecond
 	// decisionAge is how old a view of the fleet may be for a host to be taken
 	// out on it.
 	decisionAge = 5 * time.Second
@@ -102,7 +104,7 @@
 	return &Drainer{
 		Config:    config,
 		metrics:   newMetrics(config.Registry),
-		asker:     hostview.NewAsker(config.Pool),
+		asker:     hostview.NewAsker(config.Pool, patience),
 		sweeper:   newSweeper(),
 		publisher: newPublisher(config.Status),
 		wake:      make(chan struct{}, 1),
--- a/internal/hostview/asker.go
+++ b/internal/hostview/asker.go
@@ -16,10 +16,10 @@
 	// budget is judged on it: with H hosts next to a wave that costs at most
 	// H/ServingAge calls a second.
 	ServingAge = 3 * time.Second
-	// askTimeout bounds one question, patience how long a round waits for its
-	// answers: a host that hangs delays no other.
-	askTimeout = 2 * time.Second
-	patience   = 250 * time.Millisecond
+	// AskTimeout bounds one question.
+	AskTimeout = 2 * time.Second
+	// roundTime is allowed for between the question and the use of its answer.
+	roundTime = 250 * time.Millisecond
 	// maxAsking bounds the questions asked at once.
 	maxAsking = 32
 )
@@ -43,24 +43,27 @@
 
 // Asker asks hosts how they are, in the background.
 type Asker struct {
-	pool  fleet.PoolHosts
-	slots chan struct{}
+	pool     fleet.PoolHosts
+	patience time.Duration
+	slots    chan struct{}
 
 	mu     sync.Mutex
 	known  map[string]Condition
 	asking map[string]bool
 }
 
-// NewAsker returns an asker that knows nothing yet.
-func NewAsker(pool fleet.PoolHosts) *Asker {
+// NewAsker returns an asker that knows nothing yet. Its patience is how long a
+// round waits for answers, so that a host that hangs delays no other for longer.
+// A late answer is there for the next round, if that comes before it is too old.
+func NewAsker(pool fleet.PoolHosts, patience time.Duration) *Asker {
 	return &Asker{
-		pool: pool, slots: make(chan struct{}, maxAsking),
+		pool: pool, patience: patience, slots: make(chan struct{}, maxAsking),
 		known: make(map[string]Condition), asking: make(map[string]bool),
 	}
 }
 
 // Refresh asks what isn't known well enough and returns what is known after at
-// most patience. A host without an answer that is good enough is left out.
+// most its patience. A host without an answer that is good enough is left out.
 func (a *Asker) Refresh(ctx context.Context, questions []Question) map[string]Condition {
 	var wait sync.WaitGroup
 	for _, q := range questions {
@@ -77,7 +80,7 @@
 	defer a.mu.Unlock()
 	fresh := make(map[string]Condition, len(questions))
 	for _, q := range questions {
-		if state, known := a.known[q.Host]; known && q.answeredBy(state, patience) {
+		if state, known := a.known[q.Host]; known && q.answeredBy(state, roundTime) {
 			fresh[q.Host] = state
 		}
 	}
@@ -107,7 +110,7 @@
 		wait.Wait()
 		close(done)
 	}()
-	timer := time.NewTimer(patience)
+	timer := time.NewTimer(a.patience)
 	defer timer.Stop()
 	select {
 	case <-done:
@@ -118,7 +121,7 @@
 func (a *Asker) ask(ctx context.Context, host string) {
 	a.slots <- struct{}{}
 	defer func() { <-a.slots }()
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	ctx, cancel := context.WithTimeout(ctx, AskTimeout)
 	defer cancel()
 	asked := time.Now()
 	answer, err := a.pool.Condition(ctx, host)
--- a/internal/mover/harness_test.go
+++ b/internal/mover/harness_test.go
@@ -30,6 +30,7 @@
 
 // bench is a store, a fleet and any number of movers in virtual time.
 type bench struct {
+	fleet.PoolHosts
 	t        *testing.T
 	store    *memstore.Store
 	fleet    *fakefleet.Fleet
@@ -38,6 +39,15 @@
 	wait     sync.WaitGroup
 	started  int
 	judge    *historyJudge
+	// answerTime is how long the platform takes to say how a host is, interval
+	// the movers' pause between rounds.
+	answerTime, interval time.Duration
+}
+
+// Condition implements fleet.PoolHosts.
+func (b *bench) Condition(ctx context.Context, host string) (fleet.HostCondition, error) {
+	time.Sleep(b.answerTime)
+	return b.PoolHosts.Condition(ctx, host)
 }
 
 // nobodyLags says that every member serves every revision.
@@ -73,6 +83,7 @@
 	b.fleet = fakefleet.New(list, fakefleet.Options{
 		ListLag: listLag, RebootTime: 20 * time.Second, InFlight: func(string) int { return int(b.inFlight.Load()) },
 	})
+	b.PoolHosts = b.fleet
 	b.judge = newHistoryJudge(b.store)
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
@@ -117,7 +128,7 @@
 	registrar := member.NewRegistrar(b.store, member.Member{ID: name, Role: member.RoleController}, 3*time.Second, zerolog.Nop())
 	c := &controller{stop: stop, shard: holder.New(name, f, registrar).Shard("moves")}
 	m := New(Config{
-		Member: name, Store: b.store, Feed: f, Hosts: b.fleet, Pool: b.fleet, Confirmer: nobodyLags{},
+		Member: name, Store: b.store, Feed: f, Hosts: b.fleet, Pool: b, Confirmer: nobodyLags{}, Interval: b.interval,
 		Gate: budget.NewGate(b.store), Shard: c, Invariant: b.checker, Log: zerolog.Nop(),
 	})
 	d := drainer.New(drainer.Config{
--- a/internal/mover/mover.go
+++ b/internal/mover/mover.go
@@ -52,6 +52,11 @@
 	// maxMoves bounds the hosts in moves of their own at once, for the whole
 	// fleet: a wrong record is seen before it has moved everything.
 	maxMoves = 10
+	// patience is how long a round with moves waits to hear how hosts are: for
+	// every answer there will be. Rounds are too far apart for a late answer to
+	// serve the next one, and a platform that took longer to answer than the
+	// patience would never let a host move.
+	patience = hostview.AskTimeout
 	// decisionAge is how old a view may be that is acted on: one from before a
 	// pause may show a fleet that is no longer there.
 	decisionAge = 5 * time.Second
@@ -82,7 +87,7 @@
 		config.Interval = DefaultInterval
 	}
 	return &Mover{
-		Config: config, asker: hostview.NewAsker(config.Pool), lasted: &lastedRecord{store: config.Store},
+		Config: config, asker: hostview.NewAsker(config.Pool, patience), lasted: &lastedRecord{store: config.Store},
 		seen: make(map[string]seenRecord), healthy: make(map[string]time.Time),
 		drained: make(map[string]string), reasons: make(map[string]string),
 	}
--- a/internal/mover/story_test.go
+++ b/internal/mover/story_test.go
@@ -185,6 +185,25 @@
 	})
 }
 
+// The platform takes half a second to say how a host is, and movers look at the
+// fleet every five seconds. Waited for a quarter of a second only, no answer was
+// ever both there and young enough: pools stayed short for ever.
+func TestHostsMoveOnASlowPlatform(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 6)
+		b.answerTime, b.interval = 500*time.Millisecond, 5*time.Second
+		b.put(record.PolicyName, &record.Policy{MoveHoldSeconds: 20})
+		b.pool("a", 4, 2)
+		b.pool("b", 2, 0)
+		c := b.start()
+		b.within(time.Minute, "pools filled", b.sizes(map[string]int{"a": 4, "b": 2}))
+		b.resize("a", 3)
+		b.resize("b", 3)
+		b.within(5*time.Minute, "the move is made", b.sizes(map[string]int{"a": 3, "b": 3}))
+		b.finish(c)
+	})
+}
+
 const ciSeeds = 6
 
 // Half an hour of everything at once: pools are resized and removed again and
