Ask the hosts in moves how they are all at once

Cause: the mover asked one host in a move after the other, each for up to the adapter's 5 s, and acts on nothing that was observed more than 5 s ago. One host in a move of which the platform didn't say how it is made every round too old: no host was assigned, moved, or given up, until it answered.

Change: the hosts in moves are asked at once and for 2 s.

Figures: with one such host the new test's second move wasn't made in 3 minutes before; now it is, while the first host stays drained and counted, and the first ends once the host answers.

Conclusion: a host that hangs holds up its own move alone.

--- a/internal/mover/act.go
+++ b/internal/mover/act.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"fmt"
-	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -90,12 +90,17 @@
 
 // advance takes every host in a move of its own one step further.
 func (m *Mover) advance(ctx context.Context, snapshot *catalog.Snapshot) {
-	for _, name := range slices.Sorted(maps.Keys(snapshot.Hosts)) {
-		item := snapshot.Hosts[name]
-		if !InOwnDrain(item.Record) || item.Phase == hostrecord.Failed {
-			continue
+	var moving []string
+	for name, item := range snapshot.Hosts {
+		if InOwnDrain(item.Record) && item.Phase != hostrecord.Failed {
+			moving = append(moving, name)
 		}
-		verb, reason := Next(m.transit(ctx, snapshot, item))
+	}
+	slices.Sort(moving)
+	conditions := m.conditions(ctx, moving)
+	for _, name := range moving {
+		item := snapshot.Hosts[name]
+		verb, reason := Next(m.transit(ctx, snapshot, item, conditions[name]))
 		if verb == Wait {
 			continue
 		}
@@ -103,15 +108,38 @@
 	}
 }
 
-func (m *Mover) transit(ctx context.Context, snapshot *catalog.Snapshot, item catalog.HostItem) Transit {
+// conditions asks all the hosts at once, each for a while only. Asked one after
+// the other, one that hangs would make the whole round too old to act on, every
+// time: nothing would be assigned or moved until it answers.
+func (m *Mover) conditions(ctx context.Context, hosts []string) map[string]fleet.HostCondition {
+	ctx, cancel := context.WithTimeout(ctx, hostview.AskTimeout)
+	defer cancel()
+	answers := make([]fleet.HostCondition, len(hosts))
+	var wait sync.WaitGroup
+	for i, host := range hosts {
+		wait.Go(func() {
+			if answer, err := m.Pool.Condition(ctx, host); err == nil {
+				answers[i] = answer
+			}
+		})
+	}
+	wait.Wait()
+	known := make(map[string]fleet.HostCondition, len(hosts))
+	for i, host := range hosts {
+		known[host] = answers[i]
+	}
+	return known
+}
+
+// transit takes a host whose condition isn't known for unreachable.
+func (m *Mover) transit(ctx context.Context, snapshot *catalog.Snapshot, item catalog.HostItem, condition fleet.HostCondition) Transit {
 	host := item.Host
 	t := Transit{
 		Record: item.Record, Age: time.Since(m.firstSeen(item)),
 		Drained: m.drained[host] == item.Operation,
 		Target:  snapshot.Pools()[item.NextPool] != nil,
 	}
-	condition, err := m.Pool.Condition(ctx, host)
-	if err != nil || !condition.Healthy {
+	if !condition.Healthy {
 		delete(m.healthy, host)
 	} else if _, ok := m.healthy[host]; !ok {
 		m.healthy[host] = time.Now()
@@ -119,7 +147,7 @@
 	if since, ok := m.healthy[host]; ok {
 		t.HealthyFor = time.Since(since)
 	}
-	t.Reachable, t.InFlight = err == nil && condition.Reachable, condition.InFlight
+	t.Reachable, t.InFlight = condition.Reachable, condition.InFlight
 	t.Confirmed = t.Drained || len(m.Confirmer.Lagging(ctx, item.Revision)) == 0
 	return t
 }
--- a/internal/mover/harness_test.go
+++ b/internal/mover/harness_test.go
@@ -42,11 +42,23 @@
 	// answerTime is how long the platform takes to say how a host is, interval
 	// the movers' pause between rounds.
 	answerTime, interval time.Duration
+	// hangs is a host of which the platform doesn't say how it is.
+	hangs atomic.Pointer[string]
 }
 
+// platformTimeout is the adapter's bound on one call, and a little for its way
+// back.
+const platformTimeout = 5*time.Second + 10*time.Millisecond
+
 // Condition implements fleet.PoolHosts.
 func (b *bench) Condition(ctx context.Context, host string) (fleet.HostCondition, error) {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
 	time.Sleep(b.answerTime)
+	if hangs := b.hangs.Load(); hangs != nil && *hangs == host {
+		<-ctx.Done()
+		return fleet.HostCondition{}, ctx.Err()
+	}
 	return b.PoolHosts.Condition(ctx, host)
 }
 
--- a/internal/mover/story_test.go
+++ b/internal/mover/story_test.go
@@ -204,6 +204,43 @@
 	})
 }
 
+// A host in a move hangs, and so does every question for its condition. Each
+// round was too old to act on once that question had timed out: no other host
+// joined or changed a pool, and even giving the host up had to wait.
+func TestHostThatHangsHoldsUpNoOtherMove(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 9)
+		b.put(record.PolicyName, &record.Policy{MoveHoldSeconds: 20})
+		for _, pool := range []string{"a", "b", "c"} {
+			b.pool(pool, 3, 1)
+		}
+		c := b.start()
+		b.within(time.Minute, "pools filled", b.sizes(map[string]int{"a": 3, "b": 3, "c": 3}))
+		b.inFlight.Store(1)
+		b.resize("a", 2)
+		b.resize("b", 4)
+		moving := ""
+		b.within(time.Minute, "a host of a drains", func() bool {
+			for name, r := range b.judge.records() {
+				if InOwnDrain(r) {
+					moving = name
+				}
+			}
+			return moving != ""
+		})
+		b.hangs.Store(&moving)
+		b.inFlight.Store(0)
+		b.pool("d", 1, 0)
+		b.resize("c", 2)
+		b.within(3*time.Minute, "a host joins d", b.sizes(map[string]int{"c": 2, "d": 1}))
+		must.True(t, InOwnDrain(b.judge.records()[moving]))
+		nothing := ""
+		b.hangs.Store(&nothing)
+		b.within(5*time.Minute, "the first move ends", b.sizes(map[string]int{"a": 2, "b": 4}))
+		b.finish(c)
+	})
+}
+
 const ciSeeds = 6
 
 // Half an hour of everything at once: pools are resized and removed again and
