Close idle connections that keep free slots from being lent

Cause: a lender whose idle connections to an endpoint fill its share lent a starter nothing, though its slots were free and it used none. It shows where an endpoint takes hardly more connections than slots. The test of the replacement now has such an endpoint (8 and 8), so that its count of open connections means something; before, 64 were never near.

Change: a lender that has a free slot and no connection closes the idle ones, and lends at the next asking. The test of the loan's last start now has a request waiting when the slot comes free: it passed without that guard.

Conclusion: lending no longer depends on the endpoint taking spare connections.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -111,16 +111,18 @@
 	if config.Tracer == nil {
 		config.Tracer = otel.GetTracerProvider()
 	}
-	limiter := limit.New(limit.Config{Shares: config.Shares, Broker: config.Broker, Registry: config.Registry})
-	return &Gateway{
-		Config:    config,
-		transport: attempt.NewTransport(limiter.Dialer(config.Dial), maxIdlePerEndpoint),
-		tracer:    config.Tracer.Tracer("auburnglade/gateway"),
-		metrics:   newMetrics(config.Registry),
-		balancer:  balance.New(config.Zone),
-		limiter:   limiter,
-		idPrefix:  uuid.NewString() + "-",
+	g := &Gateway{
+		Config:   config,
+		tracer:   config.Tracer.Tracer("auburnglade/gateway"),
+		metrics:  newMetrics(config.Registry),
+		balancer: balance.New(config.Zone),
+		idPrefix: uuid.NewString() + "-",
 	}
+	g.limiter = limit.New(limit.Config{
+		Shares: config.Shares, Broker: config.Broker, CloseIdle: g.CloseIdle, Registry: config.Registry,
+	})
+	g.transport = attempt.NewTransport(g.limiter.Dialer(config.Dial), maxIdlePerEndpoint)
+	return g
 }
 
 // Serve keeps the routing table current until ctx ends.
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -85,6 +85,9 @@
 	// Broker borrows slots from other gateways while requests wait; nil borrows
 	// none.
 	Broker Broker
+	// CloseIdle closes connections that carry no request; nil closes none. It
+	// must not wait for the limiter.
+	CloseIdle func()
 	// Registry may be nil.
 	Registry prometheus.Registerer
 }
@@ -101,8 +104,10 @@
 	gate    *gate
 	began   time.Time
 	broker  Broker
-	book    *lendBook
-	terms   atomic.Pointer[Terms]
+	// closeIdle may be nil.
+	closeIdle func()
+	book      *lendBook
+	terms     atomic.Pointer[Terms]
 
 	mu       sync.Mutex
 	services map[string]*serviceState
@@ -140,7 +145,7 @@
 	l := &Limiter{
 		shares: config.Shares, policy: config.Queue, metrics: newMetrics(config.Registry),
 		services: make(map[string]*serviceState), began: time.Now(),
-		broker: config.Broker, book: &lendBook{lent: make(map[uint64]*lent)},
+		broker: config.Broker, closeIdle: config.CloseIdle, book: &lendBook{lent: make(map[uint64]*lent)},
 	}
 	l.gate = newGate(config.Shares, l.metrics)
 	return l
--- a/internal/limit/loans.go
+++ b/internal/limit/loans.go
@@ -85,14 +85,21 @@
 	}
 	free = free[:min(count, (len(free)+1)/2)]
 	loans := make([]Loan, 0, len(free))
+	short := false
 	for _, host := range free {
 		if connections && !l.gate.lend(service, host) {
+			short = true
 			continue
 		}
 		state.inUse[host]++
 		entry := &lent{state: state, service: service, host: host, connection: connections}
 		loans = append(loans, Loan{ID: l.book.add(l, entry, hold), Host: host})
 	}
+	if short && l.closeIdle != nil {
+		// Slots are free, so idle connections fill the share: the next asking
+		// finds them closed.
+		go l.closeIdle()
+	}
 	l.metrics.lent.Add(float64(len(loans)))
 	return loans
 }
--- a/internal/limit/loans_test.go
+++ b/internal/limit/loans_test.go
@@ -114,7 +114,7 @@
 		slot, err = acquire(borrower, "match", "clerk", time.Second)
 		must.NoError(t, err)
 		time.Sleep(share.LoanMargin)
-		slot.Release()
+		time.AfterFunc(time.Second/10, slot.Release)
 		_, err = acquire(borrower, "match", "clerk", time.Second)
 		must.Error(t, err)
 		synctest.Wait()
--- a/internal/sharekeeper/fleet_test.go
+++ b/internal/sharekeeper/fleet_test.go
@@ -166,7 +166,7 @@
 		Self: self, Store: seam, Feed: follower, Lease: registrar, Asker: &gatedAsker{from: g},
 		Invariant: f.checker, Log: zerolog.Nop(), Interval: testInterval,
 	})
-	g.limiter = limit.New(limit.Config{Shares: g.keeper, Broker: &gatedBroker{from: g}})
+	g.limiter = limit.New(limit.Config{Shares: g.keeper, Broker: &gatedBroker{from: g}, CloseIdle: g.idle.closeAll})
 	g.keeper.Usage = g
 	g.keeper.Lenders = &gatedBroker{from: g}
 	f.mu.Lock()
--- a/internal/sharekeeper/guest_test.go
+++ b/internal/sharekeeper/guest_test.go
@@ -1,12 +1,16 @@
 package sharekeeper
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"auburnglade.example/glade/internal/keys"
+	"auburnglade.example/glade/internal/record"
 	"auburnglade.example/glade/internal/share"
+	"auburnglade.example/glade/internal/store"
 )
 
 // everything is before any revision.
@@ -38,14 +42,37 @@
 	return g.served.Load() - before
 }
 
+// narrow leaves as many connections as slots, and counts open ones anew.
+func (f *fleet) narrow() {
+	id := record.ID{Kind: record.KindService, Name: "match"}
+	entry, err := f.store.Get(context.Background(), keys.Spec(id))
+	must.NoError(f.t, err)
+	service := &record.Service{
+		PathPrefix: "/match/", Port: 8101, TimeoutSeconds: int(serviceTimeout / time.Second), ConnectionsPerEndpoint: slotLimit,
+	}
+	body, err := record.Patch(nil, service)
+	must.NoError(f.t, err)
+	envelope := record.Envelope{Kind: id.Kind, Name: id.Name, Schema: 1, Spec: body}
+	_, err = f.store.CompareAndSwap(context.Background(), store.Write{
+		Key: keys.Spec(id), Expect: entry.ModRevision, Value: encodeEnvelope(f.t, envelope),
+	})
+	must.NoError(f.t, err)
+	time.Sleep(time.Minute)
+	f.endpoint.mu.Lock()
+	defer f.endpoint.mu.Unlock()
+	f.endpoint.peakOpen = f.endpoint.open
+}
+
 // The store is away. One of three gateways is killed and replaced by one that
 // has the configuration from its peers. Nobody can shrink for it in the store,
 // so that its callers would be refused until the store is back; it works with
 // slots and connections that the others lend, within seconds. It joins when the
-// store is back, and serves meanwhile.
+// store is back, and serves meanwhile. The endpoint takes no more connections
+// than slots here, so that each one too many shows.
 func TestReplacementServesDuringTheOutage(t *testing.T) {
 	for _, killed := range []int{0, 1, 2} {
 		busyFleet(t, 3, func(t *testing.T, f *fleet) {
+			f.narrow()
 			f.store.SetDown(true)
 			time.Sleep(time.Minute)
 			joiner := f.replace(f.all()[killed])
@@ -61,6 +88,8 @@
 			must.LessEq(t, time.Minute, f.awaitSlots(2*time.Minute))
 			must.Positive(t, joiner.keeper.Of("match", "host-001").Slots)
 			must.True(t, joiner.keeper.Ready())
+			_, peakOpen, _ := f.endpoint.counts()
+			must.LessEq(t, slotLimit, peakOpen)
 		})
 	}
 }
