--- a/cmd/glade-dev/main.go
+++ b/cmd/glade-dev/main.go
@@ -73,6 +73,10 @@
 
 func stay(ctx context.Context, deployment *devrun.Run) int {
 	go deployment.Load(ctx)
+	if err := deployment.StartWave(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "glade-dev:", err)
+		return 1
+	}
 	fmt.Print(deployment.Guide())
 	<-ctx.Done()
 	if err := deployment.Stop(); err != nil {
