Compare host listings in one place, and drop what nothing calls

Cause: a re-read of the whole change found the same check on two listings in the host cache and in the gateway, a dry run answered in two places, and three things of the stand-ins that nothing called. Change: fleet.SameListing serves both; accept ends a dry run for puts and deletes; Balancer.SetTargets, Platform.URL and the field behind it are gone.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -37,6 +37,13 @@
 	Hosts(ctx context.Context) ([]Host, error)
 }
 
+// SameListing reports whether two readings of a host list are the very same
+// slice: what a HostList may return while nothing has changed, so that nothing
+// made from the list has to be made anew.
+func SameListing(a, b []Host) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
 // HostCondition is what the platform sees of a host right now.
 type HostCondition struct {
 	// Reachable says that the host answers the platform.
--- a/internal/fleet/hostcache/hostcache.go
+++ b/internal/fleet/hostcache/hostcache.go
@@ -90,16 +90,9 @@
 // pace returns how long the next reading waits: a reading that brought the
 // same slice cost next to nothing, any other as much as its hosts.
 func (c *Cache) pace(hosts []fleet.Host) time.Duration {
-	if c.known && sameSlice(c.hosts, hosts) {
+	if c.known && fleet.SameListing(c.hosts, hosts) {
 		return c.config.Interval
 	}
 	cost := time.Duration(len(hosts)*bytesPerHost) * time.Second / time.Duration(c.config.BytesPerSecond)
 	return max(c.config.Interval, cost)
 }
-
-func sameSlice(a, b []fleet.Host) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	return len(a) == 0 || &a[0] == &b[0]
-}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -175,18 +175,13 @@
 // snapshot and host list. At 1,000 hosts and 261 pools that was most of an
 // idle gateway's processor time.
 func (g *Gateway) resolve(snapshot *catalog.Snapshot, hosts []fleet.Host) {
-	if g.resolved.snapshot == snapshot && sameList(g.resolved.hosts, hosts) {
+	if g.resolved.snapshot == snapshot && fleet.SameListing(g.resolved.hosts, hosts) {
 		return
 	}
 	g.Install(endpoint.Resolve(snapshot, hosts))
 	g.resolved = resolved{snapshot: snapshot, hosts: hosts}
 }
 
-// sameList reports whether two readings of the host list are one slice.
-func sameList(a, b []fleet.Host) bool {
-	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
-}
-
 // lookup returns the service with the longest matching path prefix. Prefixes
 // end with a slash, so only the path's own prefixes up to a slash can match.
 func (t *table) lookup(path string) (endpoint.Service, bool) {
--- a/internal/operatorapi/change.go
+++ b/internal/operatorapi/change.go
@@ -52,10 +52,6 @@
 		writeError(w, err)
 		return
 	}
-	if r.URL.Query().Get("dryRun") == "true" {
-		writeJSON(w, http.StatusOK, Accepted{Record: c.id, DryRun: true})
-		return
-	}
 	c.envelope.WriteID = c.writeID
 	c.envelope.Author = author(r)
 	s.accept(w, r, c)
@@ -74,15 +70,15 @@
 		writeError(w, err)
 		return
 	}
-	if r.URL.Query().Get("dryRun") == "true" {
-		writeJSON(w, http.StatusOK, Accepted{Record: c.id, DryRun: true})
-		return
-	}
 	s.accept(w, r, c)
 }
 
-// accept writes a change that was found good and answers.
+// accept writes a change that was found good and answers; a dry run ends here.
 func (s *Server) accept(w http.ResponseWriter, r *http.Request, c change) {
+	if r.URL.Query().Get("dryRun") == "true" {
+		writeJSON(w, http.StatusOK, Accepted{Record: c.id, DryRun: true})
+		return
+	}
 	revision, err := s.audited(r, c)
 	if err != nil {
 		writeError(w, err)
--- a/internal/standin/callers.go
+++ b/internal/standin/callers.go
@@ -30,12 +30,13 @@
 // Balancer stands in for the platform's balancer: it sends callers to
 // gateways whose readiness probe passes.
 type Balancer struct {
-	mu      sync.Mutex
 	targets []Target
-	ready   []Target
 	http    *http.Client
 	scheme  string
 	tls     *tls.Config
+
+	mu    sync.Mutex
+	ready []Target
 }
 
 // NewBalancer returns a balancer over the targets.
@@ -51,13 +52,6 @@
 	}
 }
 
-// SetTargets replaces the gateways the balancer knows.
-func (b *Balancer) SetTargets(targets []Target) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.targets = targets
-}
-
 // Serve probes until ctx ends.
 func (b *Balancer) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -68,11 +62,8 @@
 }
 
 func (b *Balancer) probe(ctx context.Context) {
-	b.mu.Lock()
-	targets := b.targets
-	b.mu.Unlock()
 	var ready []Target
-	for _, target := range targets {
+	for _, target := range b.targets {
 		if b.isReady(ctx, target) {
 			ready = append(ready, target)
 		}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -66,7 +66,6 @@
 	Endpoints *Endpoints
 	Workers   *fakeworkers.Workers
 	server    *http.Server
-	address   string
 }
 
 // Options shape a stand-in platform's behaviour.
@@ -140,7 +139,6 @@
 	if err != nil {
 		return err
 	}
-	p.address = listener.Addr().String()
 	p.server = &http.Server{
 		Handler: platformhttp.NewHandler(platformhttp.Backend{
 			Store: p.Store, Hosts: p.Fleet, Workers: p.Workers,
@@ -155,9 +153,6 @@
 	return nil
 }
 
-// URL returns the platform's base URL.
-func (p *Platform) URL() string { return "http://" + p.address }
-
 // Stop closes everything.
 func (p *Platform) Stop() {
 	_ = p.server.Close()
