Send hosts to maintenance in waves

One entry host claims the duty, empties hosts through their pool's holder and calls the platform with its fence.

--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"auburnglade.example/glade/internal/cluster"
+	"auburnglade.example/glade/internal/duty"
 	"auburnglade.example/glade/internal/keeper"
 	"auburnglade.example/glade/internal/ledger"
 	"auburnglade.example/glade/internal/poolrpc"
@@ -415,3 +416,29 @@
 	empty, known, held, err := d.Client.Vacate(ctx, address, pool, host)
 	return empty, known, held && err == nil
 }
+
+// LocalLoad implements poolrpc.Service for the pools kept here.
+func (d *Desk) LocalLoad(ctx context.Context, pool string) (duty.Load, bool) {
+	k := d.Keepers.Keeper(pool)
+	if k == nil {
+		return duty.Load{}, false
+	}
+	return k.Load(ctx)
+}
+
+var _ duty.Pools = (*Desk)(nil)
+
+// Load asks whoever holds a pool how busy it is.
+func (d *Desk) Load(ctx context.Context, pool string) (duty.Load, bool) {
+	ctx, cancel := context.WithTimeout(ctx, holderWithin)
+	defer cancel()
+	if load, ok := d.LocalLoad(ctx, pool); ok {
+		return load, true
+	}
+	address, usable := d.remote(pool)
+	if !usable {
+		return duty.Load{}, false
+	}
+	load, held, err := d.Client.Load(ctx, address, pool)
+	return load, held && err == nil
+}
--- /dev/null
+++ b/internal/duty/duty.go
@@ -0,0 +1,98 @@
+// Package duty looks after the hosts themselves: it sends them to maintenance
+// in waves and moves them between pools. One entry host holds the duty; its
+// fence goes with every call, and every call is one that may be made again.
+package duty
+
+import (
+	"context"
+	"time"
+
+	"auburnglade.example/glade/internal/work"
+)
+
+// Host is a pooled host as the platform lists it, over all its lives.
+type Host struct {
+	Name string
+	Pool string
+	// Up: it is neither on its way between pools nor in maintenance.
+	Up bool
+	// Down: it is in maintenance.
+	Down bool
+	Kind string
+	Rack string
+	Size work.Size
+	// Worker is the life that runs on it now, empty for none.
+	Worker string
+}
+
+// Wave asks that each of its hosts goes through maintenance.
+type Wave struct {
+	Number int64
+	Hosts  []string
+	// Within is the time for all of it.
+	Within time.Duration
+	// AtOnce is how many may be down for it at the same time.
+	AtOnce int
+}
+
+// Outcome is what became of a move or a maintenance.
+type Outcome int
+
+// The outcomes of a call to the platform.
+const (
+	// Unknown: it may be carried out yet.
+	Unknown Outcome = iota
+	// Done: it was done now or before.
+	Done
+	// Refused: nothing was done; try again later.
+	Refused
+	// Busy: the host isn't up, or leaves.
+	Busy
+	// NotDue: the host isn't part of the wave.
+	NotDue
+	// NoSuchHost: there is no such host, or it can't belong to that pool.
+	NoSuchHost
+	// Deposed: another holder has used a higher fence.
+	Deposed
+)
+
+var outcomeNames = [...]string{"unknown", "done", "refused", "busy", "not due", "no such host", "deposed"}
+
+func (o Outcome) String() string { return outcomeNames[o] }
+
+// Fleet is the platform's service for hosts.
+type Fleet interface {
+	List(ctx context.Context) ([]Host, error)
+	// Move puts a host into another pool; what runs on it ends.
+	Move(ctx context.Context, host, pool string, fence int64) Outcome
+	// Maintain takes a host down for a wave; what runs on it ends.
+	Maintain(ctx context.Context, host string, wave int64, fence int64) Outcome
+}
+
+// Load is how busy a pool is, in thousandths of a core.
+type Load struct {
+	Capacity int
+	Used     int
+	// Waiting is what tasks ask for whose turn has come.
+	Waiting int
+	// Lasting is the part of Used by tasks that last.
+	Lasting int
+	// Hosts are its hosts, with what is used of each.
+	Hosts []HostLoad
+}
+
+// HostLoad is how busy one host is.
+type HostLoad struct {
+	Worker  string
+	Used    int
+	Lasting int
+}
+
+// Pools knows the pools' holders.
+type Pools interface {
+	// Empty asks for a host to be emptied. known is false when its pool has no
+	// such host, ok when nobody could be asked.
+	Empty(ctx context.Context, pool, worker string) (empty, known, ok bool)
+	// Load asks how busy a pool is.
+	Load(ctx context.Context, pool string) (Load, bool)
+}
--- /dev/null
+++ b/internal/duty/plan.go
@@ -0,0 +1,82 @@
+package duty
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// perHost is how long a host is out for maintenance at most in a good run:
+	// it empties, is down, and joins its pool again.
+	perHost = 6 * time.Second
+	// waveMargin is kept at a wave's end for hosts that take longer.
+	waveMargin = 5 * time.Second
+)
+
+// WaveView is a wave and how far it has come.
+type WaveView struct {
+	Wave
+	// Left are its hosts that are not maintained and not on the way to it.
+	Left []Host
+	// Out is how many are being emptied or are down for it.
+	Out int
+	// Remaining is the time left.
+	Remaining time.Duration
+	// Loads is how full each pool is, from 0 to more than 1.
+	Loads map[string]float64
+	// OutOf is how many hosts of each pool are out, and SizeOf how many it has.
+	OutOf, SizeOf map[string]int
+}
+
+// NextOut picks the hosts that should be emptied now for a wave. It goes no
+// faster than it must, so that as few hosts as possible are missing at once,
+// and takes hosts of pools that have little to do first.
+func NextOut(v WaveView) []Host {
+	room := v.pace() - v.Out
+	if room <= 0 {
+		return nil
+	}
+	hosts := slices.Clone(v.Left)
+	slices.SortStableFunc(hosts, func(a, b Host) int {
+		return cmp.Or(cmp.Compare(v.Loads[a.Pool], v.Loads[b.Pool]), cmp.Compare(v.share(a.Pool), v.share(b.Pool)))
+	})
+	var chosen []Host
+	outOf := make(map[string]int)
+	for _, h := range hosts {
+		if len(chosen) == room {
+			break
+		}
+		if v.OutOf[h.Pool]+outOf[h.Pool] >= v.poolLimit(h.Pool) {
+			continue
+		}
+		outOf[h.Pool]++
+		chosen = append(chosen, h)
+	}
+	return chosen
+}
+
+// pace is how many hosts have to be out at once to be done in time.
+func (v *WaveView) pace() int {
+	left := len(v.Left) + v.Out
+	time := v.Remaining - waveMargin
+	if time <= perHost {
+		return v.AtOnce
+	}
+	rounds := int(time / perHost)
+	return min(v.AtOnce, (left+rounds-1)/rounds)
+}
+
+func (v *WaveView) share(pool string) float64 {
+	return float64(v.OutOf[pool]) / float64(max(1, v.SizeOf[pool]))
+}
+
+// poolLimit is how many hosts of a pool may be out at once: a quarter, or half
+// when time is short.
+func (v *WaveView) poolLimit(pool string) int {
+	part := 4
+	if v.Remaining < waveMargin+perHost {
+		part = 2
+	}
+	return max(1, v.SizeOf[pool]/part)
+}
--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,6 +13,7 @@
 
 	"auburnglade.example/glade/internal/cluster"
 	"auburnglade.example/glade/internal/desk"
+	"auburnglade.example/glade/internal/duty"
 	"auburnglade.example/glade/internal/invariant"
 	"auburnglade.example/glade/internal/keeper"
 	"auburnglade.example/glade/internal/poolrpc"
@@ -31,7 +33,10 @@
 	Adviser worker.Adviser
 	Sched   sched.Config
 	// Pools are the pools that need a holder.
-	Pools      func() []string
+	Pools func() []string
+	// Duty is what looking after the hosts takes; Fleet is nil where there is
+	// none to look after.
+	Duty       duty.Config
 	Log        zerolog.Logger
 	Registerer prometheus.Registerer
 	Invariant  *invariant.Checker
@@ -47,13 +52,14 @@
 
 	mu      sync.Mutex
 	keepers map[string]*keeper.Keeper
+	duty    *duty.Keeper
 }
 
 // New returns an entry host that does nothing before Run.
 func New(config Config) *Host {
 	h := &Host{Config: config, keepers: make(map[string]*keeper.Keeper), metrics: keeper.NewMetrics(config.Registerer)}
 	h.Cluster = cluster.New(cluster.Config{
-		Store: config.Store, Self: config.Self, Pools: config.Pools, Take: h.take,
+		Store: config.Store, Self: config.Self, Pools: h.claims, Take: h.take,
 		Log: telemetry.Part(config.Log, "cluster"),
 	})
 	h.Desk = desk.New(desk.Config{
@@ -76,8 +82,40 @@
 	return h.keepers[pool]
 }
 
+// claims are the pools that need a holder, and the duty.
+func (h *Host) claims() []string {
+	pools := h.Pools()
+	if h.Duty.Fleet != nil && len(pools) > 0 {
+		pools = append(pools, duty.Claim)
+	}
+	return pools
+}
+
+// takeDuty starts to look after the hosts.
+func (h *Host) takeDuty(grant cluster.Grant) cluster.Kept {
+	config := h.Duty
+	config.Holder, config.Store, config.Pools = h.Self.Holder(), h.Store, h.Desk
+	config.Kept = func(pool string) bool { return slices.Contains(h.Pools(), pool) }
+	config.Log = telemetry.Part(h.Log, "duty")
+	k := duty.New(config, grant.Head.Fence, grant.Revision, grant.Claim)
+	h.mu.Lock()
+	h.duty = k
+	h.mu.Unlock()
+	go func() {
+		k.Run(h.ctx)
+		h.mu.Lock()
+		h.duty = nil
+		h.mu.Unlock()
+		h.Cluster.Dropped(duty.Claim)
+	}()
+	return k
+}
+
 // take starts to keep a pool that was claimed.
 func (h *Host) take(grant cluster.Grant) cluster.Kept {
+	if grant.Pool == duty.Claim {
+		return h.takeDuty(grant)
+	}
 	config := h.Sched
 	config.OldHolds = config.OldHolds + keeper.UnconfirmedFor
 	if grant.Quiet {
@@ -114,7 +152,11 @@
 	for _, k := range h.keepers {
 		keepers = append(keepers, k)
 	}
+	looksAfter := h.duty
 	h.mu.Unlock()
+	if looksAfter != nil {
+		looksAfter.Release(ctx)
+	}
 	var released sync.WaitGroup
 	for _, k := range keepers {
 		released.Go(func() { k.Release(ctx) })
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"auburnglade.example/glade/internal/duty"
 	"auburnglade.example/glade/internal/ledger"
 	"auburnglade.example/glade/internal/sched"
 	"auburnglade.example/glade/internal/store"
@@ -190,7 +191,7 @@
 	now, wall := time.Now(), k.Wall()
 	k.pool = sched.New(k.Sched, k.grant.Roster, now)
 	for _, job := range jobs {
-		k.pool.Load(job.Record, job.Progress, now, wall)
+		k.pool.Restore(job.Record, job.Progress, now, wall)
 	}
 	for _, fault := range faults {
 		k.Log.Error().Err(fault).Msg("A stored job can't be read and is left alone.")
@@ -379,6 +380,15 @@
 	return empty, known, k.await(ctx, done)
 }
 
+// Load tells how busy the pool is.
+func (k *Keeper) Load(ctx context.Context) (load duty.Load, ok bool) {
+	done := make(chan struct{})
+	if !k.do(ctx, func() { load = k.pool.Load(); close(done) }) {
+		return duty.Load{}, false
+	}
+	return load, k.await(ctx, done)
+}
+
 func (k *Keeper) await(ctx context.Context, done <-chan struct{}) bool {
 	select {
 	case <-done:
--- a/internal/poolrpc/poolrpc.go
+++ b/internal/poolrpc/poolrpc.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"auburnglade.example/glade/internal/duty"
 	"auburnglade.example/glade/internal/keeper"
 	"auburnglade.example/glade/internal/poolrpc/poolpb"
 	"auburnglade.example/glade/internal/work"
@@ -32,6 +33,7 @@
 	State(ctx context.Context, pool, id string, relay bool) (state work.State, known, held bool)
 	Waiting(ctx context.Context, pool, queue string) (count int, held bool)
 	Vacate(ctx context.Context, pool, host string) (empty, known, held bool)
+	LocalLoad(ctx context.Context, pool string) (load duty.Load, held bool)
 }
 
 // NewHandler serves a Service.
@@ -98,6 +100,18 @@
 	return &poolpb.VacateReply{Result: heldResult(held), Known: known, Empty: empty}, nil
 }
 
+func (s *server) Load(ctx context.Context, r *poolpb.LoadRequest) (*poolpb.LoadReply, error) {
+	load, held := s.service.LocalLoad(ctx, r.Pool)
+	reply := &poolpb.LoadReply{
+		Result: heldResult(held), Capacity: int64(load.Capacity), Used: int64(load.Used),
+		Waiting: int64(load.Waiting), Lasting: int64(load.Lasting),
+	}
+	for _, h := range load.Hosts {
+		reply.Hosts = append(reply.Hosts, &poolpb.HostLoad{Worker: h.Worker, Used: int64(h.Used), Lasting: int64(h.Lasting)})
+	}
+	return reply, nil
+}
+
 // Client asks other entry hosts.
 type Client struct {
 	transport *http.Transport
@@ -195,3 +209,17 @@
 	}
 	return reply.Empty, reply.Known, reply.Result != poolpb.Result_RESULT_NOT_HELD, nil
 }
+
+// Load asks how busy a pool is.
+func (c *Client) Load(ctx context.Context, address, pool string) (load duty.Load, held bool, err error) {
+	reply, err := c.peer(address).Load(ctx, &poolpb.LoadRequest{Pool: pool})
+	if err != nil {
+		c.failed()
+		return duty.Load{}, false, err
+	}
+	load = duty.Load{Capacity: int(reply.Capacity), Used: int(reply.Used), Waiting: int(reply.Waiting), Lasting: int(reply.Lasting)}
+	for _, h := range reply.Hosts {
+		load.Hosts = append(load.Hosts, duty.HostLoad{Worker: h.Worker, Used: int(h.Used), Lasting: int(h.Lasting)})
+	}
+	return load, reply.Result != poolpb.Result_RESULT_NOT_HELD, nil
+}
--- a/internal/sched/evacuate.go
+++ b/internal/sched/evacuate.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"auburnglade.example/glade/internal/duty"
 )
 
 // closeFor is how long a host stays closed to new work when whoever asked for
@@ -61,3 +63,33 @@
 func (pl *planner) roomElsewhere(t *task) bool {
 	return pl.find(t) != nil
 }
+
+// Load tells how busy the pool is.
+func (p *Pool) Load() duty.Load {
+	var load duty.Load
+	for id, h := range p.hosts {
+		if !h.listed || h.Leaving {
+			continue
+		}
+		one := duty.HostLoad{Worker: id, Used: h.used.MilliCPU}
+		for _, r := range h.runs {
+			if r.task.step.spec.Lasting {
+				one.Lasting += r.task.step.spec.Counted().MilliCPU
+			}
+		}
+		load.Capacity += h.Capacity.MilliCPU
+		load.Used += one.Used
+		load.Lasting += one.Lasting
+		load.Hosts = append(load.Hosts, one)
+	}
+	for _, j := range p.active {
+		for _, o := range j.times {
+			for _, s := range o.steps {
+				if s.waiting > 0 && s.ready() {
+					load.Waiting += s.waiting * s.spec.Counted().MilliCPU
+				}
+			}
+		}
+	}
+	return load
+}
--- a/internal/sched/jobs.go
+++ b/internal/sched/jobs.go
@@ -13,9 +13,9 @@
 // that isn't higher than one that ended there.
 const takeoverRunGap = 8
 
-// Load adds a job from the store at a takeover. progress is nil when none is
+// Restore adds a job from the store at a takeover. progress is nil when none is
 // stored.
-func (p *Pool) Load(record *work.Record, progress *work.Progress, now, wall time.Time) {
+func (p *Pool) Restore(record *work.Record, progress *work.Progress, now, wall time.Time) {
 	j := p.add(record, now, wall)
 	j.adopted = true
 	if progress == nil {
