--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -34,6 +34,8 @@
 	commitRetry = 100 * time.Millisecond
 	// tickEvery is how often time-outs are looked at.
 	tickEvery = 100 * time.Millisecond
+	// statsEvery is how often the pool is described in the log.
+	statsEvery = 5 * time.Second
 	// inboxPause is the least time between two looks into the inbox.
 	inboxPause = 250 * time.Millisecond
 	// UnconfirmedFor is how long a holder goes on holding hosts when the store
@@ -99,6 +101,7 @@
 	released  bool
 	// confirmed is when the store last showed that we hold the pool.
 	confirmed time.Time
+	described time.Time
 }
 
 // New returns a keeper for a pool that was just taken over.
@@ -143,7 +146,7 @@
 			act()
 			k.drain()
 		case <-ticker.C:
-			k.forget = append(k.forget, k.pool.Tick(time.Now())...)
+			k.tick(time.Now())
 		}
 		if k.released {
 			return nil
@@ -156,6 +159,18 @@
 	}
 }
 
+func (k *Keeper) tick(now time.Time) {
+	k.forget = append(k.forget, k.pool.Tick(now)...)
+	if now.Sub(k.described) < statsEvery {
+		return
+	}
+	k.described = now
+	s := k.pool.Stats(now)
+	k.Log.Info().Int("jobs", s.Jobs).Int("hosts", s.Hosts).Int("usable", s.Usable).Interface("unusable", s.Why).
+		Int("unreached", s.Unreached).Int("runs", s.Runs).Int("waiting_tasks", s.WaitingTasks).
+		Int("waiting_lasting", s.LastingWaiting).Int("used_cores", s.UsedCores).Int("cores", s.Cores).Msg("The pool.")
+}
+
 // drain applies what else has arrived, so that one plan serves it all.
 func (k *Keeper) drain() {
 	for {
--- a/internal/sched/answers.go
+++ b/internal/sched/answers.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"auburnglade.example/glade/internal/work"
@@ -90,20 +91,19 @@
 	if t.step.spec.Lasting || t.done {
 		return
 	}
+	if slices.Contains(t.failed, number) {
+		return
+	}
 	failed := []*task{t}
 	if t.step.spec.Gang {
 		// Members of one run that fail together are one failure of the gang.
-		if number <= t.step.failedRun {
-			return
-		}
-		t.step.failedRun = number
 		failed = t.step.tasks
 	}
 	for _, member := range failed {
-		member.failed++
+		member.failed = append(member.failed, number)
 	}
 	j.version++
-	if t.failed >= j.record.Queue.Attempts && j.state == "" {
+	if len(t.failed) >= j.record.Queue.Attempts && j.state == "" {
 		p.finish(j, work.Failed, now, wall)
 	}
 }
--- a/internal/sched/evacuate.go
+++ b/internal/sched/evacuate.go
@@ -52,13 +52,21 @@
 func (pl *planner) mayMiss(t *task) bool {
 	away := 0
 	for _, other := range t.step.tasks {
-		if other != t && (other.run == nil || other.run.state != running || other.run.percent < atWork) {
+		if other != t && !other.run.atWork(pl.now) {
 			away++
 		}
 	}
 	return away < max(1, t.step.spec.MayMiss)
 }
 
+// freshFor is how old a host's last answer may be for its tasks to count as
+// at work: it may have gone since.
+const freshFor = 900 * time.Millisecond
+
+func (r *run) atWork(now time.Time) bool {
+	return r != nil && r.state == running && r.percent >= atWork && now.Sub(r.host.heard) <= freshFor
+}
+
 // roomElsewhere reports whether another host could take the task right away.
 func (pl *planner) roomElsewhere(t *task) bool {
 	return pl.find(t) != nil
--- a/internal/sched/jobs.go
+++ b/internal/sched/jobs.go
@@ -233,7 +233,7 @@
 	for _, o := range j.times {
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
-				if t.done || t.failed > 0 || t.saved != "" || t.lastRun > 1 {
+				if t.done || len(t.failed) > 0 || t.saved != "" || t.lastRun > 1 {
 					progress.Tasks = append(progress.Tasks, work.TaskProgress{
 						Time: o.number, Step: s.index, Index: t.name.Index,
 						Done: t.done, Failed: t.failed, Run: t.lastRun, Saved: t.saved,
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -235,16 +235,29 @@
 }
 
 // usable reports whether a host takes new work at all.
-func (pl *planner) usable(h *host) bool {
+func (pl *planner) usable(h *host) bool { return pl.unusable(h, pl.now) == "" }
+
+// unusable says what keeps a host from new work, or nothing.
+func (p *Pool) unusable(h *host, now time.Time) string {
 	switch {
-	case !h.listed || !h.reached || !h.rostered || h.Leaving || h.closed:
-		return false
-	case pl.now.Sub(h.heard) > silentFor || pl.now.Before(h.rested) || pl.now.Before(h.health.until):
-		return false
+	case !h.listed:
+		return "not listed"
+	case !h.reached || now.Sub(h.heard) > silentFor:
+		return "silent"
+	case !h.rostered:
+		return "not stored as in use"
+	case h.Leaving:
+		return "leaving"
+	case h.closed:
+		return "closed"
+	case now.Before(h.rested):
+		return "rests after a refusal"
+	case now.Before(h.health.until):
+		return "in quarantine"
 	case h.health.proving && len(h.runs) > 0:
-		return false
+		return "has to prove itself"
 	}
-	return true
+	return ""
 }
 
 // allowed reports whether a step's constraints let a task run on a host.
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -114,8 +114,6 @@
 	// since is when its tasks' turn came.
 	since  time.Time
 	advice *advice
-	// failedRun is the last run of a gang that counted as failed.
-	failedRun int
 }
 
 type task struct {
@@ -123,7 +121,8 @@
 	step   *step
 	run    *run
 	done   bool
-	failed int
+	// failed are the runs that ended as failed.
+	failed []int
 	// lastRun is the highest run number used.
 	lastRun int
 	saved   string
@@ -181,8 +180,9 @@
 	rostered bool
 	used     work.Size
 	runs     map[work.TaskName]*run
-	// heard is when its last answer arrived, asked when the last hold left.
-	heard, asked time.Time
+	// heard is when its last answer arrived, granted when a hold with a
+	// deadline last left.
+	heard, granted time.Time
 	// clock is its clock at heard, in milliseconds.
 	clock int64
 	// noted is the last end that was applied, seen the last one whose outcome
@@ -265,14 +265,16 @@
 	if h == nil {
 		return worker.Hold{}, false
 	}
-	h.asked = now
 	hold = worker.Hold{Fence: p.Fence, Seen: h.seen, Wait: wait}
 	if !h.reached {
 		// The first answer tells the host's clock and what runs there.
 		hold.Wait = 0
 		return hold, true
 	}
-	if renew {
+	// A host that doesn't answer may still hear us. Holds that went on being
+	// renewed would never be certain to have ended.
+	if renew && now.Sub(h.heard) <= silentFor {
+		h.granted = now
 		hold.DeadlineMs = h.deadline(p.HoldFor, now)
 	}
 	return hold, true
@@ -301,7 +303,7 @@
 // lapsesAt is when everything on a host that hears nothing more from us has
 // certainly ended.
 func (p *Pool) lapsesAt(h *host) time.Time {
-	last := h.asked
+	last := h.granted
 	for _, r := range h.runs {
 		if r.asked.After(last) {
 			last = r.asked
@@ -373,3 +375,42 @@
 	}
 	delete(p.hosts, id)
 }
+
+// Stats is a pool at a glance, for the log.
+type Stats struct {
+	Jobs, Hosts, Usable, Unreached, Runs, WaitingTasks int
+	// UsedCores and Cores are of the usable hosts.
+	UsedCores, Cores int
+	// LastingWaiting is how many lasting tasks have nowhere to run.
+	LastingWaiting int
+	// Why tells for each host that isn't usable what keeps it from work.
+	Why map[string]int
+}
+
+// Stats describes the pool.
+func (p *Pool) Stats(now time.Time) Stats {
+	s := Stats{Jobs: len(p.active), Hosts: len(p.hosts), Unreached: len(p.unreached), Why: make(map[string]int)}
+	for _, h := range p.hosts {
+		s.Runs += len(h.runs)
+		if why := p.unusable(h, now); why != "" {
+			s.Why[why]++
+			continue
+		}
+		s.Usable++
+		s.UsedCores += h.used.MilliCPU / 1000
+		s.Cores += h.Capacity.MilliCPU / 1000
+	}
+	for _, j := range p.active {
+		for _, o := range j.times {
+			for _, step := range o.steps {
+				if step.waiting > 0 && step.ready() {
+					s.WaitingTasks += step.waiting
+					if step.spec.Lasting {
+						s.LastingWaiting += step.waiting
+					}
+				}
+			}
+		}
+	}
+	return s
+}
--- a/internal/work/progress.go
+++ b/internal/work/progress.go
@@ -23,8 +23,10 @@
 type TaskProgress struct {
 	Time, Step, Index int
 	Done              bool
-	// Failed is how many of its runs ended as failed.
-	Failed int
+	// Failed are the runs that ended as failed. A host tells an end again
+	// until it knows that we have seen it, also to the next holder of the
+	// pool, so that a count alone would count one failure twice.
+	Failed []int
 	// Run is the highest run that is known.
 	Run int
 	// Saved is the last checkpoint, empty when there is none.
@@ -37,7 +39,11 @@
 	if p.Done {
 		done = 1
 	}
-	return json.Marshal([]any{p.Time, p.Step, p.Index, done, p.Failed, p.Run, p.Saved})
+	failed := p.Failed
+	if failed == nil {
+		failed = []int{}
+	}
+	return json.Marshal([]any{p.Time, p.Step, p.Index, done, failed, p.Run, p.Saved})
 }
 
 // CorruptError says that a stored value can't be read.
