--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -75,8 +75,12 @@
 	Used     int
 	// Waiting is what tasks ask for whose turn has come.
 	Waiting int
-	// Lasting is the part of Used by tasks that last.
+	// Lasting is what tasks that last ask for.
 	Lasting int
+	// Arriving is the work that was handed in during the last second, and Work
+	// what is left of all jobs that don't last, in thousandths of a
+	// core-second.
+	Arriving, Work int
 	// Hosts are its hosts, with what is used of each.
 	Hosts []HostLoad
 }
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -39,6 +39,8 @@
 	Store  store.Transactor
 	// Waves are the operator's waves as they are known.
 	Waves func() []Wave
+	// PoolNames are all pools, with whether their hosts are spare.
+	PoolNames func() map[string]bool
 	// Kept reports whether a pool has a holder that can be asked; hosts of
 	// others run nothing.
 	Kept func(pool string) bool
@@ -62,11 +64,17 @@
 	hosts   []Host
 	listed  time.Time
 	deposed bool
+	// barred are pools that a kind of host can't belong to.
+	barred map[barredPair]bool
 }
 
+type barredPair struct{ kind, pool string }
+
 // errand is what is being done with one host.
 type errand struct {
 	pool string
+	// to is the pool that it moves to, empty for none.
+	to   string
 	wave int64
 	// down: the call may have been made, and the host isn't back.
 	down bool
@@ -91,6 +99,7 @@
 	return &Keeper{
 		Config: config, fence: fence, revision: revision, claim: claim,
 		busy: make(map[string]*errand), waves: make(map[int64]*waveState),
+		barred: make(map[barredPair]bool),
 	}
 }
 
@@ -146,6 +155,7 @@
 	for _, wave := range k.Waves() {
 		k.roundWave(ctx, wave)
 	}
+	k.roundMoves(ctx)
 }
 
 func (k *Keeper) roundWave(ctx context.Context, wave Wave) {
@@ -292,7 +302,8 @@
 	if !k.note(ctx, wave, state, host.Name, false) {
 		return
 	}
-	if !k.call(ctx, host, func() Outcome { return k.Fleet.Maintain(ctx, host.Name, wave.Number, k.fence) }) {
+	maintained, _ := k.call(ctx, host, func() Outcome { return k.Fleet.Maintain(ctx, host.Name, wave.Number, k.fence) })
+	if !maintained {
 		return
 	}
 	k.awaitBack(ctx, host)
@@ -385,18 +396,18 @@
 
 // call makes a call until its outcome is certain. It reports whether it was
 // carried out.
-func (k *Keeper) call(ctx context.Context, host Host, act func() Outcome) bool {
+func (k *Keeper) call(ctx context.Context, host Host, act func() Outcome) (carriedOut bool, last Outcome) {
 	for ctx.Err() == nil && !k.isDeposed() {
-		outcome := act()
-		k.Log.Info().Str("host", host.Name).Str("pool", host.Pool).Int64("fence", k.fence).Stringer("outcome", outcome).Msg("Called the platform for a host.")
-		switch outcome {
+		last = act()
+		k.Log.Info().Str("host", host.Name).Str("pool", host.Pool).Int64("fence", k.fence).Stringer("outcome", last).Msg("Called the platform for a host.")
+		switch last {
 		case Done:
-			return true
+			return true, last
 		case Deposed:
 			k.depose()
-			return false
+			return false, last
 		case Busy, NotDue, NoSuchHost:
-			return false
+			return false, last
 		}
 		if k.Kept(host.Pool) {
 			// Keeps the host closed while the outcome is open.
@@ -404,7 +415,7 @@
 		}
 		pause.For(ctx, retryEvery)
 	}
-	return false
+	return false, last
 }
 
 // awaitBack waits until a host is up in another life.
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -398,7 +398,7 @@
 // Load tells how busy the pool is.
 func (k *Keeper) Load(ctx context.Context) (load duty.Load, ok bool) {
 	done := make(chan struct{})
-	if !k.do(ctx, func() { load = k.pool.Load(); close(done) }) {
+	if !k.do(ctx, func() { load = k.pool.Load(time.Now()); close(done) }) {
 		return duty.Load{}, false
 	}
 	return load, k.await(ctx, done)
--- a/internal/sched/evacuate.go
+++ b/internal/sched/evacuate.go
@@ -73,7 +73,7 @@
 }
 
 // Load tells how busy the pool is.
-func (p *Pool) Load() duty.Load {
+func (p *Pool) Load(now time.Time) duty.Load {
 	var load duty.Load
 	for id, h := range p.hosts {
 		if !h.listed || h.Leaving {
@@ -87,17 +87,32 @@
 		}
 		load.Capacity += h.Capacity.MilliCPU
 		load.Used += one.Used
-		load.Lasting += one.Lasting
 		load.Hosts = append(load.Hosts, one)
 	}
 	for _, j := range p.active {
+		work := 0.0
 		for _, o := range j.times {
+			_, rest := o.remaining()
+			work += rest * 1000
 			for _, s := range o.steps {
 				if s.waiting > 0 && s.ready() {
 					load.Waiting += s.waiting * s.spec.Counted().MilliCPU
 				}
+				if s.spec.Lasting {
+					load.Lasting += len(s.tasks) * s.spec.Counted().MilliCPU
+				}
 			}
 		}
+		if j.record.Spec.Lasting() {
+			continue
+		}
+		load.Work += int(work)
+		if now.Sub(j.arrived) < arrivalWindow {
+			load.Arriving += int(work)
+		}
 	}
 	return load
 }
+
+// arrivalWindow is the time over which arriving work is added up.
+const arrivalWindow = time.Second
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -117,10 +117,10 @@
 }
 
 type task struct {
-	name   work.TaskName
-	step   *step
-	run    *run
-	done   bool
+	name work.TaskName
+	step *step
+	run  *run
+	done bool
 	// failed are the runs that ended as failed.
 	failed []int
 	// lastRun is the highest run number used.
