Emulate hosts in virtual time and test a pool's holder on them

Cause: no test without the bench covered takeover, late orders, lost answers or silent hosts. Fifteen stories on emulated hosts, judged by what the hosts saw. They found a refusal that was told as unknown when a commit was under way, and two revisions for one transaction in the stand-in store.

--- /dev/null
+++ b/internal/emulate/judge.go
@@ -0,0 +1,275 @@
+package emulate
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"auburnglade.example/glade/internal/work"
+	"auburnglade.example/glade/internal/worker"
+)
+
+// Rule names what a system may never do.
+type Rule string
+
+// The rules that a Judge checks.
+const (
+	// RuleTwice: two runs of a task at a time, or one after a noted success.
+	RuleTwice Rule = "task runs twice"
+	// RuleRoom: a host is given more than it has.
+	RuleRoom Rule = "host over its capacity"
+	// RuleOrder: a task starts before the steps that it comes after.
+	RuleOrder Rule = "step out of order"
+	// RuleUnasked: a task of no job, of a cancelled one, or with another text.
+	RuleUnasked Rule = "task that nobody asked for"
+	// RuleAttempts: a task starts after it has failed as often as it may.
+	RuleAttempts Rule = "too many attempts"
+	// RuleSpread: more of a step's tasks on a host than it allows, or one on a
+	// host without the label it requires.
+	RuleSpread Rule = "host not allowed"
+)
+
+// Broken is one broken rule.
+type Broken struct {
+	Rule Rule
+	At   time.Time
+	Text string
+}
+
+func (b Broken) String() string { return fmt.Sprintf("%s: %s", b.Rule, b.Text) }
+
+// cancelGrace is how long after a cancel's acknowledgement tasks may start.
+const cancelGrace = 3 * time.Second
+
+// Judge knows what clients asked for and sees what hosts were told.
+type Judge struct {
+	mu     sync.Mutex
+	jobs   map[string]*judgedJob
+	tasks  map[work.TaskName]*judgedTask
+	used   map[string]work.Size
+	onHost map[string]map[work.TaskName]bool
+	broken []Broken
+	starts int
+}
+
+type judgedJob struct {
+	record    *work.Record
+	cancelled time.Time
+}
+
+type judgedTask struct {
+	// live are the hosts where a run of it is.
+	live map[string]int
+	done bool
+	// noted: a success was taken note of.
+	noted  bool
+	failed map[int]bool
+	seen   map[int]bool
+}
+
+// NewJudge returns a judge that has seen nothing.
+func NewJudge() *Judge {
+	return &Judge{
+		jobs: make(map[string]*judgedJob), tasks: make(map[work.TaskName]*judgedTask),
+		used: make(map[string]work.Size), onHost: make(map[string]map[work.TaskName]bool),
+	}
+}
+
+// Submitted tells the judge what a client hands in.
+func (j *Judge) Submitted(record *work.Record) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.jobs[record.ID] == nil {
+		j.jobs[record.ID] = &judgedJob{record: record}
+	}
+}
+
+// Cancelled tells the judge that a client's cancel was acknowledged.
+func (j *Judge) Cancelled(id string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if job := j.jobs[id]; job != nil && job.cancelled.IsZero() {
+		job.cancelled = time.Now()
+	}
+}
+
+// Broken returns the broken rules so far.
+func (j *Judge) Broken() []Broken {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return append([]Broken(nil), j.broken...)
+}
+
+// Starts counts the runs that hosts began.
+func (j *Judge) Starts() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.starts
+}
+
+// Finished reports whether every task of a job has ended well.
+func (j *Judge) Finished(id string) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	job := j.jobs[id]
+	if job == nil {
+		return false
+	}
+	for step := range job.record.Spec.Steps {
+		if !j.stepDone(id, 0, step) {
+			return false
+		}
+	}
+	return true
+}
+
+// AtWork counts the runs of a job that are on hosts.
+func (j *Judge) AtWork(id string) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	count := 0
+	for name, t := range j.tasks {
+		if name.Job == id {
+			count += len(t.live)
+		}
+	}
+	return count
+}
+
+func (j *Judge) step(name work.TaskName) *work.Step {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.stepOf(name)
+}
+
+func (j *Judge) stepOf(name work.TaskName) *work.Step {
+	job := j.jobs[name.Job]
+	if job == nil || name.Step >= len(job.record.Spec.Steps) {
+		return nil
+	}
+	return &job.record.Spec.Steps[name.Step]
+}
+
+func (j *Judge) breach(rule Rule, format string, parts ...any) {
+	j.broken = append(j.broken, Broken{rule, time.Now(), fmt.Sprintf(format, parts...)})
+}
+
+func (j *Judge) task(name work.TaskName) *judgedTask {
+	t := j.tasks[name]
+	if t == nil {
+		t = &judgedTask{live: make(map[string]int), failed: make(map[int]bool), seen: make(map[int]bool)}
+		j.tasks[name] = t
+	}
+	return t
+}
+
+// started judges a run that a host begins; the host's lock is held.
+func (j *Judge) started(h *host, o worker.Start) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.starts++
+	job, s := j.jobs[o.Task.Job], j.stepOf(o.Task)
+	t := j.task(o.Task)
+	defer func() {
+		t.live[h.ID] = o.Run
+		if j.onHost[h.ID] == nil {
+			j.onHost[h.ID] = make(map[work.TaskName]bool)
+		}
+		j.onHost[h.ID][o.Task] = true
+	}()
+	if s == nil {
+		j.breach(RuleUnasked, "%s on %s", o.Task, h.ID)
+		return
+	}
+	if o.Text != job.record.Spec.Text {
+		j.breach(RuleUnasked, "%s on %s with another text", o.Task, h.ID)
+	}
+	if !job.cancelled.IsZero() && time.Since(job.cancelled) > cancelGrace {
+		j.breach(RuleUnasked, "%s on %s after its job was cancelled", o.Task, h.ID)
+	}
+	for other, number := range t.live {
+		j.breach(RuleTwice, "%s run %d on %s while run %d is on %s", o.Task, o.Run, h.ID, number, other)
+	}
+	if t.done && t.noted {
+		j.breach(RuleTwice, "%s run %d on %s after a success that was noted", o.Task, o.Run, h.ID)
+	}
+	if !s.Lasting && len(t.failed) >= job.record.Queue.Attempts {
+		j.breach(RuleAttempts, "%s run %d on %s after %d failures", o.Task, o.Run, h.ID, len(t.failed))
+	}
+	for _, before := range s.After {
+		if !j.stepDone(o.Task.Job, o.Task.Time, before) {
+			j.breach(RuleOrder, "%s before step %d is done", o.Task, before)
+		}
+	}
+	j.judgePlace(h, o.Task, s)
+	j.used[h.ID] = j.used[h.ID].Plus(s.Counted())
+	if !j.used[h.ID].Fits(h.Capacity) {
+		j.breach(RuleRoom, "%s on %s: %+v of %+v", o.Task, h.ID, j.used[h.ID], h.Capacity)
+	}
+}
+
+func (j *Judge) judgePlace(h *host, name work.TaskName, s *work.Step) {
+	if s.Requires != "" && !h.Has(s.Requires) {
+		j.breach(RuleSpread, "%s on %s without %s", name, h.ID, s.Requires)
+	}
+	same := 1
+	for other := range j.onHost[h.ID] {
+		if other.Job == name.Job && other.Time == name.Time && other.Step == name.Step {
+			same++
+		}
+	}
+	if s.MostPerWorker > 0 && same > s.MostPerWorker {
+		j.breach(RuleSpread, "%s is number %d on %s", name, same, h.ID)
+	}
+}
+
+func (j *Judge) stepDone(job string, time, step int) bool {
+	s := j.stepOf(work.TaskName{Job: job, Step: step})
+	for index := range s.Count {
+		t := j.tasks[work.TaskName{Job: job, Time: time, Step: step, Index: index}]
+		if t == nil || !t.done {
+			return false
+		}
+	}
+	return true
+}
+
+// ended takes note of a run's end; the host's lock is held.
+func (j *Judge) ended(host string, name work.TaskName, number int, how work.How) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	t := j.task(name)
+	delete(t.live, host)
+	delete(j.onHost[host], name)
+	if s := j.stepOf(name); s != nil {
+		j.used[host] = j.used[host].Minus(s.Counted())
+	}
+	switch how {
+	case work.EndDone:
+		t.done = true
+	case work.EndFailed:
+		t.failed[number] = true
+	}
+}
+
+// noted takes note that the system has seen an end.
+func (j *Judge) noted(_ string, end worker.End) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if end.How == work.EndDone {
+		j.task(end.Task).noted = true
+	}
+}
+
+// On counts the runs of a job on a host.
+func (j *Judge) On(host, job string) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	count := 0
+	for name := range j.onHost[host] {
+		if name.Job == job {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/emulate/workers.go
@@ -0,0 +1,533 @@
+// Package emulate plays the users' platform in memory and in virtual time:
+// hosts that take orders under a fence and a hold, the service that moves and
+// maintains them, and the calls between entry hosts. Everything can misbehave
+// the way the platform's own parts may. A Judge watches what the hosts saw and
+// says which rule was broken, so that no test rests on what the code under
+// test believes.
+package emulate
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"auburnglade.example/glade/internal/work"
+	"auburnglade.example/glade/internal/worker"
+)
+
+const (
+	// answerTime is how long a host takes to answer an order.
+	answerTime = 3 * time.Millisecond
+	// noAnswer is how long a caller waits for a host that is silent.
+	noAnswer = 900 * time.Millisecond
+	// lateLeast and lateMost bound when a late order is carried out.
+	lateLeast = 2 * time.Second
+	lateMost  = 12 * time.Second
+	// pieces is in how many parts a run's progress is worked out.
+	tickEvery = 20 * time.Millisecond
+)
+
+// Behavior is what is wrong with a host.
+type Behavior struct {
+	// Dark: it hears nothing and says nothing, but works on.
+	Dark bool
+	// LateShare of its orders gets no answer and is carried out seconds later.
+	LateShare float64
+	// FailAll: every run that it starts fails at once.
+	FailAll bool
+	// Stuck: nothing on it makes progress.
+	Stuck bool
+	// Slow times longer takes everything on it, when above 1.
+	Slow float64
+}
+
+// WorkersConfig is what emulated hosts go by.
+type WorkersConfig struct {
+	Seed      uint64
+	MaxHold   time.Duration
+	StopGrace time.Duration
+	// GangTimeout is how long a gang's member waits for the others.
+	GangTimeout time.Duration
+	// Checkpoint is how much work makes a new checkpoint.
+	Checkpoint time.Duration
+	// Startup is how long a lasting task takes until it is at work.
+	Startup time.Duration
+	// RunTime is how long a task really takes; nil takes its estimate.
+	RunTime func(name work.TaskName) time.Duration
+	// Fails reports whether a run fails through its own fault.
+	Fails func(name work.TaskName, run int) bool
+}
+
+// Workers are the hosts of all pools. It implements worker.Orders and
+// worker.HostSource.
+type Workers struct {
+	WorkersConfig
+	Judge *Judge
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	hosts   map[string]*host
+	next    int
+	changed chan struct{}
+}
+
+var (
+	_ worker.Orders     = (*Workers)(nil)
+	_ worker.HostSource = (*Workers)(nil)
+)
+
+type host struct {
+	worker.Host
+	behavior Behavior
+	// clockAhead is what its clock shows at the start; rate is its speed.
+	born       time.Time
+	clockAhead time.Duration
+	rate       float64
+	fence      int64
+	heldUntil  int64
+	runs       map[work.TaskName]*run
+	// barred is the highest run of a task that ended or was stopped here.
+	barred map[work.TaskName]int
+	ended  []worker.End
+	number int64
+	// news is closed and replaced when a run ends.
+	news chan struct{}
+	gone bool
+}
+
+type run struct {
+	name     work.TaskName
+	number   int
+	began    time.Time
+	length   time.Duration
+	worked   time.Duration
+	lasting  bool
+	saves    bool
+	fails    bool
+	pace     int
+	stopping time.Time
+	text     string
+	saved    string
+	gang     int
+}
+
+// NewWorkers returns an empty platform of hosts.
+func NewWorkers(config WorkersConfig) *Workers {
+	return &Workers{
+		WorkersConfig: config, Judge: NewJudge(), random: rand.New(rand.NewPCG(config.Seed, 1)),
+		hosts: make(map[string]*host), changed: make(chan struct{}),
+	}
+}
+
+// Run plays the hosts until ctx ends.
+func (w *Workers) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			w.tick()
+		}
+	}
+}
+
+// Add starts a host and returns its ID.
+func (w *Workers) Add(pool, rack string, capacity work.Size) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.next++
+	id := fmt.Sprintf("w-%03d", w.next)
+	w.hosts[id] = &host{
+		Host:       worker.Host{ID: id, Pool: pool, Address: id, Rack: rack, Labels: []string{"a", rack}, Capacity: capacity},
+		born:       time.Now(),
+		clockAhead: time.Duration(w.random.IntN(1000)) * time.Second,
+		rate:       1 - 0.02*w.random.Float64(), runs: make(map[work.TaskName]*run), barred: make(map[work.TaskName]int),
+		news: make(chan struct{}),
+	}
+	w.toldLocked()
+	return id
+}
+
+// Misbehave changes what is wrong with a host.
+func (w *Workers) Misbehave(id string, b Behavior) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if h := w.hosts[id]; h != nil {
+		h.behavior = b
+	}
+}
+
+// Kill ends a life of a host at once; everything on it is lost.
+func (w *Workers) Kill(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	h := w.hosts[id]
+	if h == nil || h.gone {
+		return
+	}
+	for _, r := range h.runs {
+		w.Judge.ended(h.ID, r.name, r.number, "lost")
+	}
+	h.gone = true
+	clear(h.runs)
+	delete(w.hosts, id)
+	w.toldLocked()
+}
+
+// Leave makes a host say that it leaves.
+func (w *Workers) Leave(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if h := w.hosts[id]; h != nil {
+		h.Leaving = true
+		w.toldLocked()
+	}
+}
+
+// Running counts the runs on a host.
+func (w *Workers) Running(id string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if h := w.hosts[id]; h != nil {
+		return len(h.runs)
+	}
+	return 0
+}
+
+// IDs lists the hosts of a pool.
+func (w *Workers) IDs(pool string) []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var ids []string
+	for id, h := range w.hosts {
+		if h.Pool == pool {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (w *Workers) toldLocked() {
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// listDelay is how late the platform's list is.
+const listDelay = 200 * time.Millisecond
+
+// Follow implements worker.HostSource.
+func (w *Workers) Follow(ctx context.Context, pool string, update func([]worker.Host)) {
+	for ctx.Err() == nil {
+		w.mu.Lock()
+		var list []worker.Host
+		for _, h := range w.hosts {
+			if h.Pool == pool {
+				list = append(list, h.Host)
+			}
+		}
+		changed := w.changed
+		w.mu.Unlock()
+		update(list)
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+		time.Sleep(listDelay)
+	}
+}
+
+func (h *host) clockMs() int64 {
+	return (h.clockAhead + time.Duration(float64(time.Since(h.born))*h.rate)).Milliseconds()
+}
+
+// tick lets every run work on for a while.
+func (w *Workers) tick() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, h := range w.hosts {
+		for _, r := range h.runs {
+			w.workLocked(h, r)
+		}
+	}
+}
+
+func (w *Workers) workLocked(h *host, r *run) {
+	now := time.Now()
+	switch {
+	case h.clockMs() > h.heldUntil:
+		w.endLocked(h, r, work.EndLapsed)
+		return
+	case !r.stopping.IsZero() && now.After(r.stopping):
+		w.endLocked(h, r, work.EndStopped)
+		return
+	case h.behavior.Stuck:
+		return
+	case r.gang > 1 && w.presentLocked(r) < r.gang:
+		if now.Sub(r.began) > w.GangTimeout {
+			w.endLocked(h, r, work.EndAlone)
+		}
+		return
+	}
+	part := float64(tickEvery) * float64(r.pace) / 100
+	if h.behavior.Slow > 1 {
+		part /= h.behavior.Slow
+	}
+	r.worked += time.Duration(part)
+	if r.saves {
+		r.saved = fmt.Sprintf("%08d", r.worked/w.Checkpoint)
+	}
+	switch {
+	case r.fails && r.worked > r.length/2 || h.behavior.FailAll:
+		w.endLocked(h, r, work.EndFailed)
+	case !r.lasting && r.worked >= r.length:
+		w.endLocked(h, r, work.EndDone)
+	}
+}
+
+// presentLocked counts the members of a run's gang that are there.
+func (w *Workers) presentLocked(r *run) int {
+	count := 0
+	for _, h := range w.hosts {
+		for name, other := range h.runs {
+			if name.Job == r.name.Job && name.Time == r.name.Time && name.Step == r.name.Step && other.number == r.number {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+func (w *Workers) endLocked(h *host, r *run, how work.How) {
+	delete(h.runs, r.name)
+	h.barred[r.name] = max(h.barred[r.name], r.number)
+	h.number++
+	h.ended = append(h.ended, worker.End{Number: h.number, Task: r.name, Run: r.number, How: how, Saved: r.saved})
+	w.Judge.ended(h.ID, r.name, r.number, how)
+	close(h.news)
+	h.news = make(chan struct{})
+}
+
+// reach finds the life that an order is meant for. It waits as long as a
+// caller would for a host that is silent.
+func (w *Workers) reach(ctx context.Context, to worker.Target) (*host, worker.Outcome) {
+	w.mu.Lock()
+	h := w.hosts[to.ID]
+	dark := h != nil && h.behavior.Dark
+	w.mu.Unlock()
+	if h == nil {
+		return nil, worker.Gone
+	}
+	if dark {
+		sleep(ctx, noAnswer)
+		return nil, worker.Unknown
+	}
+	sleep(ctx, answerTime)
+	return h, worker.Accepted
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// late reports whether an order is to be carried out late, and does so.
+func (w *Workers) late(ctx context.Context, h *host, act func()) bool {
+	w.mu.Lock()
+	is := h.behavior.LateShare > 0 && w.random.Float64() < h.behavior.LateShare
+	after := lateLeast + time.Duration(w.random.Int64N(int64(lateMost-lateLeast)))
+	w.mu.Unlock()
+	if !is {
+		return false
+	}
+	time.AfterFunc(after, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if !h.gone {
+			act()
+		}
+	})
+	sleep(ctx, noAnswer)
+	return true
+}
+
+// Start implements worker.Orders.
+func (w *Workers) Start(ctx context.Context, to worker.Target, o worker.Start) worker.Outcome {
+	h, outcome := w.reach(ctx, to)
+	if h == nil {
+		return outcome
+	}
+	if w.late(ctx, h, func() { w.startLocked(h, o) }) {
+		return worker.Unknown
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if h.gone {
+		return worker.Gone
+	}
+	return w.startLocked(h, o)
+}
+
+func (w *Workers) startLocked(h *host, o worker.Start) worker.Outcome {
+	if o.Fence < h.fence {
+		return worker.Deposed
+	}
+	h.fence = o.Fence
+	if o.DeadlineMs < h.clockMs() {
+		return worker.TooLate
+	}
+	h.heldUntil = max(h.heldUntil, min(o.DeadlineMs, h.clockMs()+w.MaxHold.Milliseconds()))
+	if r := h.runs[o.Task]; r != nil && r.number == o.Run {
+		return worker.Accepted
+	}
+	if o.Run <= h.barred[o.Task] {
+		return worker.Outdated
+	}
+	if r := h.runs[o.Task]; r != nil {
+		return worker.Outdated
+	}
+	step := w.Judge.step(o.Task)
+	r := &run{name: o.Task, number: o.Run, began: time.Now(), pace: 100, text: o.Text, saved: o.Saved}
+	if step != nil {
+		r.length, r.lasting, r.saves = step.Estimate, step.Lasting, step.Checkpoint
+		if step.Gang {
+			r.gang = step.Count
+		}
+	}
+	if w.RunTime != nil {
+		r.length = w.RunTime(o.Task)
+	}
+	r.fails = w.Fails != nil && w.Fails(o.Task, o.Run)
+	h.runs[o.Task] = r
+	w.Judge.started(h, o)
+	return worker.Accepted
+}
+
+// Stop implements worker.Orders.
+func (w *Workers) Stop(ctx context.Context, to worker.Target, o worker.Stop) worker.Outcome {
+	h, outcome := w.reach(ctx, to)
+	if h == nil {
+		return outcome
+	}
+	if w.late(ctx, h, func() { w.stopLocked(h, o) }) {
+		return worker.Unknown
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if h.gone {
+		return worker.Gone
+	}
+	return w.stopLocked(h, o)
+}
+
+func (w *Workers) stopLocked(h *host, o worker.Stop) worker.Outcome {
+	if o.Fence < h.fence {
+		return worker.Deposed
+	}
+	h.fence = o.Fence
+	h.barred[o.Task] = max(h.barred[o.Task], o.Run)
+	if r := h.runs[o.Task]; r != nil && r.number == o.Run && r.stopping.IsZero() {
+		r.stopping = time.Now().Add(w.StopGrace)
+	}
+	return worker.Accepted
+}
+
+// Pace implements worker.Orders.
+func (w *Workers) Pace(ctx context.Context, to worker.Target, o worker.Pace) worker.Outcome {
+	h, outcome := w.reach(ctx, to)
+	if h == nil {
+		return outcome
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if o.Fence < h.fence {
+		return worker.Deposed
+	}
+	if r := h.runs[o.Task]; r != nil && r.number == o.Run {
+		r.pace = o.Percent
+	}
+	return worker.Accepted
+}
+
+// Hold implements worker.Orders.
+func (w *Workers) Hold(ctx context.Context, to worker.Target, o worker.Hold) (worker.Answer, worker.Outcome) {
+	h, outcome := w.reach(ctx, to)
+	if h == nil {
+		return worker.Answer{}, outcome
+	}
+	w.mu.Lock()
+	if h.gone {
+		w.mu.Unlock()
+		return worker.Answer{}, worker.Gone
+	}
+	if o.Fence < h.fence {
+		w.mu.Unlock()
+		return worker.Answer{}, worker.Deposed
+	}
+	h.fence = o.Fence
+	if o.DeadlineMs > 0 {
+		h.heldUntil = max(h.heldUntil, min(o.DeadlineMs, h.clockMs()+w.MaxHold.Milliseconds()))
+	}
+	h.ended = slices.DeleteFunc(h.ended, func(e worker.End) bool {
+		if e.Number <= o.Seen {
+			w.Judge.noted(h.ID, e)
+			return true
+		}
+		return false
+	})
+	news, waits := h.news, len(h.ended) == 0 && o.Wait > 0
+	w.mu.Unlock()
+	if waits {
+		timer := time.NewTimer(o.Wait)
+		select {
+		case <-news:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+	return w.answer(h, o)
+}
+
+func (w *Workers) answer(h *host, o worker.Hold) (worker.Answer, worker.Outcome) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if h.gone {
+		return worker.Answer{}, worker.Gone
+	}
+	if h.behavior.Dark {
+		return worker.Answer{}, worker.Unknown
+	}
+	if o.Fence < h.fence {
+		return worker.Answer{}, worker.Deposed
+	}
+	answer := worker.Answer{ClockMs: h.clockMs()}
+	for _, r := range h.runs {
+		answer.Running = append(answer.Running, worker.Report{
+			Task: r.name, Run: r.number, Saved: r.saved, Percent: w.percent(r),
+		})
+	}
+	answer.Ended = append(answer.Ended, h.ended[:min(len(h.ended), worker.MaxEnds)]...)
+	return answer, worker.Accepted
+}
+
+func (w *Workers) percent(r *run) int {
+	length := r.length
+	if r.lasting {
+		length = w.Startup
+	}
+	if length <= 0 {
+		return 100
+	}
+	return min(100, int(100*r.worked/length))
+}
--- a/internal/keeper/commit.go
+++ b/internal/keeper/commit.go
@@ -35,6 +35,9 @@
 	waiters
 	// exposed: a commit that may have happened contains it.
 	exposed bool
+	// withdrawn: nobody waits for it any more; it goes with the next commit
+	// that the store refuses.
+	withdrawn bool
 }
 
 // cancellation is a cancel that waits until it is stored.
@@ -78,6 +81,7 @@
 	if s == nil {
 		s = &submission{record: record}
 	}
+	s.withdrawn = false
 	reply := s.wait()
 	if k.pool.Knows(record.ID) {
 		s.tell(Stored)
@@ -102,12 +106,27 @@
 	}
 	select {
 	case result := <-withdrawn:
+		if result != ResultUnknown {
+			return result
+		}
+	case <-k.ended:
+		return lastWord(reply)
+	}
+	select {
+	case result := <-reply:
 		return result
 	case <-k.ended:
 		return lastWord(reply)
+	case <-time.After(withdrawGrace):
+		return ResultUnknown
 	}
 }
 
+// withdrawGrace is how long a commit under way gets to end before the outcome
+// of a job that is given up counts as unknown: the store answers within some
+// milliseconds, and the client may be told "not stored" instead.
+const withdrawGrace = 200 * time.Millisecond
+
 // lastWord is the result of a keeper that has ended: abandon told it, or
 // nothing is known.
 func lastWord(reply <-chan Result) Result {
@@ -128,7 +147,10 @@
 		return Stored
 	case s == nil:
 		return Refused
-	case s.exposed || len(s.replies) > 1:
+	case len(s.replies) > 1:
+		return ResultUnknown
+	case s.exposed:
+		s.withdrawn = true
 		return ResultUnknown
 	}
 	delete(k.submits, id)
@@ -339,6 +361,10 @@
 	k.nextTry = time.Now().Add(commitRetry)
 	for _, s := range b.submissions {
 		s.exposed = false
+		if s.withdrawn {
+			delete(k.submits, s.record.ID)
+			s.tell(Refused)
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/keeper/keeper_test.go
@@ -0,0 +1,278 @@
+package keeper_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+
+	"auburnglade.example/glade/internal/emulate"
+	"auburnglade.example/glade/internal/keeper"
+	"auburnglade.example/glade/internal/ledger"
+	"auburnglade.example/glade/internal/store"
+	"auburnglade.example/glade/internal/work"
+)
+
+func TestStepsRunInOrderAndTheJobIsShownAsDone(t *testing.T) {
+	play(t, emulate.WorkersConfig{Seed: 1}, 4, func(w *world) {
+		k := w.take(true)
+		id := w.submit(k, quick(6), after(quick(4), 0))
+		w.shown(k, id, work.Done, 3*time.Second)
+		must.True(t, w.workers.Judge.Finished(id))
+		must.EqOp(t, 10, w.workers.Judge.Starts())
+	})
+}
+
+// A client hands the same job in again, through whatever entry host, while the
+// first attempt is stored and after it is done. It stays one job.
+func TestRepeatedSubmitIsOneJob(t *testing.T) {
+	play(t, emulate.WorkersConfig{Seed: 1}, 2, func(w *world) {
+		k := w.take(true)
+		record := w.record(quick(2))
+		results := make(chan keeper.Result, 2)
+		for range 2 {
+			go func() { results <- k.Submit(w.ctx, record) }()
+		}
+		must.EqOp(t, keeper.Stored, <-results)
+		must.EqOp(t, keeper.Stored, <-results)
+		w.shown(k, record.ID, work.Done, 3*time.Second)
+		must.EqOp(t, keeper.Stored, k.Submit(w.ctx, record))
+		time.Sleep(3 * time.Second)
+		must.EqOp(t, 2, w.workers.Judge.Starts())
+	})
+}
+
+// The holder dies in the middle of a job. The next one takes over what runs,
+// starts nothing twice, and the job is done as if nothing had happened.
+func TestNextHolderTakesOverWhatRuns(t *testing.T) {
+	play(t, emulate.WorkersConfig{Seed: 1}, 4, func(w *world) {
+		k := w.take(true)
+		id := w.submit(k, quick(6), after(quick(4), 0))
+		last := w.submit(k, lasting(3))
+		time.Sleep(500 * time.Millisecond)
+		k.kill()
+		<-k.ended
+		next := w.take(false)
+		w.shown(next, id, work.Done, 5*time.Second)
+		must.EqOp(t, 13, w.workers.Judge.Starts())
+		must.EqOp(t, 3, w.workers.Judge.AtWork(last))
+	})
+}
+
+// A holder is cut off and another one takes the pool over. As soon as a host
+// refuses the old fence, the old holder steps down and orders nothing more.
+func TestDeposedHolderStepsDown(t *testing.T) {
+	play(t, emulate.WorkersConfig{Seed: 1}, 2, func(w *world) {
+		k := w.take(true)
+		w.submit(k, lasting(2))
+		time.Sleep(time.Second)
+		w.take(false)
+		var deposed *keeper.DeposedError
+		must.True(t, errors.As(<-k.ended, &deposed))
+	})
+}
+
+// The store takes a commit and its answer is lost. The job must be accepted
+// once, and what was stored must not be taken for another holder's change.
+func TestLostCommitAnswerIsSettled(t *testing.T) {
+	play(t, emulate.WorkersConfig{Seed: 1}, 2, func(w *world) {
+		k := w.take(true)
+		w.store.LoseAnswers(1)
+		id := w.submit(k, quick(1))
+		w.shown(k, id, work.Done, 4*time.Second)
+	})
+}
+
+// The store is down. A job that is handed in can't be stored; the client is
+// told that it never runs, and so it must be, also once the store is back.
+func TestRefusedJobNeverRuns(t *testing.T) {
+	play(t, emulate.WorkersConfig{Seed: 1}, 2, func(w *world) {
+		k := w.take(true)
+		w.store.SetDown(true)
+		ctx, cancel := context.WithTimeout(w.ctx, time.Second)
+		defer cancel()
+		record := w.record(quick(1))
+		must.EqOp(t, keeper.Refused, k.Submit(ctx, record))
+		w.store.SetDown(false)
+		time.Sleep(5 * time.Second)
+		must.EqOp(t, 0, w.workers.Judge.Starts())
+		_, err := w.store.Get(w.ctx, ledger.JobKey(pool, record.ID))
+		must.True(t, store.IsNotFound(err))
+	})
+}
+
+// The store goes down while a job runs. Its later steps start all the same;
+// "done" is shown once the store has it.
+func TestWorkGoesOnWhileTheStoreIsDown(t *testing.T) {
+	play(t, emulate.WorkersConfig{Seed: 1}, 2, func(w *world) {
+		k := w.take(true)
+		id := w.submit(k, quick(2), after(quick(2), 0))
+		time.Sleep(200 * time.Millisecond)
+		w.store.SetDown(true)
+		time.Sleep(4 * time.Second)
+		must.True(t, w.workers.Judge.Finished(id))
+		must.EqOp(t, work.Running, w.state(k, id))
+		w.store.SetDown(false)
+		w.shown(k, id, work.Done, 2*time.Second)
+	})
+}
+
+// A host goes silent for good with a lasting task on it. The task may work on
+// there unheard until its hold has run out, and starts elsewhere after that:
+// not before, and not never, as it did while holds went on being renewed.
+func TestTaskOfASilentHostStartsElsewhereAfterItsHold(t *testing.T) {
+	play(t, emulate.WorkersConfig{Seed: 1}, 2, func(w *world) {
+		k := w.take(true)
+		id := w.submit(k, lasting(1))
+		time.Sleep(2 * time.Second)
+		silent := w.hostOf(id)
+		w.workers.Misbehave(silent, emulate.Behavior{Dark: true})
+		time.Sleep(12 * time.Second)
+		must.EqOp(t, 1, w.workers.Judge.AtWork(id))
+		must.NotEqOp(t, silent, w.hostOf(id))
+	})
+}
+
+// A task fails, the failure is stored, and the holder dies before the host
+// knows that it was seen. The next holder hears of the same failure again and
+// must not count it twice: the job would be shown as failed with attempts left.
+func TestFailureHeardTwiceCountsOnce(t *testing.T) {
+	config := emulate.WorkersConfig{Seed: 1, Fails: func(_ work.TaskName, run int) bool { return run == 1 }}
+	play(t, config, 1, func(w *world) {
+		k := w.take(true)
+		record := w.record(quick(1))
+		record.Queue.Attempts = 2
+		must.EqOp(t, keeper.Stored, k.Submit(w.ctx, record))
+		// The failure comes after half a second; the host hears that it was
+		// seen with the hold after the commit, which the kill comes before.
+		for {
+			entry, err := w.store.Get(w.ctx, ledger.ProgressKey(pool, record.ID))
+			if err == nil && len(entry.Value) > 0 {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+		k.kill()
+		<-k.ended
+		next := w.take(true)
+		w.shown(next, record.ID, work.Done, 10*time.Second)
+	})
+}
+
+// Hosts leave some orders unanswered and carry them out seconds later. Nothing
+// may run twice, and no host may get more than it has.
+func TestLateOrdersBreakNothing(t *testing.T) {
+	for seed := range uint64(8) {
+		play(t, emulate.WorkersConfig{Seed: seed}, 4, func(w *world) {
+			for _, id := range w.workers.IDs(pool) {
+				w.workers.Misbehave(id, emulate.Behavior{LateShare: 0.15})
+			}
+			k := w.take(true)
+			var ids []string
+			for range 10 {
+				ids = append(ids, w.submit(k, quick(5), after(quick(3), 0)))
+				time.Sleep(300 * time.Millisecond)
+			}
+			for _, id := range ids {
+				w.shown(k, id, work.Done, 40*time.Second)
+			}
+		})
+	}
+}
+
+// A job whose tasks always fail is shown as failed after its attempts, and the
+// host that ran it stays in use.
+func TestHopelessJobFails(t *testing.T) {
+	config := emulate.WorkersConfig{Seed: 1, Fails: func(name work.TaskName, _ int) bool { return name.Job == "0000000000000001" }}
+	play(t, config, 2, func(w *world) {
+		k := w.take(true)
+		hopeless, good := w.submit(k, quick(2)), w.submit(k, quick(2))
+		w.shown(k, hopeless, work.Failed, 5*time.Second)
+		w.shown(k, good, work.Done, 3*time.Second)
+	})
+}
+
+// A client cancels a job that runs. It is acknowledged once stored, its tasks
+// end, and no further one starts, also under the next holder.
+func TestCancelledJobEnds(t *testing.T) {
+	play(t, emulate.WorkersConfig{Seed: 1}, 2, func(w *world) {
+		k := w.take(true)
+		id := w.submit(k, lasting(2))
+		time.Sleep(time.Second)
+		must.EqOp(t, keeper.Stored, k.Cancel(w.ctx, id))
+		w.workers.Judge.Cancelled(id)
+		must.EqOp(t, work.Cancelled, w.state(k, id))
+		k.kill()
+		<-k.ended
+		next := w.take(true)
+		time.Sleep(5 * time.Second)
+		must.EqOp(t, 0, w.workers.Judge.AtWork(id))
+		must.EqOp(t, work.Cancelled, w.state(next, id))
+		must.EqOp(t, keeper.NoJob, next.Cancel(w.ctx, "00000000000000ff"))
+	})
+}
+
+// A host is to be emptied. Its lasting task moves while the step misses no
+// more than it may, and nothing new starts there.
+func TestVacatedHostEmpties(t *testing.T) {
+	play(t, emulate.WorkersConfig{Seed: 1}, 4, func(w *world) {
+		k := w.take(true)
+		id := w.submit(k, lasting(3))
+		time.Sleep(2 * time.Second)
+		closed := w.hostOf(id)
+		for range 30 {
+			if empty, known, ok := k.Vacate(w.ctx, closed); ok && known && empty {
+				break
+			}
+			must.GreaterEq(t, 2, w.workers.Judge.AtWork(id))
+			time.Sleep(100 * time.Millisecond)
+		}
+		must.EqOp(t, 0, w.workers.Running(closed))
+		time.Sleep(time.Second)
+		must.EqOp(t, 3, w.workers.Judge.AtWork(id))
+	})
+}
+
+// A job was left in the store while the pool had no holder. The next one takes
+// it over and clears the inbox only with the commit that stores the job.
+func TestJobLeftInTheInboxRuns(t *testing.T) {
+	play(t, emulate.WorkersConfig{Seed: 1}, 2, func(w *world) {
+		record := w.record(quick(2))
+		key := ledger.InboxJobKey(pool, record.ID)
+		_, err := w.store.CompareAndSwap(w.ctx, store.Write{Key: key, Value: work.EncodeRecord(record)})
+		must.NoError(t, err)
+		k := w.take(true)
+		time.Sleep(3 * time.Second)
+		w.shown(k, record.ID, work.Done, 5*time.Second)
+		_, err = w.store.Get(w.ctx, key)
+		must.True(t, store.IsNotFound(err))
+	})
+}
+
+// A gang's members start all together; when one can't be placed, none starts.
+func TestGangStartsWholeOrNotAtAll(t *testing.T) {
+	play(t, emulate.WorkersConfig{Seed: 1}, 2, func(w *world) {
+		k := w.take(true)
+		blocking := w.submit(k, work.Step{Count: 2, Size: work.Size{MilliCPU: 12_000, MemMB: 100}, Estimate: 2 * time.Second})
+		time.Sleep(100 * time.Millisecond)
+		gang := quick(6)
+		gang.Gang = true
+		id := w.submit(k, gang)
+		time.Sleep(500 * time.Millisecond)
+		must.EqOp(t, 0, w.workers.Judge.AtWork(id))
+		w.shown(k, blocking, work.Done, 5*time.Second)
+		w.shown(k, id, work.Done, 5*time.Second)
+	})
+}
+
+// hostOf returns a host where a run of the job is.
+func (w *world) hostOf(job string) string {
+	for _, id := range w.workers.IDs(pool) {
+		if w.workers.Judge.On(id, job) > 0 {
+			return id
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/keeper/world_test.go
@@ -0,0 +1,147 @@
+package keeper_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test/must"
+
+	"auburnglade.example/glade/internal/emulate"
+	"auburnglade.example/glade/internal/keeper"
+	"auburnglade.example/glade/internal/ledger"
+	"auburnglade.example/glade/internal/sched"
+	"auburnglade.example/glade/internal/store"
+	"auburnglade.example/glade/internal/store/memstore"
+	"auburnglade.example/glade/internal/work"
+)
+
+const (
+	pool      = "desk"
+	holdFor   = 4500 * time.Millisecond
+	stopGrace = 400 * time.Millisecond
+)
+
+// world is one pool on emulated hosts and a stand-in store.
+type world struct {
+	t       *testing.T
+	ctx     context.Context
+	store   *memstore.Store
+	workers *emulate.Workers
+	fence   int64
+	jobs    int
+}
+
+// play runs a test in virtual time and fails it when a rule was broken.
+func play(t *testing.T, config emulate.WorkersConfig, hosts int, test func(w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		config.MaxHold, config.StopGrace, config.Startup = 10*time.Second, stopGrace, 300*time.Millisecond
+		config.GangTimeout, config.Checkpoint = 3*time.Second, time.Second
+		w := &world{t: t, ctx: ctx, store: memstore.New(), workers: emulate.NewWorkers(config)}
+		go w.workers.Run(ctx)
+		for i := range hosts {
+			w.workers.Add(pool, fmt.Sprintf("r%d", i/2), work.Size{MilliCPU: 16_000, MemMB: 32_000})
+		}
+		test(w)
+		for _, broken := range w.workers.Judge.Broken() {
+			t.Errorf("broken rule: %s", broken)
+		}
+		cancel()
+		time.Sleep(30 * time.Second)
+	})
+}
+
+// kept is a keeper that runs.
+type kept struct {
+	*keeper.Keeper
+	kill  context.CancelFunc
+	ended chan error
+}
+
+// take takes the pool over the way cluster does. quiet says that the earlier
+// holder has certainly ended.
+func (w *world) take(quiet bool) *kept {
+	w.t.Helper()
+	before, revision, err := ledger.ReadHead(w.ctx, w.store, pool)
+	must.NoError(w.t, err)
+	w.fence = before.Fence + 1
+	holder := fmt.Sprintf("entry-%d", w.fence)
+	head := ledger.Head{Fence: w.fence, Holder: holder, Roster: before.Roster}
+	taken, err := w.store.Commit(w.ctx, store.Txn{
+		Conditions: []store.Condition{{Key: ledger.HeadKey(pool), Expect: revision}},
+		Puts:       []store.Put{{Key: ledger.HeadKey(pool), Value: head.Encode()}},
+	})
+	must.NoError(w.t, err)
+	old := sched.Lapse(holdFor)
+	if !quiet {
+		old += keeper.UnconfirmedFor
+	}
+	k := keeper.New(keeper.Config{
+		Pool: pool, Holder: holder, Store: w.store, Orders: w.workers, Hosts: w.workers, Log: zerolog.Nop(),
+		Metrics: keeper.NewMetrics(nil),
+		Sched: sched.Config{
+			HoldFor: holdFor, OldHolds: old, StopGrace: stopGrace, GangTimeout: 3 * time.Second, FarFactor: 3, KeepStatus: time.Minute,
+		},
+	}, keeper.Grant{Fence: w.fence, Roster: before.Roster, Revision: taken})
+	ctx, cancel := context.WithCancel(w.ctx)
+	ended := make(chan error, 1)
+	go func() { ended <- k.Run(ctx) }()
+	time.Sleep(time.Second)
+	return &kept{k, cancel, ended}
+}
+
+// submit hands a job in and returns its id.
+func (w *world) submit(k *kept, steps ...work.Step) string {
+	w.t.Helper()
+	record := w.record(steps...)
+	must.EqOp(w.t, keeper.Stored, k.Submit(w.ctx, record))
+	return record.ID
+}
+
+func (w *world) record(steps ...work.Step) *work.Record {
+	w.jobs++
+	record := &work.Record{
+		ID: fmt.Sprintf("%016x", w.jobs), ArrivedMs: time.Now().UnixMilli(),
+		Queue: work.Queue{Name: "q", Pool: pool, Attempts: 3, Stretch: 1.6, Slack: 600 * time.Millisecond},
+		Spec:  work.Spec{Text: fmt.Sprintf("text %d", w.jobs), Steps: steps},
+	}
+	w.workers.Judge.Submitted(record)
+	return record
+}
+
+func (w *world) state(k *kept, id string) work.State {
+	w.t.Helper()
+	state, known, ok := k.State(w.ctx, id)
+	must.True(w.t, ok)
+	must.True(w.t, known)
+	return state
+}
+
+// shown waits until a job is shown in a state.
+func (w *world) shown(k *kept, id string, state work.State, within time.Duration) {
+	w.t.Helper()
+	until := time.Now().Add(within)
+	for w.state(k, id) != state {
+		if time.Now().After(until) {
+			w.t.Fatalf("job %s is %s after %s, not %s", id, w.state(k, id), within, state)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func quick(count int) work.Step {
+	return work.Step{Count: count, Size: work.Size{MilliCPU: 2000, MemMB: 1000}, Estimate: time.Second}
+}
+
+func after(s work.Step, steps ...int) work.Step {
+	s.After = steps
+	return s
+}
+
+func lasting(count int) work.Step {
+	return work.Step{Count: count, Size: work.Size{MilliCPU: 3000, MemMB: 1000}, Lasting: true, MayMiss: 1, MostPerWorker: 1}
+}
--- a/internal/store/memstore/memstore.go
+++ b/internal/store/memstore/memstore.go
@@ -138,8 +138,16 @@
 	if _, ok := s.entries[key]; !ok {
 		return
 	}
-	delete(s.entries, key)
 	s.revision++
+	s.removeLocked(key)
+}
+
+// removeLocked deletes a key at the current revision.
+func (s *Store) removeLocked(key string) {
+	if _, ok := s.entries[key]; !ok {
+		return
+	}
+	delete(s.entries, key)
 	s.recordLocked(store.Event{Entry: store.Entry{Key: key, ModRevision: s.revision}, Deleted: true})
 }
 
--- a/internal/store/memstore/txn.go
+++ b/internal/store/memstore/txn.go
@@ -40,7 +40,7 @@
 		s.recordLocked(store.Event{Entry: entry})
 	}
 	for _, key := range txn.Deletes {
-		s.deleteLocked(key)
+		s.removeLocked(key)
 	}
 	return s.revision, nil
 }
