Take no lasting task away right after a takeover, and use the hosts found

The test showed a second fault: hosts counted as stored only when the platform's list came before the commit that named them.

--- a/internal/emulate/judge.go
+++ b/internal/emulate/judge.go
@@ -24,6 +24,9 @@
 	RuleUnasked Rule = "task that nobody asked for"
 	// RuleAttempts: a task starts after it has failed as often as it may.
 	RuleAttempts Rule = "too many attempts"
+	// RuleMissing: an order takes a lasting task away while as many others of
+	// its step are away as may be.
+	RuleMissing Rule = "too many tasks missing"
 	// RuleSpread: more of a step's tasks on a host than it allows, or one on a
 	// host without the label it requires.
 	RuleSpread Rule = "host not allowed"
@@ -261,6 +264,26 @@
 	}
 }
 
+// stopping judges an order that takes a lasting task that is at work away. atWork
+// tells for the others of its step whether they are.
+func (j *Judge) stopping(host string, name work.TaskName, atWork map[int]bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	s, job := j.stepOf(name), j.jobs[name.Job]
+	if s == nil || !s.Lasting || s.MayMiss == 0 || !job.cancelled.IsZero() {
+		return
+	}
+	away := 0
+	for index := range s.Count {
+		if index != name.Index && !atWork[index] {
+			away++
+		}
+	}
+	if away >= s.MayMiss {
+		j.breach(RuleMissing, "%s is stopped on %s while %d others are away", name, host, away)
+	}
+}
+
 // On counts the runs of a job on a host.
 func (j *Judge) On(host, job string) int {
 	j.mu.Lock()
--- a/internal/emulate/workers.go
+++ b/internal/emulate/workers.go
@@ -437,11 +437,27 @@
 	h.fence = o.Fence
 	h.barred[o.Task] = max(h.barred[o.Task], o.Run)
 	if r := h.runs[o.Task]; r != nil && r.number == o.Run && r.stopping.IsZero() {
+		if r.lasting && w.percent(r) == 100 {
+			w.Judge.stopping(h.ID, r.name, w.atWorkLocked(r.name))
+		}
 		r.stopping = time.Now().Add(w.StopGrace)
 	}
 	return worker.Accepted
 }
 
+// atWorkLocked tells which tasks of a step serve their users.
+func (w *Workers) atWorkLocked(of work.TaskName) map[int]bool {
+	atWork := make(map[int]bool)
+	for _, h := range w.hosts {
+		for name, r := range h.runs {
+			if name.Job == of.Job && name.Time == of.Time && name.Step == of.Step {
+				atWork[name.Index] = r.stopping.IsZero() && w.percent(r) == 100
+			}
+		}
+	}
+	return atWork
+}
+
 // Pace implements worker.Orders.
 func (w *Workers) Pace(ctx context.Context, to worker.Target, o worker.Pace) worker.Outcome {
 	h, outcome := w.reach(ctx, to)
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -235,6 +235,50 @@
 	})
 }
 
+// A new holder has nothing to store. A host dies, and its lasting task must
+// start elsewhere all the same: it didn't while the hosts in use were only
+// marked with a commit that came after the platform's list of hosts.
+func TestNextHolderUsesTheHostsItFound(t *testing.T) {
+	play(t, emulate.WorkersConfig{Seed: 1}, 3, func(w *world) {
+		k := w.take(true)
+		id := w.submit(k, lasting(1))
+		time.Sleep(time.Second)
+		k.kill()
+		<-k.ended
+		w.take(true)
+		w.workers.Kill(w.hostOf(id))
+		time.Sleep(2 * time.Second)
+		must.EqOp(t, 1, w.workers.Judge.AtWork(id))
+	})
+}
+
+// A holder stops a lasting task to empty its host and gives the pool up before
+// the task has ended. The next one still finds the task on its host, at work by
+// all signs, and is asked to empty another host: were it to go by what it
+// sees, two tasks of the step would be away where one may be.
+func TestNextHolderDoesNotTakeASecondTaskAway(t *testing.T) {
+	play(t, emulate.WorkersConfig{Seed: 1}, 5, func(w *world) {
+		k := w.take(true)
+		id := w.submit(k, lasting(3))
+		time.Sleep(2 * time.Second)
+		first := w.hostOf(id)
+		k.Vacate(w.ctx, first)
+		time.Sleep(20 * time.Millisecond)
+		k.kill()
+		<-k.ended
+		next := w.takeAtOnce(true)
+		for range 40 {
+			for _, host := range w.workers.IDs(pool) {
+				if host != first && w.workers.Judge.On(host, id) > 0 {
+					next.Vacate(w.ctx, host)
+					break
+				}
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+}
+
 // A job was left in the store while the pool had no holder. The next one takes
 // it over and clears the inbox only with the commit that stores the job.
 func TestJobLeftInTheInboxRuns(t *testing.T) {
--- a/internal/keeper/world_test.go
+++ b/internal/keeper/world_test.go
@@ -65,6 +65,14 @@
 // take takes the pool over the way cluster does. quiet says that the earlier
 // holder has certainly ended.
 func (w *world) take(quiet bool) *kept {
+	w.t.Helper()
+	k := w.takeAtOnce(quiet)
+	time.Sleep(time.Second)
+	return k
+}
+
+// takeAtOnce is take without the time to find what runs.
+func (w *world) takeAtOnce(quiet bool) *kept {
 	w.t.Helper()
 	before, revision, err := ledger.ReadHead(w.ctx, w.store, pool)
 	must.NoError(w.t, err)
@@ -90,7 +98,6 @@
 	ctx, cancel := context.WithCancel(w.ctx)
 	ended := make(chan error, 1)
 	go func() { ended <- k.Run(ctx) }()
-	time.Sleep(time.Second)
 	return &kept{k, cancel, ended}
 }
 
--- a/internal/sched/evacuate.go
+++ b/internal/sched/evacuate.go
@@ -29,9 +29,17 @@
 	}
 }
 
+// takeoverCalm is how long beyond the time of a stop a new holder takes no
+// lasting task away. One that an earlier holder is stopping still shows as at
+// work until it ends, and a second one would go missing beside it.
+const takeoverCalm = 1200 * time.Millisecond
+
 // evacuate moves lasting tasks off hosts that leave or are closed, as far as
 // no step misses more than it may. Other tasks end by themselves.
 func (pl *planner) evacuate() {
+	if pl.now.Sub(pl.started) < pl.StopGrace+takeoverCalm || len(pl.unreached) > 0 {
+		return
+	}
 	for _, h := range pl.hosts {
 		if !h.closed && !h.Leaving {
 			continue
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -244,7 +244,7 @@
 		return "not listed"
 	case !h.reached || now.Sub(h.heard) > silentFor:
 		return "silent"
-	case !h.rostered:
+	case !p.roster[h.ID]:
 		return "not stored as in use"
 	case h.Leaving:
 		return "leaving"
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -48,6 +48,8 @@
 	// unreached are the hosts that may run tasks of an earlier holder and
 	// haven't answered yet, with the time when these have certainly lapsed.
 	unreached map[string]time.Time
+	// roster are the hosts that the store names as in use.
+	roster map[string]bool
 	// deposed is set once a host has refused our fence.
 	deposed bool
 }
@@ -58,7 +60,7 @@
 	p := &Pool{
 		Config: config, started: now,
 		jobs: make(map[string]*job), hosts: make(map[string]*host),
-		unreached: make(map[string]time.Time),
+		unreached: make(map[string]time.Time), roster: make(map[string]bool),
 	}
 	for _, id := range roster {
 		p.unreached[id] = now.Add(config.OldHolds)
@@ -176,10 +178,8 @@
 	missing time.Time
 	// reached: it has answered a hold with our fence.
 	reached bool
-	// rostered: the store names it as in use.
-	rostered bool
-	used     work.Size
-	runs     map[work.TaskName]*run
+	used    work.Size
+	runs    map[work.TaskName]*run
 	// heard is when its last answer arrived, granted when a hold with a
 	// deadline last left.
 	heard, granted time.Time
@@ -251,10 +251,9 @@
 // RosterStored notes which hosts the store names as in use. Others get no
 // work yet: a successor would not know to wait for what runs there.
 func (p *Pool) RosterStored(ids []string) {
+	clear(p.roster)
 	for _, id := range ids {
-		if h := p.hosts[id]; h != nil {
-			h.rostered = true
-		}
+		p.roster[id] = true
 	}
 }
 
