React to demand within half a second, and say at once that a wave is done

Cause: a turn of demand lasts some eight seconds, and hosts came over two seconds after its start. A wave counted as done only when its last host was back, and a host that an earlier holder had maintained was waited for in vain (one duty missed).

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -35,7 +35,7 @@
 	watchPause = 20 * time.Millisecond
 	// settleFor is how long a process that just joined waits before its first
 	// claim, so that those that start together share the pools evenly.
-	settleFor = 900 * time.Millisecond
+	settleFor = 400 * time.Millisecond
 	// rankPause is how much longer each next candidate waits for a pool
 	// without a holder, so that one of them tries at a time.
 	rankPause  = 350 * time.Millisecond
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -77,9 +77,9 @@
 	Waiting int
 	// Lasting is what tasks that last ask for.
 	Lasting int
-	// Arriving is the work that was handed in during the last second, and Work
-	// what is left of all jobs that don't last, in thousandths of a
-	// core-second.
+	// Arriving is the work that is being handed in, in thousandths of a
+	// core-second a second; Work is what is left of all jobs that don't last,
+	// in thousandths of a core-second.
 	Arriving, Work int
 	// Hosts are its hosts, with what is used of each.
 	Hosts []HostLoad
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -20,13 +20,16 @@
 
 const (
 	// roundEvery is the pause between two looks at waves and pools.
-	roundEvery = 300 * time.Millisecond
+	roundEvery = 200 * time.Millisecond
 	// emptyEvery is the pause between two questions whether a host is empty.
 	emptyEvery = 150 * time.Millisecond
 	// emptyWithin is when a host that doesn't empty is let go for now.
 	emptyWithin = 10 * time.Second
 	// retryEvery is the pause before a call is made again.
 	retryEvery = 300 * time.Millisecond
+	// sameLifeAfter is when a host that is up in the same life after a call has
+	// been through it before: the list shows a call's effect at once.
+	sameLifeAfter = time.Second
 	// backWithin is when a host that doesn't come back counts as lost.
 	backWithin = 15 * time.Second
 )
@@ -84,7 +87,8 @@
 type waveState struct {
 	// Began is when it was first seen, a time of day in milliseconds.
 	BeganMs int64 `json:"b"`
-	// Begun are hosts whose maintenance may have begun, Done those back from it.
+	// Begun are hosts whose maintenance may have begun, Done those for which the
+	// platform has said that it has.
 	Begun map[string]bool `json:"o,omitempty"`
 	Done  map[string]bool `json:"d,omitempty"`
 	Over  bool            `json:"x,omitempty"`
@@ -306,8 +310,10 @@
 	if !maintained {
 		return
 	}
-	k.awaitBack(ctx, host)
+	// The platform has taken the call: what is left is to wait, and the host
+	// counts as down for as long.
 	k.note(ctx, wave, state, host.Name, true)
+	k.awaitBack(ctx, host)
 }
 
 // empty waits until nothing runs on a host any more and nothing will.
@@ -356,7 +362,7 @@
 	return true
 }
 
-// note stores that a host's maintenance may begin, or has ended. Without the
+// note stores that a host's maintenance may begin, or that it has. Without the
 // former, a successor would not count the host as down.
 func (k *Keeper) note(ctx context.Context, wave Wave, state *waveState, name string, done bool) bool {
 	for ctx.Err() == nil && !k.isDeposed() {
@@ -418,16 +424,18 @@
 	return false, last
 }
 
-// awaitBack waits until a host is up in another life.
+// awaitBack waits until a host is up in another life. One that is up in the
+// same life some time after the call was already done with.
 func (k *Keeper) awaitBack(ctx context.Context, host Host) {
-	until := time.Now().Add(backWithin)
+	began := time.Now()
+	until := began.Add(backWithin)
 	for ctx.Err() == nil && time.Now().Before(until) {
 		pause.For(ctx, retryEvery)
 		if err := k.list(ctx); err != nil {
 			continue
 		}
 		now, listed := k.host(host.Name)
-		if !listed || now.Up && now.Worker != host.Worker {
+		if !listed || now.Up && (now.Worker != host.Worker || time.Since(began) > sameLifeAfter) {
 			return
 		}
 	}
@@ -439,7 +447,7 @@
 	for _, name := range wave.Hosts {
 		_, listed := k.host(name)
 		k.mu.Lock()
-		over = over && (state.Done[name] || !listed && !state.Begun[name])
+		over = over && (state.Done[name] || !listed)
 		k.mu.Unlock()
 	}
 	if state.told && !over {
--- a/internal/keeper/commit.go
+++ b/internal/keeper/commit.go
@@ -260,7 +260,7 @@
 		room--
 	}
 	k.addDeletes(b, room)
-	if len(b.txn.Puts)+len(b.txn.Deletes) == 0 && !k.rosterGrew(b.head.Roster) {
+	if len(b.txn.Puts)+len(b.txn.Deletes) == 0 && !k.rosterStale(b.head.Roster) {
 		return nil
 	}
 	b.txn.Puts = append(b.txn.Puts, store.Put{Key: headKey, Value: b.head.Encode()})
@@ -302,21 +302,28 @@
 	return false
 }
 
-// rosterGrew reports whether a host is in use that the store doesn't name. A
-// successor that finds a host in neither list would not wait for its runs.
-func (k *Keeper) rosterGrew(roster []string) bool {
+// rosterStale reports whether the roster has to be stored for its own sake. A
+// host in use that the store doesn't name would not be waited for by a
+// successor; one that it names in vain would be, for seconds.
+func (k *Keeper) rosterStale(roster []string) bool {
 	stored := make(map[string]bool, len(k.head.Roster))
 	for _, id := range k.head.Roster {
 		stored[id] = true
 	}
+	kept := 0
 	for _, id := range roster {
 		if !stored[id] {
 			return true
 		}
+		kept++
 	}
-	return false
+	return kept < len(stored) && time.Since(k.stored) > shrinkPause
 }
 
+// shrinkPause is the least time between two commits that only take hosts off
+// the roster.
+const shrinkPause = 700 * time.Millisecond
+
 func (k *Keeper) send(b *batch) {
 	sent := time.Now()
 	revision, err := k.Store.Commit(k.ctx, b.txn)
@@ -396,7 +403,7 @@
 	now, wall := time.Now(), k.Wall()
 	k.Metrics.entries.Add(float64(b.txn.Entries()))
 	k.batch, k.revision, k.head = nil, revision, b.head
-	k.confirmed = now
+	k.confirmed, k.stored = now, now
 	k.pool.RosterStored(b.head.Roster)
 	k.forget = k.forget[b.forgotten:]
 	for _, key := range b.inboxDone {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -101,6 +101,8 @@
 	released  bool
 	// confirmed is when the store last showed that we hold the pool.
 	confirmed time.Time
+	// stored is when the last commit happened.
+	stored    time.Time
 	described time.Time
 }
 
--- a/internal/sched/evacuate.go
+++ b/internal/sched/evacuate.go
@@ -116,11 +116,12 @@
 		}
 		load.Work += int(work)
 		if now.Sub(j.arrived) < arrivalWindow {
-			load.Arriving += int(work)
+			load.Arriving += int(work * float64(time.Second) / float64(arrivalWindow))
 		}
 	}
 	return load
 }
 
-// arrivalWindow is the time over which arriving work is added up.
-const arrivalWindow = time.Second
+// arrivalWindow is the time over which arriving work is added up: long enough
+// for some jobs, short against a turn of demand.
+const arrivalWindow = 700 * time.Millisecond
