--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -40,6 +40,8 @@
 	// without a holder, so that one of them tries at a time.
 	rankPause  = 350 * time.Millisecond
 	electEvery = 50 * time.Millisecond
+	// leastShare stands in for a share that isn't known, in cores.
+	leastShare = 0.1
 )
 
 // Member is one live process.
@@ -49,6 +51,9 @@
 	Start   string `json:"s"`
 	Address string `json:"a"`
 	Zone    string `json:"z"`
+	// Share is how much of a core the process has; pools go to those that have
+	// most.
+	Share float64 `json:"c"`
 	// Leaving: it takes no more pools.
 	Leaving bool `json:"l,omitempty"`
 }
@@ -404,7 +409,7 @@
 }
 
 // rankLocked is this process's place among those that may take a pool: the
-// one that holds the fewest comes first. It is -1 for one that isn't listed.
+// one that would hold the fewest for what it has comes first. It is -1 for one that isn't listed.
 func (c *Cluster) rankLocked(pool string) int {
 	held := make(map[string]int)
 	for _, claim := range c.claims {
@@ -417,8 +422,9 @@
 		}
 	}
 	hash := func(m Member) uint64 { return xxhash.Sum64String(pool + "\x00" + m.Node) }
+	load := func(m Member) float64 { return float64(held[m.Node]+1) / max(m.Share, leastShare) }
 	slices.SortFunc(candidates, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(held[a.Node], held[b.Node]), cmp.Compare(hash(a), hash(b)))
+		return cmp.Or(cmp.Compare(load(a), load(b)), cmp.Compare(hash(a), hash(b)))
 	})
 	return slices.IndexFunc(candidates, func(m Member) bool { return m.Holder() == c.Self.Holder() })
 }
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -50,7 +50,7 @@
 	Store   store.Transactor
 	Cluster *cluster.Cluster
 	Keepers Keepers
-	Client  *poolrpc.Client
+	Client  poolrpc.Peers
 	Log     zerolog.Logger
 	Metrics *Metrics
 }
--- /dev/null
+++ b/internal/emulate/switch.go
@@ -0,0 +1,112 @@
+package emulate
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"auburnglade.example/glade/internal/duty"
+	"auburnglade.example/glade/internal/keeper"
+	"auburnglade.example/glade/internal/poolrpc"
+	"auburnglade.example/glade/internal/work"
+)
+
+// hopTime is how long a call between entry hosts takes one way.
+const hopTime = time.Millisecond
+
+// UnreachableError says that an entry host doesn't answer.
+type UnreachableError struct{ Address string }
+
+func (e UnreachableError) Error() string { return "no answer from " + e.Address }
+
+// Switch carries calls between emulated entry hosts.
+type Switch struct {
+	mu       sync.Mutex
+	services map[string]poolrpc.Service
+}
+
+var _ poolrpc.Peers = (*Switch)(nil)
+
+// NewSwitch returns a switch that reaches nobody.
+func NewSwitch() *Switch { return &Switch{services: make(map[string]poolrpc.Service)} }
+
+// Plug makes an entry host reachable; nil cuts it off.
+func (s *Switch) Plug(address string, service poolrpc.Service) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.services[address] = service
+}
+
+// reach returns an entry host after the time of a hop, or waits until the
+// caller gives up.
+func (s *Switch) reach(ctx context.Context, address string) (poolrpc.Service, error) {
+	sleep(ctx, hopTime)
+	s.mu.Lock()
+	service := s.services[address]
+	s.mu.Unlock()
+	if service == nil {
+		<-ctx.Done()
+		return nil, UnreachableError{address}
+	}
+	return service, nil
+}
+
+// Submit implements poolrpc.Peers.
+func (s *Switch) Submit(ctx context.Context, address string, record *work.Record, relay bool) (keeper.Result, bool, error) {
+	service, err := s.reach(ctx, address)
+	if err != nil {
+		return keeper.ResultUnknown, true, err
+	}
+	result, held := service.Submit(ctx, record, relay)
+	return result, held, nil
+}
+
+// Cancel implements poolrpc.Peers.
+func (s *Switch) Cancel(ctx context.Context, address, pool, id string, relay bool) (keeper.Result, bool, error) {
+	service, err := s.reach(ctx, address)
+	if err != nil {
+		return keeper.ResultUnknown, true, err
+	}
+	result, held := service.Cancel(ctx, pool, id, relay)
+	return result, held, nil
+}
+
+// State implements poolrpc.Peers.
+func (s *Switch) State(ctx context.Context, address, pool, id string, relay bool) (work.State, bool, bool, error) {
+	service, err := s.reach(ctx, address)
+	if err != nil {
+		return "", false, false, err
+	}
+	state, known, held := service.State(ctx, pool, id, relay)
+	return state, known, held, nil
+}
+
+// Waiting implements poolrpc.Peers.
+func (s *Switch) Waiting(ctx context.Context, address, pool, queue string) (int, bool, error) {
+	service, err := s.reach(ctx, address)
+	if err != nil {
+		return 0, false, err
+	}
+	count, held := service.Waiting(ctx, pool, queue)
+	return count, held, nil
+}
+
+// Vacate implements poolrpc.Peers.
+func (s *Switch) Vacate(ctx context.Context, address, pool, host string) (empty, known, held bool, err error) {
+	service, err := s.reach(ctx, address)
+	if err != nil {
+		return false, false, false, err
+	}
+	empty, known, held = service.Vacate(ctx, pool, host)
+	return empty, known, held, nil
+}
+
+// Load implements poolrpc.Peers.
+func (s *Switch) Load(ctx context.Context, address, pool string) (duty.Load, bool, error) {
+	service, err := s.reach(ctx, address)
+	if err != nil {
+		return duty.Load{}, false, err
+	}
+	load, held := service.LocalLoad(ctx, pool)
+	return load, held, nil
+}
--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -31,7 +31,9 @@
 	Orders  worker.Orders
 	Hosts   worker.HostSource
 	Adviser worker.Adviser
-	Sched   sched.Config
+	// Peers reaches other entry hosts.
+	Peers poolrpc.Peers
+	Sched sched.Config
 	// Pools are the pools that need a holder.
 	Pools func() []string
 	// Duty is what looking after the hosts takes; Fleet is nil where there is
@@ -63,7 +65,7 @@
 		Log: telemetry.Part(config.Log, "cluster"),
 	})
 	h.Desk = desk.New(desk.Config{
-		Store: config.Store, Cluster: h.Cluster, Keepers: h, Client: poolrpc.NewClient(),
+		Store: config.Store, Cluster: h.Cluster, Keepers: h, Client: config.Peers,
 		Log: telemetry.Part(config.Log, "desk"), Metrics: desk.NewMetrics(config.Registerer),
 	})
 	return h
--- /dev/null
+++ b/internal/entryhost/world_test.go
@@ -0,0 +1,179 @@
+package entryhost_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test/must"
+
+	"auburnglade.example/glade/internal/cluster"
+	"auburnglade.example/glade/internal/duty"
+	"auburnglade.example/glade/internal/emulate"
+	"auburnglade.example/glade/internal/entryhost"
+	"auburnglade.example/glade/internal/keeper"
+	"auburnglade.example/glade/internal/store"
+	"auburnglade.example/glade/internal/store/memstore"
+	"auburnglade.example/glade/internal/work"
+)
+
+// world is a small deployment in virtual time: entry hosts, pools of emulated
+// hosts, the service that moves and maintains them, and a stand-in store.
+type world struct {
+	t       *testing.T
+	ctx     context.Context
+	store   *memstore.Store
+	workers *emulate.Workers
+	fleet   *emulate.Fleet
+	net     *emulate.Switch
+	pools   map[string]bool
+	waves   []duty.Wave
+	entries map[string]*entry
+	starts  int
+	jobs    int
+}
+
+type entry struct {
+	*entryhost.Host
+	address string
+	kill    context.CancelFunc
+}
+
+var bounds = work.Bounds{
+	MaxHold: 10 * time.Second, StopGrace: 400 * time.Millisecond, GangTimeout: 3 * time.Second,
+	FarFactor: 3, KeepStatus: time.Minute,
+}
+
+// play runs a test in virtual time with two pools of hosts and a spare one.
+func play(t *testing.T, entries int, test func(w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		workers := emulate.NewWorkers(emulate.WorkersConfig{
+			Seed: 1, MaxHold: bounds.MaxHold, StopGrace: bounds.StopGrace, GangTimeout: bounds.GangTimeout,
+			Checkpoint: time.Second, Startup: 300 * time.Millisecond,
+		})
+		w := &world{
+			t: t, ctx: ctx, store: memstore.New(), workers: workers, fleet: emulate.NewFleet(workers), net: emulate.NewSwitch(),
+			pools: map[string]bool{"day": false, "night": false, "spare": true}, entries: make(map[string]*entry),
+		}
+		go workers.Run(ctx)
+		for pool := range w.pools {
+			for i := range 4 {
+				w.fleet.Add(pool, fmt.Sprintf("r%d", i/2), work.Size{MilliCPU: 16_000, MemMB: 32_000})
+			}
+		}
+		for i := range entries {
+			w.start(fmt.Sprintf("entry-%d", i+1))
+		}
+		time.Sleep(2 * time.Second)
+		test(w)
+		for _, broken := range workers.Judge.Broken() {
+			t.Errorf("broken rule: %s", broken)
+		}
+		for _, broken := range w.fleet.Broken() {
+			t.Errorf("broken rule: %s", broken)
+		}
+		cancel()
+		time.Sleep(30 * time.Second)
+	})
+}
+
+// start starts an entry host's process, again if it ran before.
+func (w *world) start(node string) *entry { return w.startOn(node, w.store) }
+
+// startOn starts an entry host that reaches the store through s.
+func (w *world) startOn(node string, s store.Transactor) *entry {
+	w.starts++
+	ctx, cancel := context.WithCancel(w.ctx)
+	host := entryhost.New(entryhost.Config{
+		Self:  cluster.Member{Node: node, Start: fmt.Sprint(w.starts), Address: node, Share: 0.4},
+		Store: s, Orders: w.workers, Hosts: w.workers, Peers: w.net, Sched: entryhost.SchedConfig(bounds),
+		Pools: func() []string { return []string{"day", "night"} },
+		Duty: duty.Config{
+			Fleet: w.fleet, Waves: func() []duty.Wave { return w.waves },
+			PoolNames: func() map[string]bool { return w.pools },
+			Status: func(number int64, done bool) (string, []byte) {
+				return fmt.Sprintf("status/%d", number), fmt.Append(nil, done)
+			},
+		},
+		Log: zerolog.Nop(),
+	})
+	e := &entry{host, node, cancel}
+	w.entries[node] = e
+	w.net.Plug(node, host.Desk)
+	go host.Run(ctx)
+	return e
+}
+
+// kill ends an entry host's process without a word.
+func (w *world) kill(node string) {
+	w.net.Plug(node, nil)
+	w.entries[node].kill()
+	delete(w.entries, node)
+}
+
+// holder returns the entry host that holds a pool, or empty.
+func (w *world) holder(pool string) string {
+	for node, e := range w.entries {
+		if e.Keeper(pool) != nil {
+			return node
+		}
+	}
+	return ""
+}
+
+// other returns an entry host that doesn't hold a pool.
+func (w *world) other(pool string) *entry {
+	for node, e := range w.entries {
+		if node != w.holder(pool) {
+			return e
+		}
+	}
+	return nil
+}
+
+func (w *world) record(pool string, steps ...work.Step) *work.Record {
+	w.jobs++
+	record := &work.Record{
+		ID: fmt.Sprintf("%016x", w.jobs), ArrivedMs: time.Now().UnixMilli(),
+		Queue: work.Queue{Name: "q", Pool: pool, Attempts: 3, Stretch: 1.6, Slack: 600 * time.Millisecond},
+		Spec:  work.Spec{Text: fmt.Sprintf("text %d", w.jobs), Steps: steps},
+	}
+	w.workers.Judge.Submitted(record)
+	return record
+}
+
+// accept hands a job in at an entry host and returns its id.
+func (w *world) accept(e *entry, pool string, steps ...work.Step) string {
+	w.t.Helper()
+	record := w.record(pool, steps...)
+	must.EqOp(w.t, keeper.Stored, e.Desk.Accept(w.ctx, record))
+	return record.ID
+}
+
+// done waits until an entry host shows a job as done.
+func (w *world) done(e *entry, pool, id string, within time.Duration) {
+	w.t.Helper()
+	until := time.Now().Add(within)
+	for {
+		state, known, ok := e.Desk.Look(w.ctx, pool, id)
+		if ok && known && state == work.Done {
+			return
+		}
+		if time.Now().After(until) {
+			w.t.Fatalf("job %s is %q (known %t, answered %t) after %s", id, state, known, ok, within)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func quick(count int) work.Step {
+	return work.Step{Count: count, Size: work.Size{MilliCPU: 2000, MemMB: 1000}, Estimate: time.Second}
+}
+
+func lasting(count int) work.Step {
+	return work.Step{Count: count, Size: work.Size{MilliCPU: 3000, MemMB: 1000}, Lasting: true, MayMiss: 1, MostPerWorker: 1}
+}
--- a/internal/poolrpc/poolrpc.go
+++ b/internal/poolrpc/poolrpc.go
@@ -36,6 +36,19 @@
 	LocalLoad(ctx context.Context, pool string) (load duty.Load, held bool)
 }
 
+// Peers asks other entry hosts, by their addresses. An error means that the
+// outcome is unknown; held is false when the callee doesn't hold the pool.
+type Peers interface {
+	Submit(ctx context.Context, address string, record *work.Record, relay bool) (result keeper.Result, held bool, err error)
+	Cancel(ctx context.Context, address, pool, id string, relay bool) (result keeper.Result, held bool, err error)
+	State(ctx context.Context, address, pool, id string, relay bool) (state work.State, known, held bool, err error)
+	Waiting(ctx context.Context, address, pool, queue string) (count int, held bool, err error)
+	Vacate(ctx context.Context, address, pool, host string) (empty, known, held bool, err error)
+	Load(ctx context.Context, address, pool string) (load duty.Load, held bool, err error)
+}
+
+var _ Peers = (*Client)(nil)
+
 // NewHandler serves a Service.
 func NewHandler(service Service) http.Handler { return poolpb.NewPoolsServer(&server{service}) }
 
--- a/internal/store/memstore/faults.go
+++ b/internal/store/memstore/faults.go
@@ -192,3 +192,10 @@
 	}
 	return f.lossShare > 0 && f.random.Float64() < f.lossShare
 }
+
+// Drop deletes a key as the platform itself may, whatever its lease.
+func (s *Store) Drop(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deleteLocked(key)
+}
