--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -180,7 +180,6 @@
 func (c *Cluster) Leave(ctx context.Context) {
 	c.mu.Lock()
 	c.leaving = true
-	c.Self.Leaving = true
 	lease := c.lease
 	c.mu.Unlock()
 	if err := c.register(ctx, lease); err != nil {
@@ -243,10 +242,11 @@
 }
 
 func (c *Cluster) register(ctx context.Context, lease store.LeaseID) error {
+	self := c.Self
 	c.mu.Lock()
-	value := encode(c.Self)
+	self.Leaving = c.leaving
 	c.mu.Unlock()
-	_, err := c.Store.Commit(ctx, store.Txn{Puts: []store.Put{{Key: ledger.MemberPrefix + c.Self.Node, Value: value, Lease: lease}}})
+	_, err := c.Store.Commit(ctx, store.Txn{Puts: []store.Put{{Key: ledger.MemberPrefix + c.Self.Node, Value: encode(self), Lease: lease}}})
 	return err
 }
 
--- a/internal/entryhost/entryhost_test.go
+++ b/internal/entryhost/entryhost_test.go
@@ -134,9 +134,8 @@
 		for _, h := range hosts {
 			wave.Hosts = append(wave.Hosts, h.Name)
 		}
-		w.fleet.Demand(wave)
 		w.fleet.Misbehave(emulate.FleetFaults{LoseAnswers: 3})
-		w.waves = []duty.Wave{wave}
+		w.demand(wave)
 		began := time.Now()
 		for w.fleet.Begun(7) < 4 && time.Since(began) < time.Minute {
 			time.Sleep(100 * time.Millisecond)
--- a/internal/entryhost/world_test.go
+++ b/internal/entryhost/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,6 +31,7 @@
 	fleet   *emulate.Fleet
 	net     *emulate.Switch
 	pools   map[string]bool
+	mu      sync.Mutex
 	waves   []duty.Wave
 	entries map[string]*entry
 	starts  int
@@ -93,7 +95,7 @@
 		Store: s, Orders: w.workers, Hosts: w.workers, Peers: w.net, Sched: entryhost.SchedConfig(bounds),
 		Pools: func() []string { return []string{"day", "night"} },
 		Duty: duty.Config{
-			Fleet: w.fleet, Waves: func() []duty.Wave { return w.waves },
+			Fleet: w.fleet, Waves: w.listWaves,
 			PoolNames: func() map[string]bool { return w.pools },
 			Status: func(number int64, done bool) (string, []byte) {
 				return fmt.Sprintf("status/%d", number), fmt.Append(nil, done)
@@ -108,6 +110,20 @@
 	return e
 }
 
+func (w *world) listWaves() []duty.Wave {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.waves
+}
+
+// demand asks for a wave as the operator does.
+func (w *world) demand(wave duty.Wave) {
+	w.fleet.Demand(wave)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.waves = append(w.waves, wave)
+}
+
 // kill ends an entry host's process without a word.
 func (w *world) kill(node string) {
 	w.net.Plug(node, nil)
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -34,6 +34,10 @@
 	commitRetry = 100 * time.Millisecond
 	// tickEvery is how often time-outs are looked at.
 	tickEvery = 100 * time.Millisecond
+	// planPause lets what arrives together be planned for together: at 85 hosts
+	// some 500 answers a second come in, and a plan for each took more than the
+	// processor time of an entry host.
+	planPause = 5 * time.Millisecond
 	// statsEvery is how often the pool is described in the log.
 	statsEvery = 5 * time.Second
 	// inboxPause is the least time between two looks into the inbox.
@@ -104,6 +108,8 @@
 	// stored is when the last commit happened.
 	stored    time.Time
 	described time.Time
+	// planned: a plan is due.
+	planned bool
 }
 
 // New returns a keeper for a pool that was just taken over.
@@ -139,6 +145,8 @@
 	go k.Hosts.Follow(ctx, k.Pool, k.setHosts)
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
+	due := time.NewTimer(planPause)
+	defer due.Stop()
 	defer k.abandon()
 	for {
 		select {
@@ -147,9 +155,16 @@
 		case act := <-k.post:
 			act()
 			k.drain()
+			if !k.planned {
+				k.planned = true
+				due.Reset(planPause)
+			}
+			continue
 		case <-ticker.C:
 			k.tick(time.Now())
+		case <-due.C:
 		}
+		k.planned = false
 		if k.released {
 			return nil
 		}
--- a/internal/sched/answers.go
+++ b/internal/sched/answers.go
@@ -23,7 +23,7 @@
 	if len(answer.Ended) < worker.MaxEnds {
 		p.settle(h, shown, sent, now)
 	}
-	p.advanceSeen()
+	h.advanceSeen()
 }
 
 func (p *Pool) applyEnds(h *host, ends []worker.End, now, wall time.Time) {
@@ -116,6 +116,10 @@
 	}
 	delete(h.runs, t.name)
 	h.used = h.used.Minus(t.step.spec.Counted())
+	t.step.leave(h)
+	if r.state == stopping {
+		p.stops--
+	}
 	if t.run != r {
 		return
 	}
@@ -138,7 +142,7 @@
 func (p *Pool) breakGang(s *step) {
 	for _, member := range s.tasks {
 		if member.run != nil {
-			member.run.stop("a member of its gang ended", true)
+			p.stop(member.run, "a member of its gang ended")
 		}
 	}
 }
@@ -203,15 +207,16 @@
 	}
 	h.runs[report.Task] = r
 	h.used = h.used.Plus(t.step.spec.Counted())
+	t.step.onHost[h]++
 	t.lastRun = max(t.lastRun, report.Run)
 	j.begun = true
 	switch {
 	case t.done || j.state != "":
-		r.stop("nobody wants it", false)
+		p.stop(r, "nobody wants it")
 	case t.run != nil && t.run.number >= report.Run:
-		r.stop("a later run is elsewhere", false)
+		p.stop(r, "a later run is elsewhere")
 	case t.run != nil:
-		t.run.stop("a later run is elsewhere", false)
+		p.stop(t.run, "a later run is elsewhere")
 		t.run = r
 	default:
 		t.run = r
@@ -229,7 +234,7 @@
 }
 
 func strayTask(j *job, name work.TaskName) *task {
-	s := &step{spec: &work.Step{Count: 1}, of: &occurrence{job: j, number: name.Time}}
+	s := &step{spec: &work.Step{Count: 1}, of: &occurrence{job: j, number: name.Time}, onHost: make(map[*host]int)}
 	return &task{name: name, step: s, done: true}
 }
 
@@ -246,7 +251,7 @@
 		case running:
 			if sent.After(r.begun) {
 				// Neither runs nor has ended: stop it to be certain.
-				r.stop("it vanished from its host", true)
+				p.stop(r, "it vanished from its host")
 			}
 		case stopping:
 			// Once a stop was answered, the run can't begin there any more,
@@ -280,7 +285,7 @@
 	case worker.Unknown:
 		if r.state == starting {
 			h.rested = now.Add(refusalPause)
-			r.stop("its start was not answered", true)
+			p.stop(r, "its start was not answered")
 		}
 	case worker.Gone:
 		p.GoneHost(id, now)
--- a/internal/sched/evacuate.go
+++ b/internal/sched/evacuate.go
@@ -47,12 +47,11 @@
 		for _, r := range h.runs {
 			s := r.task.step
 			if r.state == running && s.spec.Lasting && r.task.run == r && pl.mayMiss(r.task) && pl.roomElsewhere(r.task) {
-				r.stop("its host is to be emptied", true)
-				r.stopSent = time.Time{}
+				pl.stop(r, "its host is to be emptied")
 			}
 		}
 	}
-	pl.stops()
+	pl.sendStops()
 }
 
 // mayMiss reports whether one more task of a step may be taken away: those
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -94,7 +94,7 @@
 		h.health.suspect(now)
 		for _, r := range h.runs {
 			if r.measurable() && r.stuck(now) {
-				r.stop("it stands still, like all on its host", true)
+				p.stop(r, "it stands still, like all on its host")
 			}
 		}
 	}
--- a/internal/sched/jobs.go
+++ b/internal/sched/jobs.go
@@ -113,7 +113,7 @@
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
 				if t.run != nil {
-					t.run.stop("its job is "+string(state), false)
+					p.stop(t.run, "its job is "+string(state))
 				}
 			}
 		}
@@ -125,9 +125,11 @@
 	p.ended = append(p.ended, j)
 }
 
-func (r *run) stop(reason string, ours bool) {
+// stop wants the end of a run.
+func (p *Pool) stop(r *run, reason string) {
 	if r.state != stopping {
-		r.state, r.reason, r.ours = stopping, reason, ours
+		r.state, r.reason = stopping, reason
+		p.stops++
 	}
 }
 
@@ -155,7 +157,7 @@
 func newOccurrence(j *job, number int, due, now time.Time) *occurrence {
 	o := &occurrence{job: j, number: number, due: due}
 	for i := range j.record.Spec.Steps {
-		s := &step{spec: &j.record.Spec.Steps[i], of: o, index: i}
+		s := &step{spec: &j.record.Spec.Steps[i], of: o, index: i, onHost: make(map[*host]int)}
 		for index := range s.spec.Count {
 			t := &task{step: s, name: work.TaskName{Job: j.record.ID, Time: number, Step: i, Index: index}, away: now}
 			if j.adopted {
@@ -206,6 +208,7 @@
 	}
 	t.done, t.saved = true, ""
 	t.step.done++
+	t.step.of.left = nil
 	j := t.job()
 	j.version++
 	for _, s := range t.step.of.steps {
@@ -284,17 +287,21 @@
 	p.advanceSeen()
 }
 
-// advanceSeen moves every host's seen end up to the first one whose job isn't
-// stored as far.
 func (p *Pool) advanceSeen() {
 	for _, h := range p.hosts {
-		for len(h.marks) > 0 {
-			mark := h.marks[0]
-			if mark.job != nil && mark.job.saved < mark.version {
-				break
-			}
-			h.seen = mark.number
-			h.marks = h.marks[1:]
+		h.advanceSeen()
+	}
+}
+
+// advanceSeen moves the seen end up to the first one whose job isn't stored as
+// far.
+func (h *host) advanceSeen() {
+	for len(h.marks) > 0 {
+		mark := h.marks[0]
+		if mark.job != nil && mark.job.saved < mark.version {
+			return
 		}
+		h.seen = mark.number
+		h.marks = h.marks[1:]
 	}
 }
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -54,10 +54,11 @@
 // Plan decides what to do now and takes it as ordered.
 func (p *Pool) Plan(now, wall time.Time) Plan {
 	pl := &planner{Pool: p, now: now, refused: make(map[refusal]bool), reserved: make(map[*host]bool)}
+	pl.survey()
 	for _, j := range p.active {
 		p.unfold(j, now, wall)
 	}
-	pl.stops()
+	pl.sendStops()
 	pl.paces()
 	pl.evacuate()
 	pl.starts()
@@ -68,6 +69,10 @@
 	*Pool
 	now  time.Time
 	plan Plan
+	// open are the hosts that take new work; no host among them has more free
+	// of anything than most.
+	open []*host
+	most work.Size
 	// refused remembers which kinds of task found no room in this plan.
 	refused map[refusal]bool
 	// reserved hosts are kept for lasting tasks that wait for room.
@@ -81,8 +86,25 @@
 	rack     string
 }
 
-// stops sends the stops that are due.
-func (pl *planner) stops() {
+// survey looks at every host once.
+func (pl *planner) survey() {
+	for _, h := range pl.hosts {
+		if !pl.usable(h) {
+			continue
+		}
+		pl.open = append(pl.open, h)
+		free := h.free()
+		pl.most = work.Size{
+			MilliCPU: max(pl.most.MilliCPU, free.MilliCPU), MemMB: max(pl.most.MemMB, free.MemMB), GPU: max(pl.most.GPU, free.GPU),
+		}
+	}
+}
+
+// sendStops sends the stops that are due.
+func (pl *planner) sendStops() {
+	if pl.stops == 0 {
+		return
+	}
 	for _, h := range pl.hosts {
 		for _, r := range h.runs {
 			if r.state != stopping || pl.now.Sub(r.stopSent) < stopRetry {
@@ -170,21 +192,33 @@
 // lateFactor times the goal is until when a late job is worth something.
 const lateFactor = 3
 
-// remaining is the longest chain and the work in core-seconds that are left.
+// remainder is the longest chain and the work in core-seconds that are left.
+type remainder struct {
+	chain time.Duration
+	rest  float64
+}
+
 func (o *occurrence) remaining() (chain time.Duration, rest float64) {
+	if o.left == nil {
+		o.left = o.reckon()
+	}
+	return o.left.chain, o.left.rest
+}
+
+func (o *occurrence) reckon() *remainder {
+	var left remainder
 	ends := make([]time.Duration, len(o.steps))
 	for i, s := range o.steps {
 		for _, before := range s.spec.After {
 			ends[i] = max(ends[i], ends[before])
 		}
-		left := len(s.tasks) - s.done
-		if left > 0 {
+		if tasks := len(s.tasks) - s.done; tasks > 0 {
 			ends[i] += s.spec.Estimate
-			rest += float64(left) * float64(s.spec.Size.MilliCPU) / 1000 * s.spec.Estimate.Seconds()
+			left.rest += float64(tasks) * float64(s.spec.Size.MilliCPU) / 1000 * s.spec.Estimate.Seconds()
 		}
-		chain = max(chain, ends[i])
+		left.chain = max(left.chain, ends[i])
 	}
-	return chain, rest
+	return &left
 }
 
 func (pl *planner) startStep(s *step) {
@@ -265,28 +299,24 @@
 	if s.spec.Requires != "" && !h.Has(s.spec.Requires) {
 		return false
 	}
-	if s.spec.MostPerWorker > 0 && s.on(h) >= s.spec.MostPerWorker {
+	if s.spec.MostPerWorker > 0 && s.onHost[h] >= s.spec.MostPerWorker {
 		return false
 	}
 	return s.of.job.record.Queue.Advice == nil || s.advice.ticket(h.ID, pl.now) != ""
 }
 
-// on counts a step's runs on a host.
-func (s *step) on(h *host) int {
-	count := 0
-	for _, t := range s.tasks {
-		if t.run != nil && t.run.host == h {
-			count++
-		}
+// leave takes one run of the step off a host.
+func (s *step) leave(h *host) {
+	if s.onHost[h]--; s.onHost[h] <= 0 {
+		delete(s.onHost, h)
 	}
-	return count
 }
 
 func (s *step) onRack(rack string) int {
 	count := 0
-	for _, t := range s.tasks {
-		if t.run != nil && t.run.host.Rack == rack {
-			count++
+	for h, runs := range s.onHost {
+		if h.Rack == rack {
+			count += runs
 		}
 	}
 	return count
@@ -296,10 +326,13 @@
 func (pl *planner) find(t *task) *host {
 	s := t.step
 	size := s.spec.Counted()
+	if !size.Fits(pl.most) {
+		return nil
+	}
 	var best *host
 	var bestScore float64
-	for _, h := range pl.hosts {
-		if !pl.usable(h) || !size.Fits(h.free()) || !pl.allowed(s, h) {
+	for _, h := range pl.open {
+		if h.health.proving && len(h.runs) > 0 || !size.Fits(h.free()) || !pl.allowed(s, h) {
 			continue
 		}
 		if pl.reserved[h] && !s.spec.Lasting {
@@ -334,7 +367,7 @@
 	left := float64(h.free().MilliCPU-s.spec.Counted().MilliCPU) / float64(max(1, h.Capacity.MilliCPU))
 	if s.spec.Lasting {
 		// One rack that goes dark should take few of a step's tasks along.
-		score += rackWeight*float64(s.onRack(h.Rack)) + hostWeight*float64(s.on(h))
+		score += rackWeight*float64(s.onRack(h.Rack)) + hostWeight*float64(s.onHost[h])
 		return score - left, true
 	}
 	if s.spec.SameRack {
@@ -360,6 +393,7 @@
 	t.run, t.lastRun = r, number
 	t.step.waiting--
 	t.job().begun = true
+	t.step.onHost[h]++
 	h.runs[t.name] = r
 	h.used = h.used.Plus(t.step.spec.Counted())
 	order := Order{
@@ -393,11 +427,11 @@
 		}
 		placed = append(placed, h)
 		// Counted while the others are placed, and taken back below.
-		t.run = &run{task: t, host: h}
+		s.onHost[h]++
 		h.used = h.used.Plus(s.spec.Counted())
 	}
-	for i, h := range placed {
-		s.tasks[i].run = nil
+	for _, h := range placed {
+		s.leave(h)
 		h.used = h.used.Minus(s.spec.Counted())
 	}
 	if len(placed) < len(s.tasks) {
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -50,6 +50,10 @@
 	unreached map[string]time.Time
 	// roster are the hosts that the store names as in use.
 	roster map[string]bool
+	// stops counts the runs that are to be stopped.
+	stops int
+	// hostsChanged is set when a host was added.
+	hostsChanged bool
 	// deposed is set once a host has refused our fence.
 	deposed bool
 }
@@ -103,6 +107,8 @@
 	number int
 	due    time.Time
 	steps  []*step
+	// left is what remaining found last, until a task of it is done.
+	left *remainder
 }
 
 type step struct {
@@ -113,6 +119,9 @@
 	done  int
 	// waiting are the tasks that have nowhere to run yet.
 	waiting int
+	// onHost counts its runs by host. Counted anew for every host and task, a
+	// plan for 85 hosts took most of an entry host's processor time.
+	onHost map[*host]int
 	// since is when its tasks' turn came.
 	since  time.Time
 	advice *advice
@@ -165,8 +174,7 @@
 	// stopSent is when the last stop was ordered, stopTaken when one was
 	// answered.
 	stopSent, stopTaken time.Time
-	// ours: we stop it for a reason of our own, not its job's end.
-	ours   bool
+	// reason is why it is to be stopped.
 	reason string
 }
 
@@ -220,8 +228,13 @@
 	return ids
 }
 
-// Targets lists the hosts that should be asked with holds.
+// Targets lists the hosts that should be asked with holds, or nothing when
+// they are the same as last time.
 func (p *Pool) Targets() []worker.Target {
+	if !p.hostsChanged {
+		return nil
+	}
+	p.hostsChanged = false
 	targets := make([]worker.Target, 0, len(p.hosts))
 	for id, h := range p.hosts {
 		targets = append(targets, worker.Target{ID: id, Address: h.Address})
@@ -238,6 +251,7 @@
 		if h == nil {
 			h = &host{runs: make(map[work.TaskName]*run), health: newHealth()}
 			p.hosts[entry.ID] = h
+			p.hostsChanged = true
 		}
 		h.Host, h.listed = entry, true
 	}
--- a/internal/work/progress.go
+++ b/internal/work/progress.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strconv"
 )
 
 // Progress is how far a job has come, as the store keeps it: everything that a
@@ -33,17 +34,30 @@
 	Saved string
 }
 
-// MarshalJSON writes a row, which is a third of an object's size.
-func (p TaskProgress) MarshalJSON() ([]byte, error) {
-	done := 0
+// appendRow writes a row, which is a third of an object's size.
+func (p *TaskProgress) appendRow(to []byte) []byte {
+	done := int64(0)
 	if p.Done {
 		done = 1
 	}
-	failed := p.Failed
-	if failed == nil {
-		failed = []int{}
+	to = append(to, '[')
+	for _, number := range [...]int64{int64(p.Time), int64(p.Step), int64(p.Index), done} {
+		to = append(strconv.AppendInt(to, number, 10), ',')
 	}
-	return json.Marshal([]any{p.Time, p.Step, p.Index, done, failed, p.Run, p.Saved})
+	to = appendInts(to, p.Failed)
+	to = append(strconv.AppendInt(append(to, ','), int64(p.Run), 10), ',')
+	return append(append(to, encode(p.Saved)...), ']')
+}
+
+func appendInts(to []byte, numbers []int) []byte {
+	to = append(to, '[')
+	for i, number := range numbers {
+		if i > 0 {
+			to = append(to, ',')
+		}
+		to = strconv.AppendInt(to, int64(number), 10)
+	}
+	return append(to, ']')
 }
 
 // CorruptError says that a stored value can't be read.
@@ -70,8 +84,21 @@
 // EncodeRecord returns the stored form of a job.
 func EncodeRecord(r *Record) []byte { return encode(r) }
 
-// EncodeProgress returns the stored form of a job's progress.
-func EncodeProgress(p *Progress) []byte { return encode(p) }
+// EncodeProgress returns the stored form of a job's progress. It is written
+// with every end of a task, so it is put together by hand.
+func EncodeProgress(p *Progress) []byte {
+	to := append([]byte(`{"s":`), encode(p.State)...)
+	to = strconv.AppendInt(append(to, `,"e":`...), p.EndedMs, 10)
+	to = appendInts(append(to, `,"d":`...), p.TimesDone)
+	to = append(to, `,"t":[`...)
+	for i := range p.Tasks {
+		if i > 0 {
+			to = append(to, ',')
+		}
+		to = p.Tasks[i].appendRow(to)
+	}
+	return append(to, `]}`...)
+}
 
 func encode(value any) []byte {
 	data, err := json.Marshal(value)
