--- a/internal/keeper/commit.go
+++ b/internal/keeper/commit.go
@@ -225,7 +225,7 @@
 		return
 	}
 	k.batch = b
-	go k.send(b)
+	go k.send(b, k.commitWithin)
 }
 
 // newBatch collects as much as one transaction takes, or returns nil when
@@ -324,9 +324,21 @@
 // the roster.
 const shrinkPause = 700 * time.Millisecond
 
-func (k *Keeper) send(b *batch) {
+const (
+	// commitLeast is how long a commit waits for its answer at first: the
+	// store answers in milliseconds, and a commit may be sent again at once.
+	// With a time-out for the slowest store, each lost answer held up all that
+	// clients wait for by a second and a half.
+	commitLeast = 250 * time.Millisecond
+	// commitMost bounds the time-out, which doubles while answers stay out.
+	commitMost = 1500 * time.Millisecond
+)
+
+func (k *Keeper) send(b *batch, within time.Duration) {
 	sent := time.Now()
-	revision, err := k.Store.Commit(k.ctx, b.txn)
+	ctx, cancel := context.WithTimeout(k.ctx, within)
+	revision, err := k.Store.Commit(ctx, b.txn)
+	cancel()
 	k.Metrics.commitSec.Observe(time.Since(sent).Seconds())
 	k.do(k.ctx, func() { k.committed(b, revision, err) })
 }
@@ -337,6 +349,7 @@
 	switch {
 	case err == nil:
 		k.Metrics.commits.WithLabelValues("done").Inc()
+		k.commitWithin = max(commitLeast, k.commitWithin*3/4)
 		k.apply(b, revision)
 	case conflicted:
 		k.Metrics.commits.WithLabelValues("conflict").Inc()
@@ -353,6 +366,7 @@
 		k.Metrics.commits.WithLabelValues("unknown").Inc()
 		k.Log.Warn().Err(err).Msg("A commit was not answered and is sent again.")
 		b.uncertain = true
+		k.commitWithin = min(2*k.commitWithin, commitMost)
 		k.resend(b)
 	}
 }
@@ -375,8 +389,12 @@
 	}
 }
 
+// resendPause is the pause before a commit without an answer is sent again.
+const resendPause = 20 * time.Millisecond
+
 func (k *Keeper) resend(b *batch) {
-	time.AfterFunc(commitRetry, func() { k.send(b) })
+	within := k.commitWithin
+	time.AfterFunc(resendPause, func() { k.send(b, within) })
 }
 
 // conflicted tells apart an earlier attempt of the same batch from a change
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -235,6 +235,29 @@
 	})
 }
 
+// A new holder is asked whether a host is empty before it has asked the host
+// itself. Were it to answer by what it knows, the host would go down with a
+// lasting task on it.
+func TestNextHolderDoesNotCallAnUnaskedHostEmpty(t *testing.T) {
+	play(t, emulate.WorkersConfig{Seed: 1}, 3, func(w *world) {
+		k := w.take(true)
+		id := w.submit(k, lasting(1))
+		time.Sleep(time.Second)
+		host := w.hostOf(id)
+		k.kill()
+		<-k.ended
+		next := w.takeAtOnce(true)
+		for range 200 {
+			empty, _, ok := next.Vacate(w.ctx, host)
+			must.True(t, ok)
+			if empty {
+				must.EqOp(t, 0, w.workers.Running(host))
+			}
+			time.Sleep(time.Millisecond)
+		}
+	})
+}
+
 // A new holder has nothing to store. A host dies, and its lasting task must
 // start elsewhere all the same: it didn't while the hosts in use were only
 // marked with a commit that came after the platform's list of hosts.
--- a/internal/sched/evacuate.go
+++ b/internal/sched/evacuate.go
@@ -19,7 +19,9 @@
 		return false, false
 	}
 	h.closed, h.closedUntil = true, now.Add(closeFor)
-	return len(h.runs) == 0, true
+	// Only a host that has answered our fence has told all that runs there,
+	// and takes no more from an earlier holder.
+	return h.reached && len(h.runs) == 0, true
 }
 
 // Reopen takes a closed host back into use.
