Send a commit again beside the first attempt when it goes unanswered

Cause: with lost answers each commit waited for its time-out, callers took the holder for dead, shunned it and left jobs in the inbox through the same store. Commits are repeated after 0.12 s (or three usual times) beside the first attempt, which the pool's head makes safe; a callee says "unknown" before its caller runs out of time. Ruled out: one shorter time-out alone (no change).

--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -23,10 +23,13 @@
 const (
 	// acceptWithin is when a job that nobody took is given up. A client comes
 	// back sooner than it would find out by itself.
-	acceptWithin = 1500 * time.Millisecond
+	acceptWithin = 1800 * time.Millisecond
 	// holderWithin is how long a pool's holder gets before another way is
 	// tried; it commits within some tens of milliseconds.
 	holderWithin = 500 * time.Millisecond
+	// submitWithin is how long a holder gets to store a job or a cancel: longer,
+	// as the other way leads through the same store.
+	submitWithin = 1000 * time.Millisecond
 	// storeWithin bounds one way through the store.
 	storeWithin = 700 * time.Millisecond
 	// avoidFor is how long a holder that didn't answer is passed over.
@@ -182,7 +185,7 @@
 
 // viaHolder tries the pool's holder.
 func (d *Desk) viaHolder(ctx context.Context, pool string, local localCall, remote remoteCall) keeper.Result {
-	ctx, cancel := context.WithTimeout(ctx, holderWithin)
+	ctx, cancel := context.WithTimeout(ctx, submitWithin)
 	defer cancel()
 	if k := d.Keepers.Keeper(pool); k != nil {
 		return local(ctx, k)
--- a/internal/keeper/commit.go
+++ b/internal/keeper/commit.go
@@ -210,7 +210,9 @@
 	inboxDone   []string
 	forgotten   int
 	reclaims    bool
-	// uncertain: an attempt got no answer.
+	// open counts the attempts without an outcome; uncertain: one ended without
+	// an answer.
+	open      int
 	uncertain bool
 }
 
@@ -225,7 +227,7 @@
 		return
 	}
 	k.batch = b
-	go k.send(b, k.commitWithin)
+	k.send(b)
 }
 
 // newBatch collects as much as one transaction takes, or returns nil when
@@ -325,31 +327,59 @@
 const shrinkPause = 700 * time.Millisecond
 
 const (
-	// commitLeast is how long a commit waits for its answer at first: the
-	// store answers in milliseconds, and a commit may be sent again at once.
-	// With a time-out for the slowest store, each lost answer held up all that
-	// clients wait for by a second and a half.
-	commitLeast = 250 * time.Millisecond
-	// commitMost bounds the time-out, which doubles while answers stay out.
-	commitMost = 1500 * time.Millisecond
+	// commitTimeout bounds one attempt of a commit; a slow store takes some
+	// hundred milliseconds.
+	commitTimeout = 1500 * time.Millisecond
+	// repeatLeast is how long a commit is without an answer before it is sent
+	// again beside the first attempt: whichever happens, the other finds the
+	// pool's head changed. With one attempt at a time, a lost answer held up
+	// all that clients wait for until its time-out.
+	repeatLeast = 120 * time.Millisecond
+	// repeatFactor times the usual time of a commit is waited at least, so
+	// that a slow store isn't asked several times for everything.
+	repeatFactor = 3
+	// mostAttempts bounds the attempts under way.
+	mostAttempts = 4
 )
 
-func (k *Keeper) send(b *batch, within time.Duration) {
-	sent := time.Now()
-	ctx, cancel := context.WithTimeout(k.ctx, within)
-	revision, err := k.Store.Commit(ctx, b.txn)
-	cancel()
-	k.Metrics.commitSec.Observe(time.Since(sent).Seconds())
-	k.do(k.ctx, func() { k.committed(b, revision, err) })
+// send makes one attempt and sees to the next one.
+func (k *Keeper) send(b *batch) {
+	b.open++
+	go func() {
+		sent := time.Now()
+		ctx, cancel := context.WithTimeout(k.ctx, commitTimeout)
+		revision, err := k.Store.Commit(ctx, b.txn)
+		cancel()
+		took := time.Since(sent)
+		k.Metrics.commitSec.Observe(took.Seconds())
+		k.do(k.ctx, func() { k.committed(b, revision, err, took) })
+	}()
+	time.AfterFunc(max(repeatLeast, repeatFactor*k.commitTook), func() {
+		k.do(k.ctx, func() { k.repeat(b) })
+	})
+}
+
+// repeat sends a batch again that has no outcome yet.
+func (k *Keeper) repeat(b *batch) {
+	if k.batch != b || b.open >= mostAttempts {
+		return
+	}
+	k.Metrics.commits.WithLabelValues("repeated").Inc()
+	k.send(b)
 }
 
-func (k *Keeper) committed(b *batch, revision store.Revision, err error) {
+func (k *Keeper) committed(b *batch, revision store.Revision, err error, took time.Duration) {
+	b.open--
+	if k.batch != b {
+		// Another attempt has settled it.
+		return
+	}
 	k.nextTry = time.Now().Add(commitPause)
 	conflict, conflicted := err.(*store.TxnConflictError)
 	switch {
 	case err == nil:
 		k.Metrics.commits.WithLabelValues("done").Inc()
-		k.commitWithin = max(commitLeast, k.commitWithin*3/4)
+		k.commitTook = (3*k.commitTook + took) / 4
 		k.apply(b, revision)
 	case conflicted:
 		k.Metrics.commits.WithLabelValues("conflict").Inc()
@@ -364,9 +394,8 @@
 		k.refused(b)
 	default:
 		k.Metrics.commits.WithLabelValues("unknown").Inc()
-		k.Log.Warn().Err(err).Msg("A commit was not answered and is sent again.")
+		k.Log.Warn().Err(err).Msg("A commit was not answered.")
 		b.uncertain = true
-		k.commitWithin = min(2*k.commitWithin, commitMost)
 		k.resend(b)
 	}
 }
@@ -374,7 +403,7 @@
 // refused takes a batch apart that the store certainly didn't take, unless an
 // earlier attempt may have happened.
 func (k *Keeper) refused(b *batch) {
-	if b.uncertain {
+	if b.uncertain || b.open > 0 {
 		k.resend(b)
 		return
 	}
@@ -389,12 +418,14 @@
 	}
 }
 
-// resendPause is the pause before a commit without an answer is sent again.
-const resendPause = 20 * time.Millisecond
-
+// resend sends a batch again after a pause, when no attempt is under way.
 func (k *Keeper) resend(b *batch) {
-	within := k.commitWithin
-	time.AfterFunc(resendPause, func() { k.send(b, within) })
+	if b.open > 0 {
+		return
+	}
+	time.AfterFunc(commitRetry, func() {
+		k.do(k.ctx, func() { k.repeat(b) })
+	})
 }
 
 // conflicted tells apart an earlier attempt of the same batch from a change
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -100,11 +100,11 @@
 	revision  store.Revision
 	batch     *batch
 	nextTry   time.Time
-	// commitWithin is how long the next commit waits for its answer.
-	commitWithin time.Duration
-	reclaim      bool
-	closing      chan struct{}
-	released     bool
+	// commitTook is how long a commit takes of late.
+	commitTook time.Duration
+	reclaim    bool
+	closing    chan struct{}
+	released   bool
 	// confirmed is when the store last showed that we hold the pool.
 	confirmed time.Time
 	// stored is when the last commit happened.
@@ -124,7 +124,7 @@
 		Config: config, grant: grant, post: make(chan func(), mailbox), ended: make(chan struct{}),
 		asking: make(map[string]bool), submits: make(map[string]*submission), cancels: make(map[string]*cancellation),
 		head: ledger.Head{Fence: grant.Fence, Holder: config.Holder}, revision: grant.Revision,
-		inboxDone: make(map[string]bool), confirmed: time.Now(), commitWithin: commitLeast,
+		inboxDone: make(map[string]bool), confirmed: time.Now(),
 	}
 }
 
--- a/internal/poolrpc/poolrpc.go
+++ b/internal/poolrpc/poolrpc.go
@@ -163,9 +163,14 @@
 	if !ok {
 		return 0
 	}
-	return max(1, time.Until(deadline).Milliseconds())
+	return max(1, int64(time.Until(deadline).Seconds()*1000*calleeShare))
 }
 
+// calleeShare of the caller's time is left to the callee: it says in time that
+// it doesn't know yet. A caller that ran out of time itself would take the
+// callee for dead and go round it.
+const calleeShare = 0.85
+
 var keeperResults = map[poolpb.Result]keeper.Result{
 	poolpb.Result_RESULT_UNKNOWN: keeper.ResultUnknown, poolpb.Result_RESULT_STORED: keeper.Stored,
 	poolpb.Result_RESULT_REFUSED: keeper.Refused, poolpb.Result_RESULT_NO_JOB: keeper.NoJob,
