--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -81,6 +81,8 @@
 	// core-second a second; Work is what is left of all jobs that don't last,
 	// in thousandths of a core-second.
 	Arriving, Work int
+	// Spread is how many hosts its lasting tasks need to be spread over.
+	Spread int
 	// Hosts are its hosts, with what is used of each.
 	Hosts []HostLoad
 }
@@ -90,6 +92,19 @@
 	Worker  string
 	Used    int
 	Lasting int
+	// Closed: it takes no new work, since it is to be emptied.
+	Closed bool
+}
+
+// open counts the hosts that take new work.
+func (l Load) open() int {
+	count := 0
+	for _, h := range l.Hosts {
+		if !h.Closed {
+			count++
+		}
+	}
+	return count
 }
 
 // Pools knows the pools' holders.
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -67,6 +67,8 @@
 	hosts   []Host
 	listed  time.Time
 	deposed bool
+	// confirmed is when the store last showed that the duty is held here.
+	confirmed time.Time
 	// barred are pools that a kind of host can't belong to.
 	barred map[barredPair]bool
 }
@@ -103,12 +105,28 @@
 	return &Keeper{
 		Config: config, fence: fence, revision: revision, claim: claim,
 		busy: make(map[string]*errand), waves: make(map[int64]*waveState),
-		barred: make(map[barredPair]bool),
+		barred: make(map[barredPair]bool), confirmed: time.Now(),
 	}
 }
 
-// Confirm implements cluster.Kept. The fence is the duty's only safety.
-func (k *Keeper) Confirm() {}
+// Confirm implements cluster.Kept.
+func (k *Keeper) Confirm() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.confirmed = time.Now()
+}
+
+// unconfirmedFor is how long the duty is carried on when the store doesn't
+// show that it is still held: less than it takes for another process to claim
+// it. Two that act in turns on one host would each undo what the other plans.
+const unconfirmedFor = 1800 * time.Millisecond
+
+// acts reports whether this process may act on hosts.
+func (k *Keeper) acts() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return !k.deposed && time.Since(k.confirmed) < unconfirmedFor
+}
 
 // Reclaim implements cluster.Kept.
 func (k *Keeper) Reclaim(lease store.LeaseID) {
@@ -149,7 +167,9 @@
 func (k *Keeper) Run(ctx context.Context) {
 	k.Log.Info().Int64("fence", k.fence).Msg("Holds the duty.")
 	for ctx.Err() == nil && !k.isDeposed() {
-		k.round(ctx)
+		if k.acts() {
+			k.round(ctx)
+		}
 		pause.For(ctx, roundEvery)
 	}
 	k.Log.Info().Msg("Holds the duty no more.")
@@ -404,6 +424,10 @@
 // carried out.
 func (k *Keeper) call(ctx context.Context, host Host, act func() Outcome) (carriedOut bool, last Outcome) {
 	for ctx.Err() == nil && !k.isDeposed() {
+		if !k.acts() {
+			pause.For(ctx, retryEvery)
+			continue
+		}
 		last = act()
 		k.Log.Info().Str("host", host.Name).Str("pool", host.Pool).Int64("fence", k.fence).Stringer("outcome", last).Msg("Called the platform for a host.")
 		switch last {
--- a/internal/duty/moves.go
+++ b/internal/duty/moves.go
@@ -45,6 +45,11 @@
 // work that it has: about the slack of a usual job.
 const workWithin = 1.8
 
+// lacks reports whether the pool may want hosts.
+func (p *PoolView) lacks() bool {
+	return p.Load.need() > askFactor*float64(p.Load.Capacity) || p.Load.Spread > 0 && p.Load.open() < p.Load.Spread+reserveHosts
+}
+
 // PlanMoves decides which hosts go where now. Pools that need the most beyond
 // what they have come first; hosts come from the spare pools, then from the
 // pools that have the most to spare, idle ones first.
@@ -61,8 +66,17 @@
 		}
 		each := float64(p.Load.Capacity) / float64(len(p.Load.Hosts))
 		has := float64(p.Load.Capacity) + each*float64(p.Coming)
+		lacking := 0.0
 		if p.Load.need() > askFactor*has {
-			wants = append(wants, want{p, p.Load.need() - has})
+			lacking = p.Load.need() - has
+		}
+		// Lasting tasks that may not share a host can leave one that is to be
+		// emptied only if there is another one for them.
+		if short := p.Load.Spread + reserveHosts - p.Load.open() - p.Coming; short > 0 && p.Load.Spread > 0 {
+			lacking = max(lacking, each*float64(short))
+		}
+		if lacking > 0 {
+			wants = append(wants, want{p, lacking})
 		}
 	}
 	slices.SortFunc(wants, func(a, b want) int { return cmp.Compare(b.cores, a.cores) })
@@ -118,7 +132,8 @@
 		return cmp.Or(cmp.Compare(load[a.Worker].Used, load[b.Worker].Used), cmp.Compare(a.Name, b.Name))
 	})
 	var given []Host
-	for _, h := range hosts {
+	most := p.Load.open() - p.Load.Spread - 2*reserveHosts
+	for _, h := range hosts[:max(0, min(len(hosts), most))] {
 		spare -= float64(h.Size.MilliCPU)
 		if spare < float64(reserveHosts*h.Size.MilliCPU) {
 			break
--- a/internal/duty/moving.go
+++ b/internal/duty/moving.go
@@ -14,7 +14,7 @@
 		if !spare || k.Kept(name) {
 			view.Load, view.Known = k.Pools.Load(ctx, name)
 		}
-		needed = needed || view.Known && view.Load.need() > askFactor*float64(view.Load.Capacity)
+		needed = needed || view.Known && view.lacks()
 		views = append(views, view)
 	}
 	// Hosts are listed only when some pool may get one: each list is a call.
--- a/internal/emulate/workers.go
+++ b/internal/emulate/workers.go
@@ -239,7 +239,7 @@
 			return
 		case <-changed:
 		}
-		time.Sleep(listDelay)
+		sleep(ctx, listDelay)
 	}
 }
 
--- a/internal/entryhost/world_test.go
+++ b/internal/entryhost/world_test.go
@@ -61,6 +61,8 @@
 			t: t, ctx: ctx, store: memstore.New(), workers: workers, fleet: emulate.NewFleet(workers), net: emulate.NewSwitch(),
 			pools: map[string]bool{"day": false, "night": false, "spare": true}, entries: make(map[string]*entry),
 		}
+		// As long as the users' platform is asked to wait.
+		w.store.SetWatchWait(time.Second)
 		go workers.Run(ctx)
 		for pool := range w.pools {
 			for i := range 4 {
--- a/internal/keeper/world_test.go
+++ b/internal/keeper/world_test.go
@@ -42,6 +42,7 @@
 		config.MaxHold, config.StopGrace, config.Startup = 10*time.Second, stopGrace, 300*time.Millisecond
 		config.GangTimeout, config.Checkpoint = 3*time.Second, time.Second
 		w := &world{t: t, ctx: ctx, store: memstore.New(), workers: emulate.NewWorkers(config)}
+		w.store.SetWatchWait(time.Second)
 		go w.workers.Run(ctx)
 		for i := range hosts {
 			w.workers.Add(pool, fmt.Sprintf("r%d", i/2), work.Size{MilliCPU: 16_000, MemMB: 32_000})
--- a/internal/sched/evacuate.go
+++ b/internal/sched/evacuate.go
@@ -39,7 +39,7 @@
 // evacuate moves lasting tasks off hosts that leave or are closed, as far as
 // no step misses more than it may. Other tasks end by themselves.
 func (pl *planner) evacuate() {
-	if pl.now.Sub(pl.started) < pl.StopGrace+takeoverCalm || len(pl.unreached) > 0 {
+	if pl.now.Sub(pl.started) < pl.StopGrace+takeoverCalm {
 		return
 	}
 	for _, h := range pl.hosts {
@@ -88,7 +88,7 @@
 		if !h.listed || h.Leaving {
 			continue
 		}
-		one := duty.HostLoad{Worker: id, Used: h.used.MilliCPU}
+		one := duty.HostLoad{Worker: id, Used: h.used.MilliCPU, Closed: h.closed}
 		for _, r := range h.runs {
 			if r.task.step.spec.Lasting {
 				one.Lasting += r.task.step.spec.Counted().MilliCPU
@@ -109,6 +109,7 @@
 				}
 				if s.spec.Lasting {
 					load.Lasting += len(s.tasks) * s.spec.Counted().MilliCPU
+					load.Spread = max(load.Spread, s.hostsNeeded())
 				}
 			}
 		}
@@ -126,3 +127,11 @@
 // arrivalWindow is the time over which arriving work is added up: long enough
 // for some jobs, short against a turn of demand.
 const arrivalWindow = 700 * time.Millisecond
+
+// hostsNeeded is how many hosts a step's tasks have to be spread over.
+func (s *step) hostsNeeded() int {
+	if s.spec.MostPerWorker == 0 {
+		return 1
+	}
+	return (len(s.tasks) + s.spec.MostPerWorker - 1) / s.spec.MostPerWorker
+}
--- a/internal/store/memstore/memstore.go
+++ b/internal/store/memstore/memstore.go
@@ -29,6 +29,7 @@
 	// compacted is the newest revision whose event is no longer kept.
 	compacted  store.Revision
 	historyCap int
+	watchWait  time.Duration
 	leases     map[store.LeaseID]*leaseState
 	nextLease  store.LeaseID
 	// changed is closed and replaced at every write.
@@ -56,9 +57,17 @@
 		leases:     make(map[store.LeaseID]*leaseState),
 		changed:    make(chan struct{}),
 		historyCap: DefaultHistory,
+		watchWait:  WatchWait,
 	}
 }
 
+// SetWatchWait changes how long later watches without events wait.
+func (s *Store) SetWatchWait(wait time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watchWait = wait
+}
+
 // Get implements store.Store.
 func (s *Store) Get(ctx context.Context, key string) (store.Entry, error) {
 	if err := s.admit(ctx, opGet); err != nil {
@@ -168,7 +177,9 @@
 	}
 	s.trackWatch(+1)
 	defer s.trackWatch(-1)
-	timeout := time.NewTimer(WatchWait)
+	s.mu.Lock()
+	timeout := time.NewTimer(s.watchWait)
+	s.mu.Unlock()
 	defer timeout.Stop()
 	cursor := after
 	for {
