--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -133,6 +133,8 @@
 
 const (
 	classLasting = iota
+	// classAtRisk is late work that will soon be worth nothing.
+	classAtRisk
 	classInTime
 	classLate
 	classTooLate
@@ -178,10 +180,12 @@
 	chain, rest := s.of.remaining()
 	c.value = rest
 	age := pl.now.Sub(s.of.due)
-	switch {
+	switch left := lateFactor*j.goal - age - chain; {
 	case age+chain <= j.goal:
 		c.class = classInTime
-	case age+chain <= lateFactor*j.goal:
+	case left >= 0 && left < riskWithin:
+		c.class = classAtRisk
+	case left >= 0:
 		c.class = classLate
 	default:
 		c.class = classTooLate
@@ -189,8 +193,14 @@
 	return c
 }
 
-// lateFactor times the goal is until when a late job is worth something.
-const lateFactor = 3
+const (
+	// lateFactor times the goal is until when a late job is worth something.
+	lateFactor = 3
+	// riskWithin is how long before that a late job goes before others. Small
+	// jobs come first otherwise, and a large one could wait until it has
+	// failed its client.
+	riskWithin = 900 * time.Millisecond
+)
 
 // remainder is the longest chain and the work in core-seconds that are left.
 type remainder struct {
