--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The two commands of the README are `make run` and `make test`.
 
 BIN := bin
-BINARIES := glade-gateway glade-controller gladectl glade-dev glade-soak glade-measure
+BINARIES := glade-entry glade-gateway glade-controller gladectl glade-dev glade-soak glade-measure
 
 .PHONY: build run test lint unit story soak generate clean
 
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -341,10 +341,7 @@
 func (k *Keeper) empty(ctx context.Context, host Host) bool {
 	until := time.Now().Add(emptyWithin)
 	for ctx.Err() == nil && !k.isDeposed() && time.Now().Before(until) {
-		if !k.Kept(host.Pool) {
-			return true
-		}
-		if empty, known, ok := k.Pools.Empty(ctx, host.Pool, host.Worker); ok && known && empty {
+		if k.stillEmpty(ctx, host, false) {
 			return true
 		}
 		pause.For(ctx, emptyEvery)
@@ -424,12 +421,16 @@
 // call makes a call until its outcome is certain. It reports whether it was
 // carried out.
 func (k *Keeper) call(ctx context.Context, host Host, act func() Outcome) (carriedOut bool, last Outcome) {
+	called, until := false, time.Now().Add(emptyWithin)
 	for ctx.Err() == nil && !k.isDeposed() {
-		if !k.acts() {
+		if !k.acts() || !k.stillEmpty(ctx, host, called) {
+			if !called && time.Now().After(until) {
+				return false, Refused
+			}
 			pause.For(ctx, retryEvery)
 			continue
 		}
-		last = act()
+		last, called = act(), true
 		k.Log.Info().Str("host", host.Name).Str("pool", host.Pool).Int64("fence", k.fence).Stringer("outcome", last).Msg("Called the platform for a host.")
 		switch last {
 		case Done:
@@ -440,15 +441,23 @@
 		case Busy, NotDue, NoSuchHost:
 			return false, last
 		}
-		if k.Kept(host.Pool) {
-			// Keeps the host closed while the outcome is open.
-			k.Pools.Empty(ctx, host.Pool, host.Worker)
-		}
 		pause.For(ctx, retryEvery)
 	}
 	return false, last
 }
 
+// stillEmpty asks right before a call whether a host is empty: some time may
+// have gone since it was, waiting for the store, and its pool takes it back
+// into use when nobody asks. After a call without an outcome the host may be
+// gone from its pool, and the call has to be made again to know.
+func (k *Keeper) stillEmpty(ctx context.Context, host Host, called bool) bool {
+	if !k.Kept(host.Pool) {
+		return true
+	}
+	empty, known, ok := k.Pools.Empty(ctx, host.Pool, host.Worker)
+	return ok && (known && empty || !known && called)
+}
+
 // awaitBack waits until a host is up in another life. One that is up in the
 // same life some time after the call was already done with.
 func (k *Keeper) awaitBack(ctx context.Context, host Host) {
--- a/internal/emulate/workers.go
+++ b/internal/emulate/workers.go
@@ -263,9 +263,11 @@
 	switch {
 	case h.clockMs() > h.heldUntil:
 		w.endLocked(h, r, work.EndLapsed)
+		w.endGangLocked(r, work.EndBroken)
 		return
 	case !r.stopping.IsZero() && now.After(r.stopping):
 		w.endLocked(h, r, work.EndStopped)
+		w.endGangLocked(r, work.EndBroken)
 		return
 	case h.behavior.Stuck:
 		return
@@ -286,8 +288,25 @@
 	switch {
 	case r.fails && r.worked > r.length/2 || h.behavior.FailAll:
 		w.endLocked(h, r, work.EndFailed)
+		w.endGangLocked(r, work.EndBroken)
 	case !r.lasting && r.worked >= r.length:
 		w.endLocked(h, r, work.EndDone)
+		w.endGangLocked(r, work.EndDone)
+	}
+}
+
+// endGangLocked ends the other members of a gang of which one has ended: they
+// succeed together, and any other end breaks them all.
+func (w *Workers) endGangLocked(r *run, how work.How) {
+	if r.gang <= 1 {
+		return
+	}
+	for _, h := range w.hosts {
+		for name, other := range h.runs {
+			if name.Job == r.name.Job && name.Time == r.name.Time && name.Step == r.name.Step && other.number == r.number {
+				w.endLocked(h, other, how)
+			}
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/entryhost/random_test.go
@@ -0,0 +1,200 @@
+package entryhost_test
+
+import (
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"auburnglade.example/glade/internal/duty"
+	"auburnglade.example/glade/internal/emulate"
+	"auburnglade.example/glade/internal/keeper"
+	"auburnglade.example/glade/internal/work"
+)
+
+// daysInCI are the days that every run plays; GLADE_DAYS and GLADE_FIRST_DAY
+// choose others by hand.
+const daysInCI = 40
+
+// Short days of random jobs with random trouble, several at a time: entry hosts
+// die and come back, the store goes down or loses answers, claims vanish, hosts
+// fall silent, carry orders out late, fail all or die, jobs are cancelled, and
+// waves come. No rule may break, and every accepted job that can be done is
+// shown as done in the end.
+func TestRandomDays(t *testing.T) {
+	first, days := setting(t, "GLADE_FIRST_DAY", 0), setting(t, "GLADE_DAYS", daysInCI)
+	for seed := first; seed < first+days; seed++ {
+		t.Run(strconv.Itoa(seed), func(t *testing.T) {
+			play(t, 3, func(w *world) { newDay(w, uint64(seed)).run() })
+		})
+	}
+}
+
+func setting(t *testing.T, name string, fallback int) int {
+	text := os.Getenv(name)
+	if text == "" {
+		return fallback
+	}
+	value, err := strconv.Atoi(text)
+	must.NoError(t, err)
+	return value
+}
+
+type day struct {
+	*world
+	random   *rand.Rand
+	accepted map[string]string
+	lasting  map[string]string
+	gone     map[string]bool
+}
+
+func newDay(w *world, seed uint64) *day {
+	return &day{
+		world: w, random: rand.New(rand.NewPCG(seed, 7)), accepted: make(map[string]string),
+		lasting: make(map[string]string), gone: make(map[string]bool),
+	}
+}
+
+const dayLength = 25 * time.Second
+
+func (d *day) run() {
+	d.demandWave()
+	for began := time.Now(); time.Since(began) < dayLength; {
+		if d.random.Float64() < 0.15 {
+			d.trouble()
+		}
+		d.submit()
+		time.Sleep(time.Duration(d.random.IntN(400)) * time.Millisecond)
+	}
+	d.heal()
+	time.Sleep(25 * time.Second)
+	e := d.any()
+	for id, pool := range d.accepted {
+		d.done(e, pool, id, 30*time.Second)
+	}
+	for id, pool := range d.lasting {
+		must.EqOp(d.t, 2, d.workers.Judge.AtWork(id), must.Sprintf("lasting job %s of %s", id, pool))
+	}
+}
+
+// any returns some entry host; the order of a map must not decide a day.
+func (d *day) any() *entry {
+	nodes := []string{"entry-1", "entry-2", "entry-3"}
+	for {
+		if e := d.entries[nodes[d.random.IntN(len(nodes))]]; e != nil {
+			return e
+		}
+	}
+}
+
+func (d *day) pool() string {
+	if d.random.IntN(2) == 0 {
+		return "day"
+	}
+	return "night"
+}
+
+func (d *day) submit() {
+	pool := d.pool()
+	var steps []work.Step
+	for range 1 + d.random.IntN(3) {
+		s := work.Step{
+			Count:    1 + d.random.IntN(5),
+			Size:     work.Size{MilliCPU: 500 + d.random.IntN(4000), MemMB: 100 + d.random.IntN(4000)},
+			Estimate: time.Duration(200+d.random.IntN(1200)) * time.Millisecond,
+			Gang:     d.random.IntN(6) == 0, Checkpoint: d.random.IntN(2) == 0, MostPerWorker: d.random.IntN(3),
+		}
+		if len(steps) > 0 {
+			s.After = []int{len(steps) - 1}
+		}
+		if s.MostPerWorker > 0 || s.Gang {
+			s.Count = min(s.Count, 3)
+		}
+		steps = append(steps, s)
+	}
+	isLasting := len(d.lasting) < 2 && d.random.IntN(8) == 0
+	if isLasting {
+		steps = []work.Step{lasting(2)}
+	}
+	record := d.record(pool, steps...)
+	if d.any().Desk.Accept(d.ctx, record) != keeper.Stored {
+		return
+	}
+	switch {
+	case isLasting:
+		d.lasting[record.ID] = pool
+	case d.random.IntN(10) == 0:
+		d.cancel(pool, record.ID)
+	default:
+		d.accepted[record.ID] = pool
+	}
+}
+
+func (d *day) cancel(pool, id string) {
+	time.Sleep(time.Duration(d.random.IntN(600)) * time.Millisecond)
+	if d.any().Desk.CancelJob(d.ctx, pool, id) == keeper.Stored {
+		d.workers.Judge.Cancelled(id)
+	}
+}
+
+func (d *day) demandWave() {
+	hosts, err := d.fleet.List(d.ctx)
+	must.NoError(d.t, err)
+	wave := duty.Wave{Number: 1, Within: 40 * time.Second, AtOnce: 2}
+	for _, h := range hosts {
+		if d.random.IntN(2) == 0 {
+			wave.Hosts = append(wave.Hosts, h.Name)
+		}
+	}
+	d.demand(wave)
+}
+
+// trouble makes one thing go wrong for a while.
+func (d *day) trouble() {
+	switch d.random.IntN(7) {
+	case 0:
+		d.killEntry()
+	case 1:
+		d.store.SetDown(true)
+		time.AfterFunc(time.Duration(d.random.IntN(4000))*time.Millisecond, func() { d.store.SetDown(false) })
+	case 2:
+		d.store.LoseAnswers(1 + d.random.IntN(4))
+	case 3:
+		d.store.Drop("glade/live/claim/" + d.pool())
+	case 4:
+		d.fleet.Misbehave(emulate.FleetFaults{LoseAnswers: d.random.IntN(3)})
+	default:
+		d.hostTrouble()
+	}
+}
+
+func (d *day) killEntry() {
+	e := d.any()
+	if len(d.entries) == 1 {
+		return
+	}
+	node := e.address
+	d.kill(node)
+	time.Sleep(time.Duration(d.random.IntN(1500)) * time.Millisecond)
+	d.start(node)
+}
+
+func (d *day) hostTrouble() {
+	ids := d.workers.IDs(d.pool())
+	if len(ids) == 0 {
+		return
+	}
+	id := ids[d.random.IntN(len(ids))]
+	behaviors := []emulate.Behavior{{Dark: true}, {LateShare: 0.4}, {Stuck: true}, {Slow: 4}}
+	d.workers.Misbehave(id, behaviors[d.random.IntN(len(behaviors))])
+	time.AfterFunc(time.Duration(1000+d.random.IntN(6000))*time.Millisecond, func() { d.workers.Misbehave(id, emulate.Behavior{}) })
+}
+
+func (d *day) heal() {
+	time.Sleep(7 * time.Second)
+	d.store.SetDown(false)
+	d.fleet.Misbehave(emulate.FleetFaults{})
+}
