--- a/internal/keeper/commit.go
+++ b/internal/keeper/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"auburnglade.example/glade/internal/ledger"
@@ -62,20 +63,40 @@
 // Submit stores a job and takes it into the pool. When ctx ends first, the
 // result tells whether it may still happen.
 func (k *Keeper) Submit(ctx context.Context, record *work.Record) Result {
-	var reply <-chan Result
-	posted := make(chan struct{})
-	ok := k.do(ctx, func() {
-		defer close(posted)
-		reply = k.submit(record)
-	})
-	if !ok || !k.await(context.WithoutCancel(ctx), posted) {
-		return Refused
+	reply, result := k.handIn(ctx, func() <-chan Result { return k.submit(record) })
+	if reply == nil {
+		return result
 	}
-	result := k.settleSubmit(ctx, record.ID, reply)
+	result = k.settleSubmit(ctx, record.ID, reply)
 	k.Metrics.submits.WithLabelValues(result.String()).Inc()
 	return result
 }
 
+// handIn runs act in the pool's goroutine and returns where its result will
+// come, or, when that can't be had in time, what is certain: refused when act
+// will not run any more. A keeper that still reads its pool runs nothing.
+func (k *Keeper) handIn(ctx context.Context, act func() <-chan Result) (<-chan Result, Result) {
+	const (
+		open = iota
+		taken
+		givenUp
+	)
+	var turn atomic.Int32
+	reply, ok := query(ctx, k, func() <-chan Result {
+		if !turn.CompareAndSwap(open, taken) {
+			return nil
+		}
+		return act()
+	})
+	switch {
+	case ok:
+		return reply, ResultUnknown
+	case turn.CompareAndSwap(open, givenUp):
+		return nil, Refused
+	}
+	return nil, ResultUnknown
+}
+
 func (k *Keeper) submit(record *work.Record) <-chan Result {
 	s := k.submits[record.ID]
 	if s == nil {
@@ -159,14 +180,9 @@
 
 // Cancel ends a job for its client once that is stored.
 func (k *Keeper) Cancel(ctx context.Context, id string) Result {
-	var reply <-chan Result
-	posted := make(chan struct{})
-	ok := k.do(ctx, func() {
-		defer close(posted)
-		reply = k.cancel(id)
-	})
-	if !ok || !k.await(context.WithoutCancel(ctx), posted) {
-		return Refused
+	reply, result := k.handIn(ctx, func() <-chan Result { return k.cancel(id) })
+	if reply == nil {
+		return result
 	}
 	select {
 	case result := <-reply:
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -366,70 +366,72 @@
 }
 
 // nextHold asks the pool for the next hold of a host.
-func (k *Keeper) nextHold(id string) (hold worker.Hold, ok bool) {
-	answered := make(chan struct{})
-	posted := k.do(k.ctx, func() {
-		defer close(answered)
+func (k *Keeper) nextHold(id string) (worker.Hold, bool) {
+	type next struct {
+		hold worker.Hold
+		ok   bool
+	}
+	answer, ok := query(k.ctx, k, func() (n next) {
 		now := time.Now()
-		hold, ok = k.pool.NextHold(id, holdWait, now.Sub(k.confirmed) < UnconfirmedFor, now)
-		if !ok {
+		n.hold, n.ok = k.pool.NextHold(id, holdWait, now.Sub(k.confirmed) < UnconfirmedFor, now)
+		if !n.ok {
 			delete(k.asking, id)
 		}
+		return n
 	})
-	if !posted {
-		return hold, false
+	return answer.hold, ok && answer.ok
+}
+
+// query runs ask in the pool's goroutine and returns what it says. ok is false
+// when the keeper has ended or ctx ends first.
+func query[T any](ctx context.Context, k *Keeper, ask func() T) (answer T, ok bool) {
+	reply := make(chan T, 1)
+	if !k.do(ctx, func() { reply <- ask() }) {
+		return answer, false
 	}
 	select {
-	case <-answered:
-		return hold, ok
-	case <-k.ctx.Done():
-		return worker.Hold{}, false
+	case answer = <-reply:
+		return answer, true
+	case <-k.ended:
+		return answer, false
+	case <-ctx.Done():
+		return answer, false
 	}
 }
 
+// shown is what a client may know of a job.
+type shown struct {
+	state work.State
+	known bool
+}
+
 // State tells what a client may know of a job.
 func (k *Keeper) State(ctx context.Context, id string) (state work.State, known, ok bool) {
-	done := make(chan struct{})
-	if !k.do(ctx, func() { state, known = k.pool.Show(id); close(done) }) {
-		return "", false, false
-	}
-	return state, known, k.await(ctx, done)
+	answer, ok := query(ctx, k, func() (s shown) {
+		s.state, s.known = k.pool.Show(id)
+		return s
+	})
+	return answer.state, answer.known, ok
 }
 
 // Waiting counts the accepted jobs of a queue of which nothing has started.
 func (k *Keeper) Waiting(ctx context.Context, queue string) (count int, ok bool) {
-	done := make(chan struct{})
-	if !k.do(ctx, func() { count = k.pool.Waiting(queue); close(done) }) {
-		return 0, false
-	}
-	return count, k.await(ctx, done)
+	return query(ctx, k, func() int { return k.pool.Waiting(queue) })
 }
 
+// vacated is how far a host is emptied.
+type vacated struct{ empty, known bool }
+
 // Vacate closes a host to new work and tells whether it is empty.
 func (k *Keeper) Vacate(ctx context.Context, host string) (empty, known, ok bool) {
-	done := make(chan struct{})
-	if !k.do(ctx, func() { empty, known = k.pool.Vacate(host, time.Now()); close(done) }) {
-		return false, false, false
-	}
-	return empty, known, k.await(ctx, done)
+	answer, ok := query(ctx, k, func() (v vacated) {
+		v.empty, v.known = k.pool.Vacate(host, time.Now())
+		return v
+	})
+	return answer.empty, answer.known, ok
 }
 
 // Load tells how busy the pool is.
-func (k *Keeper) Load(ctx context.Context) (load duty.Load, ok bool) {
-	done := make(chan struct{})
-	if !k.do(ctx, func() { load = k.pool.Load(time.Now()); close(done) }) {
-		return duty.Load{}, false
-	}
-	return load, k.await(ctx, done)
-}
-
-func (k *Keeper) await(ctx context.Context, done <-chan struct{}) bool {
-	select {
-	case <-done:
-		return true
-	case <-k.ended:
-		return false
-	case <-ctx.Done():
-		return false
-	}
+func (k *Keeper) Load(ctx context.Context) (duty.Load, bool) {
+	return query(ctx, k, func() duty.Load { return k.pool.Load(time.Now()) })
 }
