Pass the store's refusal on, and try other ways while there is time

After 0.4 s the refusal is passed on, and an entry host goes round its ways until the time is over. The line of an ended job tells its age, goal, wait, starts and last failure.

--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -15,6 +15,7 @@
 	"auburnglade.example/glade/internal/duty"
 	"auburnglade.example/glade/internal/keeper"
 	"auburnglade.example/glade/internal/ledger"
+	"auburnglade.example/glade/internal/pause"
 	"auburnglade.example/glade/internal/poolrpc"
 	"auburnglade.example/glade/internal/store"
 	"auburnglade.example/glade/internal/work"
@@ -30,6 +31,10 @@
 	// submitWithin is how long a holder gets to store a job or a cancel: longer,
 	// as the other way leads through the same store.
 	submitWithin = 1000 * time.Millisecond
+	// tryPause is the pause before another try, and tryWithin the time that one
+	// needs.
+	tryPause  = 150 * time.Millisecond
+	tryWithin = 400 * time.Millisecond
 	// storeWithin bounds one way through the store.
 	storeWithin = 700 * time.Millisecond
 	// avoidFor is how long a holder that didn't answer is passed over.
@@ -123,7 +128,7 @@
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, acceptWithin)
 	defer cancel()
-	result := d.submit(ctx, record, true)
+	result := persist(ctx, func() keeper.Result { return d.submit(ctx, record, true) })
 	d.Metrics.call("accept", result.String(), time.Since(began))
 	if result != keeper.Stored {
 		d.Log.Info().Str("job", record.ID).Str("queue", record.Queue.Name).Str("result", result.String()).
@@ -132,6 +137,21 @@
 	return result
 }
 
+// persist tries again while there is time and nobody could be reached: a
+// takeover or a store's hiccup is over within a second, and the client would
+// come back later than that. What may have happened once stays possible.
+func persist(ctx context.Context, try func() keeper.Result) keeper.Result {
+	result := try()
+	for result == keeper.Refused || result == keeper.ResultUnknown {
+		if deadline, ok := ctx.Deadline(); !ok || time.Until(deadline) < tryWithin {
+			break
+		}
+		pause.For(ctx, pause.Jitter(tryPause))
+		result = worse(result, try())
+	}
+	return result
+}
+
 // Submit implements poolrpc.Service. A call that another entry host meant for
 // the pool's holder goes no further than that; one to be relayed is passed on
 // once, so that calls never go round.
@@ -173,6 +193,8 @@
 	switch {
 	case a == keeper.Stored || b == keeper.Stored:
 		return keeper.Stored
+	case a == keeper.NoJob || b == keeper.NoJob:
+		return keeper.NoJob
 	case a == keeper.ResultUnknown || b == keeper.ResultUnknown:
 		return keeper.ResultUnknown
 	}
@@ -283,7 +305,7 @@
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, 2*acceptWithin)
 	defer cancel()
-	result := d.cancel(ctx, pool, id, true)
+	result := persist(ctx, func() keeper.Result { return d.cancel(ctx, pool, id, true) })
 	d.Metrics.call("cancel", result.String(), time.Since(began))
 	d.Log.Info().Str("job", id).Str("result", result.String()).Dur("took_ms", time.Since(began)).Msg("A client cancelled.")
 	return result
--- a/internal/keeper/commit.go
+++ b/internal/keeper/commit.go
@@ -36,11 +36,18 @@
 	waiters
 	// exposed: a commit that may have happened contains it.
 	exposed bool
+	// since is when it was handed in.
+	since time.Time
 	// withdrawn: nobody waits for it any more; it goes with the next commit
 	// that the store refuses.
 	withdrawn bool
 }
 
+// refuseAfter is how old a job must be for the store's refusal to be passed
+// on. The entry host that handed it in may be served by the store though this
+// one isn't, and leaves the job there for the pool's next holder.
+const refuseAfter = 400 * time.Millisecond
+
 // cancellation is a cancel that waits until it is stored.
 type cancellation struct{ waiters }
 
@@ -100,7 +107,7 @@
 func (k *Keeper) submit(record *work.Record) <-chan Result {
 	s := k.submits[record.ID]
 	if s == nil {
-		s = &submission{record: record}
+		s = &submission{record: record, since: time.Now()}
 	}
 	s.withdrawn = false
 	reply := s.wait()
@@ -427,7 +434,7 @@
 	k.nextTry = time.Now().Add(commitRetry)
 	for _, s := range b.submissions {
 		s.exposed = false
-		if s.withdrawn {
+		if s.withdrawn || time.Since(s.since) > refuseAfter {
 			delete(k.submits, s.record.ID)
 			s.tell(Refused)
 		}
@@ -490,7 +497,11 @@
 	k.pool.Saved(b.changes)
 	for _, change := range b.changes {
 		if state := change.Progress.State; state != "" {
-			k.Log.Info().Str("job", change.Job).Str("state", string(state)).Int64("revision", int64(revision)).Msg("A job has ended.")
+			story := change.Story
+			k.Log.Info().Str("job", change.Job).Str("queue", story.Queue).Str("state", string(state)).
+				Dur("age_ms", story.Age).Dur("goal_ms", story.Goal).Dur("waited_ms", story.Waited).
+				Int("starts", story.Starts).Str("failure", story.Failure).Int64("revision", int64(revision)).Msg("A job has ended.")
+			k.Metrics.ended(string(state), story.Age, story.Waited)
 		}
 		if c := k.cancels[change.Job]; c != nil && k.pool.Stored(change.Job) {
 			delete(k.cancels, change.Job)
--- a/internal/keeper/metrics.go
+++ b/internal/keeper/metrics.go
@@ -20,8 +20,14 @@
 	commitSec prometheus.Histogram
 	entries   prometheus.Counter
 	submits   *prometheus.CounterVec
+	jobs      *prometheus.CounterVec
+	jobAge    prometheus.Histogram
+	jobWait   prometheus.Histogram
 }
 
+// jobBuckets reach from the shortest job to one that has missed its time.
+var jobBuckets = []float64{0.25, 0.5, 1, 2, 3, 5, 8, 13, 21, 60}
+
 // callBuckets reach from an answer within a zone to the time-out of a call.
 var callBuckets = []float64{0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2}
 
@@ -48,9 +54,19 @@
 		submits: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "glade_pool_submits_total", Help: "Jobs handed to the pools held here, by result.",
 		}, []string{"result"}),
+		jobs: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "glade_jobs_ended_total", Help: "Jobs that have ended, by state.",
+		}, []string{"state"}),
+		jobAge: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "glade_job_age_seconds", Help: "Time from a job's arrival until it was done.", Buckets: jobBuckets,
+		}),
+		jobWait: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "glade_job_wait_seconds", Help: "Time from a job's arrival until its first task was ordered.", Buckets: jobBuckets,
+		}),
 	}
 	if registerer != nil {
-		registerer.MustRegister(m.takeovers, m.starts, m.stops, m.paces, m.orders, m.seconds, m.commits, m.commitSec, m.entries, m.submits)
+		registerer.MustRegister(m.takeovers, m.starts, m.stops, m.paces, m.orders, m.seconds, m.commits, m.commitSec, m.entries, m.submits,
+			m.jobs, m.jobAge, m.jobWait)
 	}
 	return m
 }
@@ -59,3 +75,11 @@
 	m.orders.WithLabelValues(call, outcome.String()).Inc()
 	m.seconds.WithLabelValues(call).Observe(took.Seconds())
 }
+
+func (m *Metrics) ended(state string, age, waited time.Duration) {
+	m.jobs.WithLabelValues(state).Inc()
+	if state == "done" {
+		m.jobAge.Observe(age.Seconds())
+		m.jobWait.Observe(waited.Seconds())
+	}
+}
--- a/internal/sched/answers.go
+++ b/internal/sched/answers.go
@@ -99,6 +99,7 @@
 		// Members of one run that fail together are one failure of the gang.
 		failed = t.step.tasks
 	}
+	j.failure = t.name.String() + " on " + h.ID
 	for _, member := range failed {
 		member.failed = append(member.failed, number)
 	}
--- a/internal/sched/jobs.go
+++ b/internal/sched/jobs.go
@@ -252,9 +252,33 @@
 type Change struct {
 	Job      string
 	Progress *work.Progress
+	Story    Story
 	version  uint64
 }
 
+// Story is how an ended job went, for the log.
+type Story struct {
+	Queue string
+	// Age is the time from its arrival to its end, Goal what it should have
+	// been, Waited the part before its first task was ordered.
+	Age, Goal, Waited time.Duration
+	// Starts is how many runs were ordered by this holder.
+	Starts int
+	// Failure is the task that failed last and its host, empty for none.
+	Failure string
+}
+
+func (j *job) story() Story {
+	s := Story{Queue: j.record.Queue.Name, Goal: j.goal, Starts: j.starts, Failure: j.failure}
+	if !j.endedAt.IsZero() {
+		s.Age = j.endedAt.Sub(j.arrived)
+	}
+	if !j.firstStart.IsZero() {
+		s.Waited = j.firstStart.Sub(j.arrived)
+	}
+	return s
+}
+
 // Changes returns the progress of up to limit jobs whose state isn't stored.
 // Final states come first, since clients wait for them.
 func (p *Pool) Changes(limit int) []Change {
@@ -262,7 +286,7 @@
 	collect := func(jobs []*job) {
 		for _, j := range jobs {
 			if len(changes) < limit && j.version != j.saved {
-				changes = append(changes, Change{j.record.ID, j.progress(), j.version})
+				changes = append(changes, Change{j.record.ID, j.progress(), j.story(), j.version})
 			}
 		}
 	}
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -402,7 +402,11 @@
 	r := &run{task: t, number: number, host: h, state: starting, asked: pl.now, moved: pl.now, pace: atWork}
 	t.run, t.lastRun = r, number
 	t.step.waiting--
-	t.job().begun = true
+	j := t.job()
+	if j.begun = true; j.firstStart.IsZero() {
+		j.firstStart = pl.now
+	}
+	j.starts++
 	t.step.onHost[h]++
 	h.runs[t.name] = r
 	h.used = h.used.Plus(t.step.spec.Counted())
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -88,8 +88,13 @@
 	endedAt time.Time
 	endedMs int64
 	begun   bool
-	times   []*occurrence
-	doneSet map[int]bool
+	// firstStart and starts, failure are for the log: when a task of it was
+	// first ordered, how many were, and which failed last and where.
+	firstStart time.Time
+	starts     int
+	failure    string
+	times      []*occurrence
+	doneSet    map[int]bool
 	// nextTime is the first occurrence that has yet to come due.
 	nextTime int
 	// version counts changes that have to be stored; saved is the newest one
