Ask a host once more before it is called empty

A holder that was deposed and didn't know it could call a host empty on which its successor had started tasks. It now makes a hold first, which its successor's fence refuses; the test failed before.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -12,6 +12,7 @@
 
 	"auburnglade.example/glade/internal/duty"
 	"auburnglade.example/glade/internal/ledger"
+	"auburnglade.example/glade/internal/pause"
 	"auburnglade.example/glade/internal/sched"
 	"auburnglade.example/glade/internal/store"
 	"auburnglade.example/glade/internal/work"
@@ -336,28 +337,34 @@
 // ask holds one host for as long as the pool knows it.
 func (k *Keeper) ask(target worker.Target) {
 	for {
-		hold, ok := k.nextHold(target.ID)
+		hold, ok := k.nextHold(target.ID, holdWait)
 		if !ok {
 			return
 		}
-		sent := time.Now()
-		answer, outcome := k.Orders.Hold(k.ctx, target, hold)
-		k.Metrics.order("hold", outcome, time.Since(sent))
-		pause := holdPause
-		if outcome == worker.Accepted {
-			k.do(k.ctx, func() { k.pool.Held(target.ID, sent, answer, time.Now(), k.Wall()) })
-		} else {
-			pause = holdRetry
-			k.do(k.ctx, func() { k.holdFailed(target.ID, outcome) })
+		rest := holdPause
+		if _, outcome := k.hold(target, hold); outcome != worker.Accepted {
+			rest = holdRetry
 		}
-		select {
-		case <-k.ctx.Done():
+		pause.For(k.ctx, rest)
+		if k.ctx.Err() != nil {
 			return
-		case <-time.After(pause):
 		}
 	}
 }
 
+// hold makes one call and posts what came of it.
+func (k *Keeper) hold(target worker.Target, hold worker.Hold) (worker.Answer, worker.Outcome) {
+	sent := time.Now()
+	answer, outcome := k.Orders.Hold(k.ctx, target, hold)
+	k.Metrics.order("hold", outcome, time.Since(sent))
+	if outcome == worker.Accepted {
+		k.do(k.ctx, func() { k.pool.Held(target.ID, sent, answer, time.Now(), k.Wall()) })
+	} else {
+		k.do(k.ctx, func() { k.holdFailed(target.ID, outcome) })
+	}
+	return answer, outcome
+}
+
 func (k *Keeper) holdFailed(id string, outcome worker.Outcome) {
 	if outcome == worker.Gone {
 		k.Log.Info().Str("host", id).Msg("This life of a host has ended.")
@@ -365,15 +372,15 @@
 	k.pool.HoldFailed(id, outcome, time.Now())
 }
 
-// nextHold asks the pool for the next hold of a host.
-func (k *Keeper) nextHold(id string) (worker.Hold, bool) {
+// nextHold asks the pool for the next hold of a host, which may wait for wait.
+func (k *Keeper) nextHold(id string, wait time.Duration) (worker.Hold, bool) {
 	type next struct {
 		hold worker.Hold
 		ok   bool
 	}
 	answer, ok := query(k.ctx, k, func() (n next) {
 		now := time.Now()
-		n.hold, n.ok = k.pool.NextHold(id, holdWait, now.Sub(k.confirmed) < UnconfirmedFor, now)
+		n.hold, n.ok = k.pool.NextHold(id, wait, now.Sub(k.confirmed) < UnconfirmedFor, now)
 		if !n.ok {
 			delete(k.asking, id)
 		}
@@ -420,15 +427,28 @@
 }
 
 // vacated is how far a host is emptied.
-type vacated struct{ empty, known bool }
+type vacated struct {
+	empty, known bool
+	address      string
+}
 
-// Vacate closes a host to new work and tells whether it is empty.
+// Vacate closes a host to new work and tells whether it is empty. Before it
+// says so it asks the host once more: this process may have been deposed and
+// not know yet, while the next holder has begun to use the host.
 func (k *Keeper) Vacate(ctx context.Context, host string) (empty, known, ok bool) {
 	answer, ok := query(ctx, k, func() (v vacated) {
-		v.empty, v.known = k.pool.Vacate(host, time.Now())
+		v.empty, v.known, v.address = k.pool.Vacate(host, time.Now())
 		return v
 	})
-	return answer.empty, answer.known, ok
+	if !ok || !answer.empty {
+		return false, answer.known, ok
+	}
+	hold, ok := k.nextHold(host, 0)
+	if !ok {
+		return false, false, true
+	}
+	found, outcome := k.hold(worker.Target{ID: host, Address: answer.address}, hold)
+	return outcome == worker.Accepted && len(found.Running) == 0, true, true
 }
 
 // Load tells how busy the pool is.
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -343,3 +343,19 @@
 	}
 	return ""
 }
+
+// A holder that was deposed and doesn't know it yet is asked whether a host is
+// empty. By what it knows it is, but the next holder has started a task there:
+// the host must not be called empty.
+func TestDeposedHolderCallsNoHostEmpty(t *testing.T) {
+	play(t, emulate.WorkersConfig{Seed: 1}, 1, func(w *world) {
+		old := w.take(true)
+		id := w.submit(w.takeAtOnce(false), lasting(1))
+		for w.hostOf(id) == "" {
+			time.Sleep(time.Millisecond)
+		}
+		empty, known, _ := old.Vacate(w.ctx, w.hostOf(id))
+		must.True(t, known)
+		must.False(t, empty)
+	})
+}
--- a/internal/sched/evacuate.go
+++ b/internal/sched/evacuate.go
@@ -13,15 +13,15 @@
 // Vacate closes a host to new work so that it empties. It reports whether the
 // host is empty; known is false when the pool has no such host. Ask again
 // until it is, and act at once then.
-func (p *Pool) Vacate(id string, now time.Time) (empty, known bool) {
+func (p *Pool) Vacate(id string, now time.Time) (empty, known bool, address string) {
 	h := p.hosts[id]
 	if h == nil {
-		return false, false
+		return false, false, ""
 	}
 	h.closed, h.closedUntil = true, now.Add(closeFor)
 	// Only a host that has answered our fence has told all that runs there,
 	// and takes no more from an earlier holder.
-	return h.reached && len(h.runs) == 0, true
+	return h.reached && len(h.runs) == 0, true, h.Address
 }
 
 // Reopen takes a closed host back into use.
