--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"strconv"
 	"sync"
 	"time"
 
@@ -183,56 +181,6 @@
 	k.roundMoves(ctx)
 }
 
-func (k *Keeper) roundWave(ctx context.Context, wave Wave) {
-	state := k.waveState(ctx, wave)
-	if state == nil || state.Over {
-		return
-	}
-	if err := k.list(ctx); err != nil {
-		k.Log.Warn().Err(err).Msg("Can't list the hosts.")
-		return
-	}
-	view := k.view(ctx, wave, state)
-	for _, host := range NextOut(view) {
-		k.send(ctx, wave, state, host)
-	}
-	k.tell(ctx, wave, state)
-}
-
-// waveState returns how far a wave has come, reading it from the store once.
-func (k *Keeper) waveState(ctx context.Context, wave Wave) *waveState {
-	if state := k.waves[wave.Number]; state != nil {
-		return state
-	}
-	state := &waveState{}
-	entry, err := k.Store.Get(ctx, waveKey(wave.Number))
-	switch {
-	case store.IsNotFound(err):
-		state.BeganMs = time.Now().UnixMilli()
-	case err != nil:
-		k.Log.Warn().Err(err).Int64("wave", wave.Number).Msg("Can't read how far a wave has come.")
-		return nil
-	default:
-		if err := json.Unmarshal(entry.Value, state); err != nil {
-			k.Log.Error().Err(err).Int64("wave", wave.Number).Msg("What is stored of a wave can't be read; it is worked out anew.")
-			state = &waveState{BeganMs: time.Now().UnixMilli()}
-		}
-	}
-	if state.Begun == nil {
-		state.Begun = make(map[string]bool)
-	}
-	if state.Done == nil {
-		state.Done = make(map[string]bool)
-	}
-	state.revision = entry.ModRevision
-	state.began = time.Now().Add(-min(wave.Within, max(0, time.Since(time.UnixMilli(state.BeganMs)))))
-	k.waves[wave.Number] = state
-	k.Log.Info().Int64("wave", wave.Number).Int("hosts", len(wave.Hosts)).Int("done", len(state.Done)).Dur("within", wave.Within).Msg("Looks after a wave.")
-	return state
-}
-
-func waveKey(number int64) string { return "glade/wave/" + strconv.FormatInt(number, 10) }
-
 // list reads the hosts unless that was done a moment ago.
 func (k *Keeper) list(ctx context.Context) error {
 	k.mu.Lock()
@@ -262,81 +210,6 @@
 	return Host{}, false
 }
 
-func (k *Keeper) view(ctx context.Context, wave Wave, state *waveState) WaveView {
-	view := WaveView{
-		Wave: wave, Remaining: wave.Within - time.Since(state.began),
-		Loads: make(map[string]float64), OutOf: make(map[string]int), SizeOf: make(map[string]int),
-	}
-	k.mu.Lock()
-	hosts := k.hosts
-	for _, e := range k.busy {
-		view.OutOf[e.pool]++
-		if e.wave == wave.Number {
-			view.Out++
-		}
-	}
-	k.mu.Unlock()
-	due := make(map[string]bool, len(wave.Hosts))
-	for _, name := range wave.Hosts {
-		due[name] = true
-	}
-	for _, h := range hosts {
-		view.SizeOf[h.Pool]++
-		if due[h.Name] && h.Up && !k.settledOrBusy(state, h.Name) {
-			view.Left = append(view.Left, h)
-		}
-	}
-	for pool := range view.SizeOf {
-		if load, ok := k.Pools.Load(ctx, pool); ok && load.Capacity > 0 {
-			view.Loads[pool] = float64(load.Used+load.Waiting) / float64(load.Capacity)
-		}
-	}
-	return view
-}
-
-func (k *Keeper) settledOrBusy(state *waveState, name string) bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return state.Done[name] || k.busy[name] != nil
-}
-
-// send starts to take one host through its maintenance.
-func (k *Keeper) send(ctx context.Context, wave Wave, state *waveState, host Host) {
-	k.mu.Lock()
-	k.busy[host.Name] = &errand{pool: host.Pool, wave: wave.Number}
-	k.mu.Unlock()
-	k.Log.Info().Int64("wave", wave.Number).Str("host", host.Name).Str("pool", host.Pool).Msg("Empties a host.")
-	go func() {
-		defer func() {
-			k.mu.Lock()
-			delete(k.busy, host.Name)
-			k.mu.Unlock()
-		}()
-		k.maintain(ctx, wave, state, host)
-	}()
-}
-
-func (k *Keeper) maintain(ctx context.Context, wave Wave, state *waveState, host Host) {
-	if !k.empty(ctx, host) {
-		k.Log.Warn().Int64("wave", wave.Number).Str("host", host.Name).Msg("A host does not empty; it comes later.")
-		return
-	}
-	if !k.goDown(wave, host.Name) {
-		return
-	}
-	if !k.note(ctx, wave, state, host.Name, false) {
-		return
-	}
-	maintained, _ := k.call(ctx, host, func() Outcome { return k.Fleet.Maintain(ctx, host.Name, wave.Number, k.fence) })
-	if !maintained {
-		return
-	}
-	// The platform has taken the call: what is left is to wait, and the host
-	// counts as down for as long.
-	k.note(ctx, wave, state, host.Name, true)
-	k.awaitBack(ctx, host)
-}
-
 // empty waits until nothing runs on a host any more and nothing will.
 func (k *Keeper) empty(ctx context.Context, host Host) bool {
 	until := time.Now().Add(emptyWithin)
@@ -349,75 +222,6 @@
 	return false
 }
 
-// goDown counts a host as down if its wave allows one more. Hosts that an
-// earlier holder sent and that aren't back count as well.
-func (k *Keeper) goDown(wave Wave, name string) bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	down := 0
-	counted := make(map[string]bool)
-	for other, e := range k.busy {
-		if e.wave == wave.Number && e.down {
-			counted[other] = true
-			down++
-		}
-	}
-	due := make(map[string]bool, len(wave.Hosts))
-	for _, other := range wave.Hosts {
-		due[other] = true
-	}
-	state := k.waves[wave.Number]
-	for _, h := range k.hosts {
-		begun := state.Begun[h.Name] && !state.Done[h.Name] && k.busy[h.Name] == nil
-		if due[h.Name] && !counted[h.Name] && h.Name != name && (h.Down || begun) {
-			down++
-		}
-	}
-	if down >= wave.AtOnce {
-		return false
-	}
-	k.busy[name].down = true
-	return true
-}
-
-// note stores that a host's maintenance may begin, or that it has. Without the
-// former, a successor would not count the host as down.
-func (k *Keeper) note(ctx context.Context, wave Wave, state *waveState, name string, done bool) bool {
-	for ctx.Err() == nil && !k.isDeposed() {
-		k.mu.Lock()
-		state.Begun[name] = true
-		if done {
-			state.Done[name] = true
-		}
-		k.mu.Unlock()
-		if k.save(ctx, wave.Number, state) {
-			return true
-		}
-		pause.For(ctx, retryEvery)
-	}
-	return false
-}
-
-// save stores a wave's state under the duty's head, so that only its holder
-// can.
-func (k *Keeper) save(ctx context.Context, number int64, state *waveState) bool {
-	k.mu.Lock()
-	value, err := json.Marshal(state)
-	k.mu.Unlock()
-	if err != nil {
-		// A struct of maps and numbers always encodes.
-		panic(err)
-	}
-	_, err = k.Store.Commit(ctx, store.Txn{
-		Conditions: []store.Condition{{Key: ledger.HeadKey(Claim), Expect: k.revision}},
-		Puts:       []store.Put{{Key: waveKey(number), Value: value}},
-	})
-	if store.IsTxnConflict(err) {
-		k.depose()
-	}
-	return err == nil
-}
-
 // call makes a call until its outcome is certain. It reports whether it was
 // carried out.
 func (k *Keeper) call(ctx context.Context, host Host, act func() Outcome) (carriedOut bool, last Outcome) {
@@ -474,34 +278,3 @@
 		}
 	}
 }
-
-// tell writes a wave's status for the operator when it changes.
-func (k *Keeper) tell(ctx context.Context, wave Wave, state *waveState) {
-	over := true
-	for _, name := range wave.Hosts {
-		_, listed := k.host(name)
-		k.mu.Lock()
-		over = over && (state.Done[name] || !listed)
-		k.mu.Unlock()
-	}
-	if state.told && !over {
-		return
-	}
-	key, value := k.Status(wave.Number, over)
-	_, err := k.Store.Commit(ctx, store.Txn{
-		Conditions: []store.Condition{{Key: ledger.HeadKey(Claim), Expect: k.revision}},
-		Puts:       []store.Put{{Key: key, Value: value}},
-	})
-	if err != nil {
-		k.Log.Warn().Err(err).Int64("wave", wave.Number).Msg("Can't write a wave's status yet.")
-		return
-	}
-	state.told = true
-	if over {
-		k.mu.Lock()
-		state.Over = true
-		k.mu.Unlock()
-		k.save(ctx, wave.Number, state)
-		k.Log.Info().Int64("wave", wave.Number).Dur("took", time.Since(state.began)).Msg("A wave is done.")
-	}
-}
--- /dev/null
+++ b/internal/duty/plan_test.go
@@ -0,0 +1,141 @@
+package duty
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"auburnglade.example/glade/internal/work"
+)
+
+var hostSize = work.Size{MilliCPU: 64_000, MemMB: 256_000}
+
+func hosts(pool string, count int) []Host {
+	var list []Host
+	for i := range count {
+		name := fmt.Sprintf("%s-%02d", pool, i)
+		list = append(list, Host{Name: name, Pool: pool, Up: true, Kind: "a", Size: hostSize, Worker: "w-" + name})
+	}
+	return list
+}
+
+func waveView(left []Host, remaining time.Duration, atOnce int) WaveView {
+	v := WaveView{
+		Wave: Wave{Number: 1, AtOnce: atOnce}, Left: left, Remaining: remaining,
+		Loads: map[string]float64{}, OutOf: map[string]int{}, SizeOf: map[string]int{},
+	}
+	for _, h := range left {
+		v.SizeOf[h.Pool]++
+	}
+	return v
+}
+
+// With time to spare few hosts are out at once; when it runs out, as many as
+// may be.
+func TestWaveGoesNoFasterThanItMust(t *testing.T) {
+	left := append(hosts("p", 16), hosts("q", 16)...)
+	must.Len(t, 2, NextOut(waveView(left, waveMargin+16*perHost, 9)))
+	must.Len(t, 8, NextOut(waveView(left, waveMargin+4*perHost, 9)))
+	must.Len(t, 9, NextOut(waveView(left, time.Second, 9)))
+	v := waveView(left, time.Second, 9)
+	v.Out = 9
+	must.Len(t, 0, NextOut(v))
+}
+
+func TestWaveTakesPoolsWithLittleToDoFirst(t *testing.T) {
+	v := waveView(append(hosts("busy", 8), hosts("idle", 8)...), waveMargin+8*perHost, 9)
+	v.Loads["busy"], v.Loads["idle"] = 0.9, 0.1
+	for _, h := range NextOut(v) {
+		must.EqOp(t, "idle", h.Pool)
+	}
+}
+
+// A wave must not take more than a part of one pool out, however little the
+// pool has to do at the moment.
+func TestWaveLeavesMostOfAPool(t *testing.T) {
+	v := waveView(hosts("p", 12), waveMargin+perHost+time.Millisecond, 12)
+	must.Len(t, 3, NextOut(v))
+	v.OutOf["p"] = 2
+	v.Out = 2
+	must.Len(t, 1, NextOut(v))
+}
+
+func pool(name string, count, used, work int) PoolView {
+	p := PoolView{Name: name, Known: true, Hosts: hosts(name, count)}
+	p.Load = Load{Capacity: count * hostSize.MilliCPU, Used: used, Work: work}
+	for i, h := range p.Hosts {
+		one := HostLoad{Worker: h.Worker}
+		if i*hostSize.MilliCPU < used {
+			one.Used = hostSize.MilliCPU
+		}
+		p.Load.Hosts = append(p.Load.Hosts, one)
+	}
+	return p
+}
+
+func spare(count int) PoolView {
+	return PoolView{Name: "spare", Spare: true, Hosts: hosts("spare", count)}
+}
+
+func anywhere(Host, string) bool { return true }
+
+func TestNobodyMovesWithoutNeed(t *testing.T) {
+	must.Len(t, 0, PlanMoves([]PoolView{pool("p", 4, 100_000, 200_000), pool("q", 4, 0, 0), spare(3)}, anywhere))
+}
+
+// Spare hosts come first, then idle ones of a pool with little to do. What the
+// giving pool needs itself, and one host more, stays.
+func TestNeedIsMetFromSparesThenFromIdlePools(t *testing.T) {
+	needy := pool("needy", 4, 256_000, 1_600_000)
+	giver := pool("giver", 8, 64_000, 100_000)
+	moves := PlanMoves([]PoolView{needy, giver, spare(2)}, anywhere)
+	must.Len(t, 7, moves)
+	for i, m := range moves {
+		must.EqOp(t, "needy", m.To)
+		want := "giver"
+		if i < 2 {
+			want = "spare"
+		}
+		must.EqOp(t, want, m.Host.Pool)
+		must.NotEqOp(t, "giver-00", m.Host.Name, must.Sprint("it has work"))
+	}
+}
+
+// Hosts on their way count: asked again a moment later, nobody else moves.
+func TestHostsOnTheirWayCount(t *testing.T) {
+	needy := pool("needy", 4, 256_000, 1_600_000)
+	needy.Coming = 10
+	must.Len(t, 0, PlanMoves([]PoolView{needy, pool("giver", 8, 0, 0), spare(2)}, anywhere))
+}
+
+// Lasting tasks may not share a host, and a wave closes some: with too few open
+// hosts they could never leave the closed ones. Hosts come although the pool
+// has little work, and such a pool gives none away.
+func TestLastingTasksGetHostsToSpreadOver(t *testing.T) {
+	p := pool("p", 6, 0, 0)
+	p.Load.Spread = 5
+	for i := range 3 {
+		p.Load.Hosts[i].Closed = true
+	}
+	must.Len(t, 3, PlanMoves([]PoolView{p, spare(4)}, anywhere))
+	for i := range 3 {
+		p.Load.Hosts[i].Closed = false
+	}
+	must.Len(t, 0, PlanMoves([]PoolView{pool("needy", 2, 128_000, 1_600_000), p}, anywhere))
+}
+
+// Hosts of lasting tasks aren't moved: that would take the tasks away.
+func TestHostsOfLastingTasksStay(t *testing.T) {
+	giver := pool("giver", 6, 0, 0)
+	for i := range giver.Load.Hosts {
+		giver.Load.Hosts[i].Lasting = 1000
+	}
+	must.Len(t, 0, PlanMoves([]PoolView{pool("needy", 2, 128_000, 1_600_000), giver}, anywhere))
+}
+
+func TestHostsGoOnlyWhereTheyMay(t *testing.T) {
+	needy := pool("needy", 2, 128_000, 1_600_000)
+	must.Len(t, 0, PlanMoves([]PoolView{needy, spare(4)}, func(Host, string) bool { return false }))
+}
--- /dev/null
+++ b/internal/emulate/orders.go
@@ -0,0 +1,244 @@
+package emulate
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"auburnglade.example/glade/internal/work"
+	"auburnglade.example/glade/internal/worker"
+)
+
+// reach finds the life that an order is meant for. It waits as long as a
+// caller would for a host that is silent.
+func (w *Workers) reach(ctx context.Context, to worker.Target) (*host, worker.Outcome) {
+	w.mu.Lock()
+	h := w.hosts[to.ID]
+	dark := h != nil && h.behavior.Dark
+	w.mu.Unlock()
+	if h == nil {
+		return nil, worker.Gone
+	}
+	if dark {
+		sleep(ctx, noAnswer)
+		return nil, worker.Unknown
+	}
+	sleep(ctx, answerTime)
+	return h, worker.Accepted
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// late reports whether an order is to be carried out late, and does so.
+func (w *Workers) late(ctx context.Context, h *host, act func()) bool {
+	w.mu.Lock()
+	is := h.behavior.LateShare > 0 && w.random.Float64() < h.behavior.LateShare
+	after := lateLeast + time.Duration(w.random.Int64N(int64(lateMost-lateLeast)))
+	w.mu.Unlock()
+	if !is {
+		return false
+	}
+	time.AfterFunc(after, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if !h.gone {
+			act()
+		}
+	})
+	sleep(ctx, noAnswer)
+	return true
+}
+
+// Start implements worker.Orders.
+func (w *Workers) Start(ctx context.Context, to worker.Target, o worker.Start) worker.Outcome {
+	h, outcome := w.reach(ctx, to)
+	if h == nil {
+		return outcome
+	}
+	if w.late(ctx, h, func() { w.startLocked(h, o) }) {
+		return worker.Unknown
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if h.gone {
+		return worker.Gone
+	}
+	return w.startLocked(h, o)
+}
+
+func (w *Workers) startLocked(h *host, o worker.Start) worker.Outcome {
+	if o.Fence < h.fence {
+		return worker.Deposed
+	}
+	h.fence = o.Fence
+	if o.DeadlineMs < h.clockMs() {
+		return worker.TooLate
+	}
+	h.heldUntil = max(h.heldUntil, min(o.DeadlineMs, h.clockMs()+w.MaxHold.Milliseconds()))
+	if r := h.runs[o.Task]; r != nil && r.number == o.Run {
+		return worker.Accepted
+	}
+	if o.Run <= h.barred[o.Task] {
+		return worker.Outdated
+	}
+	if r := h.runs[o.Task]; r != nil {
+		return worker.Outdated
+	}
+	step := w.Judge.step(o.Task)
+	r := &run{name: o.Task, number: o.Run, began: time.Now(), pace: 100, text: o.Text, saved: o.Saved}
+	if step != nil {
+		r.length, r.lasting, r.saves = step.Estimate, step.Lasting, step.Checkpoint
+		if step.Gang {
+			r.gang = step.Count
+		}
+	}
+	if w.RunTime != nil {
+		r.length = w.RunTime(o.Task)
+	}
+	r.fails = w.Fails != nil && w.Fails(o.Task, o.Run)
+	h.runs[o.Task] = r
+	w.Judge.started(h, o)
+	return worker.Accepted
+}
+
+// Stop implements worker.Orders.
+func (w *Workers) Stop(ctx context.Context, to worker.Target, o worker.Stop) worker.Outcome {
+	h, outcome := w.reach(ctx, to)
+	if h == nil {
+		return outcome
+	}
+	if w.late(ctx, h, func() { w.stopLocked(h, o) }) {
+		return worker.Unknown
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if h.gone {
+		return worker.Gone
+	}
+	return w.stopLocked(h, o)
+}
+
+func (w *Workers) stopLocked(h *host, o worker.Stop) worker.Outcome {
+	if o.Fence < h.fence {
+		return worker.Deposed
+	}
+	h.fence = o.Fence
+	h.barred[o.Task] = max(h.barred[o.Task], o.Run)
+	if r := h.runs[o.Task]; r != nil && r.number == o.Run && r.stopping.IsZero() {
+		if r.lasting && w.percent(r) == 100 {
+			w.Judge.stopping(h.ID, r.name, w.atWorkLocked(r.name))
+		}
+		r.stopping = time.Now().Add(w.StopGrace)
+	}
+	return worker.Accepted
+}
+
+// atWorkLocked tells which tasks of a step serve their users.
+func (w *Workers) atWorkLocked(of work.TaskName) map[int]bool {
+	atWork := make(map[int]bool)
+	for _, h := range w.hosts {
+		for name, r := range h.runs {
+			if name.Job == of.Job && name.Time == of.Time && name.Step == of.Step {
+				atWork[name.Index] = r.stopping.IsZero() && w.percent(r) == 100
+			}
+		}
+	}
+	return atWork
+}
+
+// Pace implements worker.Orders.
+func (w *Workers) Pace(ctx context.Context, to worker.Target, o worker.Pace) worker.Outcome {
+	h, outcome := w.reach(ctx, to)
+	if h == nil {
+		return outcome
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if o.Fence < h.fence {
+		return worker.Deposed
+	}
+	if r := h.runs[o.Task]; r != nil && r.number == o.Run {
+		r.pace = o.Percent
+	}
+	return worker.Accepted
+}
+
+// Hold implements worker.Orders.
+func (w *Workers) Hold(ctx context.Context, to worker.Target, o worker.Hold) (worker.Answer, worker.Outcome) {
+	h, outcome := w.reach(ctx, to)
+	if h == nil {
+		return worker.Answer{}, outcome
+	}
+	w.mu.Lock()
+	if h.gone {
+		w.mu.Unlock()
+		return worker.Answer{}, worker.Gone
+	}
+	if o.Fence < h.fence {
+		w.mu.Unlock()
+		return worker.Answer{}, worker.Deposed
+	}
+	h.fence = o.Fence
+	if o.DeadlineMs > 0 {
+		h.heldUntil = max(h.heldUntil, min(o.DeadlineMs, h.clockMs()+w.MaxHold.Milliseconds()))
+	}
+	h.ended = slices.DeleteFunc(h.ended, func(e worker.End) bool {
+		if e.Number <= o.Seen {
+			w.Judge.noted(h.ID, e)
+			return true
+		}
+		return false
+	})
+	news, waits := h.news, len(h.ended) == 0 && o.Wait > 0
+	w.mu.Unlock()
+	if waits {
+		timer := time.NewTimer(o.Wait)
+		select {
+		case <-news:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+	return w.answer(h, o)
+}
+
+func (w *Workers) answer(h *host, o worker.Hold) (worker.Answer, worker.Outcome) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if h.gone {
+		return worker.Answer{}, worker.Gone
+	}
+	if h.behavior.Dark {
+		return worker.Answer{}, worker.Unknown
+	}
+	if o.Fence < h.fence {
+		return worker.Answer{}, worker.Deposed
+	}
+	answer := worker.Answer{ClockMs: h.clockMs()}
+	for _, r := range h.runs {
+		answer.Running = append(answer.Running, worker.Report{
+			Task: r.name, Run: r.number, Saved: r.saved, Percent: w.percent(r),
+		})
+	}
+	answer.Ended = append(answer.Ended, h.ended[:min(len(h.ended), worker.MaxEnds)]...)
+	return answer, worker.Accepted
+}
+
+func (w *Workers) percent(r *run) int {
+	length := r.length
+	if r.lasting {
+		length = w.Startup
+	}
+	if length <= 0 {
+		return 100
+	}
+	return min(100, int(100*r.worked/length))
+}
