--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -58,6 +58,12 @@
 	Leaving bool `json:"l,omitempty"`
 }
 
+// heldClaim is a claim as the store has it.
+type heldClaim struct {
+	Claim
+	revision store.Revision
+}
+
 // Holder is how a member is named in a pool's head.
 func (m Member) Holder() string { return m.Node + "/" + m.Start }
 
@@ -110,7 +116,7 @@
 	lease   store.LeaseID
 	renewed time.Time
 	members map[string]Member
-	claims  map[string]Claim
+	claims  map[string]heldClaim
 	// since is when a pool was first seen without a holder.
 	since map[string]time.Time
 	kept  map[string]Kept
@@ -122,7 +128,7 @@
 // New returns a cluster of this process alone.
 func New(config Config) *Cluster {
 	return &Cluster{
-		Config: config, members: make(map[string]Member), claims: make(map[string]Claim),
+		Config: config, members: make(map[string]Member), claims: make(map[string]heldClaim),
 		since: make(map[string]time.Time), kept: make(map[string]Kept),
 	}
 }
@@ -141,7 +147,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	claim, ok := c.claims[pool]
-	return claim, ok
+	return claim.Claim, ok
 }
 
 // Members returns the other live members, in order of their names.
@@ -312,7 +318,15 @@
 		delete(c.claims, pool)
 		return
 	}
-	c.claims[pool] = claim
+	c.claims[pool] = heldClaim{claim, event.Entry.ModRevision}
+}
+
+// deadLocked reports whether a claim's holder has certainly ended: its node
+// runs anew. Its lease may go on for two seconds, for which the pool would
+// stand still.
+func (c *Cluster) deadLocked(claim heldClaim) bool {
+	m, ok := c.members[claim.Node]
+	return ok && m.Holder() != claim.Holder()
 }
 
 // seenLocked draws what follows from the newest view: kept pools are
@@ -328,8 +342,10 @@
 			go kept.Reclaim(c.lease)
 		}
 	}
-	for pool := range c.claims {
-		delete(c.since, pool)
+	for pool, claim := range c.claims {
+		if !c.deadLocked(claim) {
+			delete(c.since, pool)
+		}
 	}
 }
 
@@ -394,7 +410,8 @@
 func (c *Cluster) mayClaim(pool string) store.LeaseID {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	_, claimed := c.claims[pool]
+	claim, claimed := c.claims[pool]
+	claimed = claimed && !c.deadLocked(claim)
 	if claimed || c.leaving || c.lease == 0 || c.kept[pool] != nil || time.Since(c.seen) > leaseTTL {
 		return 0
 	}
@@ -413,7 +430,9 @@
 func (c *Cluster) rankLocked(pool string) int {
 	held := make(map[string]int)
 	for _, claim := range c.claims {
-		held[claim.Node]++
+		if !c.deadLocked(claim) {
+			held[claim.Node]++
+		}
 	}
 	var candidates []Member
 	for _, m := range c.members {
@@ -436,10 +455,13 @@
 		c.Log.Warn().Err(err).Str("pool", pool).Msg("Can't read the pool's head.")
 		return
 	}
+	c.mu.Lock()
+	former := c.claims[pool].revision
+	c.mu.Unlock()
 	head := ledger.Head{Fence: before.Fence + 1, Holder: c.Self.Holder(), Roster: before.Roster}
 	claim := encode(Claim{c.Self, head.Fence})
 	taken, err := c.Store.Commit(ctx, store.Txn{
-		Conditions: []store.Condition{{Key: ledger.HeadKey(pool), Expect: revision}, {Key: ledger.ClaimKey(pool)}},
+		Conditions: []store.Condition{{Key: ledger.HeadKey(pool), Expect: revision}, {Key: ledger.ClaimKey(pool), Expect: former}},
 		Puts: []store.Put{
 			{Key: ledger.HeadKey(pool), Value: head.Encode()},
 			{Key: ledger.ClaimKey(pool), Value: claim, Lease: lease},
@@ -454,7 +476,7 @@
 	}
 	grant := Grant{Pool: pool, Head: head, Revision: taken, Lease: lease, Claim: claim, Quiet: c.quiet(before)}
 	c.mu.Lock()
-	c.claims[pool] = Claim{c.Self, head.Fence}
+	c.claims[pool] = heldClaim{Claim{c.Self, head.Fence}, taken}
 	c.mu.Unlock()
 	c.take(grant)
 }
--- a/internal/entryhost/entryhost_test.go
+++ b/internal/entryhost/entryhost_test.go
@@ -188,3 +188,17 @@
 	*memstore.Store
 	gate
 }
+
+// An entry host's process is killed and starts again at once. Its pools are
+// ordered again within a second: the claims of its earlier life are known to
+// be dead, and nobody waits for their lease to run out.
+func TestPoolsOfARestartedEntryHostDoNotWaitForItsLease(t *testing.T) {
+	play(t, 3, func(w *world) {
+		node := w.holder("day")
+		w.kill(node)
+		time.Sleep(100 * time.Millisecond)
+		w.start(node)
+		time.Sleep(900 * time.Millisecond)
+		must.NotEqOp(t, "", w.holder("day"))
+	})
+}
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -226,7 +226,11 @@
 		ids = append(ids, id)
 	}
 	for id, h := range p.hosts {
-		if _, listed := p.unreached[id]; !listed && (h.reached || len(h.runs) > 0) {
+		// A host that was emptied is left out: it is about to go, and a
+		// successor would wait for it in vain. It gets no work until it is
+		// stored as in use again.
+		emptied := h.closed && len(h.runs) == 0
+		if _, listed := p.unreached[id]; !listed && !emptied && (h.reached || len(h.runs) > 0) {
 			ids = append(ids, id)
 		}
 	}
