--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -6,7 +6,6 @@
 package cluster
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"slices"
@@ -14,7 +13,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"auburnglade.example/glade/internal/follow"
@@ -348,155 +346,3 @@
 		}
 	}
 }
-
-// elect claims pools without a holder.
-func (c *Cluster) elect(ctx context.Context) {
-	for ctx.Err() == nil {
-		pause.For(ctx, electEvery)
-		if time.Since(c.joined) < settleFor {
-			continue
-		}
-		for _, pool := range c.Pools() {
-			if lease := c.mayClaim(pool); lease != 0 {
-				c.claim(ctx, pool, lease)
-			}
-			if c.orphaned(pool) {
-				c.adopt(ctx, pool)
-			}
-		}
-	}
-}
-
-// orphaned reports whether the store shows this process as the holder of a
-// pool that it doesn't keep: the answer to its claim was lost.
-func (c *Cluster) orphaned(pool string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	claim, ok := c.claims[pool]
-	return ok && claim.Holder() == c.Self.Holder() && c.kept[pool] == nil && !c.leaving
-}
-
-// adopt keeps a pool whose claim of ours was answered with nothing. A claim
-// that an earlier keeper of ours has used already is given up instead, since
-// its fence may not serve twice.
-func (c *Cluster) adopt(ctx context.Context, pool string) {
-	head, revision, err := ledger.ReadHead(ctx, c.Store, pool)
-	if err != nil {
-		return
-	}
-	claim, _ := c.Holder(pool)
-	if head.Holder == c.Self.Holder() && head.Fence == claim.Fence && head.Change == 0 {
-		c.Log.Info().Str("pool", pool).Int64("fence", head.Fence).Msg("A claim without an answer was made.")
-		c.take(Grant{Pool: pool, Head: head, Revision: revision, Lease: c.currentLease(), Claim: encode(claim)})
-		return
-	}
-	_, err = c.Store.Commit(ctx, store.Txn{
-		Conditions: []store.Condition{{Key: ledger.HeadKey(pool), Expect: revision}},
-		Deletes:    []string{ledger.ClaimKey(pool)},
-	})
-	c.Log.Info().AnErr("cause", err).Str("pool", pool).Msg("Gave up a claim that nobody keeps.")
-	c.Dropped(pool)
-}
-
-func (c *Cluster) take(grant Grant) {
-	kept := c.Take(grant)
-	c.mu.Lock()
-	c.kept[grant.Pool] = kept
-	c.mu.Unlock()
-}
-
-// mayClaim returns the lease to claim a pool under, or zero when it isn't this
-// process's turn.
-func (c *Cluster) mayClaim(pool string) store.LeaseID {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	claim, claimed := c.claims[pool]
-	claimed = claimed && !c.deadLocked(claim)
-	if claimed || c.leaving || c.lease == 0 || c.kept[pool] != nil || time.Since(c.seen) > leaseTTL {
-		return 0
-	}
-	if c.since[pool].IsZero() {
-		c.since[pool] = time.Now()
-	}
-	rank := c.rankLocked(pool)
-	if rank < 0 || time.Since(c.since[pool]) < time.Duration(rank)*rankPause {
-		return 0
-	}
-	return c.lease
-}
-
-// rankLocked is this process's place among those that may take a pool: the
-// one that would hold the fewest for what it has comes first. It is -1 for one that isn't listed.
-func (c *Cluster) rankLocked(pool string) int {
-	held := make(map[string]int)
-	for _, claim := range c.claims {
-		if !c.deadLocked(claim) {
-			held[claim.Node]++
-		}
-	}
-	var candidates []Member
-	for _, m := range c.members {
-		if !m.Leaving {
-			candidates = append(candidates, m)
-		}
-	}
-	hash := func(m Member) uint64 { return xxhash.Sum64String(pool + "\x00" + m.Node) }
-	load := func(m Member) float64 { return float64(held[m.Node]+1) / max(m.Share, leastShare) }
-	slices.SortFunc(candidates, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(load(a), load(b)), cmp.Compare(hash(a), hash(b)))
-	})
-	return slices.IndexFunc(candidates, func(m Member) bool { return m.Holder() == c.Self.Holder() })
-}
-
-// claim tries to take a pool over.
-func (c *Cluster) claim(ctx context.Context, pool string, lease store.LeaseID) {
-	before, revision, err := ledger.ReadHead(ctx, c.Store, pool)
-	if err != nil {
-		c.Log.Warn().Err(err).Str("pool", pool).Msg("Can't read the pool's head.")
-		return
-	}
-	c.mu.Lock()
-	former := c.claims[pool].revision
-	c.mu.Unlock()
-	head := ledger.Head{Fence: before.Fence + 1, Holder: c.Self.Holder(), Roster: before.Roster}
-	claim := encode(Claim{c.Self, head.Fence})
-	taken, err := c.Store.Commit(ctx, store.Txn{
-		Conditions: []store.Condition{{Key: ledger.HeadKey(pool), Expect: revision}, {Key: ledger.ClaimKey(pool), Expect: former}},
-		Puts: []store.Put{
-			{Key: ledger.HeadKey(pool), Value: head.Encode()},
-			{Key: ledger.ClaimKey(pool), Value: claim, Lease: lease},
-		},
-	})
-	if err != nil {
-		// Whatever became of it, the claim shows in the watch or ends with the
-		// lease; adopt finds one of ours that nobody keeps.
-		c.Log.Info().Err(err).Str("pool", pool).Msg("Did not get the pool.")
-		c.postpone(pool)
-		return
-	}
-	grant := Grant{Pool: pool, Head: head, Revision: taken, Lease: lease, Claim: claim, Quiet: c.quiet(before)}
-	c.mu.Lock()
-	c.claims[pool] = heldClaim{Claim{c.Self, head.Fence}, taken}
-	c.mu.Unlock()
-	c.take(grant)
-}
-
-// postpone lets the next candidate try first.
-func (c *Cluster) postpone(pool string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.since[pool] = time.Now()
-}
-
-// quiet reports whether the holder named by a head orders nothing any more: it
-// gave the pool up, or its node has started again.
-func (c *Cluster) quiet(before ledger.Head) bool {
-	if before.Released || before.Holder == "" {
-		return true
-	}
-	node, _, _ := strings.Cut(before.Holder, "/")
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	m, ok := c.members[node]
-	return ok && m.Holder() != before.Holder
-}
--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -4,10 +4,12 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
@@ -137,12 +139,33 @@
 }
 
 func (h *Host) keep(pool string, k *keeper.Keeper) {
-	err := k.Run(h.ctx)
+	err := guarded(func() error { return k.Run(h.ctx) })
 	h.mu.Lock()
 	delete(h.keepers, pool)
 	h.mu.Unlock()
 	h.Cluster.Dropped(pool)
-	h.Log.Info().Str("pool", pool).AnErr("cause", err).Msg("Keeps the pool no more.")
+	event := h.Log.Info()
+	var panicked *PanicError
+	if errors.As(err, &panicked) {
+		event = h.Log.Error()
+	}
+	event.Str("pool", pool).AnErr("cause", err).Msg("Keeps the pool no more.")
+}
+
+// PanicError says that a part ended by a panic.
+type PanicError struct{ Value any }
+
+func (e *PanicError) Error() string { return fmt.Sprintf("panic: %v", e.Value) }
+
+// guarded turns a panic of one pool into the loss of that pool alone: its
+// claim is given up, and another entry host takes it over.
+func guarded(run func() error) (err error) {
+	defer func() {
+		if value := recover(); value != nil {
+			err = &PanicError{value}
+		}
+	}()
+	return run()
 }
 
 // Leave gives up all pools, each once everything of it is stored. It returns
--- a/internal/supervise/supervise.go
+++ b/internal/supervise/supervise.go
@@ -123,7 +123,7 @@
 			p.failedOnce(started, fmt.Sprintf("panic: %v", panicked))
 			panic(panicked)
 		}
-		if err != nil && ctx.Err() == nil {
+		if err != nil && !errors.Is(err, suture.ErrDoNotRestart) && ctx.Err() == nil {
 			p.failedOnce(started, err.Error())
 		}
 	}()
--- a/internal/supervise/supervise_test.go
+++ b/internal/supervise/supervise_test.go
@@ -63,3 +63,22 @@
 		must.EqOp(t, failureThreshold, failed.Restarts)
 	})
 }
+
+// A part has done its work and returns without an error. It isn't started
+// again, and nobody is told that it failed.
+func TestPartThatIsDoneHasNotFailed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tree := New("test", zerolog.Nop(), prometheus.NewRegistry())
+		var runs atomic.Int64
+		tree.Add("brief", serviceFunc(func(context.Context) error { runs.Add(1); return nil }))
+		tree.Add("steady", serviceFunc(func(ctx context.Context) error { <-ctx.Done(); return ctx.Err() }))
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- tree.Run(ctx) }()
+		synctest.Wait()
+		cancel()
+		must.NoError(t, <-ended)
+		must.EqOp(t, int64(1), runs.Load())
+		must.EqOp(t, 0.0, testutil.ToFloat64(tree.restarts.WithLabelValues("brief")))
+	})
+}
