--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -120,11 +120,16 @@
 // it. Two that act in turns on one host would each undo what the other plans.
 const unconfirmedFor = 1800 * time.Millisecond
 
-// acts reports whether this process may act on hosts.
+// acts reports whether this process may act on hosts. The steady clock stands
+// still while a process is suspended, and it would wake up believing that it
+// has just been confirmed; the time of day goes on. Where that one is set
+// forward instead, the duty rests until the store confirms it again.
 func (k *Keeper) acts() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return !k.deposed && time.Since(k.confirmed) < unconfirmedFor
+	now := time.Now()
+	byDay := now.Round(0).Sub(k.confirmed.Round(0))
+	return !k.deposed && max(now.Sub(k.confirmed), byDay) < unconfirmedFor
 }
 
 // Reclaim implements cluster.Kept.
