--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -128,7 +128,7 @@
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, acceptWithin)
 	defer cancel()
-	result := persist(ctx, func() keeper.Result { return d.submit(ctx, record, true) })
+	result := persist(ctx, func() keeper.Result { return d.submit(ctx, record) })
 	d.Metrics.call("accept", result.String(), time.Since(began))
 	if result != keeper.Stored {
 		d.Log.Info().Str("job", record.ID).Str("queue", record.Queue.Name).Str("result", result.String()).
@@ -153,11 +153,12 @@
 }
 
 // Submit implements poolrpc.Service. A call that another entry host meant for
-// the pool's holder goes no further than that; one to be relayed is passed on
-// once, so that calls never go round.
+// the pool's holder goes no further than that. One to be relayed is left in the
+// store: the caller has tried the holder itself, and a second wait there for
+// the same job would leave neither certain of a refusal.
 func (d *Desk) Submit(ctx context.Context, record *work.Record, relay bool) (keeper.Result, bool) {
 	if relay {
-		return d.submit(ctx, record, false), true
+		return d.leaveJob(ctx, record), true
 	}
 	k := d.Keepers.Keeper(record.Queue.Pool)
 	if k == nil {
@@ -166,11 +167,13 @@
 	return k.Submit(ctx, record), true
 }
 
-// submit tries the holder, then the store, then, for a client's own call,
-// other entry hosts.
-func (d *Desk) submit(ctx context.Context, record *work.Record, relays bool) keeper.Result {
-	pool := record.Queue.Pool
-	result := d.viaHolder(ctx, pool, func(ctx context.Context, k *keeper.Keeper) keeper.Result {
+func (d *Desk) leaveJob(ctx context.Context, record *work.Record) keeper.Result {
+	return d.leave(ctx, ledger.InboxJobKey(record.Queue.Pool, record.ID), work.EncodeRecord(record))
+}
+
+// submit tries the holder, then the store, then other entry hosts.
+func (d *Desk) submit(ctx context.Context, record *work.Record) keeper.Result {
+	result := d.viaHolder(ctx, record.Queue.Pool, func(ctx context.Context, k *keeper.Keeper) keeper.Result {
 		return k.Submit(ctx, record)
 	}, func(ctx context.Context, address string) (keeper.Result, bool, error) {
 		return d.Client.Submit(ctx, address, record, false)
@@ -178,8 +181,8 @@
 	if result == keeper.Stored {
 		return result
 	}
-	result = worse(result, d.leave(ctx, ledger.InboxJobKey(pool, record.ID), work.EncodeRecord(record)))
-	if result == keeper.Stored || !relays {
+	result = worse(result, d.leaveJob(ctx, record))
+	if result == keeper.Stored {
 		return result
 	}
 	return d.viaRelays(ctx, result, func(ctx context.Context, address string) (keeper.Result, bool, error) {
@@ -260,10 +263,10 @@
 	return keeper.ResultUnknown
 }
 
-// Cancel implements poolrpc.Service.
+// Cancel implements poolrpc.Service; see Submit.
 func (d *Desk) Cancel(ctx context.Context, pool, id string, relay bool) (keeper.Result, bool) {
 	if relay {
-		return d.cancel(ctx, pool, id, false), true
+		return d.leaveCancel(ctx, pool, id), true
 	}
 	k := d.Keepers.Keeper(pool)
 	if k == nil {
@@ -272,7 +275,24 @@
 	return k.Cancel(ctx, id), true
 }
 
-func (d *Desk) cancel(ctx context.Context, pool, id string, relays bool) keeper.Result {
+// leaveCancel leaves a cancel in the store for a job that is there.
+func (d *Desk) leaveCancel(ctx context.Context, pool, id string) keeper.Result {
+	lookup, done := context.WithTimeout(ctx, storeWithin)
+	state, known, err := ledger.Lookup(lookup, d.Store, pool, id)
+	done()
+	switch {
+	case err != nil:
+		return keeper.Refused
+	case !known:
+		return keeper.NoJob
+	case state.Final():
+		return keeper.Stored
+	}
+	return d.leave(ctx, ledger.InboxCancelKey(pool, id), []byte("{}"))
+}
+
+// cancel tries the holder, then the store, then other entry hosts.
+func (d *Desk) cancel(ctx context.Context, pool, id string) keeper.Result {
 	result := d.viaHolder(ctx, pool, func(ctx context.Context, k *keeper.Keeper) keeper.Result {
 		return k.Cancel(ctx, id)
 	}, func(ctx context.Context, address string) (keeper.Result, bool, error) {
@@ -281,18 +301,11 @@
 	if result == keeper.Stored {
 		return result
 	}
-	lookup, cancel := context.WithTimeout(ctx, storeWithin)
-	state, known, err := ledger.Lookup(lookup, d.Store, pool, id)
-	cancel()
-	switch {
-	case err == nil && !known:
+	left := d.leaveCancel(ctx, pool, id)
+	if left == keeper.NoJob {
 		return keeper.NoJob
-	case err == nil && state.Final():
-		return keeper.Stored
-	case err == nil:
-		result = worse(result, d.leave(ctx, ledger.InboxCancelKey(pool, id), []byte("{}")))
 	}
-	if result == keeper.Stored || !relays {
+	if result = worse(result, left); result == keeper.Stored {
 		return result
 	}
 	return d.viaRelays(ctx, result, func(ctx context.Context, address string) (keeper.Result, bool, error) {
@@ -305,7 +318,7 @@
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, 2*acceptWithin)
 	defer cancel()
-	result := persist(ctx, func() keeper.Result { return d.cancel(ctx, pool, id, true) })
+	result := persist(ctx, func() keeper.Result { return d.cancel(ctx, pool, id) })
 	d.Metrics.call("cancel", result.String(), time.Since(began))
 	d.Log.Info().Str("job", id).Str("result", result.String()).Dur("took_ms", time.Since(began)).Msg("A client cancelled.")
 	return result
