--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -112,7 +112,6 @@
 
 	mu      sync.Mutex
 	lease   store.LeaseID
-	renewed time.Time
 	members map[string]Member
 	claims  map[string]heldClaim
 	// since is when a pool was first seen without a holder.
@@ -162,13 +161,6 @@
 	return others
 }
 
-// Fresh reports whether the store told us of members and claims lately.
-func (c *Cluster) Fresh(within time.Duration) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return time.Since(c.seen) < within
-}
-
 // Dropped notes that a pool is no longer kept by this process.
 func (c *Cluster) Dropped(pool string) {
 	c.mu.Lock()
@@ -228,7 +220,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lease = lease
-	c.renewed = time.Now()
 }
 
 // join gets a lease and writes this process's record under it.
--- a/internal/cluster/elect.go
+++ b/internal/cluster/elect.go
@@ -47,6 +47,7 @@
 func (c *Cluster) adopt(ctx context.Context, pool string) {
 	head, revision, err := ledger.ReadHead(ctx, c.Store, pool)
 	if err != nil {
+		c.Log.Warn().Err(err).Str("pool", pool).Msg("Can't read the pool's head.")
 		return
 	}
 	claim, _ := c.Holder(pool)
--- a/internal/emulate/workers.go
+++ b/internal/emulate/workers.go
@@ -26,7 +26,7 @@
 	// lateLeast and lateMost bound when a late order is carried out.
 	lateLeast = 2 * time.Second
 	lateMost  = 12 * time.Second
-	// pieces is in how many parts a run's progress is worked out.
+	// tickEvery is how often a run's progress is worked out.
 	tickEvery = 20 * time.Millisecond
 )
 
--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -16,7 +16,6 @@
 	"auburnglade.example/glade/internal/cluster"
 	"auburnglade.example/glade/internal/desk"
 	"auburnglade.example/glade/internal/duty"
-	"auburnglade.example/glade/internal/invariant"
 	"auburnglade.example/glade/internal/keeper"
 	"auburnglade.example/glade/internal/poolrpc"
 	"auburnglade.example/glade/internal/sched"
@@ -43,7 +42,6 @@
 	Duty       duty.Config
 	Log        zerolog.Logger
 	Registerer prometheus.Registerer
-	Invariant  *invariant.Checker
 }
 
 // Host is one entry host's process.
@@ -198,7 +196,7 @@
 func SchedConfig(b work.Bounds) sched.Config {
 	hold := min(holdFor, b.MaxHold)
 	return sched.Config{
-		HoldFor: hold, OldHolds: sched.Lapse(hold), StopGrace: b.StopGrace, GangTimeout: b.GangTimeout,
+		HoldFor: hold, OldHolds: sched.Lapse(hold), StopGrace: b.StopGrace,
 		FarFactor: b.FarFactor, KeepStatus: b.KeepStatus,
 	}
 }
--- a/internal/keeper/world_test.go
+++ b/internal/keeper/world_test.go
@@ -93,7 +93,7 @@
 		Pool: pool, Holder: holder, Store: w.store, Orders: w.workers, Hosts: w.workers, Log: zerolog.Nop(),
 		Metrics: keeper.NewMetrics(nil),
 		Sched: sched.Config{
-			HoldFor: holdFor, OldHolds: old, StopGrace: stopGrace, GangTimeout: 3 * time.Second, FarFactor: 3, KeepStatus: time.Minute,
+			HoldFor: holdFor, OldHolds: old, StopGrace: stopGrace, FarFactor: 3, KeepStatus: time.Minute,
 		},
 	}, keeper.Grant{Fence: w.fence, Roster: before.Roster, Revision: taken})
 	ctx, cancel := context.WithCancel(w.ctx)
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -27,8 +27,6 @@
 	OldHolds time.Duration
 	// StopGrace is how long a stop may take.
 	StopGrace time.Duration
-	// GangTimeout is how long a gang's member waits for the others.
-	GangTimeout time.Duration
 	// FarFactor is how many times longer a task takes away from its data.
 	FarFactor float64
 	// KeepStatus is how long an ended job is remembered.
