Give hosts to a pool that has none, and take none from one just taken over

Its holder had just taken it over and saw no need, so 44 of 47 hosts went to another pool in 0.2 s; the last ones were lost, and PlanMoves passed over pools without hosts. Found on the way: the roster of a head named hosts that had left (up to 231), for which found jobs wait 5 s; and a host closed, emptied and taken back while a roster without it was under way to the store could get a start that a successor doesn't look for.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -31,9 +31,14 @@
 	retryPause = 150 * time.Millisecond
 	// watchPause is the least time between two watches.
 	watchPause = 20 * time.Millisecond
-	// settleFor is how long a process that just joined waits before its first
-	// claim, so that those that start together share the pools evenly.
-	settleFor = 400 * time.Millisecond
+	// settleWork divided by a process's share of a core is how long it waits
+	// after it has joined before its first claim, so that those that start
+	// together share the pools by what they have: 0.4 s for 0.4 of a core. With
+	// the same wait for all, a weak process that was up first took pools that
+	// it couldn't carry while the strong ones were still joining.
+	settleWork = 160 * time.Millisecond
+	// longestSettle bounds that wait: a weak process may be the only one left.
+	longestSettle = 900 * time.Millisecond
 	// rankPause is how much longer each next candidate waits for a pool
 	// without a holder, so that one of them tries at a time.
 	rankPause  = 350 * time.Millisecond
@@ -130,6 +135,12 @@
 	}
 }
 
+// settle is how long this process waits before its first claim.
+func (c *Cluster) settle() time.Duration {
+	wait := time.Duration(float64(settleWork) / max(c.Self.Share, leastShare))
+	return min(wait, longestSettle)
+}
+
 // Run takes part until ctx ends.
 func (c *Cluster) Run(ctx context.Context) error {
 	c.joined = time.Now()
--- a/internal/cluster/elect.go
+++ b/internal/cluster/elect.go
@@ -18,7 +18,7 @@
 func (c *Cluster) elect(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause.For(ctx, electEvery)
-		if time.Since(c.joined) < settleFor {
+		if time.Since(c.joined) < c.settle() {
 			continue
 		}
 		for _, pool := range c.Pools() {
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -83,6 +83,9 @@
 	Arriving, Work int
 	// Spread is how many hosts its lasting tasks need to be spread over.
 	Spread int
+	// Young: its holder took it over a moment ago, and what it says of need is
+	// less than the truth.
+	Young bool
 	// Hosts are its hosts, with what is used of each.
 	Hosts []HostLoad
 }
--- a/internal/duty/moves.go
+++ b/internal/duty/moves.go
@@ -45,9 +45,49 @@
 // work that it has: about the slack of a usual job.
 const workWithin = 1.8
 
+// leastOpen is how many hosts that take work a pool has however little it has
+// to do. Lasting tasks that may not share a host can leave one that is to be
+// emptied only if there is another one for them.
+func (l Load) leastOpen() int { return l.Spread + reserveHosts }
+
 // lacks reports whether the pool may want hosts.
 func (p *PoolView) lacks() bool {
-	return p.Load.need() > askFactor*float64(p.Load.Capacity) || p.Load.Spread > 0 && p.Load.open() < p.Load.Spread+reserveHosts
+	return p.Load.need() > askFactor*float64(p.Load.Capacity) || p.Load.open() < p.Load.leastOpen()
+}
+
+// lacking is what the pool wants beyond what it has and what is coming, in
+// thousandths of a core. usual is the size of a usual host, for a pool that has
+// none: one that lost its last host has to get others like any other pool.
+func (p *PoolView) lacking(usual float64) float64 {
+	each := usual
+	if len(p.Load.Hosts) > 0 {
+		each = float64(p.Load.Capacity) / float64(len(p.Load.Hosts))
+	}
+	has := float64(p.Load.Capacity) + each*float64(p.Coming)
+	lacking := 0.0
+	if p.Load.need() > askFactor*has {
+		lacking = p.Load.need() - has
+	}
+	if short := p.Load.leastOpen() - p.Load.open() - p.Coming; short > 0 {
+		lacking = max(lacking, each*float64(short))
+	}
+	return lacking
+}
+
+// unseen reports whether the pool has hosts that its holder doesn't know yet:
+// they register some seconds after they start.
+func (p *PoolView) unseen() bool { return len(p.Load.Hosts) == 0 && len(p.Hosts) > 0 }
+
+// usualSize is the mean size of the hosts that can be moved.
+func usualSize(pools []PoolView) float64 {
+	total, count := 0, 0
+	for i := range pools {
+		for _, h := range pools[i].Hosts {
+			total += h.Size.MilliCPU
+			count++
+		}
+	}
+	return float64(total) / float64(max(1, count))
 }
 
 // PlanMoves decides which hosts go where now. Pools that need the most beyond
@@ -59,23 +99,13 @@
 		cores float64
 	}
 	var wants []want
+	usual := usualSize(pools)
 	for i := range pools {
 		p := &pools[i]
-		if !p.Known || p.Spare || len(p.Load.Hosts) == 0 {
+		if !p.Known || p.Spare || p.unseen() {
 			continue
 		}
-		each := float64(p.Load.Capacity) / float64(len(p.Load.Hosts))
-		has := float64(p.Load.Capacity) + each*float64(p.Coming)
-		lacking := 0.0
-		if p.Load.need() > askFactor*has {
-			lacking = p.Load.need() - has
-		}
-		// Lasting tasks that may not share a host can leave one that is to be
-		// emptied only if there is another one for them.
-		if short := p.Load.Spread + reserveHosts - p.Load.open() - p.Coming; short > 0 && p.Load.Spread > 0 {
-			lacking = max(lacking, each*float64(short))
-		}
-		if lacking > 0 {
+		if lacking := p.lacking(usual); lacking > 0 {
 			wants = append(wants, want{p, lacking})
 		}
 	}
@@ -115,8 +145,14 @@
 }
 
 // surplus lists the hosts that a pool can give away, those with the least work
-// first. Hosts of lasting tasks stay: to move them would take these away.
+// first. Hosts of lasting tasks stay: to move them would take these away. A
+// pool that was just taken over gives none: nothing runs there yet and nobody
+// has handed anything in, and the turn that it is in would find it without
+// hosts.
 func (p *PoolView) surplus() []Host {
+	if p.Load.Young {
+		return nil
+	}
 	load := make(map[string]HostLoad, len(p.Load.Hosts))
 	for _, h := range p.Load.Hosts {
 		load[h.Worker] = h
@@ -132,7 +168,7 @@
 		return cmp.Or(cmp.Compare(load[a.Worker].Used, load[b.Worker].Used), cmp.Compare(a.Name, b.Name))
 	})
 	var given []Host
-	most := p.Load.open() - p.Load.Spread - 2*reserveHosts
+	most := p.Load.open() - p.Load.leastOpen() - reserveHosts
 	for _, h := range hosts[:max(0, min(len(hosts), most))] {
 		spare -= float64(h.Size.MilliCPU)
 		if spare < float64(reserveHosts*h.Size.MilliCPU) {
--- a/internal/keeper/commit.go
+++ b/internal/keeper/commit.go
@@ -38,6 +38,7 @@
 		return
 	}
 	k.batch = b
+	k.pool.RosterSent(b.head.Roster)
 	k.send(b)
 }
 
@@ -219,6 +220,7 @@
 		return
 	}
 	k.batch = nil
+	k.pool.RosterStored(k.head.Roster)
 	k.nextTry = time.Now().Add(commitRetry)
 	for _, s := range b.submissions {
 		s.exposed = false
--- a/internal/poolrpc/poolrpc.go
+++ b/internal/poolrpc/poolrpc.go
@@ -118,7 +118,7 @@
 	reply := &poolpb.LoadReply{
 		Result: heldResult(held), Capacity: int64(load.Capacity), Used: int64(load.Used),
 		Waiting: int64(load.Waiting), Lasting: int64(load.Lasting),
-		Arriving: int64(load.Arriving), Work: int64(load.Work), Spread: int64(load.Spread),
+		Arriving: int64(load.Arriving), Work: int64(load.Work), Spread: int64(load.Spread), Young: load.Young,
 	}
 	for _, h := range load.Hosts {
 		reply.Hosts = append(reply.Hosts, &poolpb.HostLoad{Worker: h.Worker, Used: int64(h.Used), Lasting: int64(h.Lasting), Closed: h.Closed})
@@ -236,7 +236,7 @@
 		c.failed()
 		return duty.Load{}, false, err
 	}
-	load = duty.Load{Capacity: int(reply.Capacity), Used: int(reply.Used), Waiting: int(reply.Waiting), Lasting: int(reply.Lasting), Arriving: int(reply.Arriving), Work: int(reply.Work), Spread: int(reply.Spread)}
+	load = duty.Load{Capacity: int(reply.Capacity), Used: int(reply.Used), Waiting: int(reply.Waiting), Lasting: int(reply.Lasting), Arriving: int(reply.Arriving), Work: int(reply.Work), Spread: int(reply.Spread), Young: reply.Young}
 	for _, h := range reply.Hosts {
 		load.Hosts = append(load.Hosts, duty.HostLoad{Worker: h.Worker, Used: int(h.Used), Lasting: int(h.Lasting), Closed: h.Closed})
 	}
--- a/internal/sched/evacuate.go
+++ b/internal/sched/evacuate.go
@@ -83,7 +83,7 @@
 
 // Load tells how busy the pool is.
 func (p *Pool) Load(now time.Time) duty.Load {
-	var load duty.Load
+	load := duty.Load{Young: now.Sub(p.started) < youngFor}
 	for id, h := range p.hosts {
 		if !h.listed || h.Leaving {
 			continue
@@ -124,6 +124,11 @@
 	return load
 }
 
+// youngFor is how long after a takeover a pool doesn't know its need: callers
+// whose call was broken off come again within about two seconds, and jobs start
+// once the hosts have answered.
+const youngFor = 3 * time.Second
+
 // arrivalWindow is the time over which arriving work is added up: long enough
 // for some jobs, short against a turn of demand.
 const arrivalWindow = 700 * time.Millisecond
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -224,11 +224,11 @@
 		ids = append(ids, id)
 	}
 	for id, h := range p.hosts {
-		// A host that was emptied is left out: it is about to go, and a
-		// successor would wait for it in vain. It gets no work until it is
-		// stored as in use again.
-		emptied := h.closed && len(h.runs) == 0
-		if _, listed := p.unreached[id]; !listed && !emptied && (h.reached || len(h.runs) > 0) {
+		// An empty host that is to go or has gone is left out: a successor
+		// would wait for it in vain. It gets no work until it is stored as in
+		// use again.
+		leaves := (h.closed || !h.listed) && len(h.runs) == 0
+		if _, waits := p.unreached[id]; !waits && !leaves && (h.reached || len(h.runs) > 0) {
 			ids = append(ids, id)
 		}
 	}
@@ -269,6 +269,18 @@
 	}
 }
 
+// RosterSent notes which hosts a roster on its way to the store names. The
+// others get no work from now on, although the store may name them still: what
+// started on one while the roster is stored would run where no successor looks
+// for it.
+func (p *Pool) RosterSent(ids []string) {
+	sent := make(map[string]bool, len(ids))
+	for _, id := range ids {
+		sent[id] = p.roster[id]
+	}
+	p.roster = sent
+}
+
 // RosterStored notes which hosts the store names as in use. Others get no
 // work yet: a successor would not know to wait for what runs there.
 func (p *Pool) RosterStored(ids []string) {
--- /dev/null
+++ b/internal/sched/roster_test.go
@@ -0,0 +1,71 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"auburnglade.example/glade/internal/work"
+	"auburnglade.example/glade/internal/worker"
+)
+
+// oneHost is a pool with one host in use and a job that waits for it.
+func oneHost(t *testing.T) (p *Pool, list []worker.Host, now time.Time) {
+	t.Helper()
+	now = time.Now()
+	p = New(Config{Fence: 1, HoldFor: 4500 * time.Millisecond, KeepStatus: time.Minute}, nil, now)
+	list = []worker.Host{{ID: "w", Address: "w", Capacity: work.Size{MilliCPU: 8000, MemMB: 8000}}}
+	p.SetHosts(list, now)
+	p.Held("w", now, worker.Answer{ClockMs: 1}, now, now)
+	must.Eq(t, []string{"w"}, p.Roster())
+	p.RosterStored(p.Roster())
+	return p, list, now
+}
+
+func accept(p *Pool, now time.Time) {
+	p.Accept(&work.Record{ID: "0000000000000001", Queue: work.Queue{Attempts: 1}, Spec: work.Spec{
+		Steps: []work.Step{{Count: 1, Size: work.Size{MilliCPU: 1000}, Estimate: time.Second}},
+	}}, now, now)
+}
+
+// A task runs twice after a takeover. A host was emptied, and a roster without
+// it is on its way to the store; the host is taken back into use and gets a
+// task; the roster is stored, and the next holder, which reads it, doesn't wait
+// for the host to answer.
+func TestNoStartOnAHostThatARosterUnderWayLeavesOut(t *testing.T) {
+	p, _, now := oneHost(t)
+	p.Vacate("w", now)
+	roster := p.Roster()
+	must.SliceEmpty(t, roster)
+	p.RosterSent(roster)
+	p.Reopen("w")
+	accept(p, now)
+	must.SliceEmpty(t, p.Plan(now, now).Orders)
+	p.RosterStored(roster)
+	must.SliceEmpty(t, p.Plan(now, now).Orders)
+	must.Eq(t, []string{"w"}, p.Roster())
+	p.RosterStored(p.Roster())
+	must.Len(t, 1, p.Plan(now, now).Orders)
+}
+
+// After a takeover the jobs found wait for seconds. Hosts that had moved away
+// were still named as in use, and the new holder waited for them in vain.
+func TestHostsThatHaveLeftAreNotInTheRoster(t *testing.T) {
+	p, list, now := oneHost(t)
+	p.SetHosts(nil, now)
+	must.SliceEmpty(t, p.Roster())
+	p.SetHosts(list, now)
+	accept(p, now)
+	must.Len(t, 1, p.Plan(now, now).Orders)
+	p.SetHosts(nil, now)
+	must.Eq(t, []string{"w"}, p.Roster(), must.Sprint("something runs there"))
+}
+
+// The pool looks idle to whoever has just taken it over: without this its hosts
+// went elsewhere, and the turn that it was in found three left.
+func TestAPoolJustTakenOverSaysSo(t *testing.T) {
+	p, _, now := oneHost(t)
+	must.True(t, p.Load(now).Young)
+	must.False(t, p.Load(now.Add(youngFor)).Young)
+}
