Send an unanswered order again, and hold a host again at once

A host does the same order once, so that a start or stop goes out again after 250 ms without an answer; a refusal says nothing of an earlier attempt.

Ruled out: too few hosts in the pool at that time (188 usable, 10,000 cores).

--- a/internal/emulate/orders.go
+++ b/internal/emulate/orders.go
@@ -40,6 +40,10 @@
 func (w *Workers) late(ctx context.Context, h *host, act func()) bool {
 	w.mu.Lock()
 	is := h.behavior.LateShare > 0 && w.random.Float64() < h.behavior.LateShare
+	if h.behavior.LateNext > 0 {
+		h.behavior.LateNext--
+		is = true
+	}
 	after := lateLeast + time.Duration(w.random.Int64N(int64(lateMost-lateLeast)))
 	w.mu.Unlock()
 	if !is {
--- a/internal/emulate/workers.go
+++ b/internal/emulate/workers.go
@@ -36,6 +36,8 @@
 	Dark bool
 	// LateShare of its orders gets no answer and is carried out seconds later.
 	LateShare float64
+	// LateNext is how many of its next orders fare like that.
+	LateNext int
 	// FailAll: every run that it starts fails at once.
 	FailAll bool
 	// Stuck: nothing on it makes progress.
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -12,7 +12,6 @@
 
 	"auburnglade.example/glade/internal/duty"
 	"auburnglade.example/glade/internal/ledger"
-	"auburnglade.example/glade/internal/pause"
 	"auburnglade.example/glade/internal/sched"
 	"auburnglade.example/glade/internal/store"
 	"auburnglade.example/glade/internal/work"
@@ -26,7 +25,7 @@
 	holdWait = 600 * time.Millisecond
 	// holdPause lets ends that come together be told together.
 	holdPause = 15 * time.Millisecond
-	// holdRetry is the pause after a hold without an answer.
+	// holdRetry is the pause after the second hold without an answer.
 	holdRetry = 150 * time.Millisecond
 	// commitPause is the least time between two commits: the platform takes
 	// some hundred writes a second from all processes together.
@@ -103,6 +102,7 @@
 	nextTry   time.Time
 	// commitTook is how long a commit takes of late.
 	commitTook time.Duration
+	repeats    repeats
 	reclaim    bool
 	closing    chan struct{}
 	released   bool
@@ -292,27 +292,6 @@
 	}
 }
 
-func (k *Keeper) start(order sched.Order) {
-	sent := time.Now()
-	outcome := k.Orders.Start(k.ctx, order.To, worker.Start{
-		Task: order.Task, Run: order.Run, Text: order.Text, DeadlineMs: order.DeadlineMs,
-		Fence: k.grant.Fence, Saved: order.Saved, Ticket: order.Ticket,
-	})
-	k.Metrics.order("start", outcome, time.Since(sent))
-	if outcome != worker.Accepted {
-		k.Log.Info().Str("task", order.Task.String()).Int("run", order.Run).Str("host", order.To.ID).
-			Stringer("outcome", outcome).Msg("A start was not accepted.")
-	}
-	k.do(k.ctx, func() { k.pool.StartOutcome(order.To.ID, order.Task, order.Run, outcome, time.Now()) })
-}
-
-func (k *Keeper) stop(order sched.Order) {
-	sent := time.Now()
-	outcome := k.Orders.Stop(k.ctx, order.To, worker.Stop{Task: order.Task, Run: order.Run, Fence: k.grant.Fence})
-	k.Metrics.order("stop", outcome, time.Since(sent))
-	k.do(k.ctx, func() { k.pool.StopOutcome(order.To.ID, order.Task, order.Run, outcome, time.Now()) })
-}
-
 func (k *Keeper) pace(order sched.Order) {
 	sent := time.Now()
 	outcome := k.Orders.Pace(k.ctx, order.To, worker.Pace{
@@ -334,44 +313,6 @@
 	k.do(k.ctx, func() { k.pool.Advised(question, tickets, validity, err == nil, sent, time.Now()) })
 }
 
-// ask holds one host for as long as the pool knows it.
-func (k *Keeper) ask(target worker.Target) {
-	for {
-		hold, ok := k.nextHold(target.ID, holdWait)
-		if !ok {
-			return
-		}
-		rest := holdPause
-		if _, outcome := k.hold(target, hold); outcome != worker.Accepted {
-			rest = holdRetry
-		}
-		pause.For(k.ctx, rest)
-		if k.ctx.Err() != nil {
-			return
-		}
-	}
-}
-
-// hold makes one call and posts what came of it.
-func (k *Keeper) hold(target worker.Target, hold worker.Hold) (worker.Answer, worker.Outcome) {
-	sent := time.Now()
-	answer, outcome := k.Orders.Hold(k.ctx, target, hold)
-	k.Metrics.order("hold", outcome, time.Since(sent))
-	if outcome == worker.Accepted {
-		k.do(k.ctx, func() { k.pool.Held(target.ID, sent, answer, time.Now(), k.Wall()) })
-	} else {
-		k.do(k.ctx, func() { k.holdFailed(target.ID, outcome) })
-	}
-	return answer, outcome
-}
-
-func (k *Keeper) holdFailed(id string, outcome worker.Outcome) {
-	if outcome == worker.Gone {
-		k.Log.Info().Str("host", id).Msg("This life of a host has ended.")
-	}
-	k.pool.HoldFailed(id, outcome, time.Now())
-}
-
 // nextHold asks the pool for the next hold of a host, which may wait for wait.
 func (k *Keeper) nextHold(id string, wait time.Duration) (worker.Hold, bool) {
 	type next struct {
--- /dev/null
+++ b/internal/keeper/orders.go
@@ -0,0 +1,160 @@
+package keeper
+
+import (
+	"sync/atomic"
+	"time"
+
+	"auburnglade.example/glade/internal/pause"
+	"auburnglade.example/glade/internal/sched"
+	"auburnglade.example/glade/internal/worker"
+)
+
+const (
+	// orderRepeat is how long a start or stop is without an answer before it is
+	// sent again beside the first attempt. A host carries the same order out
+	// once, however often it hears it. Where one order in twenty was left
+	// unanswered, half of the jobs waited a second and a half for some task.
+	orderRepeat = 250 * time.Millisecond
+	// orderFactor times the usual time of an order is waited at least: answers
+	// that are late since this process is busy aren't asked for again.
+	orderFactor = 4
+	// orderAttempts bounds the attempts of one order.
+	orderAttempts = 3
+	// mostRepeats bounds the second attempts under way to all hosts: when many
+	// hosts are silent at once, more would only cost processor time.
+	mostRepeats = 64
+)
+
+// repeats is what second attempts go by.
+type repeats struct {
+	// tookMicros is how long an order takes of late.
+	tookMicros atomic.Int64
+	open       atomic.Int64
+}
+
+// patience is how long to wait before an order is sent again.
+func (r *repeats) patience() time.Duration {
+	return max(orderRepeat, orderFactor*time.Duration(r.tookMicros.Load())*time.Microsecond)
+}
+
+func (r *repeats) took(d time.Duration) {
+	r.tookMicros.Store((7*r.tookMicros.Load() + d.Microseconds()) / 8)
+}
+
+// settles reports whether an outcome of one attempt tells what became of all.
+func settles(outcome worker.Outcome) bool {
+	return outcome == worker.Accepted || outcome == worker.Gone || outcome == worker.Deposed
+}
+
+// repeated makes a call, again while it has no answer, and returns what is
+// certain of it. An attempt that was refused says nothing about an earlier one
+// that is still on its way: the outcome is unknown then.
+func (r *repeats) repeated(call func() worker.Outcome) worker.Outcome {
+	answers := make(chan worker.Outcome, orderAttempts)
+	attempt := func() {
+		sent := time.Now()
+		outcome := call()
+		if settles(outcome) {
+			r.took(time.Since(sent))
+		}
+		answers <- outcome
+	}
+	go attempt()
+	timer := time.NewTimer(r.patience())
+	defer timer.Stop()
+	open, sent := 1, 1
+	for open > 0 {
+		select {
+		case outcome := <-answers:
+			open--
+			if settles(outcome) || sent == 1 {
+				return outcome
+			}
+		case <-timer.C:
+			if sent == orderAttempts || r.open.Load() >= mostRepeats {
+				continue
+			}
+			open++
+			sent++
+			r.open.Add(1)
+			go func() {
+				defer r.open.Add(-1)
+				attempt()
+			}()
+			timer.Reset(r.patience())
+		}
+	}
+	return worker.Unknown
+}
+
+func (k *Keeper) start(order sched.Order) {
+	sent := time.Now()
+	outcome := k.repeats.repeated(func() worker.Outcome {
+		return k.Orders.Start(k.ctx, order.To, worker.Start{
+			Task: order.Task, Run: order.Run, Text: order.Text, DeadlineMs: order.DeadlineMs,
+			Fence: k.grant.Fence, Saved: order.Saved, Ticket: order.Ticket,
+		})
+	})
+	k.Metrics.order("start", outcome, time.Since(sent))
+	if outcome != worker.Accepted {
+		k.Log.Info().Str("task", order.Task.String()).Int("run", order.Run).Str("host", order.To.ID).
+			Stringer("outcome", outcome).Msg("A start was not accepted.")
+	}
+	k.do(k.ctx, func() { k.pool.StartOutcome(order.To.ID, order.Task, order.Run, outcome, time.Now()) })
+}
+
+func (k *Keeper) stop(order sched.Order) {
+	sent := time.Now()
+	outcome := k.repeats.repeated(func() worker.Outcome {
+		return k.Orders.Stop(k.ctx, order.To, worker.Stop{Task: order.Task, Run: order.Run, Fence: k.grant.Fence})
+	})
+	k.Metrics.order("stop", outcome, time.Since(sent))
+	k.do(k.ctx, func() { k.pool.StopOutcome(order.To.ID, order.Task, order.Run, outcome, time.Now()) })
+}
+
+// ask holds one host for as long as the pool knows it. After a hold without an
+// answer the next one doesn't wait on the host, so that a single lost one
+// doesn't make it count as silent.
+func (k *Keeper) ask(target worker.Target) {
+	lost := 0
+	for {
+		wait := holdWait
+		if lost > 0 {
+			wait = 0
+		}
+		hold, ok := k.nextHold(target.ID, wait)
+		if !ok {
+			return
+		}
+		rest := holdPause
+		if _, outcome := k.hold(target, hold); outcome == worker.Accepted {
+			lost = 0
+		} else if lost++; lost > 1 {
+			rest = holdRetry
+		}
+		pause.For(k.ctx, rest)
+		if k.ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// hold makes one call and posts what came of it.
+func (k *Keeper) hold(target worker.Target, hold worker.Hold) (worker.Answer, worker.Outcome) {
+	sent := time.Now()
+	answer, outcome := k.Orders.Hold(k.ctx, target, hold)
+	k.Metrics.order("hold", outcome, time.Since(sent))
+	if outcome == worker.Accepted {
+		k.do(k.ctx, func() { k.pool.Held(target.ID, sent, answer, time.Now(), k.Wall()) })
+	} else {
+		k.do(k.ctx, func() { k.holdFailed(target.ID, outcome) })
+	}
+	return answer, outcome
+}
+
+func (k *Keeper) holdFailed(id string, outcome worker.Outcome) {
+	if outcome == worker.Gone {
+		k.Log.Info().Str("host", id).Msg("This life of a host has ended.")
+	}
+	k.pool.HoldFailed(id, outcome, time.Now())
+}
--- /dev/null
+++ b/internal/keeper/orders_test.go
@@ -0,0 +1,37 @@
+package keeper_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"auburnglade.example/glade/internal/emulate"
+	"auburnglade.example/glade/internal/work"
+)
+
+// A host leaves a start unanswered and carries it out seconds later. The client
+// waits a quarter of a second longer, not two: the same order is sent again, and
+// what the host does late changes nothing any more.
+func TestUnansweredStartIsSentAgain(t *testing.T) {
+	play(t, emulate.WorkersConfig{Seed: 1}, 1, func(w *world) {
+		k := w.take(true)
+		w.workers.Misbehave(w.workers.IDs(pool)[0], emulate.Behavior{LateNext: 1})
+		id := w.submit(k, quick(1))
+		w.shown(k, id, work.Done, 1600*time.Millisecond)
+		time.Sleep(15 * time.Second)
+		must.EqOp(t, 1, w.workers.Judge.Starts())
+	})
+}
+
+// A host leaves everything unanswered for a while. Each order is tried a few
+// times only, and the task ends elsewhere.
+func TestOrdersToASilentHostEnd(t *testing.T) {
+	play(t, emulate.WorkersConfig{Seed: 1}, 2, func(w *world) {
+		k := w.take(true)
+		silent := w.workers.IDs(pool)[0]
+		w.workers.Misbehave(silent, emulate.Behavior{Dark: true})
+		id := w.submit(k, quick(1))
+		w.shown(k, id, work.Done, 9*time.Second)
+	})
+}
