Spare lasting tasks a second move in a wave, and empty their hosts a few at a time

Hosts with lasting tasks took up to 14 s to empty, closed to all work, since a step lets two of its tasks miss at a time; and half of what moved came to hosts that were due as well.

The duty tells a pool which of its hosts are due; lasting tasks avoid them. Five hosts with lasting tasks are emptied at once in a pool. Copies are logged and counted.

--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -456,27 +456,27 @@
 }
 
 // LocalLoad implements poolrpc.Service for the pools kept here.
-func (d *Desk) LocalLoad(ctx context.Context, pool string) (duty.Load, bool) {
+func (d *Desk) LocalLoad(ctx context.Context, pool string, due []string) (duty.Load, bool) {
 	k := d.Keepers.Keeper(pool)
 	if k == nil {
 		return duty.Load{}, false
 	}
-	return k.Load(ctx)
+	return k.Load(ctx, due)
 }
 
 var _ duty.Pools = (*Desk)(nil)
 
 // Load asks whoever holds a pool how busy it is.
-func (d *Desk) Load(ctx context.Context, pool string) (duty.Load, bool) {
+func (d *Desk) Load(ctx context.Context, pool string, due []string) (duty.Load, bool) {
 	ctx, cancel := context.WithTimeout(ctx, holderWithin)
 	defer cancel()
-	if load, ok := d.LocalLoad(ctx, pool); ok {
+	if load, ok := d.LocalLoad(ctx, pool, due); ok {
 		return load, true
 	}
 	address, usable := d.remote(pool)
 	if !usable {
 		return duty.Load{}, false
 	}
-	load, held, err := d.Client.Load(ctx, address, pool)
+	load, held, err := d.Client.Load(ctx, address, pool, due)
 	return load, held && err == nil
 }
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -115,6 +115,7 @@
 	// Empty asks for a host to be emptied. known is false when its pool has no
 	// such host, ok when nobody could be asked.
 	Empty(ctx context.Context, pool, worker string) (empty, known, ok bool)
-	// Load asks how busy a pool is.
-	Load(ctx context.Context, pool string) (Load, bool)
+	// Load asks how busy a pool is, and tells it which of its workers will go
+	// for maintenance.
+	Load(ctx context.Context, pool string, due []string) (Load, bool)
 }
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -80,6 +80,8 @@
 	// to is the pool that it moves to, empty for none.
 	to   string
 	wave int64
+	// slow: lasting tasks have to leave it first.
+	slow bool
 	// down: the call may have been made, and the host isn't back.
 	down bool
 }
--- a/internal/duty/moving.go
+++ b/internal/duty/moving.go
@@ -12,7 +12,7 @@
 	for name, spare := range names {
 		view := PoolView{Name: name, Spare: spare}
 		if !spare || k.Kept(name) {
-			view.Load, view.Known = k.Pools.Load(ctx, name)
+			view.Load, view.Known = k.Pools.Load(ctx, name, nil)
 		}
 		needed = needed || view.Known && view.lacks()
 		views = append(views, view)
--- a/internal/duty/plan.go
+++ b/internal/duty/plan.go
@@ -27,11 +27,21 @@
 	Loads map[string]float64
 	// OutOf is how many hosts of each pool are out, and SizeOf how many it has.
 	OutOf, SizeOf map[string]int
+	// Slow are the workers that lasting tasks have to leave first, SlowOut how
+	// many such hosts of each pool are being emptied.
+	Slow    map[string]bool
+	SlowOut map[string]int
 }
 
+// slowAtOnce is how many hosts with lasting tasks are emptied at once in a
+// pool. A step lets one or two of its tasks miss at a time, so that more of them
+// only wait, closed to all other work: up to 14 s with a quarter of a pool.
+const slowAtOnce = 5
+
 // NextOut picks the hosts that should be emptied now for a wave. It goes no
-// faster than it must, so that as few hosts as possible are missing at once,
-// and takes hosts of pools that have little to do first.
+// faster than it must, so that as few hosts as possible are missing at once.
+// Hosts of pools that have little to do come first, and of each pool those with
+// lasting tasks, which take longest, a few at a time.
 func NextOut(v WaveView) []Host {
 	room := v.pace() - v.Out
 	if room <= 0 {
@@ -39,10 +49,11 @@
 	}
 	hosts := slices.Clone(v.Left)
 	slices.SortStableFunc(hosts, func(a, b Host) int {
-		return cmp.Or(cmp.Compare(v.Loads[a.Pool], v.Loads[b.Pool]), cmp.Compare(v.share(a.Pool), v.share(b.Pool)))
+		return cmp.Or(cmp.Compare(v.Loads[a.Pool], v.Loads[b.Pool]), cmp.Compare(v.share(a.Pool), v.share(b.Pool)),
+			compareTrue(v.Slow[a.Worker], v.Slow[b.Worker]))
 	})
 	var chosen []Host
-	outOf := make(map[string]int)
+	outOf, slowOut := make(map[string]int), make(map[string]int)
 	for _, h := range hosts {
 		if len(chosen) == room {
 			break
@@ -50,6 +61,12 @@
 		if v.OutOf[h.Pool]+outOf[h.Pool] >= v.poolLimit(h.Pool) {
 			continue
 		}
+		if v.Slow[h.Worker] {
+			if v.SlowOut[h.Pool]+slowOut[h.Pool] >= slowAtOnce && !v.short() {
+				continue
+			}
+			slowOut[h.Pool]++
+		}
 		outOf[h.Pool]++
 		chosen = append(chosen, h)
 	}
@@ -75,8 +92,22 @@
 // when time is short.
 func (v *WaveView) poolLimit(pool string) int {
 	part := 4
-	if v.Remaining < waveMargin+perHost {
+	if v.short() {
 		part = 2
 	}
 	return max(1, v.SizeOf[pool]/part)
 }
+
+// short reports whether little time is left.
+func (v *WaveView) short() bool { return v.Remaining < waveMargin+perHost }
+
+// compareTrue orders true before false.
+func compareTrue(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	}
+	return 1
+}
--- a/internal/duty/plan_test.go
+++ b/internal/duty/plan_test.go
@@ -62,6 +62,25 @@
 	must.Len(t, 1, NextOut(v))
 }
 
+// Hosts with lasting tasks empty slowly, as a step misses few tasks at a time:
+// they begin first, but no more of them than can make use of it.
+func TestWaveBeginsWithSlowHostsAFewAtATime(t *testing.T) {
+	v := waveView(hosts("p", 40), waveMargin+perHost+time.Second, 20)
+	v.Slow, v.SlowOut = make(map[string]bool), map[string]int{"p": 2}
+	for _, h := range v.Left[20:] {
+		v.Slow[h.Worker] = true
+	}
+	chosen := NextOut(v)
+	must.Len(t, 10, chosen)
+	for i, h := range chosen {
+		must.EqOp(t, i < slowAtOnce-2, v.Slow[h.Worker])
+	}
+	v.Remaining = time.Second
+	for _, h := range NextOut(v) {
+		must.True(t, v.Slow[h.Worker], must.Sprint("with little time left all of them go"))
+	}
+}
+
 func pool(name string, count, used, work int) PoolView {
 	p := PoolView{Name: name, Known: true, Hosts: hosts(name, count)}
 	p.Load = Load{Capacity: count * hostSize.MilliCPU, Used: used, Work: work}
--- a/internal/duty/waves.go
+++ b/internal/duty/waves.go
@@ -22,7 +22,7 @@
 	}
 	view := k.view(ctx, wave, state)
 	for _, host := range NextOut(view) {
-		k.send(ctx, wave, state, host)
+		k.send(ctx, wave, state, host, view.Slow[host.Worker])
 	}
 	k.tell(ctx, wave, state)
 }
@@ -65,6 +65,7 @@
 	view := WaveView{
 		Wave: wave, Remaining: wave.Within - time.Since(state.began),
 		Loads: make(map[string]float64), OutOf: make(map[string]int), SizeOf: make(map[string]int),
+		Slow: make(map[string]bool), SlowOut: make(map[string]int),
 	}
 	k.mu.Lock()
 	hosts := k.hosts
@@ -73,21 +74,36 @@
 		if e.wave == wave.Number {
 			view.Out++
 		}
+		if e.slow && !e.down {
+			view.SlowOut[e.pool]++
+		}
 	}
 	k.mu.Unlock()
 	due := make(map[string]bool, len(wave.Hosts))
 	for _, name := range wave.Hosts {
 		due[name] = true
 	}
+	leaving := make(map[string][]string)
 	for _, h := range hosts {
 		view.SizeOf[h.Pool]++
-		if due[h.Name] && h.Up && !k.settledOrBusy(state, h.Name) {
+		if !due[h.Name] || !h.Up {
+			continue
+		}
+		if !k.settledOrBusy(state, h.Name) {
 			view.Left = append(view.Left, h)
 		}
+		if !k.settled(state, h.Name) {
+			leaving[h.Pool] = append(leaving[h.Pool], h.Worker)
+		}
 	}
 	for pool := range view.SizeOf {
-		if load, ok := k.Pools.Load(ctx, pool); ok && load.Capacity > 0 {
-			view.Loads[pool] = float64(load.Used+load.Waiting) / float64(load.Capacity)
+		load, ok := k.Pools.Load(ctx, pool, leaving[pool])
+		if !ok || load.Capacity <= 0 {
+			continue
+		}
+		view.Loads[pool] = float64(load.Used+load.Waiting) / float64(load.Capacity)
+		for _, h := range load.Hosts {
+			view.Slow[h.Worker] = h.Lasting > 0
 		}
 	}
 	return view
@@ -99,10 +115,16 @@
 	return state.Done[name] || k.busy[name] != nil
 }
 
+func (k *Keeper) settled(state *waveState, name string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return state.Done[name]
+}
+
 // send starts to take one host through its maintenance.
-func (k *Keeper) send(ctx context.Context, wave Wave, state *waveState, host Host) {
+func (k *Keeper) send(ctx context.Context, wave Wave, state *waveState, host Host, slow bool) {
 	k.mu.Lock()
-	k.busy[host.Name] = &errand{pool: host.Pool, wave: wave.Number}
+	k.busy[host.Name] = &errand{pool: host.Pool, wave: wave.Number, slow: slow}
 	k.mu.Unlock()
 	k.Log.Info().Int64("wave", wave.Number).Str("host", host.Name).Str("pool", host.Pool).Msg("Empties a host.")
 	go func() {
--- a/internal/emulate/switch.go
+++ b/internal/emulate/switch.go
@@ -102,11 +102,11 @@
 }
 
 // Load implements poolrpc.Peers.
-func (s *Switch) Load(ctx context.Context, address, pool string) (duty.Load, bool, error) {
+func (s *Switch) Load(ctx context.Context, address, pool string, due []string) (duty.Load, bool, error) {
 	service, err := s.reach(ctx, address)
 	if err != nil {
 		return duty.Load{}, false, err
 	}
-	load, held := service.LocalLoad(ctx, pool)
+	load, held := service.LocalLoad(ctx, pool, due)
 	return load, held, nil
 }
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -279,6 +279,10 @@
 	switch order.Verb {
 	case sched.Start:
 		k.Metrics.starts.Inc()
+		if order.Copy {
+			k.Metrics.copies.Inc()
+			k.Log.Info().Str("task", order.Task.String()).Int("run", order.Run).Str("host", order.To.ID).Msg("Starts a copy.")
+		}
 		k.Log.Debug().Str("task", order.Task.String()).Int("run", order.Run).Str("host", order.To.ID).Msg("Starts a task.")
 		go k.start(order)
 	case sched.Stop:
@@ -392,7 +396,11 @@
 	return outcome == worker.Accepted && len(found.Running) == 0, true, true
 }
 
-// Load tells how busy the pool is.
-func (k *Keeper) Load(ctx context.Context) (duty.Load, bool) {
-	return query(ctx, k, func() duty.Load { return k.pool.Load(time.Now()) })
+// Load tells how busy the pool is. due are hosts that will go for maintenance.
+func (k *Keeper) Load(ctx context.Context, due []string) (duty.Load, bool) {
+	return query(ctx, k, func() duty.Load {
+		now := time.Now()
+		k.pool.Due(due, now)
+		return k.pool.Load(now)
+	})
 }
--- a/internal/keeper/metrics.go
+++ b/internal/keeper/metrics.go
@@ -12,6 +12,8 @@
 type Metrics struct {
 	takeovers prometheus.Counter
 	starts    prometheus.Counter
+	copies    prometheus.Counter
+	repeats   prometheus.Counter
 	stops     prometheus.Counter
 	paces     prometheus.Counter
 	orders    *prometheus.CounterVec
@@ -36,8 +38,14 @@
 	m := &Metrics{
 		takeovers: prometheus.NewCounter(prometheus.CounterOpts{Name: "glade_pool_takeovers_total", Help: "Pools taken over by this process."}),
 		starts:    prometheus.NewCounter(prometheus.CounterOpts{Name: "glade_task_starts_total", Help: "Starts of tasks ordered."}),
-		stops:     prometheus.NewCounter(prometheus.CounterOpts{Name: "glade_task_stops_total", Help: "Stops of runs ordered, repeats included."}),
-		paces:     prometheus.NewCounter(prometheus.CounterOpts{Name: "glade_task_paces_total", Help: "Changes of pace ordered."}),
+		copies: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "glade_task_copies_total", Help: "Starts ordered beside an earlier run that may go on.",
+		}),
+		repeats: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "glade_worker_repeats_total", Help: "Starts and stops sent again since they had no answer.",
+		}),
+		stops: prometheus.NewCounter(prometheus.CounterOpts{Name: "glade_task_stops_total", Help: "Stops of runs ordered, repeats included."}),
+		paces: prometheus.NewCounter(prometheus.CounterOpts{Name: "glade_task_paces_total", Help: "Changes of pace ordered."}),
 		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "glade_worker_calls_total", Help: "Calls to hosts by kind and outcome.",
 		}, []string{"call", "outcome"}),
@@ -65,7 +73,7 @@
 		}),
 	}
 	if registerer != nil {
-		registerer.MustRegister(m.takeovers, m.starts, m.stops, m.paces, m.orders, m.seconds, m.commits, m.commitSec, m.entries, m.submits,
+		registerer.MustRegister(m.takeovers, m.starts, m.copies, m.repeats, m.stops, m.paces, m.orders, m.seconds, m.commits, m.commitSec, m.entries, m.submits,
 			m.jobs, m.jobAge, m.jobWait)
 	}
 	return m
--- a/internal/keeper/orders.go
+++ b/internal/keeper/orders.go
@@ -4,6 +4,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"auburnglade.example/glade/internal/pause"
 	"auburnglade.example/glade/internal/sched"
 	"auburnglade.example/glade/internal/worker"
@@ -49,7 +51,7 @@
 // repeated makes a call, again while it has no answer, and returns what is
 // certain of it. An attempt that was refused says nothing about an earlier one
 // that is still on its way: the outcome is unknown then.
-func (r *repeats) repeated(call func() worker.Outcome) worker.Outcome {
+func (r *repeats) repeated(counter prometheus.Counter, call func() worker.Outcome) worker.Outcome {
 	answers := make(chan worker.Outcome, orderAttempts)
 	attempt := func() {
 		sent := time.Now()
@@ -77,6 +79,7 @@
 			open++
 			sent++
 			r.open.Add(1)
+			counter.Inc()
 			go func() {
 				defer r.open.Add(-1)
 				attempt()
@@ -89,7 +92,7 @@
 
 func (k *Keeper) start(order sched.Order) {
 	sent := time.Now()
-	outcome := k.repeats.repeated(func() worker.Outcome {
+	outcome := k.repeats.repeated(k.Metrics.repeats, func() worker.Outcome {
 		return k.Orders.Start(k.ctx, order.To, worker.Start{
 			Task: order.Task, Run: order.Run, Text: order.Text, DeadlineMs: order.DeadlineMs,
 			Fence: k.grant.Fence, Saved: order.Saved, Ticket: order.Ticket,
@@ -105,7 +108,7 @@
 
 func (k *Keeper) stop(order sched.Order) {
 	sent := time.Now()
-	outcome := k.repeats.repeated(func() worker.Outcome {
+	outcome := k.repeats.repeated(k.Metrics.repeats, func() worker.Outcome {
 		return k.Orders.Stop(k.ctx, order.To, worker.Stop{Task: order.Task, Run: order.Run, Fence: k.grant.Fence})
 	})
 	k.Metrics.order("stop", outcome, time.Since(sent))
--- a/internal/poolrpc/poolrpc.go
+++ b/internal/poolrpc/poolrpc.go
@@ -33,7 +33,7 @@
 	State(ctx context.Context, pool, id string, relay bool) (state work.State, known, held bool)
 	Waiting(ctx context.Context, pool, queue string) (count int, held bool)
 	Vacate(ctx context.Context, pool, host string) (empty, known, held bool)
-	LocalLoad(ctx context.Context, pool string) (load duty.Load, held bool)
+	LocalLoad(ctx context.Context, pool string, due []string) (load duty.Load, held bool)
 }
 
 // Peers asks other entry hosts, by their addresses. An error means that the
@@ -44,7 +44,7 @@
 	State(ctx context.Context, address, pool, id string, relay bool) (state work.State, known, held bool, err error)
 	Waiting(ctx context.Context, address, pool, queue string) (count int, held bool, err error)
 	Vacate(ctx context.Context, address, pool, host string) (empty, known, held bool, err error)
-	Load(ctx context.Context, address, pool string) (load duty.Load, held bool, err error)
+	Load(ctx context.Context, address, pool string, due []string) (load duty.Load, held bool, err error)
 }
 
 var _ Peers = (*Client)(nil)
@@ -114,7 +114,7 @@
 }
 
 func (s *server) Load(ctx context.Context, r *poolpb.LoadRequest) (*poolpb.LoadReply, error) {
-	load, held := s.service.LocalLoad(ctx, r.Pool)
+	load, held := s.service.LocalLoad(ctx, r.Pool, r.Due)
 	reply := &poolpb.LoadReply{
 		Result: heldResult(held), Capacity: int64(load.Capacity), Used: int64(load.Used),
 		Waiting: int64(load.Waiting), Lasting: int64(load.Lasting),
@@ -230,8 +230,8 @@
 }
 
 // Load asks how busy a pool is.
-func (c *Client) Load(ctx context.Context, address, pool string) (load duty.Load, held bool, err error) {
-	reply, err := c.peer(address).Load(ctx, &poolpb.LoadRequest{Pool: pool})
+func (c *Client) Load(ctx context.Context, address, pool string, due []string) (load duty.Load, held bool, err error) {
+	reply, err := c.peer(address).Load(ctx, &poolpb.LoadRequest{Pool: pool, Due: due})
 	if err != nil {
 		c.failed()
 		return duty.Load{}, false, err
--- a/internal/sched/evacuate.go
+++ b/internal/sched/evacuate.go
@@ -24,6 +24,20 @@
 	return h.reached && len(h.runs) == 0, true, h.Address
 }
 
+// dueFor is how long what was said of hosts that are due for maintenance
+// holds: it is said again several times a second.
+const dueFor = 2 * time.Second
+
+// Due notes which hosts will go for maintenance, until when lasting tasks had
+// better not move there: they would have to move once more.
+func (p *Pool) Due(ids []string, now time.Time) {
+	for _, id := range ids {
+		if h := p.hosts[id]; h != nil {
+			h.due = now.Add(dueFor)
+		}
+	}
+}
+
 // Reopen takes a closed host back into use.
 func (p *Pool) Reopen(id string) {
 	if h := p.hosts[id]; h != nil {
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -32,6 +32,8 @@
 	DeadlineMs int64
 	Saved      string
 	Ticket     string
+	// Copy: an earlier run of the task may go on beside this one.
+	Copy bool
 	// Reason says why, for the log.
 	Reason string
 }
@@ -380,6 +382,8 @@
 	// spread over hosts, and that more than the fit.
 	rackWeight = 1000
 	hostWeight = 100
+	// dueWeight puts any other host before one that is due for maintenance.
+	dueWeight = 100_000
 	// farWeight puts any host near the data before any other.
 	farWeight = 10_000
 )
@@ -397,6 +401,9 @@
 	if s.spec.Lasting {
 		// One rack that goes dark should take few of a step's tasks along.
 		score += rackWeight*float64(s.onRack(h.Rack)) + hostWeight*float64(s.onHost[h])
+		if pl.now.Before(h.due) {
+			score += dueWeight
+		}
 		return score - left, true
 	}
 	if s.spec.SameRack {
@@ -432,6 +439,7 @@
 	order := Order{
 		Verb: Start, To: worker.Target{ID: h.ID, Address: h.Address}, Task: t.name, Run: number,
 		Text: t.job().record.Spec.Text, DeadlineMs: h.deadline(pl.HoldFor, pl.now), Saved: t.saved,
+		Copy: len(t.copies) > 0,
 	}
 	if t.step.advice != nil {
 		order.Ticket = t.step.advice.ticket(h.ID, pl.now)
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -219,6 +219,8 @@
 	// closed: no new work, it is to be emptied; until bounds that.
 	closed      bool
 	closedUntil time.Time
+	// due is until when it is known to be due for maintenance.
+	due time.Time
 }
 
 // endMark is an end that isn't known to be stored yet.
