Claim no pool over a claim made meanwhile

The store was slow; the second candidate for a pool read its head after the first one's claim, looked up in the same moment which claim was in the way, and so claimed it from a live holder. It had to take that one for still acting and waited 11 s for a host that was dark.

Ruled out: room (14 to 29 hosts usable), wrong roster.

--- a/internal/cluster/elect.go
+++ b/internal/cluster/elect.go
@@ -22,8 +22,8 @@
 			continue
 		}
 		for _, pool := range c.Pools() {
-			if lease := c.mayClaim(pool); lease != 0 {
-				c.claim(ctx, pool, lease)
+			if turn, ok := c.mayClaim(pool); ok {
+				c.claim(ctx, pool, turn)
 			}
 			if c.orphaned(pool) {
 				c.adopt(ctx, pool)
@@ -71,24 +71,30 @@
 	c.mu.Unlock()
 }
 
-// mayClaim returns the lease to claim a pool under, or zero when it isn't this
-// process's turn.
-func (c *Cluster) mayClaim(pool string) store.LeaseID {
+// turn is what a claim of a pool rests on.
+type turn struct {
+	lease store.LeaseID
+	// former is the revision of the claim that is in the way, zero for none.
+	former store.Revision
+}
+
+// mayClaim reports whether it is this process's turn to claim a pool.
+func (c *Cluster) mayClaim(pool string) (t turn, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	claim, claimed := c.claims[pool]
 	claimed = claimed && !c.deadLocked(claim)
 	if claimed || c.leaving || c.lease == 0 || c.kept[pool] != nil || time.Since(c.seen) > leaseTTL {
-		return 0
+		return turn{}, false
 	}
 	if c.since[pool].IsZero() {
 		c.since[pool] = time.Now()
 	}
 	rank := c.rankLocked(pool)
 	if rank < 0 || time.Since(c.since[pool]) < time.Duration(rank)*rankPause {
-		return 0
+		return turn{}, false
 	}
-	return c.lease
+	return turn{c.lease, claim.revision}, true
 }
 
 // rankLocked is this process's place among those that may take a pool: the
@@ -114,23 +120,24 @@
 	return slices.IndexFunc(candidates, func(m Member) bool { return m.Holder() == c.Self.Holder() })
 }
 
-// claim tries to take a pool over.
-func (c *Cluster) claim(ctx context.Context, pool string, lease store.LeaseID) {
+// claim tries to take a pool over. It holds only against the claim that was
+// found dead, or none: while the head is read from a slow store, another process
+// may have claimed the pool and the watch may have shown it. A claim made over
+// that one took the pool from a live holder, and as nobody could know that it
+// had given up, work found waited for eleven seconds.
+func (c *Cluster) claim(ctx context.Context, pool string, t turn) {
 	before, revision, err := ledger.ReadHead(ctx, c.Store, pool)
 	if err != nil {
 		c.Log.Warn().Err(err).Str("pool", pool).Msg("Can't read the pool's head.")
 		return
 	}
-	c.mu.Lock()
-	former := c.claims[pool].revision
-	c.mu.Unlock()
 	head := ledger.Head{Fence: before.Fence + 1, Holder: c.Self.Holder(), Roster: before.Roster}
 	claim := encode(Claim{c.Self, head.Fence})
 	taken, err := c.Store.Commit(ctx, store.Txn{
-		Conditions: []store.Condition{{Key: ledger.HeadKey(pool), Expect: revision}, {Key: ledger.ClaimKey(pool), Expect: former}},
+		Conditions: []store.Condition{{Key: ledger.HeadKey(pool), Expect: revision}, {Key: ledger.ClaimKey(pool), Expect: t.former}},
 		Puts: []store.Put{
 			{Key: ledger.HeadKey(pool), Value: head.Encode()},
-			{Key: ledger.ClaimKey(pool), Value: claim, Lease: lease},
+			{Key: ledger.ClaimKey(pool), Value: claim, Lease: t.lease},
 		},
 	})
 	if err != nil {
@@ -140,7 +147,7 @@
 		c.postpone(pool)
 		return
 	}
-	grant := Grant{Pool: pool, Head: head, Revision: taken, Lease: lease, Claim: claim, Quiet: c.quiet(before)}
+	grant := Grant{Pool: pool, Head: head, Revision: taken, Lease: t.lease, Claim: claim, Quiet: c.quiet(before)}
 	c.mu.Lock()
 	c.claims[pool] = heldClaim{Claim{c.Self, head.Fence}, taken}
 	c.mu.Unlock()
