Tell the next holder since when hosts are silent, and get a waiting gang its hosts

Cause: a successor waits 5 s, or 11 s when the former holder may live, for hosts that it can't ask, however long ago the former one stopped renewing there; found jobs and lasting tasks stand still meanwhile. The head now names silent hosts with what is left until they lapse, and nothing is renewed there until a head without them is stored. A new holder uses the hosts of the roster at once, since its claim left the roster stored.

It asks for the hosts that it fills.

--- a/internal/cluster/elect.go
+++ b/internal/cluster/elect.go
@@ -131,7 +131,7 @@
 		c.Log.Warn().Err(err).Str("pool", pool).Msg("Can't read the pool's head.")
 		return
 	}
-	head := ledger.Head{Fence: before.Fence + 1, Holder: c.Self.Holder(), Roster: before.Roster}
+	head := ledger.Head{Fence: before.Fence + 1, Holder: c.Self.Holder(), Roster: before.Roster, Silent: before.Silent}
 	claim := encode(Claim{c.Self, head.Fence})
 	taken, err := c.Store.Commit(ctx, store.Txn{
 		Conditions: []store.Condition{{Key: ledger.HeadKey(pool), Expect: revision}, {Key: ledger.ClaimKey(pool), Expect: t.former}},
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -81,7 +81,8 @@
 	// core-second a second; Work is what is left of all jobs that don't last,
 	// in thousandths of a core-second.
 	Arriving, Work int
-	// Spread is how many hosts its lasting tasks need to be spread over.
+	// Spread is how many hosts its lasting tasks, and gangs that wait, need to
+	// be spread over.
 	Spread int
 	// Young: its holder took it over a moment ago, and what it says of need is
 	// less than the truth.
--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -127,7 +127,7 @@
 		Pool: grant.Pool, Holder: h.Self.Holder(), Store: h.Store, Orders: h.Orders, Hosts: h.Hosts, Adviser: h.Adviser,
 		Sched: config, Log: telemetry.Part(h.Log, "pool").With().Str("pool", grant.Pool).Logger(), Metrics: h.metrics,
 	}, keeper.Grant{
-		Fence: grant.Head.Fence, Roster: grant.Head.Roster, Revision: grant.Revision, Claim: grant.Claim, Lease: grant.Lease,
+		Fence: grant.Head.Fence, Roster: sched.Roster{InUse: grant.Head.Roster, Silent: grant.Head.Silent}, Revision: grant.Revision, Claim: grant.Claim, Lease: grant.Lease,
 	})
 	h.mu.Lock()
 	h.keepers[grant.Pool] = k
--- a/internal/keeper/commit.go
+++ b/internal/keeper/commit.go
@@ -38,7 +38,7 @@
 		return
 	}
 	k.batch = b
-	k.pool.RosterSent(b.head.Roster)
+	k.pool.RosterSent(rosterOf(b.head))
 	k.send(b)
 }
 
@@ -48,7 +48,8 @@
 	headKey := ledger.HeadKey(k.Pool)
 	b := &batch{head: k.head}
 	b.head.Change++
-	b.head.Roster = k.pool.Roster()
+	roster := k.pool.Roster(time.Now())
+	b.head.Roster, b.head.Silent = roster.InUse, roster.Silent
 	b.txn.Conditions = []store.Condition{{Key: headKey, Expect: k.revision}}
 	room := store.MaxTxnEntries - len(b.txn.Conditions) - 1
 	if k.reclaim {
@@ -74,7 +75,7 @@
 		room--
 	}
 	k.addDeletes(b, room)
-	if len(b.txn.Puts)+len(b.txn.Deletes) == 0 && !k.rosterStale(b.head.Roster) {
+	if len(b.txn.Puts)+len(b.txn.Deletes) == 0 && !k.rosterStale(roster) {
 		return nil
 	}
 	b.txn.Puts = append(b.txn.Puts, store.Put{Key: headKey, Value: b.head.Encode()})
@@ -119,19 +120,26 @@
 // rosterStale reports whether the roster has to be stored for its own sake. A
 // host in use that the store doesn't name would not be waited for by a
 // successor; one that it names in vain would be, for seconds.
-func (k *Keeper) rosterStale(roster []string) bool {
+func (k *Keeper) rosterStale(roster sched.Roster) bool {
 	stored := make(map[string]bool, len(k.head.Roster))
 	for _, id := range k.head.Roster {
 		stored[id] = true
 	}
-	kept := 0
-	for _, id := range roster {
-		if !stored[id] {
+	kept, fallenSilent := 0, false
+	for _, id := range roster.InUse {
+		_, silent := roster.Silent[id]
+		_, known := k.head.Silent[id]
+		if !stored[id] || known && !silent {
 			return true
 		}
 		kept++
+		fallenSilent = fallenSilent || silent && !known
 	}
-	return kept < len(stored) && time.Since(k.stored) > shrinkPause
+	return (kept < len(stored) || fallenSilent) && time.Since(k.stored) > shrinkPause
+}
+
+func rosterOf(head ledger.Head) sched.Roster {
+	return sched.Roster{InUse: head.Roster, Silent: head.Silent}
 }
 
 // shrinkPause is the least time between two commits that only take hosts off
@@ -220,7 +228,7 @@
 		return
 	}
 	k.batch = nil
-	k.pool.RosterStored(k.head.Roster)
+	k.pool.RosterStored(rosterOf(k.head))
 	k.nextTry = time.Now().Add(commitRetry)
 	for _, s := range b.submissions {
 		s.exposed = false
@@ -266,7 +274,7 @@
 	k.Metrics.entries.Add(float64(b.txn.Entries()))
 	k.batch, k.revision, k.head = nil, revision, b.head
 	k.confirmed, k.stored = now, now
-	k.pool.RosterStored(b.head.Roster)
+	k.pool.RosterStored(rosterOf(b.head))
 	k.forget = k.forget[b.forgotten:]
 	for _, key := range b.inboxDone {
 		delete(k.inboxDone, key)
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -72,8 +72,8 @@
 // Grant is a pool just taken over.
 type Grant struct {
 	Fence int64
-	// Roster are the hosts that an earlier holder may have used.
-	Roster []string
+	// Roster is what an earlier holder left of the hosts that it used.
+	Roster sched.Roster
 	// Revision is where the pool's head was left by the takeover.
 	Revision store.Revision
 	Claim    []byte
@@ -124,7 +124,10 @@
 	return &Keeper{
 		Config: config, grant: grant, post: make(chan func(), mailbox), ended: make(chan struct{}),
 		asking: make(map[string]bool), submits: make(map[string]*submission), cancels: make(map[string]*cancellation),
-		head: ledger.Head{Fence: grant.Fence, Holder: config.Holder}, revision: grant.Revision,
+		head: ledger.Head{
+			Fence: grant.Fence, Holder: config.Holder, Roster: grant.Roster.InUse, Silent: grant.Roster.Silent,
+		},
+		revision:  grant.Revision,
 		inboxDone: make(map[string]bool), confirmed: time.Now(),
 	}
 }
@@ -225,6 +228,8 @@
 func (k *Keeper) adopt(jobs []ledger.Stored, faults []error, began time.Time) {
 	now, wall := time.Now(), k.Wall()
 	k.pool = sched.New(k.Sched, k.grant.Roster, now)
+	// The claim left the roster as it was.
+	k.pool.RosterStored(k.grant.Roster)
 	for _, job := range jobs {
 		k.pool.Restore(job.Record, job.Progress, now, wall)
 	}
@@ -232,7 +237,7 @@
 		k.Log.Error().Err(fault).Msg("A stored job can't be read and is left alone.")
 	}
 	k.Metrics.takeovers.Inc()
-	k.Log.Info().Int64("fence", k.grant.Fence).Int("jobs", len(jobs)).Int("roster", len(k.grant.Roster)).
+	k.Log.Info().Int64("fence", k.grant.Fence).Int("jobs", len(jobs)).Int("roster", len(k.grant.Roster.InUse)).Int("silent", len(k.grant.Roster.Silent)).
 		Dur("loading_ms", time.Since(began)).Msg("Holds the pool.")
 }
 
--- a/internal/keeper/world_test.go
+++ b/internal/keeper/world_test.go
@@ -79,7 +79,7 @@
 	must.NoError(w.t, err)
 	w.fence = before.Fence + 1
 	holder := fmt.Sprintf("entry-%d", w.fence)
-	head := ledger.Head{Fence: w.fence, Holder: holder, Roster: before.Roster}
+	head := ledger.Head{Fence: w.fence, Holder: holder, Roster: before.Roster, Silent: before.Silent}
 	taken, err := w.store.Commit(w.ctx, store.Txn{
 		Conditions: []store.Condition{{Key: ledger.HeadKey(pool), Expect: revision}},
 		Puts:       []store.Put{{Key: ledger.HeadKey(pool), Value: head.Encode()}},
@@ -95,7 +95,7 @@
 		Sched: sched.Config{
 			HoldFor: holdFor, OldHolds: old, StopGrace: stopGrace, FarFactor: 3, KeepStatus: time.Minute,
 		},
-	}, keeper.Grant{Fence: w.fence, Roster: before.Roster, Revision: taken})
+	}, keeper.Grant{Fence: w.fence, Roster: sched.Roster{InUse: before.Roster, Silent: before.Silent}, Revision: taken})
 	ctx, cancel := context.WithCancel(w.ctx)
 	ended := make(chan error, 1)
 	go func() { ended <- k.Run(ctx) }()
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -70,6 +70,11 @@
 	Change int64 `json:"c"`
 	// Roster are the hosts on which tasks may run.
 	Roster []string `json:"r,omitempty"`
+	// Silent are those of them that the holder couldn't ask when it wrote this,
+	// with the milliseconds after which all that may run there has certainly
+	// lapsed: the holder renews nothing there until the store names them as in
+	// use again.
+	Silent map[string]int64 `json:"s,omitempty"`
 	// Released: the holder gave the pool up and orders nothing any more.
 	Released bool `json:"x,omitempty"`
 }
--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -13,7 +13,7 @@
 // run: the worst moment of a turn.
 func loadedPool(hosts int) (*Pool, time.Time) {
 	now := time.Now()
-	p := New(Config{Fence: 1, HoldFor: 4500 * time.Millisecond, StopGrace: 400 * time.Millisecond, FarFactor: 3, KeepStatus: time.Minute}, nil, now)
+	p := New(Config{Fence: 1, HoldFor: 4500 * time.Millisecond, StopGrace: 400 * time.Millisecond, FarFactor: 3, KeepStatus: time.Minute}, Roster{}, now)
 	var list []worker.Host
 	var ids []string
 	for i := range hosts {
@@ -22,7 +22,7 @@
 		list = append(list, worker.Host{ID: id, Address: id, Rack: fmt.Sprint(i / 20), Capacity: work.Size{MilliCPU: 64_000, MemMB: 256_000}})
 	}
 	p.SetHosts(list, now)
-	p.RosterStored(ids)
+	p.RosterStored(Roster{InUse: ids})
 	for _, id := range ids {
 		p.Held(id, now, worker.Answer{ClockMs: 1}, now, now)
 	}
--- a/internal/sched/evacuate.go
+++ b/internal/sched/evacuate.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"auburnglade.example/glade/internal/duty"
+	"auburnglade.example/glade/internal/work"
 )
 
 // closeFor is how long a host stays closed to new work when whoever asked for
@@ -98,10 +99,12 @@
 // Load tells how busy the pool is.
 func (p *Pool) Load(now time.Time) duty.Load {
 	load := duty.Load{Young: now.Sub(p.started) < youngFor}
+	var total work.Size
 	for id, h := range p.hosts {
 		if !h.listed || h.Leaving {
 			continue
 		}
+		total = total.Plus(h.Capacity)
 		one := duty.HostLoad{Worker: id, Used: h.used.MilliCPU, Closed: h.closed}
 		for _, r := range h.runs {
 			if r.task.step.spec.Lasting {
@@ -121,9 +124,12 @@
 				if s.waiting > 0 && s.ready() {
 					load.Waiting += s.waiting * s.spec.Counted().MilliCPU
 				}
-				if s.spec.Lasting {
+				switch {
+				case s.spec.Lasting:
 					load.Lasting += len(s.tasks) * s.spec.Counted().MilliCPU
 					load.Spread = max(load.Spread, s.hostsNeeded())
+				case s.spec.Gang && s.waiting > 0 && s.ready():
+					load.Spread = max(load.Spread, s.hostsNeeded(), s.hostsFilled(total, len(load.Hosts)))
 				}
 			}
 		}
@@ -147,6 +153,21 @@
 // for some jobs, short against a turn of demand.
 const arrivalWindow = 700 * time.Millisecond
 
+// hostsFilled is how many hosts of the mean size a step's tasks fill when all
+// run at once. A gang waits for all of them, and would wait for ever in a pool
+// that gave its hosts away while it had little to do.
+func (s *step) hostsFilled(total work.Size, hosts int) int {
+	size, count := s.spec.Counted(), len(s.tasks)
+	filled := 0
+	for _, part := range [][2]int{{size.MilliCPU, total.MilliCPU}, {size.MemMB, total.MemMB}} {
+		if each := part[1] / max(1, hosts); part[0] > 0 && each > 0 {
+			fit := max(1, each/part[0])
+			filled = max(filled, (count+fit-1)/fit)
+		}
+	}
+	return filled
+}
+
 // hostsNeeded is how many hosts a step's tasks have to be spread over.
 func (s *step) hostsNeeded() int {
 	if s.spec.MostPerWorker == 0 {
--- a/internal/sched/evacuate_test.go
+++ b/internal/sched/evacuate_test.go
@@ -14,7 +14,7 @@
 // that moved to one of those would be taken away a second time.
 func TestLastingTasksAvoidHostsDueForMaintenance(t *testing.T) {
 	now := time.Now()
-	p := New(Config{Fence: 1, HoldFor: 4500 * time.Millisecond, KeepStatus: time.Minute}, nil, now)
+	p := New(Config{Fence: 1, HoldFor: 4500 * time.Millisecond, KeepStatus: time.Minute}, Roster{}, now)
 	var list []worker.Host
 	ids := []string{"a", "b", "c", "d"}
 	for _, id := range ids {
@@ -24,7 +24,7 @@
 	for _, id := range ids {
 		p.Held(id, now, worker.Answer{ClockMs: 1}, now, now)
 	}
-	p.RosterStored(ids)
+	p.RosterStored(Roster{InUse: ids})
 	p.Due([]string{"a", "b", "d"}, now)
 	p.Accept(&work.Record{ID: "0000000000000001", Queue: work.Queue{Attempts: 1}, Spec: work.Spec{
 		Steps: []work.Step{{Count: 1, Size: work.Size{MilliCPU: 1000}, Lasting: true}},
@@ -33,3 +33,28 @@
 	must.Len(t, 1, orders)
 	must.EqOp(t, "c", orders[0].To.ID)
 }
+
+// A gang needs more hosts than its pool has left, having given others away. The
+// pool has little work and would ask for none; the gang would wait for ever.
+func TestAGangThatWaitsAsksForItsHosts(t *testing.T) {
+	for name, c := range map[string]struct {
+		step work.Step
+		want int
+	}{
+		"one on a host": {work.Step{Count: 3, Gang: true, MostPerWorker: 1, Size: work.Size{MilliCPU: 10}}, 3},
+		"by cores":      {work.Step{Count: 5, Gang: true, Size: work.Size{MilliCPU: 4000}}, 3},
+		"by memory":     {work.Step{Count: 4, Gang: true, Size: work.Size{MilliCPU: 10, MemMB: 5000}}, 4},
+		"no gang":       {work.Step{Count: 9, MostPerWorker: 1, Size: work.Size{MilliCPU: 4000}}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, _, now := oneHost(t)
+			c.step.Estimate = 100 * time.Millisecond
+			p.Accept(&work.Record{ID: "0000000000000001", Queue: work.Queue{Attempts: 1}, Spec: work.Spec{Steps: []work.Step{c.step}}}, now, now)
+			if c.want > 0 {
+				must.Len(t, 0, p.Plan(now, now).Orders)
+			}
+			p.unfold(p.jobs["0000000000000001"], now, now)
+			must.EqOp(t, c.want, p.Load(now).Spread)
+		})
+	}
+}
--- a/internal/sched/pace_test.go
+++ b/internal/sched/pace_test.go
@@ -22,9 +22,9 @@
 func newShared(t *testing.T) *shared {
 	t.Helper()
 	s := &shared{now: time.Now()}
-	s.pool = New(Config{Fence: 1, HoldFor: 4500 * time.Millisecond, KeepStatus: time.Minute}, nil, s.now)
+	s.pool = New(Config{Fence: 1, HoldFor: 4500 * time.Millisecond, KeepStatus: time.Minute}, Roster{}, s.now)
 	s.pool.SetHosts([]worker.Host{{ID: "w", Address: "w", Capacity: work.Size{MilliCPU: 8000, MemMB: 8000}}}, s.now)
-	s.pool.RosterStored([]string{"w"})
+	s.pool.RosterStored(Roster{InUse: []string{"w"}})
 	s.hold()
 	for id, step := range map[string]work.Step{
 		"0000000000000001": {Count: 1, Size: work.Size{MilliCPU: 8000}, Lasting: true, Target: 100 * time.Millisecond},
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -46,8 +46,9 @@
 	// unreached are the hosts that may run tasks of an earlier holder and
 	// haven't answered yet, with the time when these have certainly lapsed.
 	unreached map[string]time.Time
-	// roster are the hosts that the store names as in use.
-	roster map[string]bool
+	// roster are the hosts that the store names as in use, frozen those that it
+	// names, or is about to name, as silent.
+	roster, frozen map[string]bool
 	// stops counts the runs that are to be stopped.
 	stops int
 	// hostsChanged is set when a host was added.
@@ -58,16 +59,30 @@
 	deposed bool
 }
 
-// New returns an empty pool whose fence was taken at now. roster are the hosts
-// that an earlier holder may have used.
-func New(config Config, roster []string, now time.Time) *Pool {
+// Roster is what the store knows of the hosts on which tasks may run.
+type Roster struct {
+	InUse []string
+	// Silent are those of them that couldn't be asked, with the milliseconds
+	// after which all that may run there has certainly lapsed.
+	Silent map[string]int64
+}
+
+// New returns an empty pool whose fence was taken at now. roster is what an
+// earlier holder left.
+func New(config Config, roster Roster, now time.Time) *Pool {
 	p := &Pool{
 		Config: config, started: now,
 		jobs: make(map[string]*job), hosts: make(map[string]*host),
-		unreached: make(map[string]time.Time), roster: make(map[string]bool),
+		unreached: make(map[string]time.Time), roster: make(map[string]bool), frozen: make(map[string]bool),
 	}
-	for _, id := range roster {
-		p.unreached[id] = now.Add(config.OldHolds)
+	for _, id := range roster.InUse {
+		wait := config.OldHolds
+		if left, silent := roster.Silent[id]; silent {
+			// What was left when it was written is less by now.
+			wait = min(wait, time.Duration(left)*time.Millisecond)
+			p.frozen[id] = true
+		}
+		p.unreached[id] = now.Add(wait)
 	}
 	return p
 }
@@ -232,11 +247,13 @@
 
 func (h *host) free() work.Size { return h.Capacity.Minus(h.used) }
 
-// Roster lists the hosts that may run tasks of ours or of an earlier holder.
-func (p *Pool) Roster() []string {
+// Roster tells which hosts may run tasks of ours or of an earlier holder.
+func (p *Pool) Roster(now time.Time) Roster {
 	var ids []string
-	for id := range p.unreached {
+	silent := make(map[string]int64)
+	for id, until := range p.unreached {
 		ids = append(ids, id)
+		silent[id] = max(0, until.Sub(now).Milliseconds()+1)
 	}
 	for id, h := range p.hosts {
 		// An empty host that is to go or has gone is left out: a successor
@@ -245,9 +262,12 @@
 		leaves := (h.closed || !h.listed) && len(h.runs) == 0
 		if _, waits := p.unreached[id]; !waits && !leaves && (h.reached || len(h.runs) > 0) {
 			ids = append(ids, id)
+			if now.Sub(h.heard) > silentFor {
+				silent[id] = max(0, p.lapsesAt(h).Sub(now).Milliseconds()+1)
+			}
 		}
 	}
-	return ids
+	return Roster{ids, silent}
 }
 
 // Targets lists the hosts that should be asked with holds, or nothing when
@@ -285,23 +305,32 @@
 }
 
 // RosterSent notes which hosts a roster on its way to the store names. The
-// others get no work from now on, although the store may name them still: what
-// started on one while the roster is stored would run where no successor looks
-// for it.
-func (p *Pool) RosterSent(ids []string) {
-	sent := make(map[string]bool, len(ids))
-	for _, id := range ids {
-		sent[id] = p.roster[id]
+// others, and those it calls silent, get no work and no holds from now on,
+// although the store may name them still: what is started or kept alive on one
+// while the roster is stored would run where no successor looks for it.
+func (p *Pool) RosterSent(r Roster) {
+	sent := make(map[string]bool, len(r.InUse))
+	for _, id := range r.InUse {
+		_, silent := r.Silent[id]
+		sent[id] = p.roster[id] && !silent
 	}
 	p.roster = sent
+	for id := range r.Silent {
+		p.frozen[id] = true
+	}
 }
 
 // RosterStored notes which hosts the store names as in use. Others get no
 // work yet: a successor would not know to wait for what runs there.
-func (p *Pool) RosterStored(ids []string) {
+func (p *Pool) RosterStored(r Roster) {
 	clear(p.roster)
-	for _, id := range ids {
-		p.roster[id] = true
+	clear(p.frozen)
+	for _, id := range r.InUse {
+		if _, silent := r.Silent[id]; silent {
+			p.frozen[id] = true
+		} else {
+			p.roster[id] = true
+		}
 	}
 }
 
@@ -320,7 +349,7 @@
 	}
 	// A host that doesn't answer may still hear us. Holds that went on being
 	// renewed would never be certain to have ended.
-	if renew && now.Sub(h.heard) <= silentFor {
+	if renew && now.Sub(h.heard) <= silentFor && !p.frozen[id] {
 		h.granted = now
 		hold.DeadlineMs = h.deadline(p.HoldFor, now)
 	}
--- a/internal/sched/roster_test.go
+++ b/internal/sched/roster_test.go
@@ -14,12 +14,12 @@
 func oneHost(t *testing.T) (p *Pool, list []worker.Host, now time.Time) {
 	t.Helper()
 	now = time.Now()
-	p = New(Config{Fence: 1, HoldFor: 4500 * time.Millisecond, KeepStatus: time.Minute}, nil, now)
+	p = New(Config{Fence: 1, HoldFor: 4500 * time.Millisecond, KeepStatus: time.Minute}, Roster{}, now)
 	list = []worker.Host{{ID: "w", Address: "w", Capacity: work.Size{MilliCPU: 8000, MemMB: 8000}}}
 	p.SetHosts(list, now)
 	p.Held("w", now, worker.Answer{ClockMs: 1}, now, now)
-	must.Eq(t, []string{"w"}, p.Roster())
-	p.RosterStored(p.Roster())
+	must.Eq(t, []string{"w"}, p.Roster(now).InUse)
+	p.RosterStored(p.Roster(now))
 	return p, list, now
 }
 
@@ -36,16 +36,16 @@
 func TestNoStartOnAHostThatARosterUnderWayLeavesOut(t *testing.T) {
 	p, _, now := oneHost(t)
 	p.Vacate("w", now)
-	roster := p.Roster()
-	must.SliceEmpty(t, roster)
+	roster := p.Roster(now)
+	must.SliceEmpty(t, roster.InUse)
 	p.RosterSent(roster)
 	p.Reopen("w")
 	accept(p, now)
 	must.SliceEmpty(t, p.Plan(now, now).Orders)
 	p.RosterStored(roster)
 	must.SliceEmpty(t, p.Plan(now, now).Orders)
-	must.Eq(t, []string{"w"}, p.Roster())
-	p.RosterStored(p.Roster())
+	must.Eq(t, []string{"w"}, p.Roster(now).InUse)
+	p.RosterStored(p.Roster(now))
 	must.Len(t, 1, p.Plan(now, now).Orders)
 }
 
@@ -54,12 +54,12 @@
 func TestHostsThatHaveLeftAreNotInTheRoster(t *testing.T) {
 	p, list, now := oneHost(t)
 	p.SetHosts(nil, now)
-	must.SliceEmpty(t, p.Roster())
+	must.SliceEmpty(t, p.Roster(now).InUse)
 	p.SetHosts(list, now)
 	accept(p, now)
 	must.Len(t, 1, p.Plan(now, now).Orders)
 	p.SetHosts(nil, now)
-	must.Eq(t, []string{"w"}, p.Roster(), must.Sprint("something runs there"))
+	must.Eq(t, []string{"w"}, p.Roster(now).InUse, must.Sprint("something runs there"))
 }
 
 // The pool looks idle to whoever has just taken it over: without this its hosts
