--- /dev/null
+++ b/internal/sched/roster.go
@@ -0,0 +1,64 @@
+package sched
+
+import "time"
+
+// Roster is what the store knows of the hosts on which tasks may run.
+type Roster struct {
+	InUse []string
+	// Silent are those of them that couldn't be asked, with the milliseconds
+	// after which all that may run there has certainly lapsed.
+	Silent map[string]int64
+}
+
+// Roster tells which hosts may run tasks of ours or of an earlier holder.
+func (p *Pool) Roster(now time.Time) Roster {
+	var ids []string
+	silent := make(map[string]int64)
+	for id, until := range p.unreached {
+		ids = append(ids, id)
+		silent[id] = max(0, until.Sub(now).Milliseconds()+1)
+	}
+	for id, h := range p.hosts {
+		// An empty host that is to go or has gone is left out: a successor
+		// would wait for it in vain. It gets no work until it is stored as in
+		// use again.
+		leaves := (h.closed || !h.listed) && len(h.runs) == 0
+		if _, waits := p.unreached[id]; !waits && !leaves && (h.reached || len(h.runs) > 0) {
+			ids = append(ids, id)
+			if now.Sub(h.heard) > silentFor {
+				silent[id] = max(0, p.lapsesAt(h).Sub(now).Milliseconds()+1)
+			}
+		}
+	}
+	return Roster{ids, silent}
+}
+
+// RosterSent notes which hosts a roster on its way to the store names. The
+// others, and those it calls silent, get no work and no holds from now on,
+// although the store may name them still: what is started or kept alive on one
+// while the roster is stored would run where no successor looks for it.
+func (p *Pool) RosterSent(r Roster) {
+	sent := make(map[string]bool, len(r.InUse))
+	for _, id := range r.InUse {
+		_, silent := r.Silent[id]
+		sent[id] = p.roster[id] && !silent
+	}
+	p.roster = sent
+	for id := range r.Silent {
+		p.frozen[id] = true
+	}
+}
+
+// RosterStored notes which hosts the store names as in use. Others get no
+// work yet: a successor would not know to wait for what runs there.
+func (p *Pool) RosterStored(r Roster) {
+	clear(p.roster)
+	clear(p.frozen)
+	for _, id := range r.InUse {
+		if _, silent := r.Silent[id]; silent {
+			p.frozen[id] = true
+		} else {
+			p.roster[id] = true
+		}
+	}
+}
