Say once what the entry host's code said twice

- desk: a hand-in and a cancel go the same three ways (holder, store, other entry hosts) and did so in two copies.
- keeper: a grant carries the pool's head, from which fence and roster were copied piece by piece in three places; a new pool takes the roster over itself.
- sched: stops are sent once at the end of a plan instead of after each part that may stop something; 'silent' and 'lapse' have a name; the package's comment said that a task never has two runs, which copies made untrue.
- duty: one pass over the hosts for a wave's view, with one lock, instead of two locks a host.
- emulate: starts and stops reach a host the same way.
- a date in a comment of the audit is gone.

--- a/internal/audit/book.go
+++ b/internal/audit/book.go
@@ -328,8 +328,8 @@
 	}
 }
 
-// Read returns the entries of one day, "2026-12-02" in UTC, as they are
-// stored. Pages that can't be read are returned as errors beside the rest.
+// Read returns the entries of one day, by UTC, as they are stored. Pages that
+// can't be read are returned as errors beside the rest.
 func Read(ctx context.Context, s store.Store, day time.Time) ([]Entry, []error, error) {
 	listing, err := s.List(ctx, keys.AuditPrefix+day.UTC().Format(dayLayout)+"/")
 	if err != nil {
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -171,22 +171,13 @@
 	return d.leave(ctx, ledger.InboxJobKey(record.Queue.Pool, record.ID), work.EncodeRecord(record))
 }
 
-// submit tries the holder, then the store, then other entry hosts.
 func (d *Desk) submit(ctx context.Context, record *work.Record) keeper.Result {
-	result := d.viaHolder(ctx, record.Queue.Pool, func(ctx context.Context, k *keeper.Keeper) keeper.Result {
+	return d.everyWay(ctx, record.Queue.Pool, func(ctx context.Context, k *keeper.Keeper) keeper.Result {
 		return k.Submit(ctx, record)
-	}, func(ctx context.Context, address string) (keeper.Result, bool, error) {
-		return d.Client.Submit(ctx, address, record, false)
-	})
-	if result == keeper.Stored {
-		return result
-	}
-	result = worse(result, d.leaveJob(ctx, record))
-	if result == keeper.Stored {
-		return result
-	}
-	return d.viaRelays(ctx, result, func(ctx context.Context, address string) (keeper.Result, bool, error) {
-		return d.Client.Submit(ctx, address, record, true)
+	}, func() keeper.Result {
+		return d.leaveJob(ctx, record)
+	}, func(ctx context.Context, address string, relay bool) (keeper.Result, bool, error) {
+		return d.Client.Submit(ctx, address, record, relay)
 	})
 }
 
@@ -206,7 +197,24 @@
 
 type localCall func(ctx context.Context, k *keeper.Keeper) keeper.Result
 
-type remoteCall func(ctx context.Context, address string) (keeper.Result, bool, error)
+type remoteCall func(ctx context.Context, address string, relay bool) (keeper.Result, bool, error)
+
+// everyWay tries the pool's holder, then to leave the call in the store, then
+// other entry hosts. That there is no such job is only believed of the store.
+func (d *Desk) everyWay(ctx context.Context, pool string, local localCall, leave func() keeper.Result, remote remoteCall) keeper.Result {
+	result := d.viaHolder(ctx, pool, local, remote)
+	if result == keeper.Stored {
+		return result
+	}
+	left := leave()
+	if left == keeper.NoJob {
+		return left
+	}
+	if result = worse(result, left); result == keeper.Stored {
+		return result
+	}
+	return d.viaRelays(ctx, result, remote)
+}
 
 // viaHolder tries the pool's holder.
 func (d *Desk) viaHolder(ctx context.Context, pool string, local localCall, remote remoteCall) keeper.Result {
@@ -219,7 +227,7 @@
 	if !ok {
 		return keeper.Refused
 	}
-	result, _, err := remote(ctx, address)
+	result, _, err := remote(ctx, address, false)
 	if err != nil {
 		d.shun(address, err)
 	}
@@ -233,7 +241,7 @@
 			break
 		}
 		attempt, cancel := context.WithTimeout(ctx, storeWithin)
-		answer, _, err := remote(attempt, address)
+		answer, _, err := remote(attempt, address, true)
 		cancel()
 		if err != nil {
 			d.shun(address, err)
@@ -291,25 +299,13 @@
 	return d.leave(ctx, ledger.InboxCancelKey(pool, id), []byte("{}"))
 }
 
-// cancel tries the holder, then the store, then other entry hosts.
 func (d *Desk) cancel(ctx context.Context, pool, id string) keeper.Result {
-	result := d.viaHolder(ctx, pool, func(ctx context.Context, k *keeper.Keeper) keeper.Result {
+	return d.everyWay(ctx, pool, func(ctx context.Context, k *keeper.Keeper) keeper.Result {
 		return k.Cancel(ctx, id)
-	}, func(ctx context.Context, address string) (keeper.Result, bool, error) {
-		return d.Client.Cancel(ctx, address, pool, id, false)
-	})
-	if result == keeper.Stored {
-		return result
-	}
-	left := d.leaveCancel(ctx, pool, id)
-	if left == keeper.NoJob {
-		return keeper.NoJob
-	}
-	if result = worse(result, left); result == keeper.Stored {
-		return result
-	}
-	return d.viaRelays(ctx, result, func(ctx context.Context, address string) (keeper.Result, bool, error) {
-		return d.Client.Cancel(ctx, address, pool, id, true)
+	}, func() keeper.Result {
+		return d.leaveCancel(ctx, pool, id)
+	}, func(ctx context.Context, address string, relay bool) (keeper.Result, bool, error) {
+		return d.Client.Cancel(ctx, address, pool, id, relay)
 	})
 }
 
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -35,6 +35,15 @@
 	AtOnce int
 }
 
+// due are the names of its hosts.
+func (w Wave) due() map[string]bool {
+	due := make(map[string]bool, len(w.Hosts))
+	for _, name := range w.Hosts {
+		due[name] = true
+	}
+	return due
+}
+
 // Outcome is what became of a move or a maintenance.
 type Outcome int
 
--- a/internal/duty/waves.go
+++ b/internal/duty/waves.go
@@ -67,8 +67,8 @@
 		Loads: make(map[string]float64), OutOf: make(map[string]int), SizeOf: make(map[string]int),
 		Slow: make(map[string]bool), SlowOut: make(map[string]int),
 	}
+	due, leaving := wave.due(), make(map[string][]string)
 	k.mu.Lock()
-	hosts := k.hosts
 	for _, e := range k.busy {
 		view.OutOf[e.pool]++
 		if e.wave == wave.Number {
@@ -78,24 +78,17 @@
 			view.SlowOut[e.pool]++
 		}
 	}
-	k.mu.Unlock()
-	due := make(map[string]bool, len(wave.Hosts))
-	for _, name := range wave.Hosts {
-		due[name] = true
-	}
-	leaving := make(map[string][]string)
-	for _, h := range hosts {
+	for _, h := range k.hosts {
 		view.SizeOf[h.Pool]++
-		if !due[h.Name] || !h.Up {
+		if !due[h.Name] || !h.Up || state.Done[h.Name] {
 			continue
 		}
-		if !k.settledOrBusy(state, h.Name) {
+		leaving[h.Pool] = append(leaving[h.Pool], h.Worker)
+		if k.busy[h.Name] == nil {
 			view.Left = append(view.Left, h)
 		}
-		if !k.settled(state, h.Name) {
-			leaving[h.Pool] = append(leaving[h.Pool], h.Worker)
-		}
 	}
+	k.mu.Unlock()
 	for pool := range view.SizeOf {
 		load, ok := k.Pools.Load(ctx, pool, leaving[pool])
 		if !ok || load.Capacity <= 0 {
@@ -109,18 +102,6 @@
 	return view
 }
 
-func (k *Keeper) settledOrBusy(state *waveState, name string) bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return state.Done[name] || k.busy[name] != nil
-}
-
-func (k *Keeper) settled(state *waveState, name string) bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return state.Done[name]
-}
-
 // send starts to take one host through its maintenance.
 func (k *Keeper) send(ctx context.Context, wave Wave, state *waveState, host Host, slow bool) {
 	k.mu.Lock()
@@ -171,11 +152,7 @@
 			down++
 		}
 	}
-	due := make(map[string]bool, len(wave.Hosts))
-	for _, other := range wave.Hosts {
-		due[other] = true
-	}
-	state := k.waves[wave.Number]
+	due, state := wave.due(), k.waves[wave.Number]
 	for _, h := range k.hosts {
 		begun := state.Begun[h.Name] && !state.Done[h.Name] && k.busy[h.Name] == nil
 		if due[h.Name] && !counted[h.Name] && h.Name != name && (h.Down || begun) {
--- a/internal/emulate/judge.go
+++ b/internal/emulate/judge.go
@@ -224,7 +224,7 @@
 	}
 	same := 1
 	for other := range j.onHost[h.ID] {
-		if other.Job == name.Job && other.Time == name.Time && other.Step == name.Step {
+		if other.SameStep(name) {
 			same++
 		}
 	}
--- a/internal/emulate/orders.go
+++ b/internal/emulate/orders.go
@@ -60,14 +60,13 @@
 	return true
 }
 
-// Start implements worker.Orders.
-func (w *Workers) Start(ctx context.Context, to worker.Target, o worker.Start) worker.Outcome {
-	sent := time.Now()
+// carryOut has a host do what an order asks, late or at once.
+func (w *Workers) carryOut(ctx context.Context, to worker.Target, act func(h *host) worker.Outcome) worker.Outcome {
 	h, outcome := w.reach(ctx, to)
 	if h == nil {
 		return outcome
 	}
-	if w.late(ctx, h, func() { w.startLocked(h, o, sent) }) {
+	if w.late(ctx, h, func() { act(h) }) {
 		return worker.Unknown
 	}
 	w.mu.Lock()
@@ -75,7 +74,13 @@
 	if h.gone {
 		return worker.Gone
 	}
-	return w.startLocked(h, o, sent)
+	return act(h)
+}
+
+// Start implements worker.Orders.
+func (w *Workers) Start(ctx context.Context, to worker.Target, o worker.Start) worker.Outcome {
+	sent := time.Now()
+	return w.carryOut(ctx, to, func(h *host) worker.Outcome { return w.startLocked(h, o, sent) })
 }
 
 func (w *Workers) startLocked(h *host, o worker.Start, sent time.Time) worker.Outcome {
@@ -115,19 +120,7 @@
 
 // Stop implements worker.Orders.
 func (w *Workers) Stop(ctx context.Context, to worker.Target, o worker.Stop) worker.Outcome {
-	h, outcome := w.reach(ctx, to)
-	if h == nil {
-		return outcome
-	}
-	if w.late(ctx, h, func() { w.stopLocked(h, o) }) {
-		return worker.Unknown
-	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if h.gone {
-		return worker.Gone
-	}
-	return w.stopLocked(h, o)
+	return w.carryOut(ctx, to, func(h *host) worker.Outcome { return w.stopLocked(h, o) })
 }
 
 func (w *Workers) stopLocked(h *host, o worker.Stop) worker.Outcome {
@@ -150,7 +143,7 @@
 	atWork := make(map[int]bool)
 	for _, h := range w.hosts {
 		for name, r := range h.runs {
-			if name.Job == of.Job && name.Time == of.Time && name.Step == of.Step {
+			if name.SameStep(of) {
 				atWork[name.Index] = r.stopping.IsZero() && w.percent(r) == 100
 			}
 		}
--- a/internal/emulate/workers.go
+++ b/internal/emulate/workers.go
@@ -305,7 +305,7 @@
 	}
 	for _, h := range w.hosts {
 		for name, other := range h.runs {
-			if name.Job == r.name.Job && name.Time == r.name.Time && name.Step == r.name.Step && other.number == r.number {
+			if name.SameStep(r.name) && other.number == r.number {
 				w.endLocked(h, other, how)
 			}
 		}
@@ -317,7 +317,7 @@
 	count := 0
 	for _, h := range w.hosts {
 		for name, other := range h.runs {
-			if name.Job == r.name.Job && name.Time == r.name.Time && name.Step == r.name.Step && other.number == r.number {
+			if name.SameStep(r.name) && other.number == r.number {
 				count++
 			}
 		}
--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -119,15 +119,14 @@
 		return h.takeDuty(grant)
 	}
 	config := h.Sched
-	config.OldHolds = config.OldHolds + keeper.UnconfirmedFor
-	if grant.Quiet {
-		config.OldHolds = h.Sched.OldHolds
+	if !grant.Quiet {
+		config.OldHolds += keeper.UnconfirmedFor
 	}
 	k := keeper.New(keeper.Config{
 		Pool: grant.Pool, Holder: h.Self.Holder(), Store: h.Store, Orders: h.Orders, Hosts: h.Hosts, Adviser: h.Adviser,
 		Sched: config, Log: telemetry.Part(h.Log, "pool").With().Str("pool", grant.Pool).Logger(), Metrics: h.metrics,
 	}, keeper.Grant{
-		Fence: grant.Head.Fence, Roster: sched.Roster{InUse: grant.Head.Roster, Silent: grant.Head.Silent}, Revision: grant.Revision, Claim: grant.Claim, Lease: grant.Lease,
+		Head: grant.Head, Revision: grant.Revision, Claim: grant.Claim, Lease: grant.Lease,
 	})
 	h.mu.Lock()
 	h.keepers[grant.Pool] = k
--- a/internal/keeper/commit.go
+++ b/internal/keeper/commit.go
@@ -32,7 +32,7 @@
 	if k.batch != nil || now.Before(k.nextTry) {
 		return
 	}
-	b := k.newBatch()
+	b := k.newBatch(now)
 	if b == nil {
 		k.finishRelease()
 		return
@@ -44,11 +44,11 @@
 
 // newBatch collects as much as one transaction takes, or returns nil when
 // there is nothing to store.
-func (k *Keeper) newBatch() *batch {
+func (k *Keeper) newBatch(now time.Time) *batch {
 	headKey := ledger.HeadKey(k.Pool)
 	b := &batch{head: k.head}
 	b.head.Change++
-	roster := k.pool.Roster(time.Now())
+	roster := k.pool.Roster(now)
 	b.head.Roster, b.head.Silent = roster.InUse, roster.Silent
 	b.txn.Conditions = []store.Condition{{Key: headKey, Expect: k.revision}}
 	room := store.MaxTxnEntries - len(b.txn.Conditions) - 1
@@ -363,7 +363,7 @@
 	if err != nil {
 		k.Log.Warn().Err(err).Msg("The claim could not be given up and will lapse.")
 	} else {
-		k.Log.Info().Int64("fence", k.grant.Fence).Msg("Gave the pool up.")
+		k.Log.Info().Int64("fence", k.grant.Head.Fence).Msg("Gave the pool up.")
 	}
 	close(k.closing)
 }
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -71,10 +71,9 @@
 
 // Grant is a pool just taken over.
 type Grant struct {
-	Fence int64
-	// Roster is what an earlier holder left of the hosts that it used.
-	Roster sched.Roster
-	// Revision is where the pool's head was left by the takeover.
+	// Head is the pool's head as the takeover left it, at Revision; its roster
+	// is the earlier holder's.
+	Head     ledger.Head
 	Revision store.Revision
 	Claim    []byte
 	Lease    store.LeaseID
@@ -120,14 +119,11 @@
 	if config.Wall == nil {
 		config.Wall = time.Now
 	}
-	config.Sched.Fence = grant.Fence
+	config.Sched.Fence = grant.Head.Fence
 	return &Keeper{
 		Config: config, grant: grant, post: make(chan func(), mailbox), ended: make(chan struct{}),
 		asking: make(map[string]bool), submits: make(map[string]*submission), cancels: make(map[string]*cancellation),
-		head: ledger.Head{
-			Fence: grant.Fence, Holder: config.Holder, Roster: grant.Roster.InUse, Silent: grant.Roster.Silent,
-		},
-		revision:  grant.Revision,
+		head: grant.Head, revision: grant.Revision,
 		inboxDone: make(map[string]bool), confirmed: time.Now(),
 	}
 }
@@ -175,7 +171,7 @@
 			return nil
 		}
 		if k.pool.Deposed() {
-			k.Log.Warn().Int64("fence", k.grant.Fence).Msg("Another process holds the pool.")
+			k.Log.Warn().Int64("fence", k.grant.Head.Fence).Msg("Another process holds the pool.")
 			return &DeposedError{k.Pool}
 		}
 		k.step()
@@ -227,9 +223,7 @@
 
 func (k *Keeper) adopt(jobs []ledger.Stored, faults []error, began time.Time) {
 	now, wall := time.Now(), k.Wall()
-	k.pool = sched.New(k.Sched, k.grant.Roster, now)
-	// The claim left the roster as it was.
-	k.pool.RosterStored(k.grant.Roster)
+	k.pool = sched.New(k.Sched, rosterOf(k.head), now)
 	for _, job := range jobs {
 		k.pool.Restore(job.Record, job.Progress, now, wall)
 	}
@@ -237,7 +231,7 @@
 		k.Log.Error().Err(fault).Msg("A stored job can't be read and is left alone.")
 	}
 	k.Metrics.takeovers.Inc()
-	k.Log.Info().Int64("fence", k.grant.Fence).Int("jobs", len(jobs)).Int("roster", len(k.grant.Roster.InUse)).Int("silent", len(k.grant.Roster.Silent)).
+	k.Log.Info().Int64("fence", k.head.Fence).Int("jobs", len(jobs)).Int("roster", len(k.head.Roster)).Int("silent", len(k.head.Silent)).
 		Dur("loading_ms", time.Since(began)).Msg("Holds the pool.")
 }
 
@@ -304,7 +298,7 @@
 func (k *Keeper) pace(order sched.Order) {
 	sent := time.Now()
 	outcome := k.Orders.Pace(k.ctx, order.To, worker.Pace{
-		Task: order.Task, Run: order.Run, Percent: order.Percent, Fence: k.grant.Fence,
+		Task: order.Task, Run: order.Run, Percent: order.Percent, Fence: k.grant.Head.Fence,
 	})
 	k.Metrics.order("pace", outcome, time.Since(sent))
 	k.do(k.ctx, func() { k.pool.PaceOutcome(order.To.ID, order, outcome) })
--- a/internal/keeper/orders.go
+++ b/internal/keeper/orders.go
@@ -95,7 +95,7 @@
 	outcome := k.repeats.repeated(k.Metrics.repeats, func() worker.Outcome {
 		return k.Orders.Start(k.ctx, order.To, worker.Start{
 			Task: order.Task, Run: order.Run, Text: order.Text, DeadlineMs: order.DeadlineMs,
-			Fence: k.grant.Fence, Saved: order.Saved, Ticket: order.Ticket,
+			Fence: k.grant.Head.Fence, Saved: order.Saved, Ticket: order.Ticket,
 		})
 	})
 	k.Metrics.order("start", outcome, time.Since(sent))
@@ -109,7 +109,7 @@
 func (k *Keeper) stop(order sched.Order) {
 	sent := time.Now()
 	outcome := k.repeats.repeated(k.Metrics.repeats, func() worker.Outcome {
-		return k.Orders.Stop(k.ctx, order.To, worker.Stop{Task: order.Task, Run: order.Run, Fence: k.grant.Fence})
+		return k.Orders.Stop(k.ctx, order.To, worker.Stop{Task: order.Task, Run: order.Run, Fence: k.grant.Head.Fence})
 	})
 	k.Metrics.order("stop", outcome, time.Since(sent))
 	k.do(k.ctx, func() { k.pool.StopOutcome(order.To.ID, order.Task, order.Run, outcome, time.Now()) })
--- a/internal/keeper/world_test.go
+++ b/internal/keeper/world_test.go
@@ -95,7 +95,7 @@
 		Sched: sched.Config{
 			HoldFor: holdFor, OldHolds: old, StopGrace: stopGrace, FarFactor: 3, KeepStatus: time.Minute,
 		},
-	}, keeper.Grant{Fence: w.fence, Roster: sched.Roster{InUse: before.Roster, Silent: before.Silent}, Revision: taken})
+	}, keeper.Grant{Head: head, Revision: taken})
 	ctx, cancel := context.WithCancel(w.ctx)
 	ended := make(chan error, 1)
 	go func() { ended <- k.Run(ctx) }()
--- a/internal/sched/displace.go
+++ b/internal/sched/displace.go
@@ -71,7 +71,6 @@
 	for _, r := range best {
 		pl.stop(r, "work of a higher priority needs its room")
 	}
-	pl.sendStops()
 	return true
 }
 
--- a/internal/sched/evacuate.go
+++ b/internal/sched/evacuate.go
@@ -68,7 +68,6 @@
 			}
 		}
 	}
-	pl.sendStops()
 }
 
 // mayMiss reports whether one more task of a step may be taken away: those
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -90,7 +90,7 @@
 // judgeHangs stops runs that stand still, and suspects a host where all do.
 func (p *Pool) judgeHangs(now time.Time) {
 	for _, h := range p.hosts {
-		if now.Sub(h.heard) > silentFor {
+		if h.silent(now) {
 			continue
 		}
 		stuck, alive := 0, 0
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -66,7 +66,6 @@
 		p.unfold(j, now, wall)
 		pl.least = max(pl.least, j.record.Queue.Priority)
 	}
-	pl.sendStops()
 	if now.Sub(p.looked) >= lookEvery {
 		p.looked = now
 		pl.paces()
@@ -74,6 +73,7 @@
 	}
 	pl.evacuate()
 	pl.starts()
+	pl.sendStops()
 	return pl.plan
 }
 
@@ -305,7 +305,7 @@
 	switch {
 	case !h.listed:
 		return "not listed"
-	case !h.reached || now.Sub(h.heard) > silentFor:
+	case !h.reached || h.silent(now):
 		return "silent"
 	case !p.roster[h.ID]:
 		return "not stored as in use"
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -6,7 +6,8 @@
 // Two rules carry the safety. Whatever may be on a host counts there until it
 // is certain that it is not: an order without an answer, a run that is being
 // stopped, a run on a host that can't be asked. And a task has at most one run
-// that may be anywhere, so nothing starts again before the last run is settled.
+// that may be anywhere, so nothing starts again before the last run is settled,
+// unless its step allows copies.
 package sched
 
 import (
@@ -60,7 +61,7 @@
 }
 
 // New returns an empty pool whose fence was taken at now. roster is what an
-// earlier holder left.
+// earlier holder left in the store.
 func New(config Config, roster Roster, now time.Time) *Pool {
 	p := &Pool{
 		Config: config, started: now,
@@ -72,10 +73,10 @@
 		if left, silent := roster.Silent[id]; silent {
 			// What was left when it was written is less by now.
 			wait = min(wait, time.Duration(left)*time.Millisecond)
-			p.frozen[id] = true
 		}
 		p.unreached[id] = now.Add(wait)
 	}
+	p.RosterStored(roster)
 	return p
 }
 
@@ -288,7 +289,7 @@
 	}
 	// A host that doesn't answer may still hear us. Holds that went on being
 	// renewed would never be certain to have ended.
-	if renew && now.Sub(h.heard) <= silentFor && !p.frozen[id] {
+	if renew && !h.silent(now) && !p.frozen[id] {
 		h.granted = now
 		hold.DeadlineMs = h.deadline(p.HoldFor, now)
 	}
@@ -337,6 +338,8 @@
 	silentFor = 1200 * time.Millisecond
 )
 
+func (h *host) silent(now time.Time) bool { return now.Sub(h.heard) > silentFor }
+
 // Tick lets time pass: hosts that can't be asked lapse, ended jobs are
 // forgotten. It returns the ids of jobs to delete from the store.
 func (p *Pool) Tick(now time.Time) (forget []string) {
@@ -356,11 +359,9 @@
 	if h.closed && now.After(h.closedUntil) {
 		h.closed = false
 	}
-	silent := now.Sub(h.heard) > silentFor
+	silent := h.silent(now)
 	if silent && len(h.runs) > 0 && now.After(p.lapsesAt(h)) {
-		for _, r := range h.runs {
-			p.endRun(r, work.EndLapsed, "", now)
-		}
+		p.lapse(h, now)
 	}
 	if !h.listed && silent && len(h.runs) == 0 && now.Sub(h.missing) > missingFor {
 		if _, waits := p.unreached[id]; !waits {
@@ -385,10 +386,15 @@
 	if h == nil {
 		return
 	}
+	p.lapse(h, now)
+	delete(p.hosts, id)
+}
+
+// lapse ends all that ran on a host.
+func (p *Pool) lapse(h *host, now time.Time) {
 	for _, r := range h.runs {
 		p.endRun(r, work.EndLapsed, "", now)
 	}
-	delete(p.hosts, id)
 }
 
 // Stats is a pool at a glance, for the log.
--- a/internal/sched/roster.go
+++ b/internal/sched/roster.go
@@ -16,7 +16,7 @@
 	silent := make(map[string]int64)
 	for id, until := range p.unreached {
 		ids = append(ids, id)
-		silent[id] = max(0, until.Sub(now).Milliseconds()+1)
+		silent[id] = millisLeft(until, now)
 	}
 	for id, h := range p.hosts {
 		// An empty host that is to go or has gone is left out: a successor
@@ -25,14 +25,17 @@
 		leaves := (h.closed || !h.listed) && len(h.runs) == 0
 		if _, waits := p.unreached[id]; !waits && !leaves && (h.reached || len(h.runs) > 0) {
 			ids = append(ids, id)
-			if now.Sub(h.heard) > silentFor {
-				silent[id] = max(0, p.lapsesAt(h).Sub(now).Milliseconds()+1)
+			if h.silent(now) {
+				silent[id] = millisLeft(p.lapsesAt(h), now)
 			}
 		}
 	}
 	return Roster{ids, silent}
 }
 
+// millisLeft rounds up: a successor must not wait too short.
+func millisLeft(until, now time.Time) int64 { return max(0, until.Sub(now).Milliseconds()+1) }
+
 // RosterSent notes which hosts a roster on its way to the store names. The
 // others, and those it calls silent, get no work and no holds from now on,
 // although the store may name them still: what is started or kept alive on one
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -260,6 +260,11 @@
 	Index int
 }
 
+// SameStep reports whether two tasks are of one occurrence of a step.
+func (n TaskName) SameStep(o TaskName) bool {
+	return n.Job == o.Job && n.Time == o.Time && n.Step == o.Step
+}
+
 func (n TaskName) String() string {
 	return fmt.Sprintf("%s.%d.%d.%d", n.Job, n.Time, n.Step, n.Index)
 }
