Move hosts by what pools can use, and spread what is free

Now the list follows a failed watch, need is what runs and waits, jobs worth nothing any more don't ask for hosts, hosts that are free are spread over all pools, and scarce ones go where the need is least met.

Tests of need and surplus state the new figures: what can't run yet no longer counts as need, so that givers keep less.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -268,7 +268,7 @@
 // watch follows members and claims.
 func (c *Cluster) watch(ctx context.Context) {
 	f := follow.Follower{
-		Store: c.Store, Prefix: ledger.LivePrefix, Pause: watchPause,
+		Store: c.Store, Prefix: ledger.LivePrefix, Pause: watchPause, Relist: true,
 		OnList: c.listed, OnEvents: c.changed, OnTurn: c.turned,
 	}
 	f.Run(ctx)
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -80,6 +80,7 @@
 
 // Load is how busy a pool is, in thousandths of a core.
 type Load struct {
+	// Capacity is of the hosts that take new work.
 	Capacity int
 	Used     int
 	// Waiting is what tasks ask for whose turn has come.
@@ -88,7 +89,8 @@
 	Lasting int
 	// Arriving is the work that is being handed in, in thousandths of a
 	// core-second a second; Work is what is left of all jobs that don't last,
-	// in thousandths of a core-second.
+	// in thousandths of a core-second. Jobs that are too late to be worth
+	// anything aren't counted: they take what is free.
 	Arriving, Work int
 	// Spread is how many hosts its lasting tasks, and gangs that wait, need to
 	// be spread over.
@@ -105,10 +107,19 @@
 	Worker  string
 	Used    int
 	Lasting int
-	// Closed: it takes no new work, since it is to be emptied.
+	// Closed: it takes no new work, since it is to be emptied or is silent.
 	Closed bool
 }
 
+// running is what tasks that don't last use.
+func (l Load) running() int {
+	running := l.Used
+	for _, h := range l.Hosts {
+		running -= h.Lasting
+	}
+	return running
+}
+
 // open counts the hosts that take new work.
 func (l Load) open() int {
 	count := 0
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -182,10 +182,56 @@
 }
 
 func (k *Keeper) round(ctx context.Context) {
-	for _, wave := range k.Waves() {
-		k.roundWave(ctx, wave)
+	waves := k.Waves()
+	loads := k.loads(ctx, k.leaving(waves))
+	for _, wave := range waves {
+		k.roundWave(ctx, wave, loads)
 	}
-	k.roundMoves(ctx)
+	k.roundMoves(ctx, loads)
+}
+
+// leaving are the workers of each pool that will go for maintenance, as far as
+// the last list of hosts tells.
+func (k *Keeper) leaving(waves []Wave) map[string][]string {
+	workers := make(map[string][]string)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, wave := range waves {
+		state := k.waves[wave.Number]
+		if state == nil || state.Over {
+			continue
+		}
+		due := wave.due()
+		for _, h := range k.hosts {
+			if due[h.Name] && h.Up && !state.Done[h.Name] {
+				workers[h.Pool] = append(workers[h.Pool], h.Worker)
+			}
+		}
+	}
+	return workers
+}
+
+// loads asks the holders of all pools at once how busy they are, and tells them
+// which of their workers will go for maintenance. Asked one after the other, a
+// holder that didn't answer kept the hosts of all pools from moving.
+func (k *Keeper) loads(ctx context.Context, leaving map[string][]string) map[string]Load {
+	var mu sync.Mutex
+	var asked sync.WaitGroup
+	loads := make(map[string]Load)
+	for name, spare := range k.PoolNames() {
+		if spare && !k.Kept(name) {
+			continue
+		}
+		asked.Go(func() {
+			if load, ok := k.Pools.Load(ctx, name, leaving[name]); ok {
+				mu.Lock()
+				defer mu.Unlock()
+				loads[name] = load
+			}
+		})
+	}
+	asked.Wait()
+	return loads
 }
 
 // list reads the hosts unless that was done a moment ago.
@@ -217,9 +263,10 @@
 	return Host{}, false
 }
 
-// empty waits until nothing runs on a host any more and nothing will.
-func (k *Keeper) empty(ctx context.Context, host Host) bool {
-	until := time.Now().Add(emptyWithin)
+// empty waits until nothing runs on a host any more and nothing will, and no
+// longer than within.
+func (k *Keeper) empty(ctx context.Context, host Host, within time.Duration) bool {
+	until := time.Now().Add(within)
 	for ctx.Err() == nil && !k.isDeposed() && time.Now().Before(until) {
 		if k.stillEmpty(ctx, host, false) {
 			return true
--- a/internal/duty/moves.go
+++ b/internal/duty/moves.go
@@ -29,7 +29,7 @@
 	// reserveHosts is how many hosts beyond its need a pool keeps when it
 	// gives some away: what it needs changes within a second.
 	reserveHosts = 1
-	// keepFactor times what it needs is what a pool keeps.
+	// keepFactor times what arrives is what a pool keeps for it.
 	keepFactor = 1.25
 	// askFactor times its capacity is what a pool must need before it gets
 	// hosts: less is over before one arrives.
@@ -39,11 +39,25 @@
 	// two and a half to come. On a day of 350 hosts 0.85 instead of 0.81 of the
 	// worth was earned, for one move in a hundred more.
 	surge = 3
+	// levelGap is by how many hosts the free capacity of two pools must differ
+	// before a host moves from one to the other.
+	levelGap = 6
 )
 
-// need is what a pool can use right now, in thousandths of a core.
-func (l Load) need() float64 {
-	return float64(l.Lasting) + max(float64(l.Arriving), float64(l.Work)/workWithin)
+// need is what a pool can use right now, in thousandths of a core. Work that is
+// left is done within workWithin, but by no more tasks than run or wait: the
+// later steps of a job take the room of its earlier ones.
+func (l Load) need() float64 { return float64(l.Lasting) + max(float64(l.Arriving), l.backlog()) }
+
+func (l Load) backlog() float64 {
+	return min(float64(l.Work)/workWithin, float64(l.running()+l.Waiting))
+}
+
+// keeps is what a pool doesn't give away. What is left of its work only gets
+// less, so that it needs nothing beyond that: kept for it too, a quarter more
+// stood idle for two seconds at each turn of demand while another pool waited.
+func (l Load) keeps() float64 {
+	return float64(l.Lasting) + max(keepFactor*float64(l.Arriving), l.backlog())
 }
 
 // workWithin is the time in seconds in which a pool should get through the
@@ -60,21 +74,30 @@
 	return p.Load.need() > askFactor*float64(p.Load.Capacity) || p.Load.open() < p.Load.leastOpen()
 }
 
+// each is the size of one of the pool's hosts. usual is the size of a usual
+// one, for a pool that has none: one that lost its last host has to get others
+// like any other pool.
+func (p *PoolView) each(usual float64) float64 {
+	if open := p.Load.open(); open > 0 {
+		return float64(p.Load.Capacity) / float64(open)
+	}
+	return usual
+}
+
+// has is the pool's capacity with what is coming.
+func (p *PoolView) has(usual float64) float64 {
+	return float64(p.Load.Capacity) + p.each(usual)*float64(p.Coming)
+}
+
 // lacking is what the pool wants beyond what it has and what is coming, in
-// thousandths of a core. usual is the size of a usual host, for a pool that has
-// none: one that lost its last host has to get others like any other pool.
+// thousandths of a core.
 func (p *PoolView) lacking(usual float64) float64 {
-	each := usual
-	if len(p.Load.Hosts) > 0 {
-		each = float64(p.Load.Capacity) / float64(len(p.Load.Hosts))
-	}
-	has := float64(p.Load.Capacity) + each*float64(p.Coming)
-	lacking := 0.0
+	has, lacking := p.has(usual), 0.0
 	if p.Load.need() > askFactor*has {
 		lacking = surge*p.Load.need() - has
 	}
 	if short := p.Load.leastOpen() - p.Load.open() - p.Coming; short > 0 {
-		lacking = max(lacking, each*float64(short))
+		lacking = max(lacking, p.each(usual)*float64(short))
 	}
 	return lacking
 }
@@ -95,74 +118,156 @@
 	return float64(total) / float64(max(1, count))
 }
 
-// PlanMoves decides which hosts go where now. Pools that need the most beyond
-// what they have come first; hosts come from the spare pools, then from the
-// pools that have the most to spare, idle ones first.
+// PlanMoves decides which hosts go where now. Hosts go to pools that lack some,
+// from the spare pools first, then from the pools with the most to spare. What
+// can be spared after that is spread over the pools, as nobody knows which of
+// them will have more to do next, and a host takes two seconds to come.
 func PlanMoves(pools []PoolView, allowed func(h Host, pool string) bool) []Move {
-	type want struct {
-		pool  *PoolView
-		cores float64
-	}
-	var wants []want
+	m := newMarket(pools, allowed)
+	m.meetNeeds()
+	m.level()
+	return m.moves
+}
+
+// market is who can give hosts and who wants some.
+type market struct {
+	allowed func(h Host, pool string) bool
+	sides   []*side
+	moves   []Move
+}
+
+// side is a pool as it stands with the moves planned so far, in thousandths of
+// a core.
+type side struct {
+	*PoolView
+	has, lacking float64
+	// offered are the hosts that it can give, the cheapest first.
+	offered []Host
+}
+
+func newMarket(pools []PoolView, allowed func(h Host, pool string) bool) *market {
+	m := &market{allowed: allowed}
 	usual := usualSize(pools)
 	for i := range pools {
 		p := &pools[i]
-		if !p.Known || p.Spare || p.unseen() {
-			continue
+		s := &side{PoolView: p, has: p.has(usual)}
+		switch {
+		case p.Spare:
+			s.offered = p.Hosts
+		case p.Known:
+			s.offered = p.surplus()
+			if !p.unseen() {
+				s.lacking = p.lacking(usual)
+			}
 		}
-		if lacking := p.lacking(usual); lacking > 0 {
-			wants = append(wants, want{p, lacking})
+		m.sides = append(m.sides, s)
+	}
+	return m
+}
+
+// free is what the pool has beyond what it needs.
+func (s *side) free() float64 { return s.has - s.Load.keeps() }
+
+// takesPart reports whether a pool can get hosts.
+func (s *side) takesPart() bool { return s.Known && !s.Spare && !s.unseen() }
+
+// meetNeeds gives hosts to the pools that lack some, each to the one that has
+// least for its need.
+func (m *market) meetNeeds() {
+	for {
+		to := m.neediest()
+		if to == nil {
+			return
+		}
+		if !m.give(to, m.givers(to)) {
+			to.lacking = 0
 		}
 	}
-	slices.SortFunc(wants, func(a, b want) int { return cmp.Compare(b.cores, a.cores) })
-	var moves []Move
-	taken := make(map[string]bool)
-	for _, w := range wants {
-		for _, h := range offers(pools, w.pool) {
-			if w.cores <= 0 {
-				break
-			}
-			if taken[h.Name] || !allowed(h, w.pool.Name) {
+}
+
+func (m *market) neediest() (to *side) {
+	for _, s := range m.sides {
+		if s.lacking > 0 && (to == nil || s.has*to.Load.need() < to.has*s.Load.need()) {
+			to = s
+		}
+	}
+	return to
+}
+
+// givers are the pools that may give to one, the best first: spare pools, then
+// those with most to spare.
+func (m *market) givers(to *side) []*side {
+	var givers []*side
+	for _, s := range m.sides {
+		if s != to && s.lacking <= 0 && len(s.offered) > 0 {
+			givers = append(givers, s)
+		}
+	}
+	slices.SortStableFunc(givers, func(a, b *side) int {
+		return cmp.Or(compareTrue(a.Spare, b.Spare), cmp.Compare(b.free(), a.free()))
+	})
+	return givers
+}
+
+// give moves one host to a pool, and reports whether there was any.
+func (m *market) give(to *side, givers []*side) bool {
+	for _, from := range givers {
+		for i, h := range from.offered {
+			if !m.allowed(h, to.Name) {
 				continue
 			}
-			taken[h.Name] = true
-			w.cores -= float64(h.Size.MilliCPU)
-			moves = append(moves, Move{h, w.pool.Name})
+			from.offered = slices.Delete(slices.Clone(from.offered), i, i+1)
+			m.moves = append(m.moves, Move{h, to.Name})
+			size := float64(h.Size.MilliCPU)
+			from.has -= size
+			to.has += size
+			to.lacking -= size
+			return true
 		}
 	}
-	return moves
+	return false
 }
 
-// offers lists the hosts that other pools can give, the cheapest first.
-func offers(pools []PoolView, to *PoolView) []Host {
-	var spare, idle []Host
-	for i := range pools {
-		p := &pools[i]
-		switch {
-		case p.Name == to.Name:
-		case p.Spare:
-			spare = append(spare, p.Hosts...)
-		case p.Known:
-			idle = append(idle, p.surplus()...)
+// level moves hosts from the pool with the most free capacity to that with the
+// least, until they differ by little.
+func (m *market) level() {
+	for {
+		var most, least *side
+		for _, s := range m.sides {
+			if !s.takesPart() {
+				continue
+			}
+			if len(s.offered) > 0 && (most == nil || s.free() > most.free()) {
+				most = s
+			}
+			if least == nil || s.free() < least.free() {
+				least = s
+			}
+		}
+		if most == nil || most == least || most.free()-least.free() < levelGap*float64(most.offered[0].Size.MilliCPU) {
+			return
+		}
+		if !m.give(least, []*side{most}) {
+			return
 		}
 	}
-	return append(spare, idle...)
 }
 
 // surplus lists the hosts that a pool can give away, those with the least work
-// first. Hosts of lasting tasks stay: to move them would take these away. A
-// pool that was just taken over keeps half: nothing runs there yet and nobody
-// has handed anything in, and the turn that it is in would find it without
-// hosts. To keep all cost more, where another pool's turn begins.
+// first. Hosts of lasting tasks stay: to move them would take these away; so do
+// closed ones, which something is done with, and silent ones, which can't be
+// emptied. A pool that was just taken over keeps half: nothing runs there yet
+// and nobody has handed anything in, and the turn that it is in would find it
+// without hosts. To keep all cost more, where another pool's turn begins.
 func (p *PoolView) surplus() []Host {
 	load := make(map[string]HostLoad, len(p.Load.Hosts))
 	for _, h := range p.Load.Hosts {
 		load[h.Worker] = h
 	}
-	spare := float64(p.Load.Capacity) - keepFactor*p.Load.need()
+	spare := float64(p.Load.Capacity) - p.Load.keeps()
 	var hosts []Host
 	for _, h := range p.Hosts {
-		if l, known := load[h.Worker]; known && l.Lasting == 0 {
+		if l, known := load[h.Worker]; known && l.Lasting == 0 && !l.Closed {
 			hosts = append(hosts, h)
 		}
 	}
--- a/internal/duty/moving.go
+++ b/internal/duty/moving.go
@@ -2,23 +2,25 @@
 
 import (
 	"context"
+	"slices"
+	"time"
 )
 
+// moveWithin is when a host that was to move and doesn't empty stays where it
+// is: its tasks end within some seconds, and the pool that waits for it would
+// count on it in vain.
+const moveWithin = 4 * time.Second
+
 // roundMoves looks whether some pool needs hosts that others can spare.
-func (k *Keeper) roundMoves(ctx context.Context) {
-	names := k.PoolNames()
-	views := make([]PoolView, 0, len(names))
-	needed := false
-	for name, spare := range names {
-		view := PoolView{Name: name, Spare: spare}
-		if !spare || k.Kept(name) {
-			view.Load, view.Known = k.Pools.Load(ctx, name, nil)
-		}
-		needed = needed || view.Known && view.lacks()
-		views = append(views, view)
+func (k *Keeper) roundMoves(ctx context.Context, loads map[string]Load) {
+	var views []PoolView
+	for name, spare := range k.PoolNames() {
+		load, known := loads[name]
+		views = append(views, PoolView{Name: name, Spare: spare, Load: load, Known: known})
 	}
-	// Hosts are listed only when some pool may get one: each list is a call.
-	if !needed {
+	k.fill(views)
+	// Hosts are listed only when some may move: each list is a call.
+	if len(PlanMoves(views, k.allowed)) == 0 && !anyLacks(views) {
 		return
 	}
 	if err := k.list(ctx); err != nil {
@@ -31,12 +33,17 @@
 	}
 }
 
+func anyLacks(views []PoolView) bool {
+	return slices.ContainsFunc(views, func(v PoolView) bool { return v.Known && v.lacks() })
+}
+
 // fill adds the hosts that can be moved, and those on their way.
 func (k *Keeper) fill(views []PoolView) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for i := range views {
 		v := &views[i]
+		v.Coming, v.Hosts = 0, nil
 		for _, e := range k.busy {
 			if e.to == v.Name {
 				v.Coming++
@@ -68,7 +75,7 @@
 			delete(k.busy, move.Host.Name)
 			k.mu.Unlock()
 		}()
-		if !k.empty(ctx, move.Host) {
+		if !k.empty(ctx, move.Host, moveWithin) {
 			return
 		}
 		moved, outcome := k.call(ctx, move.Host, func() Outcome { return k.Fleet.Move(ctx, move.Host.Name, move.To, k.fence) })
--- a/internal/duty/plan_test.go
+++ b/internal/duty/plan_test.go
@@ -81,9 +81,10 @@
 	}
 }
 
+// pool has work of tasks of one second; what doesn't run waits.
 func pool(name string, count, used, work int) PoolView {
 	p := PoolView{Name: name, Known: true, Hosts: hosts(name, count)}
-	p.Load = Load{Capacity: count * hostSize.MilliCPU, Used: used, Work: work}
+	p.Load = Load{Capacity: count * hostSize.MilliCPU, Used: used, Work: work, Waiting: max(0, work-used)}
 	for i, h := range p.Hosts {
 		one := HostLoad{Worker: h.Worker}
 		if i*hostSize.MilliCPU < used {
@@ -94,6 +95,14 @@
 	return p
 }
 
+// closeHosts takes the first hosts of a pool out of use.
+func (p *PoolView) closeHosts(count int) {
+	p.Load.Capacity = (len(p.Load.Hosts) - count) * hostSize.MilliCPU
+	for i := range p.Load.Hosts {
+		p.Load.Hosts[i].Closed = i < count
+	}
+}
+
 func spare(count int) PoolView {
 	return PoolView{Name: "spare", Spare: true, Hosts: hosts("spare", count)}
 }
@@ -110,7 +119,7 @@
 	needy := pool("needy", 4, 256_000, 1_600_000)
 	giver := pool("giver", 8, 64_000, 100_000)
 	moves := PlanMoves([]PoolView{needy, giver, spare(2)}, anywhere)
-	must.Len(t, 7, moves)
+	must.Len(t, 8, moves)
 	for i, m := range moves {
 		must.EqOp(t, "needy", m.To)
 		want := "giver"
@@ -126,7 +135,7 @@
 func TestHostsOnTheirWayCount(t *testing.T) {
 	needy := pool("needy", 4, 256_000, 1_600_000)
 	needy.Coming = 10
-	must.Len(t, 0, PlanMoves([]PoolView{needy, pool("giver", 8, 0, 0), spare(2)}, anywhere))
+	must.Len(t, 0, PlanMoves([]PoolView{needy, pool("giver", 6, 0, 0), spare(2)}, anywhere))
 }
 
 // Lasting tasks may not share a host, and a wave closes some: with too few open
@@ -135,13 +144,9 @@
 func TestLastingTasksGetHostsToSpreadOver(t *testing.T) {
 	p := pool("p", 6, 0, 0)
 	p.Load.Spread = 5
-	for i := range 3 {
-		p.Load.Hosts[i].Closed = true
-	}
+	p.closeHosts(3)
 	must.Len(t, 3, PlanMoves([]PoolView{p, spare(4)}, anywhere))
-	for i := range 3 {
-		p.Load.Hosts[i].Closed = false
-	}
+	p.closeHosts(0)
 	must.Len(t, 0, PlanMoves([]PoolView{pool("needy", 2, 128_000, 1_600_000), p}, anywhere))
 }
 
@@ -159,7 +164,7 @@
 func TestAPoolWithoutHostsGetsSome(t *testing.T) {
 	empty := PoolView{Name: "empty", Known: true}
 	must.Len(t, 1, PlanMoves([]PoolView{empty, spare(4)}, anywhere), must.Sprint("so that work can start at all"))
-	empty.Load.Work = 5 * hostSize.MilliCPU
+	empty.Load.Work, empty.Load.Waiting = 5*hostSize.MilliCPU, 5*hostSize.MilliCPU
 	must.True(t, empty.lacks())
 	must.Len(t, 9, PlanMoves([]PoolView{empty, spare(12)}, anywhere))
 	empty.Coming = 9
@@ -181,3 +186,56 @@
 	needy := pool("needy", 2, 128_000, 1_600_000)
 	must.Len(t, 0, PlanMoves([]PoolView{needy, spare(4)}, func(Host, string) bool { return false }))
 }
+
+// A turn of demand is over: nothing is handed in any more, and what is left
+// runs already. All that stands idle goes to the pool whose turn has begun; a
+// quarter more than the need kept back had it wait two seconds longer.
+func TestAPoolPastItsTurnGivesAllThatStandsIdle(t *testing.T) {
+	past := pool("past", 20, 10*hostSize.MilliCPU, 30*hostSize.MilliCPU)
+	past.Load.Waiting = 0
+	next := pool("next", 2, 128_000, 1_600_000)
+	must.Len(t, 9, PlanMoves([]PoolView{past, next}, anywhere), must.Sprint("all but the reserve"))
+}
+
+// What is left of large jobs counts by the tasks that can run: with all of them
+// running, hosts for the later steps would stand idle.
+func TestWorkThatCannotRunYetNeedsNoHosts(t *testing.T) {
+	p := pool("p", 4, 128_000, 3_200_000)
+	p.Load.Waiting = 0
+	must.Len(t, 0, PlanMoves([]PoolView{p, spare(4)}, anywhere))
+}
+
+// Nobody knows which pool has its turn next: what one has to spare is spread,
+// so that each has some when its turn begins.
+func TestFreeHostsAreSpreadOverThePools(t *testing.T) {
+	counts := map[string]int{}
+	for _, m := range PlanMoves([]PoolView{pool("a", 30, 0, 0), pool("b", 6, 0, 0), pool("c", 6, 0, 0)}, anywhere) {
+		must.EqOp(t, "a", m.Host.Pool)
+		counts[m.To]++
+	}
+	must.Between(t, 5, counts["b"], 8)
+	must.Between(t, 5, counts["c"], 8)
+	must.Len(t, 0, PlanMoves([]PoolView{pool("a", 16, 0, 0), pool("b", 12, 0, 0), pool("c", 14, 0, 0)}, anywhere),
+		must.Sprint("a small difference isn't worth a move"))
+}
+
+// Two pools lack hosts and there are few: the one that is worse off for its
+// need gets the first ones, however much more the other asks for.
+func TestScarceHostsGoWhereTheNeedIsLeastMet(t *testing.T) {
+	large, small := pool("large", 10, 640_000, 3_200_000), pool("small", 1, 64_000, 640_000)
+	moves := PlanMoves([]PoolView{large, small, spare(1)}, anywhere)
+	must.Len(t, 1, moves)
+	must.EqOp(t, "small", moves[0].To)
+}
+
+// A rack went dark: its hosts look idle, but can't be emptied. They aren't
+// moved, and the pool that lost them asks for others.
+func TestSilentHostsAreNoCapacity(t *testing.T) {
+	p := pool("p", 8, 0, 0)
+	p.closeHosts(6)
+	p.Load.Arriving = 3 * hostSize.MilliCPU
+	must.Positive(t, len(PlanMoves([]PoolView{p, spare(4)}, anywhere)))
+	for _, m := range PlanMoves([]PoolView{p, pool("needy", 2, 128_000, 1_600_000)}, anywhere) {
+		must.NotEqOp(t, "p", m.Host.Pool)
+	}
+}
--- a/internal/duty/waves.go
+++ b/internal/duty/waves.go
@@ -11,7 +11,7 @@
 	"auburnglade.example/glade/internal/store"
 )
 
-func (k *Keeper) roundWave(ctx context.Context, wave Wave) {
+func (k *Keeper) roundWave(ctx context.Context, wave Wave, loads map[string]Load) {
 	state := k.waveState(ctx, wave)
 	if state == nil || state.Over {
 		return
@@ -20,7 +20,7 @@
 		k.Log.Warn().Err(err).Msg("Can't list the hosts.")
 		return
 	}
-	view := k.view(ctx, wave, state)
+	view := k.view(wave, state, loads)
 	for _, host := range NextOut(view) {
 		k.send(ctx, wave, state, host, view.Slow[host.Worker])
 	}
@@ -61,13 +61,13 @@
 
 func waveKey(number int64) string { return "glade/wave/" + strconv.FormatInt(number, 10) }
 
-func (k *Keeper) view(ctx context.Context, wave Wave, state *waveState) WaveView {
+func (k *Keeper) view(wave Wave, state *waveState, loads map[string]Load) WaveView {
 	view := WaveView{
 		Wave: wave, Remaining: wave.Within - time.Since(state.began),
 		Loads: make(map[string]float64), OutOf: make(map[string]int), SizeOf: make(map[string]int),
 		Slow: make(map[string]bool), SlowOut: make(map[string]int),
 	}
-	due, leaving := wave.due(), make(map[string][]string)
+	due := wave.due()
 	k.mu.Lock()
 	for _, e := range k.busy {
 		view.OutOf[e.pool]++
@@ -83,18 +83,13 @@
 		if !due[h.Name] || !h.Up || state.Done[h.Name] {
 			continue
 		}
-		leaving[h.Pool] = append(leaving[h.Pool], h.Worker)
 		if k.busy[h.Name] == nil {
 			view.Left = append(view.Left, h)
 		}
 	}
 	k.mu.Unlock()
-	for pool := range view.SizeOf {
-		load, ok := k.Pools.Load(ctx, pool, leaving[pool])
-		if !ok || load.Capacity <= 0 {
-			continue
-		}
-		view.Loads[pool] = float64(load.Used+load.Waiting) / float64(load.Capacity)
+	for pool, load := range loads {
+		view.Loads[pool] = float64(load.Used+load.Waiting) / float64(max(1, load.Capacity))
 		for _, h := range load.Hosts {
 			view.Slow[h.Worker] = h.Lasting > 0
 		}
@@ -119,7 +114,7 @@
 }
 
 func (k *Keeper) maintain(ctx context.Context, wave Wave, state *waveState, host Host) {
-	if !k.empty(ctx, host) {
+	if !k.empty(ctx, host, emptyWithin) {
 		k.Log.Warn().Int64("wave", wave.Number).Str("host", host.Name).Msg("A host does not empty; it comes later.")
 		return
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -20,6 +20,9 @@
 	// Pause is the least time between two calls: events that come within it
 	// arrive together, which costs one call.
 	Pause time.Duration
+	// Relist lists again after a watch without an answer. What a list says is
+	// known at once, while the next watch may wait as long as the last one.
+	Relist bool
 	// OnList takes over all entries; whatever isn't among them is gone.
 	OnList func(entries []store.Entry)
 	// OnEvents takes over changes in order, and is called without any when the
@@ -69,6 +72,9 @@
 		return 0, nil
 	}
 	if err != nil {
+		if f.Relist {
+			revision = 0
+		}
 		return revision, err
 	}
 	f.OnEvents(batch.Events)
--- a/internal/sched/evacuate.go
+++ b/internal/sched/evacuate.go
@@ -104,13 +104,15 @@
 			continue
 		}
 		total = total.Plus(h.Capacity)
-		one := duty.HostLoad{Worker: id, Used: h.used.MilliCPU, Closed: h.closed}
+		one := duty.HostLoad{Worker: id, Used: h.used.MilliCPU, Closed: h.closed || h.reached && h.silent(now)}
 		for _, r := range h.runs {
 			if r.task.step.spec.Lasting {
 				one.Lasting += r.task.step.spec.Counted().MilliCPU
 			}
 		}
-		load.Capacity += h.Capacity.MilliCPU
+		if !one.Closed {
+			load.Capacity += h.Capacity.MilliCPU
+		}
 		load.Used += one.Used
 		load.Hosts = append(load.Hosts, one)
 	}
@@ -118,9 +120,12 @@
 		work := 0.0
 		for _, o := range j.times {
 			_, rest := o.remaining()
-			work += rest * 1000
+			worthless := !j.record.Spec.Lasting() && o.worthLeft(now) < 0
+			if !worthless {
+				work += rest * 1000
+			}
 			for _, s := range o.steps {
-				if s.waiting > 0 && s.ready() {
+				if s.waiting > 0 && s.ready() && !worthless {
 					load.Waiting += s.waiting * s.spec.Counted().MilliCPU
 				}
 				switch {
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -197,9 +197,8 @@
 	}
 	chain, rest := s.of.remaining()
 	c.value = rest
-	age := pl.now.Sub(s.of.due)
-	switch left := lateFactor*j.goal - age - chain; {
-	case age+chain <= j.goal:
+	switch left := s.of.worthLeft(pl.now); {
+	case pl.now.Sub(s.of.due)+chain <= j.goal:
 		c.class = classInTime
 	case left >= 0 && left < riskWithin:
 		c.class = classAtRisk
@@ -220,6 +219,13 @@
 	riskWithin = 900 * time.Millisecond
 )
 
+// worthLeft is how long an occurrence may still wait before its end is too late
+// to be worth anything; it is too late already when that is negative.
+func (o *occurrence) worthLeft(now time.Time) time.Duration {
+	chain, _ := o.remaining()
+	return lateFactor*o.job.goal - now.Sub(o.due) - chain
+}
+
 // remainder is the longest chain and the work in core-seconds that are left.
 type remainder struct {
 	chain time.Duration
