--- a/internal/entryhost/random_test.go
+++ b/internal/entryhost/random_test.go
@@ -43,6 +43,24 @@
 	}
 }
 
+// slowDaysInCI are the days that every run plays with a slow store.
+const slowDaysInCI = 12
+
+// The same days with a store that takes a quarter of a second for each answer,
+// so that pools store on several lanes while their holders die, claims vanish
+// and answers are lost. GLADE_FIRST_SLOW_DAY and GLADE_SLOW_DAYS choose others.
+func TestRandomDaysInASlowStore(t *testing.T) {
+	first, days := setting(t, "GLADE_FIRST_SLOW_DAY", 0), setting(t, "GLADE_SLOW_DAYS", slowDaysInCI)
+	for seed := first; seed < first+days; seed++ {
+		t.Run(strconv.Itoa(seed), func(t *testing.T) {
+			play(t, 3, func(w *world) {
+				w.store.SetLatency(250 * time.Millisecond)
+				newDay(w, uint64(seed)).run()
+			})
+		})
+	}
+}
+
 func setting(t *testing.T, name string, fallback int) int {
 	text := os.Getenv(name)
 	if text == "" {
