Open lanes only where the store answers, and refuse jobs behind a stuck commit

Cause: lanes opened as soon as one commit was on its way for 50 ms, so that a store which went silent left the outcome of eight more batches open; and jobs behind a batch without an outcome were held for a second before they were refused. Both cost clients the time for another try.

--- a/internal/keeper/commit.go
+++ b/internal/keeper/commit.go
@@ -257,14 +257,31 @@
 		k.Metrics.commits.WithLabelValues("unknown").Inc()
 		k.Log.Warn().Err(err).Msg("A commit was not answered.")
 		b.uncertain = true
+		k.turnAway(b)
 		k.resend(b)
 	}
 }
 
+// turnAway refuses the jobs that wait behind a batch which the store leaves
+// without an outcome: no commit contains them. Held until their time was up,
+// they had none left for another way or another try.
+func (k *Keeper) turnAway(b *batch) {
+	if time.Since(b.begun) < refuseAfter {
+		return
+	}
+	for id, s := range k.submits {
+		if s.carrier == nil && !s.exposed && !s.left {
+			delete(k.submits, id)
+			s.tell(Refused)
+		}
+	}
+}
+
 // refused takes a batch apart that the store certainly didn't take, unless an
 // earlier attempt may have happened.
 func (k *Keeper) refused(b *batch) {
 	if b.uncertain || b.open > 0 {
+		k.turnAway(b)
 		k.resend(b)
 		return
 	}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -100,8 +100,10 @@
 	lanes []*lane
 	// storing are the jobs whose progress a commit on its way contains.
 	storing map[string]bool
-	// opened is when a lane beside the head's last sent a commit.
-	opened time.Time
+	// opened is when a lane beside the head's last sent a commit; crowded: that
+	// one was full, and more may wait.
+	opened  time.Time
+	crowded bool
 	// commitTook is how long a commit takes of late.
 	commitTook time.Duration
 	repeats    repeats
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -85,6 +85,27 @@
 	})
 }
 
+// A commit has no outcome, as the store went away under it. Jobs handed in after
+// that are in no commit: their clients are told at once that they never run, and
+// aren't held until their time is up.
+func TestJobsBehindAStuckCommitAreRefusedAtOnce(t *testing.T) {
+	play(t, emulate.WorkersConfig{Seed: 1}, 2, func(w *world) {
+		k := w.take(true)
+		w.store.LoseAnswers(1)
+		record := w.record(quick(1))
+		stuck := make(chan keeper.Result, 1)
+		go func() { stuck <- k.Submit(w.ctx, record) }()
+		time.Sleep(10 * time.Millisecond)
+		w.store.SetDown(true)
+		time.Sleep(time.Second)
+		began := time.Now()
+		must.EqOp(t, keeper.Refused, k.Submit(w.ctx, w.record(quick(1))))
+		must.Less(t, 300*time.Millisecond, time.Since(began))
+		w.store.SetDown(false)
+		must.EqOp(t, keeper.Stored, <-stuck)
+	})
+}
+
 // The store is down. A job that is handed in can't be stored; the client is
 // told that it never runs, and so it must be, also once the store is back.
 func TestRefusedJobNeverRuns(t *testing.T) {
--- a/internal/keeper/lanes.go
+++ b/internal/keeper/lanes.go
@@ -12,9 +12,14 @@
 	// answers of 250 ms and 29 entries a commit they store 800 entries a second,
 	// where the head's alone stored 110; a pool at its peak has some 500.
 	sideLanes = 8
-	// sideAfter is how long the head's commit is on its way before another lane
-	// sends one. The store usually answers within 4 ms, and every call is priced.
+	// sideAfter is how long commits take, and the head's is on its way, before
+	// another lane sends one. The store usually answers within 4 ms, and every
+	// call is priced.
 	sideAfter = 50 * time.Millisecond
+	// sideFactor times the usual time of a commit is how long the head's may be
+	// on its way: a store that stopped answering would leave the outcome of what
+	// other lanes send open too, and jobs that might be refused unknown.
+	sideFactor = 5
 )
 
 // lane is one chain of commits: each is made under the condition that the one
@@ -62,10 +67,12 @@
 	return true
 }
 
-// commitAside sends a commit on another lane while the head's takes long.
+// commitAside sends a commit on another lane while the head's is on its way and
+// the store is slow.
 func (k *Keeper) commitAside(now time.Time) {
-	head := k.lanes[0].batch
-	if head == nil || now.Sub(head.begun) < sideAfter || now.Sub(k.opened) < commitPause || k.closing != nil {
+	age := now.Sub(k.lanes[0].batch.begun)
+	slow := k.commitTook >= sideAfter && age >= sideAfter && age < sideFactor*k.commitTook
+	if !slow || k.closing != nil || !k.crowded && now.Sub(k.opened) < commitPause {
 		return
 	}
 	for _, l := range k.lanes[1:] {
@@ -73,13 +80,16 @@
 			continue
 		}
 		if b := k.newSideBatch(l); b != nil {
-			k.opened = now
+			k.opened, k.crowded = now, b.full()
 			k.launch(l, b, now)
 		}
 		return
 	}
 }
 
+// full reports whether the batch took all that fits.
+func (b *batch) full() bool { return b.txn.Entries() >= store.MaxTxnEntries }
+
 // newSideBatch collects what a lane beside the head's stores: jobs and their
 // progress, nothing of the pool as a whole.
 func (k *Keeper) newSideBatch(l *lane) *batch {
--- a/internal/keeper/lanes_test.go
+++ b/internal/keeper/lanes_test.go
@@ -45,6 +45,7 @@
 	play(t, emulate.WorkersConfig{Seed: 1}, 12, func(w *world) {
 		k := w.take(true)
 		w.store.SetLatency(slowAnswer)
+		w.submit(k, quick(1))
 		began := time.Now()
 		ids, results := w.submitAll(k, 300)
 		for _, result := range results() {
@@ -72,6 +73,7 @@
 	play(t, emulate.WorkersConfig{Seed: 1}, 4, func(w *world) {
 		k := w.take(true)
 		w.store.SetLatency(slowAnswer)
+		w.submit(k, quick(1))
 		ids, results := w.submitAll(k, 200)
 		// Some lanes have sent their second commit by now.
 		time.Sleep(slowAnswer + 150*time.Millisecond)
@@ -99,6 +101,7 @@
 	play(t, emulate.WorkersConfig{Seed: 1}, 4, func(w *world) {
 		k := w.take(true)
 		w.store.SetLatency(slowAnswer)
+		w.submit(k, quick(1))
 		w.store.LoseShare(0.4, 7)
 		_, results := w.submitAll(k, 200)
 		for _, result := range results() {
