--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -185,6 +185,9 @@
 
 func (k *Keeper) tick(now time.Time) {
 	k.forget = append(k.forget, k.pool.Tick(now)...)
+	if b := k.lanes[0].batch; b != nil && now.Sub(b.begun) > sideFactor*k.commitTook {
+		k.turnAway(b)
+	}
 	if now.Sub(k.described) < statsEvery {
 		return
 	}
