--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -271,6 +271,9 @@
 		if k.stillEmpty(ctx, host, false) {
 			return true
 		}
+		if k.livesAnew(host) {
+			return false
+		}
 		pause.For(ctx, emptyEvery)
 	}
 	return false
@@ -282,7 +285,7 @@
 	called, until := false, time.Now().Add(emptyWithin)
 	for ctx.Err() == nil && !k.isDeposed() {
 		if !k.acts() || !k.stillEmpty(ctx, host, called) {
-			if !called && time.Now().After(until) {
+			if !called && (time.Now().After(until) || k.livesAnew(host)) {
 				return false, Refused
 			}
 			pause.For(ctx, retryEvery)
@@ -316,6 +319,14 @@
 	return ok && (known && empty || !known && called)
 }
 
+// livesAnew reports whether the list shows a host in another life than the one
+// that was to be emptied: it crashed, and its pool knows the old life no more.
+// Waited for until the time was up, twenty seconds, it was left over in its wave.
+func (k *Keeper) livesAnew(host Host) bool {
+	now, listed := k.host(host.Name)
+	return !listed || now.Up && now.Worker != host.Worker
+}
+
 // awaitBack waits until a host is up in another life. One that is up in the
 // same life some time after the call was already done with.
 func (k *Keeper) awaitBack(ctx context.Context, host Host) {
--- a/internal/duty/keeper_test.go
+++ b/internal/duty/keeper_test.go
@@ -1,6 +1,7 @@
 package duty
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,3 +37,29 @@
 		must.True(t, k.acts())
 	})
 }
+
+// forgetful are pools that know none of the workers they are asked for.
+type forgetful struct{ Pools }
+
+func (forgetful) Empty(context.Context, string, string) (empty, known, ok bool) {
+	return false, false, true
+}
+
+// A host of a wave crashes while it is being emptied, and comes up in another
+// life. Its pool has forgotten the life that the duty asks for, which therefore
+// never empties: the host has to be taken up again as it is now.
+func TestAHostThatLivesAnewIsTakenUpAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := New(Config{Pools: forgetful{}, Kept: func(string) bool { return true }}, 1, 1, nil)
+		host := Host{Name: "h", Pool: "p", Up: true, Worker: "first"}
+		k.hosts = []Host{host}
+		time.AfterFunc(time.Second, func() {
+			k.mu.Lock()
+			defer k.mu.Unlock()
+			k.hosts = []Host{{Name: "h", Pool: "p", Up: true, Worker: "second"}}
+		})
+		began := time.Now()
+		must.False(t, k.empty(t.Context(), host, emptyWithin))
+		must.Less(t, 1200*time.Millisecond, time.Since(began))
+	})
+}
