--- a/internal/entryhost/random_test.go
+++ b/internal/entryhost/random_test.go
@@ -61,6 +61,27 @@
 	}
 }
 
+// grownDaysInCI are the days of large sites that every run plays.
+const grownDaysInCI = 12
+
+// Days with the further troubles of large sites on top: hosts go down and up by
+// turns, leave holds unanswered or turn slow several at a time, the store is slow
+// or turns everyone away for a while, and entry hosts go one after the other.
+// None fails all that it starts: jobs may then fail for good, by their attempts.
+// GLADE_FIRST_GROWN_DAY and GLADE_GROWN_DAYS choose others.
+func TestRandomDaysOfLargeSites(t *testing.T) {
+	first, days := setting(t, "GLADE_FIRST_GROWN_DAY", 0), setting(t, "GLADE_GROWN_DAYS", grownDaysInCI)
+	for seed := first; seed < first+days; seed++ {
+		t.Run(strconv.Itoa(seed), func(t *testing.T) {
+			play(t, 3, func(w *world) {
+				d := newDay(w, uint64(seed))
+				d.grown = rand.New(rand.NewPCG(uint64(seed), 9))
+				d.run()
+			})
+		})
+	}
+}
+
 func setting(t *testing.T, name string, fallback int) int {
 	text := os.Getenv(name)
 	if text == "" {
@@ -76,7 +97,9 @@
 	random *rand.Rand
 	// manners draws what was added to jobs later: the other draws of a day
 	// stay as they were.
-	manners  *rand.Rand
+	manners *rand.Rand
+	// grown draws the further troubles of large sites, nil for none.
+	grown    *rand.Rand
 	accepted map[string]string
 	lasting  map[string]string
 	gone     map[string]bool
@@ -187,6 +210,10 @@
 
 // trouble makes one thing go wrong for a while.
 func (d *day) trouble() {
+	if d.grown != nil && d.grown.IntN(2) == 0 {
+		d.grownTrouble()
+		return
+	}
 	switch d.random.IntN(7) {
 	case 0:
 		d.killEntry()
@@ -204,6 +231,46 @@
 	}
 }
 
+// grownTrouble makes one of the troubles of large sites.
+func (d *day) grownTrouble() {
+	length := time.Duration(500+d.grown.IntN(4000)) * time.Millisecond
+	switch d.grown.IntN(6) {
+	case 0:
+		d.store.SetLatency(time.Duration(50+d.grown.IntN(300)) * time.Millisecond)
+		time.AfterFunc(length, func() { d.store.SetLatency(0) })
+	case 1:
+		d.store.SetThrottled(true)
+		time.AfterFunc(length, func() { d.store.SetThrottled(false) })
+	case 2:
+		d.flap(length)
+	case 3:
+		d.spell(emulate.Behavior{MuteShare: 0.2, LateShare: 0.1}, 3, length)
+	case 4:
+		d.spell(emulate.Behavior{Slow: 6}, 2, length)
+	default:
+		d.killEntry()
+		d.killEntry()
+	}
+}
+
+// spell makes some hosts behave badly for a while.
+func (d *day) spell(b emulate.Behavior, count int, length time.Duration) {
+	ids := d.workers.IDs(d.pool())
+	for range min(count, len(ids)) {
+		id := ids[d.grown.IntN(len(ids))]
+		d.workers.Misbehave(id, b)
+		time.AfterFunc(length, func() { d.workers.Misbehave(id, emulate.Behavior{}) })
+	}
+}
+
+// flap has one host go dark and come back by turns.
+func (d *day) flap(length time.Duration) {
+	const turn = 700 * time.Millisecond
+	for at := time.Duration(0); at < length; at += 2 * turn {
+		time.AfterFunc(at, func() { d.spell(emulate.Behavior{Dark: true}, 1, turn) })
+	}
+}
+
 func (d *day) killEntry() {
 	e := d.any()
 	if len(d.entries) == 1 {
@@ -229,5 +296,7 @@
 func (d *day) heal() {
 	time.Sleep(7 * time.Second)
 	d.store.SetDown(false)
+	d.store.SetLatency(0)
+	d.store.SetThrottled(false)
 	d.fleet.Misbehave(emulate.FleetFaults{})
 }
