--- a/internal/entryhost/random_test.go
+++ b/internal/entryhost/random_test.go
@@ -50,12 +50,19 @@
 // so that pools store on several lanes while their holders die, claims vanish
 // and answers are lost. GLADE_FIRST_SLOW_DAY and GLADE_SLOW_DAYS choose others.
 func TestRandomDaysInASlowStore(t *testing.T) {
-	first, days := setting(t, "GLADE_FIRST_SLOW_DAY", 0), setting(t, "GLADE_SLOW_DAYS", slowDaysInCI)
-	for seed := first; seed < first+days; seed++ {
+	playDays(t, setting(t, "GLADE_FIRST_SLOW_DAY", 0), setting(t, "GLADE_SLOW_DAYS", slowDaysInCI), func(d *day, _ int) {
+		d.store.SetLatency(250 * time.Millisecond)
+	})
+}
+
+// playDays plays days of which prepare makes something other than usual.
+func playDays(t *testing.T, first, count int, prepare func(d *day, seed int)) {
+	for seed := first; seed < first+count; seed++ {
 		t.Run(strconv.Itoa(seed), func(t *testing.T) {
 			play(t, 3, func(w *world) {
-				w.store.SetLatency(250 * time.Millisecond)
-				newDay(w, uint64(seed)).run()
+				d := newDay(w, uint64(seed))
+				prepare(d, seed)
+				d.run()
 			})
 		})
 	}
@@ -70,16 +77,9 @@
 // None fails all that it starts: jobs may then fail for good, by their attempts.
 // GLADE_FIRST_GROWN_DAY and GLADE_GROWN_DAYS choose others.
 func TestRandomDaysOfLargeSites(t *testing.T) {
-	first, days := setting(t, "GLADE_FIRST_GROWN_DAY", 0), setting(t, "GLADE_GROWN_DAYS", grownDaysInCI)
-	for seed := first; seed < first+days; seed++ {
-		t.Run(strconv.Itoa(seed), func(t *testing.T) {
-			play(t, 3, func(w *world) {
-				d := newDay(w, uint64(seed))
-				d.grown = rand.New(rand.NewPCG(uint64(seed), 9))
-				d.run()
-			})
-		})
-	}
+	playDays(t, setting(t, "GLADE_FIRST_GROWN_DAY", 0), setting(t, "GLADE_GROWN_DAYS", grownDaysInCI), func(d *day, seed int) {
+		d.grown = rand.New(rand.NewPCG(uint64(seed), 9))
+	})
 }
 
 func setting(t *testing.T, name string, fallback int) int {
