--- a/internal/keeper/outcome.go
+++ b/internal/keeper/outcome.go
@@ -151,4 +151,3 @@
 		}
 	}
 }
-
