--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -39,6 +39,9 @@
 	storeWithin = 700 * time.Millisecond
 	// avoidFor is how long a holder that didn't answer is passed over.
 	avoidFor = 700 * time.Millisecond
+	// awayFor is how long jobs are refused without a try after the store was
+	// found to be away for everyone.
+	awayFor = 250 * time.Millisecond
 	// ComeBack is when a refused client may try again.
 	ComeBack = time.Second
 	// waitingFor is how long a count of waiting jobs is told again; it may be
@@ -70,6 +73,8 @@
 	mu      sync.Mutex
 	avoid   map[string]time.Time
 	waiting map[string]count
+	// away is when the store was last found to be away for everyone.
+	away time.Time
 }
 
 type count struct {
@@ -128,7 +133,10 @@
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, acceptWithin)
 	defer cancel()
-	result := persist(ctx, func() (keeper.Result, bool) { return d.submit(ctx, record) })
+	result := keeper.Refused
+	if !d.storeAway() {
+		result = persist(ctx, func() (keeper.Result, bool) { return d.submit(ctx, record) })
+	}
 	d.Metrics.call("accept", result.String(), time.Since(began))
 	if result != keeper.Stored {
 		d.Log.Info().Str("job", record.ID).Str("queue", record.Queue.Name).Str("result", result.String()).
@@ -186,7 +194,22 @@
 	}, func(ctx context.Context, address string, relay bool) (keeper.Result, bool, error) {
 		return d.Client.Submit(ctx, address, record, relay)
 	})
-	return result, result == keeper.Refused && refusals == mostRelays
+	final = result == keeper.Refused && refusals == mostRelays
+	if final {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.away = time.Now()
+	}
+	return result, final
+}
+
+// storeAway reports whether a job found the store away for everyone a moment
+// ago. Its client often comes back right before its time is up, and would leave
+// in the middle of another round of tries.
+func (d *Desk) storeAway() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return time.Since(d.away) < awayFor
 }
 
 // worse joins the results of two ways to the same end: one that stored it
