--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -42,6 +42,8 @@
 	// awayFor is how long jobs are refused without a try after the store was
 	// found to be away for everyone.
 	awayFor = 250 * time.Millisecond
+	// awaySpell without another such finding ends what is logged as one spell.
+	awaySpell = 5 * time.Second
 	// ComeBack is when a refused client may try again.
 	ComeBack = time.Second
 	// waitingFor is how long a count of waiting jobs is told again; it may be
@@ -133,14 +135,14 @@
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, acceptWithin)
 	defer cancel()
-	result := keeper.Refused
-	if !d.storeAway() {
+	result, tried := keeper.Refused, !d.storeAway()
+	if tried {
 		result = persist(ctx, func() (keeper.Result, bool) { return d.submit(ctx, record) })
 	}
 	d.Metrics.call("accept", result.String(), time.Since(began))
 	if result != keeper.Stored {
 		d.Log.Info().Str("job", record.ID).Str("queue", record.Queue.Name).Str("result", result.String()).
-			Dur("took_ms", time.Since(began)).Msg("A job was not accepted.")
+			Bool("tried", tried).Dur("took_ms", time.Since(began)).Msg("A job was not accepted.")
 	}
 	return result
 }
@@ -196,13 +198,21 @@
 	})
 	final = result == keeper.Refused && refusals == mostRelays
 	if final {
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		d.away = time.Now()
+		d.noteAway()
 	}
 	return result, final
 }
 
+// noteAway notes that the store is away for everyone.
+func (d *Desk) noteAway() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if time.Since(d.away) > awaySpell {
+		d.Log.Warn().Int("refused_by", mostRelays).Msg("The store is away for everyone; jobs are refused at once.")
+	}
+	d.away = time.Now()
+}
+
 // storeAway reports whether a job found the store away for everyone a moment
 // ago. Its client often comes back right before its time is up, and would leave
 // in the middle of another round of tries.
--- a/internal/keeper/lanes.go
+++ b/internal/keeper/lanes.go
@@ -16,6 +16,9 @@
 	// another lane sends one. The store usually answers within 4 ms, and every
 	// call is priced.
 	sideAfter = 50 * time.Millisecond
+	// slowSpell without another lane in use ends what is logged as one spell of
+	// a slow store.
+	slowSpell = 5 * time.Second
 	// sideFactor times the usual time of a commit is how long the head's may be
 	// on its way: a store that stopped answering would leave the outcome of what
 	// other lanes send open too, and jobs that might be refused unknown.
@@ -80,7 +83,11 @@
 			continue
 		}
 		if b := k.newSideBatch(l); b != nil {
+			if now.Sub(k.opened) > slowSpell {
+				k.Log.Warn().Dur("commit_ms", k.commitTook).Msg("The store is slow; commits go out on several lanes.")
+			}
 			k.opened, k.crowded = now, b.full()
+			k.Metrics.sideCommits.Inc()
 			k.launch(l, b, now)
 		}
 		return
--- a/internal/keeper/metrics.go
+++ b/internal/keeper/metrics.go
@@ -14,6 +14,8 @@
 	starts    prometheus.Counter
 	copies    prometheus.Counter
 	repeats   prometheus.Counter
+	// lossy counts spells in which hosts leave calls unanswered.
+	lossy     prometheus.Counter
 	stops     prometheus.Counter
 	paces     prometheus.Counter
 	orders    *prometheus.CounterVec
@@ -21,10 +23,12 @@
 	commits   *prometheus.CounterVec
 	commitSec prometheus.Histogram
 	entries   prometheus.Counter
-	submits   *prometheus.CounterVec
-	jobs      *prometheus.CounterVec
-	jobAge    prometheus.Histogram
-	jobWait   prometheus.Histogram
+	// sideCommits counts commits on lanes beside the head's.
+	sideCommits prometheus.Counter
+	submits     *prometheus.CounterVec
+	jobs        *prometheus.CounterVec
+	jobAge      prometheus.Histogram
+	jobWait     prometheus.Histogram
 }
 
 // jobBuckets reach from the shortest job to one that has missed its time.
@@ -44,6 +48,9 @@
 		repeats: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "glade_worker_repeats_total", Help: "Starts and stops sent again since they had no answer.",
 		}),
+		lossy: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "glade_worker_lossy_spells_total", Help: "Spells in which hosts that are well left calls unanswered.",
+		}),
 		stops: prometheus.NewCounter(prometheus.CounterOpts{Name: "glade_task_stops_total", Help: "Stops of runs ordered, repeats included."}),
 		paces: prometheus.NewCounter(prometheus.CounterOpts{Name: "glade_task_paces_total", Help: "Changes of pace ordered."}),
 		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -59,6 +66,9 @@
 			Name: "glade_pool_commit_seconds", Help: "Time of commits to the store.", Buckets: callBuckets,
 		}),
 		entries: prometheus.NewCounter(prometheus.CounterOpts{Name: "glade_pool_commit_entries_total", Help: "Values written by commits."}),
+		sideCommits: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "glade_pool_side_commits_total", Help: "Commits sent while another one of the same pool was on its way.",
+		}),
 		submits: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "glade_pool_submits_total", Help: "Jobs handed to the pools held here, by result.",
 		}, []string{"result"}),
@@ -74,7 +84,7 @@
 	}
 	if registerer != nil {
 		registerer.MustRegister(m.takeovers, m.starts, m.copies, m.repeats, m.stops, m.paces, m.orders, m.seconds, m.commits, m.commitSec, m.entries, m.submits,
-			m.jobs, m.jobAge, m.jobWait)
+			m.jobs, m.jobAge, m.jobWait, m.lossy, m.sideCommits)
 	}
 	return m
 }
--- a/internal/keeper/orders.go
+++ b/internal/keeper/orders.go
@@ -48,8 +48,10 @@
 	open       atomic.Int64
 
 	mu sync.Mutex
-	// lost is the share of holds that weren't answered of late.
-	lost float64
+	// lost is the share of holds that weren't answered of late; losing is set
+	// when it is over lossyShare, until it is under half of that.
+	lost   float64
+	losing bool
 }
 
 // patience is how long to wait before an order is sent again.
@@ -62,21 +64,43 @@
 }
 
 // heard notes a hold that was answered, and whether the one before it to the
-// same host was not. Hosts that stay silent don't count.
-func (r *repeats) heard(afterLoss bool) {
+// same host was not. Hosts that stay silent don't count. It reports whether what
+// lossy says has changed.
+func (r *repeats) heard(afterLoss bool) (changed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.lost -= r.lost * lossWeight
 	if afterLoss {
 		r.lost += lossWeight
 	}
+	before := r.losing
+	if r.losing {
+		r.losing = r.lost > lossyShare/2
+	} else {
+		r.losing = r.lost > lossyShare
+	}
+	return r.losing != before
 }
 
 // lossy reports whether hosts that are well leave calls unanswered.
 func (r *repeats) lossy() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.lost > lossyShare
+	return r.losing
+}
+
+// heard notes that a host answered a hold, after one that it didn't answer or
+// not.
+func (k *Keeper) heard(afterLoss bool) {
+	if !k.repeats.heard(afterLoss) {
+		return
+	}
+	if k.repeats.lossy() {
+		k.Metrics.lossy.Inc()
+		k.Log.Warn().Float64("share_over", lossyShare).Msg("Hosts leave calls unanswered; they are asked again sooner.")
+		return
+	}
+	k.Log.Info().Float64("share_under", lossyShare/2).Msg("Hosts answer again.")
 }
 
 func (r *repeats) took(d time.Duration) {
@@ -174,7 +198,7 @@
 		}
 		rest := holdPause
 		if _, outcome := k.hold(target, hold, within); outcome == worker.Accepted {
-			k.repeats.heard(lost > 0)
+			k.heard(lost > 0)
 			lost = 0
 		} else if lost++; lost > 1 {
 			rest = holdRetry
