--- a/internal/entryhost/random_test.go
+++ b/internal/entryhost/random_test.go
@@ -253,21 +253,33 @@
 	}
 }
 
+// someHost draws a host of a pool.
+func (d *day) someHost() string {
+	ids := d.workers.IDs([]string{"day", "night"}[d.grown.IntN(2)])
+	if len(ids) == 0 {
+		return ""
+	}
+	return ids[d.grown.IntN(len(ids))]
+}
+
 // spell makes some hosts behave badly for a while.
 func (d *day) spell(b emulate.Behavior, count int, length time.Duration) {
-	ids := d.workers.IDs(d.pool())
-	for range min(count, len(ids)) {
-		id := ids[d.grown.IntN(len(ids))]
-		d.workers.Misbehave(id, b)
-		time.AfterFunc(length, func() { d.workers.Misbehave(id, emulate.Behavior{}) })
+	for range count {
+		d.misbehave(d.someHost(), b, 0, length)
 	}
 }
 
+func (d *day) misbehave(id string, b emulate.Behavior, after, length time.Duration) {
+	time.AfterFunc(after, func() { d.workers.Misbehave(id, b) })
+	time.AfterFunc(after+length, func() { d.workers.Misbehave(id, emulate.Behavior{}) })
+}
+
 // flap has one host go dark and come back by turns.
 func (d *day) flap(length time.Duration) {
 	const turn = 700 * time.Millisecond
+	id := d.someHost()
 	for at := time.Duration(0); at < length; at += 2 * turn {
-		time.AfterFunc(at, func() { d.spell(emulate.Behavior{Dark: true}, 1, turn) })
+		d.misbehave(id, emulate.Behavior{Dark: true}, at, turn)
 	}
 }
 
