--- a/internal/entryhost/random_test.go
+++ b/internal/entryhost/random_test.go
@@ -55,6 +55,16 @@
 	})
 }
 
+// A day on which a task starts after its success was noted, in some 8 of 100
+// plays. A host can't be heard until its hold has ended; its task is ordered
+// elsewhere, without an answer; the host is heard and tells that the task was
+// done; and the unanswered order goes out again all the same.
+func TestRandomDayWithARepeatedStart(t *testing.T) {
+	playDays(t, 3598, 1, func(d *day, seed int) {
+		d.grown = rand.New(rand.NewPCG(uint64(seed), 9))
+	})
+}
+
 // playDays plays days of which prepare makes something other than usual.
 func playDays(t *testing.T, first, count int, prepare func(d *day, seed int)) {
 	for seed := first; seed < first+count; seed++ {
