Send no start again that nobody wants any more

Cause: an order without an answer went out again after 120 to 250 ms without a question to the pool. Meanwhile its task could have been found done on a host that was heard again, or its job cancelled; the host began a run after what ended it was stored. A run beside one that is done also went on to its end.

Change: the pool is asked before a start is repeated, and every other run of a task that is done is stopped, copies or not.

--- a/internal/keeper/orders.go
+++ b/internal/keeper/orders.go
@@ -112,10 +112,10 @@
 	return outcome == worker.Accepted || outcome == worker.Gone || outcome == worker.Deposed
 }
 
-// repeated makes a call, again while it has no answer, and returns what is
-// certain of it. An attempt that was refused says nothing about an earlier one
-// that is still on its way: the outcome is unknown then.
-func (r *repeats) repeated(counter prometheus.Counter, call func() worker.Outcome) worker.Outcome {
+// repeated makes a call, again while it has no answer and is wanted, and returns
+// what is certain of it. An attempt that was refused says nothing about an
+// earlier one that is still on its way: the outcome is unknown then.
+func (r *repeats) repeated(counter prometheus.Counter, wanted func() bool, call func() worker.Outcome) worker.Outcome {
 	answers := make(chan worker.Outcome, orderAttempts)
 	attempt := func() {
 		sent := time.Now()
@@ -137,7 +137,7 @@
 				return outcome
 			}
 		case <-timer.C:
-			if sent == orderAttempts || r.open.Load() >= mostRepeats {
+			if sent == orderAttempts || r.open.Load() >= mostRepeats || !wanted() {
 				continue
 			}
 			open++
@@ -156,7 +156,8 @@
 
 func (k *Keeper) start(order sched.Order) {
 	sent := time.Now()
-	outcome := k.repeats.repeated(k.Metrics.repeats, func() worker.Outcome {
+	wanted := func() bool { return k.wantsStart(order) }
+	outcome := k.repeats.repeated(k.Metrics.repeats, wanted, func() worker.Outcome {
 		return k.Orders.Start(k.ctx, order.To, worker.Start{
 			Task: order.Task, Run: order.Run, Text: order.Text, DeadlineMs: order.DeadlineMs,
 			Fence: k.grant.Head.Fence, Saved: order.Saved, Ticket: order.Ticket,
@@ -170,9 +171,19 @@
 	k.do(k.ctx, func() { k.pool.StartOutcome(order.To.ID, order.Task, order.Run, outcome, time.Now()) })
 }
 
+// wantsStart asks the pool whether a start without an answer may go out again.
+// The task may have been found done elsewhere since it was first sent, or its
+// job cancelled; the host would begin a run that nobody wants, after what ended
+// it was already stored.
+func (k *Keeper) wantsStart(order sched.Order) bool {
+	wanted, ok := query(k.ctx, k, func() bool { return k.pool.WantsStart(order.To.ID, order.Task, order.Run) })
+	return ok && wanted
+}
+
 func (k *Keeper) stop(order sched.Order) {
 	sent := time.Now()
-	outcome := k.repeats.repeated(k.Metrics.repeats, func() worker.Outcome {
+	always := func() bool { return true }
+	outcome := k.repeats.repeated(k.Metrics.repeats, always, func() worker.Outcome {
 		return k.Orders.Stop(k.ctx, order.To, worker.Stop{Task: order.Task, Run: order.Run, Fence: k.grant.Head.Fence})
 	})
 	k.Metrics.order("stop", outcome, time.Since(sent))
--- a/internal/keeper/orders_test.go
+++ b/internal/keeper/orders_test.go
@@ -7,6 +7,7 @@
 	"github.com/shoenig/test/must"
 
 	"auburnglade.example/glade/internal/emulate"
+	"auburnglade.example/glade/internal/keeper"
 	"auburnglade.example/glade/internal/work"
 )
 
@@ -35,3 +36,19 @@
 		w.shown(k, id, work.Done, 9*time.Second)
 	})
 }
+
+// A start is left unanswered, and so is the stop that follows, as the client has
+// cancelled meanwhile. The start isn't sent again: its host would begin what
+// nobody wants, after the cancel was acknowledged.
+func TestUnansweredStartThatNobodyWantsIsNotSentAgain(t *testing.T) {
+	play(t, emulate.WorkersConfig{Seed: 1}, 1, func(w *world) {
+		k := w.take(true)
+		w.workers.Misbehave(w.workers.IDs(pool)[0], emulate.Behavior{LateNext: 2})
+		id := w.submit(k, quick(1))
+		time.Sleep(50 * time.Millisecond)
+		must.EqOp(t, keeper.Stored, k.Cancel(w.ctx, id))
+		w.workers.Judge.Cancelled(id)
+		time.Sleep(15 * time.Second)
+		must.EqOp(t, 0, w.workers.Judge.Starts())
+	})
+}
--- a/internal/sched/answers.go
+++ b/internal/sched/answers.go
@@ -84,8 +84,10 @@
 			p.taskDone(member, now, wall)
 		}
 	}
-	if t.step.spec.Copies {
-		p.stopRuns(t, "a copy of it is done")
+	if !t.step.spec.Gang {
+		// A copy of it, or a run that an earlier one was thought to have lapsed
+		// for, would only repeat the work.
+		p.stopRuns(t, "another run of it is done")
 	}
 }
 
@@ -328,6 +330,17 @@
 	}
 }
 
+// WantsStart reports whether a start that was ordered and has no answer is still
+// to be carried out.
+func (p *Pool) WantsStart(id string, name work.TaskName, number int) bool {
+	h := p.hosts[id]
+	if h == nil {
+		return false
+	}
+	r := h.runs[name]
+	return r != nil && r.number == number && r.state == starting && !r.task.done
+}
+
 // startRefused frees what a refused start held: nothing was done.
 func (p *Pool) startRefused(h *host, r *run, outcome worker.Outcome, now time.Time) {
 	t := r.task
