Let waves go by how long hosts were out, and spare the pool whose turn is next

Cause: a host was reckoned to be out for 6.5 s, so that a wave of 24 had 8 to 10 of 48 hosts out at once, at the start of a turn too; of idle pools the one with the least load was taken, which says nothing.

--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -62,6 +62,8 @@
 	rhythm *Rhythm
 
 	mu sync.Mutex
+	// outTimes is how long hosts were out for maintenance.
+	outTimes OutTimes
 	// busy are the hosts that something is done with.
 	busy map[string]*errand
 	// waves is how far each wave has come.
--- a/internal/duty/plan.go
+++ b/internal/duty/plan.go
@@ -7,9 +7,20 @@
 )
 
 const (
-	// perHost is how long a host is out for maintenance at most in a good run:
-	// it empties, is down, and joins its pool again.
-	perHost = 6500 * time.Millisecond
+	// perHost is how long a host is out for maintenance at most in a good run: it
+	// empties, is down, and joins its pool again. usualOut is how long most are
+	// believed to be before any was.
+	perHost  = 6500 * time.Millisecond
+	usualOut = 4 * time.Second
+	// leastPerHost is what it is believed to be at the least: it is down for two
+	// seconds, and joins within one more.
+	leastPerHost = 3500 * time.Millisecond
+	// outFactor times the mean is reckoned with: some take longer.
+	outFactor = 1.3
+	// outWeight is what each host counts in the mean.
+	outWeight = 0.125
+	// busyAt is how full a pool is that has no hosts to spare for a wave.
+	busyAt = 0.5
 	// waveMargin is kept at a wave's end for hosts that take longer.
 	waveMargin = 8 * time.Second
 )
@@ -31,6 +42,34 @@
 	// many such hosts of each pool are being emptied.
 	Slow    map[string]bool
 	SlowOut map[string]int
+	// Working are the workers on which something runs.
+	Working map[string]bool
+	// PerHost is how long hosts are out, zero where none was yet.
+	PerHost time.Duration
+	// Expect is how likely each pool's turn of demand is next.
+	Expect map[string]float64
+}
+
+// OutTimes is how long hosts were out for maintenance, lately. A wave that goes
+// by the most that one may take has more hosts out at once than it must, at the
+// worst moment of a turn too: 10 of 48 instead of 6.
+type OutTimes struct{ mean time.Duration }
+
+// Add takes one host over.
+func (o *OutTimes) Add(out time.Duration) {
+	o.mean = o.usual() + time.Duration(outWeight*float64(out-o.usual()))
+}
+
+func (o *OutTimes) usual() time.Duration {
+	if o.mean == 0 {
+		return usualOut
+	}
+	return o.mean
+}
+
+// PerHost is what to reckon with.
+func (o *OutTimes) PerHost() time.Duration {
+	return min(perHost, max(leastPerHost, time.Duration(outFactor*float64(o.usual()))))
 }
 
 // slowAtOnce is how many hosts with lasting tasks are emptied at once in a
@@ -42,7 +81,8 @@
 // faster than it must, so that as few hosts as possible are missing at once.
 // Hosts with lasting tasks take longest: a few of each pool come first, also
 // where the pool has much to do, since they can't be hurried at the end. Of the
-// others, those of pools with little to do come first.
+// others, those of pools with little to do come first, of these the ones whose
+// turn of demand is least expected, and idle hosts before others.
 func NextOut(v WaveView) []Host {
 	room := v.pace() - v.Out
 	if room <= 0 {
@@ -51,6 +91,8 @@
 	hosts := slices.Clone(v.Left)
 	slices.SortStableFunc(hosts, func(a, b Host) int {
 		return cmp.Or(compareTrue(v.Slow[a.Worker], v.Slow[b.Worker]),
+			compareTrue(v.Loads[b.Pool] > busyAt, v.Loads[a.Pool] > busyAt),
+			cmp.Compare(v.Expect[a.Pool], v.Expect[b.Pool]), compareTrue(v.Working[b.Worker], v.Working[a.Worker]),
 			cmp.Compare(v.Loads[a.Pool], v.Loads[b.Pool]), cmp.Compare(v.share(a.Pool), v.share(b.Pool)))
 	})
 	var chosen []Host
@@ -78,10 +120,10 @@
 func (v *WaveView) pace() int {
 	left := len(v.Left) + v.Out
 	time := v.Remaining - waveMargin
-	if time <= perHost {
+	if time <= v.each() {
 		return v.AtOnce
 	}
-	rounds := int(time / perHost)
+	rounds := int(time / v.each())
 	return min(v.AtOnce, (left+rounds-1)/rounds)
 }
 
@@ -100,7 +142,15 @@
 }
 
 // short reports whether little time is left.
-func (v *WaveView) short() bool { return v.Remaining < waveMargin+perHost }
+func (v *WaveView) short() bool { return v.Remaining < waveMargin+v.each() }
+
+// each is how long a host is out.
+func (v *WaveView) each() time.Duration {
+	if v.PerHost == 0 {
+		return perHost
+	}
+	return v.PerHost
+}
 
 // compareTrue orders true before false.
 func compareTrue(a, b bool) int {
--- a/internal/duty/plan_test.go
+++ b/internal/duty/plan_test.go
@@ -100,6 +100,39 @@
 	must.EqOp(t, 10, taken["idle"], must.Sprint("as many as a pool may miss"))
 }
 
+// Ten of 48 hosts were out at once for a wave that had time for six at a time,
+// since a host was reckoned to be out for as long as it may be. How long hosts
+// really were out sets the pace.
+func TestAWaveGoesByHowLongHostsWereOut(t *testing.T) {
+	v := waveView(append(hosts("p", 12), hosts("q", 12)...), waveMargin+18*time.Second, 10)
+	must.Len(t, 6, NextOut(v), must.Sprint("a quarter of each pool at most"))
+	var times OutTimes
+	must.Between(t, leastPerHost, times.PerHost(), perHost)
+	for range 40 {
+		times.Add(3 * time.Second)
+	}
+	v.PerHost = times.PerHost()
+	must.Len(t, 6, NextOut(v))
+	v.SizeOf["p"], v.SizeOf["q"] = 40, 40
+	must.Len(t, 6, NextOut(v))
+	v.PerHost = perHost
+	must.Len(t, 10, NextOut(v))
+}
+
+// A wave takes hosts of the pool whose turn of demand comes next, and the jobs at
+// its start wait for others. Of pools with as little to do, those whose turn is
+// least expected go first, and idle hosts before those that something runs on.
+func TestAWaveSparesThePoolWhoseTurnIsNext(t *testing.T) {
+	v := waveView(append(hosts("next", 8), hosts("past", 8)...), waveMargin+8*perHost, 9)
+	v.Expect = map[string]float64{"next": 0.8, "past": 0.2}
+	v.Loads["past"], v.Loads["next"] = 0.1, 0.05
+	v.Working = map[string]bool{v.Left[8].Worker: true}
+	for _, h := range NextOut(v) {
+		must.EqOp(t, "past", h.Pool)
+		must.NotEqOp(t, v.Left[8].Name, h.Name)
+	}
+}
+
 // pool has work of tasks of one second, due within 1.8 s; what doesn't run waits.
 func pool(name string, count, used, work int) PoolView {
 	p := PoolView{Name: name, Known: true, Hosts: hosts(name, count)}
--- a/internal/duty/rhythm.go
+++ b/internal/duty/rhythm.go
@@ -32,6 +32,8 @@
 	arriving, usage float64
 	// peak is what its turns need, fading slowly.
 	peak float64
+	// expect is how likely its turn is next.
+	expect float64
 }
 
 const (
@@ -124,7 +126,7 @@
 	case p.Load.Young:
 	case !t.on && p.Load.begins(usual):
 		r.count(p.Name)
-		*t = turns{on: true, began: now, peak: t.peak}
+		*t = turns{on: true, began: now, peak: t.peak, expect: t.expect}
 	case t.on && t.looks > 0 && float64(p.Load.Onset) < endsAt*t.arriving:
 		t.on = false
 	}
@@ -180,6 +182,15 @@
 	return shares
 }
 
+// Expected tells by pool how likely its turn was next when it was last watched.
+func (r *Rhythm) Expected() map[string]float64 {
+	expected := make(map[string]float64, len(r.pools))
+	for name, t := range r.pools {
+		expected[name] = t.expect
+	}
+	return expected
+}
+
 // expect notes in each pool how likely its turn is next.
 func (r *Rhythm) expect(pools []PoolView) {
 	total := 0.0
@@ -201,5 +212,6 @@
 		if t.on {
 			p.Expect = onExpect
 		}
+		t.expect = p.Expect
 	}
 }
--- a/internal/duty/waves.go
+++ b/internal/duty/waves.go
@@ -65,7 +65,8 @@
 	view := WaveView{
 		Wave: wave, Remaining: wave.Within - time.Since(state.began),
 		Loads: make(map[string]float64), OutOf: make(map[string]int), SizeOf: make(map[string]int),
-		Slow: make(map[string]bool), SlowOut: make(map[string]int),
+		Slow: make(map[string]bool), SlowOut: make(map[string]int), Working: make(map[string]bool),
+		PerHost: k.outTimes.PerHost(), Expect: k.rhythm.Expected(),
 	}
 	due := wave.due()
 	k.mu.Lock()
@@ -92,6 +93,7 @@
 		view.Loads[pool] = float64(load.Used+load.Waiting) / float64(max(1, load.Capacity))
 		for _, h := range load.Hosts {
 			view.Slow[h.Worker] = h.Lasting > 0
+			view.Working[h.Worker] = !h.idle()
 		}
 	}
 	return view
@@ -114,6 +116,7 @@
 }
 
 func (k *Keeper) maintain(ctx context.Context, wave Wave, state *waveState, host Host) {
+	began := time.Now()
 	if !k.empty(ctx, host, emptyWithin) {
 		k.Log.Warn().Int64("wave", wave.Number).Str("host", host.Name).Msg("A host does not empty; it comes later.")
 		return
@@ -132,6 +135,9 @@
 	// counts as down for as long.
 	k.note(ctx, wave, state, host.Name, true)
 	k.awaitBack(ctx, host)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.outTimes.Add(time.Since(began))
 }
 
 // goDown counts a host as down if its wave allows one more. Hosts that an
--- a/internal/measure/load/fleet.go
+++ b/internal/measure/load/fleet.go
@@ -24,6 +24,7 @@
 type errand struct {
 	// to is the pool that it moves to, empty for maintenance.
 	to    string
+	began time.Duration
 	until time.Duration
 	next  time.Duration
 	gone  bool
@@ -82,6 +83,9 @@
 func (w *world) playErrand(m *machine, e *errand) {
 	if e.gone {
 		if m.life != nil && w.now >= m.back+listedAgain {
+			if e.to == "" {
+				w.outTimes.Add(w.now - e.began)
+			}
 			delete(w.errands, m)
 		}
 		return
@@ -135,7 +139,8 @@
 	v := duty.WaveView{
 		Wave: duty.Wave{Number: 1, AtOnce: w.Wave.AtOnce}, Remaining: w.Wave.At + w.Wave.Within - w.now,
 		Loads: make(map[string]float64), OutOf: make(map[string]int), SizeOf: make(map[string]int),
-		Slow: make(map[string]bool), SlowOut: make(map[string]int),
+		Slow: make(map[string]bool), SlowOut: make(map[string]int), Working: make(map[string]bool),
+		PerHost: w.outTimes.PerHost(), Expect: w.policy.Expected(),
 	}
 	machines := make(map[string]*machine)
 	for _, m := range w.machines {
@@ -159,10 +164,11 @@
 		v.Loads[name] = float64(load.Used+load.Waiting) / float64(max(1, load.Capacity))
 		for _, h := range load.Hosts {
 			v.Slow[h.Worker] = h.Lasting > 0
+			v.Working[h.Worker] = h.Used > 0
 		}
 	}
 	for _, h := range duty.NextOut(v) {
-		w.errands[machines[h.Name]] = &errand{until: w.now + maintainWithin, slow: v.Slow[h.Worker]}
+		w.errands[machines[h.Name]] = &errand{began: w.now, until: w.now + maintainWithin, slow: v.Slow[h.Worker]}
 	}
 }
 
--- a/internal/measure/load/load.go
+++ b/internal/measure/load/load.go
@@ -15,6 +15,8 @@
 // Policy decides which hosts change their pool.
 type Policy interface {
 	Plan(pools []duty.PoolView, now time.Time) []duty.Move
+	// Expected tells by pool how likely its turn of demand is next.
+	Expected() map[string]float64
 }
 
 // Cmd is the subcommand.
--- a/internal/measure/load/policies.go
+++ b/internal/measure/load/policies.go
@@ -33,13 +33,20 @@
 	return duty.PlanMoves(pools, func(duty.Host, string) bool { return true })
 }
 
+func (p product) Expected() map[string]float64 { return p.rhythm.Expected() }
+
+// unaware expects nothing of any pool.
+type unaware struct{}
+
+func (unaware) Expected() map[string]float64 { return nil }
+
 // fixed moves nothing.
-type fixed struct{}
+type fixed struct{ unaware }
 
 func (fixed) Plan([]duty.PoolView, time.Time) []duty.Move { return nil }
 
 // fullest gives every idle host to the pool with the most work for its hosts.
-type fullest struct{}
+type fullest struct{ unaware }
 
 func (fullest) Plan(pools []duty.PoolView, _ time.Time) []duty.Move {
 	pressure := func(p duty.PoolView) float64 {
--- a/internal/measure/load/world.go
+++ b/internal/measure/load/world.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"auburnglade.example/glade/internal/duty"
 	"auburnglade.example/glade/internal/sched"
 	"auburnglade.example/glade/internal/work"
 	"auburnglade.example/glade/internal/worker"
@@ -62,6 +63,7 @@
 	later    []event
 	lives    int
 	errands  map[*machine]*errand
+	outTimes duty.OutTimes
 	figures  Figures
 }
 
