Count arrivals that are stored in bunches whole, and judge no turn by two jobs

A turn's use was bound by its mean since the start, which lags.

Change: the rate over at least six jobs and 0.3 s, over all the time while there were fewer; use as it is now bounds a turn; turns are logged.

--- a/internal/duty/moving.go
+++ b/internal/duty/moving.go
@@ -18,7 +18,9 @@
 		load, known := loads[name]
 		views = append(views, PoolView{Name: name, Spare: spare, Load: load, Known: known})
 	}
-	k.rhythm.Watch(views, time.Now())
+	for _, turn := range k.rhythm.Watch(views, time.Now()) {
+		k.logTurn(turn)
+	}
 	k.fill(views)
 	// Hosts are listed only when some may move: each list is a call.
 	if len(PlanMoves(views, k.allowed)) == 0 && !anyLacks(views) {
@@ -34,6 +36,15 @@
 	}
 }
 
+func (k *Keeper) logTurn(turn Turn) {
+	event := k.Log.Info().Str("pool", turn.Pool).Int("arriving_milli", turn.Arriving).Float64("usual_milli", turn.Usual)
+	if turn.Begins {
+		event.Msg("A turn of demand begins.")
+		return
+	}
+	event.Msg("A turn of demand is over.")
+}
+
 func anyLacks(views []PoolView) bool {
 	return slices.ContainsFunc(views, func(v PoolView) bool { return v.Known && v.lacks() })
 }
--- a/internal/duty/rhythm.go
+++ b/internal/duty/rhythm.go
@@ -64,7 +64,7 @@
 	peakFades = 0.99
 	// settledLooks is how many looks a turn must have had for its means to count
 	// as what it needs.
-	settledLooks = 4
+	settledLooks = 2
 	// usedLooks is how many it must have had for its use to bound that.
 	usedLooks = 8
 	// peakLooks is how many it must have had to tell what turns need.
@@ -81,8 +81,18 @@
 // NewRhythm returns a rhythm that has seen nothing.
 func NewRhythm() *Rhythm { return &Rhythm{pools: make(map[string]*turns)} }
 
-// Watch takes a look at all pools and notes in them what it expects.
-func (r *Rhythm) Watch(pools []PoolView, now time.Time) {
+// Turn tells that a pool's turn of demand begins or is over.
+type Turn struct {
+	Pool   string
+	Begins bool
+	// Arriving is what arrived, Usual what turns need, in thousandths of a core.
+	Arriving int
+	Usual    float64
+}
+
+// Watch takes a look at all pools and notes in them what it expects. It returns
+// the turns that begin or are over.
+func (r *Rhythm) Watch(pools []PoolView, now time.Time) (changes []Turn) {
 	usual := 0.0
 	for i := range pools {
 		if p := &pools[i]; p.Known && !p.Spare {
@@ -91,10 +101,15 @@
 	}
 	for i := range pools {
 		if p := &pools[i]; p.Known && !p.Spare {
+			was := r.pools[p.Name].on
 			r.turn(p, usual, now)
+			if on := r.pools[p.Name].on; on != was {
+				changes = append(changes, Turn{p.Name, on, p.Load.Arriving, usual})
+			}
 		}
 	}
 	r.expect(pools)
+	return changes
 }
 
 // look takes the means of a turn that is on, and returns what the pool's turns
@@ -111,7 +126,7 @@
 	t.looks++
 	weight := max(1/float64(t.looks), lookWeight)
 	t.arriving += weight * (float64(p.Load.Arriving) - t.arriving)
-	t.usage += weight * (float64(p.Load.running()+p.Load.Waiting) - t.usage)
+	t.usage += weight * (p.Load.usage() - t.usage)
 	if t.looks >= peakLooks {
 		t.peak = max(t.peak*peakFades, t.arriving)
 	}
@@ -137,13 +152,16 @@
 		p.Steady = steadyFactor * t.arriving
 	}
 	if t.looks > usedLooks {
-		p.Steady = min(p.Steady, usageFactor*t.usage)
+		p.Steady = min(p.Steady, usageFactor*max(t.usage, p.Load.usage()))
 	}
 	if now.Sub(t.began) < onsetFor {
 		p.Expected = onsetShare * usual
 	}
 }
 
+// usage is what runs and waits of what doesn't last.
+func (l Load) usage() float64 { return float64(l.running() + l.Waiting) }
+
 // begins reports whether a pool's turn has begun.
 func (l Load) begins(usual float64) bool {
 	arriving, onset := float64(l.Arriving), float64(l.Onset)
--- a/internal/sched/jobs.go
+++ b/internal/sched/jobs.go
@@ -56,7 +56,7 @@
 func (p *Pool) arrived(j *job, at time.Time) {
 	a := p.arrivals[j.record.Queue.Name]
 	if a == nil {
-		a = &arrivals{}
+		a = &arrivals{began: p.started}
 		p.arrivals[j.record.Queue.Name] = a
 	}
 	work := 0.0
--- a/internal/sched/order_test.go
+++ b/internal/sched/order_test.go
@@ -119,6 +119,21 @@
 	must.Less(t, 15, a.onset(now.Add(time.Second)))
 }
 
+// A pool of a large site stores eight jobs each 60 ms. Its demand was taken for
+// that of the last six, all of one bunch, and its hosts went elsewhere.
+func TestArrivalsInBunchesAreCountedWhole(t *testing.T) {
+	a := &arrivals{}
+	now := time.Now()
+	for range 20 {
+		for range 8 {
+			a.note(now, 1)
+		}
+		now = now.Add(60 * time.Millisecond)
+	}
+	must.Between(t, 90, a.cores(now), 170)
+	must.Between(t, 60, a.onset(now), 250)
+}
+
 // A new holder takes a pool over in its turn and finds the jobs of the last
 // seconds in the store, in the order of their ids. It knows how often they came:
 // otherwise the pool's hosts went elsewhere for the seconds that it took to see.
