--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -93,6 +93,10 @@
 	Arriving, Due int
 	// Onset is Arriving as the very last jobs tell it.
 	Onset int
+	// Peak is the most that arrived during the last minutes, PeakAgo how long ago
+	// there last was half as much.
+	Peak    int
+	PeakAgo time.Duration
 	// Spread is how many hosts its lasting tasks, and gangs that wait, need to
 	// be spread over.
 	Spread int
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -110,7 +110,7 @@
 func New(config Config, fence int64, revision store.Revision, claim []byte) *Keeper {
 	return &Keeper{
 		Config: config, fence: fence, revision: revision, claim: claim,
-		rhythm: NewRhythm(), busy: make(map[string]*errand), waves: make(map[int64]*waveState),
+		rhythm: NewRhythm(), outTimes: NewOutTimes(), busy: make(map[string]*errand), waves: make(map[int64]*waveState),
 		barred: make(map[barredPair]bool), confirmed: time.Now(),
 	}
 }
--- a/internal/duty/plan.go
+++ b/internal/duty/plan.go
@@ -15,10 +15,13 @@
 	// leastPerHost is what it is believed to be at the least: it is down for two
 	// seconds, and joins within one more.
 	leastPerHost = 3500 * time.Millisecond
-	// outFactor times the mean is reckoned with: some take longer.
-	outFactor = 1.3
-	// outWeight is what each host counts in the mean.
-	outWeight = 0.125
+	// outSpread times what hosts differ from the mean is reckoned with on top of
+	// it: those with lasting tasks take longest, and come last if anything does.
+	outSpread = 2
+	// outWeight is what each host counts in the mean and in how hosts differ, and
+	// usualSpread how they are believed to differ before any was out.
+	outWeight   = 0.125
+	usualSpread = 600 * time.Millisecond
 	// busyAt is how full a pool is that has no hosts to spare for a wave.
 	busyAt = 0.5
 	// waveMargin is kept at a wave's end for hosts that take longer.
@@ -53,23 +56,20 @@
 // OutTimes is how long hosts were out for maintenance, lately. A wave that goes
 // by the most that one may take has more hosts out at once than it must, at the
 // worst moment of a turn too: 10 of 48 instead of 6.
-type OutTimes struct{ mean time.Duration }
+type OutTimes struct{ mean, spread time.Duration }
+
+// NewOutTimes returns what is believed before any host was out.
+func NewOutTimes() OutTimes { return OutTimes{usualOut, usualSpread} }
 
 // Add takes one host over.
 func (o *OutTimes) Add(out time.Duration) {
-	o.mean = o.usual() + time.Duration(outWeight*float64(out-o.usual()))
-}
-
-func (o *OutTimes) usual() time.Duration {
-	if o.mean == 0 {
-		return usualOut
-	}
-	return o.mean
+	o.spread += time.Duration(outWeight * float64((out-o.mean).Abs()-o.spread))
+	o.mean += time.Duration(outWeight * float64(out-o.mean))
 }
 
 // PerHost is what to reckon with.
 func (o *OutTimes) PerHost() time.Duration {
-	return min(perHost, max(leastPerHost, time.Duration(outFactor*float64(o.usual()))))
+	return min(perHost, max(leastPerHost, o.mean+outSpread*o.spread))
 }
 
 // slowAtOnce is how many hosts with lasting tasks are emptied at once in a
--- a/internal/duty/rhythm.go
+++ b/internal/duty/rhythm.go
@@ -93,6 +93,7 @@
 // Watch takes a look at all pools and notes in them what it expects. It returns
 // the turns that begin or are over.
 func (r *Rhythm) Watch(pools []PoolView, now time.Time) (changes []Turn) {
+	r.recall(pools, now)
 	usual := 0.0
 	for i := range pools {
 		if p := &pools[i]; p.Known && !p.Spare {
@@ -112,14 +113,30 @@
 	return changes
 }
 
+// recall takes over what pools that are seen for the first time remember of their
+// turns: a process that has just begun to look after the hosts has seen none.
+func (r *Rhythm) recall(pools []PoolView, now time.Time) {
+	highest := 0
+	for i := range pools {
+		highest = max(highest, pools[i].Load.Peak)
+	}
+	for i := range pools {
+		p := &pools[i]
+		if !p.Known || p.Spare || r.pools[p.Name] != nil {
+			continue
+		}
+		t := &turns{}
+		if p.Load.Peak > 0 && float64(p.Load.Peak) >= beginsAt*float64(highest) {
+			t.peak, t.began = float64(p.Load.Peak), now.Add(-p.Load.PeakAgo)
+		}
+		r.pools[p.Name] = t
+	}
+}
+
 // look takes the means of a turn that is on, and returns what the pool's turns
 // need. What a holder that has just taken over says is less than the truth.
 func (r *Rhythm) look(p *PoolView) (peak float64) {
 	t := r.pools[p.Name]
-	if t == nil {
-		t = &turns{}
-		r.pools[p.Name] = t
-	}
 	if !t.on || p.Load.Young {
 		return t.peak
 	}
--- a/internal/duty/rhythm_test.go
+++ b/internal/duty/rhythm_test.go
@@ -125,3 +125,21 @@
 	poor.Load.Young = true
 	must.Len(t, 0, PlanMoves([]PoolView{rich, poor}, anywhere))
 }
+
+// The entry host that looks after the hosts is lost in the middle of a day. The
+// next one learns from the pools' holders which turns have passed and what they
+// needed; it knew nothing for two turns otherwise.
+func TestTurnsAreRecalledFromThePools(t *testing.T) {
+	views := []PoolView{pool("a", 10, 0, 0), pool("b", 10, 0, 0), pool("c", 10, 0, 0)}
+	views[0].Load.Peak, views[0].Load.PeakAgo = 16*hostSize.MilliCPU, 20*time.Second
+	views[1].Load.Peak, views[1].Load.PeakAgo = 14*hostSize.MilliCPU, 5*time.Second
+	views[2].Load.Peak, views[2].Load.PeakAgo = hostSize.MilliCPU, time.Second
+	r := NewRhythm()
+	now := time.Now()
+	r.Watch(views, now)
+	must.Greater(t, views[1].Expect, views[0].Expect)
+	must.Greater(t, views[0].Expect, views[2].Expect, must.Sprint("it had no turn yet"))
+	views[2].Load.Arriving, views[2].Load.Onset = 2*hostSize.MilliCPU, 7*hostSize.MilliCPU
+	r.Watch(views, now.Add(roundEvery))
+	must.Greater(t, float64(12*hostSize.MilliCPU), views[2].Expected)
+}
--- a/internal/entryhost/random_test.go
+++ b/internal/entryhost/random_test.go
@@ -55,10 +55,10 @@
 	})
 }
 
-// A day on which a task starts after its success was noted, in some 8 of 100
+// A day on which a task started after its success was noted, in some 8 of 100
 // plays. A host can't be heard until its hold has ended; its task is ordered
 // elsewhere, without an answer; the host is heard and tells that the task was
-// done; and the unanswered order goes out again all the same.
+// done; and the unanswered order went out again all the same.
 func TestRandomDayWithARepeatedStart(t *testing.T) {
 	playDays(t, 3598, 1, func(d *day, seed int) {
 		d.grown = rand.New(rand.NewPCG(uint64(seed), 9))
--- a/internal/measure/load/world.go
+++ b/internal/measure/load/world.go
@@ -71,7 +71,7 @@
 func Play(p Pattern, policy Policy, seed uint64) Figures {
 	w := &world{
 		Pattern: &p, policy: policy, random: rand.New(rand.NewPCG(seed, 2)), pools: make(map[string]*pool),
-		machines: p.machines(), jobs: make(map[string]*handIn), errands: make(map[*machine]*errand), now: -warmUp,
+		machines: p.machines(), jobs: make(map[string]*handIn), errands: make(map[*machine]*errand), outTimes: duty.NewOutTimes(), now: -warmUp,
 	}
 	for _, each := range p.Pools {
 		w.names = append(w.names, each.Name)
--- a/internal/poolrpc/poolrpc.go
+++ b/internal/poolrpc/poolrpc.go
@@ -118,7 +118,7 @@
 	reply := &poolpb.LoadReply{
 		Result: heldResult(held), Capacity: int64(load.Capacity), Used: int64(load.Used),
 		Waiting: int64(load.Waiting), Lasting: int64(load.Lasting),
-		Arriving: int64(load.Arriving), Onset: int64(load.Onset), Due: int64(load.Due), Spread: int64(load.Spread), Young: load.Young,
+		Arriving: int64(load.Arriving), Onset: int64(load.Onset), Due: int64(load.Due), Peak: int64(load.Peak), PeakAgoMs: load.PeakAgo.Milliseconds(), Spread: int64(load.Spread), Young: load.Young,
 	}
 	for _, h := range load.Hosts {
 		reply.Hosts = append(reply.Hosts, &poolpb.HostLoad{Worker: h.Worker, Used: int64(h.Used), Lasting: int64(h.Lasting), Closed: h.Closed, LeftMs: h.Left.Milliseconds()})
@@ -236,7 +236,7 @@
 		c.failed()
 		return duty.Load{}, false, err
 	}
-	load = duty.Load{Capacity: int(reply.Capacity), Used: int(reply.Used), Waiting: int(reply.Waiting), Lasting: int(reply.Lasting), Arriving: int(reply.Arriving), Onset: int(reply.Onset), Due: int(reply.Due), Spread: int(reply.Spread), Young: reply.Young}
+	load = duty.Load{Capacity: int(reply.Capacity), Used: int(reply.Used), Waiting: int(reply.Waiting), Lasting: int(reply.Lasting), Arriving: int(reply.Arriving), Onset: int(reply.Onset), Due: int(reply.Due), Peak: int(reply.Peak), PeakAgo: time.Duration(reply.PeakAgoMs) * time.Millisecond, Spread: int(reply.Spread), Young: reply.Young}
 	for _, h := range reply.Hosts {
 		load.Hosts = append(load.Hosts, duty.HostLoad{Worker: h.Worker, Used: int(h.Used), Lasting: int(h.Lasting), Closed: h.Closed, Left: time.Duration(h.LeftMs) * time.Millisecond})
 	}
--- a/internal/sched/jobs.go
+++ b/internal/sched/jobs.go
@@ -65,6 +65,7 @@
 		work += float64(s.Count*s.Size.MilliCPU) / milli * j.fit.of(s.Estimate).Seconds()
 	}
 	a.note(at, work)
+	p.history.note(at, work)
 }
 
 func (p *Pool) add(record *work.Record, now, wall time.Time) *job {
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -39,6 +39,8 @@
 		load.Arriving += int(a.cores(now) * milli)
 		load.Onset += int(a.onset(now) * milli)
 	}
+	peak, ago := p.history.peak(now)
+	load.Peak, load.PeakAgo = int(peak*milli), ago
 	return load
 }
 
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -130,7 +130,7 @@
 	for _, o := range waiting {
 		heap.Push(&taken, o)
 		work += o.remaining().rest
-		for within := o.deadline().Sub(pl.now).Seconds(); work > cores*within && len(taken) > 0; {
+		for within := o.roomWithin(pl.now).Seconds(); work > cores*within && len(taken) > 0; {
 			last := heap.Pop(&taken).(*occurrence)
 			last.admitted = false
 			work -= last.remaining().rest
@@ -178,6 +178,14 @@
 // deadline is when an occurrence has to be done to be in time.
 func (o *occurrence) deadline() time.Time { return o.due.Add(o.remaining().goal - shownAfter) }
 
+// roomWithin is how long the hosts have for all work up to an occurrence for it to
+// be in time: its tasks have to find room by the end of its slack, and what runs
+// by then is half done as a mean. With all the time up to its deadline, so many
+// were taken at the start of a turn that most of them were late.
+func (o *occurrence) roomWithin(now time.Time) time.Duration {
+	return o.slack(now) + o.remaining().chain/2
+}
+
 // slack is how long an occurrence may still wait and be in time.
 func (o *occurrence) slack(now time.Time) time.Duration {
 	return o.deadline().Sub(now) - o.remaining().chain
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -62,6 +62,7 @@
 	fits map[string]*fit
 	// arrivals tell by queue how often jobs come.
 	arrivals map[string]*arrivals
+	history  history
 	// deposed is set once a host has refused our fence.
 	deposed bool
 }
@@ -71,7 +72,7 @@
 func New(config Config, roster Roster, now time.Time) *Pool {
 	p := &Pool{
 		Config: config, started: now,
-		jobs: make(map[string]*job), hosts: make(map[string]*host), fits: make(map[string]*fit), arrivals: make(map[string]*arrivals),
+		jobs: make(map[string]*job), hosts: make(map[string]*host), fits: make(map[string]*fit), arrivals: make(map[string]*arrivals), history: newHistory(now),
 		unreached: make(map[string]time.Time), roster: make(map[string]bool), frozen: make(map[string]bool), named: make(map[string]bool),
 	}
 	for _, id := range roster.InUse {
@@ -364,6 +365,7 @@
 		p.tickHost(id, h, now)
 	}
 	p.judgeHangs(now)
+	p.history.forget(now)
 	return p.forget(now)
 }
 
