--- a/internal/duty/moves.go
+++ b/internal/duty/moves.go
@@ -20,10 +20,9 @@
 	Expect float64
 	// Coming is how many hosts are on their way to it.
 	Coming int
-	// Expected is what a turn of demand that has just begun will need, Steady
-	// what one that is on does, zero for none; in thousandths of a core and
-	// without lasting tasks.
-	Expected, Steady float64
+	// Steady is what a turn of demand that is on needs, zero for none; in
+	// thousandths of a core and without lasting tasks.
+	Steady float64
 }
 
 // Move takes a host to another pool.
@@ -51,14 +50,9 @@
 	levelGap = 6
 )
 
-// need is what a pool can use right now, in thousandths of a core.
+// need is what a pool can use right now, in thousandths of a core: what arrives,
+// or what the jobs that are there need to be done in time.
 func (p *PoolView) need() float64 {
-	return max(p.measured(), float64(p.Load.Lasting)+p.Expected)
-}
-
-// measured is the part of the need that has shown: what arrives, or what the jobs
-// that are there need to be done in time.
-func (p *PoolView) measured() float64 {
 	arriving := float64(p.Load.Arriving)
 	if p.Steady > 0 {
 		arriving = p.Steady
@@ -69,7 +63,7 @@
 // keeps is what a pool doesn't give away.
 func (p *PoolView) keeps() float64 {
 	if p.Steady > 0 {
-		return p.measured()
+		return p.need()
 	}
 	return float64(p.Load.Lasting) + max(keepFactor*float64(p.Load.Arriving), float64(p.Load.Due))
 }
@@ -104,7 +98,7 @@
 func (p *PoolView) lacking(usual float64) float64 {
 	has, lacking := p.has(usual), 0.0
 	if p.need() > askFactor*has {
-		lacking = max(surge*p.measured(), p.need()) - has
+		lacking = surge*p.need() - has
 	}
 	if short := p.Load.leastOpen() - p.Load.open() - p.Coming; short > 0 {
 		lacking = max(lacking, p.each(usual)*float64(short))
--- a/internal/duty/rhythm.go
+++ b/internal/duty/rhythm.go
@@ -7,8 +7,7 @@
 )
 
 // Rhythm watches how pools' demand rises and falls. It tells what a turn that is
-// on needs, what one that has just begun will, and whose turn is to be expected
-// next.
+// on needs, and whose turn is to be expected next.
 //
 // Where demand goes around, the pool that has waited longest is the likeliest to
 // be next, and the one whose turn has just passed the least. How far that holds
@@ -53,11 +52,6 @@
 	// jobs must fall for it to be over. With the two last gaps between jobs as
 	// long as eight were, that is so by chance once in seventy turns' seconds.
 	endsAt = 0.25
-	// onsetFor is how long a turn that has begun is taken for a usual one: by
-	// then it has shown what it needs itself.
-	onsetFor = 2 * time.Second
-	// onsetShare of a usual turn's need is asked for when one begins.
-	onsetShare = 0.8
 	// lookWeight is what each look counts in the means of a turn: a second or so.
 	lookWeight = 0.15
 	// peakFades is what is kept of a peak with each look.
@@ -171,9 +165,6 @@
 	if t.looks > usedLooks {
 		p.Steady = min(p.Steady, usageFactor*max(t.usage, p.Load.usage()))
 	}
-	if now.Sub(t.began) < onsetFor {
-		p.Expected = onsetShare * usual
-	}
 }
 
 // usage is what runs and waits of what doesn't last.
--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -35,7 +35,7 @@
 
 // slow reports whether a run has much longer to go than a new one would take.
 func (r *run) slow(now time.Time) bool {
-	estimate := r.task.step.spec.Estimate
+	estimate := r.task.step.expected()
 	if r.state != running || r.percent <= 0 || now.Sub(r.begun) < estimate {
 		return false
 	}
