--- a/internal/duty/moves.go
+++ b/internal/duty/moves.go
@@ -289,9 +289,10 @@
 // later, they serve another one now. A host that still works stays until it is
 // done: closed meanwhile it is missed, and it comes no sooner. Hosts of lasting
 // tasks stay, as to move them would take these away; so do closed ones, which
-// something is done with, and silent ones, which can't be emptied. A pool that was just taken over keeps half: nothing runs there yet
-// and nobody has handed anything in, and the turn that it is in would find it
-// without hosts. To keep all cost more, where another pool's turn begins.
+// something is done with, and silent ones, which can't be emptied. A pool that
+// was just taken over keeps half: nothing runs there yet and nobody has handed
+// anything in, and the turn that it is in would find it without hosts. To keep
+// all cost more, where another pool's turn begins.
 func (p *PoolView) surplus() []Host {
 	load := make(map[string]HostLoad, len(p.Load.Hosts))
 	for _, h := range p.Load.Hosts {
