--- a/internal/wave/wave_test.go
+++ b/internal/wave/wave_test.go
@@ -196,6 +196,46 @@
 	must.Eq(t, Finished, f.plan().Status.Phase)
 }
 
+// Two waves cover the same pool; each has taken out a host that was down before
+// and never comes back. Each gave up its own only when nothing else was left, and
+// counted the other's as left: neither wave ended, and an operator waited for ever.
+// In TestSoak the statuses said "host is rebooting for wave" of each other's host.
+func TestTwoWavesDontWaitForEachOthersDeadHosts(t *testing.T) {
+	f := newTestFleet()
+	f.pool("match", 4, 1, record.MarginNone)
+	for _, wave := range []string{"a", "b"} {
+		f.waves[wave] = &record.Wave{Pools: []string{"match"}}
+		for _, name := range []string{"match-02", "match-03"} {
+			f.visit(name, wave, maintained(1))
+		}
+	}
+	for wave, name := range map[string]string{"a": "match-00", "b": "match-01"} {
+		h := f.out(name, wave, hostrecord.Rebooting)
+		h.Record.AlreadyDown, h.Reachable, h.Healthy, h.Age = true, false, false, time.Hour
+		h.LastOperation = h.Record.Operation
+	}
+	plans := MakeAll(f.fleet())
+	for i, host := range []string{"match-00", "match-01"} {
+		must.Len(t, 1, plans[i].Steps)
+		must.Eq(t, GiveUp, plans[i].Steps[0].Verb)
+		must.Eq(t, host, plans[i].Steps[0].Host)
+	}
+}
+
+// One of the hosts that another wave has out is on its way back. A host that was
+// down before is waited for until then: the wave has to go on with that one.
+func TestAHostThatComesBackIsWaitedForByAllWaves(t *testing.T) {
+	f := newTestFleet()
+	f.pool("match", 2, 0, record.MarginNone)
+	f.waves["a"] = &record.Wave{Pools: []string{"match"}}
+	f.waves["b"] = &record.Wave{Pools: []string{"match"}}
+	h := f.out("match-00", "a", hostrecord.Rebooting)
+	h.Record.AlreadyDown, h.Reachable, h.Healthy, h.Age = true, false, false, time.Hour
+	h.LastOperation = h.Record.Operation
+	f.out("match-01", "b", hostrecord.Rebooting)
+	must.Len(t, 0, MakeAll(f.fleet())[0].Steps)
+}
+
 // The list lags and doesn't show a host that is back at work. Taken for down,
 // it would be taken out without margin, given back, and so on each round.
 func TestHostThatTheListLagsBehindIsLeftAlone(t *testing.T) {
