End waves that wait only for hosts that were lost, wherever these are

Cause: a host that was down before its wave took it is given up only when nothing else is left of the wave, and a host that another wave has out counted as left, also where it was down before itself.

Change: such hosts don't count. One that may come back still does.

--- a/internal/wave/planner.go
+++ b/internal/wave/planner.go
@@ -27,8 +27,9 @@
 	lanes    []*lane
 	waiting  int
 	// out counts hosts that the width is charged for, elsewhere those that
-	// another wave or a move has out.
-	out, elsewhere, started int
+	// another wave or a move has out, and lostElsewhere those of these that were
+	// down before they were taken out.
+	out, elsewhere, lostElsewhere, started int
 	// proving counts those of out that are back from their reboot, and pools
 	// the wave's pools that have hosts.
 	proving, pools int
@@ -117,6 +118,7 @@
 		p.waiting++
 	case placeElsewhere:
 		p.elsewhere++
+		p.lostElsewhere += yes(host.Record.AlreadyDown)
 		p.status.Waiting[host.Name] = fmt.Sprintf("host is %s for wave %q", host.Record.Phase, host.Record.Wave)
 	}
 }
@@ -128,6 +130,13 @@
 	return "the platform's list does not show it live"
 }
 
+// waitsForNone reports whether nothing but hosts that were down before they were
+// taken out is left of the wave, wherever these are. Two waves that each had one
+// such host, and counted the other's as left, waited for each other for ever.
+func (p *planner) waitsForNone() bool {
+	return p.out+p.started+p.elsewhere-p.lostElsewhere+len(p.unlisted) == 0
+}
+
 // visited counts the hosts that the wave is done with.
 func (p *planner) visited() int { return p.status.Maintained + len(p.status.Failed) }
 
--- a/internal/wave/schedule.go
+++ b/internal/wave/schedule.go
@@ -35,7 +35,7 @@
 	plans := make([]Plan, len(s.planners))
 	for i, p := range s.planners {
 		s.block(p)
-		p.advance(p.out+p.started+p.elsewhere+len(p.unlisted) == 0)
+		p.advance(p.waitsForNone())
 		p.report()
 		plans[i] = Plan{Steps: p.steps, Status: p.status}
 	}
