--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -14,7 +14,7 @@
 // For waits for d or until ctx ends, and not at all for no time: a timer that is
 // due when it is read is run by its reader, and where several readers do that at
 // once in virtual time, the race detector's own state is broken (Go 1.26). Tests
-// crashed inside it in half of their runs.
+// crashed inside it in most of their runs.
 func For(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
