Say once which hosts are due, and let the load tool play that too

No decision is meant to change but where said.

- duty: the hosts due for maintenance were picked twice, by "not done" for the pools and by "not begun" for the moves.
Both go by "not done" now: a host whose maintenance was called for and refused is still due, and moves last again.
- duty and the load tool filled a wave's view with the same loop; WaveView.Take serves both.
The load tool marked no host as due, so that it never played the rule that such hosts move last; it does now.
- sched: Load takes what lasts on a host from the host's own count; late work at risk is returned instead of left in a scratch field; the age that breaks a tie is by the steady clock again, where the time of day could swap two jobs when it jumped.

Tests of sched, duty, keeper, entryhost and the load tool pass; lint passes.

--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -203,24 +203,35 @@
 	k.roundMoves(ctx, loads)
 }
 
-// leaving are the workers of each pool that will go for maintenance, as far as
-// the last list of hosts tells.
-func (k *Keeper) leaving(waves []Wave) map[string][]string {
-	workers := make(map[string][]string)
-	k.mu.Lock()
-	defer k.mu.Unlock()
+// due are the hosts whose maintenance is still to come. The caller holds mu.
+func (k *Keeper) due(waves []Wave) map[string]bool {
+	due := make(map[string]bool)
 	for _, wave := range waves {
 		state := k.waves[wave.Number]
 		if state == nil || state.Over {
 			continue
 		}
-		due := wave.due()
-		for _, h := range k.hosts {
-			if due[h.Name] && h.Up && !state.Done[h.Name] {
-				workers[h.Pool] = append(workers[h.Pool], h.Worker)
+		for _, name := range wave.Hosts {
+			if !state.Done[name] {
+				due[name] = true
 			}
 		}
 	}
+	return due
+}
+
+// leaving are the workers of each pool that will go for maintenance, as far as
+// the last list of hosts tells.
+func (k *Keeper) leaving(waves []Wave) map[string][]string {
+	workers := make(map[string][]string)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	due := k.due(waves)
+	for _, h := range k.hosts {
+		if due[h.Name] && h.Up {
+			workers[h.Pool] = append(workers[h.Pool], h.Worker)
+		}
+	}
 	return workers
 }
 
--- a/internal/duty/moving.go
+++ b/internal/duty/moving.go
@@ -72,23 +72,6 @@
 	}
 }
 
-// due are the hosts whose maintenance is still to come. The caller holds mu.
-func (k *Keeper) due(waves []Wave) map[string]bool {
-	due := make(map[string]bool)
-	for _, wave := range waves {
-		state := k.waves[wave.Number]
-		if state == nil || state.Over {
-			continue
-		}
-		for _, name := range wave.Hosts {
-			if !state.Begun[name] {
-				due[name] = true
-			}
-		}
-	}
-	return due
-}
-
 func (k *Keeper) allowed(h Host, pool string) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/duty/plan.go
+++ b/internal/duty/plan.go
@@ -53,6 +53,17 @@
 	Expect map[string]float64
 }
 
+// Take takes over how busy the pools and their hosts are.
+func (v *WaveView) Take(loads map[string]Load) {
+	for pool, load := range loads {
+		v.Loads[pool] = float64(load.Used+load.Waiting) / float64(max(1, load.Capacity))
+		for _, h := range load.Hosts {
+			v.Slow[h.Worker] = h.Lasting > 0
+			v.Working[h.Worker] = !h.idle()
+		}
+	}
+}
+
 // OutTimes is how long hosts were out for maintenance, lately. A wave that goes
 // by the most that one may take has more hosts out at once than it must, at the
 // worst moment of a turn too: 10 of 48 instead of 6.
--- a/internal/duty/waves.go
+++ b/internal/duty/waves.go
@@ -89,13 +89,7 @@
 		}
 	}
 	k.mu.Unlock()
-	for pool, load := range loads {
-		view.Loads[pool] = float64(load.Used+load.Waiting) / float64(max(1, load.Capacity))
-		for _, h := range load.Hosts {
-			view.Slow[h.Worker] = h.Lasting > 0
-			view.Working[h.Worker] = !h.idle()
-		}
-	}
+	view.Take(loads)
 	return view
 }
 
--- a/internal/measure/load/fleet.go
+++ b/internal/measure/load/fleet.go
@@ -76,7 +76,7 @@
 }
 
 func (w *world) dutyHost(m *machine) duty.Host {
-	return duty.Host{Name: m.name, Pool: m.pool, Up: true, Kind: "a", Rack: m.rack, Size: m.size, Worker: m.life.id}
+	return duty.Host{Name: m.name, Pool: m.pool, Up: true, Kind: "a", Rack: m.rack, Size: m.size, Worker: m.life.id, Due: m.due}
 }
 
 // playErrand empties a host, sends it away, and waits until it is back.
@@ -160,13 +160,7 @@
 			machines[m.name] = m
 		}
 	}
-	for name, load := range loads {
-		v.Loads[name] = float64(load.Used+load.Waiting) / float64(max(1, load.Capacity))
-		for _, h := range load.Hosts {
-			v.Slow[h.Worker] = h.Lasting > 0
-			v.Working[h.Worker] = h.Used > 0
-		}
-	}
+	v.Take(loads)
 	for _, h := range duty.NextOut(v) {
 		w.errands[machines[h.Name]] = &errand{began: w.now, until: w.now + maintainWithin, slow: v.Slow[h.Worker]}
 	}
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -16,11 +16,11 @@
 			continue
 		}
 		total = total.Plus(h.Capacity)
-		one := duty.HostLoad{Worker: id, Used: h.used.MilliCPU, Closed: h.closed || h.reached && h.silent(now)}
+		one := duty.HostLoad{
+			Worker: id, Used: h.used.MilliCPU, Lasting: h.lastingCPU, Closed: h.closed || h.reached && h.silent(now),
+		}
 		for _, r := range h.runs {
-			if r.task.step.spec.Lasting {
-				one.Lasting += r.task.step.spec.Counted().MilliCPU
-			} else {
+			if !r.task.step.spec.Lasting {
 				one.Left = max(one.Left, r.left(now))
 			}
 		}
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -17,10 +17,10 @@
 	// still be done in time may wait, in seconds, and what work others have
 	// left, in core-seconds.
 	value float64
-	// arrived is when it was due, in nanoseconds; place is where it was found, for
-	// an order that is the same each time.
-	arrived int64
-	place   int
+	// age is for how long it has been due; place is where it was found, for an
+	// order that is the same each time.
+	age   time.Duration
+	place int
 }
 
 func (c candidate) compare(other candidate) int {
@@ -31,8 +31,8 @@
 		return cmp.Compare(c.priority, other.priority)
 	case c.value != other.value:
 		return cmp.Compare(c.value, other.value)
-	case c.arrived != other.arrived:
-		return cmp.Compare(c.arrived, other.arrived)
+	case c.age != other.age:
+		return cmp.Compare(other.age, c.age)
 	}
 	return cmp.Compare(c.place, other.place)
 }
@@ -102,7 +102,7 @@
 	if s.since.IsZero() {
 		s.since = pl.now
 	}
-	c := candidate{step: s, priority: j.record.Queue.Priority, arrived: s.of.due.UnixNano()}
+	c := candidate{step: s, priority: j.record.Queue.Priority, age: pl.now.Sub(s.of.due)}
 	if s.spec.Lasting {
 		c.class = classLasting
 		return c
@@ -131,13 +131,12 @@
 // demand, and slack first alone let each of them make the next one late.
 func (pl *planner) admit() {
 	cores := pl.coresForJobs() * fillShare
-	waiting := pl.inTime()
+	waiting, work := pl.inTime()
 	slices.SortFunc(waiting, func(a, b *applicant) int {
 		return cmp.Or(cmp.Compare(a.slack+a.chain, b.slack+b.chain), cmp.Compare(a.place, b.place))
 	})
 	taken := &pl.scratch.taken
 	*taken = (*taken)[:0]
-	work := pl.scratch.atRisk
 	for _, a := range waiting {
 		heap.Push(taken, a)
 		work += a.rest
@@ -163,10 +162,10 @@
 }
 
 // inTime lists the occurrences that could still be done in time, each admitted
-// for now.
-func (pl *planner) inTime() []*applicant {
+// for now, and returns what work late ones that go before them have left, in
+// core-seconds.
+func (pl *planner) inTime() (waiting []*applicant, atRisk float64) {
 	made := pl.scratch.applicants[:0]
-	pl.scratch.atRisk = 0
 	for _, j := range pl.active {
 		if j.state != "" || j.record.Spec.Lasting() {
 			continue
@@ -175,19 +174,19 @@
 			left := o.remaining()
 			slack := o.slack(pl.now)
 			if slack < 0 && o.atRisk(pl.now) {
-				pl.scratch.atRisk += left.rest
+				atRisk += left.rest
 			}
 			if o.admitted = slack >= 0; o.admitted {
 				made = append(made, applicant{o, slack, left.chain, left.rest, o.weight(), len(made)})
 			}
 		}
 	}
-	waiting := pl.scratch.waiting[:0]
+	waiting = pl.scratch.waiting[:0]
 	for i := range made {
 		waiting = append(waiting, &made[i])
 	}
 	pl.scratch.applicants, pl.scratch.waiting = made, waiting
-	return waiting
+	return waiting, atRisk
 }
 
 // scratch is what a plan needs for a moment, kept for the next one: made anew each
@@ -198,8 +197,6 @@
 	applicants []applicant
 	waiting    []*applicant
 	taken      mostWork
-	// atRisk is the work of late jobs that go before all others, in core-seconds.
-	atRisk float64
 }
 
 // done lets go of what the lists of an admission point to.
