Let other entry hosts carry the orders of large pools, and hosts be listed once for all

Cause: one entry host made every call to up to 800 hosts of a pool, and the duty listed all 1,100 hosts for each host on its way and asked the pool for each by a call of its own; a round of moves came once in three seconds.

Change: internal/carrier. The holder decides as before; its calls to hosts go in shared exchanges through entry hosts of the hosts' own zone, strong and idle ones first. Carriers keep nothing; a call without an answer is unknown, as if the host had not answered. Pools that fit their holder's share are called as before. Plans pause three times their own time. Hosts are listed by one goroutine at a time, questions whether hosts are empty are asked together. Metrics: time of plans, lag of a pool's goroutine, exchanges.

Ruled out: the holder's processor alone.

A mutex around the list stopped virtual time; it is a channel now.

--- a/cmd/glade-entry/main.go
+++ b/cmd/glade-entry/main.go
@@ -79,7 +79,7 @@
 		return exitSettings
 	}
 	log := telemetry.NewLogger(sink, "glade-entry", theirs.Node, level)
-	if err := platform.NewProcess(theirs, log, registry).Run(ctx); err != nil {
+	if err := platform.NewProcess(theirs, own, log, registry).Run(ctx); err != nil {
 		log.Error().Err(err).Msg("Failed.")
 		return exitFailed
 	}
--- /dev/null
+++ b/internal/carrier/carrier.go
@@ -0,0 +1,56 @@
+// Package carrier lets other entry hosts carry the orders of a large pool. The
+// pool's holder decides, and alone knows what runs where; a carrier makes the
+// calls to a part of its hosts and hands back what they answered. It keeps
+// nothing of the pool, so that any call may go through any carrier, and a
+// carrier that dies costs no more than the answers on their way: a call without
+// one is Unknown, as if the host itself had not answered.
+package carrier
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"auburnglade.example/glade/internal/worker"
+)
+
+// Call is one order for one host. Exactly one of the orders is set.
+type Call struct {
+	// ID is the caller's own and names the call in its session.
+	ID uint64
+	To worker.Target
+	// Within bounds the carrier's call to the host.
+	Within time.Duration
+	Start  *worker.Start
+	Stop   *worker.Stop
+	Pace   *worker.Pace
+	Hold   *worker.Hold
+}
+
+// Reply is what became of a call. Answer is that of a hold.
+type Reply struct {
+	ID      uint64
+	Outcome worker.Outcome
+	Answer  worker.Answer
+}
+
+// Peers reaches the carriers.
+type Peers interface {
+	// Exchange hands calls to the carrier at an address and returns replies to
+	// these and to earlier ones of the session, as soon as there are any or a
+	// later exchange of the session arrives. It returns *UnsentError when
+	// nothing can have left; any other error leaves open what was carried out.
+	Exchange(ctx context.Context, address, session string, calls []Call) ([]Reply, error)
+}
+
+// UnsentError says that a carrier can't have heard of the calls.
+type UnsentError struct {
+	Address string
+	Cause   error
+}
+
+func (e *UnsentError) Error() string {
+	return fmt.Sprintf("carrier %s: not reached: %v", e.Address, e.Cause)
+}
+
+func (e *UnsentError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/internal/carrier/router.go
@@ -0,0 +1,188 @@
+package carrier
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"auburnglade.example/glade/internal/pause"
+	"auburnglade.example/glade/internal/worker"
+)
+
+const (
+	// lookEvery is how often a router looks for carriers that came or went.
+	lookEvery = 250 * time.Millisecond
+	// holdGrace and orderWithin bound the carrier's call to a host: a hold takes
+	// as long as the host may wait, and some more.
+	holdGrace   = 450 * time.Millisecond
+	orderWithin = 900 * time.Millisecond
+)
+
+// Config is what a Router needs.
+type Config struct {
+	Pool string
+	// Session names the holder and its hold on the pool: no two are the same.
+	Session string
+	// Share is how much of a core this process has.
+	Share float64
+	// Strength is how many hosts a core can call.
+	Strength Strength
+	// Direct makes calls from this process.
+	Direct worker.Orders
+	Hosts  worker.HostSource
+	Peers  Peers
+	// Candidates are the other entry hosts that live and don't leave.
+	Candidates func() []Candidate
+	Log        zerolog.Logger
+	Metrics    *Metrics
+}
+
+// Router makes a pool's calls: from this process while the pool is small,
+// through carriers once it has more hosts than this process can call beside
+// deciding.
+type Router struct {
+	Config
+
+	mu    sync.RWMutex
+	hosts []worker.Host
+	// routes are the ways to each host by preference; none means direct.
+	routes map[string][]*link
+	links  map[string]*link
+	// candidates are those that the routes were made for.
+	candidates []Candidate
+	carried    bool
+	changed    bool
+}
+
+var (
+	_ worker.Orders     = (*Router)(nil)
+	_ worker.HostSource = (*Router)(nil)
+)
+
+// NewRouter returns a router that makes all calls from this process before
+// Follow.
+func NewRouter(config Config) *Router {
+	return &Router{Config: config, links: make(map[string]*link)}
+}
+
+// Follow implements worker.HostSource and keeps the routes until ctx ends.
+func (r *Router) Follow(ctx context.Context, pool string, update func([]worker.Host)) {
+	go r.run(ctx)
+	r.Hosts.Follow(ctx, pool, func(hosts []worker.Host) {
+		r.mu.Lock()
+		r.hosts, r.changed = slices.Clone(hosts), true
+		r.mu.Unlock()
+		r.route(ctx)
+		update(hosts)
+	})
+}
+
+func (r *Router) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause.For(ctx, lookEvery)
+		r.route(ctx)
+	}
+	r.Metrics.hosts.WithLabelValues(r.Pool).Set(0)
+}
+
+// wants reports whether a pool of so many hosts needs carriers. Once it has
+// them it keeps them until it is far smaller, as each change opens connections.
+func (r *Router) wants(hosts int) bool {
+	most := r.Strength.hosts(r.Share)
+	if r.carried {
+		most /= 2
+	}
+	return float64(hosts) > most
+}
+
+// route makes the routes anew where hosts or candidates have changed.
+func (r *Router) route(ctx context.Context) {
+	candidates := r.Candidates()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.changed && slices.Equal(candidates, r.candidates) {
+		return
+	}
+	r.changed, r.candidates = false, candidates
+	before := r.carried
+	r.carried = r.wants(len(r.hosts)) && len(candidates) > 0
+	routes := make(map[string][]*link)
+	used := make(map[string]bool)
+	if r.carried {
+		for host, carriers := range r.Strength.Assign(r.Pool, r.hosts, candidates) {
+			for _, c := range carriers {
+				routes[host] = append(routes[host], r.link(ctx, c))
+			}
+			used[carriers[0].Name] = true
+		}
+	}
+	r.routes = routes
+	r.Metrics.hosts.WithLabelValues(r.Pool).Set(float64(len(routes)))
+	if r.carried != before {
+		r.Log.Info().Bool("carried", r.carried).Int("hosts", len(r.hosts)).Int("carriers", len(used)).Int("candidates", len(candidates)).
+			Float64("share", r.Share).Msg("The way to the pool's hosts changes.")
+	}
+}
+
+func (r *Router) link(ctx context.Context, c Candidate) *link {
+	l := r.links[c.Name]
+	if l == nil {
+		l = newLink(c.Address, r.Session, r.Config)
+		r.links[c.Name] = l
+		go l.run(ctx)
+	}
+	return l
+}
+
+// way returns the first carrier of a host that is well, or nil.
+func (r *Router) way(host string) *link {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	routes := r.routes[host]
+	if len(routes) == 0 {
+		return nil
+	}
+	now := time.Now()
+	for _, l := range routes {
+		if l.well(now) {
+			return l
+		}
+	}
+	return nil
+}
+
+// Start implements worker.Orders.
+func (r *Router) Start(ctx context.Context, to worker.Target, order worker.Start) worker.Outcome {
+	if l := r.way(to.ID); l != nil {
+		return l.do(ctx, Call{To: to, Within: orderWithin, Start: &order}).Outcome
+	}
+	return r.Direct.Start(ctx, to, order)
+}
+
+// Stop implements worker.Orders.
+func (r *Router) Stop(ctx context.Context, to worker.Target, order worker.Stop) worker.Outcome {
+	if l := r.way(to.ID); l != nil {
+		return l.do(ctx, Call{To: to, Within: orderWithin, Stop: &order}).Outcome
+	}
+	return r.Direct.Stop(ctx, to, order)
+}
+
+// Pace implements worker.Orders.
+func (r *Router) Pace(ctx context.Context, to worker.Target, order worker.Pace) worker.Outcome {
+	if l := r.way(to.ID); l != nil {
+		return l.do(ctx, Call{To: to, Within: orderWithin, Pace: &order}).Outcome
+	}
+	return r.Direct.Pace(ctx, to, order)
+}
+
+// Hold implements worker.Orders.
+func (r *Router) Hold(ctx context.Context, to worker.Target, order worker.Hold) (worker.Answer, worker.Outcome) {
+	if l := r.way(to.ID); l != nil {
+		reply := l.do(ctx, Call{To: to, Within: order.Wait + holdGrace, Hold: &order})
+		return reply.Answer, reply.Outcome
+	}
+	return r.Direct.Hold(ctx, to, order)
+}
--- /dev/null
+++ b/internal/carrierrpc/messages_test.go
@@ -0,0 +1,115 @@
+package carrierrpc
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"auburnglade.example/glade/internal/carrier"
+	"auburnglade.example/glade/internal/carrierrpc/carrierpb"
+	"auburnglade.example/glade/internal/work"
+	"auburnglade.example/glade/internal/worker"
+)
+
+func drawTask(t *rapid.T) work.TaskName {
+	number := rapid.IntRange(0, 1<<20)
+	return work.TaskName{Job: rapid.String().Draw(t, "job"), Time: number.Draw(t, "time"), Step: number.Draw(t, "step"), Index: number.Draw(t, "index")}
+}
+
+func drawCall(t *rapid.T) carrier.Call {
+	number, text := rapid.Int64Range(0, 1<<40), rapid.String()
+	call := carrier.Call{
+		ID: rapid.Uint64().Draw(t, "id"), To: worker.Target{ID: text.Draw(t, "host"), Address: text.Draw(t, "address")},
+		Within: time.Duration(rapid.IntRange(0, 5000).Draw(t, "within")) * time.Millisecond,
+	}
+	task, run, fence := drawTask(t), rapid.IntRange(1, 1<<20).Draw(t, "run"), number.Draw(t, "fence")
+	switch rapid.IntRange(0, 3).Draw(t, "order") {
+	case 0:
+		call.Start = &worker.Start{
+			Task: task, Run: run, Fence: fence, Text: text.Draw(t, "text"), DeadlineMs: number.Draw(t, "deadline"),
+			Saved: text.Draw(t, "saved"), Ticket: text.Draw(t, "ticket"),
+		}
+	case 1:
+		call.Stop = &worker.Stop{Task: task, Run: run, Fence: fence}
+	case 2:
+		call.Pace = &worker.Pace{Task: task, Run: run, Fence: fence, Percent: rapid.IntRange(0, 100).Draw(t, "percent")}
+	default:
+		call.Hold = &worker.Hold{Fence: fence, Seen: number.Draw(t, "seen"), DeadlineMs: number.Draw(t, "deadline"), Wait: time.Second}
+	}
+	return call
+}
+
+// What a holder orders is what its carrier makes of it, to the last field.
+func TestCallsSurviveTheWire(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		call := drawCall(t)
+		must.Eq(t, call, callOf(encodeCall(&call)))
+	})
+}
+
+// What a host answers is what the holder hears, to the last field.
+func TestRepliesSurviveTheWire(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		reply := carrier.Reply{
+			ID: rapid.Uint64().Draw(t, "id"), Outcome: worker.Outcome(rapid.IntRange(int(worker.Unknown), int(worker.NotSent)).Draw(t, "outcome")),
+			Answer: worker.Answer{ClockMs: rapid.Int64Range(0, 1<<40).Draw(t, "clock")},
+		}
+		for range rapid.IntRange(0, 3).Draw(t, "runs") {
+			reply.Answer.Running = append(reply.Answer.Running, worker.Report{
+				Task: drawTask(t), Run: rapid.IntRange(1, 9).Draw(t, "run"), Saved: rapid.String().Draw(t, "saved"),
+				Percent: rapid.IntRange(0, 100).Draw(t, "percent"), Load: rapid.IntRange(0, 1<<20).Draw(t, "load"),
+			})
+		}
+		for range rapid.IntRange(0, 3).Draw(t, "ends") {
+			reply.Answer.Ended = append(reply.Answer.Ended, worker.End{
+				Number: rapid.Int64Range(1, 1<<40).Draw(t, "number"), Task: drawTask(t), Run: 2, How: work.EndDone, Saved: rapid.String().Draw(t, "saved"),
+			})
+		}
+		must.Eq(t, reply, replyOf(encodeReply(&reply)))
+	})
+}
+
+// A carrier of an earlier version doesn't know an outcome or an order of a later
+// one: the outcome is unknown, and the order isn't carried out as another one.
+func TestWhatALaterVersionSaysIsUnknown(t *testing.T) {
+	must.EqOp(t, worker.Unknown, replyOf(&carrierpb.Reply{Outcome: 99}).Outcome)
+	call := callOf(&carrierpb.Call{Host: "h"})
+	must.True(t, call.Start == nil && call.Stop == nil && call.Pace == nil && call.Hold == nil)
+}
+
+type echo struct{}
+
+func (echo) Exchange(_ context.Context, _ string, calls []carrier.Call) []carrier.Reply {
+	var replies []carrier.Reply
+	for _, c := range calls {
+		replies = append(replies, carrier.Reply{ID: c.ID, Outcome: worker.Accepted})
+	}
+	return replies
+}
+
+// Over real connections: an exchange is answered; one with a carrier that has
+// gone says that nothing has left, as no connection could be opened.
+func TestExchangeOverHTTP(t *testing.T) {
+	mux := http.NewServeMux()
+	mux.Handle(PathPrefix, NewHandler(echo{}))
+	server := httptest.NewServer(mux)
+	client, address := NewClient(), strings.TrimPrefix(server.URL, "http://")
+	stop := worker.Stop{Task: work.TaskName{Job: "j"}, Run: 1}
+	calls := []carrier.Call{{ID: 4, Stop: &stop}, {ID: 5, Stop: &stop}}
+	replies, err := client.Exchange(t.Context(), address, "s", calls)
+	must.NoError(t, err)
+	must.Len(t, 2, replies)
+	must.EqOp(t, 5, replies[1].ID)
+	client.transport.CloseIdleConnections()
+	server.Close()
+	_, err = client.Exchange(t.Context(), address, "s", calls)
+	var unsent *carrier.UnsentError
+	must.True(t, errors.As(err, &unsent))
+}
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -172,6 +172,31 @@
 	return others
 }
 
+// Peer is another live member, with how many claims it holds.
+type Peer struct {
+	Member
+	Holds int
+}
+
+// Peers returns the other live members that don't leave, in order of their
+// names.
+func (c *Cluster) Peers() []Peer {
+	members := c.Members()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	holds := make(map[string]int, len(c.claims))
+	for _, claim := range c.claims {
+		holds[claim.Holder()]++
+	}
+	peers := make([]Peer, 0, len(members))
+	for _, m := range members {
+		if !m.Leaving {
+			peers = append(peers, Peer{m, holds[m.Holder()]})
+		}
+	}
+	return peers
+}
+
 // Dropped notes that a pool is no longer kept by this process.
 func (c *Cluster) Dropped(pool string) {
 	c.mu.Lock()
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -380,27 +380,27 @@
 }
 
 // Vacate implements poolrpc.Service for the pools kept here.
-func (d *Desk) Vacate(ctx context.Context, pool, host string) (empty, known, ok bool) {
+func (d *Desk) Vacate(ctx context.Context, pool string, hosts []string) (emptied []duty.Emptied, ok bool) {
 	k := d.Keepers.Keeper(pool)
 	if k == nil {
-		return false, false, false
+		return nil, false
 	}
-	return k.Vacate(ctx, host)
+	return k.Vacate(ctx, hosts)
 }
 
-// Empty asks whoever holds a pool to empty a host.
-func (d *Desk) Empty(ctx context.Context, pool, host string) (empty, known, ok bool) {
+// Empty asks whoever holds a pool to empty hosts.
+func (d *Desk) Empty(ctx context.Context, pool string, hosts []string) (emptied []duty.Emptied, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, holderWithin)
 	defer cancel()
-	if empty, known, ok = d.Vacate(ctx, pool, host); ok {
-		return empty, known, ok
+	if emptied, ok = d.Vacate(ctx, pool, hosts); ok {
+		return emptied, true
 	}
 	address, remote := d.remote(pool)
 	if !remote {
-		return false, false, false
+		return nil, false
 	}
-	empty, known, held, err := d.Client.Vacate(ctx, address, pool, host)
-	return empty, known, held && err == nil
+	emptied, held, err := d.Client.Vacate(ctx, address, pool, hosts)
+	return emptied, held && err == nil
 }
 
 // LocalLoad implements poolrpc.Service for the pools kept here.
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -143,11 +143,19 @@
 	return count
 }
 
+// Emptied is how far a worker is emptied.
+type Emptied struct {
+	// Known: its pool has such a worker.
+	Known bool
+	// Empty: nothing runs on it, and nothing will be started there for a while.
+	Empty bool
+}
+
 // Pools knows the pools' holders.
 type Pools interface {
-	// Empty asks for a host to be emptied. known is false when its pool has no
-	// such host, ok when nobody could be asked.
-	Empty(ctx context.Context, pool, worker string) (empty, known, ok bool)
+	// Empty asks for workers of a pool to be emptied, and returns how far each of
+	// them is in the same order. ok is false when nobody could be asked.
+	Empty(ctx context.Context, pool string, workers []string) (emptied []Emptied, ok bool)
 	// Load asks how busy a pool is, and tells it which of its workers will go
 	// for maintenance.
 	Load(ctx context.Context, pool string, due []string) (Load, bool)
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -67,14 +67,20 @@
 	// busy are the hosts that something is done with.
 	busy map[string]*errand
 	// waves is how far each wave has come.
-	waves   map[int64]*waveState
-	hosts   []Host
+	waves map[int64]*waveState
+	hosts []Host
+	// byName are the places of the hosts in the list.
+	byName  map[string]int
 	listed  time.Time
 	deposed bool
 	// confirmed is when the store last showed that the duty is held here.
 	confirmed time.Time
 	// barred are pools that a kind of host can't belong to.
 	barred map[barredPair]bool
+	// listing has a place for the one goroutine that reads the list of hosts. A
+	// mutex would do, but stops virtual time while it is waited for.
+	listing   chan struct{}
+	questions *questions
 }
 
 type barredPair struct{ kind, pool string }
@@ -109,7 +115,7 @@
 // New returns a keeper of a duty that was just claimed.
 func New(config Config, fence int64, revision store.Revision, claim []byte) *Keeper {
 	return &Keeper{
-		Config: config, fence: fence, revision: revision, claim: claim,
+		Config: config, fence: fence, revision: revision, claim: claim, questions: newQuestions(config.Pools), listing: make(chan struct{}, 1),
 		rhythm: NewRhythm(), outTimes: NewOutTimes(), busy: make(map[string]*errand), waves: make(map[int64]*waveState),
 		barred: make(map[barredPair]bool), confirmed: time.Now(),
 	}
@@ -258,8 +264,17 @@
 	return loads
 }
 
-// list reads the hosts unless that was done a moment ago.
+// list reads the hosts unless that was done a moment ago. Whoever comes while
+// they are read waits for that: with a list for each of some hundred hosts on
+// their way, the lists took all calls that the platform allows, and a round of
+// moves came once in three seconds.
 func (k *Keeper) list(ctx context.Context) error {
+	select {
+	case k.listing <- struct{}{}:
+		defer func() { <-k.listing }()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 	k.mu.Lock()
 	recent := time.Since(k.listed) < roundEvery/2
 	k.mu.Unlock()
@@ -270,21 +285,33 @@
 	if err != nil {
 		return err
 	}
+	k.take(hosts)
+	return nil
+}
+
+// take takes over a list of the hosts.
+func (k *Keeper) take(hosts []Host) {
+	byName := make(map[string]int, len(hosts))
+	for i, h := range hosts {
+		byName[h.Name] = i
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.hosts, k.listed = hosts, time.Now()
-	return nil
+	k.hosts, k.byName, k.listed = hosts, byName, time.Now()
 }
 
 func (k *Keeper) host(name string) (Host, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for _, h := range k.hosts {
-		if h.Name == name {
-			return h, true
-		}
+	return k.hostLocked(name)
+}
+
+func (k *Keeper) hostLocked(name string) (Host, bool) {
+	i, listed := k.byName[name]
+	if !listed {
+		return Host{}, false
 	}
-	return Host{}, false
+	return k.hosts[i], true
 }
 
 // empty waits until nothing runs on a host any more and nothing will, and no
@@ -339,8 +366,8 @@
 	if !k.Kept(host.Pool) {
 		return true
 	}
-	empty, known, ok := k.Pools.Empty(ctx, host.Pool, host.Worker)
-	return ok && (known && empty || !known && called)
+	e, ok := k.questions.ask(ctx, host.Pool, host.Worker)
+	return ok && (e.Known && e.Empty || !e.Known && called)
 }
 
 // livesAnew reports whether the list shows a host in another life than the one
--- a/internal/duty/keeper_test.go
+++ b/internal/duty/keeper_test.go
@@ -41,8 +41,8 @@
 // forgetful are pools that know none of the workers they are asked for.
 type forgetful struct{ Pools }
 
-func (forgetful) Empty(context.Context, string, string) (empty, known, ok bool) {
-	return false, false, true
+func (forgetful) Empty(_ context.Context, _ string, workers []string) ([]Emptied, bool) {
+	return make([]Emptied, len(workers)), true
 }
 
 // A host of a wave crashes while it is being emptied, and comes up in another
@@ -52,11 +52,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		k := New(Config{Pools: forgetful{}, Kept: func(string) bool { return true }}, 1, 1, nil)
 		host := Host{Name: "h", Pool: "p", Up: true, Worker: "first"}
-		k.hosts = []Host{host}
+		k.take([]Host{host})
 		time.AfterFunc(time.Second, func() {
-			k.mu.Lock()
-			defer k.mu.Unlock()
-			k.hosts = []Host{{Name: "h", Pool: "p", Up: true, Worker: "second"}}
+			k.take([]Host{{Name: "h", Pool: "p", Up: true, Worker: "second"}})
 		})
 		began := time.Now()
 		must.False(t, k.empty(t.Context(), host, emptyWithin))
--- a/internal/duty/waves.go
+++ b/internal/duty/waves.go
@@ -202,12 +202,12 @@
 // tell writes a wave's status for the operator when it changes.
 func (k *Keeper) tell(ctx context.Context, wave Wave, state *waveState) {
 	over := true
+	k.mu.Lock()
 	for _, name := range wave.Hosts {
-		_, listed := k.host(name)
-		k.mu.Lock()
+		_, listed := k.hostLocked(name)
 		over = over && (state.Done[name] || !listed)
-		k.mu.Unlock()
 	}
+	k.mu.Unlock()
 	if state.told && !over {
 		return
 	}
--- a/internal/emulate/switch.go
+++ b/internal/emulate/switch.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"auburnglade.example/glade/internal/carrier"
 	"auburnglade.example/glade/internal/duty"
 	"auburnglade.example/glade/internal/keeper"
 	"auburnglade.example/glade/internal/pause"
@@ -24,18 +25,51 @@
 type Switch struct {
 	mu       sync.Mutex
 	services map[string]poolrpc.Service
+	carriers map[string]*carrier.Server
+	// exchanges counts those with carriers that answer.
+	exchanges int
 }
 
-var _ poolrpc.Peers = (*Switch)(nil)
+var (
+	_ poolrpc.Peers = (*Switch)(nil)
+	_ carrier.Peers = (*Switch)(nil)
+)
 
 // NewSwitch returns a switch that reaches nobody.
-func NewSwitch() *Switch { return &Switch{services: make(map[string]poolrpc.Service)} }
+func NewSwitch() *Switch {
+	return &Switch{services: make(map[string]poolrpc.Service), carriers: make(map[string]*carrier.Server)}
+}
 
 // Plug makes an entry host reachable; nil cuts it off.
-func (s *Switch) Plug(address string, service poolrpc.Service) {
+func (s *Switch) Plug(address string, service poolrpc.Service, carries *carrier.Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.services[address], s.carriers[address] = service, carries
+}
+
+// Exchange implements carrier.Peers.
+func (s *Switch) Exchange(ctx context.Context, address, session string, calls []carrier.Call) ([]carrier.Reply, error) {
+	pause.For(ctx, hopTime)
+	s.mu.Lock()
+	carries := s.carriers[address]
+	if carries != nil {
+		s.exchanges++
+	}
+	s.mu.Unlock()
+	if carries == nil {
+		<-ctx.Done()
+		return nil, UnreachableError{address}
+	}
+	replies := carries.Exchange(ctx, session, calls)
+	pause.For(ctx, hopTime)
+	return replies, ctx.Err()
+}
+
+// Exchanges counts the exchanges that reached a carrier.
+func (s *Switch) Exchanges() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.services[address] = service
+	return s.exchanges
 }
 
 // reach returns an entry host after the time of a hop, or waits until the
@@ -93,13 +127,13 @@
 }
 
 // Vacate implements poolrpc.Peers.
-func (s *Switch) Vacate(ctx context.Context, address, pool, host string) (empty, known, held bool, err error) {
+func (s *Switch) Vacate(ctx context.Context, address, pool string, hosts []string) (emptied []duty.Emptied, held bool, err error) {
 	service, err := s.reach(ctx, address)
 	if err != nil {
-		return false, false, false, err
+		return nil, false, err
 	}
-	empty, known, held = service.Vacate(ctx, pool, host)
-	return empty, known, held, nil
+	emptied, held = service.Vacate(ctx, pool, hosts)
+	return emptied, held, nil
 }
 
 // Load implements poolrpc.Peers.
--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -3,6 +3,7 @@
 package entryhost
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -13,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"auburnglade.example/glade/internal/carrier"
 	"auburnglade.example/glade/internal/cluster"
 	"auburnglade.example/glade/internal/desk"
 	"auburnglade.example/glade/internal/duty"
@@ -32,9 +34,13 @@
 	Orders  worker.Orders
 	Hosts   worker.HostSource
 	Adviser worker.Adviser
-	// Peers reaches other entry hosts.
-	Peers poolrpc.Peers
-	Sched sched.Config
+	// Peers reaches other entry hosts, Carriers those that carry orders.
+	Peers    poolrpc.Peers
+	Carriers carrier.Peers
+	// Strength is how many hosts a core of an entry host can call; zero takes
+	// the default.
+	Strength carrier.Strength
+	Sched    sched.Config
 	// Pools are the pools that need a holder.
 	Pools func() []string
 	// Duty is what looking after the hosts takes; Fleet is nil where there is
@@ -49,7 +55,10 @@
 	Config
 	Cluster *cluster.Cluster
 	Desk    *desk.Desk
+	// Carrier makes calls for holders of large pools elsewhere.
+	Carrier *carrier.Server
 	metrics *keeper.Metrics
+	routing *carrier.Metrics
 	ctx     context.Context
 
 	mu      sync.Mutex
@@ -59,7 +68,8 @@
 
 // New returns an entry host that does nothing before Run.
 func New(config Config) *Host {
-	h := &Host{Config: config, keepers: make(map[string]*keeper.Keeper), metrics: keeper.NewMetrics(config.Registerer)}
+	h := &Host{Config: config, keepers: make(map[string]*keeper.Keeper), metrics: keeper.NewMetrics(config.Registerer), routing: carrier.NewMetrics(config.Registerer)}
+	h.Carrier = carrier.NewServer(config.Orders, h.routing)
 	h.Cluster = cluster.New(cluster.Config{
 		Store: config.Store, Self: config.Self, Pools: h.claims, Take: h.take,
 		Log: telemetry.Part(config.Log, "cluster"),
@@ -122,8 +132,9 @@
 	if !grant.Quiet {
 		config.OldHolds += keeper.UnconfirmedFor
 	}
+	router := h.router(grant)
 	k := keeper.New(keeper.Config{
-		Pool: grant.Pool, Holder: h.Self.Holder(), Store: h.Store, Orders: h.Orders, Hosts: h.Hosts, Adviser: h.Adviser,
+		Pool: grant.Pool, Holder: h.Self.Holder(), Store: h.Store, Orders: router, Hosts: router, Adviser: h.Adviser,
 		Sched: config, Log: telemetry.Part(h.Log, "pool").With().Str("pool", grant.Pool).Logger(), Metrics: h.metrics,
 	}, keeper.Grant{
 		Head: grant.Head, Revision: grant.Revision, Claim: grant.Claim, Lease: grant.Lease,
@@ -135,6 +146,24 @@
 	return k
 }
 
+// router returns the ways to the hosts of a pool that was claimed.
+func (h *Host) router(grant cluster.Grant) *carrier.Router {
+	return carrier.NewRouter(carrier.Config{
+		Pool: grant.Pool, Session: fmt.Sprintf("%s/%s/%d", h.Self.Holder(), grant.Pool, grant.Head.Fence), Share: h.Self.Share, Strength: cmp.Or(h.Strength, carrier.HostsPerCore),
+		Direct: h.Orders, Hosts: h.Hosts, Peers: h.Carriers, Candidates: h.candidates, Metrics: h.routing,
+		Log: telemetry.Part(h.Log, "carrier").With().Str("pool", grant.Pool).Logger(),
+	})
+}
+
+// candidates are the entry hosts that may carry orders for a pool held here.
+func (h *Host) candidates() []carrier.Candidate {
+	var candidates []carrier.Candidate
+	for _, p := range h.Cluster.Peers() {
+		candidates = append(candidates, carrier.Candidate{Name: p.Holder(), Address: p.Address, Zone: p.Zone, Share: p.Share, Holds: p.Holds})
+	}
+	return candidates
+}
+
 func (h *Host) keep(pool string, k *keeper.Keeper) {
 	err := guarded(func() error { return k.Run(h.ctx) })
 	h.mu.Lock()
--- a/internal/entryhost/random_test.go
+++ b/internal/entryhost/random_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"auburnglade.example/glade/internal/carrier"
 	"auburnglade.example/glade/internal/duty"
 	"auburnglade.example/glade/internal/emulate"
 	"auburnglade.example/glade/internal/keeper"
@@ -65,11 +66,31 @@
 	})
 }
 
+// carriedDaysInCI are the days with carriers that every run plays.
+const carriedDaysInCI = 24
+
+// The days of large sites with pools that no entry host can call by itself:
+// each call goes through a carrier, and carriers die, come back and are cut off
+// with calls and answers under way, while pools change their holders.
+// GLADE_FIRST_CARRIED_DAY and GLADE_CARRIED_DAYS choose others.
+func TestRandomDaysWithCarriers(t *testing.T) {
+	playDaysWith(t, setting(t, "GLADE_FIRST_CARRIED_DAY", 0), setting(t, "GLADE_CARRIED_DAYS", carriedDaysInCI), oneHostPerEntry, func(d *day, seed int) {
+		d.grown = rand.New(rand.NewPCG(uint64(seed), 9))
+	})
+}
+
+// oneHostPerEntry lets an entry host of the world call one host by itself.
+const oneHostPerEntry carrier.Strength = 2.5
+
 // playDays plays days of which prepare makes something other than usual.
 func playDays(t *testing.T, first, count int, prepare func(d *day, seed int)) {
+	playDaysWith(t, first, count, 0, prepare)
+}
+
+func playDaysWith(t *testing.T, first, count int, strength carrier.Strength, prepare func(d *day, seed int)) {
 	for seed := first; seed < first+count; seed++ {
 		t.Run(strconv.Itoa(seed), func(t *testing.T) {
-			play(t, 3, func(w *world) {
+			playWith(t, 3, strength, func(w *world) {
 				d := newDay(w, uint64(seed))
 				prepare(d, seed)
 				d.run()
--- a/internal/entryhost/settings.go
+++ b/internal/entryhost/settings.go
@@ -1,12 +1,16 @@
 package entryhost
 
-import "auburnglade.example/glade/internal/settings"
+import (
+	"auburnglade.example/glade/internal/carrier"
+	"auburnglade.example/glade/internal/settings"
+)
 
 // Settings are ours, in INI. The platform's own file says where this process
 // is and what it may use.
 type Settings struct {
 	Log     LogSettings     `ini:"log"`
 	Runtime RuntimeSettings `ini:"runtime"`
+	Carrier CarrierSettings `ini:"carrier"`
 }
 
 // LogSettings bound the log.
@@ -20,11 +24,17 @@
 	GCPercent int `ini:"gc-percent" help:"Growth of the heap in percent at which it is collected; less keeps less memory and takes more processor time."`
 }
 
+// CarrierSettings tell when a pool's calls go through other entry hosts.
+type CarrierSettings struct {
+	HostsPerCore int `ini:"hosts-per-core" help:"Hosts of a busy pool that one core can call. A pool with more than its holder's share of a core can call has other entry hosts call them."`
+}
+
 // DefaultSettings are the settings of a process without a file of ours.
 func DefaultSettings() *Settings {
 	return &Settings{
 		Log:     LogSettings{Level: "info", LinesPerSecond: 400},
 		Runtime: RuntimeSettings{GCPercent: 100},
+		Carrier: CarrierSettings{HostsPerCore: carrier.HostsPerCore},
 	}
 }
 
@@ -39,5 +49,8 @@
 	if s.Runtime.GCPercent < 10 {
 		faults = append(faults, &settings.Error{Section: "runtime", Key: "gc-percent", Got: "less than 10", Want: "10 or more"})
 	}
+	if s.Carrier.HostsPerCore < 1 {
+		faults = append(faults, &settings.Error{Section: "carrier", Key: "hosts-per-core", Got: "less than 1", Want: "1 or more"})
+	}
 	return faults
 }
--- a/internal/entryhost/world_test.go
+++ b/internal/entryhost/world_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"github.com/shoenig/test/must"
 
+	"auburnglade.example/glade/internal/carrier"
 	"auburnglade.example/glade/internal/cluster"
 	"auburnglade.example/glade/internal/duty"
 	"auburnglade.example/glade/internal/emulate"
@@ -36,6 +37,9 @@
 	entries map[string]*entry
 	starts  int
 	jobs    int
+	// strength is how many hosts a core of an entry host can call, zero for
+	// the default.
+	strength carrier.Strength
 }
 
 type entry struct {
@@ -50,7 +54,10 @@
 }
 
 // play runs a test in virtual time with two pools of hosts and a spare one.
-func play(t *testing.T, entries int, test func(w *world)) {
+func play(t *testing.T, entries int, test func(w *world)) { playWith(t, entries, 0, test) }
+
+// playWith is play with entry hosts of which a core can call so many hosts.
+func playWith(t *testing.T, entries int, strength carrier.Strength, test func(w *world)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		workers := emulate.NewWorkers(emulate.WorkersConfig{
@@ -60,6 +67,7 @@
 		w := &world{
 			t: t, ctx: ctx, store: memstore.New(), workers: workers, fleet: emulate.NewFleet(workers), net: emulate.NewSwitch(),
 			pools: map[string]bool{"day": false, "night": false, "spare": true}, entries: make(map[string]*entry),
+			strength: strength,
 		}
 		// As long as the users' platform is asked to wait.
 		w.store.SetWatchWait(time.Second)
@@ -94,7 +102,7 @@
 	ctx, cancel := context.WithCancel(w.ctx)
 	host := entryhost.New(entryhost.Config{
 		Self:  cluster.Member{Node: node, Start: fmt.Sprint(w.starts), Address: node, Share: 0.4},
-		Store: s, Orders: w.workers, Hosts: w.workers, Peers: w.net, Sched: entryhost.SchedConfig(bounds),
+		Store: s, Orders: w.workers, Hosts: w.workers, Peers: w.net, Carriers: w.net, Strength: w.strength, Sched: entryhost.SchedConfig(bounds),
 		Pools: func() []string { return []string{"day", "night"} },
 		Duty: duty.Config{
 			Fleet: w.fleet, Waves: w.listWaves,
@@ -107,7 +115,7 @@
 	})
 	e := &entry{host, node, cancel}
 	w.entries[node] = e
-	w.net.Plug(node, host.Desk)
+	w.net.Plug(node, host.Desk, host.Carrier)
 	go host.Run(ctx)
 	return e
 }
@@ -128,7 +136,7 @@
 
 // kill ends an entry host's process without a word.
 func (w *world) kill(node string) {
-	w.net.Plug(node, nil)
+	w.net.Plug(node, nil, nil)
 	w.entries[node].kill()
 	delete(w.entries, node)
 }
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -43,6 +43,11 @@
 	// some 500 answers a second come in, and a plan for each took more than the
 	// processor time of an entry host.
 	planPause = 5 * time.Millisecond
+	// planFactor times its own time is the least pause before the next plan, up
+	// to planPauseMost: plans that follow each other without a break leave no
+	// processor time to carry any of them out.
+	planFactor    = 3
+	planPauseMost = 50 * time.Millisecond
 	// statsEvery is how often the pool is described in the log.
 	statsEvery = 5 * time.Second
 	// inboxPause is the least time between two looks into the inbox.
@@ -120,8 +125,12 @@
 	// stored is when the last commit happened.
 	stored    time.Time
 	described time.Time
-	// planned: a plan is due.
-	planned bool
+	// planned: a plan is due. planTook is how long plans take of late.
+	planned  bool
+	planTook time.Duration
+	// lag is how late this goroutine got to its ticks of late, worstLag the most
+	// since the pool was last described.
+	lag, worstLag time.Duration
 }
 
 // New returns a keeper for a pool that was just taken over.
@@ -169,10 +178,11 @@
 			k.drain()
 			if !k.planned {
 				k.planned = true
-				due.Reset(planPause)
+				due.Reset(k.restFromPlans())
 			}
 			continue
-		case <-ticker.C:
+		case at := <-ticker.C:
+			k.lagged(time.Since(at))
 			k.tick(time.Now())
 		case <-due.C:
 		}
@@ -188,6 +198,13 @@
 	}
 }
 
+// lagged notes how late a tick was looked at.
+func (k *Keeper) lagged(by time.Duration) {
+	k.lag = max(by, (7*k.lag+by)/8)
+	k.worstLag = max(k.worstLag, by)
+	k.Metrics.lag.Observe(by.Seconds())
+}
+
 func (k *Keeper) tick(now time.Time) {
 	k.forget = append(k.forget, k.pool.Tick(now)...)
 	if b := k.lanes[0].batch; b != nil && now.Sub(b.begun) > sideFactor*k.commitTook {
@@ -198,9 +215,10 @@
 	}
 	k.described = now
 	s := k.pool.Stats(now)
-	k.Log.Info().Int("jobs", s.Jobs).Int("hosts", s.Hosts).Int("usable", s.Usable).Interface("unusable", s.Why).
+	k.Log.Info().Dur("plan_ms", k.planTook).Dur("worst_lag_ms", k.worstLag).Dur("order_ms", k.repeats.usual()).Int("jobs", s.Jobs).Int("hosts", s.Hosts).Int("usable", s.Usable).Interface("unusable", s.Why).
 		Int("unreached", s.Unreached).Int("runs", s.Runs).Int("waiting_tasks", s.WaitingTasks).
 		Int("waiting_lasting", s.LastingWaiting).Int("used_cores", s.UsedCores).Int("cores", s.Cores).Msg("The pool.")
+	k.worstLag = 0
 }
 
 // drain applies what else has arrived, so that one plan serves it all.
@@ -281,6 +299,8 @@
 		}
 	}
 	plan := k.pool.Plan(now, k.Wall())
+	k.planTook = (3*k.planTook + time.Since(now)) / 4
+	k.Metrics.plan.Observe(time.Since(now).Seconds())
 	for _, order := range plan.Orders {
 		k.dispatch(order)
 	}
@@ -290,6 +310,11 @@
 	k.commit(now)
 }
 
+// restFromPlans is the pause before the next plan.
+func (k *Keeper) restFromPlans() time.Duration {
+	return min(planPauseMost, max(planPause, planFactor*k.planTook))
+}
+
 func (k *Keeper) dispatch(order sched.Order) {
 	switch order.Verb {
 	case sched.Start:
@@ -386,31 +411,6 @@
 	return query(ctx, k, func() int { return k.pool.Waiting(queue) })
 }
 
-// vacated is how far a host is emptied.
-type vacated struct {
-	empty, known bool
-	address      string
-}
-
-// Vacate closes a host to new work and tells whether it is empty. Before it
-// says so it asks the host once more: this process may have been deposed and
-// not know yet, while the next holder has begun to use the host.
-func (k *Keeper) Vacate(ctx context.Context, host string) (empty, known, ok bool) {
-	answer, ok := query(ctx, k, func() (v vacated) {
-		v.empty, v.known, v.address = k.pool.Vacate(host, time.Now())
-		return v
-	})
-	if !ok || !answer.empty {
-		return false, answer.known, ok
-	}
-	hold, ok := k.nextHold(host, 0)
-	if !ok {
-		return false, false, true
-	}
-	found, outcome := k.hold(worker.Target{ID: host, Address: answer.address}, hold, 0)
-	return outcome == worker.Accepted && len(found.Running) == 0, true, true
-}
-
 // Load tells how busy the pool is. due are hosts that will go for maintenance.
 func (k *Keeper) Load(ctx context.Context, due []string) (duty.Load, bool) {
 	return query(ctx, k, func() duty.Load {
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -244,7 +244,7 @@
 		time.Sleep(2 * time.Second)
 		closed := w.hostOf(id)
 		for range 30 {
-			if empty, known, ok := k.Vacate(w.ctx, closed); ok && known && empty {
+			if empty, known, ok := w.vacate(k, closed); ok && known && empty {
 				break
 			}
 			must.GreaterEq(t, 2, w.workers.Judge.AtWork(id))
@@ -267,14 +267,14 @@
 		host := w.idleHost()
 		w.store.SetDown(true)
 		for range 20 {
-			empty, _, ok := k.Vacate(w.ctx, host)
+			empty, _, ok := w.vacate(k, host)
 			must.True(t, ok)
 			must.False(t, empty)
 			time.Sleep(100 * time.Millisecond)
 		}
 		w.store.SetDown(false)
 		time.Sleep(300 * time.Millisecond)
-		empty, _, ok := k.Vacate(w.ctx, host)
+		empty, _, ok := w.vacate(k, host)
 		must.True(t, ok && empty)
 	})
 }
@@ -292,7 +292,7 @@
 		<-k.ended
 		next := w.takeAtOnce(true)
 		for range 200 {
-			empty, _, ok := next.Vacate(w.ctx, host)
+			empty, _, ok := w.vacate(next, host)
 			must.True(t, ok)
 			if empty {
 				must.EqOp(t, 0, w.workers.Running(host))
@@ -329,7 +329,7 @@
 		id := w.submit(k, lasting(3))
 		time.Sleep(2 * time.Second)
 		first := w.hostOf(id)
-		k.Vacate(w.ctx, first)
+		w.vacate(k, first)
 		time.Sleep(20 * time.Millisecond)
 		k.kill()
 		<-k.ended
@@ -337,7 +337,7 @@
 		for range 40 {
 			for _, host := range w.workers.IDs(pool) {
 				if host != first && w.workers.Judge.On(host, id) > 0 {
-					next.Vacate(w.ctx, host)
+					w.vacate(next, host)
 					break
 				}
 			}
@@ -408,7 +408,7 @@
 		for w.hostOf(id) == "" {
 			time.Sleep(time.Millisecond)
 		}
-		empty, known, _ := old.Vacate(w.ctx, w.hostOf(id))
+		empty, known, _ := w.vacate(old, w.hostOf(id))
 		must.True(t, known)
 		must.False(t, empty)
 	})
--- a/internal/keeper/metrics.go
+++ b/internal/keeper/metrics.go
@@ -29,8 +29,13 @@
 	jobs        *prometheus.CounterVec
 	jobAge      prometheus.Histogram
 	jobWait     prometheus.Histogram
+	// plan is the time of a plan, lag that by which the pool's goroutine is late.
+	plan, lag prometheus.Histogram
 }
 
+// planBuckets reach from a plan for some hosts to one that stalls the pool.
+var planBuckets = []float64{0.0002, 0.0005, 0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1}
+
 // jobBuckets reach from the shortest job to one that has missed its time.
 var jobBuckets = []float64{0.25, 0.5, 1, 2, 3, 5, 8, 13, 21, 60}
 
@@ -82,8 +87,14 @@
 			Name: "glade_job_wait_seconds", Help: "Time from a job's arrival until its first task was ordered.", Buckets: jobBuckets,
 		}),
 	}
+	m.plan = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "glade_pool_plan_seconds", Help: "Time of a plan for a pool held here.", Buckets: planBuckets,
+	})
+	m.lag = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "glade_pool_lag_seconds", Help: "How late the goroutine of a pool held here gets to its regular tick.", Buckets: planBuckets,
+	})
 	if registerer != nil {
-		registerer.MustRegister(m.takeovers, m.starts, m.copies, m.repeats, m.stops, m.paces, m.orders, m.seconds, m.commits, m.commitSec, m.entries, m.submits,
+		registerer.MustRegister(m.plan, m.lag, m.takeovers, m.starts, m.copies, m.repeats, m.stops, m.paces, m.orders, m.seconds, m.commits, m.commitSec, m.entries, m.submits,
 			m.jobs, m.jobAge, m.jobWait, m.lossy, m.sideCommits)
 	}
 	return m
--- a/internal/keeper/orders.go
+++ b/internal/keeper/orders.go
@@ -60,7 +60,7 @@
 	if r.lossy() {
 		least = lossyRepeat
 	}
-	return max(least, orderFactor*time.Duration(r.tookMicros.Load())*time.Microsecond)
+	return max(least, orderFactor*r.usual())
 }
 
 // heard notes a hold that was answered, and whether the one before it to the
@@ -106,7 +106,12 @@
 // rest is the pause before the next hold of a host: what an order takes of late,
 // within bounds.
 func (r *repeats) rest() time.Duration {
-	return min(holdPauseBusy, max(holdPause, time.Duration(r.tookMicros.Load())*time.Microsecond))
+	return min(holdPauseBusy, max(holdPause, r.usual()))
+}
+
+// usual is how long an order takes of late.
+func (r *repeats) usual() time.Duration {
+	return time.Duration(r.tookMicros.Load()) * time.Microsecond
 }
 
 func (r *repeats) took(d time.Duration) {
--- a/internal/keeper/world_test.go
+++ b/internal/keeper/world_test.go
@@ -156,3 +156,12 @@
 func lasting(count int) work.Step {
 	return work.Step{Count: count, Size: work.Size{MilliCPU: 3000, MemMB: 1000}, Lasting: true, MayMiss: 1, MostPerWorker: 1}
 }
+
+// vacate asks for one host to be emptied.
+func (w *world) vacate(k *kept, host string) (empty, known, ok bool) {
+	emptied, ok := k.Vacate(w.ctx, []string{host})
+	if !ok {
+		return false, false, false
+	}
+	return emptied[0].Empty, emptied[0].Known, true
+}
--- a/internal/poolrpc/poolrpc.go
+++ b/internal/poolrpc/poolrpc.go
@@ -32,7 +32,7 @@
 	Cancel(ctx context.Context, pool, id string, relay bool) (result keeper.Result, held bool)
 	State(ctx context.Context, pool, id string, relay bool) (state work.State, known, held bool)
 	Waiting(ctx context.Context, pool, queue string) (count int, held bool)
-	Vacate(ctx context.Context, pool, host string) (empty, known, held bool)
+	Vacate(ctx context.Context, pool string, hosts []string) (emptied []duty.Emptied, held bool)
 	LocalLoad(ctx context.Context, pool string, due []string) (load duty.Load, held bool)
 }
 
@@ -43,7 +43,7 @@
 	Cancel(ctx context.Context, address, pool, id string, relay bool) (result keeper.Result, held bool, err error)
 	State(ctx context.Context, address, pool, id string, relay bool) (state work.State, known, held bool, err error)
 	Waiting(ctx context.Context, address, pool, queue string) (count int, held bool, err error)
-	Vacate(ctx context.Context, address, pool, host string) (empty, known, held bool, err error)
+	Vacate(ctx context.Context, address, pool string, hosts []string) (emptied []duty.Emptied, held bool, err error)
 	Load(ctx context.Context, address, pool string, due []string) (load duty.Load, held bool, err error)
 }
 
@@ -109,8 +109,12 @@
 }
 
 func (s *server) Vacate(ctx context.Context, r *poolpb.VacateRequest) (*poolpb.VacateReply, error) {
-	empty, known, held := s.service.Vacate(ctx, r.Pool, r.Host)
-	return &poolpb.VacateReply{Result: heldResult(held), Known: known, Empty: empty}, nil
+	emptied, held := s.service.Vacate(ctx, r.Pool, r.Hosts)
+	reply := &poolpb.VacateReply{Result: heldResult(held)}
+	for _, e := range emptied {
+		reply.Emptied = append(reply.Emptied, &poolpb.Emptied{Known: e.Known, Empty: e.Empty})
+	}
+	return reply, nil
 }
 
 func (s *server) Load(ctx context.Context, r *poolpb.LoadRequest) (*poolpb.LoadReply, error) {
@@ -219,14 +223,17 @@
 	return int(reply.Count), reply.Result != poolpb.Result_RESULT_NOT_HELD, nil
 }
 
-// Vacate asks for a host to be emptied.
-func (c *Client) Vacate(ctx context.Context, address, pool, host string) (empty, known, held bool, err error) {
-	reply, err := c.peer(address).Vacate(ctx, &poolpb.VacateRequest{Pool: pool, Host: host})
+// Vacate asks for hosts to be emptied.
+func (c *Client) Vacate(ctx context.Context, address, pool string, hosts []string) (emptied []duty.Emptied, held bool, err error) {
+	reply, err := c.peer(address).Vacate(ctx, &poolpb.VacateRequest{Pool: pool, Hosts: hosts})
 	if err != nil {
 		c.failed()
-		return false, false, false, err
+		return nil, false, err
+	}
+	for _, e := range reply.Emptied {
+		emptied = append(emptied, duty.Emptied{Known: e.Known, Empty: e.Empty})
 	}
-	return reply.Empty, reply.Known, reply.Result != poolpb.Result_RESULT_NOT_HELD, nil
+	return emptied, reply.Result != poolpb.Result_RESULT_NOT_HELD, nil
 }
 
 // Load asks how busy a pool is.
