Tell a busy process's lateness from a host's silence, and store full commits without a pause

Change: the pool forgives hosts four times its own lag, two seconds at most; holds wait as much longer for their answer. After a full commit the next one follows in 5 ms. The load tool plays 1,100 hosts (large-turns, large-wave, large-random).

--- a/internal/carrier/link.go
+++ b/internal/carrier/link.go
@@ -80,7 +80,7 @@
 	l.queue = append(l.queue, call)
 	l.mu.Unlock()
 	l.signal()
-	timer := time.NewTimer(call.Within + replyGrace)
+	timer := time.NewTimer(call.patience())
 	defer timer.Stop()
 	select {
 	case reply := <-answered:
@@ -94,6 +94,14 @@
 	return Reply{ID: call.ID, Outcome: worker.Unknown}
 }
 
+// patience is how long the caller waits for the reply.
+func (c Call) patience() time.Duration {
+	if c.Hold != nil {
+		return c.Within + replyGrace + c.Hold.Lateness
+	}
+	return c.Within + replyGrace
+}
+
 // run sends calls and fetches replies until ctx ends.
 func (l *link) run(ctx context.Context) {
 	for {
--- a/internal/keeper/commit.go
+++ b/internal/keeper/commit.go
@@ -33,6 +33,14 @@
 	uncertain bool
 }
 
+// pause is the least time until the next commit of its lane.
+func (b *batch) pause() time.Duration {
+	if b.full() {
+		return fullPause
+	}
+	return commitPause
+}
+
 // commit sends what is to be stored, one batch at a time, and more of them
 // beside it while the store is slow.
 func (k *Keeper) commit(now time.Time) {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -35,6 +35,9 @@
 	// commitPause is the least time between two commits: the platform takes
 	// some hundred writes a second from all processes together.
 	commitPause = 30 * time.Millisecond
+	// fullPause is that after one that had no room for more: what is left over
+	// needs another call however long it waits.
+	fullPause = 5 * time.Millisecond
 	// commitRetry is the pause after a commit that the store didn't take.
 	commitRetry = 100 * time.Millisecond
 	// tickEvery is how often time-outs are looked at.
@@ -203,6 +206,7 @@
 	k.lag = max(by, (7*k.lag+by)/8)
 	k.worstLag = max(k.worstLag, by)
 	k.Metrics.lag.Observe(by.Seconds())
+	k.pool.Late(k.lag)
 }
 
 func (k *Keeper) tick(now time.Time) {
--- a/internal/keeper/lanes_test.go
+++ b/internal/keeper/lanes_test.go
@@ -38,6 +38,26 @@
 	}
 }
 
+// A turn of demand in a large pool: six hundred jobs are handed in within a
+// moment. The store answers at once, yet with a pause after each full commit the
+// last clients waited eight tenths of a second for their answer, and as long
+// again to be told that their jobs were done.
+func TestManyJobsAtOnceAreStoredSoon(t *testing.T) {
+	play(t, emulate.WorkersConfig{Seed: 1}, 12, func(w *world) {
+		k := w.take(true)
+		w.store.SetLatency(4 * time.Millisecond)
+		w.submit(k, quick(1))
+		began := time.Now()
+		_, results := w.submitAll(k, 600)
+		for _, result := range results() {
+			must.EqOp(t, keeper.Stored, result)
+		}
+		must.Less(t, 500*time.Millisecond, time.Since(began))
+		w.store.SetLatency(0)
+		k.kill()
+	})
+}
+
 // The store takes a quarter of a second for an answer, and many jobs come at
 // once. With one commit at a time clients waited three seconds to be told that
 // their job is accepted, and as long again to be told that it is done.
--- a/internal/keeper/orders.go
+++ b/internal/keeper/orders.go
@@ -218,6 +218,9 @@
 		if !ok {
 			return
 		}
+		if within > 0 {
+			within += hold.Lateness
+		}
 		rest := k.repeats.rest()
 		if _, outcome := k.hold(target, hold, within); outcome == worker.Accepted {
 			k.heard(lost > 0)
--- a/internal/keeper/outcome.go
+++ b/internal/keeper/outcome.go
@@ -15,7 +15,7 @@
 		// Another attempt has settled it.
 		return
 	}
-	b.lane.nextTry = time.Now().Add(commitPause)
+	b.lane.nextTry = time.Now().Add(b.pause())
 	conflict, conflicted := err.(*store.TxnConflictError)
 	switch {
 	case err == nil:
--- a/internal/measure/load/pattern.go
+++ b/internal/measure/load/pattern.go
@@ -135,6 +135,39 @@
 	}
 }
 
+// check is a queue of small urgent jobs on large hosts, scan one of larger ones.
+func check(name, pool string, rate float64) Kind {
+	const taskMB = 26_000
+	return Kind{
+		Name: name, Pool: pool, Rate: rate, Steps: Draw{1.6, 0.4, 4}, Width: Draw{8, 0.6, 32},
+		MilliCPU: Draw{8900, 0.45, 27_000}, MemMB: Draw{taskMB, 0.6, 3 * taskMB}, Seconds: Draw{0.64, 0.5, 1.6},
+		Uneven: 0.15, Off: 0.9, Copies: 0.3, Stretch: stretch, Slack: usualSlack, Worth: 0.27,
+	}
+}
+
+func scan(name, pool string, rate float64) Kind {
+	const taskMB = 55_000
+	return Kind{
+		Name: name, Pool: pool, Rate: rate, Steps: Draw{2, 0.4, 5}, Width: Draw{8, 0.6, 32},
+		MilliCPU: Draw{19_000, 0.45, 58_000}, MemMB: Draw{taskMB, 0.6, 3 * taskMB}, Seconds: Draw{1.3, 0.5, 3.3},
+		Uneven: 0.3, Off: 0.9, Checkpoints: 0.8, Priority: 1, Stretch: stretch, Slack: usualSlack, Worth: 1.46,
+	}
+}
+
+// large is a deployment of 1,100 hosts in four pools and a spare one. All pools
+// together have three times what a turn of demand needs.
+func large() Pattern {
+	return Pattern{
+		Length: usualLength, Spare: 177, HostCores: 64, HostMemMB: 262_144, RackHosts: 12,
+		Kinds: []Kind{check("quick", "p1", 52.6), scan("catalogue", "p2", 10.9), check("clip", "p3", 65.7), scan("archive", "p4", 13.3)},
+		Pools: []Pool{
+			{"p1", 195, 5, 24, 9600}, {"p2", 219, 6, 24, 9600}, {"p3", 243, 7, 24, 9600}, {"p4", 266, 7, 24, 9600},
+		},
+		Turns:      Turns{Length: 8500 * time.Millisecond, High: 4, Low: 0.05, Ramp: 2 * time.Second, Order: Rotating},
+		HostSecond: 4.9e-6, Move: 5.3e-6,
+	}
+}
+
 // Patterns returns the load patterns by name.
 func Patterns() []Pattern {
 	named := func(name string, change func(p *Pattern)) Pattern {
@@ -156,5 +189,20 @@
 		}),
 		named("steady", func(p *Pattern) { p.Turns.Length = 0 }),
 		named("bursts", func(p *Pattern) { p.Turns.Length, p.BurstAt, p.BurstTimes = 0, 12*time.Second, 4 }),
+		named("large-turns", func(p *Pattern) { *p = p.as(large()) }),
+		named("large-wave", func(p *Pattern) {
+			*p = p.as(large())
+			p.Wave = &Wave{At: 1300 * time.Millisecond, Within: 24 * time.Second, Share: 0.45, AtOnce: 207}
+		}),
+		named("large-random", func(p *Pattern) {
+			*p = p.as(large())
+			p.Turns.Order, p.Turns.Length = Random, 6*time.Second
+		}),
 	}
 }
+
+// as returns another pattern under this one's name.
+func (p *Pattern) as(other Pattern) Pattern {
+	other.Name = p.Name
+	return other
+}
--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -20,7 +20,7 @@
 // run to end counts.
 func (pl *planner) copies() {
 	for _, h := range pl.hosts {
-		silent := h.silent(pl.now)
+		silent := pl.silent(h, pl.now)
 		for _, r := range h.runs {
 			s := r.task.step
 			if r.task.run != r || !s.spec.Copies || s.spec.Gang || s.of.job.state != "" {
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -93,7 +93,7 @@
 // judgeHangs stops runs that stand still, and suspects a host where all do.
 func (p *Pool) judgeHangs(now time.Time) {
 	for _, h := range p.hosts {
-		if h.silent(now) {
+		if p.silent(h, now) {
 			continue
 		}
 		stuck, alive := 0, 0
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -17,7 +17,7 @@
 		}
 		total = total.Plus(h.Capacity)
 		one := duty.HostLoad{
-			Worker: id, Used: h.used.MilliCPU, Lasting: h.lastingCPU, Closed: h.closed || h.reached && h.silent(now),
+			Worker: id, Used: h.used.MilliCPU, Lasting: h.lastingCPU, Closed: h.closed || h.reached && p.silent(h, now),
 		}
 		for _, r := range h.runs {
 			if !r.task.step.spec.Lasting {
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -10,7 +10,7 @@
 	switch {
 	case !h.listed:
 		return "not listed"
-	case !h.reached || h.silent(now):
+	case !h.reached || p.silent(h, now):
 		return "silent"
 	case !p.roster[h.ID]:
 		return "not stored as in use"
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -68,7 +68,9 @@
 	offered map[string]time.Time
 	// deposed is set once a host has refused our fence.
 	deposed bool
-	scratch scratch
+	// lateness is what is forgiven hosts because this process is busy.
+	lateness time.Duration
+	scratch  scratch
 }
 
 // New returns an empty pool whose fence was taken at now. roster is what an
@@ -258,7 +260,7 @@
 	if h == nil {
 		return worker.Hold{}, false
 	}
-	hold = worker.Hold{Fence: p.Fence, Seen: h.seen, Wait: wait}
+	hold = worker.Hold{Fence: p.Fence, Seen: h.seen, Wait: wait, Lateness: p.lateness}
 	if !h.reached {
 		// The first answer tells the host's clock and what runs there.
 		hold.Wait = 0
@@ -266,7 +268,7 @@
 	}
 	// A host that doesn't answer may still hear us. Holds that went on being
 	// renewed would never be certain to have ended.
-	if renew && !h.silent(now) && !p.frozen[id] {
+	if renew && !p.silent(h, now) && !p.frozen[id] {
 		h.granted = now
 		hold.DeadlineMs = h.deadline(p.HoldFor, now)
 	}
@@ -309,7 +311,20 @@
 	silentFor = 1200 * time.Millisecond
 )
 
-func (h *host) silent(now time.Time) bool { return now.Sub(h.heard) > silentFor }
+// lateFactorOfSilence times its own lateness is what a pool adds before it calls
+// a host silent, up to mostLateness: the hold goes out late, and its answer waits
+// as long again until it is read.
+const (
+	lateFactorOfSilence = 4
+	mostLateness        = 2 * time.Second
+)
+
+// Late notes by how much the pool's own goroutine is late. A busy process hears
+// its hosts late and took them for silent: with hundreds of hosts it lost their
+// room when it needed it most, and started again elsewhere what had ended on them.
+func (p *Pool) Late(by time.Duration) { p.lateness = min(mostLateness, lateFactorOfSilence*by) }
+
+func (p *Pool) silent(h *host, now time.Time) bool { return now.Sub(h.heard) > silentFor+p.lateness }
 
 // Tick lets time pass: hosts that can't be asked lapse, ended jobs are
 // forgotten. It returns the ids of jobs to delete from the store.
@@ -332,7 +347,7 @@
 	if h.closed && now.After(h.closedUntil) {
 		h.closed = false
 	}
-	silent := h.silent(now)
+	silent := p.silent(h, now)
 	if silent && len(h.runs) > 0 && now.After(p.lapsesAt(h)) {
 		p.lapse(h, now)
 	}
--- a/internal/sched/roster.go
+++ b/internal/sched/roster.go
@@ -25,7 +25,7 @@
 		leaves := (h.closed || !h.listed) && len(h.runs) == 0
 		if _, waits := p.unreached[id]; !waits && !leaves && (h.reached || len(h.runs) > 0) {
 			ids = append(ids, id)
-			if h.silent(now) {
+			if p.silent(h, now) {
 				silent[id] = millisLeft(p.lapsesAt(h), now)
 			}
 		}
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -72,6 +72,9 @@
 	DeadlineMs int64
 	// Wait is how long the answer may wait for an end.
 	Wait time.Duration
+	// Lateness is how much longer than usual the answer may take to arrive, since
+	// whoever asks is busy.
+	Lateness time.Duration
 }
 
 // Outcome is what became of an order.
