Move hosts as fast as the platform takes it, and write carriers up

Cause: moves shared eight connections with lists of half a second each; the platform takes 40 ms for a move, so 180 moves a second were made of the 590 that it allows, and a round of moves waited for a whole list.

--- a/internal/carrierrpc/messages.go
+++ b/internal/carrierrpc/messages.go
@@ -86,12 +86,14 @@
 	reply := &carrierpb.Reply{Id: r.ID, Outcome: outcomes[r.Outcome], ClockMs: r.Answer.ClockMs}
 	for _, run := range r.Answer.Running {
 		reply.Running = append(reply.Running, &carrierpb.Report{
-			Task: encodeTask(run.Task), Run: int64(run.Run), Saved: run.Saved, Percent: int64(run.Percent), Load: int64(run.Load),
+			Job: run.Task.Job, Time: int64(run.Task.Time), Step: int64(run.Task.Step), Index: int64(run.Task.Index),
+			Run: int64(run.Run), Saved: run.Saved, Percent: int64(run.Percent), Load: int64(run.Load),
 		})
 	}
 	for _, end := range r.Answer.Ended {
 		reply.Ended = append(reply.Ended, &carrierpb.End{
-			Number: end.Number, Task: encodeTask(end.Task), Run: int64(end.Run), How: string(end.How), Saved: end.Saved,
+			Number: end.Number, Job: end.Task.Job, Time: int64(end.Task.Time), Step: int64(end.Task.Step), Index: int64(end.Task.Index),
+			Run: int64(end.Run), How: string(end.How), Saved: end.Saved,
 		})
 	}
 	return reply
@@ -104,12 +106,14 @@
 	}
 	for _, run := range r.Running {
 		reply.Answer.Running = append(reply.Answer.Running, worker.Report{
-			Task: taskOf(run.Task), Run: int(run.Run), Saved: run.Saved, Percent: int(run.Percent), Load: int(run.Load),
+			Task: work.TaskName{Job: run.Job, Time: int(run.Time), Step: int(run.Step), Index: int(run.Index)},
+			Run:  int(run.Run), Saved: run.Saved, Percent: int(run.Percent), Load: int(run.Load),
 		})
 	}
 	for _, end := range r.Ended {
 		reply.Answer.Ended = append(reply.Answer.Ended, worker.End{
-			Number: end.Number, Task: taskOf(end.Task), Run: int(end.Run), How: work.How(end.How), Saved: end.Saved,
+			Number: end.Number, Task: work.TaskName{Job: end.Job, Time: int(end.Time), Step: int(end.Step), Index: int(end.Index)},
+			Run: int(end.Run), How: work.How(end.How), Saved: end.Saved,
 		})
 	}
 	return reply
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
 	"auburnglade.example/glade/internal/ledger"
 	"auburnglade.example/glade/internal/pause"
@@ -19,6 +20,9 @@
 const (
 	// roundEvery is the pause between two looks at waves and pools.
 	roundEvery = 200 * time.Millisecond
+	// listOld is how old the list may be that a round goes by. Whatever this
+	// process does to hosts it knows without it.
+	listOld = 800 * time.Millisecond
 	// emptyEvery is the pause between two questions whether a host is empty.
 	emptyEvery = 150 * time.Millisecond
 	// emptyWithin is when a host that does not empty is let go for now. Steps
@@ -26,6 +30,8 @@
 	emptyWithin = 20 * time.Second
 	// retryEvery is the pause before a call is made again.
 	retryEvery = 300 * time.Millisecond
+	// paceRetry is the pause before a call that has to wait for others tries again.
+	paceRetry = 40 * time.Millisecond
 	// sameLifeAfter is when a host that is up in the same life after a call has
 	// been through it before: the list shows a call's effect at once.
 	sameLifeAfter = time.Second
@@ -48,7 +54,10 @@
 	Kept func(pool string) bool
 	// Status is the key and value that tell the operator how a wave goes.
 	Status func(number int64, done bool) (key string, value []byte)
-	Log    zerolog.Logger
+	// CallsPerSecond is how many moves and maintenances the platform takes, zero
+	// for any number.
+	CallsPerSecond float64
+	Log            zerolog.Logger
 }
 
 // Keeper holds the duty.
@@ -75,6 +84,8 @@
 	deposed bool
 	// confirmed is when the store last showed that the duty is held here.
 	confirmed time.Time
+	// pace keeps calls for hosts within what the platform takes.
+	pace *rate.Limiter
 	// barred are pools that a kind of host can't belong to.
 	barred map[barredPair]bool
 	// listing has a place for the one goroutine that reads the list of hosts. A
@@ -115,12 +126,24 @@
 // New returns a keeper of a duty that was just claimed.
 func New(config Config, fence int64, revision store.Revision, claim []byte) *Keeper {
 	return &Keeper{
-		Config: config, fence: fence, revision: revision, claim: claim, questions: newQuestions(config.Pools), listing: make(chan struct{}, 1),
+		Config: config, fence: fence, revision: revision, claim: claim, questions: newQuestions(config.Pools), listing: make(chan struct{}, 1), pace: paceOf(config.CallsPerSecond),
 		rhythm: NewRhythm(), outTimes: NewOutTimes(), busy: make(map[string]*errand), waves: make(map[int64]*waveState),
 		barred: make(map[barredPair]bool), confirmed: time.Now(),
 	}
 }
 
+// paceShare of what the platform takes is used: its second and ours don't begin
+// together.
+const paceShare = 0.9
+
+// paceOf bounds calls to a rate, a twentieth of a second's at once.
+func paceOf(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(paceShare*perSecond), max(1, int(perSecond/20)))
+}
+
 // Confirm implements cluster.Kept.
 func (k *Keeper) Confirm() {
 	k.mu.Lock()
@@ -289,6 +312,27 @@
 	return nil
 }
 
+// refresh sees to it that the list of hosts is not older than listOld. One that
+// isn't of this moment is read anew beside what is done by it: the platform takes
+// half a second to list a thousand hosts page by page, for which every round of
+// moves would wait.
+func (k *Keeper) refresh(ctx context.Context) error {
+	k.mu.Lock()
+	age := time.Since(k.listed)
+	k.mu.Unlock()
+	if age >= listOld {
+		return k.list(ctx)
+	}
+	if age >= roundEvery/2 && len(k.listing) == 0 {
+		go func() {
+			if err := k.list(ctx); err != nil {
+				k.Log.Warn().Err(err).Msg("Can't list the hosts.")
+			}
+		}()
+	}
+	return nil
+}
+
 // take takes over a list of the hosts.
 func (k *Keeper) take(hosts []Host) {
 	byName := make(map[string]int, len(hosts))
@@ -342,6 +386,11 @@
 			pause.For(ctx, retryEvery)
 			continue
 		}
+		if !k.pace.Allow() {
+			// Its host is asked again before the call: work may have come to it.
+			pause.For(ctx, pause.Jitter(paceRetry))
+			continue
+		}
 		last, called = act(), true
 		k.Log.Info().Str("host", host.Name).Str("pool", host.Pool).Int64("fence", k.fence).Stringer("outcome", last).Msg("Called the platform for a host.")
 		switch last {
--- a/internal/duty/moves.go
+++ b/internal/duty/moves.go
@@ -46,8 +46,11 @@
 	// worth was earned, for one move in a hundred more.
 	surge = 3
 	// levelGap is by how many hosts the free capacity of two pools must differ
-	// before a host moves from one to the other.
-	levelGap = 6
+	// before a host moves from one to the other, or by levelShare of all hosts
+	// where that is more: what a pool has free changes by the tenth of a second,
+	// and each move costs a host for two seconds.
+	levelGap   = 6
+	levelShare = 0.03
 )
 
 // need is what a pool can use right now, in thousandths of a core: what arrives,
@@ -261,6 +264,7 @@
 			weights += s.expect()
 		}
 	}
+	gap := m.levelGap()
 	// excess is what a side has free beyond its part.
 	excess := func(s *side) float64 { return s.free() - total*s.expect()/weights }
 	for {
@@ -276,7 +280,7 @@
 				least = s
 			}
 		}
-		if most == nil || most == least || excess(most)-excess(least) < levelGap*float64(most.offered[0].Size.MilliCPU) {
+		if most == nil || most == least || excess(most)-excess(least) < gap*float64(most.offered[0].Size.MilliCPU) {
 			return
 		}
 		if !m.give(least, []*side{most}) {
@@ -285,6 +289,17 @@
 	}
 }
 
+// levelGap is by how many hosts two pools must differ to be levelled.
+func (m *market) levelGap() float64 {
+	hosts := 0
+	for _, s := range m.sides {
+		if s.takesPart() {
+			hosts += s.Load.open()
+		}
+	}
+	return max(levelGap, levelShare*float64(hosts))
+}
+
 // cheapest orders hosts by what it costs to give them to a pool that lacks some:
 // those due for maintenance come last, since they can go for it where they stand
 // idle. Taken as they came, they had to be emptied in the middle of the turn that
--- a/internal/duty/moving.go
+++ b/internal/duty/moving.go
@@ -26,7 +26,7 @@
 	if len(PlanMoves(views, k.allowed)) == 0 && !anyLacks(views) {
 		return
 	}
-	if err := k.list(ctx); err != nil {
+	if err := k.refresh(ctx); err != nil {
 		k.Log.Warn().Err(err).Msg("Can't list the hosts.")
 		return
 	}
--- a/internal/duty/waves.go
+++ b/internal/duty/waves.go
@@ -16,7 +16,7 @@
 	if state == nil || state.Over {
 		return
 	}
-	if err := k.list(ctx); err != nil {
+	if err := k.refresh(ctx); err != nil {
 		k.Log.Warn().Err(err).Msg("Can't list the hosts.")
 		return
 	}
