--- a/internal/carrier/assign_test.go
+++ b/internal/carrier/assign_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -86,3 +87,13 @@
 		must.SliceEmpty(t, carriers)
 	}
 }
+
+// On a thin link exchanges are fewer and larger: at four milliseconds, a link of two
+// megabits was half full of their headers alone.
+func TestExchangesPauseLongerOnThinLinks(t *testing.T) {
+	for link, want := range map[float64]time.Duration{
+		0: 4 * time.Millisecond, 200: 4 * time.Millisecond, 20: 4 * time.Millisecond, 2: 40 * time.Millisecond, 0.1: 50 * time.Millisecond,
+	} {
+		must.EqOp(t, want, carrier.PauseOn(link), must.Sprintf("%g megabits", link))
+	}
+}
--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -14,6 +14,27 @@
 	"auburnglade.example/glade/internal/worker"
 )
 
+const (
+	// leastPause lets calls, or replies, that come together be told together.
+	leastPause = 4 * time.Millisecond
+	// linkPause is that on a link of one megabit a second: an exchange takes some
+	// 400 bytes beside what it carries, and a holder has one with each carrier in
+	// every pause.
+	linkPause = 80 * time.Millisecond
+	// longestPause bounds it: an end is told and followed by a start that much
+	// later.
+	longestPause = 50 * time.Millisecond
+)
+
+// PauseOn returns the pause between exchanges on a link of so many megabits a
+// second, zero for one that isn't known.
+func PauseOn(linkMbps float64) time.Duration {
+	if linkMbps <= 0 {
+		return leastPause
+	}
+	return min(longestPause, max(leastPause, time.Duration(float64(linkPause)/linkMbps)))
+}
+
 // Call is one order for one host. Exactly one of the orders is set.
 type Call struct {
 	// ID is the caller's own and names the call in its session.
--- a/internal/carrier/link.go
+++ b/internal/carrier/link.go
@@ -13,8 +13,6 @@
 )
 
 const (
-	// sendPause lets calls that are made together go out together.
-	sendPause = 4 * time.Millisecond
 	// mostOpen exchanges are under way at a time: one that waits for replies
 	// and one that brings calls.
 	mostOpen = 2
@@ -34,6 +32,7 @@
 	address string
 	session string
 	peers   Peers
+	pause   time.Duration
 	log     zerolog.Logger
 	metrics *Metrics
 	// wake is signalled when there may be something to send.
@@ -51,7 +50,7 @@
 
 func newLink(address, session string, config Config) *link {
 	return &link{
-		address: address, session: session, peers: config.Peers, metrics: config.Metrics,
+		address: address, session: session, peers: config.Peers, pause: config.Pause, metrics: config.Metrics,
 		log: config.Log.With().Str("carrier", address).Logger(), wake: make(chan struct{}, 1), pending: make(map[uint64]chan Reply),
 	}
 }
@@ -110,7 +109,7 @@
 			return
 		case <-l.wake:
 		}
-		pause.For(ctx, sendPause)
+		pause.For(ctx, l.pause)
 		if calls, due := l.next(); due {
 			go l.exchange(ctx, calls)
 		}
--- a/internal/carrier/router.go
+++ b/internal/carrier/router.go
@@ -34,6 +34,8 @@
 	Direct worker.Orders
 	Hosts  worker.HostSource
 	Peers  Peers
+	// Pause lets calls that are made together go out together.
+	Pause time.Duration
 	// Candidates are the other entry hosts that live and don't leave.
 	Candidates func() []Candidate
 	Log        zerolog.Logger
--- a/internal/carrier/server.go
+++ b/internal/carrier/server.go
@@ -12,8 +12,6 @@
 	// pollWait is how long an exchange without replies waits for one. It also
 	// shows the holder that the carrier lives.
 	pollWait = 200 * time.Millisecond
-	// replyPause lets replies that come together be told together.
-	replyPause = 4 * time.Millisecond
 	// sessionFor is how long a session without an exchange is remembered:
 	// replies that nobody fetched by then are of a holder that has ended.
 	sessionFor = 10 * time.Second
@@ -22,15 +20,17 @@
 // Server carries out calls for the holders of pools.
 type Server struct {
 	orders  worker.Orders
+	pause   time.Duration
 	metrics *Metrics
 
 	mu       sync.Mutex
 	sessions map[string]*session
 }
 
-// NewServer returns a carrier that makes its calls through orders.
-func NewServer(orders worker.Orders, metrics *Metrics) *Server {
-	return &Server{orders: orders, metrics: metrics, sessions: make(map[string]*session)}
+// NewServer returns a carrier that makes its calls through orders. pause lets
+// replies that come together be told together.
+func NewServer(orders worker.Orders, pause time.Duration, metrics *Metrics) *Server {
+	return &Server{orders: orders, pause: pause, metrics: metrics, sessions: make(map[string]*session)}
 }
 
 // Exchange implements the carrier's side of Peers.
@@ -53,7 +53,7 @@
 				delete(s.sessions, other)
 			}
 		}
-		ses = &session{ready: make(chan struct{}, 1)}
+		ses = &session{pause: s.pause, ready: make(chan struct{}, 1)}
 		s.sessions[name] = ses
 	}
 	ses.used = now
@@ -74,6 +74,9 @@
 		reply.Outcome = s.orders.Pace(ctx, call.To, *call.Pace)
 	case call.Hold != nil:
 		reply.Answer, reply.Outcome = s.orders.Hold(ctx, call.To, *call.Hold)
+		if call.Hold.Brief {
+			reply.Answer.Brief, reply.Answer.Running = true, nil
+		}
 	default:
 		reply.Outcome = worker.Malformed
 	}
@@ -83,6 +86,7 @@
 
 // session collects the replies for one holder.
 type session struct {
+	pause time.Duration
 	// used is when an exchange last came; the server's lock guards it.
 	used time.Time
 	// ready is signalled when there are replies.
@@ -145,7 +149,7 @@
 		if !some {
 			continue
 		}
-		timer := time.NewTimer(replyPause)
+		timer := time.NewTimer(s.pause)
 		defer timer.Stop()
 		select {
 		case <-ctx.Done():
--- a/internal/carrier/world_test.go
+++ b/internal/carrier/world_test.go
@@ -41,7 +41,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		w := &world{ctx: ctx, servers: make(map[string]*carrier.Server), silent: make(map[string]bool), called: make(map[string]int)}
 		w.router = carrier.NewRouter(carrier.Config{
-			Pool: "p", Session: "s", Share: 0.4, Strength: strength, Direct: caller{w, "holder"}, Hosts: w, Peers: w,
+			Pool: "p", Session: "s", Share: 0.4, Strength: strength, Direct: caller{w, "holder"}, Hosts: w, Peers: w, Pause: carrier.PauseOn(0),
 			Candidates: w.live, Log: zerolog.Nop(), Metrics: carrier.NewMetrics(nil),
 		})
 		go w.router.Follow(ctx, "p", func([]worker.Host) {})
@@ -56,7 +56,7 @@
 func (w *world) add(name string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.servers[name] = carrier.NewServer(caller{w, name}, carrier.NewMetrics(nil))
+	w.servers[name] = carrier.NewServer(caller{w, name}, carrier.PauseOn(0), carrier.NewMetrics(nil))
 	w.candidates = append(w.candidates, candidate(name, "a", 0.8, 0))
 }
 
--- a/internal/carrierrpc/messages.go
+++ b/internal/carrierrpc/messages.go
@@ -54,7 +54,7 @@
 	case c.Hold != nil:
 		o := c.Hold
 		call.Fence = o.Fence
-		call.Order = &carrierpb.Call_Hold{Hold: &carrierpb.Hold{Seen: o.Seen, DeadlineMs: o.DeadlineMs, WaitMs: o.Wait.Milliseconds()}}
+		call.Order = &carrierpb.Call_Hold{Hold: &carrierpb.Hold{Seen: o.Seen, DeadlineMs: o.DeadlineMs, WaitMs: o.Wait.Milliseconds(), Brief: o.Brief}}
 	}
 	return call
 }
@@ -77,13 +77,14 @@
 	case *carrierpb.Call_Hold:
 		call.Hold = &worker.Hold{
 			Fence: c.Fence, Seen: o.Hold.Seen, DeadlineMs: o.Hold.DeadlineMs, Wait: time.Duration(o.Hold.WaitMs) * time.Millisecond,
+			Brief: o.Hold.Brief,
 		}
 	}
 	return call
 }
 
 func encodeReply(r *carrier.Reply) *carrierpb.Reply {
-	reply := &carrierpb.Reply{Id: r.ID, Outcome: outcomes[r.Outcome], ClockMs: r.Answer.ClockMs}
+	reply := &carrierpb.Reply{Id: r.ID, Outcome: outcomes[r.Outcome], ClockMs: r.Answer.ClockMs, Brief: r.Answer.Brief}
 	for _, run := range r.Answer.Running {
 		reply.Running = append(reply.Running, &carrierpb.Report{
 			Job: run.Task.Job, Time: int64(run.Task.Time), Step: int64(run.Task.Step), Index: int64(run.Task.Index),
@@ -100,7 +101,7 @@
 }
 
 func replyOf(r *carrierpb.Reply) carrier.Reply {
-	reply := carrier.Reply{ID: r.Id, Outcome: workerOutcomes[r.Outcome], Answer: worker.Answer{ClockMs: r.ClockMs}}
+	reply := carrier.Reply{ID: r.Id, Outcome: workerOutcomes[r.Outcome], Answer: worker.Answer{ClockMs: r.ClockMs, Brief: r.Brief}}
 	if len(r.Running) > 0 {
 		reply.Answer.Running = make([]worker.Report, 0, len(r.Running))
 	}
--- a/internal/carrierrpc/messages_test.go
+++ b/internal/carrierrpc/messages_test.go
@@ -41,7 +41,7 @@
 	case 2:
 		call.Pace = &worker.Pace{Task: task, Run: run, Fence: fence, Percent: rapid.IntRange(0, 100).Draw(t, "percent")}
 	default:
-		call.Hold = &worker.Hold{Fence: fence, Seen: number.Draw(t, "seen"), DeadlineMs: number.Draw(t, "deadline"), Wait: time.Second}
+		call.Hold = &worker.Hold{Fence: fence, Seen: number.Draw(t, "seen"), DeadlineMs: number.Draw(t, "deadline"), Wait: time.Second, Brief: rapid.Bool().Draw(t, "brief")}
 	}
 	return call
 }
@@ -59,7 +59,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		reply := carrier.Reply{
 			ID: rapid.Uint64().Draw(t, "id"), Outcome: worker.Outcome(rapid.IntRange(int(worker.Unknown), int(worker.NotSent)).Draw(t, "outcome")),
-			Answer: worker.Answer{ClockMs: rapid.Int64Range(0, 1<<40).Draw(t, "clock")},
+			Answer: worker.Answer{ClockMs: rapid.Int64Range(0, 1<<40).Draw(t, "clock"), Brief: rapid.Bool().Draw(t, "brief")},
 		}
 		for range rapid.IntRange(0, 3).Draw(t, "runs") {
 			reply.Answer.Running = append(reply.Answer.Running, worker.Report{
--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -40,6 +40,8 @@
 	// Strength is how many hosts a core of an entry host can call; zero takes
 	// the default.
 	Strength carrier.Strength
+	// LinkMbps is this entry host's link, zero when it isn't known.
+	LinkMbps float64
 	Sched    sched.Config
 	// Pools are the pools that need a holder.
 	Pools func() []string
@@ -69,7 +71,7 @@
 // New returns an entry host that does nothing before Run.
 func New(config Config) *Host {
 	h := &Host{Config: config, keepers: make(map[string]*keeper.Keeper), metrics: keeper.NewMetrics(config.Registerer), routing: carrier.NewMetrics(config.Registerer)}
-	h.Carrier = carrier.NewServer(config.Orders, h.routing)
+	h.Carrier = carrier.NewServer(config.Orders, carrier.PauseOn(config.LinkMbps), h.routing)
 	h.Cluster = cluster.New(cluster.Config{
 		Store: config.Store, Self: config.Self, Pools: h.claims, Take: h.take,
 		Log: telemetry.Part(config.Log, "cluster"),
@@ -150,7 +152,7 @@
 func (h *Host) router(grant cluster.Grant) *carrier.Router {
 	return carrier.NewRouter(carrier.Config{
 		Pool: grant.Pool, Session: fmt.Sprintf("%s/%s/%d", h.Self.Holder(), grant.Pool, grant.Head.Fence), Share: h.Self.Share, Strength: cmp.Or(h.Strength, carrier.HostsPerCore),
-		Direct: h.Orders, Hosts: h.Hosts, Peers: h.Carriers, Candidates: h.candidates, Metrics: h.routing,
+		Direct: h.Orders, Hosts: h.Hosts, Peers: h.Carriers, Pause: carrier.PauseOn(h.LinkMbps), Candidates: h.candidates, Metrics: h.routing,
 		Log: telemetry.Part(h.Log, "carrier").With().Str("pool", grant.Pool).Logger(),
 	})
 }
--- a/internal/keeper/vacate.go
+++ b/internal/keeper/vacate.go
@@ -53,6 +53,7 @@
 	if !ok {
 		return duty.Emptied{}
 	}
+	hold.Brief = false
 	found, outcome := k.hold(target, hold, confirmWithin)
 	return duty.Emptied{Known: true, Empty: outcome == worker.Accepted && len(found.Running) == 0}
 }
--- a/internal/sched/answers.go
+++ b/internal/sched/answers.go
@@ -18,10 +18,12 @@
 	h.heard, h.clock = now, answer.ClockMs
 	delete(p.unreached, id)
 	p.applyEnds(h, answer.Ended, now, wall)
-	shown := p.applyRunning(h, answer.Running, now, wall)
-	h.reached = true
-	if len(answer.Ended) < worker.MaxEnds {
-		p.settle(h, shown, sent, now)
+	if !answer.Brief {
+		h.told, h.toldClock, h.reached = now, answer.ClockMs, true
+		shown := p.applyRunning(h, answer.Running, now, wall)
+		if len(answer.Ended) < worker.MaxEnds {
+			p.settle(h, shown, sent, now)
+		}
 	}
 	h.advanceSeen()
 }
@@ -184,8 +186,8 @@
 	if r.state == starting {
 		r.state, r.begun, r.moved = running, now, now
 	}
-	if report.Percent != r.percent {
-		r.percent, r.moved = report.Percent, now
+	if report.Percent != r.percent || r.movedClock == 0 {
+		r.percent, r.moved, r.movedClock = report.Percent, now, r.host.toldClock
 	}
 	r.load = report.Load
 	if report.Saved != "" {
@@ -273,7 +275,12 @@
 		}
 		switch r.state {
 		case starting:
-			// Its order may be on its way; StartOutcome will tell.
+			// Its order may be on its way; StartOutcome will tell. One that was
+			// given up without an answer is stopped, to be certain that it doesn't
+			// begin later.
+			if !r.unanswered.IsZero() && sent.After(r.unanswered) {
+				p.stop(r, "its start was not answered")
+			}
 		case running:
 			if sent.After(r.begun) {
 				// Neither runs nor has ended: stop it to be certain.
@@ -311,7 +318,7 @@
 	case worker.Unknown:
 		if r.state == starting {
 			h.rested = now.Add(refusalPause)
-			p.stop(r, "its start was not answered")
+			p.startUnanswered(r, now)
 		}
 	case worker.Gone:
 		p.GoneHost(id, now)
@@ -320,6 +327,18 @@
 	}
 }
 
+// startUnanswered settles a start that was given up without an answer. A lasting
+// task may be at work by now, and to stop it might leave its step with more tasks
+// missing than it may: its host's next answer tells. Any other one is stopped at
+// once, as its work is short and can wait less.
+func (p *Pool) startUnanswered(r *run, now time.Time) {
+	if r.task.step.spec.Lasting {
+		r.unanswered = now
+		return
+	}
+	p.stop(r, "its start was not answered")
+}
+
 // WantsStart reports whether a start that was ordered and has no answer is still
 // to be carried out.
 func (p *Pool) WantsStart(id string, name work.TaskName, number int) bool {
--- /dev/null
+++ b/internal/sched/brief_test.go
@@ -0,0 +1,30 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"auburnglade.example/glade/internal/work"
+	"auburnglade.example/glade/internal/worker"
+)
+
+// Whatever ends is told with every answer, what runs only from time to time: an
+// answer without reports says nothing of runs that it doesn't show.
+func TestABriefAnswerTakesNoRunAway(t *testing.T) {
+	p, _, now := oneHost(t)
+	accept(p, now)
+	order := p.Plan(now, now).Orders[0]
+	p.StartOutcome("w", order.Task, order.Run, worker.Accepted, now)
+	hold, _ := p.NextHold("w", time.Second, true, now)
+	must.True(t, hold.Brief, must.Sprint("it has just told what runs"))
+	soon := now.Add(100 * time.Millisecond)
+	p.Held("w", soon, worker.Answer{ClockMs: 100, Brief: true}, soon, soon)
+	must.SliceEmpty(t, p.Plan(soon, soon).Orders)
+	done := worker.Answer{ClockMs: 200, Brief: true, Ended: []worker.End{{Number: 1, Task: order.Task, Run: order.Run, How: work.EndDone}}}
+	p.Held("w", soon, done, soon, soon)
+	must.MapEmpty(t, p.hosts["w"].runs)
+	hold, _ = p.NextHold("w", time.Second, true, now.Add(tellEvery))
+	must.False(t, hold.Brief)
+}
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -100,7 +100,7 @@
 		for _, r := range h.runs {
 			switch {
 			case !r.measurable():
-			case r.stuck(now):
+			case r.stuck():
 				stuck++
 			default:
 				alive++
@@ -111,7 +111,7 @@
 		}
 		h.health.suspect(now)
 		for _, r := range h.runs {
-			if r.measurable() && r.stuck(now) {
+			if r.measurable() && r.stuck() {
 				p.stop(r, "it stands still, like all on its host")
 			}
 		}
@@ -124,8 +124,11 @@
 	return r.state == running && r.pace == atWork && !s.Gang && (!s.Lasting || r.percent < atWork)
 }
 
-func (r *run) stuck(now time.Time) bool {
+// stuck reports whether the percent has stood still for too long, by what its host
+// has reported and by the host's own clock: reports that are late, here or on
+// their way, were taken for runs that hang.
+func (r *run) stuck() bool {
 	// A slow run still shows a percent each hundredth of its time.
 	patience := max(hangAfter, r.task.step.spec.Estimate/4)
-	return now.Sub(r.moved) > patience
+	return r.movedClock > 0 && time.Duration(r.host.toldClock-r.movedClock)*time.Millisecond > patience
 }
--- a/internal/sched/health_test.go
+++ b/internal/sched/health_test.go
@@ -39,3 +39,30 @@
 	}, done, done)
 	must.Len(t, 1, p.Plan(done, done).Orders, must.Sprint("it has proved itself"))
 }
+
+// An entry host on a thin link hears its hosts late, all at once: what they said
+// half a second apart arrives two seconds apart. Their runs haven't stood still for
+// as long, and were stopped before, lasting tasks of one step on several hosts
+// together.
+func TestRunsDoNotStandStillForAnswersThatAreLate(t *testing.T) {
+	p, _, now := oneHost(t)
+	for _, id := range []string{"0000000000000001", "0000000000000002"} {
+		p.Accept(&work.Record{ID: id, Queue: work.Queue{Attempts: 1}, Spec: work.Spec{
+			Steps: []work.Step{{Count: 1, Size: work.Size{MilliCPU: 1000}, Estimate: 4 * time.Second}},
+		}}, now, now)
+	}
+	must.Len(t, 2, p.Plan(now, now).Orders)
+	hear := func(at time.Duration, clockMs int64) {
+		var reports []worker.Report
+		for _, id := range []string{"0000000000000001", "0000000000000002"} {
+			reports = append(reports, worker.Report{Task: work.TaskName{Job: id}, Run: 1, Percent: 10})
+		}
+		p.Held("w", now.Add(at), worker.Answer{ClockMs: clockMs, Running: reports}, now.Add(at), now.Add(at))
+		p.Tick(now.Add(at))
+	}
+	hear(100*time.Millisecond, 1000)
+	hear(2100*time.Millisecond, 1500)
+	must.SliceEmpty(t, p.Plan(now.Add(2100*time.Millisecond), now).Orders)
+	hear(2200*time.Millisecond, 2600)
+	must.Len(t, 2, p.Plan(now.Add(2200*time.Millisecond), now).Orders, must.Sprint("by its own clock they stand still"))
+}
--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -23,6 +23,10 @@
 	lasting, lastingCPU int
 	// strays are the runs among them whose size isn't known.
 	strays int
+	// told is when it last reported what runs there, toldClock its clock then, in
+	// milliseconds.
+	told      time.Time
+	toldClock int64
 	// heard is when its last answer arrived, granted when a hold with a
 	// deadline last left.
 	heard, granted time.Time
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -205,13 +205,18 @@
 	// asked is when the start was ordered, begun when it was known to run.
 	asked, begun time.Time
 	percent      int
-	// moved is when percent last grew.
-	moved time.Time
+	// moved is when percent last grew, movedClock the host's clock at the report
+	// that told so, zero before the first one.
+	moved      time.Time
+	movedClock int64
 	load  int
 	// pace is the share of its speed that it was last told to work at; paced
 	// is when that was.
 	pace  int
 	paced time.Time
+	// unanswered is when its start was given up without an answer, zero for one
+	// that wasn't.
+	unanswered time.Time
 	// stopSent is when the last stop was ordered, stopTaken when one was
 	// answered.
 	stopSent, stopTaken time.Time
@@ -253,6 +258,11 @@
 	}
 }
 
+// tellEvery is how often a host's runs are reported at the least; ends are told
+// with every answer. The reports are most of what an answer weighs, and a thin link
+// was full of them.
+const tellEvery = 350 * time.Millisecond
+
 // NextHold returns the hold to ask a host with; ok is false when the host is
 // gone.
 func (p *Pool) NextHold(id string, wait time.Duration, renew bool, now time.Time) (hold worker.Hold, ok bool) {
@@ -268,6 +278,7 @@
 	}
 	// A host that doesn't answer may still hear us. Holds that went on being
 	// renewed would never be certain to have ended.
+	hold.Brief = now.Sub(h.told) < tellEvery
 	if renew && !p.silent(h, now) && !p.frozen[id] {
 		h.granted = now
 		hold.DeadlineMs = h.deadline(p.HoldFor, now)
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -72,6 +72,9 @@
 	DeadlineMs int64
 	// Wait is how long the answer may wait for an end.
 	Wait time.Duration
+	// Brief asks for no reports of what runs, as they were told a moment ago. A
+	// host tells them all the same; a carrier leaves them out.
+	Brief bool
 	// Lateness is how much longer than usual the answer may take to arrive, since
 	// whoever asks is busy.
 	Lateness time.Duration
@@ -139,6 +142,8 @@
 // Answer is what a host says to a hold.
 type Answer struct {
 	ClockMs int64
+	// Brief: Running is left out.
+	Brief   bool
 	Running []Report
 	// Ended are the ends after Hold.Seen, in order, at most MaxEnds.
 	Ended []End
