--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -209,7 +209,7 @@
 	// that told so, zero before the first one.
 	moved      time.Time
 	movedClock int64
-	load  int
+	load       int
 	// pace is the share of its speed that it was last told to work at; paced
 	// is when that was.
 	pace  int
