--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -302,6 +302,7 @@
 			go k.ask(target)
 		}
 	}
+	k.pool.Confirmed(now.Sub(k.confirmed) < UnconfirmedFor)
 	plan := k.pool.Plan(now, k.Wall())
 	k.planTook = (3*k.planTook + time.Since(now)) / 4
 	k.Metrics.plan.Observe(time.Since(now).Seconds())
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -140,6 +140,23 @@
 	})
 }
 
+// A holder is cut off from the store and from one host, and another process takes
+// its pool over, which can't ask the other host. The old holder starts nothing on
+// that one any more once it can't be sure of its pool: the new one counts on what
+// was held there to have lapsed, and starts it elsewhere.
+func TestAHolderThatIsNotConfirmedStartsNothing(t *testing.T) {
+	play(t, emulate.WorkersConfig{Seed: 1}, 2, func(w *world) {
+		k := w.take(true)
+		chain := []work.Step{quick(1), quick(1)}
+		chain[0].Estimate, chain[1].After = keeper.UnconfirmedFor+time.Second, []int{0}
+		w.submit(k, chain...)
+		time.Sleep(500 * time.Millisecond)
+		w.store.SetDown(true)
+		time.Sleep(3 * keeper.UnconfirmedFor)
+		must.EqOp(t, 1, w.workers.Judge.Starts())
+	})
+}
+
 // A host goes silent for good with a lasting task on it. The task may work on
 // there unheard until its hold has run out, and starts elsewhere after that:
 // not before, and not never, as it did while holds went on being renewed.
@@ -150,7 +167,11 @@
 		time.Sleep(2 * time.Second)
 		silent := w.hostOf(id)
 		w.workers.Misbehave(silent, emulate.Behavior{Dark: true})
-		time.Sleep(12 * time.Second)
+		for range 12 {
+			// The store goes on showing that the pool is held here.
+			time.Sleep(time.Second)
+			k.Confirm()
+		}
 		must.EqOp(t, 1, w.workers.Judge.AtWork(id))
 		must.NotEqOp(t, silent, w.hostOf(id))
 	})
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -66,6 +66,9 @@
 
 // starts orders what is to run next: by class and priority, in time by slack.
 func (pl *planner) starts() {
+	if pl.unconfirmed {
+		return
+	}
 	pl.admit()
 	candidates := pl.scratch.candidates[:0]
 	for _, j := range pl.active {
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -68,6 +68,8 @@
 	offered map[string]time.Time
 	// deposed is set once a host has refused our fence.
 	deposed bool
+	// unconfirmed: nothing starts, as another process may hold the pool.
+	unconfirmed bool
 	// lateness is what is forgiven hosts because this process is busy.
 	lateness time.Duration
 	scratch  scratch
@@ -96,6 +98,11 @@
 // Depose notes that another process holds the pool.
 func (p *Pool) Depose() { p.deposed = true }
 
+// Confirmed tells whether the store has shown lately that the pool is held here.
+// Nothing starts otherwise: each start holds its host anew, and a successor that
+// can't ask that host counts on what was held there to have lapsed.
+func (p *Pool) Confirmed(lately bool) { p.unconfirmed = !lately }
+
 // Deposed reports whether a host has seen a higher fence than ours.
 func (p *Pool) Deposed() bool { return p.deposed }
 
