--- /dev/null
+++ b/internal/duty/listing.go
@@ -0,0 +1,77 @@
+package duty
+
+import (
+	"context"
+	"time"
+)
+
+// list reads the hosts unless that was done a moment ago. Whoever comes while
+// they are read waits for that: with a list for each of some hundred hosts on
+// their way, the lists took all calls that the platform allows, and a round of
+// moves came once in three seconds.
+func (k *Keeper) list(ctx context.Context) error {
+	select {
+	case k.listing <- struct{}{}:
+		defer func() { <-k.listing }()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	k.mu.Lock()
+	recent := time.Since(k.listed) < roundEvery/2
+	k.mu.Unlock()
+	if recent {
+		return nil
+	}
+	hosts, err := k.Fleet.List(ctx)
+	if err != nil {
+		return err
+	}
+	k.take(hosts)
+	return nil
+}
+
+// refresh sees to it that the list of hosts is not older than listOld. One that
+// isn't of this moment is read anew beside what is done by it: the platform takes
+// half a second to list a thousand hosts page by page, for which every round of
+// moves would wait.
+func (k *Keeper) refresh(ctx context.Context) error {
+	k.mu.Lock()
+	age := time.Since(k.listed)
+	k.mu.Unlock()
+	if age >= listOld {
+		return k.list(ctx)
+	}
+	if age >= roundEvery/2 && len(k.listing) == 0 {
+		go func() {
+			if err := k.list(ctx); err != nil {
+				k.Log.Warn().Err(err).Msg("Can't list the hosts.")
+			}
+		}()
+	}
+	return nil
+}
+
+// take takes over a list of the hosts.
+func (k *Keeper) take(hosts []Host) {
+	byName := make(map[string]int, len(hosts))
+	for i, h := range hosts {
+		byName[h.Name] = i
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.hosts, k.byName, k.listed = hosts, byName, time.Now()
+}
+
+func (k *Keeper) host(name string) (Host, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.hostLocked(name)
+}
+
+func (k *Keeper) hostLocked(name string) (Host, bool) {
+	i, listed := k.byName[name]
+	if !listed {
+		return Host{}, false
+	}
+	return k.hosts[i], true
+}
--- /dev/null
+++ b/internal/keeper/asking.go
@@ -0,0 +1,68 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"auburnglade.example/glade/internal/duty"
+	"auburnglade.example/glade/internal/work"
+)
+
+// do runs act in the pool's goroutine. It returns false when the keeper has
+// ended.
+func (k *Keeper) do(ctx context.Context, act func()) bool {
+	select {
+	case k.post <- act:
+		return true
+	case <-k.ended:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// query runs ask in the pool's goroutine and returns what it says. ok is false
+// when the keeper has ended or ctx ends first.
+func query[T any](ctx context.Context, k *Keeper, ask func() T) (answer T, ok bool) {
+	reply := make(chan T, 1)
+	if !k.do(ctx, func() { reply <- ask() }) {
+		return answer, false
+	}
+	select {
+	case answer = <-reply:
+		return answer, true
+	case <-k.ended:
+		return answer, false
+	case <-ctx.Done():
+		return answer, false
+	}
+}
+
+// shown is what a client may know of a job.
+type shown struct {
+	state work.State
+	known bool
+}
+
+// State tells what a client may know of a job.
+func (k *Keeper) State(ctx context.Context, id string) (state work.State, known, ok bool) {
+	answer, ok := query(ctx, k, func() (s shown) {
+		s.state, s.known = k.pool.Show(id)
+		return s
+	})
+	return answer.state, answer.known, ok
+}
+
+// Waiting counts the accepted jobs of a queue of which nothing has started.
+func (k *Keeper) Waiting(ctx context.Context, queue string) (count int, ok bool) {
+	return query(ctx, k, func() int { return k.pool.Waiting(queue) })
+}
+
+// Load tells how busy the pool is. due are hosts that will go for maintenance.
+func (k *Keeper) Load(ctx context.Context, due []string) (duty.Load, bool) {
+	return query(ctx, k, func() duty.Load {
+		now := time.Now()
+		k.pool.Due(due, now)
+		return k.pool.Load(now)
+	})
+}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -10,11 +10,9 @@
 
 	"github.com/rs/zerolog"
 
-	"auburnglade.example/glade/internal/duty"
 	"auburnglade.example/glade/internal/ledger"
 	"auburnglade.example/glade/internal/sched"
 	"auburnglade.example/glade/internal/store"
-	"auburnglade.example/glade/internal/work"
 	"auburnglade.example/glade/internal/worker"
 )
 
@@ -237,55 +235,6 @@
 	}
 }
 
-// load reads the pool's jobs. It tries until it succeeds: without its jobs a
-// pool can't be served, and the claim keeps others from trying.
-func (k *Keeper) load(ctx context.Context) error {
-	began := time.Now()
-	for {
-		loaded, err := ledger.Load(ctx, k.Store, k.Pool)
-		if err == nil {
-			k.adopt(loaded, began)
-			return nil
-		}
-		k.Log.Warn().Err(err).Msg("Can't read the pool's jobs yet.")
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(commitRetry):
-		}
-	}
-}
-
-func (k *Keeper) adopt(loaded ledger.Loaded, began time.Time) {
-	now, wall := time.Now(), k.Wall()
-	k.pool = sched.New(k.Sched, rosterOf(k.head), now)
-	for _, job := range loaded.Jobs {
-		k.pool.Restore(job.Record, job.Progress, now, wall)
-	}
-	for _, fault := range loaded.Faults {
-		k.Log.Error().Err(fault).Msg("A stored job can't be read and is left alone.")
-	}
-	for _, l := range k.lanes[1:] {
-		l.revision = loaded.Lanes[l.index]
-	}
-	k.Metrics.takeovers.Inc()
-	k.Log.Info().Int64("fence", k.head.Fence).Int("jobs", len(loaded.Jobs)).Int("roster", len(k.head.Roster)).Int("silent", len(k.head.Silent)).
-		Dur("loading_ms", time.Since(began)).Msg("Holds the pool.")
-}
-
-// Do runs act in the pool's goroutine. It returns false when the keeper has
-// ended.
-func (k *Keeper) do(ctx context.Context, act func()) bool {
-	select {
-	case k.post <- act:
-		return true
-	case <-k.ended:
-		return false
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Confirm notes that the store shows us as the pool's holder.
 func (k *Keeper) Confirm() { k.do(context.Background(), func() { k.confirmed = time.Now() }) }
 
@@ -319,108 +268,3 @@
 func (k *Keeper) restFromPlans() time.Duration {
 	return min(planPauseMost, max(planPause, planFactor*k.planTook))
 }
-
-func (k *Keeper) dispatch(order sched.Order) {
-	switch order.Verb {
-	case sched.Start:
-		k.Metrics.starts.Inc()
-		if order.Copy {
-			k.Metrics.copies.Inc()
-			k.Log.Info().Str("task", order.Task.String()).Int("run", order.Run).Str("host", order.To.ID).Msg("Starts a copy.")
-		}
-		k.Log.Debug().Str("task", order.Task.String()).Int("run", order.Run).Str("host", order.To.ID).Msg("Starts a task.")
-		go k.start(order)
-	case sched.Stop:
-		k.Metrics.stops.Inc()
-		k.Log.Info().Str("task", order.Task.String()).Int("run", order.Run).Str("host", order.To.ID).
-			Str("reason", order.Reason).Msg("Stops a run.")
-		go k.stop(order)
-	case sched.Pace:
-		k.Metrics.paces.Inc()
-		go k.pace(order)
-	}
-}
-
-func (k *Keeper) pace(order sched.Order) {
-	sent := time.Now()
-	outcome := k.Orders.Pace(k.ctx, order.To, worker.Pace{
-		Task: order.Task, Run: order.Run, Percent: order.Percent, Fence: k.grant.Head.Fence,
-	})
-	k.Metrics.order("pace", outcome, time.Since(sent))
-	k.do(k.ctx, func() { k.pool.PaceOutcome(order.To.ID, order, outcome) })
-}
-
-func (k *Keeper) question(question sched.Question) {
-	if k.Adviser == nil {
-		return
-	}
-	sent := time.Now()
-	tickets, validity, err := k.Adviser.Advise(k.ctx, question.Step, question.Hosts)
-	if err != nil {
-		k.Log.Warn().Err(err).Str("step", question.Step).Msg("No advice.")
-	}
-	k.do(k.ctx, func() { k.pool.Advised(question, tickets, validity, err == nil, sent, time.Now()) })
-}
-
-// nextHold asks the pool for the next hold of a host, which may wait for wait.
-func (k *Keeper) nextHold(id string, wait time.Duration) (worker.Hold, bool) {
-	type next struct {
-		hold worker.Hold
-		ok   bool
-	}
-	answer, ok := query(k.ctx, k, func() (n next) {
-		now := time.Now()
-		n.hold, n.ok = k.pool.NextHold(id, wait, now.Sub(k.confirmed) < UnconfirmedFor, now)
-		if !n.ok {
-			delete(k.asking, id)
-		}
-		return n
-	})
-	return answer.hold, ok && answer.ok
-}
-
-// query runs ask in the pool's goroutine and returns what it says. ok is false
-// when the keeper has ended or ctx ends first.
-func query[T any](ctx context.Context, k *Keeper, ask func() T) (answer T, ok bool) {
-	reply := make(chan T, 1)
-	if !k.do(ctx, func() { reply <- ask() }) {
-		return answer, false
-	}
-	select {
-	case answer = <-reply:
-		return answer, true
-	case <-k.ended:
-		return answer, false
-	case <-ctx.Done():
-		return answer, false
-	}
-}
-
-// shown is what a client may know of a job.
-type shown struct {
-	state work.State
-	known bool
-}
-
-// State tells what a client may know of a job.
-func (k *Keeper) State(ctx context.Context, id string) (state work.State, known, ok bool) {
-	answer, ok := query(ctx, k, func() (s shown) {
-		s.state, s.known = k.pool.Show(id)
-		return s
-	})
-	return answer.state, answer.known, ok
-}
-
-// Waiting counts the accepted jobs of a queue of which nothing has started.
-func (k *Keeper) Waiting(ctx context.Context, queue string) (count int, ok bool) {
-	return query(ctx, k, func() int { return k.pool.Waiting(queue) })
-}
-
-// Load tells how busy the pool is. due are hosts that will go for maintenance.
-func (k *Keeper) Load(ctx context.Context, due []string) (duty.Load, bool) {
-	return query(ctx, k, func() duty.Load {
-		now := time.Now()
-		k.pool.Due(due, now)
-		return k.pool.Load(now)
-	})
-}
--- /dev/null
+++ b/internal/keeper/loading.go
@@ -0,0 +1,45 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"auburnglade.example/glade/internal/ledger"
+	"auburnglade.example/glade/internal/sched"
+)
+
+// load reads the pool's jobs. It tries until it succeeds: without its jobs a
+// pool can't be served, and the claim keeps others from trying.
+func (k *Keeper) load(ctx context.Context) error {
+	began := time.Now()
+	for {
+		loaded, err := ledger.Load(ctx, k.Store, k.Pool)
+		if err == nil {
+			k.adopt(loaded, began)
+			return nil
+		}
+		k.Log.Warn().Err(err).Msg("Can't read the pool's jobs yet.")
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(commitRetry):
+		}
+	}
+}
+
+func (k *Keeper) adopt(loaded ledger.Loaded, began time.Time) {
+	now, wall := time.Now(), k.Wall()
+	k.pool = sched.New(k.Sched, rosterOf(k.head), now)
+	for _, job := range loaded.Jobs {
+		k.pool.Restore(job.Record, job.Progress, now, wall)
+	}
+	for _, fault := range loaded.Faults {
+		k.Log.Error().Err(fault).Msg("A stored job can't be read and is left alone.")
+	}
+	for _, l := range k.lanes[1:] {
+		l.revision = loaded.Lanes[l.index]
+	}
+	k.Metrics.takeovers.Inc()
+	k.Log.Info().Int64("fence", k.head.Fence).Int("jobs", len(loaded.Jobs)).Int("roster", len(k.head.Roster)).Int("silent", len(k.head.Silent)).
+		Dur("loading_ms", time.Since(began)).Msg("Holds the pool.")
+}
