--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -20,6 +20,8 @@
 const (
 	// roundEvery is the pause between two looks at waves and pools.
 	roundEvery = 200 * time.Millisecond
+	// listSoon is how long a list may take that a round waits for.
+	listSoon = 30 * time.Millisecond
 	// listOld is how old the list may be that a round goes by. Whatever this
 	// process does to hosts it knows without it.
 	listOld = 800 * time.Millisecond
@@ -79,9 +81,11 @@
 	waves map[int64]*waveState
 	hosts []Host
 	// byName are the places of the hosts in the list.
-	byName  map[string]int
-	listed  time.Time
-	deposed bool
+	byName map[string]int
+	// listed is when the list was read, listTook how long that took.
+	listed   time.Time
+	listTook time.Duration
+	deposed  bool
 	// confirmed is when the store last showed that the duty is held here.
 	confirmed time.Time
 	// pace keeps calls for hosts within what the platform takes.
--- a/internal/duty/listing.go
+++ b/internal/duty/listing.go
@@ -22,23 +22,27 @@
 	if recent {
 		return nil
 	}
+	began := time.Now()
 	hosts, err := k.Fleet.List(ctx)
 	if err != nil {
 		return err
 	}
 	k.take(hosts)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.listTook = time.Since(began)
 	return nil
 }
 
 // refresh sees to it that the list of hosts is not older than listOld. One that
-// isn't of this moment is read anew beside what is done by it: the platform takes
-// half a second to list a thousand hosts page by page, for which every round of
-// moves would wait.
+// isn't of this moment is read anew beside what is done by it, where that takes
+// longer than listSoon: the platform takes half a second to list a thousand hosts
+// page by page, for which every round of moves would wait.
 func (k *Keeper) refresh(ctx context.Context) error {
 	k.mu.Lock()
-	age := time.Since(k.listed)
+	age, took := time.Since(k.listed), k.listTook
 	k.mu.Unlock()
-	if age >= listOld {
+	if age >= listOld || took < listSoon {
 		return k.list(ctx)
 	}
 	if age >= roundEvery/2 && len(k.listing) == 0 {
