Carry calls only through entry hosts that can

A process of the version before answers an exchange with an error, so that its calls would be unknown for two seconds each. Members say whether they carry.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -57,6 +57,9 @@
 	// Share is how much of a core the process has; pools go to those that have
 	// most.
 	Share float64 `json:"c"`
+	// Carries: it makes calls to hosts for holders elsewhere, which processes of
+	// the version before can't.
+	Carries bool `json:"k,omitempty"`
 	// Leaving: it takes no more pools.
 	Leaving bool `json:"l,omitempty"`
 }
--- a/internal/entryhost/carrier_test.go
+++ b/internal/entryhost/carrier_test.go
@@ -1,10 +1,14 @@
 package entryhost_test
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"auburnglade.example/glade/internal/cluster"
+	"auburnglade.example/glade/internal/store"
 )
 
 // The holder of a large pool orders through the other entry hosts. Both of them
@@ -46,3 +50,19 @@
 		must.EqOp(t, before, w.net.Exchanges())
 	})
 }
+
+// An upgrade has begun: the other entry hosts are of the version before and can't
+// carry. The holder of a large pool calls its hosts itself.
+func TestEntryHostsOfTheVersionBeforeCarryNothing(t *testing.T) {
+	playWith(t, 1, oneHostPerEntry, func(w *world) {
+		old := cluster.Member{Node: "old", Start: "0", Address: "old", Share: 0.8}
+		value, err := json.Marshal(old)
+		must.NoError(t, err)
+		_, err = w.store.Commit(w.ctx, store.Txn{Puts: []store.Put{{Key: "glade/live/member/old", Value: value}}})
+		must.NoError(t, err)
+		time.Sleep(time.Second)
+		id := w.accept(w.entries["entry-1"], "day", quick(4))
+		w.done(w.entries["entry-1"], "day", id, 5*time.Second)
+		must.EqOp(t, 0, w.net.Exchanges())
+	})
+}
--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -70,6 +70,7 @@
 
 // New returns an entry host that does nothing before Run.
 func New(config Config) *Host {
+	config.Self.Carries = true
 	h := &Host{Config: config, keepers: make(map[string]*keeper.Keeper), metrics: keeper.NewMetrics(config.Registerer), routing: carrier.NewMetrics(config.Registerer)}
 	h.Carrier = carrier.NewServer(config.Orders, carrier.PauseOn(config.LinkMbps), h.routing)
 	h.Cluster = cluster.New(cluster.Config{
@@ -161,6 +162,9 @@
 func (h *Host) candidates() []carrier.Candidate {
 	var candidates []carrier.Candidate
 	for _, p := range h.Cluster.Peers() {
+		if !p.Carries {
+			continue
+		}
 		candidates = append(candidates, carrier.Candidate{Name: p.Holder(), Address: p.Address, Zone: p.Zone, Share: p.Share, Holds: p.Holds})
 	}
 	return candidates
