--- a/internal/duty/moves.go
+++ b/internal/duty/moves.go
@@ -42,8 +42,7 @@
 	askFactor = 1.05
 	// surge times what it needs is what a pool that lacks hosts asks for. Demand
 	// that outgrows a pool goes on growing for some seconds, and a host takes
-	// two and a half to come. On a day of 350 hosts 0.85 instead of 0.81 of the
-	// worth was earned, for one move in a hundred more.
+	// two and a half to come.
 	surge = 3
 	// levelGap is by how many hosts the free capacity of two pools must differ
 	// before a host moves from one to the other, or by levelShare of all hosts
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -23,9 +23,8 @@
 	holdWait = 600 * time.Millisecond
 	// holdPause lets ends that come together be told together, up to
 	// holdPauseBusy while orders take as long as that because this process is
-	// busy. With 230 hosts in a turn it made some four thousand holds a second
-	// and had no time left to start what could be in time; the longer pauses are
-	// worth 0.015 (0.007) of a day of 350 hosts.
+	// busy: with a hold for each end of a large pool's turn it had no time left to
+	// start what could be in time.
 	holdPause     = 15 * time.Millisecond
 	holdPauseBusy = 60 * time.Millisecond
 	// holdRetry is the pause after the second hold without an answer.
@@ -40,9 +39,8 @@
 	commitRetry = 100 * time.Millisecond
 	// tickEvery is how often time-outs are looked at.
 	tickEvery = 100 * time.Millisecond
-	// planPause lets what arrives together be planned for together: at 85 hosts
-	// some 500 answers a second come in, and a plan for each took more than the
-	// processor time of an entry host.
+	// planPause lets what arrives together be planned for together: a plan for
+	// each answer takes more than the processor time of an entry host.
 	planPause = 5 * time.Millisecond
 	// planFactor times its own time is the least pause before the next plan, up
 	// to planPauseMost: plans that follow each other without a break leave no
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -153,8 +153,8 @@
 }
 
 // applicant is an occurrence that could still be done in time, as this plan sees
-// it. Worked out anew in each comparison, this took half of a plan's time at 250
-// hosts.
+// it. Worked out anew in each comparison, this took most of the time of a large
+// pool's plan.
 type applicant struct {
 	*occurrence
 	// slack is how long it may still wait; with its chain, its deadline follows.
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -52,8 +52,8 @@
 const stopRetry = 500 * time.Millisecond
 
 // lookEvery is the pause between two looks at all runs for those to pace or to
-// copy, which change over half a second. In every plan they took more than half
-// of its time at 250 hosts.
+// copy, which change over half a second. In every plan they took most of the time
+// of a large pool's.
 const lookEvery = 100 * time.Millisecond
 
 // Plan decides what to do now and takes it as ordered.
@@ -111,8 +111,7 @@
 
 // measure finds anew what the open hosts have free at most. It is called when a
 // task has found no room: all that wait for as much are then turned away without
-// a look at the hosts, where each used to leave a refusal of its own behind, a
-// seventh of a plan's time at 250 full hosts.
+// a look at the hosts, where each would leave a refusal of its own behind.
 func (pl *planner) measure() {
 	pl.most = work.Size{}
 	for _, h := range pl.open {
