--- a/internal/duty/waves.go
+++ b/internal/duty/waves.go
@@ -66,10 +66,11 @@
 		Wave: wave, Remaining: wave.Within - time.Since(state.began),
 		Loads: make(map[string]float64), OutOf: make(map[string]int), SizeOf: make(map[string]int),
 		Slow: make(map[string]bool), SlowOut: make(map[string]int), Working: make(map[string]bool),
-		PerHost: k.outTimes.PerHost(), Expect: k.rhythm.Expected(),
+		Expect: k.rhythm.Expected(),
 	}
 	due := wave.due()
 	k.mu.Lock()
+	view.PerHost = k.outTimes.PerHost()
 	for _, e := range k.busy {
 		view.OutOf[e.pool]++
 		if e.wave == wave.Number {
