Make calls, bounds and reaches of the carriers' change in one place each

From reading the whole change once more; behaviour as before. - A call is made by Call.on, for carriers and for a holder that calls itself: the router's four orders and the carrier's switch said the same twice.

--- a/internal/carrier/assign.go
+++ b/internal/carrier/assign.go
@@ -63,10 +63,13 @@
 // rank orders candidates by how well they can carry, with a hash for ties that
 // spreads pools over equals.
 func rank(pool string, candidates []Candidate) []Candidate {
-	hash := func(c Candidate) uint64 { return xxhash.Sum64String(pool + "\x00" + c.Name) }
+	hashes := make(map[string]uint64, len(candidates))
+	for _, c := range candidates {
+		hashes[c.Name] = xxhash.Sum64String(pool + "\x00" + c.Name)
+	}
 	ranked := slices.Clone(candidates)
 	slices.SortFunc(ranked, func(a, b Candidate) int {
-		return cmp.Or(cmp.Compare(min(a.Holds, 1), min(b.Holds, 1)), cmp.Compare(b.Share, a.Share), cmp.Compare(hash(a), hash(b)))
+		return cmp.Or(cmp.Compare(min(a.Holds, 1), min(b.Holds, 1)), cmp.Compare(b.Share, a.Share), cmp.Compare(hashes[a.Name], hashes[b.Name]))
 	})
 	return ranked
 }
--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -48,6 +48,24 @@
 	Hold   *worker.Hold
 }
 
+// on makes the call through orders.
+func (c Call) on(ctx context.Context, orders worker.Orders) Reply {
+	reply := Reply{ID: c.ID}
+	switch {
+	case c.Start != nil:
+		reply.Outcome = orders.Start(ctx, c.To, *c.Start)
+	case c.Stop != nil:
+		reply.Outcome = orders.Stop(ctx, c.To, *c.Stop)
+	case c.Pace != nil:
+		reply.Outcome = orders.Pace(ctx, c.To, *c.Pace)
+	case c.Hold != nil:
+		reply.Answer, reply.Outcome = orders.Hold(ctx, c.To, *c.Hold)
+	default:
+		reply.Outcome = worker.Malformed
+	}
+	return reply
+}
+
 // Reply is what became of a call. Answer is that of a hold.
 type Reply struct {
 	ID      uint64
--- a/internal/carrier/link.go
+++ b/internal/carrier/link.go
@@ -29,12 +29,9 @@
 
 // link is the way to one carrier. Calls of many goroutines share its exchanges.
 type link struct {
+	Config
 	address string
-	session string
-	peers   Peers
-	pause   time.Duration
 	log     zerolog.Logger
-	metrics *Metrics
 	// wake is signalled when there may be something to send.
 	wake chan struct{}
 
@@ -48,10 +45,9 @@
 	failed time.Time
 }
 
-func newLink(address, session string, config Config) *link {
+func newLink(address string, config Config) *link {
 	return &link{
-		address: address, session: session, peers: config.Peers, pause: config.Pause, metrics: config.Metrics,
-		log: config.Log.With().Str("carrier", address).Logger(), wake: make(chan struct{}, 1), pending: make(map[uint64]chan Reply),
+		Config: config, address: address, log: config.Log.With().Str("carrier", address).Logger(), wake: make(chan struct{}, 1), pending: make(map[uint64]chan Reply),
 	}
 }
 
@@ -109,7 +105,7 @@
 			return
 		case <-l.wake:
 		}
-		pause.For(ctx, l.pause)
+		pause.For(ctx, l.Pause)
 		if calls, due := l.next(); due {
 			go l.exchange(ctx, calls)
 		}
@@ -140,8 +136,8 @@
 	bounded, cancel := context.WithTimeout(ctx, exchangeWithin)
 	defer cancel()
 	sent := time.Now()
-	replies, err := l.peers.Exchange(bounded, l.address, l.session, calls)
-	l.metrics.exchanged(err, len(calls), time.Since(sent))
+	replies, err := l.Peers.Exchange(bounded, l.address, l.Session, calls)
+	l.Metrics.exchanged(err, len(calls), time.Since(sent))
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.open--
--- a/internal/carrier/router.go
+++ b/internal/carrier/router.go
@@ -12,14 +12,8 @@
 	"auburnglade.example/glade/internal/worker"
 )
 
-const (
-	// lookEvery is how often a router looks for carriers that came or went.
-	lookEvery = 250 * time.Millisecond
-	// holdGrace and orderWithin bound the carrier's call to a host: a hold takes
-	// as long as the host may wait, and some more.
-	holdGrace   = 450 * time.Millisecond
-	orderWithin = 900 * time.Millisecond
-)
+// lookEvery is how often a router looks for carriers that came or went.
+const lookEvery = 250 * time.Millisecond
 
 // Config is what a Router needs.
 type Config struct {
@@ -132,7 +126,7 @@
 func (r *Router) link(ctx context.Context, c Candidate) *link {
 	l := r.links[c.Name]
 	if l == nil {
-		l = newLink(c.Address, r.Session, r.Config)
+		l = newLink(c.Address, r.Config)
 		r.links[c.Name] = l
 		go l.run(ctx)
 	}
@@ -143,12 +137,8 @@
 func (r *Router) way(host string) *link {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	routes := r.routes[host]
-	if len(routes) == 0 {
-		return nil
-	}
 	now := time.Now()
-	for _, l := range routes {
+	for _, l := range r.routes[host] {
 		if l.well(now) {
 			return l
 		}
@@ -156,35 +146,31 @@
 	return nil
 }
 
+// do makes a call through a carrier of its host, or from this process.
+func (r *Router) do(ctx context.Context, call Call) Reply {
+	if l := r.way(call.To.ID); l != nil {
+		return l.do(ctx, call)
+	}
+	return call.on(ctx, r.Direct)
+}
+
 // Start implements worker.Orders.
 func (r *Router) Start(ctx context.Context, to worker.Target, order worker.Start) worker.Outcome {
-	if l := r.way(to.ID); l != nil {
-		return l.do(ctx, Call{To: to, Within: orderWithin, Start: &order}).Outcome
-	}
-	return r.Direct.Start(ctx, to, order)
+	return r.do(ctx, Call{To: to, Within: worker.OrderWithin, Start: &order}).Outcome
 }
 
 // Stop implements worker.Orders.
 func (r *Router) Stop(ctx context.Context, to worker.Target, order worker.Stop) worker.Outcome {
-	if l := r.way(to.ID); l != nil {
-		return l.do(ctx, Call{To: to, Within: orderWithin, Stop: &order}).Outcome
-	}
-	return r.Direct.Stop(ctx, to, order)
+	return r.do(ctx, Call{To: to, Within: worker.OrderWithin, Stop: &order}).Outcome
 }
 
 // Pace implements worker.Orders.
 func (r *Router) Pace(ctx context.Context, to worker.Target, order worker.Pace) worker.Outcome {
-	if l := r.way(to.ID); l != nil {
-		return l.do(ctx, Call{To: to, Within: orderWithin, Pace: &order}).Outcome
-	}
-	return r.Direct.Pace(ctx, to, order)
+	return r.do(ctx, Call{To: to, Within: worker.OrderWithin, Pace: &order}).Outcome
 }
 
 // Hold implements worker.Orders.
 func (r *Router) Hold(ctx context.Context, to worker.Target, order worker.Hold) (worker.Answer, worker.Outcome) {
-	if l := r.way(to.ID); l != nil {
-		reply := l.do(ctx, Call{To: to, Within: order.Wait + holdGrace, Hold: &order})
-		return reply.Answer, reply.Outcome
-	}
-	return r.Direct.Hold(ctx, to, order)
+	reply := r.do(ctx, Call{To: to, Within: order.Wait + worker.HoldGrace, Hold: &order})
+	return reply.Answer, reply.Outcome
 }
--- a/internal/carrier/server.go
+++ b/internal/carrier/server.go
@@ -39,7 +39,7 @@
 	for _, call := range calls {
 		go s.carryOut(ses, call)
 	}
-	return ses.collect(ctx)
+	return ses.collect(ctx, s.pause)
 }
 
 // session finds a session, and forgets those that have ended.
@@ -53,7 +53,7 @@
 				delete(s.sessions, other)
 			}
 		}
-		ses = &session{pause: s.pause, ready: make(chan struct{}, 1)}
+		ses = &session{ready: make(chan struct{}, 1)}
 		s.sessions[name] = ses
 	}
 	ses.used = now
@@ -64,21 +64,9 @@
 func (s *Server) carryOut(ses *session, call Call) {
 	ctx, cancel := context.WithTimeout(context.Background(), call.Within)
 	defer cancel()
-	reply := Reply{ID: call.ID}
-	switch {
-	case call.Start != nil:
-		reply.Outcome = s.orders.Start(ctx, call.To, *call.Start)
-	case call.Stop != nil:
-		reply.Outcome = s.orders.Stop(ctx, call.To, *call.Stop)
-	case call.Pace != nil:
-		reply.Outcome = s.orders.Pace(ctx, call.To, *call.Pace)
-	case call.Hold != nil:
-		reply.Answer, reply.Outcome = s.orders.Hold(ctx, call.To, *call.Hold)
-		if call.Hold.Brief {
-			reply.Answer.Brief, reply.Answer.Running = true, nil
-		}
-	default:
-		reply.Outcome = worker.Malformed
+	reply := call.on(ctx, s.orders)
+	if call.Hold != nil && call.Hold.Brief {
+		reply.Answer.Brief, reply.Answer.Running = true, nil
 	}
 	s.metrics.carried.WithLabelValues(reply.Outcome.String()).Inc()
 	ses.put(reply)
@@ -86,7 +74,6 @@
 
 // session collects the replies for one holder.
 type session struct {
-	pause time.Duration
 	// used is when an exchange last came; the server's lock guards it.
 	used time.Time
 	// ready is signalled when there are replies.
@@ -110,8 +97,8 @@
 
 // collect waits for replies and returns them. An earlier exchange that waits
 // returns at once, so that a session needs no more than two at a time.
-func (s *session) collect(ctx context.Context) []Reply {
-	if !s.await(s.newest(ctx)) && ctx.Err() != nil {
+func (s *session) collect(ctx context.Context, pause time.Duration) []Reply {
+	if !s.await(s.newest(ctx), pause) && ctx.Err() != nil {
 		// Nobody hears this answer any more; a later exchange fetches it.
 		return nil
 	}
@@ -136,7 +123,7 @@
 
 // await waits until replies have come and a moment has passed for more. It
 // returns false when ctx ends first.
-func (s *session) await(ctx context.Context) bool {
+func (s *session) await(ctx context.Context, pause time.Duration) bool {
 	for {
 		select {
 		case <-ctx.Done():
@@ -149,7 +136,7 @@
 		if !some {
 			continue
 		}
-		timer := time.NewTimer(s.pause)
+		timer := time.NewTimer(pause)
 		defer timer.Stop()
 		select {
 		case <-ctx.Done():
--- a/internal/duty/moves.go
+++ b/internal/duty/moves.go
@@ -302,7 +302,7 @@
 // cheapest orders hosts by what it costs to give them to a pool that lacks some:
 // those due for maintenance come last, since they can go for it where they stand
 // idle. Taken as they came, they had to be emptied in the middle of the turn that
-// they were sent to: 36 of 230 hosts in the worst one.
+// they were sent to.
 func cheapest(a, b Host) int {
 	return cmp.Or(compareTrue(b.Due, a.Due), cmp.Compare(a.Name, b.Name))
 }
--- a/internal/emulate/switch.go
+++ b/internal/emulate/switch.go
@@ -21,11 +21,16 @@
 
 func (e UnreachableError) Error() string { return "no answer from " + e.Address }
 
+// plugged is an entry host as it can be reached, nothing when it is cut off.
+type plugged struct {
+	poolrpc.Service
+	carrier *carrier.Server
+}
+
 // Switch carries calls between emulated entry hosts.
 type Switch struct {
-	mu       sync.Mutex
-	services map[string]poolrpc.Service
-	carriers map[string]*carrier.Server
+	mu    sync.Mutex
+	entry map[string]plugged
 	// exchanges counts those with carriers that answer.
 	exchanges int
 }
@@ -37,30 +42,26 @@
 
 // NewSwitch returns a switch that reaches nobody.
 func NewSwitch() *Switch {
-	return &Switch{services: make(map[string]poolrpc.Service), carriers: make(map[string]*carrier.Server)}
+	return &Switch{entry: make(map[string]plugged)}
 }
 
 // Plug makes an entry host reachable; nil cuts it off.
 func (s *Switch) Plug(address string, service poolrpc.Service, carries *carrier.Server) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.services[address], s.carriers[address] = service, carries
+	s.entry[address] = plugged{service, carries}
 }
 
 // Exchange implements carrier.Peers.
 func (s *Switch) Exchange(ctx context.Context, address, session string, calls []carrier.Call) ([]carrier.Reply, error) {
-	pause.For(ctx, hopTime)
-	s.mu.Lock()
-	carries := s.carriers[address]
-	if carries != nil {
-		s.exchanges++
+	entry, err := s.reach(ctx, address)
+	if err != nil {
+		return nil, err
 	}
+	s.mu.Lock()
+	s.exchanges++
 	s.mu.Unlock()
-	if carries == nil {
-		<-ctx.Done()
-		return nil, UnreachableError{address}
-	}
-	replies := carries.Exchange(ctx, session, calls)
+	replies := entry.carrier.Exchange(ctx, session, calls)
 	pause.For(ctx, hopTime)
 	return replies, ctx.Err()
 }
@@ -74,16 +75,16 @@
 
 // reach returns an entry host after the time of a hop, or waits until the
 // caller gives up.
-func (s *Switch) reach(ctx context.Context, address string) (poolrpc.Service, error) {
+func (s *Switch) reach(ctx context.Context, address string) (plugged, error) {
 	pause.For(ctx, hopTime)
 	s.mu.Lock()
-	service := s.services[address]
+	entry := s.entry[address]
 	s.mu.Unlock()
-	if service == nil {
+	if entry.Service == nil {
 		<-ctx.Done()
-		return nil, UnreachableError{address}
+		return plugged{}, UnreachableError{address}
 	}
-	return service, nil
+	return entry, nil
 }
 
 // Submit implements poolrpc.Peers.
--- a/internal/keeper/dispatch.go
+++ b/internal/keeper/dispatch.go
@@ -57,7 +57,7 @@
 	}
 	answer, ok := query(k.ctx, k, func() (n next) {
 		now := time.Now()
-		n.hold, n.ok = k.pool.NextHold(id, wait, now.Sub(k.confirmed) < UnconfirmedFor, now)
+		n.hold, n.ok = k.pool.NextHold(id, wait, k.surelyHeld(now), now)
 		if !n.ok {
 			delete(k.asking, id)
 		}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -236,6 +236,9 @@
 // Confirm notes that the store shows us as the pool's holder.
 func (k *Keeper) Confirm() { k.do(context.Background(), func() { k.confirmed = time.Now() }) }
 
+// surelyHeld reports whether the store has shown lately that we hold the pool.
+func (k *Keeper) surelyHeld(now time.Time) bool { return now.Sub(k.confirmed) < UnconfirmedFor }
+
 func (k *Keeper) setHosts(hosts []worker.Host) {
 	k.do(k.ctx, func() { k.pool.SetHosts(hosts, time.Now()) })
 }
@@ -249,7 +252,7 @@
 			go k.ask(target)
 		}
 	}
-	k.pool.Confirmed(now.Sub(k.confirmed) < UnconfirmedFor)
+	k.pool.Confirmed(k.surelyHeld(now))
 	plan := k.pool.Plan(now, k.Wall())
 	k.planTook = (3*k.planTook + time.Since(now)) / 4
 	k.Metrics.plan.Observe(time.Since(now).Seconds())
--- a/internal/measure/load/pattern.go
+++ b/internal/measure/load/pattern.go
@@ -135,23 +135,20 @@
 	}
 }
 
-// check is a queue of small urgent jobs on large hosts, scan one of larger ones.
+// check is hold on large hosts, scan book.
 func check(name, pool string, rate float64) Kind {
 	const taskMB = 26_000
-	return Kind{
-		Name: name, Pool: pool, Rate: rate, Steps: Draw{1.6, 0.4, 4}, Width: Draw{8, 0.6, 32},
-		MilliCPU: Draw{8900, 0.45, 27_000}, MemMB: Draw{taskMB, 0.6, 3 * taskMB}, Seconds: Draw{0.64, 0.5, 1.6},
-		Uneven: 0.15, Off: 0.9, Copies: 0.3, Stretch: stretch, Slack: usualSlack, Worth: 0.27,
-	}
+	k := hold(name, pool, rate)
+	k.Width, k.Uneven, k.Off = Draw{8, 0.6, 32}, 0.15, 0.9
+	k.MilliCPU, k.MemMB, k.Worth = Draw{8900, 0.45, 27_000}, Draw{taskMB, 0.6, 3 * taskMB}, 0.27
+	return k
 }
 
 func scan(name, pool string, rate float64) Kind {
 	const taskMB = 55_000
-	return Kind{
-		Name: name, Pool: pool, Rate: rate, Steps: Draw{2, 0.4, 5}, Width: Draw{8, 0.6, 32},
-		MilliCPU: Draw{19_000, 0.45, 58_000}, MemMB: Draw{taskMB, 0.6, 3 * taskMB}, Seconds: Draw{1.3, 0.5, 3.3},
-		Uneven: 0.3, Off: 0.9, Checkpoints: 0.8, Priority: 1, Stretch: stretch, Slack: usualSlack, Worth: 1.46,
-	}
+	k := book(name, pool, rate)
+	k.MilliCPU, k.MemMB, k.Seconds, k.Worth = Draw{19_000, 0.45, 58_000}, Draw{taskMB, 0.6, 3 * taskMB}, Draw{1.3, 0.5, 3.3}, 1.46
+	return k
 }
 
 // large is a deployment of 1,100 hosts in four pools and a spare one. All pools
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -149,6 +149,15 @@
 	Ended []End
 }
 
+const (
+	// OrderWithin bounds a start, stop or pace. A host answers within some
+	// milliseconds; one that hasn't in this time may still carry it out.
+	OrderWithin = 900 * time.Millisecond
+	// HoldGrace is how much longer than its wait a hold may take: short enough
+	// for another one before a host counts as silent.
+	HoldGrace = 450 * time.Millisecond
+)
+
 // Orders carries orders to hosts. A call that ends without an answer is
 // Unknown, or NotSent when no byte can have left.
 type Orders interface {
