--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -186,6 +186,7 @@
 		case <-due.C:
 		}
 		k.planned = false
+		k.reportLosses()
 		if k.released {
 			return nil
 		}
--- a/internal/keeper/metrics.go
+++ b/internal/keeper/metrics.go
@@ -15,11 +15,15 @@
 	copies    prometheus.Counter
 	repeats   prometheus.Counter
 	// lossy counts spells in which hosts leave calls unanswered.
-	lossy     prometheus.Counter
-	stops     prometheus.Counter
-	paces     prometheus.Counter
-	orders    *prometheus.CounterVec
-	seconds   *prometheus.HistogramVec
+	lossy   prometheus.Counter
+	stops   prometheus.Counter
+	paces   prometheus.Counter
+	orders  *prometheus.CounterVec
+	seconds *prometheus.HistogramVec
+	// lostHosts counts hosts lost with runs on them by how that is known,
+	// lostRuns the runs.
+	lostHosts *prometheus.CounterVec
+	lostRuns  prometheus.Counter
 	commits   *prometheus.CounterVec
 	commitSec prometheus.Histogram
 	entries   prometheus.Counter
@@ -93,8 +97,12 @@
 	m.lag = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "glade_pool_lag_seconds", Help: "How late the goroutine of a pool held here gets to its regular tick.", Buckets: planBuckets,
 	})
+	m.lostHosts = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "glade_hosts_lost_total", Help: "Hosts lost with runs on them, by how that is known.",
+	}, []string{"evidence"})
+	m.lostRuns = prometheus.NewCounter(prometheus.CounterOpts{Name: "glade_runs_lost_total", Help: "Runs that were lost with their host."})
 	if registerer != nil {
-		registerer.MustRegister(m.plan, m.lag, m.takeovers, m.starts, m.copies, m.repeats, m.stops, m.paces, m.orders, m.seconds, m.commits, m.commitSec, m.entries, m.submits,
+		registerer.MustRegister(m.lostHosts, m.lostRuns, m.plan, m.lag, m.takeovers, m.starts, m.copies, m.repeats, m.stops, m.paces, m.orders, m.seconds, m.commits, m.commitSec, m.entries, m.submits,
 			m.jobs, m.jobAge, m.jobWait, m.lossy, m.sideCommits)
 	}
 	return m
--- /dev/null
+++ b/internal/sched/losses.go
@@ -0,0 +1,61 @@
+package sched
+
+import (
+	"time"
+
+	"auburnglade.example/glade/internal/work"
+)
+
+// Evidence is how the pool knows that nothing runs on a host any more.
+type Evidence string
+
+// The kinds of evidence.
+const (
+	// OtherLife: another life answers at the host's address.
+	OtherLife Evidence = "another life answers"
+	// HoldsRanOut: the host was unheard for longer than any hold lasts. It may
+	// live on.
+	HoldsRanOut Evidence = "its holds ran out"
+)
+
+// Loss is a host that was lost with runs on it.
+type Loss struct {
+	Host     string
+	Evidence Evidence
+	// Listed: the platform's list still showed the host.
+	Listed bool
+	// Unheard is for how long the host had not been heard.
+	Unheard time.Duration
+	Runs    []LostRun
+}
+
+// LostRun is a run that ended with its host.
+type LostRun struct {
+	Task work.TaskName
+	Run  int
+	// Age is how long before the host was last heard the run had been ordered;
+	// negative for one ordered later.
+	Age time.Duration
+}
+
+// Losses returns the losses since it was last called.
+func (p *Pool) Losses() []Loss {
+	losses := p.losses
+	p.losses = nil
+	return losses
+}
+
+// lose ends all that ran on a host.
+func (p *Pool) lose(h *host, evidence Evidence, now time.Time) {
+	if len(h.runs) == 0 {
+		return
+	}
+	loss := Loss{Host: h.ID, Evidence: evidence, Listed: h.listed, Unheard: now.Sub(h.heard)}
+	for _, r := range h.runs {
+		loss.Runs = append(loss.Runs, LostRun{r.task.name, r.number, h.heard.Sub(r.asked)})
+	}
+	p.losses = append(p.losses, loss)
+	for _, r := range h.runs {
+		p.endRun(r, work.EndLapsed, "", now)
+	}
+}
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -52,6 +52,8 @@
 	roster, frozen map[string]bool
 	// named are all hosts that the store names.
 	named map[string]bool
+	// losses are those that nobody was told of yet.
+	losses []Loss
 	// stops counts the runs that are to be stopped.
 	stops int
 	// hostsChanged is set when a host was added.
@@ -367,7 +369,7 @@
 	}
 	silent := p.silent(h, now)
 	if silent && len(h.runs) > 0 && now.After(p.lapsesAt(h)) {
-		p.lapse(h, now)
+		p.lose(h, HoldsRanOut, now)
 	}
 	if !h.listed && silent && len(h.runs) == 0 && now.Sub(h.missing) > missingFor {
 		if _, waits := p.unreached[id]; !waits {
@@ -392,17 +394,10 @@
 	if h == nil {
 		return
 	}
-	p.lapse(h, now)
+	p.lose(h, OtherLife, now)
 	delete(p.hosts, id)
 }
 
-// lapse ends all that ran on a host.
-func (p *Pool) lapse(h *host, now time.Time) {
-	for _, r := range h.runs {
-		p.endRun(r, work.EndLapsed, "", now)
-	}
-}
-
 // Stats is a pool at a glance, for the log.
 type Stats struct {
 	Jobs, Hosts, Usable, Unreached, Runs, WaitingTasks int
