--- a/internal/emulate/fleet.go
+++ b/internal/emulate/fleet.go
@@ -51,12 +51,28 @@
 
 // NewFleet returns a service for hosts that live among workers.
 func NewFleet(workers *Workers) *Fleet {
-	return &Fleet{
+	f := &Fleet{
 		workers: workers, hosts: make(map[string]*fleetHost), waves: make(map[int64]duty.Wave),
 		fences: make(map[string]int64), down: make(map[int64]int), began: make(map[int64]map[string]bool),
 	}
+	workers.reborn = f.reborn
+	return f
 }
 
+// reborn takes over a host's next life after a crash.
+func (f *Fleet) reborn(before, after string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, h := range f.hosts {
+		if h.Worker == before {
+			h.Worker = after
+		}
+	}
+}
+
+// isUp reports whether a host can be moved or maintained.
+func (f *Fleet) isUp(h *fleetHost) bool { return h.Up && !f.workers.isDown(h.Worker) }
+
 // Add puts a new host into a pool and returns its name.
 func (f *Fleet) Add(pool, rack string, size work.Size) string {
 	f.mu.Lock()
@@ -133,7 +149,9 @@
 	}
 	var list []duty.Host
 	for _, name := range f.names {
-		list = append(list, f.hosts[name].Host)
+		h := f.hosts[name].Host
+		h.Up = f.isUp(f.hosts[name])
+		list = append(list, h)
 	}
 	return list, nil
 }
@@ -149,7 +167,7 @@
 		if h.Pool == pool {
 			return duty.Done
 		}
-		if !h.Up {
+		if !f.isUp(h) {
 			return duty.Busy
 		}
 		f.moves++
@@ -173,7 +191,7 @@
 			return duty.NotDue
 		case f.began[number][name]:
 			return duty.Done
-		case !h.Up:
+		case !f.isUp(h):
 			return duty.Busy
 		}
 		if f.down[number] >= wave.AtOnce {
--- a/internal/emulate/judge.go
+++ b/internal/emulate/judge.go
@@ -24,6 +24,8 @@
 	RuleUnasked Rule = "task that nobody asked for"
 	// RuleAttempts: a task starts after it has failed as often as it may.
 	RuleAttempts Rule = "too many attempts"
+	// RuleCrashes: a task that has crashed three hosts is started three times more.
+	RuleCrashes Rule = "too many hosts crashed"
 	// RuleMissing: an order takes a lasting task away while as many others of
 	// its step are away as may be.
 	RuleMissing Rule = "too many tasks missing"
@@ -44,6 +46,13 @@
 // cancelGrace is how long after a cancel's acknowledgement tasks may start.
 const cancelGrace = 3 * time.Second
 
+const (
+	// crashesAtMost hosts may crash under a task before it counts as one that
+	// crashes them, and startsAfterThat are too many then.
+	crashesAtMost   = 3
+	startsAfterThat = 3
+)
+
 // copyGrace is how long after a success was noted a copy may be ordered. One
 // that its host starts late is no fault.
 const copyGrace = time.Second
@@ -72,6 +81,9 @@
 	noted  time.Time
 	failed map[int]bool
 	seen   map[int]bool
+	// crashes are the hosts that it crashed, again how often it was started after
+	// too many of them.
+	crashes, again int
 }
 
 // NewJudge returns a judge that has seen nothing.
@@ -206,6 +218,11 @@
 	if !s.Lasting && len(t.failed) >= job.record.Queue.Attempts {
 		j.breach(RuleAttempts, "%s run %d on %s after %d failures", o.Task, o.Run, h.ID, len(t.failed))
 	}
+	if t.crashes >= crashesAtMost {
+		if t.again++; t.again == startsAfterThat {
+			j.breach(RuleCrashes, "%s run %d on %s after %d crashes", o.Task, o.Run, h.ID, t.crashes)
+		}
+	}
 	for _, before := range s.After {
 		if !j.stepDone(o.Task.Job, o.Task.Time, before) {
 			j.breach(RuleOrder, "%s before step %d is done", o.Task, before)
@@ -262,6 +279,26 @@
 	}
 }
 
+// crashed takes note that a task crashed its host; the host's lock is held.
+func (j *Judge) crashed(by work.TaskName) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.task(by).crashes++
+}
+
+// Crashes counts the hosts that a job's tasks crashed.
+func (j *Judge) Crashes(job string) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	count := 0
+	for name, t := range j.tasks {
+		if name.Job == job {
+			count += t.crashes
+		}
+	}
+	return count
+}
+
 // noted takes note that the system has seen an end.
 func (j *Judge) noted(_ string, end worker.End) {
 	j.mu.Lock()
--- a/internal/emulate/orders.go
+++ b/internal/emulate/orders.go
@@ -15,8 +15,11 @@
 func (w *Workers) reach(ctx context.Context, to worker.Target) (*host, worker.Outcome) {
 	w.mu.Lock()
 	h := w.hosts[to.ID]
-	dark := h != nil && h.behavior.Dark
+	dark, down := h != nil && h.behavior.Dark, w.crashed[to.ID] != nil
 	w.mu.Unlock()
+	if down {
+		return nil, worker.NotSent
+	}
 	if h == nil {
 		return nil, worker.Gone
 	}
@@ -104,6 +107,7 @@
 	if w.RunTime != nil {
 		r.length = w.RunTime(o.Task)
 	}
+	r.crashes = w.Crashes != nil && w.Crashes(o.Task)
 	r.fails = w.Fails != nil && w.Fails(o.Task, o.Run)
 	h.runs[o.Task] = r
 	w.Judge.started(h, o, sent)
--- a/internal/emulate/workers.go
+++ b/internal/emulate/workers.go
@@ -30,6 +30,10 @@
 	// lateLeast and lateMost bound when a late order is carried out.
 	lateLeast = 2 * time.Second
 	lateMost  = 12 * time.Second
+	// crashAfter is how long a task that crashes its host takes to do so, and
+	// backAfter how long until the host is back with another life.
+	crashAfter = 10 * time.Millisecond
+	backAfter  = 3 * time.Second
 	// tickEvery is how often a run's progress is worked out.
 	tickEvery = 20 * time.Millisecond
 )
@@ -67,6 +71,8 @@
 	RunTime func(name work.TaskName) time.Duration
 	// Fails reports whether a run fails through its own fault.
 	Fails func(name work.TaskName, run int) bool
+	// Crashes reports whether a task crashes each host that starts it.
+	Crashes func(name work.TaskName) bool
 }
 
 // Workers are the hosts of all pools. It implements worker.Orders and
@@ -80,6 +86,11 @@
 	hosts   map[string]*host
 	next    int
 	changed chan struct{}
+	// crashed are the lives that crashed and whose host isn't back yet: nothing
+	// listens at their addresses, and the list still shows them.
+	crashed map[string]*host
+	// reborn is told of a host's next life after a crash, unless nil.
+	reborn func(before, after string)
 }
 
 var (
@@ -115,6 +126,7 @@
 	lasting  bool
 	saves    bool
 	fails    bool
+	crashes  bool
 	pace     int
 	stopping time.Time
 	text     string
@@ -126,7 +138,7 @@
 func NewWorkers(config WorkersConfig) *Workers {
 	return &Workers{
 		WorkersConfig: config, Judge: NewJudge(), random: rand.New(rand.NewPCG(config.Seed, 1)),
-		hosts: make(map[string]*host), changed: make(chan struct{}),
+		hosts: make(map[string]*host), changed: make(chan struct{}), crashed: make(map[string]*host),
 	}
 }
 
@@ -178,12 +190,7 @@
 	if h == nil || h.gone {
 		return
 	}
-	for _, r := range h.runs {
-		w.Judge.ended(h.ID, r.name, r.number, "lost")
-	}
-	h.gone = true
-	clear(h.runs)
-	delete(w.hosts, id)
+	w.loseLocked(h)
 	w.toldLocked()
 }
 
@@ -239,6 +246,11 @@
 				list = append(list, h.Host)
 			}
 		}
+		for _, h := range w.crashed {
+			if h.Pool == pool {
+				list = append(list, h.Host)
+			}
+		}
 		changed := w.changed
 		w.mu.Unlock()
 		update(list)
@@ -260,12 +272,59 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, h := range w.hosts {
+		if name, ok := h.crashing(); ok {
+			w.crashLocked(h, name)
+			continue
+		}
 		for _, r := range h.runs {
 			w.workLocked(h, r)
 		}
 	}
 }
 
+// crashing returns the task that crashes the host now, if there is one.
+func (h *host) crashing() (work.TaskName, bool) {
+	for name, r := range h.runs {
+		if r.crashes && time.Since(r.began) >= crashAfter {
+			return name, true
+		}
+	}
+	return work.TaskName{}, false
+}
+
+// crashLocked ends a life of a host through a task. The host is back later.
+func (w *Workers) crashLocked(h *host, by work.TaskName) {
+	w.Judge.crashed(by)
+	w.loseLocked(h)
+	w.crashed[h.ID] = h
+	time.AfterFunc(backAfter, func() {
+		w.mu.Lock()
+		delete(w.crashed, h.ID)
+		w.mu.Unlock()
+		next := w.Add(h.Pool, h.Rack, h.Capacity)
+		if w.reborn != nil {
+			w.reborn(h.ID, next)
+		}
+	})
+}
+
+// isDown reports whether a host has crashed and isn't back yet.
+func (w *Workers) isDown(id string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.crashed[id] != nil
+}
+
+// loseLocked ends a life of a host with all that runs on it.
+func (w *Workers) loseLocked(h *host) {
+	for _, r := range h.runs {
+		w.Judge.ended(h.ID, r.name, r.number, "lost")
+	}
+	h.gone = true
+	clear(h.runs)
+	delete(w.hosts, h.ID)
+}
+
 func (w *Workers) workLocked(h *host, r *run) {
 	now := time.Now()
 	switch {
