Count the hosts that are lost under a task, and give tasks up that crash them

Cause: only ends that a host lists as failed counted as attempts. A host that crashes lists nothing: its runs ended as lapsed and the tasks were simply started again, all of them together on the fullest host with room, so that nothing told the one at fault from the five beside it. Copies only made it faster: they start 1.2 s after the host was last heard, while its end is known after 3.3 s.

Ruled out: a count lost with the holder (one holder all the while); copies alone (the plain case of the new test is started for ever too).

Now each host lost under a task counts against it, unless the host was leaving or being emptied, or may only be cut off; a run that turns up or ends elsewhere is taken back. Suspects start apart from each other, strong ones alone on their host, so that the next loss tells which one it was: a task is given up after two crashes if it was alone under one of them, after three otherwise, and a lasting one is held back after four while the others of its step go on. A copy starts beside one run that isn't heard, not beside two. The count is stored with the job's progress, for a suspect before its run has ended, so that it outlives its holder.

Emulated hosts that crash break the calls under way instead of answering that their life has ended.

--- a/internal/emulate/orders.go
+++ b/internal/emulate/orders.go
@@ -67,11 +67,19 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if h.gone {
-		return worker.Gone
+		return h.cutOff()
 	}
 	return act(h)
 }
 
+// cutOff is what a call under way hears of a life that has ended.
+func (h *host) cutOff() worker.Outcome {
+	if h.crash {
+		return worker.Unknown
+	}
+	return worker.Gone
+}
+
 // Start implements worker.Orders.
 func (w *Workers) Start(ctx context.Context, to worker.Target, o worker.Start) worker.Outcome {
 	sent := time.Now()
@@ -173,7 +181,7 @@
 	w.mu.Lock()
 	if h.gone {
 		w.mu.Unlock()
-		return worker.Answer{}, worker.Gone
+		return worker.Answer{}, h.cutOff()
 	}
 	if o.Fence < h.fence {
 		w.mu.Unlock()
@@ -213,7 +221,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if h.gone {
-		return worker.Answer{}, worker.Gone
+		return worker.Answer{}, h.cutOff()
 	}
 	if h.behavior.Dark {
 		return worker.Answer{}, worker.Unknown
--- a/internal/emulate/workers.go
+++ b/internal/emulate/workers.go
@@ -115,6 +115,8 @@
 	// news is closed and replaced when a run ends.
 	news chan struct{}
 	gone bool
+	// crash: it ended by a crash, which breaks its connections.
+	crash bool
 }
 
 type run struct {
@@ -296,6 +298,7 @@
 func (w *Workers) crashLocked(h *host, by work.TaskName) {
 	w.Judge.crashed(by)
 	w.loseLocked(h)
+	h.crash = true
 	w.crashed[h.ID] = h
 	time.AfterFunc(backAfter, func() {
 		w.mu.Lock()
--- a/internal/keeper/crashing_test.go
+++ b/internal/keeper/crashing_test.go
@@ -17,6 +17,14 @@
 	}}
 }
 
+// rest lets time pass while the store shows the keeper as the pool's holder.
+func rest(k *kept, length time.Duration) {
+	for range length / time.Second {
+		time.Sleep(time.Second)
+		k.Confirm()
+	}
+}
+
 // Guards against a task that crashes its hosts and is started for ever.
 func TestATaskThatCrashesItsHostsIsGivenUp(t *testing.T) {
 	saving := quick(4)
@@ -32,7 +40,7 @@
 				id, other := w.submit(k, step), w.submit(k, quick(4))
 				w.shown(k, id, work.Failed, 20*time.Second)
 				w.shown(k, other, work.Done, 10*time.Second)
-				time.Sleep(20 * time.Second)
+				rest(k, 20*time.Second)
 				must.EqOp(t, 0, w.workers.Judge.AtWork(id))
 			})
 		})
@@ -45,7 +53,7 @@
 	play(t, crashing(), 8, func(w *world) {
 		k := w.take(true)
 		id := w.submit(k, lasting(3))
-		time.Sleep(60 * time.Second)
+		rest(k, 60*time.Second)
 		must.EqOp(t, 2, w.workers.Judge.AtWork(id))
 	})
 }
@@ -63,7 +71,7 @@
 					<-k.ended
 					k = w.take(true)
 				}
-				time.Sleep(40 * time.Second)
+				rest(k, 20*time.Second)
 				if !step.Lasting {
 					must.EqOp(t, work.Failed, w.state(k, id))
 				}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -207,7 +207,7 @@
 }
 
 func (k *Keeper) tick(now time.Time) {
-	k.forget = append(k.forget, k.pool.Tick(now)...)
+	k.forget = append(k.forget, k.pool.Tick(now, k.Wall())...)
 	if b := k.lanes[0].batch; b != nil && now.Sub(b.begun) > sideFactor*k.commitTook {
 		k.turnAway(b)
 	}
--- a/internal/keeper/losses.go
+++ b/internal/keeper/losses.go
@@ -14,6 +14,9 @@
 	for _, loss := range k.pool.Losses() {
 		k.Metrics.lostHosts.WithLabelValues(string(loss.Evidence)).Inc()
 		k.Metrics.lostRuns.Add(float64(len(loss.Runs)))
+		for _, r := range loss.Runs {
+			k.Metrics.verdicts.WithLabelValues(string(r.Verdict)).Inc()
+		}
 		k.Log.Warn().Str("host", loss.Host).Str("evidence", string(loss.Evidence)).Bool("listed", loss.Listed).
 			Dur("unheard_ms", loss.Unheard).Int("count", len(loss.Runs)).Array("runs", lostRuns(loss.Runs)).
 			Msg("A host was lost with runs on it.")
@@ -26,6 +29,6 @@
 // MarshalZerologArray implements zerolog.LogArrayMarshaler.
 func (l lostRuns) MarshalZerologArray(array *zerolog.Array) {
 	for _, r := range l[:min(len(l), mostLostRuns)] {
-		array.Dict(zerolog.Dict().Str("task", r.Task.String()).Int("run", r.Run).Dur("age_ms", r.Age))
+		array.Dict(zerolog.Dict().Str("task", r.Task.String()).Int("run", r.Run).Dur("age_ms", r.Age).Str("verdict", string(r.Verdict)).Int("crashes", r.Crashes))
 	}
 }
--- a/internal/keeper/metrics.go
+++ b/internal/keeper/metrics.go
@@ -24,6 +24,8 @@
 	// lostRuns the runs.
 	lostHosts *prometheus.CounterVec
 	lostRuns  prometheus.Counter
+	// verdicts counts what lost hosts meant for the tasks that ran there.
+	verdicts  *prometheus.CounterVec
 	commits   *prometheus.CounterVec
 	commitSec prometheus.Histogram
 	entries   prometheus.Counter
@@ -101,8 +103,11 @@
 		Name: "glade_hosts_lost_total", Help: "Hosts lost with runs on them, by how that is known.",
 	}, []string{"evidence"})
 	m.lostRuns = prometheus.NewCounter(prometheus.CounterOpts{Name: "glade_runs_lost_total", Help: "Runs that were lost with their host."})
+	m.verdicts = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "glade_crash_verdicts_total", Help: "What lost hosts meant for the tasks that ran there.",
+	}, []string{"verdict"})
 	if registerer != nil {
-		registerer.MustRegister(m.lostHosts, m.lostRuns, m.plan, m.lag, m.takeovers, m.starts, m.copies, m.repeats, m.stops, m.paces, m.orders, m.seconds, m.commits, m.commitSec, m.entries, m.submits,
+		registerer.MustRegister(m.verdicts, m.lostHosts, m.lostRuns, m.plan, m.lag, m.takeovers, m.starts, m.copies, m.repeats, m.stops, m.paces, m.orders, m.seconds, m.commits, m.commitSec, m.entries, m.submits,
 			m.jobs, m.jobAge, m.jobWait, m.lossy, m.sideCommits)
 	}
 	return m
--- a/internal/keeper/orders.go
+++ b/internal/keeper/orders.go
@@ -179,7 +179,7 @@
 		k.Log.Info().Str("task", order.Task.String()).Int("run", order.Run).Str("host", order.To.ID).
 			Stringer("outcome", outcome).Msg("A start was not accepted.")
 	}
-	k.do(k.ctx, func() { k.pool.StartOutcome(order.To.ID, order.Task, order.Run, outcome, time.Now()) })
+	k.do(k.ctx, func() { k.pool.StartOutcome(order.To.ID, order.Task, order.Run, outcome, time.Now(), k.Wall()) })
 }
 
 // wantsStart asks the pool whether a start without an answer may go out again.
@@ -198,7 +198,7 @@
 		return k.Orders.Stop(k.ctx, order.To, worker.Stop{Task: order.Task, Run: order.Run, Fence: k.grant.Head.Fence})
 	})
 	k.Metrics.order("stop", outcome, time.Since(sent))
-	k.do(k.ctx, func() { k.pool.StopOutcome(order.To.ID, order.Task, order.Run, outcome, time.Now()) })
+	k.do(k.ctx, func() { k.pool.StopOutcome(order.To.ID, order.Task, order.Run, outcome, time.Now(), k.Wall()) })
 }
 
 // ask holds one host for as long as the pool knows it. After a hold without an
@@ -258,5 +258,5 @@
 	if outcome == worker.Gone {
 		k.Log.Info().Str("host", id).Msg("This life of a host has ended.")
 	}
-	k.pool.HoldFailed(id, outcome, time.Now())
+	k.pool.HoldFailed(id, outcome, time.Now(), k.Wall())
 }
--- a/internal/measure/load/hosts.go
+++ b/internal/measure/load/hosts.go
@@ -124,7 +124,7 @@
 func (w *world) goAway(m *machine, away time.Duration) {
 	if m.life != nil {
 		if p := w.pools[m.pool]; p != nil {
-			p.sched.GoneHost(m.life.id, w.time())
+			p.sched.GoneHost(m.life.id, w.time(), w.time())
 			p.dirty, p.relist = true, true
 		}
 	}
--- a/internal/measure/load/world.go
+++ b/internal/measure/load/world.go
@@ -201,7 +201,7 @@
 		p.sched.SetHosts(list, w.time())
 	}
 	if w.now%(100*time.Millisecond) == 0 {
-		p.sched.Tick(w.time())
+		p.sched.Tick(w.time(), w.time())
 		p.dirty = true
 	}
 	w.commit(p)
@@ -272,9 +272,9 @@
 func (w *world) told(p *pool, order sched.Order, outcome worker.Outcome) {
 	switch order.Verb {
 	case sched.Start:
-		p.sched.StartOutcome(order.To.ID, order.Task, order.Run, outcome, w.time())
+		p.sched.StartOutcome(order.To.ID, order.Task, order.Run, outcome, w.time(), w.time())
 	case sched.Stop:
-		p.sched.StopOutcome(order.To.ID, order.Task, order.Run, outcome, w.time())
+		p.sched.StopOutcome(order.To.ID, order.Task, order.Run, outcome, w.time(), w.time())
 	}
 	p.dirty = true
 }
--- a/internal/sched/answers.go
+++ b/internal/sched/answers.go
@@ -53,6 +53,7 @@
 		return
 	}
 	t.lastRun = max(t.lastRun, end.Run)
+	t.acquit(end.Run)
 	r := h.runs[end.Task]
 	if r != nil && r.number > end.Run {
 		r = nil
@@ -138,6 +139,10 @@
 	if r.state == stopping {
 		p.stops--
 	}
+	if r.suspect && t.job().state == "" {
+		// It was stored as a crash in advance.
+		t.job().version++
+	}
 	if t.run != r {
 		t.copies = slices.DeleteFunc(t.copies, func(c *run) bool { return c == r })
 		return
@@ -195,6 +200,7 @@
 	}
 	if r.task.step.spec.Lasting && r.percent >= atWork {
 		r.task.away = time.Time{}
+		r.cleared(now)
 		if h := &r.host.health; h.proving && r.asked.After(h.until) {
 			// A lasting task that has come to work there is proof enough.
 			h.well()
@@ -228,6 +234,7 @@
 		task: t, number: report.Run, host: h, state: running, asked: now, begun: now, moved: now,
 		percent: report.Percent, pace: atWork,
 	}
+	r.suspect = t.acquit(report.Run) || len(t.crashed) > 0
 	h.put(r)
 	t.lastRun = max(t.lastRun, report.Run)
 	j.begun = true
@@ -301,7 +308,7 @@
 const refusalPause = 200 * time.Millisecond
 
 // StartOutcome takes over what became of a start.
-func (p *Pool) StartOutcome(id string, name work.TaskName, number int, outcome worker.Outcome, now time.Time) {
+func (p *Pool) StartOutcome(id string, name work.TaskName, number int, outcome worker.Outcome, now, wall time.Time) {
 	h := p.hosts[id]
 	if h == nil {
 		return
@@ -321,7 +328,7 @@
 			p.startUnanswered(r, now)
 		}
 	case worker.Gone:
-		p.GoneHost(id, now)
+		p.GoneHost(id, now, wall)
 	default:
 		p.startRefused(h, r, outcome, now)
 	}
@@ -374,7 +381,7 @@
 }
 
 // StopOutcome takes over what became of a stop.
-func (p *Pool) StopOutcome(id string, name work.TaskName, number int, outcome worker.Outcome, now time.Time) {
+func (p *Pool) StopOutcome(id string, name work.TaskName, number int, outcome worker.Outcome, now, wall time.Time) {
 	h := p.hosts[id]
 	if h == nil {
 		return
@@ -383,7 +390,7 @@
 	case worker.Deposed:
 		p.deposed = true
 	case worker.Gone:
-		p.GoneHost(id, now)
+		p.GoneHost(id, now, wall)
 	case worker.Accepted:
 		if r := h.runs[name]; r != nil && r.number == number && r.stopTaken.IsZero() {
 			r.stopTaken = now
@@ -392,11 +399,11 @@
 }
 
 // HoldFailed takes over that a hold got no list.
-func (p *Pool) HoldFailed(id string, outcome worker.Outcome, now time.Time) {
+func (p *Pool) HoldFailed(id string, outcome worker.Outcome, now, wall time.Time) {
 	switch outcome {
 	case worker.Deposed:
 		p.deposed = true
 	case worker.Gone:
-		p.GoneHost(id, now)
+		p.GoneHost(id, now, wall)
 	}
 }
--- a/internal/sched/brief_test.go
+++ b/internal/sched/brief_test.go
@@ -16,7 +16,7 @@
 	p, _, now := oneHost(t)
 	accept(p, now)
 	order := p.Plan(now, now).Orders[0]
-	p.StartOutcome("w", order.Task, order.Run, worker.Accepted, now)
+	p.StartOutcome("w", order.Task, order.Run, worker.Accepted, now, now)
 	hold, _ := p.NextHold("w", time.Second, true, now)
 	must.True(t, hold.Brief, must.Sprint("it has just told what runs"))
 	soon := now.Add(100 * time.Millisecond)
--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -26,6 +26,9 @@
 			if r.task.run != r || !s.spec.Copies || s.spec.Gang || s.of.job.state != "" {
 				continue
 			}
+			if !pl.mayCopy(r.task, pl.now) {
+				continue
+			}
 			if silent || r.state == stopping || len(r.task.copies) == 0 && r.slow(pl.now) && pl.find(r.task) != nil {
 				pl.leaveToCopy(r)
 			}
--- /dev/null
+++ b/internal/sched/crashes.go
@@ -0,0 +1,227 @@
+package sched
+
+import (
+	"slices"
+	"time"
+
+	"auburnglade.example/glade/internal/work"
+)
+
+// A host that crashes takes all its runs along and lists no ends, so that nothing
+// it says tells a task that crashes its hosts from one that was merely there. Each
+// host lost under a task counts as a crash of it until the run turns up alive or
+// ended. Suspects start apart from each other, and strong ones with nothing beside
+// them, so that the next loss tells which of them it was.
+
+const (
+	// crashesAlone are enough to give a task up that was alone on one of these
+	// hosts, crashesMost wherever it ran. The platform allows it from two.
+	crashesAlone = 2
+	crashesMost  = 3
+	// lastingCrashes hold a lasting task back: one more, as its whole job would
+	// suffer from a mistake, and one less than the platform allows.
+	lastingCrashes = 4
+	// strongSuspect is from how many crashes on a task gets a host for itself.
+	strongSuspect = 2
+	// aloneFor is how long it keeps that host to itself.
+	aloneFor = 3 * time.Second
+	// harmlessAfter is how long a run must have been on a host that was heard for
+	// another task to be blamed for the host's end.
+	harmlessAfter = 2 * time.Second
+	// clearedAfter is how long a lasting task must be at work on one host for
+	// earlier crashes to count no more.
+	clearedAfter = 10 * time.Second
+	// newLifeFor is for how long a life of a host gets suspects last: hosts that go
+	// down and up by turns are the emptiest ones.
+	newLifeFor = 5 * time.Second
+)
+
+// Weights of what a suspect had better keep away from, in this order: other
+// suspects, young hosts, lasting tasks, any other run.
+const (
+	suspectsWeight = 10_000_000
+	newLifeWeight  = 1_000_000
+	lastingWeight  = 50_000
+	companyWeight  = 20
+)
+
+// Verdict is what the loss of a host means for a task that ran there.
+type Verdict string
+
+// The verdicts.
+const (
+	Unblamed  Verdict = "unblamed"
+	Suspected Verdict = "suspected"
+	GivenUp   Verdict = "given up"
+	HeldBack  Verdict = "held back"
+)
+
+// blames reports whether the loss of a host may be the fault of what ran there.
+// Hosts that leave or are emptied end anyway, and one that is still listed may
+// only be cut off.
+func (h *host) blames(evidence Evidence) bool {
+	return !h.Leaving && !h.closed && (evidence == OtherLife || !h.listed)
+}
+
+// blame counts the loss of its host against a run's task. It is called before
+// the run ends.
+func (p *Pool) blame(r *run, now, wall time.Time) Verdict {
+	t := r.task
+	if j := t.job(); t.done || j.state != "" {
+		return Unblamed
+	}
+	t.charge(r.number)
+	t.crashedAlone = t.crashedAlone || r.alone()
+	switch {
+	case t.step.spec.Lasting && t.heldBack():
+		return HeldBack
+	case t.step.spec.Lasting:
+		return Suspected
+	case len(t.crashed) >= crashesMost, len(t.crashed) >= crashesAlone && t.crashedAlone:
+		p.giveUp(t, now, wall)
+		return GivenUp
+	}
+	return Suspected
+}
+
+// charge counts a run as one under which a host crashed.
+func (t *task) charge(number int) {
+	if !slices.Contains(t.crashed, number) {
+		t.crashed = append(t.crashed, number)
+		t.job().version++
+	}
+}
+
+// acquit takes that back: the run has turned up on a host that lives. It reports
+// whether the run was counted.
+func (t *task) acquit(number int) bool {
+	at := slices.Index(t.crashed, number)
+	if at < 0 {
+		return false
+	}
+	t.crashed = slices.Delete(t.crashed, at, at+1)
+	t.job().version++
+	return true
+}
+
+// giveUp fails a task's job: the task crashes each host that starts it.
+func (p *Pool) giveUp(t *task, now, wall time.Time) {
+	j := t.job()
+	j.failure = t.name.String() + " crashes its hosts"
+	p.finish(j, work.Failed, now, wall)
+}
+
+// heldBack reports whether a lasting task starts no more, as it crashes each host
+// that starts it. The others of its step go on.
+func (t *task) heldBack() bool { return t.step.spec.Lasting && len(t.crashed) >= lastingCrashes }
+
+// condemned reports whether a task was found to crash its hosts, as a former
+// holder may have done without being able to say so.
+func (t *task) condemned() bool { return !t.step.spec.Lasting && len(t.crashed) >= crashesMost }
+
+// alone reports whether a run can have crashed its host and no other one there
+// can: the others had been there for a while.
+func (r *run) alone() bool {
+	if r.begun.IsZero() {
+		return false
+	}
+	for _, other := range r.host.runs {
+		if other != r && (other.begun.IsZero() || r.host.heard.Sub(other.begun) < harmlessAfter) {
+			return false
+		}
+	}
+	return true
+}
+
+// unheard counts a task's runs on hosts that are silent now, and may have crashed.
+func (p *Pool) unheard(t *task, now time.Time) int {
+	count := 0
+	if t.run != nil && p.silent(t.run.host, now) {
+		count++
+	}
+	for _, r := range t.copies {
+		if p.silent(r.host, now) {
+			count++
+		}
+	}
+	return count
+}
+
+// suspicion is under how many hosts' ends a task may have been.
+func (p *Pool) suspicion(t *task, now time.Time) int { return len(t.crashed) + p.unheard(t, now) }
+
+// mayCopy reports whether a task may start beside a run that isn't heard. A task
+// that crashes hosts would go through one after the other before the first crash
+// is known.
+func (p *Pool) mayCopy(t *task, now time.Time) bool { return p.suspicion(t, now) < strongSuspect }
+
+// charges are the runs of a task to store as crashes: those that were, and all that
+// go on of a suspect. A holder that is lost with the host can't add it later.
+func (t *task) charges() []int {
+	charges := slices.Clone(t.crashed)
+	if !t.suspect() {
+		return charges
+	}
+	if t.run != nil {
+		charges = append(charges, t.run.number)
+	}
+	for _, r := range t.copies {
+		charges = append(charges, r.number)
+	}
+	return charges
+}
+
+// suspectAll has all runs on a host that has fallen silent stored as crashes: a
+// holder that is replaced before it knows more can't say so later.
+func (h *host) suspectAll() {
+	for _, r := range h.runs {
+		if !r.suspect && r.task.job().state == "" {
+			r.suspect = true
+			h.suspects++
+			r.task.job().version++
+		}
+	}
+}
+
+// suspect reports whether a task may crash its hosts: it has, or a run of it may.
+func (t *task) suspect() bool {
+	return len(t.crashed) > 0 || t.run != nil && t.run.suspect || slices.ContainsFunc(t.copies, func(r *run) bool { return r.suspect })
+}
+
+// tries reports whether a host tries a strong suspect, and takes nothing beside it.
+func (h *host) tries(now time.Time) bool {
+	if h.suspects == 0 {
+		return false
+	}
+	for _, r := range h.runs {
+		if r.guarded && (r.begun.IsZero() || now.Sub(r.begun) < aloneFor) {
+			return true
+		}
+	}
+	return false
+}
+
+// company says how badly a host suits a suspect; less is better. ok is false where
+// a strong one can't be told from others.
+func (pl *planner) company(t *task, h *host) (score float64, ok bool) {
+	if pl.suspicion(t, pl.now) >= strongSuspect && !t.step.spec.Gang && h.suspects > 0 {
+		return 0, false
+	}
+	score = suspectsWeight*float64(h.suspects) + lastingWeight*float64(h.lasting) + companyWeight*float64(len(h.runs))
+	if t.step.spec.Gang {
+		// The members that are being placed with it don't run there yet.
+		score += suspectsWeight * float64(t.step.onHost[h])
+	}
+	if pl.now.Sub(h.since) < newLifeFor {
+		score += newLifeWeight
+	}
+	return score, true
+}
+
+// cleared forgets crashes of a lasting task that has been at work for long.
+func (r *run) cleared(now time.Time) {
+	if t := r.task; len(t.crashed) > 0 && now.Sub(r.begun) > clearedAfter {
+		t.crashed, t.crashedAlone = nil, false
+		t.job().version++
+	}
+}
--- a/internal/sched/health_test.go
+++ b/internal/sched/health_test.go
@@ -58,7 +58,7 @@
 			reports = append(reports, worker.Report{Task: work.TaskName{Job: id}, Run: 1, Percent: 10})
 		}
 		p.Held("w", now.Add(at), worker.Answer{ClockMs: clockMs, Running: reports}, now.Add(at), now.Add(at))
-		p.Tick(now.Add(at))
+		p.Tick(now.Add(at), now.Add(at))
 	}
 	hear(100*time.Millisecond, 1000)
 	hear(2100*time.Millisecond, 1500)
--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -21,8 +21,11 @@
 	// thousandths of a core. Both are kept as runs come and go: looking through
 	// all runs for them took a fifth of each plan of a full pool.
 	lasting, lastingCPU int
-	// strays are the runs among them whose size isn't known.
-	strays int
+	// strays are the runs among them whose size isn't known, suspects those whose
+	// task may crash its hosts.
+	strays, suspects int
+	// since is when this life was first heard of.
+	since time.Time
 	// told is when it last reported what runs there, toldClock its clock then, in
 	// milliseconds.
 	told      time.Time
@@ -71,6 +74,9 @@
 	if s.unknown {
 		h.strays++
 	}
+	if r.suspect {
+		h.suspects++
+	}
 }
 
 // take counts a run no more that has certainly ended.
@@ -87,6 +93,9 @@
 	if s.unknown {
 		h.strays--
 	}
+	if r.suspect {
+		h.suspects--
+	}
 }
 
 // deadline is the host's clock in some time from now. It is no less than that,
--- a/internal/sched/jobs.go
+++ b/internal/sched/jobs.go
@@ -207,7 +207,7 @@
 				t.lastRun = takeoverRunGap
 			}
 			if past, ok := j.restored[taskKey{number, i, index}]; ok {
-				t.done, t.failed, t.saved = past.Done, past.Failed, past.Saved
+				t.done, t.failed, t.crashed, t.saved = past.Done, past.Failed, past.Crashed, past.Saved
 				t.lastRun = past.Run + takeoverRunGap
 			}
 			if t.done {
@@ -279,10 +279,11 @@
 	for _, o := range j.times {
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
-				if t.done || len(t.failed) > 0 || t.saved != "" || t.lastRun > 1 {
+				charges := t.charges()
+				if t.done || len(t.failed) > 0 || len(charges) > 0 || t.saved != "" || t.lastRun > 1 {
 					progress.Tasks = append(progress.Tasks, work.TaskProgress{
 						Time: o.number, Step: s.index, Index: t.name.Index,
-						Done: t.done, Failed: t.failed, Run: t.lastRun, Saved: t.saved,
+						Done: t.done, Failed: t.failed, Crashed: charges, Run: t.lastRun, Saved: t.saved,
 					})
 				}
 			}
--- a/internal/sched/losses.go
+++ b/internal/sched/losses.go
@@ -36,6 +36,10 @@
 	// Age is how long before the host was last heard the run had been ordered;
 	// negative for one ordered later.
 	Age time.Duration
+	// Verdict is what follows for the task, Crashes how many hosts were lost
+	// under it by now.
+	Verdict Verdict
+	Crashes int
 }
 
 // Losses returns the losses since it was last called.
@@ -46,13 +50,18 @@
 }
 
 // lose ends all that ran on a host.
-func (p *Pool) lose(h *host, evidence Evidence, now time.Time) {
+func (p *Pool) lose(h *host, evidence Evidence, now, wall time.Time) {
 	if len(h.runs) == 0 {
 		return
 	}
 	loss := Loss{Host: h.ID, Evidence: evidence, Listed: h.listed, Unheard: now.Sub(h.heard)}
 	for _, r := range h.runs {
-		loss.Runs = append(loss.Runs, LostRun{r.task.name, r.number, h.heard.Sub(r.asked)})
+		lost := LostRun{Task: r.task.name, Run: r.number, Age: h.heard.Sub(r.asked), Verdict: Unblamed}
+		if h.blames(evidence) {
+			lost.Verdict = p.blame(r, now, wall)
+			lost.Crashes = len(r.task.crashed)
+		}
+		loss.Runs = append(loss.Runs, lost)
 	}
 	p.losses = append(p.losses, loss)
 	for _, r := range h.runs {
--- a/internal/sched/model_test.go
+++ b/internal/sched/model_test.go
@@ -170,7 +170,7 @@
 	}
 	for _, h := range m.holders {
 		if !h.dead {
-			h.pool.Tick(m.at(m.now))
+			h.pool.Tick(m.at(m.now), m.at(m.now))
 		}
 	}
 }
@@ -310,11 +310,11 @@
 	case o.hold != nil && outcome == worker.Accepted:
 		pool.Held(o.host.id, m.at(o.sent), answer, now, now)
 	case o.hold != nil:
-		pool.HoldFailed(o.host.id, outcome, now)
+		pool.HoldFailed(o.host.id, outcome, now, now)
 	case o.order.Verb == Start:
-		pool.StartOutcome(o.host.id, o.order.Task, o.order.Run, outcome, now)
+		pool.StartOutcome(o.host.id, o.order.Task, o.order.Run, outcome, now, now)
 	case o.order.Verb == Stop:
-		pool.StopOutcome(o.host.id, o.order.Task, o.order.Run, outcome, now)
+		pool.StopOutcome(o.host.id, o.order.Task, o.order.Run, outcome, now, now)
 	}
 }
 
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -26,6 +26,8 @@
 		return "in quarantine"
 	case h.onTrial():
 		return "has to prove itself"
+	case h.tries(now):
+		return "tries a task that may crash it"
 	}
 	return ""
 }
@@ -65,17 +67,23 @@
 	if !size.Fits(pl.most) {
 		return nil
 	}
+	suspected := pl.suspicion(t, pl.now) > 0
 	var best *host
 	var bestScore float64
 	for _, h := range pl.open {
 		// Most hosts of a busy pool are full: that is looked at first.
-		if !size.Fits(h.free()) || h.onTrial() || !pl.allowed(s, h) || t.placed > 0 && h.runs[t.name] != nil {
+		if !size.Fits(h.free()) || h.onTrial() || h.tries(pl.now) || !pl.allowed(s, h) || t.placed > 0 && h.runs[t.name] != nil {
 			continue
 		}
 		if !s.spec.Lasting && pl.reserved[h] || h.promised.keepsOut(s, pl.now) {
 			continue
 		}
 		score, ok := pl.score(s, h)
+		if ok && suspected {
+			var company float64
+			company, ok = pl.company(t, h)
+			score += company
+		}
 		if ok && (best == nil || score < bestScore || score == bestScore && h.ID < best.ID) {
 			best, bestScore = h, score
 		}
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"auburnglade.example/glade/internal/work"
@@ -58,7 +59,7 @@
 
 // Plan decides what to do now and takes it as ordered.
 func (p *Pool) Plan(now, wall time.Time) Plan {
-	pl := &planner{Pool: p, now: now, refused: make(map[refusal]bool), reserved: make(map[*host]bool)}
+	pl := &planner{Pool: p, now: now, wall: wall, refused: make(map[refusal]bool), reserved: make(map[*host]bool)}
 	pl.survey()
 	for _, j := range p.active {
 		p.unfold(j, now, wall)
@@ -77,8 +78,8 @@
 
 type planner struct {
 	*Pool
-	now  time.Time
-	plan Plan
+	now, wall time.Time
+	plan      Plan
 	// open are the hosts that take new work; no host among them has more free
 	// of anything than most.
 	open []*host
@@ -141,15 +142,30 @@
 }
 
 func (pl *planner) startStep(s *step) {
+	if s.of.job.state != "" {
+		// Another step of the job was given up in this plan.
+		return
+	}
 	if s.of.job.record.Queue.Advice != nil && !pl.advised(s) {
 		return
 	}
+	if at := slices.IndexFunc(s.tasks, (*task).condemned); at >= 0 {
+		pl.giveUp(s.tasks[at], pl.now, pl.wall)
+		return
+	}
 	if s.spec.Gang {
 		pl.startGang(s)
 		return
 	}
 	for _, t := range s.tasks {
-		if t.done || t.run != nil || pl.now.Before(t.notBefore) {
+		if t.done || t.run != nil || pl.now.Before(t.notBefore) || t.heldBack() {
+			continue
+		}
+		if len(t.copies) > 0 && !pl.mayCopy(t, pl.now) {
+			continue
+		}
+		if len(t.crashed) > 0 {
+			pl.startSuspect(t)
 			continue
 		}
 		if !s.spec.Lasting && !s.spec.Counted().Fits(pl.most) {
@@ -169,6 +185,14 @@
 	}
 }
 
+// startSuspect starts a task that may crash its host, if there is one for it. That
+// there is none says nothing about others of its kind.
+func (pl *planner) startSuspect(t *task) {
+	if h := pl.find(t); h != nil {
+		pl.start(t, h, t.lastRun+1)
+	}
+}
+
 // noRoom notes that a step waits for room. For a lasting one, the host where
 // it will fit soonest takes no lesser work until then.
 func (pl *planner) noRoom(s *step, kind refusal) {
@@ -194,10 +218,17 @@
 }
 
 func (pl *planner) start(t *task, h *host, number int) {
-	r := &run{task: t, number: number, host: h, state: starting, asked: pl.now, moved: pl.now, pace: atWork}
+	suspicion := pl.suspicion(t, pl.now)
+	r := &run{
+		task: t, number: number, host: h, state: starting, asked: pl.now, moved: pl.now, pace: atWork,
+		suspect: suspicion > 0, guarded: suspicion >= strongSuspect && !t.step.spec.Gang,
+	}
 	t.run, t.lastRun = r, number
 	t.step.waiting--
 	j := t.job()
+	if r.suspect {
+		j.version++
+	}
 	if j.begun = true; j.firstStart.IsZero() {
 		j.firstStart = pl.now
 	}
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -178,8 +178,11 @@
 	// allows copies: on a host that is silent, or slow.
 	copies []*run
 	done   bool
-	// failed are the runs that ended as failed.
-	failed []int
+	// failed are the runs that ended as failed, crashed those under which their
+	// host was lost.
+	failed, crashed []int
+	// crashedAlone: it was alone on one of the hosts that were lost under it.
+	crashedAlone bool
 	// lastRun is the highest run number used.
 	lastRun int
 	saved   string
@@ -231,6 +234,10 @@
 	stopSent, stopTaken time.Time
 	// reason is why it is to be stopped.
 	reason string
+	// suspect: its task may crash hosts, by what was known when it was started or
+	// when its host fell silent. guarded: nothing else starts beside it for a
+	// while.
+	suspect, guarded bool
 }
 
 // Targets lists the hosts that should be asked with holds, or nothing when
@@ -254,7 +261,7 @@
 		listed[entry.ID] = true
 		h := p.hosts[entry.ID]
 		if h == nil {
-			h = &host{runs: make(map[work.TaskName]*run), health: newHealth()}
+			h = &host{runs: make(map[work.TaskName]*run), health: newHealth(), since: now}
 			p.hosts[entry.ID] = h
 			p.hostsChanged = true
 		}
@@ -348,14 +355,14 @@
 
 // Tick lets time pass: hosts that can't be asked lapse, ended jobs are
 // forgotten. It returns the ids of jobs to delete from the store.
-func (p *Pool) Tick(now time.Time) (forget []string) {
+func (p *Pool) Tick(now, wall time.Time) (forget []string) {
 	for id, until := range p.unreached {
 		if now.After(until) {
 			delete(p.unreached, id)
 		}
 	}
 	for id, h := range p.hosts {
-		p.tickHost(id, h, now)
+		p.tickHost(id, h, now, wall)
 	}
 	p.judgeHangs(now)
 	p.history.forget(now)
@@ -363,13 +370,16 @@
 	return p.forget(now)
 }
 
-func (p *Pool) tickHost(id string, h *host, now time.Time) {
+func (p *Pool) tickHost(id string, h *host, now, wall time.Time) {
 	if h.closed && now.After(h.closedUntil) {
 		h.closed = false
 	}
 	silent := p.silent(h, now)
+	if silent {
+		h.suspectAll()
+	}
 	if silent && len(h.runs) > 0 && now.After(p.lapsesAt(h)) {
-		p.lose(h, HoldsRanOut, now)
+		p.lose(h, HoldsRanOut, now, wall)
 	}
 	if !h.listed && silent && len(h.runs) == 0 && now.Sub(h.missing) > missingFor {
 		if _, waits := p.unreached[id]; !waits {
@@ -388,13 +398,13 @@
 }
 
 // GoneHost drops a life of a host that has certainly ended.
-func (p *Pool) GoneHost(id string, now time.Time) {
+func (p *Pool) GoneHost(id string, now, wall time.Time) {
 	delete(p.unreached, id)
 	h := p.hosts[id]
 	if h == nil {
 		return
 	}
-	p.lose(h, OtherLife, now)
+	p.lose(h, OtherLife, now, wall)
 	delete(p.hosts, id)
 }
 
--- a/internal/work/progress.go
+++ b/internal/work/progress.go
@@ -28,6 +28,9 @@
 	// until it knows that we have seen it, also to the next holder of the
 	// pool, so that a count alone would count one failure twice.
 	Failed []int
+	// Crashed are the runs under which their host was lost, and those of a task
+	// that may crash its hosts of which no end is known.
+	Crashed []int
 	// Run is the highest run that is known.
 	Run int
 	// Saved is the last checkpoint, empty when there is none.
@@ -46,7 +49,11 @@
 	}
 	to = appendInts(to, p.Failed)
 	to = append(strconv.AppendInt(append(to, ','), int64(p.Run), 10), ',')
-	return append(append(to, encode(p.Saved)...), ']')
+	to = append(to, encode(p.Saved)...)
+	if len(p.Crashed) > 0 {
+		to = appendInts(append(to, ','), p.Crashed)
+	}
+	return append(to, ']')
 }
 
 func appendInts(to []byte, numbers []int) []byte {
@@ -73,7 +80,7 @@
 // UnmarshalJSON reads a row.
 func (p *TaskProgress) UnmarshalJSON(data []byte) error {
 	var done int
-	row := []any{&p.Time, &p.Step, &p.Index, &done, &p.Failed, &p.Run, &p.Saved}
+	row := []any{&p.Time, &p.Step, &p.Index, &done, &p.Failed, &p.Run, &p.Saved, &p.Crashed}
 	if err := json.Unmarshal(data, &row); err != nil {
 		return &CorruptError{"task progress", err}
 	}
