Blame the latest runs for a crash, and announce a suspect's next run

What was seen: jobs given up for their neighbours, as everything on a lost host was blamed alike; tasks started six times over two takeovers, as the copy beside a silent host was ordered and its host and the holder lost before either was stored.

Now runs that had been on the host for 2 s when it was last heard aren't blamed while there are later ones; a strong suspect waits for a host without such, kept quiet for it if need be, gangs too; and a suspect's next run is stored as a crash before it starts. A copy beside a host that is only unheard waits 0.3 s for that at most.

--- a/internal/emulate/workers.go
+++ b/internal/emulate/workers.go
@@ -27,6 +27,8 @@
 	// holdGrace is how much longer than its wait a caller waits for the answer
 	// to a hold.
 	holdGrace = 450 * time.Millisecond
+	// shrunkAfter is from when on a room that has shrunk counts: it has to be told.
+	shrunkAfter = 4500 * time.Millisecond
 	// lateLeast and lateMost bound when a late order is carried out.
 	lateLeast = 2 * time.Second
 	lateMost  = 12 * time.Second
@@ -100,7 +102,10 @@
 
 type host struct {
 	worker.Host
-	behavior Behavior
+	// former is what it had before it shrank, which counts until formerUntil.
+	former      work.Size
+	formerUntil time.Time
+	behavior    Behavior
 	// clockAhead is what its clock shows at the start; rate is its speed.
 	born       time.Time
 	clockAhead time.Duration
@@ -184,6 +189,29 @@
 	}
 }
 
+// Resize changes what a host says that it has.
+func (w *Workers) Resize(id string, to work.Size) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	h := w.hosts[id]
+	if h == nil {
+		return
+	}
+	h.former, h.formerUntil = h.room(), time.Now().Add(shrunkAfter)
+	h.Capacity = to
+	w.toldLocked()
+}
+
+// room is what a host may be given now.
+func (h *host) room() work.Size {
+	if time.Now().After(h.formerUntil) {
+		return h.Capacity
+	}
+	return work.Size{
+		MilliCPU: max(h.Capacity.MilliCPU, h.former.MilliCPU), MemMB: max(h.Capacity.MemMB, h.former.MemMB), GPU: max(h.Capacity.GPU, h.former.GPU),
+	}
+}
+
 // Kill ends a life of a host at once; everything on it is lost.
 func (w *Workers) Kill(id string) {
 	w.mu.Lock()
@@ -296,7 +324,7 @@
 
 // crashLocked ends a life of a host through a task. The host is back later.
 func (w *Workers) crashLocked(h *host, by work.TaskName) {
-	w.Judge.crashed(by)
+	w.Judge.crashed(by, h)
 	w.loseLocked(h)
 	h.crash = true
 	w.crashed[h.ID] = h
--- a/internal/entryhost/random_test.go
+++ b/internal/entryhost/random_test.go
@@ -113,6 +113,20 @@
 	})
 }
 
+// harmfulDaysInCI are the days with tasks that crash hosts that every run plays.
+const harmfulDaysInCI = 24
+
+// The days of large sites with jobs whose task crashes each host that starts it, and
+// hosts that shrink and grow. None of these tasks may be started for ever, and no
+// job may be given up for them under which fewer than two hosts crashed. GLADE_FIRST_HARMFUL_DAY and GLADE_HARMFUL_DAYS
+// choose others.
+func TestRandomDaysWithHarmfulTasks(t *testing.T) {
+	playDays(t, setting(t, "GLADE_FIRST_HARMFUL_DAY", 0), setting(t, "GLADE_HARMFUL_DAYS", harmfulDaysInCI), func(d *day, seed int) {
+		d.grown = rand.New(rand.NewPCG(uint64(seed), 9))
+		d.harm = rand.New(rand.NewPCG(uint64(seed), 10))
+	})
+}
+
 func setting(t *testing.T, name string, fallback int) int {
 	text := os.Getenv(name)
 	if text == "" {
@@ -130,7 +144,9 @@
 	// stay as they were.
 	manners *rand.Rand
 	// grown draws the further troubles of large sites, nil for none.
-	grown    *rand.Rand
+	grown *rand.Rand
+	// harm draws the jobs that crash hosts and the hosts that shrink, nil for none.
+	harm     *rand.Rand
 	accepted map[string]string
 	lasting  map[string]string
 	gone     map[string]bool
@@ -151,6 +167,9 @@
 		if d.random.Float64() < 0.15 {
 			d.trouble()
 		}
+		if d.harm != nil && d.harm.IntN(6) == 0 {
+			d.shrink()
+		}
 		d.submit()
 		time.Sleep(time.Duration(d.random.IntN(400)) * time.Millisecond)
 	}
@@ -158,7 +177,9 @@
 	time.Sleep(25 * time.Second)
 	e := d.any()
 	for id, pool := range d.accepted {
-		d.done(e, pool, id, 30*time.Second)
+		if !d.workers.Judge.MayGiveUp(id) {
+			d.done(e, pool, id, 30*time.Second)
+		}
 	}
 	for id, pool := range d.lasting {
 		must.EqOp(d.t, 2, d.workers.Judge.AtWork(id), must.Sprintf("lasting job %s of %s", id, pool))
@@ -207,10 +228,15 @@
 	}
 	record := d.record(pool, steps...)
 	record.Queue.Priority = d.manners.IntN(3)
+	harmful := d.harm != nil && !isLasting && d.harm.IntN(12) == 0
+	if harmful {
+		d.harmful(record.ID)
+	}
 	if d.any().Desk.Accept(d.ctx, record) != keeper.Stored {
 		return
 	}
 	switch {
+	case harmful:
 	case isLasting:
 		d.lasting[record.ID] = pool
 	case d.random.IntN(10) == 0:
@@ -284,6 +310,19 @@
 	}
 }
 
+// shrink lets a host have less for a while.
+func (d *day) shrink() {
+	ids := d.workers.IDs([]string{"day", "night"}[d.harm.IntN(2)])
+	if len(ids) == 0 {
+		return
+	}
+	id := ids[d.harm.IntN(len(ids))]
+	d.workers.Resize(id, work.Size{MilliCPU: 1000 + d.harm.IntN(12_000), MemMB: 1000 + d.harm.IntN(24_000)})
+	time.AfterFunc(time.Duration(500+d.harm.IntN(9000))*time.Millisecond, func() {
+		d.workers.Resize(id, work.Size{MilliCPU: 16_000, MemMB: 32_000})
+	})
+}
+
 // someHost draws a host of a pool.
 func (d *day) someHost() string {
 	ids := d.workers.IDs([]string{"day", "night"}[d.grown.IntN(2)])
--- a/internal/sched/crashes.go
+++ b/internal/sched/crashes.go
@@ -15,12 +15,14 @@
 
 const (
 	// crashesAlone are enough to give a task up that was alone on one of these
-	// hosts, crashesMost wherever it ran. The platform allows it from two.
+	// hosts, crashesMost wherever it ran. The platform allows it from two, and
+	// takes five starts at the most.
 	crashesAlone = 2
-	crashesMost  = 3
-	// lastingCrashes hold a lasting task back: one more, as its whole job would
-	// suffer from a mistake, and one less than the platform allows.
-	lastingCrashes = 4
+	crashesMost  = 4
+	// lastingAlone and lastingMost hold a lasting task back: its job would suffer
+	// for as long as it lasts from a mistake.
+	lastingAlone = 4
+	lastingMost  = 5
 	// strongSuspect is from how many crashes on a task gets a host for itself.
 	strongSuspect = 2
 	// aloneFor is how long it keeps that host to itself.
@@ -31,6 +33,12 @@
 	// clearedAfter is how long a lasting task must be at work on one host for
 	// earlier crashes to count no more.
 	clearedAfter = 10 * time.Second
+	// announceWithin is how long a task that is only unheard waits for the store
+	// to name its next run.
+	announceWithin = 300 * time.Millisecond
+	// quietFor is how long a host is kept quiet for a suspect, renewed while it
+	// waits.
+	quietFor = 300 * time.Millisecond
 	// newLifeFor is for how long a life of a host gets suspects last: hosts that go
 	// down and up by turns are the emptiest ones.
 	newLifeFor = 5 * time.Second
@@ -67,7 +75,7 @@
 // the run ends.
 func (p *Pool) blame(r *run, now, wall time.Time) Verdict {
 	t := r.task
-	if j := t.job(); t.done || j.state != "" {
+	if j := t.job(); t.done || j.state != "" || r.harmless() && r.host.hasFresh() {
 		return Unblamed
 	}
 	t.charge(r.number)
@@ -113,24 +121,39 @@
 
 // heldBack reports whether a lasting task starts no more, as it crashes each host
 // that starts it. The others of its step go on.
-func (t *task) heldBack() bool { return t.step.spec.Lasting && len(t.crashed) >= lastingCrashes }
+func (t *task) heldBack() bool {
+	return t.step.spec.Lasting && (len(t.crashed) >= lastingMost || t.crashedAlone && len(t.crashed) >= lastingAlone)
+}
 
 // condemned reports whether a task was found to crash its hosts, as a former
 // holder may have done without being able to say so.
 func (t *task) condemned() bool { return !t.step.spec.Lasting && len(t.crashed) >= crashesMost }
 
-// alone reports whether a run can have crashed its host and no other one there
-// can: the others had been there for a while.
-func (r *run) alone() bool {
-	if r.begun.IsZero() {
-		return false
+// harmless reports whether a run had been on its host for a while when that was
+// last heard.
+func (r *run) harmless() bool {
+	return !r.begun.IsZero() && r.host.heard.Sub(r.begun) >= harmlessAfter
+}
+
+// hasFresh reports whether a host has runs that aren't known to be harmless.
+func (h *host) hasFresh() bool {
+	for _, r := range h.runs {
+		if !r.harmless() {
+			return true
+		}
 	}
+	return false
+}
+
+// alone reports whether a run had begun on its host, and only harmless ones beside
+// it.
+func (r *run) alone() bool {
 	for _, other := range r.host.runs {
-		if other != r && (other.begun.IsZero() || r.host.heard.Sub(other.begun) < harmlessAfter) {
+		if other != r && !other.harmless() {
 			return false
 		}
 	}
-	return true
+	return !r.begun.IsZero()
 }
 
 // unheard counts a task's runs on hosts that are silent now, and may have crashed.
@@ -159,6 +182,9 @@
 // go on of a suspect. A holder that is lost with the host can't add it later.
 func (t *task) charges() []int {
 	charges := slices.Clone(t.crashed)
+	if t.trial > 0 {
+		charges = append(charges, t.trial)
+	}
 	if !t.suspect() {
 		return charges
 	}
@@ -201,10 +227,59 @@
 	return false
 }
 
+// announced reports whether the store has a suspect's next run as a crash, so that
+// it may start. A suspect that is only unheard doesn't wait for a store that is away.
+func (pl *planner) announced(t *task, number int) bool {
+	j := t.job()
+	if t.trial != number {
+		j.version++
+		t.trial, t.trialVersion, t.trialSince = number, j.version, pl.now
+		return false
+	}
+	return j.saved >= t.trialVersion || len(t.crashed) == 0 && pl.now.Sub(t.trialSince) > announceWithin
+}
+
+// startSuspect starts a task that may crash its host, if there is one for it. That
+// there is none says nothing about others of its kind.
+func (pl *planner) startSuspect(t *task) {
+	number := t.lastRun + 1
+	if !pl.announced(t, number) {
+		return
+	}
+	if h := pl.find(t); h != nil {
+		pl.start(t, h, number)
+		return
+	}
+	if pl.suspicion(t, pl.now) >= strongSuspect {
+		pl.quieten(t)
+	}
+}
+
+// quieten keeps new work off the host where a strong suspect can be alone soonest.
+func (pl *planner) quieten(t *task) {
+	var best *host
+	for _, h := range pl.open {
+		if !pl.allowed(t.step, h) || !t.step.spec.Counted().Fits(h.Capacity) || h.quietBut(t, pl.now) {
+			continue
+		}
+		if best == nil || h.quietFor == t || best.quietFor != t && len(h.runs) < len(best.runs) {
+			best = h
+		}
+	}
+	if best != nil {
+		best.quietFor, best.quietUntil = t, pl.now.Add(quietFor)
+	}
+}
+
+// quietBut reports whether a host is kept quiet for another task than t.
+func (h *host) quietBut(t *task, now time.Time) bool {
+	return h.quietFor != nil && h.quietFor != t && now.Before(h.quietUntil)
+}
+
 // company says how badly a host suits a suspect; less is better. ok is false where
-// a strong one can't be told from others.
+// a strong one couldn't be told from others.
 func (pl *planner) company(t *task, h *host) (score float64, ok bool) {
-	if pl.suspicion(t, pl.now) >= strongSuspect && !t.step.spec.Gang && h.suspects > 0 {
+	if pl.suspicion(t, pl.now) >= strongSuspect && (h.suspects > 0 || h.hasFresh()) {
 		return 0, false
 	}
 	score = suspectsWeight*float64(h.suspects) + lastingWeight*float64(h.lasting) + companyWeight*float64(len(h.runs))
--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -26,6 +26,10 @@
 	strays, suspects int
 	// since is when this life was first heard of.
 	since time.Time
+	// quietFor is a suspect for which the host takes no other work until
+	// quietUntil, so that it can be alone there.
+	quietFor   *task
+	quietUntil time.Time
 	// told is when it last reported what runs there, toldClock its clock then, in
 	// milliseconds.
 	told      time.Time
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -72,7 +72,7 @@
 	var bestScore float64
 	for _, h := range pl.open {
 		// Most hosts of a busy pool are full: that is looked at first.
-		if !size.Fits(h.free()) || h.onTrial() || h.tries(pl.now) || !pl.allowed(s, h) || t.placed > 0 && h.runs[t.name] != nil {
+		if !size.Fits(h.free()) || h.onTrial() || h.tries(pl.now) || h.quietBut(t, pl.now) || !pl.allowed(s, h) || t.placed > 0 && h.runs[t.name] != nil {
 			continue
 		}
 		if !s.spec.Lasting && pl.reserved[h] || h.promised.keepsOut(s, pl.now) {
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -164,7 +164,7 @@
 		if len(t.copies) > 0 && !pl.mayCopy(t, pl.now) {
 			continue
 		}
-		if len(t.crashed) > 0 {
+		if pl.suspicion(t, pl.now) > 0 {
 			pl.startSuspect(t)
 			continue
 		}
@@ -185,14 +185,6 @@
 	}
 }
 
-// startSuspect starts a task that may crash its host, if there is one for it. That
-// there is none says nothing about others of its kind.
-func (pl *planner) startSuspect(t *task) {
-	if h := pl.find(t); h != nil {
-		pl.start(t, h, t.lastRun+1)
-	}
-}
-
 // noRoom notes that a step waits for room. For a lasting one, the host where
 // it will fit soonest takes no lesser work until then.
 func (pl *planner) noRoom(s *step, kind refusal) {
@@ -221,9 +213,9 @@
 	suspicion := pl.suspicion(t, pl.now)
 	r := &run{
 		task: t, number: number, host: h, state: starting, asked: pl.now, moved: pl.now, pace: atWork,
-		suspect: suspicion > 0, guarded: suspicion >= strongSuspect && !t.step.spec.Gang,
+		suspect: suspicion > 0, guarded: suspicion >= strongSuspect,
 	}
-	t.run, t.lastRun = r, number
+	t.run, t.lastRun, t.trial = r, number, 0
 	t.step.waiting--
 	j := t.job()
 	if r.suspect {
@@ -258,10 +250,22 @@
 			saved = t.saved
 		}
 	}
+	waits := false
+	for _, t := range s.tasks {
+		if pl.suspicion(t, pl.now) > 0 && !pl.announced(t, number) {
+			waits = true
+		}
+	}
+	if waits {
+		return
+	}
 	var placed []*host
 	for _, t := range s.tasks {
 		h := pl.find(t)
 		if h == nil {
+			if pl.suspicion(t, pl.now) >= strongSuspect {
+				pl.quieten(t)
+			}
 			break
 		}
 		placed = append(placed, h)
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -181,6 +181,11 @@
 	// failed are the runs that ended as failed, crashed those under which their
 	// host was lost.
 	failed, crashed []int
+	// trial is the next run of a suspect, which is stored as a crash before it
+	// starts: as of trialVersion of its job, asked for at trialSince.
+	trial        int
+	trialVersion uint64
+	trialSince   time.Time
 	// crashedAlone: it was alone on one of the hosts that were lost under it.
 	crashedAlone bool
 	// lastRun is the highest run number used.
