Give a host that takes no connections no work, and store what runs there as crashes

Cause: a start that can't leave only rested its host for 0.2 s. A host is now left out until it is heard again.

--- a/internal/sched/answers.go
+++ b/internal/sched/answers.go
@@ -375,7 +375,9 @@
 		if t.step.advice != nil {
 			delete(t.step.advice.tickets, h.ID)
 		}
-	case worker.NoRoom, worker.Unwell, worker.NotSent, worker.TooLate:
+	case worker.NotSent:
+		h.refuse(now)
+	case worker.NoRoom, worker.Unwell, worker.TooLate:
 		h.rested = now.Add(refusalPause)
 	}
 }
@@ -405,5 +407,9 @@
 		p.deposed = true
 	case worker.Gone:
 		p.GoneHost(id, now, wall)
+	case worker.NotSent:
+		if h := p.hosts[id]; h != nil {
+			h.refuse(now)
+		}
 	}
 }
--- a/internal/sched/crashes.go
+++ b/internal/sched/crashes.go
@@ -33,9 +33,6 @@
 	// clearedAfter is how long a lasting task must be at work on one host for
 	// earlier crashes to count no more.
 	clearedAfter = 10 * time.Second
-	// announceWithin is how long a task that is only unheard waits for the store
-	// to name its next run.
-	announceWithin = 300 * time.Millisecond
 	// quietFor is how long a host is kept quiet for a suspect, renewed while it
 	// waits.
 	quietFor = 300 * time.Millisecond
@@ -228,15 +225,15 @@
 }
 
 // announced reports whether the store has a suspect's next run as a crash, so that
-// it may start. A suspect that is only unheard doesn't wait for a store that is away.
+// it may start.
 func (pl *planner) announced(t *task, number int) bool {
 	j := t.job()
 	if t.trial != number {
 		j.version++
-		t.trial, t.trialVersion, t.trialSince = number, j.version, pl.now
+		t.trial, t.trialVersion = number, j.version
 		return false
 	}
-	return j.saved >= t.trialVersion || len(t.crashed) == 0 && pl.now.Sub(t.trialSince) > announceWithin
+	return j.saved >= t.trialVersion
 }
 
 // startSuspect starts a task that may crash its host, if there is one for it. That
--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -37,6 +37,8 @@
 	// heard is when its last answer arrived, granted when a hold with a
 	// deadline last left.
 	heard, granted time.Time
+	// refused is when a call last found no connection to it.
+	refused time.Time
 	// clock is its clock at heard, in milliseconds.
 	clock int64
 	// noted is the last end that was applied, seen the last one whose outcome
@@ -62,6 +64,16 @@
 	version uint64
 }
 
+// unreachable reports whether no connection to it could be opened since it was
+// last heard.
+func (h *host) unreachable() bool { return h.refused.After(h.heard) }
+
+// refuse notes that no connection could be opened.
+func (h *host) refuse(now time.Time) {
+	h.refused = now
+	h.suspectAll()
+}
+
 func (h *host) free() work.Size { return h.Capacity.Minus(h.used) }
 
 // put counts a run that may be on the host from now on.
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -12,6 +12,8 @@
 		return "not listed"
 	case !h.reached || p.silent(h, now):
 		return "silent"
+	case h.unreachable():
+		return "takes no connections"
 	case !p.roster[h.ID]:
 		return "not stored as in use"
 	case h.Leaving:
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -182,10 +182,9 @@
 	// host was lost.
 	failed, crashed []int
 	// trial is the next run of a suspect, which is stored as a crash before it
-	// starts: as of trialVersion of its job, asked for at trialSince.
+	// starts, as of trialVersion of its job.
 	trial        int
 	trialVersion uint64
-	trialSince   time.Time
 	// crashedAlone: it was alone on one of the hosts that were lost under it.
 	crashedAlone bool
 	// lastRun is the highest run number used.
