Reserve room for a lasting task that is suspected of a crash

In a full pool whose ends are spread over time it never found room in one piece and stayed away for good (LOST after six seconds). The new test failed: 0 of 1 at work after 6 s; it passes now.

--- a/internal/keeper/crashing_test.go
+++ b/internal/keeper/crashing_test.go
@@ -79,3 +79,25 @@
 		})
 	}
 }
+
+// Guards against a lasting task that finds no room in a full pool for good after its
+// host was lost.
+func TestALastingTaskOfALostHostGetsRoomInAFullPool(t *testing.T) {
+	// Ends are spread over time, so that room never comes free in one piece.
+	spread := func(name work.TaskName) time.Duration {
+		return time.Duration(700+37*name.Index) * time.Millisecond
+	}
+	play(t, emulate.WorkersConfig{Seed: 1, RunTime: spread}, 3, func(w *world) {
+		k := w.take(true)
+		large := lasting(1)
+		large.Size = work.Size{MilliCPU: 9000, MemMB: 9000}
+		id := w.submit(k, large)
+		for range 16 {
+			w.submit(k, quick(40))
+		}
+		time.Sleep(500 * time.Millisecond)
+		w.workers.Kill(w.hostOf(id))
+		time.Sleep(6 * time.Second)
+		must.EqOp(t, 1, w.workers.Judge.AtWork(id))
+	})
+}
--- a/internal/sched/crashes.go
+++ b/internal/sched/crashes.go
@@ -247,6 +247,7 @@
 		pl.start(t, h, number)
 		return
 	}
+	pl.makeWay(t.step)
 	if pl.suspicion(t, pl.now) >= strongSuspect {
 		pl.quieten(t)
 	}
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -185,13 +185,18 @@
 	}
 }
 
-// noRoom notes that a step waits for room. For a lasting one, the host where
-// it will fit soonest takes no lesser work until then.
+// noRoom notes that a step waits for room.
 func (pl *planner) noRoom(s *step, kind refusal) {
 	if s.spec.MostPerWorker == 0 && s.spec.Requires == "" && !s.spec.SameRack {
 		pl.refused[kind] = true
 		pl.measure()
 	}
+	pl.makeWay(s)
+}
+
+// makeWay sees to room for a step that waits for it. For a lasting one, the host
+// where it will fit soonest takes no lesser work until then.
+func (pl *planner) makeWay(s *step) {
 	pl.displace(s)
 	if !s.spec.Lasting {
 		return
