Count what a holder spends its time on, by part

A counter by part (hosts' answers, outcomes of orders, plans, commits, time-outs, calls) and the same in the line of the pool, since the last one. Two clock reads a message; no decision changes.

--- a/internal/keeper/asking.go
+++ b/internal/keeper/asking.go
@@ -10,9 +10,12 @@
 
 // do runs act in the pool's goroutine. It returns false when the keeper has
 // ended.
-func (k *Keeper) do(ctx context.Context, act func()) bool {
+func (k *Keeper) do(ctx context.Context, act func()) bool { return k.doPart(ctx, partCalls, act) }
+
+// doPart is do for something that counts as a part of the goroutine's work.
+func (k *Keeper) doPart(ctx context.Context, p part, act func()) bool {
 	select {
-	case k.post <- act:
+	case k.post <- message{p, act}:
 		return true
 	case <-k.ended:
 		return false
@@ -21,6 +24,12 @@
 	}
 }
 
+// message is something to do in the pool's goroutine.
+type message struct {
+	part part
+	act  func()
+}
+
 // query runs ask in the pool's goroutine and returns what it says. ok is false
 // when the keeper has ended or ctx ends first.
 func query[T any](ctx context.Context, k *Keeper, ask func() T) (answer T, ok bool) {
--- a/internal/keeper/commit.go
+++ b/internal/keeper/commit.go
@@ -230,10 +230,10 @@
 		cancel()
 		took := time.Since(sent)
 		k.Metrics.commitSec.Observe(took.Seconds())
-		k.do(k.ctx, func() { k.committed(b, revision, err, took) })
+		k.doPart(k.ctx, partCommits, func() { k.committed(b, revision, err, took) })
 	}()
 	time.AfterFunc(max(repeatLeast, repeatFactor*k.commitTook), func() {
-		k.do(k.ctx, func() { k.repeat(b) })
+		k.doPart(k.ctx, partCommits, func() { k.repeat(b) })
 	})
 }
 
--- a/internal/keeper/dispatch.go
+++ b/internal/keeper/dispatch.go
@@ -34,7 +34,7 @@
 		Task: order.Task, Run: order.Run, Percent: order.Percent, Fence: k.grant.Head.Fence,
 	})
 	k.Metrics.order("pace", outcome, time.Since(sent))
-	k.do(k.ctx, func() { k.pool.PaceOutcome(order.To.ID, order, outcome) })
+	k.doPart(k.ctx, partOrders, func() { k.pool.PaceOutcome(order.To.ID, order, outcome) })
 }
 
 func (k *Keeper) question(question sched.Question) {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -93,7 +93,7 @@
 	Config
 	grant Grant
 	pool  *sched.Pool
-	post  chan func()
+	post  chan message
 	ended chan struct{}
 	ctx   context.Context
 
@@ -130,6 +130,7 @@
 	// lag is how late this goroutine got to its ticks of late, worstLag the most
 	// since the pool was last described.
 	lag, worstLag time.Duration
+	busy          *busy
 }
 
 // New returns a keeper for a pool that was just taken over.
@@ -139,7 +140,7 @@
 	}
 	config.Sched.Fence = grant.Head.Fence
 	return &Keeper{
-		Config: config, grant: grant, post: make(chan func(), mailbox), ended: make(chan struct{}),
+		Config: config, grant: grant, post: make(chan message, mailbox), busy: newBusy(config.Metrics), ended: make(chan struct{}),
 		asking: make(map[string]bool), submits: make(map[string]*submission), cancels: make(map[string]*cancellation),
 		head: grant.Head, lanes: newLanes(grant.Revision), storing: make(map[string]bool),
 		inboxDone: make(map[string]bool), confirmed: time.Now(),
@@ -172,8 +173,8 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case act := <-k.post:
-			act()
+		case m := <-k.post:
+			k.busy.spend(m.part, m.act)
 			k.drain()
 			if !k.planned {
 				k.planned = true
@@ -182,7 +183,7 @@
 			continue
 		case at := <-ticker.C:
 			k.lagged(time.Since(at))
-			k.tick(time.Now())
+			k.busy.spend(partTicks, func() { k.tick(time.Now()) })
 		case <-due.C:
 		}
 		k.planned = false
@@ -218,7 +219,7 @@
 	s := k.pool.Stats(now)
 	k.Log.Info().Dur("plan_ms", k.planTook).Dur("worst_lag_ms", k.worstLag).Dur("order_ms", k.repeats.usual()).Int("jobs", s.Jobs).Int("hosts", s.Hosts).Int("usable", s.Usable).Interface("unusable", s.Why).
 		Int("unreached", s.Unreached).Int("runs", s.Runs).Int("waiting_tasks", s.WaitingTasks).
-		Int("waiting_lasting", s.LastingWaiting).Int("used_cores", s.UsedCores).Int("cores", s.Cores).Msg("The pool.")
+		Int("waiting_lasting", s.LastingWaiting).Int("used_cores", s.UsedCores).Int("cores", s.Cores).Dict("busy_ms", k.busy.describe()).Msg("The pool.")
 	k.worstLag = 0
 }
 
@@ -226,8 +227,8 @@
 func (k *Keeper) drain() {
 	for {
 		select {
-		case act := <-k.post:
-			act()
+		case m := <-k.post:
+			k.busy.spend(m.part, m.act)
 		default:
 			return
 		}
@@ -253,6 +254,12 @@
 			go k.ask(target)
 		}
 	}
+	k.busy.spend(partPlans, func() { k.plan(now) })
+	k.busy.spend(partCommits, func() { k.commit(now) })
+}
+
+// plan decides what runs where and sends it off.
+func (k *Keeper) plan(now time.Time) {
 	k.pool.Confirmed(k.surelyHeld(now))
 	plan := k.pool.Plan(now, k.Wall())
 	k.planTook = (3*k.planTook + time.Since(now)) / 4
@@ -263,7 +270,6 @@
 	for _, question := range plan.Questions {
 		go k.question(question)
 	}
-	k.commit(now)
 }
 
 // restFromPlans is the pause before the next plan.
--- a/internal/keeper/metrics.go
+++ b/internal/keeper/metrics.go
@@ -35,6 +35,8 @@
 	jobs        *prometheus.CounterVec
 	jobAge      prometheus.Histogram
 	jobWait     prometheus.Histogram
+	// busy is the time of a pool's goroutine by part.
+	busy *prometheus.CounterVec
 	// plan is the time of a plan, lag that by which the pool's goroutine is late.
 	plan, lag prometheus.Histogram
 }
@@ -106,8 +108,11 @@
 	m.verdicts = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "glade_crash_verdicts_total", Help: "What lost hosts meant for the tasks that ran there.",
 	}, []string{"verdict"})
+	m.busy = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "glade_pool_busy_seconds_total", Help: "Time that the goroutines of pools held here spent, by part.",
+	}, []string{"part"})
 	if registerer != nil {
-		registerer.MustRegister(m.verdicts, m.lostHosts, m.lostRuns, m.plan, m.lag, m.takeovers, m.starts, m.copies, m.repeats, m.stops, m.paces, m.orders, m.seconds, m.commits, m.commitSec, m.entries, m.submits,
+		registerer.MustRegister(m.busy, m.verdicts, m.lostHosts, m.lostRuns, m.plan, m.lag, m.takeovers, m.starts, m.copies, m.repeats, m.stops, m.paces, m.orders, m.seconds, m.commits, m.commitSec, m.entries, m.submits,
 			m.jobs, m.jobAge, m.jobWait, m.lossy, m.sideCommits)
 	}
 	return m
--- a/internal/keeper/orders.go
+++ b/internal/keeper/orders.go
@@ -179,7 +179,7 @@
 		k.Log.Info().Str("task", order.Task.String()).Int("run", order.Run).Str("host", order.To.ID).
 			Stringer("outcome", outcome).Msg("A start was not accepted.")
 	}
-	k.do(k.ctx, func() { k.pool.StartOutcome(order.To.ID, order.Task, order.Run, outcome, time.Now(), k.Wall()) })
+	k.doPart(k.ctx, partOrders, func() { k.pool.StartOutcome(order.To.ID, order.Task, order.Run, outcome, time.Now(), k.Wall()) })
 }
 
 // wantsStart asks the pool whether a start without an answer may go out again.
@@ -198,7 +198,7 @@
 		return k.Orders.Stop(k.ctx, order.To, worker.Stop{Task: order.Task, Run: order.Run, Fence: k.grant.Head.Fence})
 	})
 	k.Metrics.order("stop", outcome, time.Since(sent))
-	k.do(k.ctx, func() { k.pool.StopOutcome(order.To.ID, order.Task, order.Run, outcome, time.Now(), k.Wall()) })
+	k.doPart(k.ctx, partOrders, func() { k.pool.StopOutcome(order.To.ID, order.Task, order.Run, outcome, time.Now(), k.Wall()) })
 }
 
 // ask holds one host for as long as the pool knows it. After a hold without an
@@ -247,9 +247,9 @@
 	answer, outcome := k.Orders.Hold(ctx, target, hold)
 	k.Metrics.order("hold", outcome, time.Since(sent))
 	if outcome == worker.Accepted {
-		k.do(k.ctx, func() { k.pool.Held(target.ID, sent, answer, time.Now(), k.Wall()) })
+		k.doPart(k.ctx, partHolds, func() { k.pool.Held(target.ID, sent, answer, time.Now(), k.Wall()) })
 	} else {
-		k.do(k.ctx, func() { k.holdFailed(target.ID, outcome) })
+		k.doPart(k.ctx, partHolds, func() { k.holdFailed(target.ID, outcome) })
 	}
 	return answer, outcome
 }
--- a/internal/keeper/outcome.go
+++ b/internal/keeper/outcome.go
@@ -90,7 +90,7 @@
 		return
 	}
 	time.AfterFunc(commitRetry, func() {
-		k.do(k.ctx, func() { k.repeat(b) })
+		k.doPart(k.ctx, partCommits, func() { k.repeat(b) })
 	})
 }
 
