Clear runs that are heard again of suspicion, and let only a suspect's crash decide

Found by reading: a host that was silent once kept its lasting tasks as suspects for as long as they ran, so that tasks that need a host for themselves found none; and a task that was alone under its first crash was given up at the next one, whoever ran beside it. A run that its host shows after 2 s is cleared now, and being alone counts from the second crash on.

--- a/internal/sched/answers.go
+++ b/internal/sched/answers.go
@@ -195,6 +195,7 @@
 		r.percent, r.moved, r.movedClock = report.Percent, now, r.host.toldClock
 	}
 	r.load = report.Load
+	r.heardAgain()
 	if report.Saved != "" {
 		r.task.saved = report.Saved
 	}
--- a/internal/sched/crashes.go
+++ b/internal/sched/crashes.go
@@ -15,8 +15,8 @@
 
 const (
 	// crashesAlone are enough to give a task up that was alone on one of these
-	// hosts, crashesMost wherever it ran. The platform allows it from two, and
-	// takes five starts at the most.
+	// hosts other than the first, crashesMost wherever it ran. The platform allows
+	// it from two, and takes five starts at the most.
 	crashesAlone = 2
 	crashesMost  = 4
 	// lastingAlone and lastingMost hold a lasting task back: its job would suffer
@@ -76,7 +76,7 @@
 		return Unblamed
 	}
 	t.charge(r.number)
-	t.crashedAlone = t.crashedAlone || r.alone()
+	t.crashedAlone = t.crashedAlone || len(t.crashed) >= crashesAlone && r.alone()
 	switch {
 	case t.step.spec.Lasting && t.heldBack():
 		return HeldBack
@@ -93,6 +93,7 @@
 func (t *task) charge(number int) {
 	if !slices.Contains(t.crashed, number) {
 		t.crashed = append(t.crashed, number)
+		t.step.crashes++
 		t.job().version++
 	}
 }
@@ -105,6 +106,7 @@
 		return false
 	}
 	t.crashed = slices.Delete(t.crashed, at, at+1)
+	t.step.crashes--
 	t.job().version++
 	return true
 }
@@ -174,7 +176,12 @@
 }
 
 // suspicion is under how many hosts' ends a task may have been.
-func (p *Pool) suspicion(t *task, now time.Time) int { return len(t.crashed) + p.unheard(t, now) }
+func (p *Pool) suspicion(t *task, now time.Time) int {
+	if t.placed == 0 {
+		return len(t.crashed)
+	}
+	return len(t.crashed) + p.unheard(t, now)
+}
 
 // mayCopy reports whether a task may start beside a run that isn't heard. A task
 // that crashes hosts would go through one after the other before the first crash
@@ -217,6 +224,15 @@
 	}
 }
 
+// heardAgain clears a run that has been on its host for a while and is heard.
+func (r *run) heardAgain() {
+	if r.suspect && r.harmless() && len(r.task.crashed) == 0 {
+		r.suspect, r.guarded = false, false
+		r.host.suspects--
+		r.task.job().version++
+	}
+}
+
 // suspect reports whether a task may crash its hosts: it has, or a run of it may.
 func (t *task) suspect() bool {
 	return len(t.crashed) > 0 || t.run != nil && t.run.suspect || slices.ContainsFunc(t.copies, func(r *run) bool { return r.suspect })
@@ -251,7 +267,7 @@
 // there is none says nothing about others of its kind.
 func (pl *planner) startSuspect(t *task) {
 	number := t.lastRun + 1
-	if !pl.announced(t, number) {
+	if t.heldBack() || len(t.copies) > 0 && !pl.mayCopy(t, pl.now) || !pl.announced(t, number) {
 		return
 	}
 	if h := pl.find(t); h != nil {
@@ -305,6 +321,7 @@
 // cleared forgets crashes of a lasting task that has been at work for long.
 func (r *run) cleared(now time.Time) {
 	if t := r.task; len(t.crashed) > 0 && now.Sub(r.begun) > clearedAfter {
+		t.step.crashes -= len(t.crashed)
 		t.crashed, t.crashedAlone = nil, false
 		t.job().version++
 	}
--- a/internal/sched/jobs.go
+++ b/internal/sched/jobs.go
@@ -209,6 +209,7 @@
 			if past, ok := j.restored[taskKey{number, i, index}]; ok {
 				t.done, t.failed, t.crashed, t.saved = past.Done, past.Failed, past.Crashed, past.Saved
 				t.lastRun = past.Run + takeoverRunGap
+				s.crashes += len(t.crashed)
 			}
 			if t.done {
 				s.done++
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -149,19 +149,18 @@
 	if s.of.job.record.Queue.Advice != nil && !pl.advised(s) {
 		return
 	}
-	if at := slices.IndexFunc(s.tasks, (*task).condemned); at >= 0 {
-		pl.giveUp(s.tasks[at], pl.now, pl.wall)
-		return
+	if s.crashes >= crashesMost {
+		if at := slices.IndexFunc(s.tasks, (*task).condemned); at >= 0 {
+			pl.giveUp(s.tasks[at], pl.now, pl.wall)
+			return
+		}
 	}
 	if s.spec.Gang {
 		pl.startGang(s)
 		return
 	}
 	for _, t := range s.tasks {
-		if t.done || t.run != nil || pl.now.Before(t.notBefore) || t.heldBack() {
-			continue
-		}
-		if len(t.copies) > 0 && !pl.mayCopy(t, pl.now) {
+		if t.done || t.run != nil || pl.now.Before(t.notBefore) {
 			continue
 		}
 		if pl.suspicion(t, pl.now) > 0 {
@@ -247,7 +246,7 @@
 	number := 0
 	saved := ""
 	for _, t := range s.tasks {
-		if t.run != nil || pl.now.Before(t.notBefore) {
+		if t.run != nil || pl.now.Before(t.notBefore) || t.heldBack() {
 			return
 		}
 		number = max(number, t.lastRun+1)
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -156,6 +156,8 @@
 	done  int
 	// waiting are the tasks that have nowhere to run yet.
 	waiting int
+	// crashes counts those of all its tasks.
+	crashes int
 	// onHost counts its runs by host. Counted anew for every host and task, a
 	// plan for 85 hosts took most of an entry host's processor time.
 	onHost map[*host]int
@@ -185,7 +187,8 @@
 	// starts, as of trialVersion of its job.
 	trial        int
 	trialVersion uint64
-	// crashedAlone: it was alone on one of the hosts that were lost under it.
+	// crashedAlone: it was alone on one of the hosts that were lost under it, when it
+	// was suspected already.
 	crashedAlone bool
 	// lastRun is the highest run number used.
 	lastRun int
