--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -23,10 +23,7 @@
 		silent := pl.silent(h, pl.now)
 		for _, r := range h.runs {
 			s := r.task.step
-			if r.task.run != r || !s.spec.Copies || s.spec.Gang || s.of.job.state != "" {
-				continue
-			}
-			if !pl.mayCopy(r.task, pl.now) {
+			if r.task.run != r || !s.spec.Copies || s.spec.Gang || s.of.job.state != "" || !pl.mayCopy(r.task, pl.now) {
 				continue
 			}
 			if silent || r.state == stopping || len(r.task.copies) == 0 && r.slow(pl.now) && pl.find(r.task) != nil {
--- a/internal/sched/crashes.go
+++ b/internal/sched/crashes.go
@@ -263,6 +263,18 @@
 	return j.saved >= t.trialVersion
 }
 
+// gangAnnounced reports whether the store has the next run of a gang as a crash of each
+// member that is a suspect.
+func (pl *planner) gangAnnounced(s *step, number int) bool {
+	all := true
+	for _, t := range s.tasks {
+		if pl.suspicion(t, pl.now) > 0 && !pl.announced(t, number) {
+			all = false
+		}
+	}
+	return all
+}
+
 // startSuspect starts a task that may crash its host, if there is one for it. That
 // there is none says nothing about others of its kind.
 func (pl *planner) startSuspect(t *task) {
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -45,6 +45,11 @@
 	return s.of.job.record.Queue.Advice == nil || s.advice.ticket(h.ID, pl.now) != ""
 }
 
+// keepsOff reports whether a host has something to prove or is kept for another task.
+func (h *host) keepsOff(t *task, now time.Time) bool {
+	return h.onTrial() || h.tries(now) || h.quietBut(t, now)
+}
+
 // leave takes one run of the step off a host.
 func (s *step) leave(h *host) {
 	if s.onHost[h]--; s.onHost[h] <= 0 {
@@ -74,7 +79,7 @@
 	var bestScore float64
 	for _, h := range pl.open {
 		// Most hosts of a busy pool are full: that is looked at first.
-		if !size.Fits(h.free()) || h.onTrial() || h.tries(pl.now) || h.quietBut(t, pl.now) || !pl.allowed(s, h) || t.placed > 0 && h.runs[t.name] != nil {
+		if !size.Fits(h.free()) || h.keepsOff(t, pl.now) || !pl.allowed(s, h) || t.placed > 0 && h.runs[t.name] != nil {
 			continue
 		}
 		if !s.spec.Lasting && pl.reserved[h] || h.promised.keepsOut(s, pl.now) {
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -254,13 +254,7 @@
 			saved = t.saved
 		}
 	}
-	waits := false
-	for _, t := range s.tasks {
-		if pl.suspicion(t, pl.now) > 0 && !pl.announced(t, number) {
-			waits = true
-		}
-	}
-	if waits {
+	if !pl.gangAnnounced(s, number) {
 		return
 	}
 	var placed []*host
