--- a/internal/duty/listing.go
+++ b/internal/duty/listing.go
@@ -6,9 +6,8 @@
 )
 
 // list reads the hosts unless that was done a moment ago. Whoever comes while
-// they are read waits for that: with a list for each of some hundred hosts on
-// their way, the lists took all calls that the platform allows, and a round of
-// moves came once in three seconds.
+// they are read waits for that: a list for each of hundreds of hosts on their way
+// would take all calls that the platform allows, and leave none for moves.
 func (k *Keeper) list(ctx context.Context) error {
 	select {
 	case k.listing <- struct{}{}:
--- a/internal/keeper/orders.go
+++ b/internal/keeper/orders.go
@@ -16,15 +16,14 @@
 const (
 	// orderRepeat is how long a start or stop is without an answer before it is
 	// sent again beside the first attempt. A host carries the same order out
-	// once, however often it hears it. Where one order in twenty was left
-	// unanswered, half of the jobs waited a second and a half for some task.
+	// once, however often it hears it. A job waits for the slowest of its orders.
 	orderRepeat = 250 * time.Millisecond
 	// lossyRepeat is that where hosts leave calls unanswered.
 	lossyRepeat = 120 * time.Millisecond
 	// lossyWait and lossyGrace are how long a hold waits on its host there, and
 	// how much longer its answer may take. A host tells ends only with the answer
-	// to a hold, and is asked several times a second: with one call in twenty
-	// lost, more than a third of the hosts were unheard for a second at any time.
+	// to a hold, and is asked several times a second: with few calls lost many
+	// hosts are unheard for a second at any time.
 	lossyWait  = 120 * time.Millisecond
 	lossyGrace = 250 * time.Millisecond
 	// lossyShare of the holds unanswered makes the difference, each of the last
--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -18,8 +18,8 @@
 	used    work.Size
 	runs    map[work.TaskName]*run
 	// lasting counts the lasting runs among them, lastingCPU is what they use in
-	// thousandths of a core. Both are kept as runs come and go: looking through
-	// all runs for them took a fifth of each plan of a full pool.
+	// thousandths of a core. Both are kept as runs come and go: a plan asks for
+	// them again and again.
 	lasting, lastingCPU int
 	// strays are the runs among them whose size isn't known, suspects those whose
 	// task may crash its hosts.
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -129,9 +129,9 @@
 // admit picks the occurrences that can all be done in time: each is taken in the
 // order of its deadline, and whenever the hosts can't do what was taken by then,
 // the one with the most work left is put back behind the others. That leaves out
-// as few as can be, of any size while there is room for large ones. Least work
-// first served a third fewer of the largest jobs at the start of a turn of
-// demand, and slack first alone let each of them make the next one late.
+// as few as can be, of any size while there is room for large ones. With the least
+// work first the largest jobs would wait longest, and with slack first alone each
+// would make the next one late.
 func (pl *planner) admit() {
 	cores := pl.coresForJobs() * fillShare
 	waiting, work := pl.inTime()
@@ -153,8 +153,7 @@
 }
 
 // applicant is an occurrence that could still be done in time, as this plan sees
-// it. Worked out anew in each comparison, this took most of the time of a large
-// pool's plan.
+// it, worked out once for all comparisons.
 type applicant struct {
 	*occurrence
 	// slack is how long it may still wait; with its chain, its deadline follows.
@@ -192,9 +191,8 @@
 	return waiting, atRisk
 }
 
-// scratch is what a plan needs for a moment, kept for the next one: made anew each
-// time, a hundred times a second, it was most of what the garbage collector had to
-// do in a turn of demand.
+// scratch is what a plan needs for a moment, kept for the next one: plans follow each
+// other a hundred times a second in a turn of demand.
 type scratch struct {
 	candidates []candidate
 	applicants []applicant
@@ -246,8 +244,8 @@
 
 // roomWithin is how long the hosts have for all work up to an occurrence for it to
 // be in time: its tasks have to find room by the end of its slack, and what runs
-// by then is half done as a mean. With all the time up to its deadline, so many
-// were taken at the start of a turn that most of them were late.
+// by then is half done as a mean. All the time up to its deadline would admit too
+// many at the start of a turn, and make most of them late.
 func (a *applicant) roomWithin() time.Duration { return a.slack + a.chain/2 }
 
 // slack is how long an occurrence may still wait and be in time.
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -53,8 +53,7 @@
 const stopRetry = 500 * time.Millisecond
 
 // lookEvery is the pause between two looks at all runs for those to pace or to
-// copy, which change over half a second. In every plan they took most of the time
-// of a large pool's.
+// copy, which change over half a second: too dear for every plan of a large pool.
 const lookEvery = 100 * time.Millisecond
 
 // Plan decides what to do now and takes it as ordered.
--- a/internal/sched/task.go
+++ b/internal/sched/task.go
@@ -56,8 +56,8 @@
 	waiting int
 	// crashes counts those of all its tasks.
 	crashes int
-	// onHost counts its runs by host. Counted anew for every host and task, a
-	// plan for 85 hosts took most of an entry host's processor time.
+	// onHost counts its runs by host, kept as runs come and go: a plan asks for
+	// every host and task.
 	onHost map[*host]int
 	// since is when its tasks' turn came.
 	since  time.Time
