Keep the clients of other entry hosts in one place

Pool calls and carriers' exchanges each built the same transport and map of clients by address. internal/callee does both; the bounds of each stay as they were (connections, buffers).

--- /dev/null
+++ b/internal/callee/callee.go
@@ -0,0 +1,62 @@
+// Package callee keeps the clients of a service that other entry hosts serve, one for
+// each address, over connections that they share.
+package callee
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection to another entry host.
+	dialTimeout = 300 * time.Millisecond
+	idleTimeout = time.Minute
+)
+
+// Config is what the connections to each entry host are bounded by.
+type Config struct {
+	// Connections is the most that are open to one entry host.
+	Connections int
+	// BufferBytes is the read and write buffer of one connection, zero for the
+	// library's own.
+	BufferBytes int
+}
+
+// Set is the clients of a service. It is safe for concurrent use.
+type Set[T any] struct {
+	transport *http.Transport
+	client    func(url string, over *http.Client) T
+
+	mu        sync.Mutex
+	byAddress map[string]T
+}
+
+// NewSet returns a set without connections. client makes the client of one entry host.
+func NewSet[T any](config Config, client func(url string, over *http.Client) T) *Set[T] {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &Set[T]{
+		transport: &http.Transport{
+			DialContext: dialer.DialContext, MaxConnsPerHost: config.Connections, MaxIdleConnsPerHost: config.Connections,
+			IdleConnTimeout: idleTimeout, DisableCompression: true,
+			ReadBufferSize: config.BufferBytes, WriteBufferSize: config.BufferBytes,
+		},
+		client: client, byAddress: make(map[string]T),
+	}
+}
+
+// At returns the client of the entry host at an address.
+func (s *Set[T]) At(address string) T {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	client, known := s.byAddress[address]
+	if !known {
+		client = s.client("http://"+address, &http.Client{Transport: s.transport})
+		s.byAddress[address] = client
+	}
+	return client
+}
+
+// DropIdle closes the connections that carry nothing, which may have gone silent.
+func (s *Set[T]) DropIdle() { s.transport.CloseIdleConnections() }
--- a/internal/carrierrpc/carrierrpc.go
+++ b/internal/carrierrpc/carrierrpc.go
@@ -6,20 +6,16 @@
 	"errors"
 	"net"
 	"net/http"
-	"sync"
-	"time"
 
+	"auburnglade.example/glade/internal/callee"
 	"auburnglade.example/glade/internal/carrier"
 	"auburnglade.example/glade/internal/carrierrpc/carrierpb"
 )
 
 const (
-	// dialTimeout bounds the opening of a connection to another entry host.
-	dialTimeout = 300 * time.Millisecond
 	// connections is the most we open to one entry host: each pool held here
 	// has two exchanges with it at a time.
 	connections = 8
-	idleTimeout = time.Minute
 	// bufferBytes is the read and write buffer of one connection.
 	bufferBytes = 8 << 10
 )
@@ -55,33 +51,16 @@
 
 // Client asks carriers.
 type Client struct {
-	transport *http.Transport
-
-	mu    sync.Mutex
-	peers map[string]carrierpb.Carriers
+	peers *callee.Set[carrierpb.Carriers]
 }
 
 var _ carrier.Peers = (*Client)(nil)
 
 // NewClient returns a client without connections.
 func NewClient() *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Client{
-		transport: &http.Transport{
-			DialContext: dialer.DialContext, MaxConnsPerHost: connections, MaxIdleConnsPerHost: connections,
-			IdleConnTimeout: idleTimeout, DisableCompression: true, ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes,
-		},
-		peers: make(map[string]carrierpb.Carriers),
-	}
-}
-
-func (c *Client) peer(address string) carrierpb.Carriers {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.peers[address] == nil {
-		c.peers[address] = carrierpb.NewCarriersProtobufClient("http://"+address, &http.Client{Transport: c.transport})
-	}
-	return c.peers[address]
+	return &Client{callee.NewSet(callee.Config{Connections: connections, BufferBytes: bufferBytes}, func(url string, over *http.Client) carrierpb.Carriers {
+		return carrierpb.NewCarriersProtobufClient(url, over)
+	})}
 }
 
 // Exchange implements carrier.Peers.
@@ -90,7 +69,7 @@
 	for i := range calls {
 		request.Calls = append(request.Calls, encodeCall(&calls[i]))
 	}
-	reply, err := c.peer(address).Exchange(ctx, request)
+	reply, err := c.peers.At(address).Exchange(ctx, request)
 	if err != nil {
 		if neverLeft(err) {
 			return nil, &carrier.UnsentError{Address: address, Cause: err}
--- a/internal/carrierrpc/messages_test.go
+++ b/internal/carrierrpc/messages_test.go
@@ -107,7 +107,7 @@
 	must.NoError(t, err)
 	must.Len(t, 2, replies)
 	must.EqOp(t, 5, replies[1].ID)
-	client.transport.CloseIdleConnections()
+	client.peers.DropIdle()
 	server.Close()
 	_, err = client.Exchange(t.Context(), address, "s", calls)
 	var unsent *carrier.UnsentError
--- a/internal/poolrpc/poolrpc.go
+++ b/internal/poolrpc/poolrpc.go
@@ -4,24 +4,18 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
-	"sync"
 	"time"
 
+	"auburnglade.example/glade/internal/callee"
 	"auburnglade.example/glade/internal/duty"
 	"auburnglade.example/glade/internal/keeper"
 	"auburnglade.example/glade/internal/poolrpc/poolpb"
 	"auburnglade.example/glade/internal/work"
 )
 
-const (
-	// dialTimeout bounds the opening of a connection to another entry host.
-	dialTimeout = 300 * time.Millisecond
-	// connections is the most we open to one entry host.
-	connections = 8
-	idleTimeout = time.Minute
-)
+// connections is the most we open to one entry host.
+const connections = 8
 
 // Service is what an entry host answers to others.
 type Service interface {
@@ -131,36 +125,17 @@
 }
 
 // Client asks other entry hosts.
-type Client struct {
-	transport *http.Transport
-
-	mu    sync.Mutex
-	peers map[string]poolpb.Pools
-}
+type Client struct{ peers *callee.Set[poolpb.Pools] }
 
 // NewClient returns a client without connections.
 func NewClient() *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Client{
-		transport: &http.Transport{
-			DialContext: dialer.DialContext, MaxConnsPerHost: connections, MaxIdleConnsPerHost: connections,
-			IdleConnTimeout: idleTimeout, DisableCompression: true,
-		},
-		peers: make(map[string]poolpb.Pools),
-	}
-}
-
-func (c *Client) peer(address string) poolpb.Pools {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.peers[address] == nil {
-		c.peers[address] = poolpb.NewPoolsProtobufClient("http://"+address, &http.Client{Transport: c.transport})
-	}
-	return c.peers[address]
+	return &Client{callee.NewSet(callee.Config{Connections: connections}, func(url string, over *http.Client) poolpb.Pools {
+		return poolpb.NewPoolsProtobufClient(url, over)
+	})}
 }
 
 // failed drops idle connections, which may have gone silent as well.
-func (c *Client) failed() { c.transport.CloseIdleConnections() }
+func (c *Client) failed() { c.peers.DropIdle() }
 
 func left(ctx context.Context) int64 {
 	deadline, ok := ctx.Deadline()
@@ -183,7 +158,7 @@
 
 // Submit hands a job to an entry host. err means that its outcome is unknown.
 func (c *Client) Submit(ctx context.Context, address string, record *work.Record, relay bool) (result keeper.Result, held bool, err error) {
-	reply, err := c.peer(address).Submit(ctx, &poolpb.SubmitRequest{
+	reply, err := c.peers.At(address).Submit(ctx, &poolpb.SubmitRequest{
 		Pool: record.Queue.Pool, Record: work.EncodeRecord(record), TimeoutMs: left(ctx), Relay: relay,
 	})
 	if err != nil {
@@ -195,7 +170,7 @@
 
 // Cancel passes a cancel on. err means that its outcome is unknown.
 func (c *Client) Cancel(ctx context.Context, address, pool, id string, relay bool) (result keeper.Result, held bool, err error) {
-	reply, err := c.peer(address).Cancel(ctx, &poolpb.JobRequest{Pool: pool, Id: id, TimeoutMs: left(ctx), Relay: relay})
+	reply, err := c.peers.At(address).Cancel(ctx, &poolpb.JobRequest{Pool: pool, Id: id, TimeoutMs: left(ctx), Relay: relay})
 	if err != nil {
 		c.failed()
 		return keeper.ResultUnknown, true, err
@@ -205,7 +180,7 @@
 
 // State asks for a job's state.
 func (c *Client) State(ctx context.Context, address, pool, id string, relay bool) (state work.State, known, held bool, err error) {
-	reply, err := c.peer(address).State(ctx, &poolpb.JobRequest{Pool: pool, Id: id, TimeoutMs: left(ctx), Relay: relay})
+	reply, err := c.peers.At(address).State(ctx, &poolpb.JobRequest{Pool: pool, Id: id, TimeoutMs: left(ctx), Relay: relay})
 	if err != nil {
 		c.failed()
 		return "", false, false, err
@@ -215,7 +190,7 @@
 
 // Waiting asks how many jobs of a queue wait.
 func (c *Client) Waiting(ctx context.Context, address, pool, queue string) (count int, held bool, err error) {
-	reply, err := c.peer(address).Waiting(ctx, &poolpb.WaitingRequest{Pool: pool, Queue: queue})
+	reply, err := c.peers.At(address).Waiting(ctx, &poolpb.WaitingRequest{Pool: pool, Queue: queue})
 	if err != nil {
 		c.failed()
 		return 0, false, err
@@ -225,7 +200,7 @@
 
 // Vacate asks for hosts to be emptied.
 func (c *Client) Vacate(ctx context.Context, address, pool string, hosts []string) (emptied []duty.Emptied, held bool, err error) {
-	reply, err := c.peer(address).Vacate(ctx, &poolpb.VacateRequest{Pool: pool, Hosts: hosts})
+	reply, err := c.peers.At(address).Vacate(ctx, &poolpb.VacateRequest{Pool: pool, Hosts: hosts})
 	if err != nil {
 		c.failed()
 		return nil, false, err
@@ -238,7 +213,7 @@
 
 // Load asks how busy a pool is.
 func (c *Client) Load(ctx context.Context, address, pool string, due []string) (load duty.Load, held bool, err error) {
-	reply, err := c.peer(address).Load(ctx, &poolpb.LoadRequest{Pool: pool, Due: due})
+	reply, err := c.peers.At(address).Load(ctx, &poolpb.LoadRequest{Pool: pool, Due: due})
 	if err != nil {
 		c.failed()
 		return duty.Load{}, false, err
