Judge a task that crashes hosts in one place, and work its suspicion out once a search

When enough crashes were counted stood twice, after a loss and before a start; one of them knew only the higher bound. A search for a host asked anew for each host under how many lost hosts the task was, and a plan's time was read twice.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -262,8 +262,9 @@
 func (k *Keeper) plan(now time.Time) {
 	k.pool.Confirmed(k.surelyHeld(now))
 	plan := k.pool.Plan(now, k.Wall())
-	k.planTook = (3*k.planTook + time.Since(now)) / 4
-	k.Metrics.plan.Observe(time.Since(now).Seconds())
+	took := time.Since(now)
+	k.planTook = (3*k.planTook + took) / 4
+	k.Metrics.plan.Observe(took.Seconds())
 	for _, order := range plan.Orders {
 		k.dispatch(order)
 	}
--- a/internal/sched/crashes.go
+++ b/internal/sched/crashes.go
@@ -82,7 +82,7 @@
 		return HeldBack
 	case t.step.spec.Lasting:
 		return Suspected
-	case len(t.crashed) >= crashesMost, len(t.crashed) >= crashesAlone && t.crashedAlone:
+	case t.condemned():
 		p.giveUp(t, now, wall)
 		return GivenUp
 	}
@@ -124,9 +124,11 @@
 	return t.step.spec.Lasting && (len(t.crashed) >= lastingMost || t.crashedAlone && len(t.crashed) >= lastingAlone)
 }
 
-// condemned reports whether a task was found to crash its hosts, as a former
-// holder may have done without being able to say so.
-func (t *task) condemned() bool { return !t.step.spec.Lasting && len(t.crashed) >= crashesMost }
+// condemned reports whether a task was found to crash its hosts. A former holder may
+// have counted the last of them without being able to say so.
+func (t *task) condemned() bool {
+	return !t.step.spec.Lasting && (len(t.crashed) >= crashesMost || t.crashedAlone && len(t.crashed) >= crashesAlone)
+}
 
 // harmless reports whether a run had been on its host for a while when that was
 // last heard.
@@ -315,8 +317,8 @@
 
 // company says how badly a host suits a suspect; less is better. ok is false where
 // a strong one couldn't be told from others.
-func (pl *planner) company(t *task, h *host) (score float64, ok bool) {
-	if pl.suspicion(t, pl.now) >= strongSuspect && (h.suspects > 0 || h.hasFresh()) {
+func (pl *planner) company(t *task, suspicion int, h *host) (score float64, ok bool) {
+	if suspicion >= strongSuspect && (h.suspects > 0 || h.hasFresh()) {
 		return 0, false
 	}
 	score = suspectsWeight*float64(h.suspects) + lastingWeight*float64(h.lasting) + companyWeight*float64(len(h.runs))
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -74,7 +74,7 @@
 	if !size.Fits(pl.most) {
 		return nil
 	}
-	suspected := pl.suspicion(t, pl.now) > 0
+	suspicion := pl.suspicion(t, pl.now)
 	var best *host
 	var bestScore float64
 	for _, h := range pl.open {
@@ -86,9 +86,9 @@
 			continue
 		}
 		score, ok := pl.score(s, h)
-		if ok && suspected {
+		if ok && suspicion > 0 {
 			var company float64
-			company, ok = pl.company(t, h)
+			company, ok = pl.company(t, suspicion, h)
 			score += company
 		}
 		if ok && (best == nil || score < bestScore || score == bestScore && h.ID < best.ID) {
