--- a/internal/entryhost/carrier_test.go
+++ b/internal/entryhost/carrier_test.go
@@ -21,7 +21,7 @@
 		for range 40 {
 			jobs = append(jobs, w.accept(w.entries[holder], "day", quick(3)))
 		}
-		for _, node := range []string{"entry-1", "entry-2", "entry-3"} {
+		for _, node := range nodes {
 			if node == holder {
 				continue
 			}
--- a/internal/entryhost/entryhost_test.go
+++ b/internal/entryhost/entryhost_test.go
@@ -50,13 +50,11 @@
 func TestAcceptedJobOutlivesAllEntryHosts(t *testing.T) {
 	play(t, 3, func(w *world) {
 		id := w.accept(w.other("day"), "day", quick(4))
-		for _, node := range []string{"entry-1", "entry-2", "entry-3"} {
+		for _, node := range nodes {
 			w.kill(node)
 		}
 		time.Sleep(time.Second)
-		for _, node := range []string{"entry-1", "entry-2", "entry-3"} {
-			w.start(node)
-		}
+		w.startAll()
 		w.done(w.entries["entry-2"], "day", id, 8*time.Second)
 	})
 }
--- a/internal/entryhost/harmful_test.go
+++ b/internal/entryhost/harmful_test.go
@@ -22,7 +22,7 @@
 
 // startAll starts all entry hosts' processes again.
 func (w *world) startAll() {
-	for _, node := range []string{"entry-1", "entry-2", "entry-3"} {
+	for _, node := range nodes {
 		w.start(node)
 	}
 }
--- a/internal/entryhost/load_test.go
+++ b/internal/entryhost/load_test.go
@@ -47,7 +47,7 @@
 
 // any returns some entry host that runs.
 func (w *world) any() *entry {
-	for _, node := range []string{"entry-1", "entry-2", "entry-3"} {
+	for _, node := range nodes {
 		if e := w.entries[node]; e != nil {
 			return e
 		}
--- a/internal/entryhost/random_test.go
+++ b/internal/entryhost/random_test.go
@@ -188,7 +188,6 @@
 
 // any returns some entry host; the order of a map must not decide a day.
 func (d *day) any() *entry {
-	nodes := []string{"entry-1", "entry-2", "entry-3"}
 	for {
 		if e := d.entries[nodes[d.random.IntN(len(nodes))]]; e != nil {
 			return e
--- a/internal/entryhost/world_test.go
+++ b/internal/entryhost/world_test.go
@@ -44,6 +44,9 @@
 	strength carrier.Strength
 }
 
+// nodes are the names of up to three entry hosts, in order.
+var nodes = []string{"entry-1", "entry-2", "entry-3"}
+
 type entry struct {
 	*entryhost.Host
 	address string
