Give grants back by the revision that the write returned

What operators saw: all waves of one controller stand still for ever, without a log line, while the process keeps its shards.

Cause: the end of a visit read the revision of its own write back from the host's memory. A round that has seen the write in the feed drops it there: nil pointer, with the lock held, and the deferred end of the step waits for that lock. The panic is never printed.

Why it works: a write returns its revision, which no round can take away. TestRoundsBesideTheEndOfAVisit failed in 20 of 20 runs before with and without the race detector, and passes now.

--- a/internal/drainer/apply.go
+++ b/internal/drainer/apply.go
@@ -105,14 +105,16 @@
 		return d.reboot(ctx, o, waveName, item)
 	case wave.AwaitProof:
 		d.asker.Forget(item.Host)
-		return d.write(ctx, waveName, item, func(r *hostrecord.Record) { r.Phase = hostrecord.Proving })
+		_, err := d.write(ctx, waveName, item, func(r *hostrecord.Record) { r.Phase = hostrecord.Proving })
+		return err
 	case wave.Return:
 		return d.putBack(ctx, o, waveName, step, item)
 	case wave.GiveUp:
-		return d.write(ctx, waveName, item, func(r *hostrecord.Record) {
+		_, err := d.write(ctx, waveName, item, func(r *hostrecord.Record) {
 			r.Phase = hostrecord.Failed
 			r.Visits = visited(r, step.Visit)
 		})
+		return err
 	}
 	return nil
 }
@@ -131,7 +133,7 @@
 	}
 	err := d.mayStart(o, item)
 	if err == nil {
-		err = d.write(ctx, waveName, item, func(r *hostrecord.Record) {
+		_, err = d.write(ctx, waveName, item, func(r *hostrecord.Record) {
 			r.Phase = hostrecord.Draining
 			r.Wave = waveName
 			r.Operation = operation
@@ -193,7 +195,7 @@
 	if !again || moved {
 		// A host that restarted by itself since has another boot: without the
 		// new one on record, that boot would pass for our reboot's.
-		err := d.write(ctx, waveName, item, func(r *hostrecord.Record) {
+		_, err := d.write(ctx, waveName, item, func(r *hostrecord.Record) {
 			r.Phase = hostrecord.Rebooting
 			r.BootID = state.BootID
 		})
@@ -252,7 +254,7 @@
 		return err
 	}
 	services := granted(o, item)
-	err := d.write(ctx, waveName, item, func(r *hostrecord.Record) {
+	returned, err := d.write(ctx, waveName, item, func(r *hostrecord.Record) {
 		r.Visits = visited(r, visit)
 		// A host that is put back before its reboot may still have its old
 		// pool's work in flight: its move waits for another drain.
@@ -266,7 +268,7 @@
 	if err != nil {
 		return err
 	}
-	return d.giveBack(ctx, item, services)
+	return d.giveBack(ctx, item, services, returned)
 }
 
 // poolOnReturn is the pool that a host bound for another one comes back to. The
@@ -281,14 +283,11 @@
 	return r.NextPool
 }
 
-// giveBack releases the grants of a host that serves again. What it can't
-// release the sweep will.
-func (d *Drainer) giveBack(ctx context.Context, item catalog.HostItem, services []string) error {
-	d.mu.Lock()
-	seen := d.memoryOf(item.Host).own.Revision
-	d.mu.Unlock()
+// giveBack releases the grants of a host that serves again since its record's
+// revision returned. What it can't release the sweep will.
+func (d *Drainer) giveBack(ctx context.Context, item catalog.HostItem, services []string, returned store.Revision) error {
 	for _, service := range services {
-		if err := d.Gate.ReleaseAfter(ctx, service, item.Host, item.Operation, seen); err != nil {
+		if err := d.Gate.ReleaseAfter(ctx, service, item.Host, item.Operation, returned); err != nil {
 			return err
 		}
 	}
--- /dev/null
+++ b/internal/drainer/giveback_internal_test.go
@@ -0,0 +1,103 @@
+package drainer
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test/must"
+
+	"auburnglade.example/glade/internal/budget"
+	"auburnglade.example/glade/internal/catalog"
+	"auburnglade.example/glade/internal/feed"
+	"auburnglade.example/glade/internal/fleet"
+	"auburnglade.example/glade/internal/fleet/fakefleet"
+	"auburnglade.example/glade/internal/hostrecord"
+	"auburnglade.example/glade/internal/invariant"
+	"auburnglade.example/glade/internal/keys"
+	"auburnglade.example/glade/internal/record"
+	"auburnglade.example/glade/internal/store"
+	"auburnglade.example/glade/internal/store/memstore"
+)
+
+// heldShards holds every shard.
+type heldShards struct{}
+
+func (heldShards) Holds(string) bool { return true }
+
+// seenStore answers a write only once the feed shows it.
+type seenStore struct {
+	store.Store
+	feed *feed.Feed
+}
+
+func (s *seenStore) CompareAndSwap(ctx context.Context, write store.Write) (store.Revision, error) {
+	revision, err := s.Store.CompareAndSwap(ctx, write)
+	if err == nil {
+		err = s.feed.List(ctx)
+	}
+	return revision, err
+}
+
+// Guards against a visit's end that reads its own write back from the memory
+// that a round has cleared meanwhile, and then holds the drainer's lock for ever.
+func TestRoundsBesideTheEndOfAVisit(t *testing.T) {
+	const visits = 400
+	platform := &seenStore{Store: memstore.New()}
+	platform.feed = feed.New(platform, zerolog.Nop(), invariant.New(zerolog.Nop(), nil), nil)
+	d := New(Config{
+		Store: platform, Feed: platform.feed, Shards: heldShards{}, Gate: budget.NewGate(platform),
+		Pool:      fakefleet.New([]fleet.Host{{Name: "h1"}}, fakefleet.Options{}),
+		Invariant: invariant.New(zerolog.Nop(), nil), Log: zerolog.Nop(),
+	})
+	rounds, stop := context.WithCancel(t.Context())
+	defer stop()
+	go func() {
+		for rounds.Err() == nil {
+			d.mu.Lock()
+			for name, item := range d.Feed.Snapshot().Hosts {
+				d.remember(name, item)
+			}
+			d.mu.Unlock()
+		}
+	}()
+	for visit := range visits {
+		must.NoError(t, endVisitOf(t.Context(), d, fmt.Sprintf("operation-%d", visit)))
+	}
+}
+
+// endVisitOf puts the host out under an operation and ends that visit.
+func endVisitOf(ctx context.Context, d *Drainer, operation string) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = &panicError{cause}
+		}
+	}()
+	const service = "a"
+	if err := d.Gate.Acquire(ctx, "h1", budget.Grant{Operation: operation}, []string{service}, plenty); err != nil {
+		return err
+	}
+	out := hostrecord.Record{
+		Host: "h1", Pool: "p1", Phase: hostrecord.Proving, Wave: "w", Operation: operation,
+		Granted: []string{service}, WriteID: uuid.NewString(),
+	}
+	key := keys.Host(out.Host)
+	item := d.Feed.Snapshot().Hosts[out.Host]
+	revision, err := d.Store.CompareAndSwap(ctx, store.Write{Key: key, Expect: item.Revision, Value: out.Encode()})
+	if err != nil {
+		return err
+	}
+	return d.endVisit(ctx, &observed{}, out.Wave, nil, catalog.HostItem{Record: out, Revision: revision})
+}
+
+// plenty is a budget that allows every disruption.
+func plenty(service string) budget.View {
+	return budget.View{Service: service, Budgets: []*record.Budget{{Service: service}}}
+}
+
+// panicError is a panic in the code under test.
+type panicError struct{ cause any }
+
+func (e *panicError) Error() string { return fmt.Sprint("panic: ", e.cause) }
--- a/internal/drainer/guard.go
+++ b/internal/drainer/guard.go
@@ -105,15 +105,19 @@
 	return nil
 }
 
-// write changes a host's record unless it changed since it was read.
-func (d *Drainer) write(ctx context.Context, waveName string, item catalog.HostItem, change func(*hostrecord.Record)) error {
+// write changes a host's record unless it changed since it was read, and
+// returns the revision of the changed one.
+func (d *Drainer) write(ctx context.Context, waveName string, item catalog.HostItem, change func(*hostrecord.Record)) (store.Revision, error) {
 	if !d.Shards.Holds(waveShard + waveName) {
-		return &NotHeldError{Wave: waveName}
+		return 0, &NotHeldError{Wave: waveName}
 	}
 	return d.swap(ctx, item, change)
 }
 
-func (d *Drainer) swap(ctx context.Context, item catalog.HostItem, change func(*hostrecord.Record)) error {
+// swap is write for changes that need no wave. The revision it returns can't be
+// read back from the host's memory: a round may have seen it in the feed, and
+// dropped it there.
+func (d *Drainer) swap(ctx context.Context, item catalog.HostItem, change func(*hostrecord.Record)) (store.Revision, error) {
 	next := item.Record
 	change(&next)
 	next.WriteID = uuid.NewString()
@@ -125,14 +129,14 @@
 		Key: keys.Host(item.Host), Expect: item.Revision, Value: next.Encode(),
 	})
 	if err != nil {
-		return err
+		return 0, err
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	m := d.memoryOf(item.Host)
 	m.own = &catalog.HostItem{Record: next, Revision: revision}
 	m.changed = time.Now()
-	return nil
+	return revision, nil
 }
 
 // onePool reports whether a change of record leaves the host in one pool: it
--- a/internal/drainer/sweep.go
+++ b/internal/drainer/sweep.go
@@ -99,12 +99,10 @@
 		return err
 	}
 	item := catalog.HostItem{Record: current, Revision: entry.ModRevision}
-	if err := d.swap(ctx, item, func(*hostrecord.Record) {}); err != nil {
+	fenced, err := d.swap(ctx, item, func(*hostrecord.Record) {})
+	if err != nil {
 		return err
 	}
-	d.mu.Lock()
-	fenced := d.memoryOf(key.host).own.Revision
-	d.mu.Unlock()
 	return d.Gate.ReleaseAfter(ctx, key.service, key.host, key.operation, fenced)
 }
 
@@ -121,7 +119,8 @@
 			continue
 		}
 		pruned++
-		if err := d.swap(ctx, item, func(r *hostrecord.Record) { r.Visits = kept }); err != nil && !store.IsConflict(err) {
+		_, err := d.swap(ctx, item, func(r *hostrecord.Record) { r.Visits = kept })
+		if err != nil && !store.IsConflict(err) {
 			d.Log.Warn().Err(err).Str("host", item.Host).Msg("Visits not pruned.")
 		}
 	}
