Give locks back by defer wherever a panic may come under them

Cause: the standstill of the drainer got its length from a lock that a panic left held: a deferred call of the same goroutine waited for it, and nobody saw the panic. The same would happen to a part that is restarted after a panic, and to the handlers of a server, which recovers panics: everyone after them waits for ever.

Looked for elsewhere: 36 calls that may panic stood between a Lock and a plain Unlock (drainer, audit, duty, feed, limit, peer, sharekeeper, storebudget, telemetry). None is known to panic. They are functions of their own now that give the lock back by defer; what they do is as before. The revisions and other fields that a function reads back after it gave a lock up were looked through too: no other one is cleared by someone else in between.

--- a/internal/audit/book.go
+++ b/internal/audit/book.go
@@ -274,12 +274,7 @@
 	if err := b.ascertain(ctx, p); err != nil {
 		return err
 	}
-	b.mu.Lock()
-	wasDirty := b.dirty[p.key] != nil
-	delete(b.dirty, p.key)
-	p.content.WriteID = uuid.NewString()
-	value, err := json.Marshal(p.content)
-	b.mu.Unlock()
+	wasDirty, value, err := b.encode(p)
 	if err != nil {
 		return &DamagedError{Key: p.key, Cause: err}
 	}
@@ -297,6 +292,18 @@
 	return err
 }
 
+// encode returns a page as it is to be stored, and whether it was dirty, which
+// it is no more.
+func (b *Book) encode(p *page) (wasDirty bool, value []byte, err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	wasDirty = b.dirty[p.key] != nil
+	delete(b.dirty, p.key)
+	p.content.WriteID = uuid.NewString()
+	value, err = json.Marshal(p.content)
+	return wasDirty, value, err
+}
+
 // ascertain reads at which revision a page is after a write whose outcome is
 // unknown. A write that arrives even later loses its compare-and-swap.
 func (b *Book) ascertain(ctx context.Context, p *page) error {
--- a/internal/drainer/apply.go
+++ b/internal/drainer/apply.go
@@ -30,15 +30,7 @@
 // start applies a step in the background, unless one is under way for the host
 // or too many are. It is planned again in the next round.
 func (d *Drainer) start(ctx context.Context, o *observed, waveName string, step wave.Step) {
-	d.mu.Lock()
-	m := d.memoryOf(step.Host)
-	busy := m.busy
-	m.busy = true
-	if !busy && step.Verb == wave.StartDrain {
-		m.starting = waveName
-	}
-	d.mu.Unlock()
-	if busy {
+	if !d.begun(waveName, step) {
 		return
 	}
 	select {
@@ -58,6 +50,22 @@
 	})
 }
 
+// begun notes that a step is under way for its host, and reports false if one
+// was already.
+func (d *Drainer) begun(waveName string, step wave.Step) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	m := d.memoryOf(step.Host)
+	if m.busy {
+		return false
+	}
+	m.busy = true
+	if step.Verb == wave.StartDrain {
+		m.starting = waveName
+	}
+	return true
+}
+
 func (d *Drainer) ended(host string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -73,13 +81,11 @@
 		err = d.finishEnded(ctx, o, waveName, o.Records[step.Host])
 	}
 	var refused *budget.RefusedError
-	d.mu.Lock()
-	m := d.memoryOf(step.Host)
-	m.refusal = ""
+	reason := ""
 	if errors.As(err, &refused) {
-		m.refusal = refused.Reason
+		reason = refused.Reason
 	}
-	d.mu.Unlock()
+	d.noteRefusal(step.Host, reason)
 	switch {
 	case refused != nil:
 		d.metrics.refused.Inc()
@@ -95,6 +101,13 @@
 	return err
 }
 
+// noteRefusal keeps why the host was refused, empty if it wasn't.
+func (d *Drainer) noteRefusal(host, reason string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.memoryOf(host).refusal = reason
+}
+
 func (d *Drainer) step(ctx context.Context, o *observed, waveName string, step wave.Step, item catalog.HostItem) error {
 	switch step.Verb {
 	case wave.StartDrain:
--- a/internal/drainer/observe.go
+++ b/internal/drainer/observe.go
@@ -58,11 +58,7 @@
 	for _, w := range waves {
 		o.waves[w.name] = w
 	}
-	d.mu.Lock()
-	for name, item := range snapshot.Hosts {
-		o.Records[name] = d.remember(name, item)
-	}
-	d.mu.Unlock()
+	d.rememberAll(o)
 	o.States = d.asker.Refresh(ctx, d.questions(o))
 	for _, item := range o.Records {
 		if _, asked := o.lagging[item.Revision]; item.Phase == hostrecord.Draining && item.Wave != "" && !asked {
@@ -72,6 +68,15 @@
 	return o
 }
 
+// rememberAll fills in the newest record known of each host.
+func (d *Drainer) rememberAll(o *observed) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for name, item := range o.Snapshot.Hosts {
+		o.Records[name] = d.remember(name, item)
+	}
+}
+
 // remember returns the newest record known of a host: this process's own last
 // write may not have come back through the feed yet. Without it the next round
 // would plan on a host as it was before. The caller holds mu.
@@ -132,13 +137,7 @@
 // a record lasts for moments, and the gate counts it. A remembered ledger could
 // be behind, and a wave that it blocks would never ask the gate to read it anew.
 func (d *Drainer) fleetOf(o *observed) wave.Fleet {
-	planned := wave.Fleet{Policy: o.Snapshot.Policy(), Now: time.Now()}
-	d.mu.Lock()
-	for _, w := range sorted(o.waves) {
-		w.input.Hosts = d.waveHosts(o, w)
-		planned.Waves = append(planned.Waves, w.input)
-	}
-	d.mu.Unlock()
+	planned := wave.Fleet{Policy: o.Snapshot.Policy(), Now: time.Now(), Waves: d.inputs(o)}
 	var views []budget.View
 	for service := range o.Snapshot.Services() {
 		views = append(views, o.Budget(service))
@@ -147,6 +146,18 @@
 	return planned
 }
 
+// inputs are the waves with their hosts, by name.
+func (d *Drainer) inputs(o *observed) []wave.Input {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var inputs []wave.Input
+	for _, w := range sorted(o.waves) {
+		w.input.Hosts = d.waveHosts(o, w)
+		inputs = append(inputs, w.input)
+	}
+	return inputs
+}
+
 // waveHosts are the hosts of the wave's pools and those it has out elsewhere:
 // a host may have left the pool, or the pool the wave, since it was taken out.
 func (d *Drainer) waveHosts(o *observed, w waveInForce) []wave.Host {
--- a/internal/duty/waves.go
+++ b/internal/duty/waves.go
@@ -68,12 +68,19 @@
 		Slow: make(map[string]bool), SlowOut: make(map[string]int), Working: make(map[string]bool),
 		Expect: k.rhythm.Expected(),
 	}
-	due := wave.due()
+	k.viewHosts(&view, wave.due(), state)
+	view.Take(loads)
+	return view
+}
+
+// viewHosts counts the hosts of each pool, those out, and those left to send.
+func (k *Keeper) viewHosts(view *WaveView, due map[string]bool, state *waveState) {
 	k.mu.Lock()
+	defer k.mu.Unlock()
 	view.PerHost = k.outTimes.PerHost()
 	for _, e := range k.busy {
 		view.OutOf[e.pool]++
-		if e.wave == wave.Number {
+		if e.wave == view.Wave.Number {
 			view.Out++
 		}
 		if e.slow && !e.down {
@@ -89,9 +96,6 @@
 			view.Left = append(view.Left, h)
 		}
 	}
-	k.mu.Unlock()
-	view.Take(loads)
-	return view
 }
 
 // send starts to take one host through its maintenance.
@@ -183,16 +187,9 @@
 // save stores a wave's state under the duty's head, so that only its holder
 // can.
 func (k *Keeper) save(ctx context.Context, number int64, state *waveState) bool {
-	k.mu.Lock()
-	value, err := json.Marshal(state)
-	k.mu.Unlock()
-	if err != nil {
-		// A struct of maps and numbers always encodes.
-		panic(err)
-	}
-	_, err = k.Store.Commit(ctx, store.Txn{
+	_, err := k.Store.Commit(ctx, store.Txn{
 		Conditions: []store.Condition{{Key: ledger.HeadKey(Claim), Expect: k.revision}},
-		Puts:       []store.Put{{Key: waveKey(number), Value: value}},
+		Puts:       []store.Put{{Key: waveKey(number), Value: k.encode(state)}},
 	})
 	if store.IsTxnConflict(err) {
 		k.depose()
@@ -200,15 +197,32 @@
 	return err == nil
 }
 
-// tell writes a wave's status for the operator when it changes.
-func (k *Keeper) tell(ctx context.Context, wave Wave, state *waveState) {
-	over := true
+func (k *Keeper) encode(state *waveState) []byte {
 	k.mu.Lock()
+	defer k.mu.Unlock()
+	value, err := json.Marshal(state)
+	if err != nil {
+		// A struct of maps and numbers always encodes.
+		panic(err)
+	}
+	return value
+}
+
+// over reports whether no host that is still listed is left in the wave.
+func (k *Keeper) over(wave Wave, state *waveState) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	for _, name := range wave.Hosts {
-		_, listed := k.hostLocked(name)
-		over = over && (state.Done[name] || !listed)
+		if _, listed := k.hostLocked(name); listed && !state.Done[name] {
+			return false
+		}
 	}
-	k.mu.Unlock()
+	return true
+}
+
+// tell writes a wave's status for the operator when it changes.
+func (k *Keeper) tell(ctx context.Context, wave Wave, state *waveState) {
+	over := k.over(wave, state)
 	if state.told && !over {
 		return
 	}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -159,10 +159,7 @@
 // Since returns what a process at revision after lacks: the events it missed
 // when they are still kept, everything otherwise.
 func (f *Feed) Since(after store.Revision) catalog.Delta {
-	f.mu.Lock()
-	snapshot := f.current
-	steps, kept := f.recent.after(after)
-	f.mu.Unlock()
+	snapshot, steps, kept := f.stepsSince(after)
 	if !kept || after > snapshot.Revision {
 		return snapshot.Whole()
 	}
@@ -177,6 +174,13 @@
 	return delta
 }
 
+func (f *Feed) stepsSince(after store.Revision) (snapshot *catalog.Snapshot, steps []store.Event, kept bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	steps, kept = f.recent.after(after)
+	return f.current, steps, kept
+}
+
 // Hear takes note of a revision that somebody has, and reports whether this
 // process is behind it.
 func (f *Feed) Hear(revision store.Revision) bool {
--- a/internal/feed/storefollow.go
+++ b/internal/feed/storefollow.go
@@ -92,24 +92,29 @@
 	return nil
 }
 
-// installListed also repairs: the store's own listing at the revision in force
-// replaces a snapshot that has missed an event on the way.
+// installListed also repairs what has missed an event on the way.
 func (f *Feed) installListed(next *catalog.Snapshot) {
-	f.mu.Lock()
-	repair := f.received && next.Revision == f.current.Revision && next.Digest != f.current.Digest
-	if repair {
-		f.metrics.repairs.Inc()
-		f.log.Error().Int64("revision", int64(next.Revision)).Msg("Configuration had missed an event and was repaired.")
-		// Peers can't be led from the wrong contents to the right ones.
-		f.replace(next, nil)
-		f.recent.reset(next.Revision)
-	}
-	f.mu.Unlock()
-	if !repair {
+	if !f.repair(next) {
 		f.install(next, nil)
 	}
 }
 
+// repair replaces a snapshot by the store's own listing at the revision in
+// force, if that has other contents, and reports whether it did.
+func (f *Feed) repair(next *catalog.Snapshot) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.received || next.Revision != f.current.Revision || next.Digest == f.current.Digest {
+		return false
+	}
+	f.metrics.repairs.Inc()
+	f.log.Error().Int64("revision", int64(next.Revision)).Msg("Configuration had missed an event and was repaired.")
+	// Peers can't be led from the wrong contents to the right ones.
+	f.replace(next, nil)
+	f.recent.reset(next.Revision)
+	return true
+}
+
 func (f *Feed) reportBack(at, inForce store.Revision) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -266,16 +266,21 @@
 // abandon takes a request out of the queue, unless it was granted a slot just
 // before.
 func (l *Limiter) abandon(state *serviceState, w *waiter) (*Slot, error) {
-	state.mu.Lock()
-	removed := state.queue.remove(w)
-	state.mu.Unlock()
-	if !removed {
+	if !state.leave(w) {
 		granted := <-w.ready
 		return granted.slot, granted.err
 	}
 	return nil, l.refused(w.request, outcome.Overloaded, retryAfter(time.Since(w.since)))
 }
 
+// leave takes a waiting request out of the queue, and reports false if it isn't
+// there any more.
+func (s *serviceState) leave(w *waiter) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.queue.remove(w)
+}
+
 // take returns a slot on the first ranked endpoint whose share has one free,
 // or else on a borrowed one. The request is given up by ends.
 func (l *Limiter) take(state *serviceState, ranked []endpoint.Endpoint, now, ends time.Time) *Slot {
@@ -290,7 +295,15 @@
 	return l.takeBorrowed(state, ranked, now, ends)
 }
 
-// giveBack ends the use of a slot of this gateway's share.
+// release ends the use of a slot that was held for some time.
+func (s *serviceState) release(host string, held time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.meter.add(held)
+	s.giveBack(host)
+}
+
+// giveBack ends the use of a slot of this gateway's share; the caller holds mu.
 func (s *serviceState) giveBack(host string) {
 	s.inUse[host]--
 	if s.inUse[host] == 0 {
@@ -304,10 +317,7 @@
 		if released.Swap(true) {
 			return
 		}
-		state.mu.Lock()
-		state.meter.add(time.Since(since))
-		state.giveBack(taken.Host)
-		state.mu.Unlock()
+		state.release(taken.Host, time.Since(since))
 		l.dispatch(state)
 	}}
 }
--- a/internal/limit/loans.go
+++ b/internal/limit/loans.go
@@ -128,13 +128,18 @@
 		if entry.connection {
 			l.gate.takeBack(entry.service, entry.host)
 		}
-		entry.state.mu.Lock()
-		entry.state.giveBack(entry.host)
-		entry.state.mu.Unlock()
+		entry.state.takeBack(entry.host)
 		l.dispatch(entry.state)
 	}
 }
 
+// takeBack ends the use of a slot that was lent.
+func (s *serviceState) takeBack(host string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.giveBack(host)
+}
+
 // borrowed is a loan at the borrower.
 type borrowed struct {
 	id     uint64
@@ -230,21 +235,49 @@
 		if released.Swap(true) {
 			return
 		}
-		state.mu.Lock()
-		state.meter.add(time.Since(since))
-		delete(state.borrowedInUse, loan)
-		state.idleLoans = append(state.idleLoans, loan)
-		state.mu.Unlock()
+		state.releaseLoan(loan, time.Since(since))
 		l.dispatch(state)
 		l.returnIdle(state, false)
 	}}
 }
 
+// releaseLoan ends the use of a borrowed slot that was held for some time.
+func (s *serviceState) releaseLoan(loan *borrowed, held time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.meter.add(held)
+	delete(s.borrowedInUse, loan)
+	s.idleLoans = append(s.idleLoans, loan)
+}
+
+// keep adds loans to those that wait for use.
+func (l *Limiter) keep(state *serviceState, got Loans, terms *Terms) {
+	state.mu.Lock()
+	defer state.mu.Unlock()
+	for _, loan := range got.Loans {
+		if got.Connections {
+			l.gate.borrow(state.name, loan.Host)
+		}
+		state.idleLoans = append(state.idleLoans, &borrowed{
+			id: loan.ID, lender: got.Lender, host: loan.Host, until: got.Until, terms: terms,
+			connection: got.Connections, startBy: got.StartBy,
+		})
+	}
+}
+
 // returnIdle returns loans that nobody here waits for, or all idle ones. One
 // that brought its connection is kept for as long as it may start a request:
 // there is no share here to serve the next one with.
 func (l *Limiter) returnIdle(state *serviceState, all bool) {
+	for lender, loans := range l.idle(state, all) {
+		go l.handBack(state, lender, loans)
+	}
+}
+
+// idle takes out the loans that are of no use here, or all, by lender.
+func (l *Limiter) idle(state *serviceState, all bool) map[string][]*borrowed {
 	state.mu.Lock()
+	defer state.mu.Unlock()
 	terms, now := l.terms.Load(), time.Now()
 	byLender := make(map[string][]*borrowed)
 	kept := state.idleLoans[:0]
@@ -265,10 +298,7 @@
 		byLender[loan.lender] = append(byLender[loan.lender], loan)
 	}
 	state.idleLoans = kept
-	state.mu.Unlock()
-	for lender, loans := range byLender {
-		go l.handBack(state, lender, loans)
-	}
+	return byLender
 }
 
 // handBack returns loans once the connections that came with them are closed.
@@ -309,17 +339,7 @@
 // receive puts loans to use if the terms they were asked under still hold. The
 // check is under the lock that new terms clear the loans under.
 func (l *Limiter) receive(state *serviceState, got Loans, terms *Terms) {
-	state.mu.Lock()
-	for _, loan := range got.Loans {
-		if got.Connections {
-			l.gate.borrow(state.name, loan.Host)
-		}
-		state.idleLoans = append(state.idleLoans, &borrowed{
-			id: loan.ID, lender: got.Lender, host: loan.Host, until: got.Until, terms: terms,
-			connection: got.Connections, startBy: got.StartBy,
-		})
-	}
-	state.mu.Unlock()
+	l.keep(state, got, terms)
 	l.metrics.borrowed.Add(float64(len(got.Loans)))
 	if got.Connections {
 		time.AfterFunc(time.Until(got.StartBy), func() { l.returnIdle(state, false) })
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -42,16 +42,22 @@
 // snapshot when the one asked for is no longer kept: the asker sees another
 // revision and starts again.
 func (p *pager) next(response *peerpb.FetchResponse, current *catalog.Snapshot, revision store.Revision, after string) {
+	if delta, kept := p.keptAt(revision); kept {
+		p.page(response, delta, after)
+		return
+	}
+	p.first(response, current)
+}
+
+func (p *pager) keptAt(revision store.Revision) (catalog.Delta, bool) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	for _, delta := range p.kept {
 		if delta.Revision == revision {
-			p.mu.Unlock()
-			p.page(response, delta, after)
-			return
+			return delta, true
 		}
 	}
-	p.mu.Unlock()
-	p.first(response, current)
+	return catalog.Delta{}, false
 }
 
 func (p *pager) keep(snapshot *catalog.Snapshot) catalog.Delta {
--- a/internal/sharekeeper/advance.go
+++ b/internal/sharekeeper/advance.go
@@ -234,18 +234,19 @@
 	var mu sync.Mutex
 	var wait sync.WaitGroup
 	answers := make(map[string]asking, len(members))
+	note := func(id string, heard asking) {
+		mu.Lock()
+		defer mu.Unlock()
+		answers[id] = heard
+	}
 	for _, m := range members {
 		if m.ID == k.Self.ID {
-			mu.Lock()
-			answers[m.ID] = asking{answer: Answer{Member: m.ID, Revision: store.Revision(k.confirmed.Load())}}
-			mu.Unlock()
+			note(m.ID, asking{answer: Answer{Member: m.ID, Revision: store.Revision(k.confirmed.Load())}})
 			continue
 		}
 		wait.Go(func() {
 			answer, err := k.Asker.Ask(ctx, m)
-			mu.Lock()
-			defer mu.Unlock()
-			answers[m.ID] = asking{answer: answer, err: err}
+			note(m.ID, asking{answer: answer, err: err})
 		})
 	}
 	wait.Wait()
--- a/internal/storebudget/bucket.go
+++ b/internal/storebudget/bucket.go
@@ -52,22 +52,30 @@
 // take waits for a token. It returns *store.ThrottledError when there is none
 // in time.
 func (b *bucket) take(ctx context.Context, op string, class Class) error {
+	w, err := b.enter(op, class)
+	if w == nil {
+		return err
+	}
+	return b.await(ctx, op, class, w)
+}
+
+// enter takes a token if one is free, and waits in line otherwise: it returns
+// the place in the line, nil for none.
+func (b *bucket) enter(op string, class Class) (*waiter, error) {
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.refill()
 	if b.noneBefore(class) && b.spare(class) {
 		b.tokens--
-		b.mu.Unlock()
-		return nil
+		return nil, nil
 	}
 	if len(b.waiting[class]) >= mostWaiting {
-		b.mu.Unlock()
-		return &store.ThrottledError{Op: op, RetryAfter: longestWait}
+		return nil, &store.ThrottledError{Op: op, RetryAfter: longestWait}
 	}
 	w := &waiter{ready: make(chan struct{})}
 	b.waiting[class] = append(b.waiting[class], w)
 	b.schedule()
-	b.mu.Unlock()
-	return b.await(ctx, op, class, w)
+	return w, nil
 }
 
 func (b *bucket) await(ctx context.Context, op string, class Class, w *waiter) error {
--- a/internal/telemetry/sink.go
+++ b/internal/telemetry/sink.go
@@ -91,20 +91,12 @@
 	var spare []byte
 	for range s.wake {
 		s.mu.Lock()
-		closed := s.closed
+		resting := !s.closed
 		s.mu.Unlock()
-		if !closed {
+		if resting {
 			time.Sleep(sinkFlush)
 		}
-		s.mu.Lock()
-		full := s.buffer
-		s.buffer, spare = spare[:0], nil
-		if s.skipped > 0 {
-			full = append(full, skippedLine(s.skipped)...)
-			s.skipped = 0
-		}
-		closed = s.closed
-		s.mu.Unlock()
+		full, closed := s.take(spare)
 		if _, err := s.out.Write(full); err != nil {
 			// Nobody reads the log any more; there is nowhere to say so but
 			// in the counter.
@@ -117,6 +109,19 @@
 	}
 }
 
+// take returns what is buffered, gives the buffer other memory, and tells
+// whether the sink is closed.
+func (s *Sink) take(spare []byte) (full []byte, closed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	full, s.buffer = s.buffer, spare[:0]
+	if s.skipped > 0 {
+		full = append(full, skippedLine(s.skipped)...)
+		s.skipped = 0
+	}
+	return full, s.closed
+}
+
 // skippedLine tells how many lines were left out.
 func skippedLine(count int) []byte {
 	return []byte(`{"level":"warn","part":"log","skipped":` + strconv.Itoa(count) + `,"message":"Lines were left out."}` + "\n")
