--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -119,6 +119,7 @@
 	for ctx.Err() == nil {
 		_, changed := d.Feed.Current()
 		d.Round(ctx)
+		d.metrics.lastRound.SetToCurrentTime()
 		pause.For(ctx, d.Interval/gapsPerInterval)
 		d.await(ctx, changed)
 	}
--- /dev/null
+++ b/internal/drainer/lastround_internal_test.go
@@ -0,0 +1,60 @@
+package drainer
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test/must"
+
+	"auburnglade.example/glade/internal/budget"
+	"auburnglade.example/glade/internal/feed"
+	"auburnglade.example/glade/internal/invariant"
+	"auburnglade.example/glade/internal/store"
+	"auburnglade.example/glade/internal/store/memstore"
+)
+
+// hangingStore never answers a list once it hangs.
+type hangingStore struct {
+	store.Store
+	hangs chan struct{}
+}
+
+func (s *hangingStore) List(ctx context.Context, prefix string) (store.Listing, error) {
+	select {
+	case <-s.hangs:
+		<-ctx.Done()
+		return store.Listing{}, ctx.Err()
+	default:
+		return s.Store.List(ctx, prefix)
+	}
+}
+
+// Guards against a drainer that stands still while nothing shows it.
+func TestADrainerThatStandsStillShowsIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const watched = time.Minute
+		platform := &hangingStore{Store: memstore.New(), hangs: make(chan struct{})}
+		checker := invariant.New(zerolog.Nop(), nil)
+		d := New(Config{
+			Store: platform, Feed: feed.New(platform, zerolog.Nop(), checker, nil), Shards: heldShards{},
+			Gate: budget.NewGate(platform), Invariant: checker, Log: zerolog.Nop(),
+		})
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go func() { _ = d.Serve(ctx) }()
+		time.Sleep(watched)
+		must.Less(t, 2*DefaultInterval.Seconds(), sinceLastRound(d))
+		close(platform.hangs)
+		time.Sleep(watched + sweepPause)
+		must.GreaterEq(t, watched.Seconds(), sinceLastRound(d))
+	})
+}
+
+// sinceLastRound returns the seconds since the last round, as the metric shows it.
+func sinceLastRound(d *Drainer) float64 {
+	return float64(time.Now().UnixNano())/1e9 - testutil.ToFloat64(d.metrics.lastRound)
+}
--- a/internal/drainer/metrics.go
+++ b/internal/drainer/metrics.go
@@ -6,6 +6,8 @@
 	steps   *prometheus.CounterVec
 	refused prometheus.Counter
 	orphans prometheus.Counter
+	// lastRound is when the last round ended, in seconds since 1970.
+	lastRound prometheus.Gauge
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
@@ -19,9 +21,12 @@
 		orphans: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "glade_drainer_orphaned_grants_total", Help: "Grants released because no host record stood for them.",
 		}),
+		lastRound: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "glade_drainer_last_round_timestamp_seconds", Help: "When this controller last ended a look at the fleet.",
+		}),
 	}
 	if registerer != nil {
-		registerer.MustRegister(m.steps, m.refused, m.orphans)
+		registerer.MustRegister(m.steps, m.refused, m.orphans, m.lastRound)
 	}
 	return m
 }
