--- a/internal/drainer/apply.go
+++ b/internal/drainer/apply.go
@@ -30,7 +30,7 @@
 // start applies a step in the background, unless one is under way for the host
 // or too many are. It is planned again in the next round.
 func (d *Drainer) start(ctx context.Context, o *observed, waveName string, step wave.Step) {
-	if !d.begun(waveName, step) {
+	if !d.begin(waveName, step) {
 		return
 	}
 	select {
@@ -50,9 +50,9 @@
 	})
 }
 
-// begun notes that a step is under way for its host, and reports false if one
+// begin notes that a step is under way for its host, and reports false if one
 // was already.
-func (d *Drainer) begun(waveName string, step wave.Step) bool {
+func (d *Drainer) begin(waveName string, step wave.Step) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	m := d.memoryOf(step.Host)
