Refuse numbers that no host or clock can hold

Cause: a spec's numbers were checked against zero only, and milliseconds were turned into nanoseconds unchecked. Each number has an upper bound now, and the refusal names its field.

Negative firstMs, memMb, gpu, targetMs and mayMiss were refused under another field's name; mended with it.

--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 )
 
@@ -25,6 +26,12 @@
 	return Resources{s.MilliCPU - o.MilliCPU, s.MemMB - o.MemMB, s.GPU - o.GPU}
 }
 
+// InRange reports whether no resource is negative or more than any host can have. It
+// keeps sums over a pool within an int64.
+func (s Resources) InRange() bool {
+	return s.MilliCPU >= 0 && s.MilliCPU <= maxMilliCPU && s.MemMB >= 0 && s.MemMB <= maxMemMB && s.GPU >= 0 && s.GPU <= maxGPU
+}
+
 // Fits reports whether s fits into the free resources.
 func (s Resources) Fits(free Resources) bool {
 	return s.MilliCPU <= free.MilliCPU && s.MemMB <= free.MemMB && s.GPU <= free.GPU
@@ -128,6 +135,20 @@
 	idLength        = 16
 )
 
+// Limits of the numbers in a spec. Each is more than any host or clock can hold, and
+// the sum over MaxTasks tasks, MaxSteps steps or MaxRepeats occurrences stays within
+// an int64 of nanoseconds or thousandths of a core.
+const (
+	maxMilliCPU = 4_096_000
+	maxMemMB    = 64 << 20
+	maxGPU      = 4096
+	maxDuration = 365 * 24 * time.Hour
+	// maxSchedule bounds the time from a job's first occurrence to its last.
+	maxSchedule = 100 * maxDuration
+	// maxFirstMs is the end of the year 9999.
+	maxFirstMs = 253_402_300_799_999
+)
+
 // InvalidError names the field for which a job is rejected and the values that
 // are accepted.
 type InvalidError struct {
@@ -150,6 +171,33 @@
 	return nil
 }
 
+// bound is the range of a number in a spec, from zero to most.
+type bound struct {
+	field string
+	value int64
+	most  int64
+}
+
+// checkBounds returns *InvalidError for the first number outside its range.
+func checkBounds(bounds ...bound) error {
+	for _, b := range bounds {
+		if b.value < 0 || b.value > b.most {
+			return &InvalidError{b.field, fmt.Sprintf("0 to %d", b.most)}
+		}
+	}
+	return nil
+}
+
+// checkDurations is checkBounds for durations, which it reports in milliseconds.
+func checkDurations(bounds ...bound) error {
+	for _, b := range bounds {
+		if b.value < 0 || b.value > b.most {
+			return &InvalidError{b.field, fmt.Sprintf("0 to %d", time.Duration(b.most).Milliseconds())}
+		}
+	}
+	return nil
+}
+
 // Check validates the spec and returns *InvalidError for the first invalid field.
 func (s *Spec) Check() error {
 	switch {
@@ -157,10 +205,9 @@
 		return &InvalidError{"spec", "at most 4000 bytes long"}
 	case len(s.Steps) == 0 || len(s.Steps) > MaxSteps:
 		return &InvalidError{"steps", "1 to 64 steps"}
-	case s.Repeats < 0 || s.Repeats > MaxRepeats:
-		return &InvalidError{"repeats", "0 to 10000"}
-	case s.Interval < 0 || s.FirstMs < 0:
-		return &InvalidError{"intervalMs", "a time that doesn't run backwards"}
+	}
+	if err := s.checkSchedule(); err != nil {
+		return err
 	}
 	tasks := 0
 	for i := range s.Steps {
@@ -175,17 +222,28 @@
 	return nil
 }
 
+func (s *Spec) checkSchedule() error {
+	if err := checkBounds(bound{"repeats", int64(s.Repeats), MaxRepeats}, bound{"firstMs", s.FirstMs, maxFirstMs}); err != nil {
+		return err
+	}
+	return checkDurations(bound{"intervalMs", int64(s.Interval), int64(maxSchedule) / int64(s.Occurrences())})
+}
+
 func (s *Step) check(index int) error {
 	at := func(field string) string { return fmt.Sprintf("steps[%d].%s", index, field) }
-	switch {
-	case s.Count < 1 || s.Count > MaxTasks:
+	if s.Count < 1 || s.Count > MaxTasks {
 		return &InvalidError{at("count"), "1 to 4096"}
-	case s.Resources.MilliCPU < 0 || s.Resources.MemMB < 0 || s.Resources.GPU < 0:
-		return &InvalidError{at("cpu"), "sizes of zero or more"}
-	case s.Estimate < 0 || s.LatencyTarget < 0:
-		return &InvalidError{at("estMs"), "zero or more"}
-	case s.MaxPerHost < 0 || s.MaxUnavailable < 0:
-		return &InvalidError{at("antiAffinity"), "zero or more"}
+	}
+	err := checkBounds(
+		bound{at("cpu"), int64(s.Resources.MilliCPU), maxMilliCPU}, bound{at("memMb"), int64(s.Resources.MemMB), maxMemMB}, bound{at("gpu"), int64(s.Resources.GPU), maxGPU},
+		bound{at("antiAffinity"), int64(s.MaxPerHost), math.MaxInt64}, bound{at("mayMiss"), int64(s.MaxUnavailable), math.MaxInt64},
+	)
+	if err != nil {
+		return err
+	}
+	err = checkDurations(bound{at("estMs"), int64(s.Estimate), int64(maxDuration)}, bound{at("targetMs"), int64(s.LatencyTarget), int64(maxDuration)})
+	if err != nil {
+		return err
 	}
 	for _, dependency := range s.After {
 		if dependency < 0 || dependency >= index {
