Let clients in by the key of their organisation, and spread configurations among entry hosts

Cause: neither organisations nor public queues were decoded, and an entry host learned configurations from the store alone.

An entry host whose store doesn't confirm its configuration asks two others at a time, takes what is newer, and knows up to which moment its version was the newest. With strict revocation it lets no key in that it can't confirm in time.

Records of earlier builds have no organisation: any key in force reaches those jobs.

--- /dev/null
+++ b/internal/configrelay/relay_test.go
@@ -0,0 +1,198 @@
+package configrelay
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test/must"
+
+	"auburnglade.example/glade/internal/pause"
+	"auburnglade.example/glade/internal/store"
+)
+
+// site is a number of entry hosts whose store turns some of them away.
+type site struct {
+	relays map[string]*Relay
+
+	mu sync.Mutex
+	// away are the entry hosts that the store turns away, cut those that nobody
+	// reaches.
+	away, cut map[string]bool
+	newest    Version
+	applied   map[string][]store.Revision
+	asked     int
+}
+
+func (s *site) Configuration(ctx context.Context, address string, known store.Revision) (Answer, error) {
+	s.locked(func() { s.asked++ })
+	pause.For(ctx, time.Millisecond)
+	if s.isCut(address) {
+		<-ctx.Done()
+		return Answer{}, ctx.Err()
+	}
+	return s.relays[address].Answer(known), nil
+}
+
+// siteView is the site as one entry host sees it.
+type siteView struct {
+	*site
+	self string
+}
+
+func (v siteView) Configuration(ctx context.Context, address string, known store.Revision) (Answer, error) {
+	if v.isCut(v.self) {
+		<-ctx.Done()
+		return Answer{}, ctx.Err()
+	}
+	return v.site.Configuration(ctx, address, known)
+}
+
+func (s *site) locked(fn func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fn()
+}
+
+func (s *site) isCut(self string) (cut bool) {
+	s.locked(func() { cut = s.cut[self] })
+	return cut
+}
+
+// read is what the store shows an entry host.
+func (s *site) read(self string) (newest Version, ok bool) {
+	s.locked(func() { newest, ok = s.newest, !s.away[self] && !s.cut[self] })
+	return newest, ok
+}
+
+func (s *site) addresses(self string) []string {
+	var others []string
+	for address := range s.relays {
+		if address != self {
+			others = append(others, address)
+		}
+	}
+	return others
+}
+
+// poll stands in for a watch of the store that answers once a second, and at once when
+// there is a change.
+func (s *site) poll(ctx context.Context, self string) {
+	for ctx.Err() == nil {
+		relay := s.relays[self]
+		newest, ok := s.read(self)
+		for range 50 {
+			pause.For(ctx, 20*time.Millisecond)
+			if newest, ok = s.read(self); newest.Revision != relay.Revision() {
+				break
+			}
+		}
+		switch {
+		case !ok:
+			relay.StoreFailed()
+		case newest.Revision != relay.Revision():
+			relay.Written(newest, time.Now())
+		default:
+			relay.Confirmed(time.Now())
+		}
+	}
+}
+
+func runSite(t *testing.T, entryHosts int, test func(s *site)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := &site{relays: map[string]*Relay{}, away: map[string]bool{}, cut: map[string]bool{}, newest: Version{1, []byte("1")}, applied: map[string][]store.Revision{}}
+		for i := range entryHosts {
+			self := fmt.Sprint("e", i)
+			s.relays[self] = New(Config{
+				Peers: siteView{s, self}, Addresses: func() []string { return s.addresses(self) },
+				Apply: func(v Version) { s.locked(func() { s.applied[self] = append(s.applied[self], v.Revision) }) }, Log: zerolog.Nop(),
+			})
+		}
+		for self, relay := range s.relays {
+			go relay.Run(ctx)
+			go s.poll(ctx, self)
+		}
+		time.Sleep(3 * time.Second)
+		test(s)
+		cancel()
+		time.Sleep(2 * time.Second)
+	})
+}
+
+func (s *site) write() {
+	s.locked(func() {
+		revision := s.newest.Revision + 1
+		s.newest = Version{revision, fmt.Append(nil, revision)}
+	})
+}
+
+// Guards against an entry host that the store turns away and that serves an old
+// configuration while its neighbours know a newer one.
+func TestEntryHostsThatTheStoreTurnsAwayLearnFromOthers(t *testing.T) {
+	runSite(t, 9, func(s *site) {
+		for _, self := range []string{"e0", "e1", "e2"} {
+			s.locked(func() { s.away[self] = true })
+		}
+		for range 5 {
+			time.Sleep(1700 * time.Millisecond)
+			s.write()
+			time.Sleep(2 * time.Second)
+			for self, relay := range s.relays {
+				newest, _ := s.read(self)
+				must.EqOp(t, newest.Revision, relay.Revision(), must.Sprint(self))
+				must.True(t, relay.Current(2500*time.Millisecond, time.Now()))
+			}
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for _, revisions := range s.applied {
+			for i := 1; i < len(revisions); i++ {
+				must.Less(t, revisions[i], revisions[i-1])
+			}
+		}
+	})
+}
+
+// Nobody is asked while the store answers.
+func TestNobodyIsAskedWhileTheStoreAnswers(t *testing.T) {
+	runSite(t, 4, func(s *site) {
+		s.locked(func() { s.asked = 0 })
+		time.Sleep(20 * time.Second)
+		s.locked(func() { must.EqOp(t, 0, s.asked) })
+	})
+}
+
+// Guards against an entry host that is cut off from all and takes its configuration for
+// the newest.
+func TestEntryHostThatIsCutOffKnowsItsAge(t *testing.T) {
+	runSite(t, 4, func(s *site) {
+		s.locked(func() { s.cut["e0"] = true })
+		time.Sleep(4 * time.Second)
+		must.False(t, s.relays["e0"].Current(2500*time.Millisecond, time.Now()))
+		must.True(t, s.relays["e1"].Current(2500*time.Millisecond, time.Now()))
+		must.Greater(t, 3*time.Second, s.relays["e0"].Age(time.Now()))
+		s.write()
+		s.locked(func() { s.cut["e0"] = false })
+		time.Sleep(2 * time.Second)
+		must.True(t, s.relays["e0"].Current(2500*time.Millisecond, time.Now()))
+	})
+}
+
+// While the store is unavailable to all, nobody can have written a newer version.
+func TestConfigurationStaysCurrentWhileTheStoreIsAwayForAll(t *testing.T) {
+	runSite(t, 7, func(s *site) {
+		for self := range s.relays {
+			s.locked(func() { s.away[self] = true })
+		}
+		time.Sleep(5 * time.Second)
+		for _, relay := range s.relays {
+			must.True(t, relay.Current(2500*time.Millisecond, time.Now()))
+			must.Greater(t, 4*time.Second, relay.Age(time.Now()))
+		}
+	})
+}
--- a/internal/emulate/switch.go
+++ b/internal/emulate/switch.go
@@ -6,10 +6,12 @@
 	"time"
 
 	"auburnglade.example/glade/internal/carrier"
+	"auburnglade.example/glade/internal/configrelay"
 	"auburnglade.example/glade/internal/hostmanager"
 	"auburnglade.example/glade/internal/pause"
 	"auburnglade.example/glade/internal/poolmanager"
 	"auburnglade.example/glade/internal/poolrpc"
+	"auburnglade.example/glade/internal/store"
 	"auburnglade.example/glade/internal/work"
 )
 
@@ -100,22 +102,22 @@
 }
 
 // Cancel implements poolrpc.Peers.
-func (n *Network) Cancel(ctx context.Context, address, pool, id string, relay bool) (poolmanager.Result, bool, error) {
+func (n *Network) Cancel(ctx context.Context, address string, job work.JobRef, relay bool) (poolmanager.Result, bool, error) {
 	service, err := n.reach(ctx, address)
 	if err != nil {
 		return poolmanager.ResultUnknown, true, err
 	}
-	result, held := service.Cancel(ctx, pool, id, relay)
+	result, held := service.Cancel(ctx, job, relay)
 	return result, held, nil
 }
 
 // State implements poolrpc.Peers.
-func (n *Network) State(ctx context.Context, address, pool, id string, relay bool) (work.State, bool, bool, error) {
+func (n *Network) State(ctx context.Context, address string, job work.JobRef, relay bool) (work.State, bool, bool, error) {
 	service, err := n.reach(ctx, address)
 	if err != nil {
 		return "", false, false, err
 	}
-	state, known, held := service.State(ctx, pool, id, relay)
+	state, known, held := service.State(ctx, job, relay)
 	return state, known, held, nil
 }
 
@@ -139,6 +141,17 @@
 	return drained, held, nil
 }
 
+// Configuration implements configrelay.Peers.
+func (n *Network) Configuration(ctx context.Context, address string, known store.Revision) (configrelay.Answer, error) {
+	service, err := n.reach(ctx, address)
+	if err != nil {
+		return configrelay.Answer{}, err
+	}
+	answer := service.ConfigurationAfter(known)
+	pause.For(ctx, hopLatency)
+	return answer, ctx.Err()
+}
+
 // Load implements poolrpc.Peers.
 func (n *Network) Load(ctx context.Context, address, pool string, due []string) (hostmanager.Load, bool, error) {
 	service, err := n.reach(ctx, address)
--- a/internal/entryhost/crashes_test.go
+++ b/internal/entryhost/crashes_test.go
@@ -46,7 +46,7 @@
 				}
 				time.Sleep(25 * time.Second)
 				if !step.LongRunning {
-					state, _, _ := dep.entries["entry-2"].Jobs.JobState(dep.ctx, "day", id)
+					state, _, _ := dep.entries["entry-2"].Jobs.JobState(dep.ctx, work.JobRef{Pool: "day", ID: id})
 					must.EqOp(t, work.Failed, state)
 				}
 				must.Less(t, 6, dep.workers.Checker.Crashes(id))
--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -16,6 +16,7 @@
 
 	"auburnglade.example/glade/internal/carrier"
 	"auburnglade.example/glade/internal/cluster"
+	"auburnglade.example/glade/internal/configrelay"
 	"auburnglade.example/glade/internal/hostmanager"
 	"auburnglade.example/glade/internal/jobrouter"
 	"auburnglade.example/glade/internal/poolmanager"
@@ -45,6 +46,9 @@
 	// if unknown.
 	LinkMbps float64
 	Sched    sched.Config
+	// ApplyConfig is called with each newer version of the operator's configuration;
+	// nil if there is none.
+	ApplyConfig func(configrelay.Version)
 	// Pools returns the pools that need a holder.
 	Pools func() []string
 	// HostManager configures the host manager. Its Fleet is nil if there are no hosts to
@@ -59,6 +63,8 @@
 	Config
 	Cluster *cluster.Cluster
 	Jobs    *jobrouter.Router
+	// Relay keeps the newest version of the operator's configuration.
+	Relay *configrelay.Relay
 	// Carrier makes calls to hosts for other entry hosts that hold large pools.
 	Carrier        *carrier.Server
 	poolMetrics    *poolmanager.Metrics
@@ -79,8 +85,12 @@
 		Store: config.Store, Self: config.Self, Pools: h.claims, StartPool: h.startPool,
 		Log: telemetry.PartLogger(config.Log, "cluster"),
 	})
+	h.Relay = configrelay.New(configrelay.Config{
+		Peers: config.Peers, Addresses: h.addresses, Apply: h.applyConfig,
+		Log: telemetry.PartLogger(config.Log, "config"), Registerer: config.Registerer,
+	})
 	h.Jobs = jobrouter.New(jobrouter.Config{
-		Store: config.Store, Cluster: h.Cluster, Local: h, Peers: config.Peers,
+		Store: config.Store, Cluster: h.Cluster, Local: h, Peers: config.Peers, Relay: h.Relay,
 		Log: telemetry.PartLogger(config.Log, "desk"), Metrics: jobrouter.NewMetrics(config.Registerer),
 	})
 	return h
@@ -89,9 +99,25 @@
 // Run joins the cluster and serves until ctx ends.
 func (h *Host) Run(ctx context.Context) error {
 	h.ctx = ctx
+	go h.Relay.Run(ctx)
 	return h.Cluster.Run(ctx)
 }
 
+func (h *Host) applyConfig(version configrelay.Version) {
+	if h.ApplyConfig != nil {
+		h.ApplyConfig(version)
+	}
+}
+
+// addresses returns the addresses of the other entry hosts that are running.
+func (h *Host) addresses() []string {
+	var addresses []string
+	for _, m := range h.Cluster.Members() {
+		addresses = append(addresses, m.Address)
+	}
+	return addresses
+}
+
 // PoolManager implements jobrouter.LocalPools.
 func (h *Host) PoolManager(pool string) *poolmanager.Manager {
 	h.mu.Lock()
--- a/internal/entryhost/entryhost_test.go
+++ b/internal/entryhost/entryhost_test.go
@@ -105,7 +105,7 @@
 		dep.store.SetDown(false)
 		time.Sleep(8 * time.Second)
 		must.EqOp(t, 0, dep.workers.Checker.Starts())
-		_, known, ok := dep.other("day").Jobs.JobState(dep.ctx, "day", record.ID)
+		_, known, ok := dep.other("day").Jobs.JobState(dep.ctx, work.JobRef{Pool: "day", ID: record.ID})
 		must.True(t, ok)
 		must.False(t, known)
 	})
--- a/internal/entryhost/harness_test.go
+++ b/internal/entryhost/harness_test.go
@@ -207,7 +207,7 @@
 	dep.t.Helper()
 	until := time.Now().Add(within)
 	for {
-		state, known, ok := e.Jobs.JobState(dep.ctx, pool, id)
+		state, known, ok := e.Jobs.JobState(dep.ctx, work.JobRef{Pool: pool, ID: id})
 		if ok && known && state == work.Done {
 			return
 		}
--- a/internal/entryhost/random_test.go
+++ b/internal/entryhost/random_test.go
@@ -251,7 +251,7 @@
 
 func (d *day) cancel(pool, id string) {
 	time.Sleep(time.Duration(d.random.IntN(600)) * time.Millisecond)
-	if d.anyEntry().Jobs.CancelJob(d.ctx, pool, id) == poolmanager.Stored {
+	if d.anyEntry().Jobs.CancelJob(d.ctx, work.JobRef{Pool: pool, ID: id}) == poolmanager.Stored {
 		d.workers.Checker.Cancelled(id)
 	}
 }
--- a/internal/jobrouter/router.go
+++ b/internal/jobrouter/router.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"auburnglade.example/glade/internal/cluster"
+	"auburnglade.example/glade/internal/configrelay"
 	"auburnglade.example/glade/internal/hostmanager"
 	"auburnglade.example/glade/internal/pause"
 	"auburnglade.example/glade/internal/poolmanager"
@@ -68,6 +69,7 @@
 	Cluster *cluster.Cluster
 	Local   LocalPools
 	Peers   poolrpc.Peers
+	Relay   *configrelay.Relay
 	Log     zerolog.Logger
 	Metrics *Metrics
 }
@@ -96,6 +98,11 @@
 
 var _ poolrpc.Service = (*Router)(nil)
 
+// ConfigurationAfter implements poolrpc.Service.
+func (r *Router) ConfigurationAfter(known store.Revision) configrelay.Answer {
+	return r.Relay.Answer(known)
+}
+
 // remote returns the address of the entry host that holds a pool. ok is false if no
 // other entry host holds it, or if that one is to be skipped.
 func (r *Router) remote(pool string) (address string, ok bool) {
@@ -190,7 +197,14 @@
 }
 
 func (r *Router) writeJob(ctx context.Context, record *work.JobRecord) poolmanager.Result {
-	return r.writeInbox(ctx, poolstore.InboxJobKey(record.Queue.Pool, record.ID), work.EncodeRecord(record))
+	key := poolstore.InboxJobKey(record.Queue.Pool, record.ID)
+	result, existing := r.writeInbox(ctx, key, work.EncodeRecord(record))
+	if existing != nil {
+		if other, err := work.DecodeRecord(existing.Value); err == nil && !other.BelongsTo(record.Organisation) {
+			return poolmanager.Conflict
+		}
+	}
+	return result
 }
 
 // submit tries every route once. The result is final if the store refused this entry
@@ -232,22 +246,22 @@
 }
 
 // Cancel implements poolrpc.Service; see Submit.
-func (r *Router) Cancel(ctx context.Context, pool, id string, relay bool) (poolmanager.Result, bool) {
+func (r *Router) Cancel(ctx context.Context, job work.JobRef, relay bool) (poolmanager.Result, bool) {
 	if relay {
-		return r.writeCancel(ctx, pool, id), true
+		return r.writeCancel(ctx, job), true
 	}
-	manager := r.Local.PoolManager(pool)
+	manager := r.Local.PoolManager(job.Pool)
 	if manager == nil {
 		return poolmanager.Refused, false
 	}
-	return manager.Cancel(ctx, id), true
+	return manager.Cancel(ctx, job), true
 }
 
 // writeCancel writes a cancel to the pool's inbox if the store contains the job and
 // the job has not ended.
-func (r *Router) writeCancel(ctx context.Context, pool, id string) poolmanager.Result {
+func (r *Router) writeCancel(ctx context.Context, job work.JobRef) poolmanager.Result {
 	lookup, done := context.WithTimeout(ctx, storeTimeout)
-	state, known, err := poolstore.LookupState(lookup, r.Store, pool, id)
+	state, known, err := poolstore.LookupState(lookup, r.Store, job)
 	done()
 	switch {
 	case err != nil:
@@ -257,38 +271,39 @@
 	case state.Final():
 		return poolmanager.Stored
 	}
-	return r.writeInbox(ctx, poolstore.InboxCancelKey(pool, id), []byte("{}"))
+	result, _ := r.writeInbox(ctx, poolstore.InboxCancelKey(job.Pool, job.ID), []byte("{}"))
+	return result
 }
 
-func (r *Router) cancel(ctx context.Context, pool, id string) poolmanager.Result {
-	result, _ := r.everyRoute(ctx, pool, func(ctx context.Context, manager *poolmanager.Manager) poolmanager.Result {
-		return manager.Cancel(ctx, id)
+func (r *Router) cancel(ctx context.Context, job work.JobRef) poolmanager.Result {
+	result, _ := r.everyRoute(ctx, job.Pool, func(ctx context.Context, manager *poolmanager.Manager) poolmanager.Result {
+		return manager.Cancel(ctx, job)
 	}, func() poolmanager.Result {
-		return r.writeCancel(ctx, pool, id)
+		return r.writeCancel(ctx, job)
 	}, func(ctx context.Context, address string, relay bool) (poolmanager.Result, bool, error) {
-		return r.Peers.Cancel(ctx, address, pool, id, relay)
+		return r.Peers.Cancel(ctx, address, job, relay)
 	})
 	return result
 }
 
 // CancelJob cancels a job for a client.
-func (r *Router) CancelJob(ctx context.Context, pool, id string) poolmanager.Result {
+func (r *Router) CancelJob(ctx context.Context, job work.JobRef) poolmanager.Result {
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, 2*acceptTimeout)
 	defer cancel()
-	result := retry(ctx, func() (poolmanager.Result, bool) { return r.cancel(ctx, pool, id), false })
+	result := retry(ctx, func() (poolmanager.Result, bool) { return r.cancel(ctx, job), false })
 	r.Metrics.call("cancel", result.String(), time.Since(began))
-	r.Log.Info().Str("job", id).Str("result", result.String()).Dur("took_ms", time.Since(began)).Msg("A client cancelled a job.")
+	r.Log.Info().Str("job", job.ID).Str("result", result.String()).Dur("took_ms", time.Since(began)).Msg("A client cancelled a job.")
 	return result
 }
 
 // JobState returns a job's state for a client. known is false only if the store has no
 // such job; ok is false if neither the holder, the store nor a relay responded.
-func (r *Router) JobState(ctx context.Context, pool, id string) (state work.State, known, ok bool) {
+func (r *Router) JobState(ctx context.Context, job work.JobRef) (state work.State, known, ok bool) {
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
-	state, known, ok = r.state(ctx, pool, id, true)
+	state, known, ok = r.state(ctx, job, true)
 	result := string(state)
 	if !ok {
 		result = "unavailable"
@@ -300,23 +315,23 @@
 }
 
 // State implements poolrpc.Service.
-func (r *Router) State(ctx context.Context, pool, id string, relay bool) (state work.State, known, ok bool) {
+func (r *Router) State(ctx context.Context, job work.JobRef, relay bool) (state work.State, known, ok bool) {
 	if relay {
-		return r.state(ctx, pool, id, false)
+		return r.state(ctx, job, false)
 	}
-	manager := r.Local.PoolManager(pool)
+	manager := r.Local.PoolManager(job.Pool)
 	if manager == nil {
 		return "", false, false
 	}
-	return manager.JobState(ctx, id)
+	return manager.JobState(ctx, job)
 }
 
-func (r *Router) state(ctx context.Context, pool, id string, relays bool) (state work.State, known, ok bool) {
-	if state, known, ok = r.stateFromHolder(ctx, pool, id); ok && known {
+func (r *Router) state(ctx context.Context, job work.JobRef, relays bool) (state work.State, known, ok bool) {
+	if state, known, ok = r.stateFromHolder(ctx, job); ok && known {
 		return state, true, true
 	}
 	lookup, cancel := context.WithTimeout(ctx, storeTimeout)
-	state, known, err := poolstore.LookupState(lookup, r.Store, pool, id)
+	state, known, err := poolstore.LookupState(lookup, r.Store, job)
 	cancel()
 	if err == nil {
 		return state, known, true
@@ -326,7 +341,7 @@
 	}
 	for _, address := range r.relays() {
 		attempt, cancel := context.WithTimeout(ctx, storeTimeout)
-		state, known, held, err := r.Peers.State(attempt, address, pool, id, true)
+		state, known, held, err := r.Peers.State(attempt, address, job, true)
 		cancel()
 		if err == nil && held {
 			return state, known, true
@@ -335,17 +350,17 @@
 	return "", false, false
 }
 
-func (r *Router) stateFromHolder(ctx context.Context, pool, id string) (state work.State, known, ok bool) {
+func (r *Router) stateFromHolder(ctx context.Context, job work.JobRef) (state work.State, known, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, holderTimeout)
 	defer cancel()
-	if manager := r.Local.PoolManager(pool); manager != nil {
-		return manager.JobState(ctx, id)
+	if manager := r.Local.PoolManager(job.Pool); manager != nil {
+		return manager.JobState(ctx, job)
 	}
-	address, ok := r.remote(pool)
+	address, ok := r.remote(job.Pool)
 	if !ok {
 		return "", false, false
 	}
-	state, known, held, err := r.Peers.State(ctx, address, pool, id, false)
+	state, known, held, err := r.Peers.State(ctx, address, job, false)
 	if err != nil {
 		r.avoidPeer(address, err)
 	}
--- a/internal/jobrouter/routes.go
+++ b/internal/jobrouter/routes.go
@@ -8,11 +8,14 @@
 )
 
 // combine merges the results a and b of two routes for the same request: Stored takes
-// precedence, then JobNotFound, and a refusal does not override an unknown outcome.
+// precedence, then Conflict and JobNotFound, and a refusal does not override an unknown
+// outcome.
 func combine(a, b poolmanager.Result) poolmanager.Result {
 	switch {
 	case a == poolmanager.Stored || b == poolmanager.Stored:
 		return poolmanager.Stored
+	case a == poolmanager.Conflict || b == poolmanager.Conflict:
+		return poolmanager.Conflict
 	case a == poolmanager.JobNotFound || b == poolmanager.JobNotFound:
 		return poolmanager.JobNotFound
 	case a == poolmanager.ResultUnknown || b == poolmanager.ResultUnknown:
@@ -30,11 +33,11 @@
 // entry hosts that refused.
 func (r *Router) everyRoute(ctx context.Context, pool string, local localCall, writeToStore func() poolmanager.Result, remote remoteCall) (result poolmanager.Result, refusals int) {
 	result = r.viaHolder(ctx, pool, local, remote)
-	if result == poolmanager.Stored {
+	if result == poolmanager.Stored || result == poolmanager.Conflict {
 		return result, 0
 	}
 	written := writeToStore()
-	if written == poolmanager.JobNotFound {
+	if written == poolmanager.JobNotFound || written == poolmanager.Conflict {
 		return written, 0
 	}
 	if result = combine(result, written); result == poolmanager.Stored {
@@ -85,19 +88,24 @@
 	return result, refusals
 }
 
-// writeInbox writes a value to a pool's inbox unless the key exists.
-func (r *Router) writeInbox(ctx context.Context, key string, value []byte) poolmanager.Result {
+// writeInbox writes a value to a pool's inbox unless the key exists; then it returns
+// the existing entry.
+func (r *Router) writeInbox(ctx context.Context, key string, value []byte) (poolmanager.Result, *store.Entry) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	_, err := r.Store.Commit(ctx, store.Txn{
 		Conditions: []store.Condition{{Key: key}},
 		Puts:       []store.Put{{Key: key, Value: value}},
 	})
+	conflict, exists := err.(*store.TxnConflictError)
 	switch {
-	case err == nil || store.IsTxnConflict(err):
-		return poolmanager.Stored
+	case err == nil:
+		return poolmanager.Stored, nil
+	case exists:
+		existing := conflict.Find(key)
+		return poolmanager.Stored, &existing
 	case store.IsRefused(err):
-		return poolmanager.Refused
+		return poolmanager.Refused, nil
 	}
-	return poolmanager.ResultUnknown
+	return poolmanager.ResultUnknown, nil
 }
--- a/internal/listwatch/watcher.go
+++ b/internal/listwatch/watcher.go
@@ -28,6 +28,9 @@
 	// OnEvents receives changes in order. It is called without events when the
 	// store reports that there were none.
 	OnEvents func(events []store.Event)
+	// OnCurrent is called after each successful call with the moment up to which all
+	// changes are known. It may be nil.
+	OnCurrent func(at time.Time)
 	// OnAvailability is called with the cause when the store becomes unavailable,
 	// and with nil when it is available again. It may be nil.
 	OnAvailability func(cause error)
@@ -59,12 +62,14 @@
 
 // listOrWatch makes one call and returns the revision to watch from, zero to list.
 func (w *Watcher) listOrWatch(ctx context.Context, revision store.Revision) (store.Revision, error) {
+	sent := time.Now()
 	if revision == 0 {
 		listing, err := w.Store.List(ctx, w.Prefix)
 		if err != nil {
 			return 0, err
 		}
 		w.OnList(listing.Entries)
+		w.current(sent)
 		return listing.Revision, nil
 	}
 	batch, err := w.Store.Watch(ctx, w.Prefix, revision)
@@ -78,9 +83,16 @@
 		return revision, err
 	}
 	w.OnEvents(batch.Events)
+	w.current(sent.Add(batch.Quiet))
 	return batch.Revision, nil
 }
 
+func (w *Watcher) current(at time.Time) {
+	if w.OnCurrent != nil {
+		w.OnCurrent(at)
+	}
+}
+
 // WrittenEntries returns the entries that events wrote, without the deleted ones.
 func WrittenEntries(events []store.Event) (entries []store.Entry) {
 	for _, event := range events {
--- a/internal/poolmanager/calls_test.go
+++ b/internal/poolmanager/calls_test.go
@@ -46,7 +46,7 @@
 		e.workers.SetFaults(e.workers.IDs(pool)[0], emulate.HostFaults{DelayNext: 2})
 		id := e.submit(m, shortStep(1))
 		time.Sleep(50 * time.Millisecond)
-		must.EqOp(t, poolmanager.Stored, m.Cancel(e.ctx, id))
+		must.EqOp(t, poolmanager.Stored, m.Cancel(e.ctx, work.JobRef{ID: id}))
 		e.workers.Checker.Cancelled(id)
 		time.Sleep(15 * time.Second)
 		must.EqOp(t, 0, e.workers.Checker.Starts())
--- a/internal/poolmanager/harness_test.go
+++ b/internal/poolmanager/harness_test.go
@@ -128,7 +128,7 @@
 
 func (e *env) state(m *runningManager, id string) work.State {
 	e.t.Helper()
-	state, known, ok := m.JobState(e.ctx, id)
+	state, known, ok := m.JobState(e.ctx, work.JobRef{ID: id})
 	must.True(e.t, ok)
 	must.True(e.t, known)
 	return state
--- a/internal/poolmanager/heartbeats.go
+++ b/internal/poolmanager/heartbeats.go
@@ -56,11 +56,13 @@
 }
 
 // JobState returns the state of a job that clients may see; known is false when
-// the pool has no such job. ok is false when the manager has stopped or ctx ends
+// the pool has no such job of the organisation that asks. ok is false when the manager has stopped or ctx ends
 // first.
-func (m *Manager) JobState(ctx context.Context, id string) (state work.State, known, ok bool) {
+func (m *Manager) JobState(ctx context.Context, job work.JobRef) (state work.State, known, ok bool) {
 	result, ok := query(ctx, m, func() (s visibleState) {
-		s.state, s.known = m.pool.VisibleState(id)
+		if m.pool.Owned(job.ID, job.Organisation) {
+			s.state, s.known = m.pool.VisibleState(job.ID)
+		}
 		return s
 	})
 	return result.state, result.known, ok
--- a/internal/poolmanager/lanes_test.go
+++ b/internal/poolmanager/lanes_test.go
@@ -103,7 +103,7 @@
 		accepted := 0
 		for _, id := range ids {
 			_, err := e.store.Get(e.ctx, poolstore.JobKey(pool, id))
-			_, known, ok := next.JobState(e.ctx, id)
+			_, known, ok := next.JobState(e.ctx, work.JobRef{ID: id})
 			must.True(t, ok)
 			must.EqOp(t, known, !store.IsNotFound(err), must.Sprint("the new holder has exactly the jobs that are stored"))
 			if resultOf[id] == poolmanager.Stored {
--- a/internal/poolmanager/manager_test.go
+++ b/internal/poolmanager/manager_test.go
@@ -245,7 +245,7 @@
 		m := e.takeOver(true)
 		id := e.submit(m, longRunningStep(2))
 		time.Sleep(time.Second)
-		must.EqOp(t, poolmanager.Stored, m.Cancel(e.ctx, id))
+		must.EqOp(t, poolmanager.Stored, m.Cancel(e.ctx, work.JobRef{ID: id}))
 		e.workers.Checker.Cancelled(id)
 		must.EqOp(t, work.Cancelled, e.state(m, id))
 		m.kill()
@@ -254,7 +254,7 @@
 		time.Sleep(5 * time.Second)
 		must.EqOp(t, 0, e.workers.Checker.Running(id))
 		must.EqOp(t, work.Cancelled, e.state(next, id))
-		must.EqOp(t, poolmanager.JobNotFound, next.Cancel(e.ctx, "00000000000000ff"))
+		must.EqOp(t, poolmanager.JobNotFound, next.Cancel(e.ctx, work.JobRef{ID: "00000000000000ff"}))
 	})
 }
 
--- a/internal/poolmanager/speculate_test.go
+++ b/internal/poolmanager/speculate_test.go
@@ -64,7 +64,7 @@
 		e.workers.SetFaults(e.hostOf(id), emulate.HostFaults{SlowFactor: 30})
 		time.Sleep(1300 * time.Millisecond)
 		must.EqOp(t, 2, e.workers.Checker.Running(id))
-		must.EqOp(t, poolmanager.Stored, m.Cancel(e.ctx, id))
+		must.EqOp(t, poolmanager.Stored, m.Cancel(e.ctx, work.JobRef{ID: id}))
 		e.workers.Checker.Cancelled(id)
 		time.Sleep(2 * time.Second)
 		must.EqOp(t, 0, e.workers.Checker.Running(id))
--- a/internal/poolmanager/submit.go
+++ b/internal/poolmanager/submit.go
@@ -22,9 +22,11 @@
 	Refused
 	// JobNotFound means that there is no such job to cancel.
 	JobNotFound
+	// Conflict means that a job of another organisation has the submitted ID.
+	Conflict
 )
 
-var resultNames = [...]string{"unknown", "stored", "refused", "no job"}
+var resultNames = [...]string{"unknown", "stored", "refused", "no job", "conflict"}
 
 func (r Result) String() string { return resultNames[r] }
 
@@ -73,6 +75,13 @@
 	w.replies = nil
 }
 
+// resolved returns a channel with a result.
+func resolved(result Result) <-chan Result {
+	reply := make(chan Result, 1)
+	reply <- result
+	return reply
+}
+
 // Submit stores a job and adds it to the pool. When ctx ends first, the result is
 // Refused if the job will not be stored by this call, and ResultUnknown if it may
 // be.
@@ -114,6 +123,9 @@
 
 func (m *Manager) submit(record *work.JobRecord) <-chan Result {
 	s := m.submissions[record.ID]
+	if s != nil && !s.record.BelongsTo(record.Organisation) || m.pool.Has(record.ID) && !m.pool.Owned(record.ID, record.Organisation) {
+		return resolved(Conflict)
+	}
 	if s == nil {
 		s = &submission{record: record, submittedAt: time.Now()}
 	}
@@ -201,8 +213,8 @@
 }
 
 // Cancel cancels a job and returns once the cancellation is stored.
-func (m *Manager) Cancel(ctx context.Context, id string) Result {
-	reply, result := m.call(ctx, func() <-chan Result { return m.cancel(id) })
+func (m *Manager) Cancel(ctx context.Context, job work.JobRef) Result {
+	reply, result := m.call(ctx, func() <-chan Result { return m.cancelFor(job) })
 	if reply == nil {
 		return result
 	}
@@ -216,6 +228,15 @@
 	}
 }
 
+// cancelFor cancels a job for an organisation.
+func (m *Manager) cancelFor(job work.JobRef) <-chan Result {
+	s := m.submissions[job.ID]
+	if s != nil && !s.record.BelongsTo(job.Organisation) || m.pool.Has(job.ID) && !m.pool.Owned(job.ID, job.Organisation) {
+		return resolved(JobNotFound)
+	}
+	return m.cancel(job.ID)
+}
+
 func (m *Manager) cancel(id string) <-chan Result {
 	c := m.cancellations[id]
 	if c == nil {
--- a/internal/poolrpc/poolrpc.go
+++ b/internal/poolrpc/poolrpc.go
@@ -8,9 +8,11 @@
 	"time"
 
 	"auburnglade.example/glade/internal/clientcache"
+	"auburnglade.example/glade/internal/configrelay"
 	"auburnglade.example/glade/internal/hostmanager"
 	"auburnglade.example/glade/internal/poolmanager"
 	"auburnglade.example/glade/internal/poolrpc/poolpb"
+	"auburnglade.example/glade/internal/store"
 	"auburnglade.example/glade/internal/work"
 )
 
@@ -23,22 +25,26 @@
 	// With relay they may also forward the request to the holder or to the
 	// store. held is false if nothing was done because the pool is not held here.
 	Submit(ctx context.Context, record *work.JobRecord, relay bool) (result poolmanager.Result, held bool)
-	Cancel(ctx context.Context, pool, id string, relay bool) (result poolmanager.Result, held bool)
-	State(ctx context.Context, pool, id string, relay bool) (state work.State, known, held bool)
+	Cancel(ctx context.Context, job work.JobRef, relay bool) (result poolmanager.Result, held bool)
+	State(ctx context.Context, job work.JobRef, relay bool) (state work.State, known, held bool)
 	Waiting(ctx context.Context, pool, queue string) (count int, held bool)
 	DrainLocal(ctx context.Context, pool string, hosts []string) (states []hostmanager.DrainState, held bool)
 	LocalLoad(ctx context.Context, pool string, due []string) (load hostmanager.Load, held bool)
+	// ConfigurationAfter returns the newest configuration that this process knows,
+	// with its data if it is newer than known.
+	ConfigurationAfter(known store.Revision) configrelay.Answer
 }
 
 // Peers calls other entry hosts by address. After an error the outcome is unknown.
 // held is false if the callee does not hold the pool.
 type Peers interface {
 	Submit(ctx context.Context, address string, record *work.JobRecord, relay bool) (result poolmanager.Result, held bool, err error)
-	Cancel(ctx context.Context, address, pool, id string, relay bool) (result poolmanager.Result, held bool, err error)
-	State(ctx context.Context, address, pool, id string, relay bool) (state work.State, known, held bool, err error)
+	Cancel(ctx context.Context, address string, job work.JobRef, relay bool) (result poolmanager.Result, held bool, err error)
+	State(ctx context.Context, address string, job work.JobRef, relay bool) (state work.State, known, held bool, err error)
 	Waiting(ctx context.Context, address, pool, queue string) (count int, held bool, err error)
 	Vacate(ctx context.Context, address, pool string, hosts []string) (states []hostmanager.DrainState, held bool, err error)
 	Load(ctx context.Context, address, pool string, due []string) (load hostmanager.Load, held bool, err error)
+	configrelay.Peers
 }
 
 var _ Peers = (*Client)(nil)
@@ -58,6 +64,7 @@
 var results = map[poolmanager.Result]poolpb.Result{
 	poolmanager.ResultUnknown: poolpb.Result_RESULT_UNKNOWN, poolmanager.Stored: poolpb.Result_RESULT_STORED,
 	poolmanager.Refused: poolpb.Result_RESULT_REFUSED, poolmanager.JobNotFound: poolpb.Result_RESULT_NO_JOB,
+	poolmanager.Conflict: poolpb.Result_RESULT_CONFLICT,
 }
 
 func encodeResult(result poolmanager.Result, held bool) poolpb.Result {
@@ -80,17 +87,25 @@
 	return &poolpb.ResultReply{Result: encodeResult(result, held)}, nil
 }
 
+func refOf(r *poolpb.JobRequest) work.JobRef {
+	return work.JobRef{Pool: r.Pool, ID: r.Id, Organisation: r.Organisation}
+}
+
+func jobRequest(ctx context.Context, job work.JobRef, relay bool) *poolpb.JobRequest {
+	return &poolpb.JobRequest{Pool: job.Pool, Id: job.ID, Organisation: job.Organisation, TimeoutMs: calleeTimeoutMs(ctx), Relay: relay}
+}
+
 func (s *server) Cancel(ctx context.Context, r *poolpb.JobRequest) (*poolpb.ResultReply, error) {
 	ctx, cancel := withTimeoutMs(ctx, r.TimeoutMs)
 	defer cancel()
-	result, held := s.service.Cancel(ctx, r.Pool, r.Id, r.Relay)
+	result, held := s.service.Cancel(ctx, refOf(r), r.Relay)
 	return &poolpb.ResultReply{Result: encodeResult(result, held)}, nil
 }
 
 func (s *server) State(ctx context.Context, r *poolpb.JobRequest) (*poolpb.StateReply, error) {
 	ctx, cancel := withTimeoutMs(ctx, r.TimeoutMs)
 	defer cancel()
-	state, known, held := s.service.State(ctx, r.Pool, r.Id, r.Relay)
+	state, known, held := s.service.State(ctx, refOf(r), r.Relay)
 	if !known {
 		state = ""
 	}
@@ -124,6 +139,11 @@
 	return reply, nil
 }
 
+func (s *server) Configuration(_ context.Context, r *poolpb.ConfigurationRequest) (*poolpb.ConfigurationReply, error) {
+	answer := s.service.ConfigurationAfter(store.Revision(r.Revision))
+	return &poolpb.ConfigurationReply{Revision: int64(answer.Revision), AgeMs: answer.Age.Milliseconds(), Data: answer.Data}, nil
+}
+
 // Client is the RPC client for other entry hosts.
 type Client struct {
 	peers *clientcache.Cache[poolpb.Pools]
@@ -155,7 +175,7 @@
 var keeperResults = map[poolpb.Result]poolmanager.Result{
 	poolpb.Result_RESULT_UNKNOWN: poolmanager.ResultUnknown, poolpb.Result_RESULT_STORED: poolmanager.Stored,
 	poolpb.Result_RESULT_REFUSED: poolmanager.Refused, poolpb.Result_RESULT_NO_JOB: poolmanager.JobNotFound,
-	poolpb.Result_RESULT_NOT_HELD: poolmanager.Refused,
+	poolpb.Result_RESULT_NOT_HELD: poolmanager.Refused, poolpb.Result_RESULT_CONFLICT: poolmanager.Conflict,
 }
 
 // Submit submits a job to an entry host. After an error the outcome is unknown.
@@ -171,8 +191,8 @@
 }
 
 // Cancel cancels a job at an entry host. After an error the outcome is unknown.
-func (c *Client) Cancel(ctx context.Context, address, pool, id string, relay bool) (result poolmanager.Result, held bool, err error) {
-	reply, err := c.peers.Get(address).Cancel(ctx, &poolpb.JobRequest{Pool: pool, Id: id, TimeoutMs: calleeTimeoutMs(ctx), Relay: relay})
+func (c *Client) Cancel(ctx context.Context, address string, job work.JobRef, relay bool) (result poolmanager.Result, held bool, err error) {
+	reply, err := c.peers.Get(address).Cancel(ctx, jobRequest(ctx, job, relay))
 	if err != nil {
 		c.dropIdle()
 		return poolmanager.ResultUnknown, true, err
@@ -181,8 +201,8 @@
 }
 
 // State returns a job's state; known is false if the callee has no such job.
-func (c *Client) State(ctx context.Context, address, pool, id string, relay bool) (state work.State, known, held bool, err error) {
-	reply, err := c.peers.Get(address).State(ctx, &poolpb.JobRequest{Pool: pool, Id: id, TimeoutMs: calleeTimeoutMs(ctx), Relay: relay})
+func (c *Client) State(ctx context.Context, address string, job work.JobRef, relay bool) (state work.State, known, held bool, err error) {
+	reply, err := c.peers.Get(address).State(ctx, jobRequest(ctx, job, relay))
 	if err != nil {
 		c.dropIdle()
 		return "", false, false, err
@@ -227,3 +247,15 @@
 	}
 	return load, reply.Result != poolpb.Result_RESULT_NOT_HELD, nil
 }
+
+// Configuration implements configrelay.Peers.
+func (c *Client) Configuration(ctx context.Context, address string, known store.Revision) (configrelay.Answer, error) {
+	reply, err := c.peers.Get(address).Configuration(ctx, &poolpb.ConfigurationRequest{Revision: int64(known)})
+	if err != nil {
+		c.dropIdle()
+		return configrelay.Answer{}, err
+	}
+	return configrelay.Answer{
+		Version: configrelay.Version{Revision: store.Revision(reply.Revision), Data: reply.Data}, Age: time.Duration(reply.AgeMs) * time.Millisecond,
+	}, nil
+}
--- a/internal/poolstore/poolstore.go
+++ b/internal/poolstore/poolstore.go
@@ -190,8 +190,14 @@
 }
 
 // LookupState determines a job's state from the store alone. known is false and
-// err nil only when the store has no such job.
-func LookupState(ctx context.Context, s store.Store, pool, id string) (state work.State, known bool, err error) {
+// err nil only when the store has no such job of the organisation that asks.
+func LookupState(ctx context.Context, s store.Store, job work.JobRef) (state work.State, known bool, err error) {
+	pool, id := job.Pool, job.ID
+	if job.Organisation != "" {
+		if owned, err := owns(ctx, s, job); err != nil || !owned {
+			return "", false, err
+		}
+	}
 	if entry, err := s.Get(ctx, ProgressKey(pool, id)); err == nil {
 		p, err := work.DecodeProgress(entry.Value)
 		if err != nil {
@@ -204,14 +210,36 @@
 	} else if !store.IsNotFound(err) {
 		return "", false, err
 	}
-	for _, key := range []string{JobKey(pool, id), InboxJobKey(pool, id)} {
-		_, err := s.Get(ctx, key)
+	record, err := findRecord(ctx, s, job)
+	if err != nil || record == nil {
+		return "", false, err
+	}
+	return work.Queued, true, nil
+}
+
+// findRecord returns the entry of a job that is accepted or in the inbox, or nil.
+func findRecord(ctx context.Context, s store.Store, job work.JobRef) (*store.Entry, error) {
+	for _, key := range []string{JobKey(job.Pool, job.ID), InboxJobKey(job.Pool, job.ID)} {
+		entry, err := s.Get(ctx, key)
 		if err == nil {
-			return work.Queued, true, nil
+			return &entry, nil
 		}
 		if !store.IsNotFound(err) {
-			return "", false, err
+			return nil, err
 		}
 	}
-	return "", false, nil
+	return nil, nil
+}
+
+// owns reports whether a stored job belongs to the organisation that asks.
+func owns(ctx context.Context, s store.Store, job work.JobRef) (bool, error) {
+	entry, err := findRecord(ctx, s, job)
+	if err != nil || entry == nil {
+		return false, err
+	}
+	record, err := work.DecodeRecord(entry.Value)
+	if err != nil {
+		return false, err
+	}
+	return record.BelongsTo(job.Organisation), nil
 }
--- a/internal/sched/jobs.go
+++ b/internal/sched/jobs.go
@@ -105,6 +105,12 @@
 // Has reports whether the pool has the job.
 func (p *Pool) Has(id string) bool { return p.jobs[id] != nil }
 
+// Owned reports whether the pool has the job and it belongs to an organisation.
+func (p *Pool) Owned(id, organisation string) bool {
+	j := p.jobs[id]
+	return j != nil && j.record.BelongsTo(organisation)
+}
+
 // VisibleState returns the state that clients may see. A final state is visible
 // only once it is stored, so that no takeover can revert it.
 func (p *Pool) VisibleState(id string) (work.State, bool) {
--- a/internal/store/memstore/memstore.go
+++ b/internal/store/memstore/memstore.go
@@ -179,8 +179,9 @@
 	s.trackWatch(+1)
 	defer s.trackWatch(-1)
 	s.mu.Lock()
-	timeout := time.NewTimer(s.watchWait)
+	wait := s.watchWait
 	s.mu.Unlock()
+	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	cursor := after
 	for {
@@ -192,6 +193,7 @@
 		select {
 		case <-changed:
 		case <-timeout.C:
+			batch.Quiet = wait
 			return batch, nil
 		case <-s.outage():
 			return store.WatchBatch{}, &store.UnavailableError{Op: opWatch, Cause: errDown}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -56,6 +56,9 @@
 type WatchBatch struct {
 	Events   []Event  `json:"events"`
 	Revision Revision `json:"revision"`
+	// Quiet is how long the store has waited, at least, before it answered without
+	// events.
+	Quiet time.Duration `json:"-"`
 }
 
 // Lease is a granted lease. The store counts TTL from when it sends its
--- a/internal/work/bounds.go
+++ b/internal/work/bounds.go
@@ -30,6 +30,12 @@
 	LeaseTurn time.Duration
 	// Impact is how long a serving task may exceed its latency target.
 	Impact time.Duration
+	// ConfigApply is the time within which a configuration must be in force.
+	ConfigApply time.Duration
+	// Revocation is how long after a key's revocation its holder may still be let in.
+	// With StrictRevocation that also binds an entry host that learns of nothing.
+	Revocation       time.Duration
+	StrictRevocation bool
 	// Heartbeat is the interval between two heartbeats of a host.
 	Heartbeat time.Duration
 }
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -26,6 +26,14 @@
 	return Resources{s.MilliCPU - o.MilliCPU, s.MemMB - o.MemMB, s.GPU - o.GPU}
 }
 
+// IsZero reports whether s is nothing.
+func (s Resources) IsZero() bool { return s == Resources{} }
+
+// Times returns s multiplied by n.
+func (s Resources) Times(n int) Resources {
+	return Resources{n * s.MilliCPU, n * s.MemMB, n * s.GPU}
+}
+
 // InRange reports whether no resource is negative or more than any host can have. It
 // keeps sums over a pool within an int64.
 func (s Resources) InRange() bool {
@@ -281,15 +289,31 @@
 	Validity time.Duration `json:"v"`
 }
 
+// JobRef names a job on behalf of a client.
+type JobRef struct {
+	Pool, ID string
+	// Organisation is the organisation that asks, empty on a public queue.
+	Organisation string
+}
+
 // JobRecord is the stored form of an accepted job. It is immutable.
 type JobRecord struct {
 	ID    string `json:"id"`
 	Queue Queue  `json:"q"`
 	Spec  Spec   `json:"sp"`
+	// Organisation is the organisation that handed the job in. It is empty for a job
+	// of a public queue, and for one that a version without organisations stored.
+	Organisation string `json:"o,omitempty"`
 	// ArrivedMs is when the job was first submitted, in Unix milliseconds.
 	ArrivedMs int64 `json:"at"`
 }
 
+// BelongsTo reports whether an organisation may read, cancel and repeat the job. A
+// caller without an organisation has come by a public queue.
+func (r *JobRecord) BelongsTo(organisation string) bool {
+	return organisation == "" || r.Organisation == "" || r.Organisation == organisation
+}
+
 // State is the state of a job as reported to clients.
 type State string
 
