Keep organisations within their limits over all pools and holders

What an organisation may run is a limit over all pools, and up to five holders start tasks at the same time.

Ways weighed: fixed parts a pool (a pool in its turn asks for four times its mean, so three quarters of the limit would lie idle); one entry host that lends parts for a term (a borrower that is cut off goes on running what it has, so the lender has to wait for the hosts' leases, and its own loss stops all); a ledger in the store, taken here: a pool's holder starts tasks only within what the ledger allocates to its pool. A successor inherits the allocation, and what it hasn't found yet on hosts counts as used, so that no takeover needs an agreement. A write is conditional on the ledger, the pool's fence and the configuration, so neither a replaced holder nor one with old limits can take more. Nothing starts while the limits can't be known to be the newest, or the ledger wasn't read since they changed. A task larger than what is left of the limit runs alone.

--- a/internal/emulate/checker.go
+++ b/internal/emulate/checker.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,6 +38,9 @@
 	// RulePlacement is violated by more than MaxPerHost tasks of a step on a host, or
 	// a task on a host without the required label.
 	RulePlacement Rule = "host not allowed"
+	// RuleLimit is violated by a start that brings an organisation over its limit and
+	// one task more.
+	RuleLimit Rule = "organisation over its limit"
 )
 
 // Violation is one violation of a rule.
@@ -78,6 +82,7 @@
 	onHost     map[string]map[work.TaskName]bool
 	violations []Violation
 	starts     int
+	limits     limits
 }
 
 type jobState struct {
@@ -106,7 +111,7 @@
 func NewChecker() *Checker {
 	return &Checker{
 		jobs: make(map[string]*jobState), tasks: make(map[work.TaskName]*taskState),
-		used: make(map[string]work.Resources), onHost: make(map[string]map[work.TaskName]bool),
+		used: make(map[string]work.Resources), onHost: make(map[string]map[work.TaskName]bool), limits: newLimits(),
 	}
 }
 
@@ -135,6 +140,13 @@
 	return append([]Violation(nil), c.violations...)
 }
 
+// Forgive drops the violations of a rule, for tests that bring them about.
+func (c *Checker) Forgive(rule Rule) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.violations = slices.DeleteFunc(c.violations, func(v Violation) bool { return v.Rule == rule })
+}
+
 // Starts returns the number of runs that hosts have started.
 func (c *Checker) Starts() int {
 	c.mu.Lock()
@@ -247,6 +259,9 @@
 		}
 	}
 	c.checkPlacement(h, o.Task, s)
+	if breach := c.limits.started(job.record.Organisation, s.Resources); breach != "" {
+		c.addViolation(RuleLimit, "%s on %s: %s", o.Task, h.ID, breach)
+	}
 	c.used[h.ID] = c.used[h.ID].Plus(s.Reserved())
 	if capacity := h.allowedCapacity(); !c.used[h.ID].Fits(capacity) {
 		c.addViolation(RuleCapacity, "%s on %s: %+v of %+v", o.Task, h.ID, c.used[h.ID], capacity)
@@ -288,6 +303,7 @@
 	delete(c.onHost[host], name)
 	if s := c.stepLocked(name); s != nil {
 		c.used[host] = c.used[host].Minus(s.Reserved())
+		c.limits.ended(c.jobs[name.Job].record.Organisation, s.Resources)
 	}
 	switch reason {
 	case work.EndDone:
--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -35,6 +35,8 @@
 	Workers worker.Client
 	Hosts   worker.HostSource
 	Adviser worker.Adviser
+	// Limits provides the limits of organisations, nil where they have none.
+	Limits poolmanager.LimitSource
 	// Peers is the client for other entry hosts, CarrierPeers the one for those
 	// that are used as carriers.
 	Peers        poolrpc.Peers
@@ -167,7 +169,7 @@
 	}
 	router := h.router(takeover)
 	manager := poolmanager.New(poolmanager.Config{
-		Pool: takeover.Pool, Holder: h.Self.HolderID(), Store: h.Store, Workers: router, Hosts: router, Adviser: h.Adviser,
+		Pool: takeover.Pool, Holder: h.Self.HolderID(), Store: h.Store, Workers: router, Hosts: router, Adviser: h.Adviser, Limits: h.Limits,
 		Sched: config, Log: telemetry.PartLogger(h.Log, "pool").With().Str("pool", takeover.Pool).Logger(), Metrics: h.poolMetrics,
 	}, poolmanager.Takeover{
 		Head: takeover.Head, Revision: takeover.Revision, Claim: takeover.Claim, Lease: takeover.Lease,
--- a/internal/entryhost/harness_test.go
+++ b/internal/entryhost/harness_test.go
@@ -42,6 +42,8 @@
 	// hostsPerCore is how many hosts a core of an entry host can call, zero for
 	// the default.
 	hostsPerCore carrier.HostsPerCore
+	// operator provides the limits of organisations, nil for none.
+	operator *operator
 }
 
 // nodes are the names of up to three entry hosts, in order.
@@ -51,6 +53,8 @@
 	*entryhost.Host
 	address string
 	kill    context.CancelFunc
+	// gate turns the entry host away from the store, nil where it can't.
+	gate *gate
 }
 
 var bounds = work.Bounds{
@@ -63,6 +67,11 @@
 
 // runTestWith is runTest with the number of hosts that a core of an entry host can call.
 func runTestWith(t *testing.T, entries int, hostsPerCore carrier.HostsPerCore, test func(dep *deployment)) {
+	runTestOf(t, entries, func(dep *deployment) { dep.hostsPerCore = hostsPerCore }, test)
+}
+
+// runTestOf is runTest on a deployment that prepare has adjusted.
+func runTestOf(t *testing.T, entries int, prepare, test func(dep *deployment)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		var dep *deployment
@@ -75,8 +84,8 @@
 			t: t, ctx: ctx, store: memstore.New(), workers: workers, fleet: emulate.NewFleet(workers), net: emulate.NewNetwork(),
 			crashing: make(map[string]bool),
 			pools:    map[string]bool{"day": false, "night": false, "spare": true}, entries: make(map[string]*entry),
-			hostsPerCore: hostsPerCore,
 		}
+		prepare(dep)
 		// The same wait that package platform asks the store for.
 		dep.store.SetWatchWait(time.Second)
 		go workers.Run(ctx)
@@ -102,13 +111,21 @@
 }
 
 // start starts or restarts an entry host's process.
-func (dep *deployment) start(node string) *entry { return dep.startOn(node, dep.store) }
+func (dep *deployment) start(node string) *entry {
+	if dep.operator == nil {
+		return dep.startOn(node, dep.store)
+	}
+	through := &cutStore{Store: dep.store}
+	e := dep.startOn(node, through)
+	e.gate = &through.gate
+	return e
+}
 
 // startOn starts an entry host that reaches the store through s.
 func (dep *deployment) startOn(node string, s store.Transactor) *entry {
 	dep.starts++
 	ctx, cancel := context.WithCancel(dep.ctx)
-	host := entryhost.New(entryhost.Config{
+	config := entryhost.Config{
 		Self:  cluster.Member{Node: node, Incarnation: fmt.Sprint(dep.starts), Address: node, CPUShare: 0.4},
 		Store: s, Workers: dep.workers, Hosts: dep.workers, Peers: dep.net, CarrierPeers: dep.net, HostsPerCore: dep.hostsPerCore, Sched: entryhost.SchedConfig(bounds),
 		Pools: func() []string { return []string{"day", "night"} },
@@ -120,8 +137,18 @@
 			},
 		},
 		Log: zerolog.Nop(),
-	})
-	e := &entry{host, node, cancel}
+	}
+	var source *limitSource
+	if dep.operator != nil && !dep.operator.ignored {
+		source = &limitSource{}
+		config.Limits, config.ApplyConfig = source, source.apply
+	}
+	host := entryhost.New(config)
+	if source != nil {
+		source.relay = host.Relay
+		go source.follow(ctx, s)
+	}
+	e := &entry{Host: host, address: node, kill: cancel}
 	dep.entries[node] = e
 	dep.net.Connect(node, host.Jobs, host.Carrier)
 	go host.Run(ctx)
--- a/internal/entryhost/random_test.go
+++ b/internal/entryhost/random_test.go
@@ -150,6 +150,9 @@
 	// crashFaults draws the jobs that crash hosts and the changes of host
 	// capacity, nil for none.
 	crashFaults *rand.Rand
+	// limits draws the organisations of jobs and the changes of their limits, nil for
+	// none.
+	limits      *rand.Rand
 	accepted    map[string]string
 	longRunning map[string]string
 	gone        map[string]bool
@@ -173,6 +176,9 @@
 		if d.crashFaults != nil && d.crashFaults.IntN(6) == 0 {
 			d.shrinkHost()
 		}
+		if d.limits != nil && d.limits.IntN(6) == 0 {
+			d.changeLimits()
+		}
 		d.submit()
 		time.Sleep(time.Duration(d.random.IntN(400)) * time.Millisecond)
 	}
@@ -231,6 +237,9 @@
 	}
 	record := d.record(pool, steps...)
 	record.Queue.Priority = d.options.IntN(3)
+	if d.limits != nil && !isLongRunning {
+		record.Organisation = []string{"a", "b", "c"}[d.limits.IntN(3)]
+	}
 	crashOnStart := d.crashFaults != nil && !isLongRunning && d.crashFaults.IntN(12) == 0
 	if crashOnStart {
 		d.crashOnStart(record.ID)
@@ -384,4 +393,7 @@
 	d.store.SetLatency(0)
 	d.store.SetThrottled(false)
 	d.fleet.SetFaults(emulate.FleetFaults{})
+	if d.limits != nil {
+		d.liftLimits()
+	}
 }
--- a/internal/poolmanager/manager.go
+++ b/internal/poolmanager/manager.go
@@ -76,6 +76,8 @@
 	Hosts   worker.HostSource
 	// Adviser may be nil when no queue has a placement policy.
 	Adviser worker.Adviser
+	// Limits is nil where organisations have no limits.
+	Limits  LimitSource
 	Sched   sched.Config
 	Log     zerolog.Logger
 	Metrics *Metrics
@@ -125,6 +127,7 @@
 	// commitLatency is a moving average of the duration of commits.
 	commitLatency time.Duration
 	hedger        hedger
+	quotas        *quotaKeeper
 	// claimMissing is set while the claim has to be written again under the lease
 	// in takeover.
 	claimMissing bool
@@ -158,7 +161,7 @@
 		Config: config, takeover: takeover, messages: make(chan message, messageQueueSize), workTimes: newWorkTimes(config.Metrics), stopped: make(chan struct{}),
 		heartbeating: make(map[string]bool), submissions: make(map[string]*submission), cancellations: make(map[string]*cancellation),
 		head: takeover.Head, lanes: newLanes(takeover.Revision), committing: make(map[string]bool),
-		inboxApplied: make(map[string]bool), claimConfirmedAt: time.Now(),
+		inboxApplied: make(map[string]bool), claimConfirmedAt: time.Now(), quotas: newQuotaKeeper(config.Limits, config.Pool),
 	}
 }
 
@@ -276,7 +279,9 @@
 			go m.heartbeatLoop(target)
 		}
 	}
+	m.refreshQuotas(now)
 	m.workTimes.measure(partPlans, func() { m.plan(now) })
+	m.adjustQuotas(now)
 	m.workTimes.measure(partCommits, func() { m.commit(now) })
 }
 
--- a/internal/poolmanager/metrics.go
+++ b/internal/poolmanager/metrics.go
@@ -36,6 +36,8 @@
 	jobs        *prometheus.CounterVec
 	jobAge      prometheus.Histogram
 	jobWait     prometheus.Histogram
+	// quotaCalls counts calls about the quota ledger.
+	quotaCalls *prometheus.CounterVec
 	// partSeconds is the processing time of the pools' goroutines, by part.
 	partSeconds *prometheus.CounterVec
 	// planSeconds is the duration of plans, lagSeconds the delay with which a
@@ -59,6 +61,9 @@
 	m := &Metrics{
 		takeovers: prometheus.NewCounter(prometheus.CounterOpts{Name: "glade_pool_takeovers_total", Help: "Pools taken over by this process."}),
 		starts:    prometheus.NewCounter(prometheus.CounterOpts{Name: "glade_task_starts_total", Help: "Starts of tasks ordered."}),
+		quotaCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "glade_quota_ledger_calls_total", Help: "Calls about the ledger of organisations' limits: reads, writes, and writes that met a conflict.",
+		}, []string{"call"}),
 		speculativeStarts: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "glade_task_copies_total", Help: "Starts ordered beside an earlier run that may go on.",
 		}),
@@ -116,7 +121,7 @@
 		Name: "glade_pool_busy_seconds_total", Help: "Time that the goroutines of pools held here spent, by part.",
 	}, []string{"part"})
 	if registerer != nil {
-		registerer.MustRegister(m.partSeconds, m.verdicts, m.lostHosts, m.lostRuns, m.planSeconds, m.lagSeconds, m.takeovers, m.starts, m.speculativeStarts, m.hedges, m.stops, m.throttles, m.calls, m.callSeconds, m.commits, m.commitSeconds, m.entries, m.submits,
+		registerer.MustRegister(m.quotaCalls, m.partSeconds, m.verdicts, m.lostHosts, m.lostRuns, m.planSeconds, m.lagSeconds, m.takeovers, m.starts, m.speculativeStarts, m.hedges, m.stops, m.throttles, m.calls, m.callSeconds, m.commits, m.commitSeconds, m.entries, m.submits,
 			m.jobs, m.jobAge, m.jobWait, m.lossyPeriods, m.sideCommits)
 	}
 	return m
--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -87,6 +87,7 @@
 	h.used = h.used.Plus(s.spec.Reserved())
 	s.onHost[h]++
 	r.task.liveRuns++
+	r.task.job().usage.add(r, 1)
 	if s.spec.LongRunning {
 		h.longRunning++
 		h.longRunningCPU += s.spec.Reserved().MilliCPU
@@ -106,6 +107,7 @@
 	h.used = h.used.Minus(s.spec.Reserved())
 	s.removeRun(h)
 	r.task.liveRuns--
+	r.task.job().usage.add(r, -1)
 	if s.spec.LongRunning {
 		h.longRunning--
 		h.longRunningCPU -= s.spec.Reserved().MilliCPU
--- a/internal/sched/jobs.go
+++ b/internal/sched/jobs.go
@@ -96,7 +96,7 @@
 		record: record, doneOccurrences: make(map[int]bool), restored: make(map[taskKey]work.TaskProgress),
 		arrived: now.Add(-max(0, wall.Sub(time.UnixMilli(record.ArrivedMs)))),
 	}
-	j.runtimes = p.runtimesOf(record.Queue.Name)
+	j.runtimes, j.usage = p.runtimesOf(record.Queue.Name), p.usageOf(record.Organisation)
 	p.jobs[record.ID] = j
 	p.active = append(p.active, j)
 	return j
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -61,6 +61,8 @@
 // Plan decides what to do now and records its orders as sent.
 func (p *Pool) Plan(now, wall time.Time) Plan {
 	pl := &planner{Pool: p, now: now, wall: wall, noRoomFor: make(map[taskShape]bool), reserved: make(map[*host]bool)}
+	pl.hidden = pl.hiddenRoom()
+	pl.forgetDemands()
 	pl.collectOpen()
 	for _, j := range p.active {
 		p.addDueOccurrences(j, now, wall)
@@ -85,6 +87,8 @@
 	// resource free than maxFree.
 	open    []*host
 	maxFree work.Resources
+	// hidden bounds what runs of earlier holders use on hosts that have not answered.
+	hidden work.Resources
 	// noRoomFor holds the kinds of tasks that found no room in this plan.
 	noRoomFor map[taskShape]bool
 	// lowestPriority is the priority of the least urgent job; nothing is preempted
@@ -165,6 +169,9 @@
 		if t.done || t.run != nil || pl.now.Before(t.notBefore) {
 			continue
 		}
+		if !pl.withinQuota(s, 1) {
+			return
+		}
 		if pl.suspectedCrashes(t, pl.now) > 0 {
 			pl.startSuspect(t)
 			continue
@@ -256,7 +263,7 @@
 			checkpoint = t.checkpoint
 		}
 	}
-	if !pl.gangCrashesRecorded(s, number) {
+	if !pl.withinQuota(s, len(s.tasks)) || !pl.gangCrashesRecorded(s, number) {
 		return
 	}
 	var placed []*host
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -13,6 +13,7 @@
 import (
 	"time"
 
+	"auburnglade.example/glade/internal/quota"
 	"auburnglade.example/glade/internal/work"
 	"auburnglade.example/glade/internal/worker"
 )
@@ -70,6 +71,11 @@
 	// submitted holds the jobs that were submitted and are not stored yet, with the
 	// time of their submission.
 	submitted map[string]time.Time
+	// usages holds what organisations use, quotas what they may use, by name.
+	usages map[string]*usage
+	quotas map[string]quota.Quota
+	// inherited is what the pool held of organisations' limits at the takeover.
+	inherited map[string]work.Resources
 	// fenced is set once a host has refused this holder's fencing token.
 	fenced bool
 	// claimUnconfirmed is set while another process may hold the pool; nothing
@@ -86,7 +92,7 @@
 func New(config Config, roster Roster, now time.Time) *Pool {
 	p := &Pool{
 		Config: config, started: now,
-		jobs: make(map[string]*job), hosts: make(map[string]*host), runtimes: make(map[string]*runtimeModel), arrivals: make(map[string]*arrivals), history: newHistory(now), submitted: make(map[string]time.Time),
+		jobs: make(map[string]*job), hosts: make(map[string]*host), runtimes: make(map[string]*runtimeModel), arrivals: make(map[string]*arrivals), history: newHistory(now), submitted: make(map[string]time.Time), usages: make(map[string]*usage),
 		unreached: make(map[string]time.Time), roster: make(map[string]bool), frozen: make(map[string]bool), storedRoster: make(map[string]bool),
 	}
 	for _, id := range roster.InUse {
--- /dev/null
+++ b/internal/sched/quota.go
@@ -0,0 +1,142 @@
+package sched
+
+import (
+	"auburnglade.example/glade/internal/quota"
+	"auburnglade.example/glade/internal/work"
+)
+
+// usage is what one organisation's tasks use in the pool.
+type usage struct {
+	quota.Use
+	quota   quota.Quota
+	limited bool
+	// waiting, next and task are the demand of the last plan.
+	waiting, next, task work.Resources
+}
+
+// add counts a run, or with sign -1 discounts it. Of a best-effort task the CPU counts
+// too: it uses what others leave.
+func (u *usage) add(r *run, sign int) {
+	if u == nil {
+		return
+	}
+	resources := r.task.step.spec.Resources
+	if sign < 0 {
+		resources = work.Resources{}.Minus(resources)
+	}
+	if r.adopted {
+		u.Adopted = u.Adopted.Plus(resources)
+	} else {
+		u.Own = u.Own.Plus(resources)
+	}
+}
+
+// usageOf returns the usage of an organisation, nil for a job without one.
+func (p *Pool) usageOf(organisation string) *usage {
+	if organisation == "" {
+		return nil
+	}
+	u := p.usages[organisation]
+	if u == nil {
+		u = &usage{Use: quota.Use{Inherited: p.inherited[organisation]}}
+		u.quota, u.limited = p.quotas[organisation]
+		p.usages[organisation] = u
+	}
+	return u
+}
+
+// SetInherited sets what the pool held of each organisation's limit when it was taken
+// over.
+func (p *Pool) SetInherited(held map[string]work.Resources) {
+	p.inherited = held
+	for name := range held {
+		p.usageOf(name).Inherited = held[name]
+	}
+}
+
+// SetQuotas sets the quotas of the organisations that have a limit.
+func (p *Pool) SetQuotas(quotas map[string]quota.Quota) {
+	p.quotas = quotas
+	for name, u := range p.usages {
+		u.quota, u.limited = quotas[name]
+	}
+}
+
+// QuotaDemands returns the demands of the organisations that have a limit, as of the
+// last plan.
+func (p *Pool) QuotaDemands() map[string]quota.Demand {
+	demands := make(map[string]quota.Demand, len(p.usages))
+	hidden := p.hiddenRoom()
+	for name, u := range p.usages {
+		if u.limited {
+			demands[name] = quota.Demand{Used: u.Total(hidden), Waiting: u.waiting, Next: u.next, Task: u.task}
+		}
+	}
+	return demands
+}
+
+// hiddenRoom returns the most that runs of earlier holders can use on hosts that have
+// not answered since the takeover.
+func (p *Pool) hiddenRoom() (room work.Resources) {
+	if len(p.unreached) == 0 {
+		return room
+	}
+	var largest work.Resources
+	for _, h := range p.hosts {
+		largest = work.Resources{
+			MilliCPU: max(largest.MilliCPU, h.Capacity.MilliCPU), MemMB: max(largest.MemMB, h.Capacity.MemMB), GPU: max(largest.GPU, h.Capacity.GPU),
+		}
+	}
+	if largest == (work.Resources{}) {
+		return unbounded
+	}
+	for id := range p.unreached {
+		capacity := largest
+		if h := p.hosts[id]; h != nil {
+			capacity = h.Capacity
+		}
+		room = room.Plus(capacity)
+	}
+	return room
+}
+
+// unbounded is more than all hosts of a pool have.
+var unbounded = work.Resources{MilliCPU: 1 << 40, MemMB: 1 << 40, GPU: 1 << 40}
+
+// forgetDemands starts the demands of a new plan.
+func (p *Pool) forgetDemands() {
+	for _, u := range p.usages {
+		u.waiting, u.next, u.task = work.Resources{}, work.Resources{}, work.Resources{}
+	}
+}
+
+// withinQuota reports whether the organisation of a step may start count more of its
+// tasks, and otherwise counts all that wait as its demand.
+func (pl *planner) withinQuota(s *step, count int) bool {
+	u := s.occurrence.job.usage
+	if u == nil || !u.limited {
+		return true
+	}
+	more := s.spec.Resources.Times(count)
+	used := u.Total(pl.hidden)
+	if u.quota.Allows(used, more) || u.quota.AllowsExtra(used, more, s.spec.Resources) && !pl.startsPending(u) {
+		return true
+	}
+	u.waiting = u.waiting.Plus(s.spec.Resources.Times(s.waiting))
+	if u.next == (work.Resources{}) {
+		u.next, u.task = more, s.spec.Resources
+	}
+	return false
+}
+
+// startsPending reports whether a start of an organisation's task has no answer yet.
+func (p *Pool) startsPending(u *usage) bool {
+	for _, h := range p.hosts {
+		for _, r := range h.runs {
+			if r.startedAt.IsZero() && r.task.job().usage == u {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/internal/sched/task.go
+++ b/internal/sched/task.go
@@ -9,8 +9,10 @@
 type job struct {
 	record *work.JobRecord
 	// adopted is set when an earlier holder may have started tasks of the job.
-	adopted  bool
-	arrived  time.Time
+	adopted bool
+	arrived time.Time
+	// usage is what the job's organisation uses, nil without one.
+	usage    *usage
 	runtimes *runtimeModel
 	state    work.State
 	endedAt  time.Time
@@ -146,4 +148,6 @@
 	// when its host stopped responding. While isolated is set nothing else starts
 	// beside it for isolationPeriod.
 	suspect, isolated bool
+	// adopted is set for a run that an earlier holder started.
+	adopted bool
 }
