--- a/internal/poolmanager/quota.go
+++ b/internal/poolmanager/quota.go
@@ -54,14 +54,18 @@
 		return
 	}
 	limits := k.source.Limits()
+	if limits.Revision == 0 {
+		m.pool.SetQuotas(nil, quota.LimitsUnknown)
+		return
+	}
 	if len(limits.ByOrganisation) == 0 {
-		m.pool.SetQuotas(nil)
+		m.pool.SetQuotas(nil, "")
 		return
 	}
 	k.account.SetLimits(limits)
 	quotas := k.account.Quotas(k.source.LimitsCurrent(now))
 	m.logFrozen(quotas)
-	m.pool.SetQuotas(quotas)
+	m.pool.SetQuotas(quotas, "")
 	if !k.account.Verified() && !k.busy && !now.Before(k.notBefore) {
 		m.readLedger(now)
 	}
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -47,8 +47,9 @@
 
 // The reasons.
 const (
-	NotLoaded   Reason = "the ledger is not read yet"
-	Unconfirmed Reason = "the limits may be out of date"
+	LimitsUnknown Reason = "the limits are not known yet"
+	NotLoaded     Reason = "the ledger is not read yet"
+	Unconfirmed   Reason = "the limits may be out of date"
 	// Unverified: with other limits, even some that this process has never seen, other
 	// pools may have come to hold more than the limit leaves.
 	Unverified Reason = "the ledger is not read since the limits changed"
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -74,6 +74,9 @@
 	// usages holds what organisations use, quotas what they may use, by name.
 	usages map[string]*usage
 	quotas map[string]quota.Quota
+	// othersFrozen is why no task of any other organisation may start, empty if some
+	// may.
+	othersFrozen quota.Reason
 	// inherited is what the pool held of organisations' limits at the takeover.
 	inherited map[string]work.Resources
 	// fenced is set once a host has refused this holder's fencing token.
--- a/internal/sched/quota.go
+++ b/internal/sched/quota.go
@@ -39,7 +39,7 @@
 	u := p.usages[organisation]
 	if u == nil {
 		u = &usage{Use: quota.Use{Inherited: p.inherited[organisation]}}
-		u.quota, u.limited = p.quotas[organisation]
+		p.setQuota(organisation, u)
 		p.usages[organisation] = u
 	}
 	return u
@@ -54,11 +54,19 @@
 	}
 }
 
-// SetQuotas sets the quotas of the organisations that have a limit.
-func (p *Pool) SetQuotas(quotas map[string]quota.Quota) {
-	p.quotas = quotas
+// SetQuotas sets the quotas of the organisations that have a limit. frozen, if not empty,
+// is why no task of any other organisation may start.
+func (p *Pool) SetQuotas(quotas map[string]quota.Quota, frozen quota.Reason) {
+	p.quotas, p.othersFrozen = quotas, frozen
 	for name, u := range p.usages {
-		u.quota, u.limited = quotas[name]
+		p.setQuota(name, u)
+	}
+}
+
+func (p *Pool) setQuota(organisation string, u *usage) {
+	u.quota, u.limited = p.quotas[organisation]
+	if !u.limited && p.othersFrozen != "" {
+		u.quota, u.limited = quota.Quota{Frozen: p.othersFrozen}, true
 	}
 }
 
