Write log lines in pieces that a pipe takes at once

Each process wrote up to 256 KB at a time; where entry hosts share one pipe, a write of more than PIPE_BUF bytes is torn by those of others. Each write has whole lines of 4,096 bytes together at most now; a longer line is left out and counted.

--- a/internal/telemetry/sink.go
+++ b/internal/telemetry/sink.go
@@ -1,6 +1,7 @@
 package telemetry
 
 import (
+	"bytes"
 	"io"
 	"strconv"
 	"sync"
@@ -12,6 +13,9 @@
 const (
 	// sinkBytes bounds the buffered log lines, in bytes.
 	sinkBytes = 256 << 10
+	// atomicBytes is the most that a pipe takes in one piece (PIPE_BUF on Linux). Where
+	// several processes write to one pipe, longer writes are torn by those of others.
+	atomicBytes = 4096
 	// sinkFlushInterval is how long a line may be buffered: one write for many
 	// lines is much cheaper than one for each.
 	sinkFlushInterval = 200 * time.Millisecond
@@ -58,7 +62,7 @@
 		s.windowStart, s.windowLines = now, 0
 	}
 	s.windowLines++
-	if s.windowLines > s.perSecond || len(s.buffer)+len(line) > sinkBytes || s.closed {
+	if s.windowLines > s.perSecond || len(line) > atomicBytes || len(s.buffer)+len(line) > sinkBytes || s.closed {
 		s.droppedSinceReport++
 		s.dropped.Inc()
 		return len(line), nil
@@ -97,10 +101,7 @@
 			time.Sleep(sinkFlushInterval)
 		}
 		data, closed := s.swapBuffer(spare)
-		if _, err := s.out.Write(data); err != nil {
-			// The log can't be written; only the counter can report it.
-			s.dropped.Inc()
-		}
+		s.flush(data)
 		spare = data[:0]
 		if closed {
 			return
@@ -108,6 +109,21 @@
 	}
 }
 
+// flush writes lines in pieces of whole lines that a pipe takes at once.
+func (s *Sink) flush(data []byte) {
+	for len(data) > 0 {
+		piece := data
+		if end := bytes.LastIndexByte(data[:min(len(data), atomicBytes)], '\n'); end >= 0 {
+			piece = data[:end+1]
+		}
+		data = data[len(piece):]
+		if _, err := s.out.Write(piece); err != nil {
+			// The log can't be written; only the counter can report it.
+			s.dropped.Inc()
+		}
+	}
+}
+
 // swapBuffer returns the buffered lines and whether the sink is closed, and
 // makes spare the new buffer.
 func (s *Sink) swapBuffer(spare []byte) (data []byte, closed bool) {
--- a/internal/telemetry/sink_test.go
+++ b/internal/telemetry/sink_test.go
@@ -66,3 +66,37 @@
 		must.StrContains(t, out.String(), `"skipped":90`)
 	})
 }
+
+// writes records each write.
+type writes struct{ pieces []string }
+
+func (w *writes) Write(data []byte) (int, error) {
+	w.pieces = append(w.pieces, string(data))
+	return len(data), nil
+}
+
+// Guards against lines torn by those of another process that writes to the same pipe:
+// each write has whole lines only, and no more than a pipe takes in one piece.
+func TestWritesArePiecesThatAPipeTakesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &writes{}
+		sink := NewSink(out, 1_000_000, nil)
+		lines := 0
+		for length := 1; length < 3*atomicBytes; length += 37 {
+			_, err := sink.Write([]byte(strings.Repeat("x", length-1) + "\n"))
+			must.NoError(t, err)
+			if length <= atomicBytes {
+				lines++
+			}
+		}
+		time.Sleep(2 * sinkFlushInterval)
+		sink.Close()
+		for _, piece := range out.pieces {
+			must.LessEq(t, atomicBytes, len(piece))
+			must.StrHasSuffix(t, "\n", piece)
+		}
+		text := strings.Join(out.pieces, "")
+		must.EqOp(t, lines+1, strings.Count(text, "\n"))
+		must.StrContains(t, text, "Lines were left out.")
+	})
+}
