--- a/internal/poolmanager/quota.go
+++ b/internal/poolmanager/quota.go
@@ -40,6 +40,9 @@
 	busy bool
 	// notBefore is the earliest time of the next call.
 	notBefore time.Time
+	// allFrozen is why no limited organisation may start tasks, frozen why single ones
+	// may not, as last logged.
+	allFrozen quota.Reason
 	frozen    map[string]quota.Reason
 }
 
@@ -71,8 +74,22 @@
 	}
 }
 
-// logFrozen logs when an organisation may not start any task, and when it may again.
+// logFrozen logs when organisations may not start any task, and when they may again.
 func (m *Manager) logFrozen(quotas map[string]quota.Quota) {
+	var all quota.Reason
+	for _, q := range quotas {
+		if q.Frozen.OfAll() {
+			all = q.Frozen
+		}
+	}
+	if before := m.quotas.allFrozen; before != all {
+		m.quotas.allFrozen = all
+		m.Log.Info().Str("frozen", string(all)).Str("before", string(before)).Int64("limits_revision", int64(m.quotas.account.LimitsRevision())).
+			Msg("Starts of all organisations are held back, or no longer.")
+	}
+	if all != "" {
+		return
+	}
 	for name, q := range quotas {
 		if before := m.quotas.frozen[name]; before != q.Frozen {
 			m.quotas.frozen[name] = q.Frozen
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -56,6 +56,9 @@
 	OverLimit  Reason = "the organisation is over its limit"
 )
 
+// OfAll reports whether the reason holds for all organisations alike.
+func (r Reason) OfAll() bool { return r != "" && r != OverLimit }
+
 const (
 	// releaseInterval is the least time between two writes that only give back.
 	releaseInterval = 200 * time.Millisecond
