--- a/internal/configrelay/relay.go
+++ b/internal/configrelay/relay.go
@@ -95,8 +95,9 @@
 	return r
 }
 
-// Written records a version that the store showed at the moment at.
-func (r *Relay) Written(version Version, at time.Time) { r.learn(version, at, "the store") }
+// Written records a version that the store showed. It says nothing of the moment up to
+// which that is the newest: the answer may have waited, as in a process that stood still.
+func (r *Relay) Written(version Version) { r.learn(version, time.Time{}, "the store") }
 
 // Confirmed records that the store showed no newer version at the moment at.
 func (r *Relay) Confirmed(at time.Time) {
@@ -134,10 +135,11 @@
 		r.version = version
 	}
 	r.confirmLocked(at)
+	age := time.Since(r.confirmedAt)
 	r.mu.Unlock()
 	if version.Revision > known {
 		r.Log.Info().Int64("revision", int64(version.Revision)).Int64("before", int64(known)).Str("from", source).
-			Dur("age_ms", time.Since(at)).Msg("Learned a configuration.")
+			Dur("age_ms", age).Msg("Learned a configuration.")
 		r.Apply(version)
 	}
 }
--- a/internal/configrelay/relay_test.go
+++ b/internal/configrelay/relay_test.go
@@ -95,7 +95,8 @@
 		case !ok:
 			relay.StoreFailed()
 		case newest.Revision != relay.Revision():
-			relay.Written(newest, time.Now())
+			relay.Written(newest)
+			relay.Confirmed(time.Now())
 		default:
 			relay.Confirmed(time.Now())
 		}
--- a/internal/entryhost/limits_test.go
+++ b/internal/entryhost/limits_test.go
@@ -59,7 +59,7 @@
 func (s *limitSource) follow(ctx context.Context, through store.Store) {
 	apply := func(entries []store.Entry) {
 		for _, entry := range entries {
-			s.relay.Written(configrelay.Version{Revision: entry.ModRevision, Data: entry.Value}, time.Now())
+			s.relay.Written(configrelay.Version{Revision: entry.ModRevision, Data: entry.Value})
 		}
 	}
 	w := listwatch.Watcher{
--- a/internal/poolmanager/quota.go
+++ b/internal/poolmanager/quota.go
@@ -27,6 +27,8 @@
 	// quotaReadInterval is the least time between two reads of the ledger while tasks
 	// wait for what other pools hold.
 	quotaReadInterval = 150 * time.Millisecond
+	// corruptLedgerPause is the pause after a ledger that can't be decoded was read.
+	corruptLedgerPause = time.Second
 	// quotaTimeout bounds one call about the ledger.
 	quotaTimeout = 800 * time.Millisecond
 )
@@ -50,7 +52,7 @@
 	return &quotaKeeper{source: source, account: quota.NewAccount(pool), frozen: make(map[string]quota.Reason)}
 }
 
-// refresh gives the pool its quotas, before a plan.
+// refreshQuotas gives the pool its quotas, before a plan.
 func (m *Manager) refreshQuotas(now time.Time) {
 	k := m.quotas
 	if k.source == nil {
@@ -143,13 +145,14 @@
 	m.applyLedger(entry, limits)
 }
 
-// applyLedger records the ledger as it is in the store. One that can't be decoded
-// allocates nothing to this pool: the others' allocations can't be known.
+// applyLedger records the ledger as it is in the store. One that can't be decoded is not
+// replaced: what other pools hold can't be known.
 func (m *Manager) applyLedger(entry store.Entry, limits store.Revision) {
 	account := m.quotas.account
 	ledger, err := quota.DecodeLedger(entry)
 	if err != nil {
-		m.Log.Error().Err(err).Msg("Cannot decode the quota ledger; no limited organisation's task starts.")
+		m.Log.Error().Err(err).Msg("Cannot decode the quota ledger; no pool gets more of a limit.")
+		m.quotas.notBefore = time.Now().Add(corruptLedgerPause)
 		return
 	}
 	first := !account.Loaded()
