Lower the gauge of waiting requests when a waiter gives up

Operators saw glade_limit_queued_requests stay at the number of requests that had given up, until the next one was served or queued: it was set when a request was queued or served only. TestQueueGaugeFallsWhenWaitersGiveUp failed before (3 for 0).

--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -268,7 +268,7 @@
 // cancelWait removes a request from the queue and returns a refusal, unless the wait
 // has just ended with a result.
 func (l *Limiter) cancelWait(state *serviceState, w *waiter) (*Slot, error) {
-	if !state.dequeue(w) {
+	if !l.dequeue(state, w) {
 		granted := <-w.result
 		return granted.slot, granted.err
 	}
@@ -277,10 +277,12 @@
 
 // dequeue removes a waiting request from the queue. It reports false if the request is
 // no longer queued.
-func (s *serviceState) dequeue(w *waiter) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.queue.remove(w)
+func (l *Limiter) dequeue(state *serviceState, w *waiter) bool {
+	state.mu.Lock()
+	defer state.mu.Unlock()
+	queued := state.queue.remove(w)
+	l.metrics.queued.WithLabelValues(w.request.Service).Set(float64(state.queue.len()))
+	return queued
 }
 
 // takeSlot returns a slot on the first ranked endpoint whose share has a free one, or
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/shoenig/test/must"
 
 	"auburnglade.example/glade/internal/endpoint"
@@ -258,3 +259,23 @@
 	wait.Wait()
 	must.Eq(t, []int{each, each, each, each, each, each}, load)
 }
+
+// Guards against a gauge of waiting requests that goes on counting those that have given
+// up.
+func TestQueueGaugeFallsWhenWaitersGiveUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, _ := newLimiter(1)
+		slot, err := acquire(l, "match", "a", time.Second)
+		must.NoError(t, err)
+		var waiters sync.WaitGroup
+		for range 3 {
+			waiters.Go(func() {
+				_, err := acquire(l, "match", "b", 500*time.Millisecond)
+				must.Error(t, err)
+			})
+		}
+		waiters.Wait()
+		must.EqOp(t, 0, testutil.ToFloat64(l.metrics.queued.WithLabelValues("match")))
+		slot.Release()
+	})
+}
