Write a status that was put back while another value was on its way

Operators could see a status that was replaced: put a, b on its way, put a again. The second a equalled the last value written, so nothing was pending, and b was stored and stayed. The same after a write without an answer. A value is left out now only if the one in the store is known and no write is under way. TestStatusPutBackDuringAWriteIsWritten failed before.

--- a/internal/storelimit/status.go
+++ b/internal/storelimit/status.go
@@ -35,7 +35,9 @@
 	written       []byte
 	revision      store.Revision
 	revisionKnown bool
-	nextWrite     time.Time
+	// writing is set while a write is under way.
+	writing   bool
+	nextWrite time.Time
 }
 
 // NewStatusWriter returns a writer; nothing is written before Serve runs.
@@ -43,9 +45,8 @@
 	return &StatusWriter{store: s, log: log, wake: make(chan struct{}, 1), status: make(map[string]*status)}
 }
 
-// Put queues value to be written under key. A value equal to the last one written
-// is not written again, and a later Put replaces a pending value. Put never
-// blocks.
+// Put queues value to be written under key. A value equal to the one in the store is
+// not written again, and a later Put replaces a pending value. Put never blocks.
 func (w *StatusWriter) Put(key string, value []byte) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -54,7 +55,8 @@
 		s = &status{}
 		w.status[key] = s
 	}
-	if bytes.Equal(value, s.written) {
+	// Another value may be on its way, or stored by a write that got no answer.
+	if s.revisionKnown && !s.writing && bytes.Equal(value, s.written) {
 		s.pending = nil
 		return
 	}
@@ -113,6 +115,7 @@
 func (w *StatusWriter) write(ctx context.Context, key string) {
 	w.mu.Lock()
 	snapshot := *w.status[key]
+	w.status[key].writing = snapshot.pending != nil
 	w.mu.Unlock()
 	if snapshot.pending == nil {
 		return
@@ -121,6 +124,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s := w.status[key]
+	s.writing = false
 	s.nextWrite = time.Now().Add(minWriteInterval)
 	switch {
 	case err == nil:
--- a/internal/storelimit/store_test.go
+++ b/internal/storelimit/store_test.go
@@ -192,3 +192,28 @@
 		must.Eq(t, 2, s.Counts().Writes)
 	})
 }
+
+// Guards against a status that stays at a value which was put between two others and
+// replaced while its write was under way.
+func TestStatusPutBackDuringAWriteIsWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := memstore.New()
+		w := storelimit.NewStatusWriter(s, zerolog.Nop())
+		ctx, cancel := context.WithCancel(t.Context())
+		var wait sync.WaitGroup
+		defer wait.Wait()
+		defer cancel()
+		wait.Go(func() { _ = w.Serve(ctx) })
+		key := storekeys.Status(record.ID{Kind: record.KindWave, Name: "w"})
+		w.Put(key, []byte("a"))
+		time.Sleep(3 * time.Second)
+		s.SetLatency(time.Second)
+		w.Put(key, []byte("b"))
+		time.Sleep(500 * time.Millisecond)
+		w.Put(key, []byte("a"))
+		time.Sleep(6 * time.Second)
+		entry, err := s.Get(t.Context(), key)
+		must.NoError(t, err)
+		must.Eq(t, "a", string(entry.Value))
+	})
+}
