Measure how late hosts' replies are beyond their wait

A holder on a full link reads replies late or throws them away, and takes its hosts for silent; nothing told that from hosts that are. No decision uses them.

--- a/internal/poolmanager/calls.go
+++ b/internal/poolmanager/calls.go
@@ -255,9 +255,15 @@
 		ctx = bounded
 	}
 	reply, outcome := m.Workers.Heartbeat(ctx, target, heartbeat)
-	m.Metrics.recordCall("hold", outcome, time.Since(sent))
+	took := time.Since(sent)
+	m.Metrics.recordCall("hold", outcome, took)
 	if outcome == worker.Accepted {
-		m.enqueuePart(m.ctx, partHeartbeats, func() { m.pool.ApplyHeartbeat(target.ID, sent, reply, time.Now(), m.WallClock()) })
+		late := max(0, took-heartbeat.Wait)
+		m.Metrics.replyLateSeconds.Observe(late.Seconds())
+		m.enqueuePart(m.ctx, partHeartbeats, func() {
+			m.maxReplyLate = max(m.maxReplyLate, late)
+			m.pool.ApplyHeartbeat(target.ID, sent, reply, time.Now(), m.WallClock())
+		})
 	} else {
 		m.enqueuePart(m.ctx, partHeartbeats, func() { m.heartbeatFailed(target.ID, outcome) })
 	}
--- a/internal/poolmanager/manager.go
+++ b/internal/poolmanager/manager.go
@@ -148,6 +148,9 @@
 	// lag is the recent delay with which this goroutine processes its ticks,
 	// maxLag the largest one since the statistics were last logged.
 	lag, maxLag time.Duration
+	// maxReplyLate is by how much a reply to a heartbeat was later than the host may
+	// delay it, at the most since the statistics were last logged.
+	maxReplyLate time.Duration
 	workTimes   *workTimes
 }
 
@@ -236,10 +239,10 @@
 	}
 	m.statsLoggedAt = now
 	s := m.pool.Stats(now)
-	m.Log.Info().Dur("plan_ms", m.planDuration).Dur("worst_lag_ms", m.maxLag).Dur("order_ms", m.hedger.latency()).Int("jobs", s.Jobs).Int("hosts", s.Hosts).Int("usable", s.Usable).Interface("unusable", s.UnusableReasons).
+	m.Log.Info().Dur("plan_ms", m.planDuration).Dur("worst_lag_ms", m.maxLag).Dur("worst_reply_late_ms", m.maxReplyLate).Dur("order_ms", m.hedger.latency()).Int("jobs", s.Jobs).Int("hosts", s.Hosts).Int("usable", s.Usable).Interface("unusable", s.UnusableReasons).
 		Int("unreached", s.Unreached).Int("runs", s.Runs).Int("waiting_tasks", s.WaitingTasks).
 		Int("waiting_lasting", s.LongRunningWaiting).Int("used_cores", s.UsedCores).Int("cores", s.Cores).Dict("busy_ms", m.workTimes.takeSpent()).Msg("Pool statistics.")
-	m.maxLag = 0
+	m.maxLag, m.maxReplyLate = 0, 0
 }
 
 // applyQueued runs all queued messages, so that one plan covers them all.
--- a/internal/poolmanager/metrics.go
+++ b/internal/poolmanager/metrics.go
@@ -43,6 +43,9 @@
 	// planSeconds is the duration of plans, lagSeconds the delay with which a
 	// pool's goroutine processes its ticks.
 	planSeconds, lagSeconds prometheus.Histogram
+	// replyLateSeconds is by how much replies to heartbeats are later than the hosts
+	// may delay them.
+	replyLateSeconds prometheus.Histogram
 }
 
 // planBuckets range from a plan for a few hosts to one that stalls the pool.
@@ -64,6 +67,9 @@
 		quotaCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "glade_quota_ledger_calls_total", Help: "Calls about the ledger of organisations' limits: reads, writes, and writes that met a conflict.",
 		}, []string{"call"}),
+		replyLateSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "glade_worker_reply_late_seconds", Help: "By how much replies to heartbeats are later than the hosts may delay them.", Buckets: callBuckets,
+		}),
 		speculativeStarts: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "glade_task_copies_total", Help: "Starts ordered beside an earlier run that may go on.",
 		}),
@@ -121,7 +127,7 @@
 		Name: "glade_pool_busy_seconds_total", Help: "Time that the goroutines of pools held here spent, by part.",
 	}, []string{"part"})
 	if registerer != nil {
-		registerer.MustRegister(m.quotaCalls, m.partSeconds, m.verdicts, m.lostHosts, m.lostRuns, m.planSeconds, m.lagSeconds, m.takeovers, m.starts, m.speculativeStarts, m.hedges, m.stops, m.throttles, m.calls, m.callSeconds, m.commits, m.commitSeconds, m.entries, m.submits,
+		registerer.MustRegister(m.replyLateSeconds, m.quotaCalls, m.partSeconds, m.verdicts, m.lostHosts, m.lostRuns, m.planSeconds, m.lagSeconds, m.takeovers, m.starts, m.speculativeStarts, m.hedges, m.stops, m.throttles, m.calls, m.callSeconds, m.commits, m.commitSeconds, m.entries, m.submits,
 			m.jobs, m.jobAge, m.jobWait, m.lossyPeriods, m.sideCommits)
 	}
 	return m
