--- a/internal/poolmanager/manager.go
+++ b/internal/poolmanager/manager.go
@@ -151,7 +151,7 @@
 	// maxReplyLate is by how much a reply to a heartbeat was later than the host may
 	// delay it, at the most since the statistics were last logged.
 	maxReplyLate time.Duration
-	workTimes   *workTimes
+	workTimes    *workTimes
 }
 
 // New returns a Manager for a pool that was just taken over.
