--- a/internal/configrelay/relay.go
+++ b/internal/configrelay/relay.go
@@ -121,27 +121,32 @@
 }
 
 // learn takes a version that was the newest at the moment at, unless a newer one is
-// known.
+// known, and applies it if it is new.
 func (r *Relay) learn(version Version, at time.Time, source string) {
 	r.applying.Lock()
 	defer r.applying.Unlock()
-	r.mu.Lock()
-	known := r.version.Revision
-	if version.Revision < known {
-		r.mu.Unlock()
+	before, age := r.take(version, at)
+	if version.Revision <= before {
 		return
 	}
-	if version.Revision > known {
+	r.Log.Info().Int64("revision", int64(version.Revision)).Int64("before", int64(before)).Str("from", source).
+		Dur("age_ms", age).Msg("Learned a configuration.")
+	r.Apply(version)
+}
+
+// take records a version and returns the revision known before, and the age of what is
+// known now.
+func (r *Relay) take(version Version, at time.Time) (before store.Revision, age time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before = r.version.Revision
+	if version.Revision > before {
 		r.version = version
 	}
-	r.confirmLocked(at)
-	age := time.Since(r.confirmedAt)
-	r.mu.Unlock()
-	if version.Revision > known {
-		r.Log.Info().Int64("revision", int64(version.Revision)).Int64("before", int64(known)).Str("from", source).
-			Dur("age_ms", age).Msg("Learned a configuration.")
-		r.Apply(version)
+	if version.Revision >= before {
+		r.confirmLocked(at)
 	}
+	return before, time.Since(r.confirmedAt)
 }
 
 // Age returns how long ago the version in force was known to be the newest.
