Let a replaced holder not use what its successor holds of a limit

The ledger has each pool's fencing token now; a holder that reads a later one starts nothing and steps down.

Bounds and checks are as they were.

--- a/internal/poolmanager/manager.go
+++ b/internal/poolmanager/manager.go
@@ -164,7 +164,7 @@
 		Config: config, takeover: takeover, messages: make(chan message, messageQueueSize), workTimes: newWorkTimes(config.Metrics), stopped: make(chan struct{}),
 		heartbeating: make(map[string]bool), submissions: make(map[string]*submission), cancellations: make(map[string]*cancellation),
 		head: takeover.Head, lanes: newLanes(takeover.Revision), committing: make(map[string]bool),
-		inboxApplied: make(map[string]bool), claimConfirmedAt: time.Now(), quotas: newQuotaKeeper(config.Limits, config.Pool),
+		inboxApplied: make(map[string]bool), claimConfirmedAt: time.Now(), quotas: newQuotaKeeper(config.Limits, config.Pool, takeover.Head.Fence),
 	}
 }
 
--- a/internal/poolmanager/quota.go
+++ b/internal/poolmanager/quota.go
@@ -48,8 +48,8 @@
 	frozen    map[string]quota.Reason
 }
 
-func newQuotaKeeper(source LimitSource, pool string) *quotaKeeper {
-	return &quotaKeeper{source: source, account: quota.NewAccount(pool), frozen: make(map[string]quota.Reason)}
+func newQuotaKeeper(source LimitSource, pool string, fence int64) *quotaKeeper {
+	return &quotaKeeper{source: source, account: quota.NewAccount(pool, fence), frozen: make(map[string]quota.Reason)}
 }
 
 // refreshQuotas gives the pool its quotas, before a plan.
@@ -157,6 +157,11 @@
 	}
 	first := !account.Loaded()
 	account.Read(ledger, entry.ModRevision, limits)
+	if account.Replaced() {
+		m.Log.Warn().Int64("fence", m.takeover.Head.Fence).Int64("revision", int64(entry.ModRevision)).Msg("A later holder of the pool has written the quota ledger.")
+		m.pool.SetFenced()
+		return
+	}
 	if first {
 		m.pool.SetInherited(account.HeldByAll())
 	}
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -49,6 +49,7 @@
 const (
 	LimitsUnknown Reason = "the limits are not known yet"
 	NotLoaded     Reason = "the ledger is not read yet"
+	Taken         Reason = "another process holds the pool"
 	Unconfirmed   Reason = "the limits may be out of date"
 	// Unverified: with other limits, even some that this process has never seen, other
 	// pools may have come to hold more than the limit leaves.
@@ -70,7 +71,9 @@
 // Account is one pool's view of the ledger. Its owner reads and writes the ledger, and
 // reports what the store says.
 type Account struct {
-	pool     string
+	pool string
+	// fence is the fencing token of the pool's holder.
+	fence    int64
 	limits   Limits
 	ledger   *Ledger
 	revision store.Revision
@@ -95,8 +98,9 @@
 	Changed map[string]Allocation
 }
 
-// NewAccount returns an account that has not read the ledger.
-func NewAccount(pool string) *Account { return &Account{pool: pool} }
+// NewAccount returns the account of a pool's holder with a fencing token. It has not read
+// the ledger.
+func NewAccount(pool string, fence int64) *Account { return &Account{pool: pool, fence: fence} }
 
 // SetLimits sets the limits in force.
 func (a *Account) SetLimits(limits Limits) { a.limits = limits }
@@ -107,6 +111,11 @@
 // Verified reports whether the ledger has been read or written with the limits in force.
 func (a *Account) Verified() bool { return a.ledger != nil && a.verified == a.limits.Revision }
 
+// Replaced reports whether a later holder of the pool has written the ledger. What the
+// ledger allocates to the pool is that one's then: with both of them starting tasks
+// within it, the pool would use it twice.
+func (a *Account) Replaced() bool { return a.ledger != nil && a.ledger.Fences[a.pool] > a.fence }
+
 // Loaded reports whether the ledger has been read.
 func (a *Account) Loaded() bool { return a.ledger != nil }
 
@@ -152,6 +161,8 @@
 	case a.ledger == nil:
 		q.Frozen = NotLoaded
 		return q
+	case a.Replaced():
+		q.Frozen = Taken
 	case !confirmed:
 		q.Frozen = Unconfirmed
 	case a.verified != a.limits.Revision:
@@ -196,7 +207,7 @@
 			delete(allocations, name)
 		}
 	}
-	p := &Proposal{Ledger: a.ledger.with(a.pool, allocations), Revision: a.revision, Limits: a.limits.Revision, Changed: changed}
+	p := &Proposal{Ledger: a.ledger.with(a.pool, a.fence, allocations), Revision: a.revision, Limits: a.limits.Revision, Changed: changed}
 	a.unresolved = append(a.unresolved, p)
 	return p
 }
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -6,6 +6,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 
 	"auburnglade.example/glade/internal/store"
 	"auburnglade.example/glade/internal/work"
@@ -26,6 +27,9 @@
 // in use.
 type Ledger struct {
 	Pools map[string]map[string]Allocation `json:"p"`
+	// Fences holds the fencing token of the holder that last wrote each pool's
+	// allocations.
+	Fences map[string]int64 `json:"f,omitempty"`
 }
 
 // Encode returns the stored form.
@@ -65,12 +69,12 @@
 	return sum
 }
 
-// with returns a copy of the ledger with other allocations for one pool.
-func (l *Ledger) with(pool string, allocations map[string]Allocation) *Ledger {
-	next := &Ledger{Pools: make(map[string]map[string]Allocation, len(l.Pools)+1)}
-	for name, a := range l.Pools {
-		next.Pools[name] = a
-	}
-	next.Pools[pool] = allocations
+// with returns a copy of the ledger with other allocations for one pool, written by the
+// holder with a fencing token.
+func (l *Ledger) with(pool string, fence int64, allocations map[string]Allocation) *Ledger {
+	next := &Ledger{Pools: make(map[string]map[string]Allocation, len(l.Pools)+1), Fences: make(map[string]int64, len(l.Fences)+1)}
+	maps.Copy(next.Pools, l.Pools)
+	maps.Copy(next.Fences, l.Fences)
+	next.Pools[pool], next.Fences[pool] = allocations, fence
 	return next
 }
--- a/internal/quota/model_test.go
+++ b/internal/quota/model_test.go
@@ -3,7 +3,9 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -122,7 +124,7 @@
 	if p.holder != nil {
 		p.replaced = append(p.replaced, p.holder)
 	}
-	h := &modelHolder{pool: p, fence: p.fence, account: NewAccount(p.name), config: m.newest(), hidden: make(map[int]bool)}
+	h := &modelHolder{pool: p, fence: p.fence, account: NewAccount(p.name, int64(p.fence)), config: m.newest(), hidden: make(map[int]bool)}
 	for id := range p.tasks {
 		h.hidden[id] = true
 	}
@@ -200,10 +202,13 @@
 	}
 }
 
+// ids returns the numbers of the pool's tasks in order, so that a seed repeats.
+func (p *modelPool) ids() []int { return slices.Sorted(maps.Keys(p.tasks)) }
+
 // end ends a task; its holder hears of it later, if at all.
 func (m *model) end(p *modelPool) {
-	for id, t := range p.tasks {
-		if !t.ended {
+	for _, id := range p.ids() {
+		if t := p.tasks[id]; !t.ended {
 			t.ended = true
 			p.tasks[id] = t
 			return
@@ -213,7 +218,8 @@
 
 // report lets the pool's holder hear of an end, or find a task of an earlier holder.
 func (m *model) report(h *modelHolder) {
-	for id, t := range h.pool.tasks {
+	for _, id := range h.pool.ids() {
+		t := h.pool.tasks[id]
 		switch {
 		case t.owner == h && t.ended:
 			h.use.Own = h.use.Own.Minus(cores(t.size))
