Bound starts to half of an entry host's link

Cause: in a demand burst on links of 2 Mbit/s the holder of a pool sent more starts than its link carries. Connections and lease renewals waited behind them, exchanges with carriers failed, and all their calls were made again by other routes.

Ruled out: stops, moves or maintenance of these tasks (no such line near); the holder's processor (its lag was about 1 ms); failed carriers (they served their own pools meanwhile).

Now each plan begins only the starts that half of the link carries, counted in bytes over all pools held by the process; others wait in the pool in their order. A start is repeated only out of the same share. Leases, and what a successor waits for, are as before.

--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -19,6 +19,7 @@
 	"auburnglade.example/glade/internal/configrelay"
 	"auburnglade.example/glade/internal/hostmanager"
 	"auburnglade.example/glade/internal/jobrouter"
+	"auburnglade.example/glade/internal/linkbudget"
 	"auburnglade.example/glade/internal/poolmanager"
 	"auburnglade.example/glade/internal/poolrpc"
 	"auburnglade.example/glade/internal/sched"
@@ -71,7 +72,9 @@
 	Carrier        *carrier.Server
 	poolMetrics    *poolmanager.Metrics
 	carrierMetrics *carrier.Metrics
-	ctx            context.Context
+	// starts is the share of the link for the starts of all pools held here.
+	starts *linkbudget.Budget
+	ctx    context.Context
 
 	mu          sync.Mutex
 	managers    map[string]*poolmanager.Manager
@@ -81,7 +84,7 @@
 // New returns an entry host. It is inactive until Run.
 func New(config Config) *Host {
 	config.Self.CanCarry = true
-	h := &Host{Config: config, managers: make(map[string]*poolmanager.Manager), poolMetrics: poolmanager.NewMetrics(config.Registerer), carrierMetrics: carrier.NewMetrics(config.Registerer)}
+	h := &Host{Config: config, managers: make(map[string]*poolmanager.Manager), poolMetrics: poolmanager.NewMetrics(config.Registerer), carrierMetrics: carrier.NewMetrics(config.Registerer), starts: linkbudget.New(config.LinkMbps, startShare)}
 	h.Carrier = carrier.NewServer(config.Workers, carrier.BatchDelay(config.LinkMbps), h.carrierMetrics)
 	h.Cluster = cluster.New(cluster.Config{
 		Store: config.Store, Self: config.Self, Pools: h.claims, StartPool: h.startPool,
@@ -169,7 +172,7 @@
 	}
 	router := h.router(takeover)
 	manager := poolmanager.New(poolmanager.Config{
-		Pool: takeover.Pool, Holder: h.Self.HolderID(), Store: h.Store, Workers: router, Hosts: router, Adviser: h.Adviser, Limits: h.Limits,
+		Pool: takeover.Pool, Holder: h.Self.HolderID(), Store: h.Store, Workers: router, Hosts: router, Adviser: h.Adviser, Limits: h.Limits, Starts: h.starts,
 		Sched: config, Log: telemetry.PartLogger(h.Log, "pool").With().Str("pool", takeover.Pool).Logger(), Metrics: h.poolMetrics,
 	}, poolmanager.Takeover{
 		Head: takeover.Head, Revision: takeover.Revision, Claim: takeover.Claim, Lease: takeover.Lease,
@@ -253,6 +256,10 @@
 	released.Wait()
 }
 
+// startShare is the share of an entry host's link for starts. The rest is for lease
+// renewals, stops, clients and the store; commits take half as much as starts.
+const startShare = 0.5
+
 // leaseTTL is how long a heartbeat extends the lease on a host's runs. A pool whose
 // holder fails is taken over within about 3 s, and running work must outlast that. Tasks
 // of an unresponsive host cannot be started elsewhere until its lease has expired.
--- a/internal/poolmanager/calls.go
+++ b/internal/poolmanager/calls.go
@@ -176,7 +176,7 @@
 
 func (m *Manager) startRun(order sched.Order) {
 	sent := time.Now()
-	wanted := func() bool { return m.startPending(order) }
+	wanted := func() bool { return m.startPending(order) && m.Starts.TrySpend(order.Bytes(), time.Now()) }
 	outcome := m.hedger.do(m.Metrics.hedges, wanted, func() worker.Outcome {
 		return m.Workers.Start(m.ctx, order.To, worker.Start{
 			Task: order.Task, Run: order.Run, Payload: order.Payload, DeadlineMs: order.DeadlineMs,
--- a/internal/poolmanager/dispatch.go
+++ b/internal/poolmanager/dispatch.go
@@ -11,6 +11,7 @@
 	switch order.Verb {
 	case sched.Start:
 		m.Metrics.starts.Inc()
+		m.Starts.Spend(order.Bytes(), time.Now())
 		if order.Speculative {
 			m.Metrics.speculativeStarts.Inc()
 			m.Log.Info().Str("task", order.Task.String()).Int("run", order.Run).Str("host", order.To.ID).Msg("Starting a speculative run.")
--- a/internal/poolmanager/harness_test.go
+++ b/internal/poolmanager/harness_test.go
@@ -11,12 +11,14 @@
 	"github.com/shoenig/test/must"
 
 	"auburnglade.example/glade/internal/emulate"
+	"auburnglade.example/glade/internal/linkbudget"
 	"auburnglade.example/glade/internal/poolmanager"
 	"auburnglade.example/glade/internal/poolstore"
 	"auburnglade.example/glade/internal/sched"
 	"auburnglade.example/glade/internal/store"
 	"auburnglade.example/glade/internal/store/memstore"
 	"auburnglade.example/glade/internal/work"
+	"auburnglade.example/glade/internal/worker"
 )
 
 const (
@@ -31,8 +33,11 @@
 	ctx     context.Context
 	store   *memstore.Store
 	workers *emulate.Workers
-	fence   int64
-	jobs    int
+	// calls makes the manager's calls to the hosts, starts limits its starts.
+	calls  worker.Client
+	starts *linkbudget.Budget
+	fence  int64
+	jobs   int
 }
 
 // runEnv runs a test in virtual time and fails it for each violation that the
@@ -44,6 +49,7 @@
 		config.GangTimeout, config.Checkpoint = 3*time.Second, time.Second
 		e := &env{t: t, ctx: ctx, store: memstore.New(), workers: emulate.NewWorkers(config)}
 		e.store.SetWatchWait(time.Second)
+		e.calls = e.workers
 		go e.workers.Run(ctx)
 		for i := range hosts {
 			e.workers.Add(pool, fmt.Sprintf("r%d", i/2), work.Resources{MilliCPU: 16_000, MemMB: 32_000})
@@ -95,7 +101,7 @@
 		priorLeaseTTL += poolmanager.ConfirmationTimeout
 	}
 	m := poolmanager.New(poolmanager.Config{
-		Pool: pool, Holder: holder, Store: e.store, Workers: e.workers, Hosts: e.workers, Log: zerolog.Nop(),
+		Pool: pool, Holder: holder, Store: e.store, Workers: e.calls, Hosts: e.workers, Starts: e.starts, Log: zerolog.Nop(),
 		Metrics: poolmanager.NewMetrics(nil),
 		Sched: sched.Config{
 			LeaseTTL: leaseTTL, PriorLeaseTTL: priorLeaseTTL, StopGrace: stopGrace, RemoteFactor: 3, StatusRetention: time.Minute,
--- a/internal/poolmanager/manager.go
+++ b/internal/poolmanager/manager.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"auburnglade.example/glade/internal/linkbudget"
 	"auburnglade.example/glade/internal/poolstore"
 	"auburnglade.example/glade/internal/sched"
 	"auburnglade.example/glade/internal/store"
@@ -77,7 +78,9 @@
 	// Adviser may be nil when no queue has a placement policy.
 	Adviser worker.Adviser
 	// Limits is nil where organisations have no limits.
-	Limits  LimitSource
+	Limits LimitSource
+	// Starts is the share of this process's link for starts; nil is unlimited.
+	Starts  *linkbudget.Budget
 	Sched   sched.Config
 	Log     zerolog.Logger
 	Metrics *Metrics
@@ -292,6 +295,7 @@
 // advice requests.
 func (m *Manager) plan(now time.Time) {
 	m.pool.SetClaimConfirmed(m.claimConfirmed(now))
+	m.pool.SetStartBytes(m.Starts.Available(now))
 	plan := m.pool.Plan(now, m.WallClock())
 	took := time.Since(now)
 	m.planDuration = (3*m.planDuration + took) / 4
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -38,6 +38,15 @@
 	Reason string
 }
 
+// startOverhead is what a start takes on the wire beside what its task says, in
+// bytes: names, the host's address and the framing.
+const startOverhead = 200
+
+// Bytes returns about how many bytes a start takes on the wire.
+func (o *Order) Bytes() int {
+	return startOverhead + len(o.Payload) + len(o.Checkpoint) + len(o.Ticket)
+}
+
 // AdviceRequest asks the advice service which hosts may run a step.
 type AdviceRequest struct {
 	Step  string
@@ -58,9 +67,14 @@
 // every plan of a large pool costs too much.
 const runScanInterval = 100 * time.Millisecond
 
+// SetStartBytes limits the next plans: each begins no start once its starts take
+// that many bytes. This answers a demand burst on a thin link: starts that fill the
+// link delay the lease renewals behind them, and the leases of all hosts expire.
+func (p *Pool) SetStartBytes(bytes int) { p.maxStartBytes = bytes }
+
 // Plan decides what to do now and records its orders as sent.
 func (p *Pool) Plan(now, wall time.Time) Plan {
-	pl := &planner{Pool: p, now: now, wall: wall, noRoomFor: make(map[taskShape]bool), reserved: make(map[*host]bool)}
+	pl := &planner{Pool: p, now: now, wall: wall, startBytes: p.maxStartBytes, noRoomFor: make(map[taskShape]bool), reserved: make(map[*host]bool)}
 	pl.hidden = pl.hiddenRoom()
 	pl.forgetDemands()
 	pl.collectOpen()
@@ -83,6 +97,8 @@
 	*Pool
 	now, wall time.Time
 	plan      Plan
+	// startBytes is how many bytes of starts may still be sent.
+	startBytes int
 	// open holds the hosts that take new work; none of them has more of any
 	// resource free than maxFree.
 	open    []*host
@@ -162,6 +178,9 @@
 			return
 		}
 	}
+	if pl.startBytes <= 0 {
+		return
+	}
 	if s.spec.Gang {
 		pl.startGang(s)
 		return
@@ -170,7 +189,7 @@
 		if t.done || t.run != nil || pl.now.Before(t.notBefore) {
 			continue
 		}
-		if !pl.withinQuota(s, 1) {
+		if pl.startBytes <= 0 || !pl.withinQuota(s, 1) {
 			return
 		}
 		if pl.suspectedCrashes(t, pl.now) > 0 {
@@ -248,6 +267,7 @@
 	if t.step.advice != nil {
 		order.Ticket = t.step.advice.ticket(h.ID, pl.now)
 	}
+	pl.startBytes -= order.Bytes()
 	pl.plan.Orders = append(pl.plan.Orders, order)
 }
 
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -11,6 +11,7 @@
 package sched
 
 import (
+	"math"
 	"time"
 
 	"auburnglade.example/glade/internal/quota"
@@ -89,14 +90,16 @@
 	// lagAllowance is added to the timeout of unresponsive hosts because this
 	// process runs late.
 	lagAllowance time.Duration
-	scratch      scratch
+	// maxStartBytes bounds the starts of a plan.
+	maxStartBytes int
+	scratch       scratch
 }
 
 // New returns an empty pool whose fencing token was taken at now. roster is what
 // earlier holders stored.
 func New(config Config, roster Roster, now time.Time) *Pool {
 	p := &Pool{
-		Config: config, started: now,
+		Config: config, started: now, maxStartBytes: math.MaxInt,
 		jobs: make(map[string]*job), hosts: make(map[string]*host), runtimes: make(map[string]*runtimeModel), arrivals: make(map[string]*arrivals), history: newHistory(now), submitted: make(map[string]time.Time), refusals: make(map[string]refusal), usages: make(map[string]*usage),
 		unreached: make(map[string]time.Time), roster: make(map[string]bool), frozen: make(map[string]bool), storedRoster: make(map[string]bool),
 	}
