Refuse at once what can't be done while it is worth anything

The pool's holder now forecasts, from its backlog and its listed hosts, whether a new job can be done before three times its objective, with a margin of two for wrong run times and hosts on their way. If not, the client gets 429 where its organisation has more than its share of the backlog, else 503, with a time to come back behind all that were told one before. Nothing is stored for a refused job; a job that may be stored already is not refused, so nothing is refused for room while the store hasn't confirmed the claim. In force where the configuration gives organisations weights.

--- a/internal/emulate/switch.go
+++ b/internal/emulate/switch.go
@@ -92,13 +92,13 @@
 }
 
 // Submit implements poolrpc.Peers.
-func (n *Network) Submit(ctx context.Context, address string, record *work.JobRecord, relay bool) (poolmanager.Result, bool, error) {
+func (n *Network) Submit(ctx context.Context, address string, record *work.JobRecord, relay bool) (poolmanager.Reply, bool, error) {
 	service, err := n.reach(ctx, address)
 	if err != nil {
-		return poolmanager.ResultUnknown, true, err
+		return poolmanager.Reply{Result: poolmanager.ResultUnknown}, true, err
 	}
-	result, held := service.Submit(ctx, record, relay)
-	return result, held, nil
+	reply, held := service.Submit(ctx, record, relay)
+	return reply, held, nil
 }
 
 // Cancel implements poolrpc.Peers.
--- a/internal/entryhost/crashes_test.go
+++ b/internal/entryhost/crashes_test.go
@@ -16,7 +16,7 @@
 	dep.t.Helper()
 	record := dep.record(pool, steps...)
 	dep.crashOnStart(record.ID)
-	must.EqOp(dep.t, poolmanager.Stored, e.Jobs.SubmitJob(dep.ctx, record))
+	must.EqOp(dep.t, poolmanager.Stored, e.Jobs.SubmitJob(dep.ctx, record).Result)
 	return record.ID
 }
 
--- a/internal/entryhost/harness_test.go
+++ b/internal/entryhost/harness_test.go
@@ -225,7 +225,7 @@
 func (dep *deployment) accept(e *entry, pool string, steps ...work.Step) string {
 	dep.t.Helper()
 	record := dep.record(pool, steps...)
-	must.EqOp(dep.t, poolmanager.Stored, e.Jobs.SubmitJob(dep.ctx, record))
+	must.EqOp(dep.t, poolmanager.Stored, e.Jobs.SubmitJob(dep.ctx, record).Result)
 	return record.ID
 }
 
--- a/internal/entryhost/load_test.go
+++ b/internal/entryhost/load_test.go
@@ -67,7 +67,7 @@
 		for began := time.Now(); time.Since(began) < length; time.Sleep(pause) {
 			record := dep.record("day", quick(12))
 			asked := time.Now()
-			result := dep.anyEntry().Jobs.SubmitJob(dep.ctx, record)
+			result := dep.anyEntry().Jobs.SubmitJob(dep.ctx, record).Result
 			must.Less(t, 2*time.Second, time.Since(asked))
 			if result == poolmanager.Stored {
 				accepted = append(accepted, record.ID)
--- a/internal/entryhost/organisations_test.go
+++ b/internal/entryhost/organisations_test.go
@@ -28,7 +28,7 @@
 				record := dep.record("day", quick(1))
 				record.Organisation = "a"
 				record.Spec.Steps[0].Estimate = 0
-				must.EqOp(t, poolmanager.Stored, dep.entries[dep.holder("day")].Jobs.SubmitJob(dep.ctx, record))
+				must.EqOp(t, poolmanager.Stored, dep.entries[dep.holder("day")].Jobs.SubmitJob(dep.ctx, record).Result)
 				e := way.prepare(dep)
 				own, other := work.JobRef{Pool: "day", ID: record.ID, Organisation: "a"}, work.JobRef{Pool: "day", ID: record.ID, Organisation: "b"}
 				_, known, ok := e.Jobs.JobState(dep.ctx, other)
@@ -41,10 +41,10 @@
 					return
 				}
 				repeated := *record
-				must.EqOp(t, poolmanager.Stored, e.Jobs.SubmitJob(dep.ctx, &repeated))
+				must.EqOp(t, poolmanager.Stored, e.Jobs.SubmitJob(dep.ctx, &repeated).Result)
 				foreign := *record
 				foreign.Organisation = "b"
-				must.EqOp(t, poolmanager.Conflict, e.Jobs.SubmitJob(dep.ctx, &foreign))
+				must.EqOp(t, poolmanager.Conflict, e.Jobs.SubmitJob(dep.ctx, &foreign).Result)
 				must.EqOp(t, poolmanager.Stored, e.Jobs.CancelJob(dep.ctx, own))
 			})
 		})
--- a/internal/entryhost/random_test.go
+++ b/internal/entryhost/random_test.go
@@ -271,7 +271,7 @@
 	if crashOnStart {
 		d.crashOnStart(record.ID)
 	}
-	if d.anyEntry().Jobs.SubmitJob(d.ctx, record) != poolmanager.Stored {
+	if d.anyEntry().Jobs.SubmitJob(d.ctx, record).Result != poolmanager.Stored {
 		return
 	}
 	switch {
--- a/internal/jobrouter/router.go
+++ b/internal/jobrouter/router.go
@@ -145,21 +145,22 @@
 const maxRelays = 2
 
 // SubmitJob submits a job for a client. The result is Refused only if no entry host
-// can have stored the job.
-func (r *Router) SubmitJob(ctx context.Context, record *work.JobRecord) poolmanager.Result {
+// can have stored the job, and NoRoom or OverShare if the pool's holder refused it.
+func (r *Router) SubmitJob(ctx context.Context, record *work.JobRecord) poolmanager.Reply {
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
 	result, tried := poolmanager.Refused, !r.inOutage()
+	retryAfter := RetryAfter
 	if tried {
-		result = retry(ctx, func() (poolmanager.Result, bool) { return r.submit(ctx, record) })
+		result = retry(ctx, func() (poolmanager.Result, bool) { return r.submit(ctx, record, &retryAfter) })
 	}
 	r.Metrics.call("accept", result.String(), time.Since(began))
 	if result != poolmanager.Stored {
 		r.Log.Info().Str("job", record.ID).Str("queue", record.Queue.Name).Str("result", result.String()).
-			Bool("tried", tried).Dur("took_ms", time.Since(began)).Msg("A job was not accepted.")
+			Str("organisation", record.Organisation).Bool("tried", tried).Dur("took_ms", time.Since(began)).Msg("A job was not accepted.")
 	}
-	return result
+	return poolmanager.Reply{Result: result, RetryAfter: retryAfter}
 }
 
 // retry calls try again while its result is Refused or unknown and not final, and
@@ -185,13 +186,13 @@
 // and is not forwarded. A call with relay writes the job to the pool's inbox in the
 // store: the caller has already tried the holder, and a second concurrent submission
 // of the same job there would let neither caller rely on a refusal.
-func (r *Router) Submit(ctx context.Context, record *work.JobRecord, relay bool) (poolmanager.Result, bool) {
+func (r *Router) Submit(ctx context.Context, record *work.JobRecord, relay bool) (poolmanager.Reply, bool) {
 	if relay {
-		return r.writeJob(ctx, record), true
+		return poolmanager.Reply{Result: r.writeJob(ctx, record)}, true
 	}
 	manager := r.Local.PoolManager(record.Queue.Pool)
 	if manager == nil {
-		return poolmanager.Refused, false
+		return poolmanager.Reply{Result: poolmanager.Refused}, false
 	}
 	return manager.Submit(ctx, record), true
 }
@@ -207,18 +208,29 @@
 	return result
 }
 
-// submit tries every route once. The result is final if the store refused this entry
-// host, the pool's holder and maxRelays others: the store is then unavailable to
-// all, and a client that is refused at once retries sooner than one that has to wait
+// submit tries every route once. The result is final if the pool's holder refused the
+// job for want of room; it then sets retryAfter. It is also final if the store refused
+// this entry host, the pool's holder and maxRelays others: the store is then unavailable
+// to all, and a client that is refused at once retries sooner than one that has to wait
 // for its timeout.
-func (r *Router) submit(ctx context.Context, record *work.JobRecord) (result poolmanager.Result, final bool) {
+func (r *Router) submit(ctx context.Context, record *work.JobRecord, retryAfter *time.Duration) (result poolmanager.Result, final bool) {
+	noteRetry := func(reply poolmanager.Reply) poolmanager.Result {
+		if reply.Result.ForRoom() {
+			*retryAfter = reply.RetryAfter
+		}
+		return reply.Result
+	}
 	result, refusals := r.everyRoute(ctx, record.Queue.Pool, func(ctx context.Context, manager *poolmanager.Manager) poolmanager.Result {
-		return manager.Submit(ctx, record)
+		return noteRetry(manager.Submit(ctx, record))
 	}, func() poolmanager.Result {
 		return r.writeJob(ctx, record)
 	}, func(ctx context.Context, address string, relay bool) (poolmanager.Result, bool, error) {
-		return r.Peers.Submit(ctx, address, record, relay)
+		reply, held, err := r.Peers.Submit(ctx, address, record, relay)
+		return noteRetry(reply), held, err
 	})
+	if result.ForRoom() {
+		return result, true
+	}
 	final = result == poolmanager.Refused && refusals == maxRelays
 	if final {
 		r.recordOutage()
--- a/internal/jobrouter/routes.go
+++ b/internal/jobrouter/routes.go
@@ -33,7 +33,7 @@
 // entry hosts that refused.
 func (r *Router) everyRoute(ctx context.Context, pool string, local localCall, writeToStore func() poolmanager.Result, remote remoteCall) (result poolmanager.Result, refusals int) {
 	result = r.viaHolder(ctx, pool, local, remote)
-	if result == poolmanager.Stored || result == poolmanager.Conflict {
+	if result == poolmanager.Stored || result == poolmanager.Conflict || result.ForRoom() {
 		return result, 0
 	}
 	written := writeToStore()
--- a/internal/poolmanager/harness_test.go
+++ b/internal/poolmanager/harness_test.go
@@ -33,6 +33,8 @@
 	workers *emulate.Workers
 	fence   int64
 	jobs    int
+	// limits is nil where organisations have no weights and limits.
+	limits poolmanager.LimitSource
 }
 
 // runEnv runs a test in virtual time and fails it for each violation that the
@@ -95,7 +97,7 @@
 		priorLeaseTTL += poolmanager.ConfirmationTimeout
 	}
 	m := poolmanager.New(poolmanager.Config{
-		Pool: pool, Holder: holder, Store: e.store, Workers: e.workers, Hosts: e.workers, Log: zerolog.Nop(),
+		Pool: pool, Holder: holder, Store: e.store, Workers: e.workers, Hosts: e.workers, Limits: e.limits, Log: zerolog.Nop(),
 		Metrics: poolmanager.NewMetrics(nil),
 		Sched: sched.Config{
 			LeaseTTL: leaseTTL, PriorLeaseTTL: priorLeaseTTL, StopGrace: stopGrace, RemoteFactor: 3, StatusRetention: time.Minute,
@@ -111,7 +113,7 @@
 func (e *env) submit(m *runningManager, steps ...work.Step) string {
 	e.t.Helper()
 	record := e.record(steps...)
-	must.EqOp(e.t, poolmanager.Stored, m.Submit(e.ctx, record))
+	must.EqOp(e.t, poolmanager.Stored, m.Submit(e.ctx, record).Result)
 	return record.ID
 }
 
--- a/internal/poolmanager/lanes_test.go
+++ b/internal/poolmanager/lanes_test.go
@@ -27,7 +27,7 @@
 		record := e.record(shortStep(1))
 		ids = append(ids, record.ID)
 		pending.Go(func() {
-			result := m.Submit(e.ctx, record)
+			result := m.Submit(e.ctx, record).Result
 			mu.Lock()
 			defer mu.Unlock()
 			byID[record.ID] = result
--- a/internal/poolmanager/manager.go
+++ b/internal/poolmanager/manager.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"auburnglade.example/glade/internal/overload"
 	"auburnglade.example/glade/internal/poolstore"
 	"auburnglade.example/glade/internal/sched"
 	"auburnglade.example/glade/internal/store"
@@ -128,6 +129,7 @@
 	commitLatency time.Duration
 	hedger        hedger
 	quotas        *quotaKeeper
+	refuser       overload.Refuser
 	// claimMissing is set while the claim has to be written again under the lease
 	// in takeover.
 	claimMissing bool
--- a/internal/poolmanager/manager_test.go
+++ b/internal/poolmanager/manager_test.go
@@ -33,12 +33,12 @@
 		record := e.record(shortStep(2))
 		results := make(chan poolmanager.Result, 2)
 		for range 2 {
-			go func() { results <- m.Submit(e.ctx, record) }()
+			go func() { results <- m.Submit(e.ctx, record).Result }()
 		}
 		must.EqOp(t, poolmanager.Stored, <-results)
 		must.EqOp(t, poolmanager.Stored, <-results)
 		e.waitForState(m, record.ID, work.Done, 3*time.Second)
-		must.EqOp(t, poolmanager.Stored, m.Submit(e.ctx, record))
+		must.EqOp(t, poolmanager.Stored, m.Submit(e.ctx, record).Result)
 		time.Sleep(3 * time.Second)
 		must.EqOp(t, 2, e.workers.Checker.Starts())
 	})
@@ -95,12 +95,12 @@
 		e.store.LoseResponses(1)
 		record := e.record(shortStep(1))
 		stuck := make(chan poolmanager.Result, 1)
-		go func() { stuck <- m.Submit(e.ctx, record) }()
+		go func() { stuck <- m.Submit(e.ctx, record).Result }()
 		time.Sleep(10 * time.Millisecond)
 		e.store.SetDown(true)
 		time.Sleep(time.Second)
 		began := time.Now()
-		must.EqOp(t, poolmanager.Refused, m.Submit(e.ctx, e.record(shortStep(1))))
+		must.EqOp(t, poolmanager.Refused, m.Submit(e.ctx, e.record(shortStep(1))).Result)
 		must.Less(t, 300*time.Millisecond, time.Since(began))
 		e.store.SetDown(false)
 		must.EqOp(t, poolmanager.Stored, <-stuck)
@@ -116,7 +116,7 @@
 		ctx, cancel := context.WithTimeout(e.ctx, time.Second)
 		defer cancel()
 		record := e.record(shortStep(1))
-		must.EqOp(t, poolmanager.Refused, m.Submit(ctx, record))
+		must.EqOp(t, poolmanager.Refused, m.Submit(ctx, record).Result)
 		e.store.SetDown(false)
 		time.Sleep(5 * time.Second)
 		must.EqOp(t, 0, e.workers.Checker.Starts())
@@ -188,7 +188,7 @@
 		m := e.takeOver(true)
 		record := e.record(shortStep(1))
 		record.Queue.MaxAttempts = 2
-		must.EqOp(t, poolmanager.Stored, m.Submit(e.ctx, record))
+		must.EqOp(t, poolmanager.Stored, m.Submit(e.ctx, record).Result)
 		// The failure is reported after half a second. The heartbeat after the
 		// commit would acknowledge it; the holder is killed before that.
 		for {
--- a/internal/poolmanager/metrics.go
+++ b/internal/poolmanager/metrics.go
@@ -33,9 +33,11 @@
 	// sideCommits counts commits on side lanes.
 	sideCommits prometheus.Counter
 	submits     *prometheus.CounterVec
-	jobs        *prometheus.CounterVec
-	jobAge      prometheus.Histogram
-	jobWait     prometheus.Histogram
+	// refusals counts the jobs refused for want of room, by overload.Reason.
+	refusals *prometheus.CounterVec
+	jobs     *prometheus.CounterVec
+	jobAge   prometheus.Histogram
+	jobWait  prometheus.Histogram
 	// quotaCalls counts calls about the quota ledger.
 	quotaCalls *prometheus.CounterVec
 	// partSeconds is the processing time of the pools' goroutines, by part.
@@ -100,6 +102,9 @@
 		submits: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "glade_pool_submits_total", Help: "Jobs handed to the pools held here, by result.",
 		}, []string{"result"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "glade_pool_refusals_total", Help: "Jobs refused for want of room, by reason.",
+		}, []string{"reason"}),
 		jobs: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "glade_jobs_ended_total", Help: "Jobs that have ended, by state.",
 		}, []string{"state"}),
@@ -128,7 +133,7 @@
 	}, []string{"part"})
 	if registerer != nil {
 		registerer.MustRegister(m.replyLateSeconds, m.quotaCalls, m.partSeconds, m.verdicts, m.lostHosts, m.lostRuns, m.planSeconds, m.lagSeconds, m.takeovers, m.starts, m.speculativeStarts, m.hedges, m.stops, m.throttles, m.calls, m.callSeconds, m.commits, m.commitSeconds, m.entries, m.submits,
-			m.jobs, m.jobAge, m.jobWait, m.lossyPeriods, m.sideCommits)
+			m.jobs, m.jobAge, m.jobWait, m.lossyPeriods, m.sideCommits, m.refusals)
 	}
 	return m
 }
--- a/internal/poolmanager/preempt_test.go
+++ b/internal/poolmanager/preempt_test.go
@@ -20,7 +20,7 @@
 	e.t.Helper()
 	record := e.record(steps...)
 	record.Queue.Priority = priority
-	must.EqOp(e.t, poolmanager.Stored, m.Submit(e.ctx, record))
+	must.EqOp(e.t, poolmanager.Stored, m.Submit(e.ctx, record).Result)
 	return record.ID
 }
 
--- /dev/null
+++ b/internal/poolmanager/refuse.go
@@ -0,0 +1,69 @@
+package poolmanager
+
+import (
+	"time"
+
+	"auburnglade.example/glade/internal/overload"
+	"auburnglade.example/glade/internal/work"
+)
+
+// Reply is the reply to a submitted job.
+type Reply struct {
+	Result Result
+	// RetryAfter is when the client should come back, for NoRoom and OverShare.
+	RetryAfter time.Duration
+}
+
+// refusalConfirmation is how recently the store must have confirmed the claim for a job
+// to be refused for want of room. The inbox may hold the job from an earlier attempt, and
+// a holder that has no store doesn't see it: it would call a job not run that is to run.
+const refusalConfirmation = 1500 * time.Millisecond
+
+var refusalResults = map[overload.Reason]Result{overload.NoRoom: NoRoom, overload.OverShare: OverShare}
+
+// refusal decides whether a job that this process has never seen is refused for want of
+// room. It returns the record to store otherwise: a client that came back as it was told
+// has the time of its first attempt.
+func (m *Manager) refusal(record *work.JobRecord) (accepted *work.JobRecord, reply Reply) {
+	now := time.Now()
+	weights := m.weights()
+	if len(weights) == 0 || m.knows(record.ID) || now.Sub(m.claimConfirmedAt) > refusalConfirmation {
+		return record, Reply{}
+	}
+	first := m.refuser.FirstAttempt(record.ID, now)
+	forecast := m.pool.Forecast(record, first, now)
+	if !forecast.Worthwhile && first.Before(now) {
+		// Its time is over, and its client has come back all the same: it is served like
+		// a new one if there is room by now.
+		first = now
+		forecast = m.pool.Forecast(record, first, now)
+	}
+	decision := m.refuser.Decide(record.ID, forecast, overload.Share(record.Organisation, weights), now)
+	if decision.Refused() {
+		m.Metrics.refusals.WithLabelValues(string(decision.Reason)).Inc()
+		m.Log.Info().Str("job", record.ID).Str("queue", record.Queue.Name).Str("organisation", record.Organisation).Str("reason", string(decision.Reason)).
+			Float64("own_core_s", forecast.Own).Float64("ahead_core_s", forecast.Ahead).Float64("returning_core_s", decision.Returning).Float64("cores", forecast.Cores).
+			Float64("organisation_core_s", forecast.OrganisationWork).Float64("all_core_s", forecast.TotalWork).
+			Dur("age_ms", forecast.Age).Dur("retry_after_ms", decision.RetryAfter).Msg("A job was refused for want of room.")
+		return nil, Reply{refusalResults[decision.Reason], decision.RetryAfter}
+	}
+	if waited := now.Sub(first); waited > 0 {
+		returned := *record
+		returned.ArrivedMs -= waited.Milliseconds()
+		record = &returned
+	}
+	return record, Reply{}
+}
+
+// knows reports whether a job was submitted before and may be stored.
+func (m *Manager) knows(id string) bool {
+	return m.submissions[id] != nil || m.pool.Has(id)
+}
+
+// weights returns the weights of the organisations, nil where none has one.
+func (m *Manager) weights() map[string]int {
+	if m.Limits == nil {
+		return nil
+	}
+	return m.Limits.Limits().Weights
+}
--- a/internal/poolmanager/submit.go
+++ b/internal/poolmanager/submit.go
@@ -24,12 +24,20 @@
 	JobNotFound
 	// Conflict means that a job of another organisation has the submitted ID.
 	Conflict
+	// NoRoom means that the job was refused since the pool can't do it while it is
+	// worth anything. It was not stored.
+	NoRoom
+	// OverShare is NoRoom for a job whose organisation has used up its share.
+	OverShare
 )
 
-var resultNames = [...]string{"unknown", "stored", "refused", "no job", "conflict"}
+var resultNames = [...]string{"unknown", "stored", "refused", "no job", "conflict", "no room", "over share"}
 
 func (r Result) String() string { return resultNames[r] }
 
+// ForRoom reports whether a job was refused because the pool has too little room.
+func (r Result) ForRoom() bool { return r == NoRoom || r == OverShare }
+
 // submission is a submitted job that is not stored yet.
 type submission struct {
 	record *work.JobRecord
@@ -82,17 +90,27 @@
 	return reply
 }
 
-// Submit stores a job and adds it to the pool. When ctx ends first, the result is
-// Refused if the job will not be stored by this call, and ResultUnknown if it may
-// be.
-func (m *Manager) Submit(ctx context.Context, record *work.JobRecord) Result {
-	reply, result := m.call(ctx, func() <-chan Result { return m.submit(record) })
+// Submit stores a job and adds it to the pool, or refuses it for want of room. When ctx
+// ends first, the result is Refused if the job will not be stored by this call, and
+// ResultUnknown if it may be.
+func (m *Manager) Submit(ctx context.Context, record *work.JobRecord) Reply {
+	var refusal Reply
+	reply, result := m.call(ctx, func() <-chan Result {
+		var accepted *work.JobRecord
+		if accepted, refusal = m.refusal(record); accepted == nil {
+			return resolved(refusal.Result)
+		}
+		return m.submit(accepted)
+	})
 	if reply == nil {
-		return result
+		return Reply{Result: result}
 	}
 	result = m.awaitSubmit(ctx, record.ID, reply)
 	m.Metrics.submits.WithLabelValues(result.String()).Inc()
-	return result
+	if result.ForRoom() {
+		return refusal
+	}
+	return Reply{Result: result}
 }
 
 // call runs fn in the pool's goroutine and returns the channel that will receive
--- a/internal/poolrpc/poolrpc.go
+++ b/internal/poolrpc/poolrpc.go
@@ -24,7 +24,7 @@
 	// Submit, Cancel and State handle a job whose pool is held by this process.
 	// With relay they may also forward the request to the holder or to the
 	// store. held is false if nothing was done because the pool is not held here.
-	Submit(ctx context.Context, record *work.JobRecord, relay bool) (result poolmanager.Result, held bool)
+	Submit(ctx context.Context, record *work.JobRecord, relay bool) (reply poolmanager.Reply, held bool)
 	Cancel(ctx context.Context, job work.JobRef, relay bool) (result poolmanager.Result, held bool)
 	State(ctx context.Context, job work.JobRef, relay bool) (state work.State, known, held bool)
 	Waiting(ctx context.Context, pool, queue string) (count int, held bool)
@@ -38,7 +38,7 @@
 // Peers calls other entry hosts by address. After an error the outcome is unknown.
 // held is false if the callee does not hold the pool.
 type Peers interface {
-	Submit(ctx context.Context, address string, record *work.JobRecord, relay bool) (result poolmanager.Result, held bool, err error)
+	Submit(ctx context.Context, address string, record *work.JobRecord, relay bool) (reply poolmanager.Reply, held bool, err error)
 	Cancel(ctx context.Context, address string, job work.JobRef, relay bool) (result poolmanager.Result, held bool, err error)
 	State(ctx context.Context, address string, job work.JobRef, relay bool) (state work.State, known, held bool, err error)
 	Waiting(ctx context.Context, address, pool, queue string) (count int, held bool, err error)
@@ -65,6 +65,7 @@
 	poolmanager.ResultUnknown: poolpb.Result_RESULT_UNKNOWN, poolmanager.Stored: poolpb.Result_RESULT_STORED,
 	poolmanager.Refused: poolpb.Result_RESULT_REFUSED, poolmanager.JobNotFound: poolpb.Result_RESULT_NO_JOB,
 	poolmanager.Conflict: poolpb.Result_RESULT_CONFLICT,
+	poolmanager.NoRoom:   poolpb.Result_RESULT_NO_ROOM, poolmanager.OverShare: poolpb.Result_RESULT_OVER_SHARE,
 }
 
 func encodeResult(result poolmanager.Result, held bool) poolpb.Result {
@@ -83,8 +84,8 @@
 	}
 	ctx, cancel := withTimeoutMs(ctx, r.TimeoutMs)
 	defer cancel()
-	result, held := s.service.Submit(ctx, record, r.Relay)
-	return &poolpb.ResultReply{Result: encodeResult(result, held)}, nil
+	reply, held := s.service.Submit(ctx, record, r.Relay)
+	return &poolpb.ResultReply{Result: encodeResult(reply.Result, held), RetryAfterMs: reply.RetryAfter.Milliseconds()}, nil
 }
 
 func refOf(r *poolpb.JobRequest) work.JobRef {
@@ -179,15 +180,15 @@
 }
 
 // Submit submits a job to an entry host. After an error the outcome is unknown.
-func (c *Client) Submit(ctx context.Context, address string, record *work.JobRecord, relay bool) (result poolmanager.Result, held bool, err error) {
+func (c *Client) Submit(ctx context.Context, address string, record *work.JobRecord, relay bool) (result poolmanager.Reply, held bool, err error) {
 	reply, err := c.peers.Get(address).Submit(ctx, &poolpb.SubmitRequest{
 		Pool: record.Queue.Pool, Record: work.EncodeRecord(record), TimeoutMs: calleeTimeoutMs(ctx), Relay: relay,
 	})
 	if err != nil {
 		c.dropIdle()
-		return poolmanager.ResultUnknown, true, err
+		return poolmanager.Reply{Result: poolmanager.ResultUnknown}, true, err
 	}
-	return keeperResults[reply.Result], reply.Result != poolpb.Result_RESULT_NOT_HELD, nil
+	return poolmanager.Reply{Result: keeperResults[reply.Result], RetryAfter: time.Duration(reply.RetryAfterMs) * time.Millisecond}, reply.Result != poolpb.Result_RESULT_NOT_HELD, nil
 }
 
 // Cancel cancels a job at an entry host. After an error the outcome is unknown.
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -15,6 +15,9 @@
 	// ByOrganisation holds the organisations that have a limit. A resource of zero
 	// has none.
 	ByOrganisation map[string]work.Resources
+	// Weights holds the organisations' shares of what there is too little of, relative
+	// to each other. It is empty where no organisation has one.
+	Weights map[string]int
 }
 
 // Quota is what a pool may do with an organisation's tasks now.
--- /dev/null
+++ b/internal/sched/forecast.go
@@ -0,0 +1,201 @@
+package sched
+
+import (
+	"slices"
+	"time"
+
+	"auburnglade.example/glade/internal/work"
+)
+
+// Forecast estimates what would become of a job that is submitted now. It answers the
+// load of a pool that is handed more than it can do.
+type Forecast struct {
+	// Known is false while the pool knows too little to judge: shortly after a
+	// takeover, and for jobs without an objective.
+	Known bool
+	// InTime reports whether the job can be done within its objective, Worthwhile
+	// whether it can be done before it is worth nothing.
+	InTime, Worthwhile bool
+	// Own is the job's work and Ahead the work that goes before it, in core-seconds.
+	Own, Ahead float64
+	// Cores is the capacity for jobs of the hosts that are listed.
+	Cores float64
+	// RoomIn is how long the pool needs for the work that is too much, at least.
+	RoomIn time.Duration
+	// OrganisationWork is the unfinished work of the job's organisation, TotalWork
+	// that of all organisations, in core-seconds.
+	OrganisationWork, TotalWork float64
+	// Age is how old the estimate of the unfinished work is.
+	Age time.Duration
+}
+
+const (
+	// forecastMargin times what the hosts can do until then must be ahead of a job
+	// for it to count as impossible: run times may be half of what is expected, and
+	// as many hosts again may be on their way.
+	forecastMargin = 2
+	// backlogMaxAge is how long a summary of the unfinished work is used.
+	backlogMaxAge = 100 * time.Millisecond
+)
+
+// backlog summarises the unfinished work of a pool, in core-seconds.
+type backlog struct {
+	at time.Time
+	// inTime are the jobs that can still be done in time, late those that can't and
+	// are still worth something.
+	inTime, late sizes
+	// atRisk is the late work that goes before all other, added what was submitted
+	// since.
+	atRisk, added  float64
+	byOrganisation map[string]float64
+	total          float64
+	cores          float64
+}
+
+// sizes holds the sizes of jobs in ascending order, with the sums up to each.
+type sizes struct{ each, sums []float64 }
+
+func newSizes(each []float64) sizes {
+	slices.Sort(each)
+	sums := make([]float64, len(each))
+	sum := 0.0
+	for i, size := range each {
+		sum += size
+		sums[i] = sum
+	}
+	return sizes{each, sums}
+}
+
+// upTo returns the total of the jobs that are no larger than limit.
+func (s sizes) upTo(limit float64) float64 {
+	after, _ := slices.BinarySearchFunc(s.each, limit, func(size, limit float64) int {
+		if size <= limit {
+			return -1
+		}
+		return 1
+	})
+	if after == 0 {
+		return 0
+	}
+	return s.sums[after-1]
+}
+
+func (s sizes) total() float64 {
+	if len(s.sums) == 0 {
+		return 0
+	}
+	return s.sums[len(s.sums)-1]
+}
+
+// Forecast estimates what would become of a job that its client first submitted at
+// arrived.
+func (p *Pool) Forecast(record *work.JobRecord, arrived, now time.Time) Forecast {
+	if record.Spec.LongRunning() || record.Spec.Repeats > 0 || now.Sub(p.started) < warmupPeriod {
+		return Forecast{}
+	}
+	b := p.currentBacklog(now)
+	needs := p.needsOf(record)
+	waited := now.Sub(arrived)
+	f := Forecast{
+		Known: true, Own: needs.coreSeconds, Cores: b.cores, Age: now.Sub(b.at),
+		OrganisationWork: b.byOrganisation[record.Organisation], TotalWork: b.total,
+	}
+	slack := needs.goal - reportingMargin - needs.chain - waited
+	before := b.inTime.upTo(f.Own) + b.atRisk + b.added
+	f.InTime = slack >= 0 && before+f.Own <= b.capacityWithin(slack+needs.chain/2)
+	f.Ahead = b.inTime.total() + b.late.upTo(f.Own) + b.added
+	left := worthlessFactor*needs.goal - needs.chain - waited
+	f.Worthwhile = f.InTime || left >= 0 && f.Ahead+f.Own <= b.capacityWithin(left+needs.chain/2)
+	if excess := f.Ahead + f.Own - b.capacityWithin(left+needs.chain/2); excess > 0 && b.cores > 0 {
+		f.RoomIn = seconds(excess / b.cores)
+	}
+	return f
+}
+
+// capacityWithin returns the core-seconds that the hosts can do at the most.
+func (b *backlog) capacityWithin(d time.Duration) float64 {
+	return forecastMargin * b.cores * max(0, d).Seconds()
+}
+
+// currentBacklog returns a summary of the unfinished work that is no older than
+// backlogMaxAge.
+func (p *Pool) currentBacklog(now time.Time) *backlog {
+	if p.backlog == nil || now.Sub(p.backlog.at) > backlogMaxAge {
+		p.backlog = p.summariseBacklog(now)
+	}
+	return p.backlog
+}
+
+func (p *Pool) summariseBacklog(now time.Time) *backlog {
+	b := &backlog{at: now, byOrganisation: make(map[string]float64), cores: p.listedCores()}
+	var inTime, late []float64
+	for _, j := range p.active {
+		if j.state != "" || j.record.Spec.LongRunning() {
+			continue
+		}
+		for _, o := range j.occurrences {
+			if o.timeUntilWorthless(now) < 0 {
+				continue
+			}
+			left := o.remaining().coreSeconds
+			b.total += left
+			b.byOrganisation[j.record.Organisation] += left
+			if o.slack(now) >= 0 {
+				inTime = append(inTime, left)
+				continue
+			}
+			late = append(late, left)
+			if o.atRisk(now) {
+				b.atRisk += left
+			}
+		}
+	}
+	for _, s := range p.submitted {
+		inTime = append(inTime, s.work)
+		b.total += s.work
+		b.byOrganisation[s.organisation] += s.work
+	}
+	b.inTime, b.late = newSizes(inTime), newSizes(late)
+	return b
+}
+
+// add counts a job that was submitted after the summary was made.
+func (b *backlog) add(work float64, organisation string) {
+	if b == nil {
+		return
+	}
+	b.added += work
+	b.total += work
+	b.byOrganisation[organisation] += work
+}
+
+// listedCores returns the cores for jobs of all hosts that are listed and stay. Hosts
+// that don't respond yet count, since most of them have just been moved to the pool.
+func (p *Pool) listedCores() float64 {
+	millis := 0
+	for _, h := range p.hosts {
+		if h.listed && !h.Draining && !h.unschedulable {
+			millis += max(0, h.Capacity.MilliCPU-h.longRunningCPU)
+		}
+	}
+	return float64(millis) / milli
+}
+
+// needsOf returns the expected work of a job that has not started.
+func (p *Pool) needsOf(record *work.JobRecord) remainingWork {
+	var needs remainingWork
+	model := p.runtimesOf(record.Queue.Name)
+	ends := make([]time.Duration, len(record.Spec.Steps))
+	for i := range record.Spec.Steps {
+		s := &record.Spec.Steps[i]
+		for _, before := range s.After {
+			ends[i] = max(ends[i], ends[before])
+		}
+		each := model.estimate(s.Estimate)
+		ends[i] += each
+		needs.coreSeconds += float64(s.Count*s.Resources.MilliCPU) / milli * each.Seconds()
+		needs.chain = max(needs.chain, ends[i])
+	}
+	needs.goal = time.Duration(record.Queue.Stretch*float64(needs.chain)) + record.Queue.Slack
+	return needs
+}
--- /dev/null
+++ b/internal/sched/forecast_test.go
@@ -0,0 +1,105 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"auburnglade.example/glade/internal/work"
+)
+
+// forecast returns the forecast of a job with tasks of one core and a second each, whose
+// objective is two seconds.
+func (c *jobBurst) forecast(tasks int, waited time.Duration) Forecast {
+	record := &work.JobRecord{
+		ID: fmt.Sprintf("%016x", 9999), Organisation: "quiet", Queue: work.Queue{Name: "q", MaxAttempts: 1, Stretch: 1, Slack: time.Second},
+		Spec: work.Spec{Steps: []work.Step{{Count: tasks, Resources: work.Resources{MilliCPU: 1000}, Estimate: time.Second}}},
+	}
+	return c.Forecast(record, c.now.Add(-waited), c.now)
+}
+
+// crowded is a pool of eight cores after its warm-up, with jobs of eight core-seconds each
+// that are handed in now.
+func crowded(t *testing.T, jobs int) *jobBurst {
+	c := newJobBurst(t)
+	c.now = c.now.Add(warmupPeriod)
+	for i := range jobs {
+		c.submit(1+i, 8, time.Second, time.Second)
+	}
+	c.Plan(c.now, c.now)
+	return c
+}
+
+// Guards against jobs that are taken, wait in a backlog for seconds on end and are worth
+// nothing when they are done.
+func TestHopelessJobIsForecast(t *testing.T) {
+	f := crowded(t, 40).forecast(8, 0)
+	must.True(t, f.Known)
+	must.False(t, f.InTime)
+	must.False(t, f.Worthwhile)
+	must.EqOp(t, 8.0, f.Own)
+	must.EqOp(t, 320.0, f.Ahead)
+	must.Greater(t, 0, f.RoomIn)
+}
+
+// Guards against refusing a small job for large ones that go after it anyway.
+func TestSmallJobIsWorthwhileBesideLargeBacklog(t *testing.T) {
+	must.True(t, crowded(t, 40).forecast(1, 0).Worthwhile)
+}
+
+// Guards against refusing for an estimate that is wrong by a half: with run times half as
+// long, or twice the hosts, the pool does this backlog in time.
+func TestBacklogWithinMarginIsWorthwhile(t *testing.T) {
+	for jobs := range 8 {
+		must.True(t, crowded(t, jobs).forecast(8, 0).Worthwhile, must.Sprint(jobs))
+	}
+}
+
+// Guards against taking a job whose client has come back so often that it is worth nothing.
+func TestJobThatWaitedTooLongIsNotWorthwhile(t *testing.T) {
+	must.True(t, crowded(t, 0).forecast(8, 4*time.Second).Worthwhile)
+	must.False(t, crowded(t, 0).forecast(8, 6*time.Second).Worthwhile)
+}
+
+// Guards against judging jobs by the little that a new holder knows, and jobs that have no
+// objective at all.
+func TestNothingIsForecastWithoutKnowledge(t *testing.T) {
+	c := newJobBurst(t)
+	for i := range 40 {
+		c.submit(1+i, 8, time.Second, time.Second)
+	}
+	must.False(t, c.forecast(8, 0).Known)
+	c.now = c.now.Add(warmupPeriod)
+	record := &work.JobRecord{ID: "a", Spec: work.Spec{Steps: []work.Step{{Count: 1, LongRunning: true}}}}
+	must.False(t, c.Forecast(record, c.now, c.now).Known)
+}
+
+// Guards against a flood of jobs that the store hasn't taken yet and nobody counts.
+func TestJobsOnTheirWayToTheStoreAreForecast(t *testing.T) {
+	c := crowded(t, 0)
+	must.True(t, c.forecast(8, 0).Worthwhile)
+	for i := range 40 {
+		c.NoteSubmitted(&work.JobRecord{
+			ID: fmt.Sprintf("%016x", 1+i), Queue: work.Queue{Name: "q", MaxAttempts: 1, Stretch: 1, Slack: time.Second},
+			Spec: work.Spec{Steps: []work.Step{{Count: 8, Resources: work.Resources{MilliCPU: 1000}, Estimate: time.Second}}},
+		}, c.now)
+	}
+	must.False(t, c.forecast(8, 0).Worthwhile)
+	c.now = c.now.Add(2 * backlogMaxAge)
+	must.False(t, c.forecast(8, 0).Worthwhile)
+}
+
+// Guards against a summary of the backlog that outlives a change of demand.
+func TestForecastFollowsBacklog(t *testing.T) {
+	c := crowded(t, 40)
+	must.False(t, c.forecast(8, 0).Worthwhile)
+	for i := range 40 {
+		c.Cancel(fmt.Sprintf("%016x", 1+i), c.now, c.now)
+	}
+	c.now = c.now.Add(2 * backlogMaxAge)
+	f := c.forecast(8, 0)
+	must.True(t, f.Worthwhile)
+	must.EqOp(t, 0, f.Age)
+}
--- a/internal/sched/jobs.go
+++ b/internal/sched/jobs.go
@@ -55,6 +55,14 @@
 // that it counts once. Its client times out sooner.
 const submittedRetention = 20 * time.Second
 
+// submittedJob is a job that is not stored yet: when it was submitted, its work in
+// core-seconds and its organisation.
+type submittedJob struct {
+	at           time.Time
+	work         float64
+	organisation string
+}
+
 // NoteSubmitted records that a job was submitted, which may be some time before it
 // is stored. If jobs were counted only when stored, a pause of the store or of a
 // busy process would look like the end of a demand burst.
@@ -62,21 +70,23 @@
 	if _, known := p.submitted[record.ID]; known || record.Spec.LongRunning() {
 		return
 	}
-	p.submitted[record.ID] = now
-	p.recordArrival(record, now)
+	work := p.recordArrival(record, now)
+	p.submitted[record.ID] = submittedJob{now, work, record.Organisation}
+	p.backlog.add(work, record.Organisation)
 }
 
 // forgetSubmitted drops submitted jobs that were not stored in time.
 func (p *Pool) forgetSubmitted(now time.Time) {
-	for id, at := range p.submitted {
-		if now.Sub(at) > submittedRetention {
+	for id, s := range p.submitted {
+		if now.Sub(s.at) > submittedRetention {
 			delete(p.submitted, id)
 		}
 	}
 }
 
-// recordArrival records when a job was submitted and how much work it brings.
-func (p *Pool) recordArrival(record *work.JobRecord, at time.Time) {
+// recordArrival records when a job was submitted and returns how much work it brings, in
+// core-seconds.
+func (p *Pool) recordArrival(record *work.JobRecord, at time.Time) float64 {
 	a := p.arrivals[record.Queue.Name]
 	if a == nil {
 		a = &arrivals{countedSince: p.started}
@@ -89,6 +99,7 @@
 	}
 	a.note(at, work)
 	p.history.note(at, work)
+	return work
 }
 
 func (p *Pool) add(record *work.JobRecord, now, wall time.Time) *job {
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -70,9 +70,8 @@
 	// arrivals tracks the rate of submitted jobs, by queue.
 	arrivals map[string]*arrivals
 	history  history
-	// submitted holds the jobs that were submitted and are not stored yet, with the
-	// time of their submission.
-	submitted map[string]time.Time
+	// submitted holds the jobs that were submitted and are not stored yet.
+	submitted map[string]submittedJob
 	// usages holds what organisations use, quotas what they may use, by name.
 	usages map[string]*usage
 	quotas map[string]quota.Quota
@@ -90,6 +89,8 @@
 	// process runs late.
 	lagAllowance time.Duration
 	scratch      scratch
+	// backlog summarises the unfinished work for forecasts; it may be nil or old.
+	backlog *backlog
 }
 
 // New returns an empty pool whose fencing token was taken at now. roster is what
@@ -97,7 +98,7 @@
 func New(config Config, roster Roster, now time.Time) *Pool {
 	p := &Pool{
 		Config: config, started: now,
-		jobs: make(map[string]*job), hosts: make(map[string]*host), runtimes: make(map[string]*runtimeModel), arrivals: make(map[string]*arrivals), history: newHistory(now), submitted: make(map[string]time.Time), refusals: make(map[string]refusal), usages: make(map[string]*usage),
+		jobs: make(map[string]*job), hosts: make(map[string]*host), runtimes: make(map[string]*runtimeModel), arrivals: make(map[string]*arrivals), history: newHistory(now), submitted: make(map[string]submittedJob), refusals: make(map[string]refusal), usages: make(map[string]*usage),
 		unreached: make(map[string]time.Time), roster: make(map[string]bool), frozen: make(map[string]bool), storedRoster: make(map[string]bool),
 	}
 	for _, id := range roster.InUse {
