Read refusals for room from other entry hosts as what they are

Cause: the table with which a client of another entry host reads results had no entry for the two new ones, so both were read as unknown. The entry host then left the refused job in the pool's inbox: it was stored and ran. Only jobs handed to the holder itself were refused, and the tests call through an emulated network that doesn't encode results. Ruled out: the holder's side; it encodes both results. TestResultsArriveAsTheyWereSent sends every result through the real handler and client; before: no room was read as unknown.

--- a/internal/poolrpc/poolrpc.go
+++ b/internal/poolrpc/poolrpc.go
@@ -177,6 +177,7 @@
 	poolpb.Result_RESULT_UNKNOWN: poolmanager.ResultUnknown, poolpb.Result_RESULT_STORED: poolmanager.Stored,
 	poolpb.Result_RESULT_REFUSED: poolmanager.Refused, poolpb.Result_RESULT_NO_JOB: poolmanager.JobNotFound,
 	poolpb.Result_RESULT_NOT_HELD: poolmanager.Refused, poolpb.Result_RESULT_CONFLICT: poolmanager.Conflict,
+	poolpb.Result_RESULT_NO_ROOM: poolmanager.NoRoom, poolpb.Result_RESULT_OVER_SHARE: poolmanager.OverShare,
 }
 
 // Submit submits a job to an entry host. After an error the outcome is unknown.
