Count no job as backlog that was not and will not be stored

After an outage of the store a pool with idle hosts refused new jobs for want of room. Ruled out: forgetting them at once; a client that returns would count as another arrival. TestJobsThatStoreRefusedTakeNoRoom without the mend: no room instead of stored on two idle hosts. TestJobsThatWereNotStoredAreNotForecast covers the summary and what was added to it.

--- a/internal/poolmanager/outcome.go
+++ b/internal/poolmanager/outcome.go
@@ -60,7 +60,7 @@
 func (m *Manager) refuseUncommitted() {
 	for id, s := range m.submissions {
 		if s.batch == nil && !s.maybeStored && !s.inInbox {
-			delete(m.submissions, id)
+			m.dropSubmission(id)
 			s.resolve(Refused)
 		}
 	}
@@ -82,7 +82,7 @@
 	for _, s := range b.submissions {
 		s.maybeStored = false
 		if !s.inInbox && (s.withdrawn || time.Since(s.submittedAt) > refuseMinAge) {
-			delete(m.submissions, s.record.ID)
+			m.dropSubmission(s.record.ID)
 			s.resolve(Refused)
 		}
 	}
--- a/internal/poolmanager/refuse_test.go
+++ b/internal/poolmanager/refuse_test.go
@@ -1,6 +1,7 @@
 package poolmanager_test
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -98,3 +99,26 @@
 		}
 	})
 }
+
+// Guards against a pool with idle hosts that refuses jobs after an outage of the store, for
+// the ones that the store refused.
+func TestJobsThatStoreRefusedTakeNoRoom(t *testing.T) {
+	runEnv(t, emulate.WorkersConfig{}, 2, func(e *env) {
+		e.limits = weighted{"loud": 1}
+		m := e.takeOver(true)
+		time.Sleep(4 * time.Second)
+		m.ConfirmClaim()
+		e.store.SetDown(true)
+		var refused sync.WaitGroup
+		for range 200 {
+			record := e.record(shortStep(16))
+			refused.Go(func() { must.NotEqOp(t, poolmanager.Stored, m.Submit(e.ctx, record).Result) })
+		}
+		refused.Wait()
+		e.store.SetDown(false)
+		time.Sleep(2 * time.Second)
+		m.ConfirmClaim()
+		record := e.record(shortStep(16))
+		must.EqOp(t, poolmanager.Stored, m.Submit(e.ctx, record).Result)
+	})
+}
--- a/internal/poolmanager/submit.go
+++ b/internal/poolmanager/submit.go
@@ -226,10 +226,16 @@
 		s.withdrawn = true
 		return ResultUnknown
 	}
-	delete(m.submissions, id)
+	m.dropSubmission(id)
 	return Refused
 }
 
+// dropSubmission forgets a submitted job that is not and will not be stored.
+func (m *Manager) dropSubmission(id string) {
+	delete(m.submissions, id)
+	m.pool.NoteNotStored(id)
+}
+
 // Cancel cancels a job and returns once the cancellation is stored.
 func (m *Manager) Cancel(ctx context.Context, job work.JobRef) Result {
 	reply, result := m.call(ctx, func() <-chan Result { return m.cancelFor(job) })
--- a/internal/sched/forecast.go
+++ b/internal/sched/forecast.go
@@ -151,6 +151,9 @@
 		}
 	}
 	for _, s := range p.submitted {
+		if s.dropped {
+			continue
+		}
 		inTime = append(inTime, s.work)
 		b.total += s.work
 		b.byOrganisation[s.organisation] += s.work
@@ -159,7 +162,8 @@
 	return b
 }
 
-// add counts a job that was submitted after the summary was made.
+// add counts a job that was submitted after the summary was made, with negative work one
+// that will not be stored.
 func (b *backlog) add(work float64, organisation string) {
 	if b == nil {
 		return
--- a/internal/sched/forecast_test.go
+++ b/internal/sched/forecast_test.go
@@ -103,3 +103,32 @@
 	must.True(t, f.Worthwhile)
 	must.EqOp(t, 0, f.Age)
 }
+
+// submitUnstored hands in a job that isn't stored yet.
+func (c *jobBurst) submitUnstored(number, tasks int) string {
+	id := fmt.Sprintf("%016x", number)
+	c.NoteSubmitted(&work.JobRecord{
+		ID: id, Queue: work.Queue{Name: "q", MaxAttempts: 1, Stretch: 1, Slack: time.Second},
+		Spec: work.Spec{Steps: []work.Step{{Count: tasks, Resources: work.Resources{MilliCPU: 1000}, Estimate: time.Second}}},
+	}, c.now)
+	return id
+}
+
+// Guards against an idle pool that refuses jobs after an outage of the store, for jobs that
+// were never stored.
+func TestJobsThatWereNotStoredAreNotForecast(t *testing.T) {
+	c := crowded(t, 0)
+	for i := range 40 {
+		c.submitUnstored(1+i, 8)
+	}
+	must.False(t, c.forecast(8, 0).Worthwhile)
+	for i := range 40 {
+		c.NoteNotStored(fmt.Sprintf("%016x", 1+i))
+	}
+	for _, later := range []time.Duration{0, 2 * backlogMaxAge} {
+		c.now = c.now.Add(later)
+		f := c.forecast(8, 0)
+		must.True(t, f.Worthwhile)
+		must.EqOp(t, 0, f.TotalWork)
+	}
+}
--- a/internal/sched/jobs.go
+++ b/internal/sched/jobs.go
@@ -61,20 +61,48 @@
 	at           time.Time
 	work         float64
 	organisation string
+	// dropped is set when it will not be stored.
+	dropped bool
 }
 
 // NoteSubmitted records that a job was submitted, which may be some time before it
 // is stored. If jobs were counted only when stored, a pause of the store or of a
 // busy process would look like the end of a demand burst.
 func (p *Pool) NoteSubmitted(record *work.JobRecord, now time.Time) {
-	if _, known := p.submitted[record.ID]; known || record.Spec.LongRunning() {
+	if s, known := p.submitted[record.ID]; known {
+		p.noteSubmittedAgain(record.ID, s)
+		return
+	}
+	if record.Spec.LongRunning() {
 		return
 	}
 	work := p.recordArrival(record, now)
-	p.submitted[record.ID] = submittedJob{now, work, record.Organisation}
+	p.submitted[record.ID] = submittedJob{at: now, work: work, organisation: record.Organisation}
 	p.backlog.add(work, record.Organisation)
 }
 
+// noteSubmittedAgain records that a client has returned with a job.
+func (p *Pool) noteSubmittedAgain(id string, s submittedJob) {
+	if !s.dropped {
+		return
+	}
+	s.dropped = false
+	p.submitted[id] = s
+	p.backlog.add(s.work, s.organisation)
+}
+
+// NoteNotStored records that a submitted job will not be stored. It stays known, so that
+// it counts once as an arrival, but is no work to be done.
+func (p *Pool) NoteNotStored(id string) {
+	s, known := p.submitted[id]
+	if !known || s.dropped {
+		return
+	}
+	s.dropped = true
+	p.submitted[id] = s
+	p.backlog.add(-s.work, s.organisation)
+}
+
 // forgetSubmitted drops submitted jobs that were not stored in time.
 func (p *Pool) forgetSubmitted(now time.Time) {
 	for id, s := range p.submitted {
