Refuse no small job for large ones that were just handed in

Cause: jobs handed in since the last summary of the backlog, up to 0.1 s, went before every new job whatever their size, while the summary itself counts only jobs that are no larger. In the first moment of a burst of large jobs, small ones were refused that the scheduler starts first. The sizes are now kept; the summary is dropped once it is old, so that they don't add up while nothing is forecast. TestSmallJobIsWorthwhileBesideLargeOnesJustHandedIn before: not in time with 320 core-seconds handed in in jobs of 8, for one of 1.

--- a/internal/sched/forecast.go
+++ b/internal/sched/forecast.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -44,9 +45,11 @@
 	// inTime are the jobs that can still be done in time, late those that can't and
 	// are still worth something.
 	inTime, late sizes
-	// atRisk is the late work that goes before all other, added what was submitted
-	// since.
-	atRisk, added  float64
+	// atRisk is the late work that goes before all other.
+	atRisk float64
+	// added are the jobs that were submitted since, with negative work those that will
+	// not be stored.
+	added          []float64
 	byOrganisation map[string]float64
 	total          float64
 	cores          float64
@@ -101,9 +104,9 @@
 		OrganisationWork: b.byOrganisation[record.Organisation], TotalWork: b.total,
 	}
 	slack := needs.goal - reportingMargin - needs.chain - waited
-	before := b.inTime.upTo(f.Own) + b.atRisk + b.added
+	before := b.inTime.upTo(f.Own) + b.addedUpTo(f.Own) + b.atRisk
 	f.InTime = slack >= 0 && before+f.Own <= b.capacityWithin(slack+needs.chain/2)
-	f.Ahead = b.inTime.total() + b.late.upTo(f.Own) + b.added
+	f.Ahead = b.inTime.total() + b.late.upTo(f.Own) + b.addedUpTo(math.MaxFloat64)
 	left := worthlessFactor*needs.goal - needs.chain - waited
 	f.Worthwhile = f.InTime || left >= 0 && f.Ahead+f.Own <= b.capacityWithin(left+needs.chain/2)
 	if excess := f.Ahead + f.Own - b.capacityWithin(left+needs.chain/2); excess > 0 && b.cores > 0 {
@@ -126,6 +129,14 @@
 	return p.backlog
 }
 
+// forgetBacklog drops a summary that is too old for use. While nothing is forecast, it
+// would go on growing with each submitted job.
+func (p *Pool) forgetBacklog(now time.Time) {
+	if p.backlog != nil && now.Sub(p.backlog.at) > backlogMaxAge {
+		p.backlog = nil
+	}
+}
+
 func (p *Pool) summariseBacklog(now time.Time) *backlog {
 	b := &backlog{at: now, byOrganisation: make(map[string]float64), cores: p.listedCores()}
 	var inTime, late []float64
@@ -168,11 +179,22 @@
 	if b == nil {
 		return
 	}
-	b.added += work
+	b.added = append(b.added, work)
 	b.total += work
 	b.byOrganisation[organisation] += work
 }
 
+// addedUpTo returns the total of the jobs submitted since that are no larger than limit.
+func (b *backlog) addedUpTo(limit float64) float64 {
+	sum := 0.0
+	for _, work := range b.added {
+		if math.Abs(work) <= limit {
+			sum += work
+		}
+	}
+	return sum
+}
+
 // listedCores returns the cores for jobs of all hosts that are listed and stay. Hosts
 // that don't respond yet count, since most of them have just been moved to the pool.
 func (p *Pool) listedCores() float64 {
--- a/internal/sched/forecast_test.go
+++ b/internal/sched/forecast_test.go
@@ -132,3 +132,34 @@
 		must.EqOp(t, 0, f.TotalWork)
 	}
 }
+
+// Guards against refusing a small job for large ones that were handed in a moment before
+// and go after it anyway.
+func TestSmallJobIsWorthwhileBesideLargeOnesJustHandedIn(t *testing.T) {
+	c := crowded(t, 0)
+	must.True(t, c.forecast(1, 0).Worthwhile)
+	for i := range 40 {
+		c.submitUnstored(1+i, 8)
+	}
+	must.True(t, c.forecast(1, 0).InTime)
+	must.False(t, c.forecast(8, 0).Worthwhile)
+}
+
+// Guards against a job that its client took back and that still stands in the way of others.
+func TestJobTakenBackMakesRoomAtOnce(t *testing.T) {
+	c := crowded(t, 0)
+	c.forecast(8, 0)
+	id := c.submitUnstored(1, 80)
+	must.EqOp(t, 80, c.forecast(80, 0).Ahead)
+	c.NoteNotStored(id)
+	c.NoteNotStored(id)
+	must.EqOp(t, 0, c.forecast(80, 0).Ahead)
+}
+
+// Guards against a summary that grows with each job while nothing is forecast.
+func TestOldSummaryOfBacklogIsForgotten(t *testing.T) {
+	c := crowded(t, 0)
+	c.forecast(8, 0)
+	c.Tick(c.now.Add(2*backlogMaxAge), c.now)
+	must.Nil(t, c.backlog)
+}
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -256,6 +256,7 @@
 	p.stopHungRuns(now)
 	p.history.forget(now)
 	p.forgetSubmitted(now)
+	p.forgetBacklog(now)
 	p.forgetRefusals(now)
 	return p.forgetEnded(now)
 }
