Refuse no job while hosts are idle

Cause: all unfinished work counted as going before a new job, also that of an organisation which has used up its limit and can't start it. A quiet organisation was refused on a pool with seven of eight cores idle. What waits while hosts that take work are idle can't use them, whatever holds it back; the new job, after the jobs that are still being stored, may. The part of the cores that tasks of mixed sizes don't fill doesn't count as idle, nor do cores whose memory is used. Ruled out: leaving out the work of limited organisations; placement, advice and hosts that haven't answered since a takeover hold jobs back too. TestBacklogBeyondLimitDoesNotStandInTheWay before: not worthwhile. The crowded pool of these tests had a silent host that started nothing; it now answers.

--- a/internal/sched/forecast.go
+++ b/internal/sched/forecast.go
@@ -53,6 +53,9 @@
 	byOrganisation map[string]float64
 	total          float64
 	cores          float64
+	// idle are the cores that no task uses although the hosts take work, unstored is
+	// the work of the submitted jobs that may still take them.
+	idle, unstored float64
 }
 
 // sizes holds the sizes of jobs in ascending order, with the sums up to each.
@@ -108,8 +111,9 @@
 	f.InTime = slack >= 0 && before+f.Own <= b.capacityWithin(slack+needs.chain/2)
 	f.Ahead = b.inTime.total() + b.late.upTo(f.Own) + b.addedUpTo(math.MaxFloat64)
 	left := worthlessFactor*needs.goal - needs.chain - waited
-	f.Worthwhile = f.InTime || left >= 0 && f.Ahead+f.Own <= b.capacityWithin(left+needs.chain/2)
-	if excess := f.Ahead + f.Own - b.capacityWithin(left+needs.chain/2); excess > 0 && b.cores > 0 {
+	room := left + needs.chain/2
+	f.Worthwhile = f.InTime || left >= 0 && (f.Ahead+f.Own <= b.capacityWithin(room) || b.fitsIdle(f.Own, room))
+	if excess := f.Ahead + f.Own - b.capacityWithin(room); excess > 0 && b.cores > 0 {
 		f.RoomIn = seconds(excess / b.cores)
 	}
 	return f
@@ -120,6 +124,16 @@
 	return forecastMargin * b.cores * max(0, d).Seconds()
 }
 
+// fitsIdle reports whether a job can be done on idle hosts. What waits while hosts are
+// idle can't use them, for instance for its organisation's limit, and goes before nothing.
+func (b *backlog) fitsIdle(own float64, within time.Duration) bool {
+	if b.idle <= (1-packingShare)*b.cores {
+		return false
+	}
+	before := b.unstored + b.addedUpTo(math.MaxFloat64)
+	return before+own <= forecastMargin*b.idle*within.Seconds()
+}
+
 // currentBacklog returns a summary of the unfinished work that is no older than
 // backlogMaxAge.
 func (p *Pool) currentBacklog(now time.Time) *backlog {
@@ -138,7 +152,7 @@
 }
 
 func (p *Pool) summariseBacklog(now time.Time) *backlog {
-	b := &backlog{at: now, byOrganisation: make(map[string]float64), cores: p.listedCores()}
+	b := &backlog{at: now, byOrganisation: make(map[string]float64), cores: p.listedCores(), idle: p.idleCores(now)}
 	var inTime, late []float64
 	for _, j := range p.active {
 		if j.state != "" || j.record.Spec.LongRunning() {
@@ -165,6 +179,7 @@
 		if s.dropped {
 			continue
 		}
+		b.unstored += s.work
 		inTime = append(inTime, s.work)
 		b.total += s.work
 		b.byOrganisation[s.organisation] += s.work
@@ -207,6 +222,24 @@
 	return float64(millis) / milli
 }
 
+// idleCores returns the cores that are free on the hosts that take work, of each host no
+// greater a part than of its memory.
+func (p *Pool) idleCores(now time.Time) float64 {
+	idle := 0.0
+	for _, h := range p.hosts {
+		if p.unusable(h, now) != "" {
+			continue
+		}
+		free := h.free()
+		part := float64(free.MilliCPU) / float64(max(1, h.Capacity.MilliCPU))
+		if h.Capacity.MemMB > 0 {
+			part = min(part, float64(free.MemMB)/float64(h.Capacity.MemMB))
+		}
+		idle += max(0, part) * float64(h.Capacity.MilliCPU)
+	}
+	return idle / milli
+}
+
 // needsOf returns the expected work of a job that has not started.
 func (p *Pool) needsOf(record *work.JobRecord) remainingWork {
 	var needs remainingWork
--- a/internal/sched/forecast_test.go
+++ b/internal/sched/forecast_test.go
@@ -7,7 +7,9 @@
 
 	"github.com/shoenig/test/must"
 
+	"auburnglade.example/glade/internal/quota"
 	"auburnglade.example/glade/internal/work"
+	"auburnglade.example/glade/internal/worker"
 )
 
 // forecast returns the forecast of a job with tasks of one core and a second each, whose
@@ -25,6 +27,7 @@
 func crowded(t *testing.T, jobs int) *jobBurst {
 	c := newJobBurst(t)
 	c.now = c.now.Add(warmupPeriod)
+	c.ApplyHeartbeat("w", c.now, worker.HeartbeatReply{ClockMs: 1 + warmupPeriod.Milliseconds()}, c.now, c.now)
 	for i := range jobs {
 		c.submit(1+i, 8, time.Second, time.Second)
 	}
@@ -163,3 +166,24 @@
 	c.Tick(c.now.Add(2*backlogMaxAge), c.now)
 	must.Nil(t, c.backlog)
 }
+
+// Guards against refusing a quiet organisation while hosts are idle, for the backlog of one
+// that has used up its limit and can't use them.
+func TestBacklogBeyondLimitDoesNotStandInTheWay(t *testing.T) {
+	c := crowded(t, 0)
+	one := work.Resources{MilliCPU: 1000}
+	c.SetQuotas(map[string]quota.Quota{"loud": {Limit: one, Held: one}}, "")
+	for i := range 40 {
+		c.Accept(&work.JobRecord{
+			ID: fmt.Sprintf("%016x", 1+i), ArrivedMs: c.now.UnixMilli(), Organisation: "loud",
+			Queue: work.Queue{Name: "q", MaxAttempts: 1, Stretch: 1, Slack: time.Second},
+			Spec:  work.Spec{Steps: []work.Step{{Count: 8, Resources: one, Estimate: time.Second}}},
+		}, c.now, c.now)
+	}
+	must.Len(t, 1, c.Plan(c.now, c.now).Orders)
+	must.True(t, c.forecast(8, 0).Worthwhile)
+	for i := range 40 {
+		c.submitUnstored(1000+i, 8)
+	}
+	must.False(t, c.forecast(8, 0).Worthwhile, must.Sprint("idle hosts are taken once"))
+}
