Refuse no job for want of room that no room would help

Cause: a job of a queue without an objective, or one whose longest chain of run times is over three times its objective, counted as not worthwhile on an empty pool. Its client was told to come back when there is room, each time in vain; before, such jobs were run. Only Forecast.Known's comment said that jobs without an objective are left alone. TestJobThatNoRoomHelpsIsNotForecast before: known, and not worthwhile.

--- a/internal/sched/forecast.go
+++ b/internal/sched/forecast.go
@@ -12,7 +12,8 @@
 // load of a pool that is handed more than it can do.
 type Forecast struct {
 	// Known is false while the pool knows too little to judge: shortly after a
-	// takeover, and for jobs without an objective.
+	// takeover, and for jobs without an objective or with one that they can't come near
+	// even on an empty pool.
 	Known bool
 	// InTime reports whether the job can be done within its objective, Worthwhile
 	// whether it can be done before it is worth nothing.
@@ -99,8 +100,11 @@
 	if record.Spec.LongRunning() || record.Spec.Repeats > 0 || now.Sub(p.started) < warmupPeriod {
 		return Forecast{}
 	}
-	b := p.currentBacklog(now)
 	needs := p.needsOf(record)
+	if worthlessFactor*needs.goal < needs.chain {
+		return Forecast{}
+	}
+	b := p.currentBacklog(now)
 	waited := now.Sub(arrived)
 	f := Forecast{
 		Known: true, Own: needs.coreSeconds, Cores: b.cores, Age: now.Sub(b.at),
--- a/internal/sched/forecast_test.go
+++ b/internal/sched/forecast_test.go
@@ -187,3 +187,15 @@
 	}
 	must.False(t, c.forecast(8, 0).Worthwhile, must.Sprint("idle hosts are taken once"))
 }
+
+// Guards against a job that is refused for want of room on an empty pool, since its
+// queue's objective is too short for it with any room.
+func TestJobThatNoRoomHelpsIsNotForecast(t *testing.T) {
+	c := crowded(t, 0)
+	for _, queue := range []work.Queue{{Name: "q", MaxAttempts: 1}, {Name: "q", MaxAttempts: 1, Slack: 3 * time.Second}} {
+		record := &work.JobRecord{ID: "a", Queue: queue, Spec: work.Spec{
+			Steps: []work.Step{{Count: 1, Resources: work.Resources{MilliCPU: 1000}, Estimate: 10 * time.Second}},
+		}}
+		must.False(t, c.Forecast(record, c.now, c.now).Known)
+	}
+}
