Take back no other caller's job after a refusal

Cause: a caller whose time ended in the moment it was refused didn't look at its result but withdrew the job by its ID. Where the same job was being stored for a caller at another entry host, that one was dropped: its caller waited in vain until its own time ended. A refusal for room could also be passed on as one by the store, after which the entry host leaves the job in the inbox. The result is now looked at in the pool's goroutine, which is the only one that sends it. Ruled out: a race on the refusal that Submit captures; it is read only after the reply came through the channel.

--- a/internal/poolmanager/submit.go
+++ b/internal/poolmanager/submit.go
@@ -171,7 +171,7 @@
 	case <-ctx.Done():
 	}
 	withdrawn := make(chan Result, 1)
-	ok := m.enqueue(context.WithoutCancel(ctx), func() { withdrawn <- m.withdraw(id) })
+	ok := m.enqueue(context.WithoutCancel(ctx), func() { withdrawn <- m.withdraw(id, reply) })
 	if !ok {
 		return finalResult(reply)
 	}
@@ -209,9 +209,15 @@
 	}
 }
 
-// withdraw drops a submitted job that no commit can have stored. The job stays
-// while other callers that submitted it are waiting.
-func (m *Manager) withdraw(id string) Result {
+// withdraw drops a submitted job that no commit can have stored, for the caller who
+// waits for reply. The job stays while other callers that submitted it are waiting. A
+// caller who has its result already is none of them: the job may be another's.
+func (m *Manager) withdraw(id string, reply <-chan Result) Result {
+	select {
+	case result := <-reply:
+		return result
+	default:
+	}
 	s := m.submissions[id]
 	switch {
 	case s == nil && m.pool.Has(id):
