Spread a flood of refused clients, and forget it

Cause: the work of clients that were told to come back was added up without bound and only the time to come back was bounded. Of 1,000 clients refused at once 972 were told 15 s, to come back in one second; and later clients went on being told 15 s for minutes after all of these were back, with room on the pool. Clients beyond what the pool can do within the longest time are now spread over that time again, and half of it is kept for spreading when the excess alone takes longer. Ruled out: a longer longest time; the estimate is worth nothing then. TestFloodComesBackSpread before: 972 of 1,000 in one second. TestFloodIsForgottenOnceItsClientsAreBack before: 15 s instead of 2 s.

--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -27,6 +27,8 @@
 	// so much that the estimate is worth nothing.
 	minRetryAfter = time.Second
 	maxRetryAfter = 15 * time.Second
+	// latestRoomIn leaves half of maxRetryAfter to spread clients over.
+	latestRoomIn = maxRetryAfter / 2
 	// attemptRetention is how long the first attempt of a refused job is kept, so that
 	// a client that comes back as told keeps its place.
 	attemptRetention = 2 * maxRetryAfter
@@ -39,8 +41,8 @@
 	Reason Reason
 	// RetryAfter is when the client should come back; it is set for a refusal.
 	RetryAfter time.Duration
-	// Returning is the work of the clients that were told to come back, in
-	// core-seconds.
+	// Returning is the work of the clients that were told to come back earlier than
+	// this one, in core-seconds.
 	Returning float64
 }
 
@@ -53,7 +55,8 @@
 	// first holds the first attempts of refused jobs by ID.
 	first map[string]time.Time
 	// returning is the work of clients that were told to come back, in core-seconds
-	// as of returningAt. It shrinks as the pool gets through it.
+	// as of returningAt. It shrinks as the pool gets through it, and begins again at
+	// zero once it is more than the pool can do within the longest time to come back.
 	returning   float64
 	returningAt time.Time
 }
@@ -76,7 +79,8 @@
 		delete(r.first, id)
 		return Decision{Reason: None, Returning: r.returning}
 	}
-	d := Decision{Reason: NoRoom, RetryAfter: r.retryAfter(f), Returning: r.returning}
+	retryAfter := r.retryAfter(f)
+	d := Decision{Reason: NoRoom, RetryAfter: retryAfter, Returning: r.returning}
 	if share > 0 && f.OrganisationWork+f.Own > share*(f.TotalWork+f.Own) {
 		d.Reason = OverShare
 	}
@@ -87,10 +91,14 @@
 
 // retryAfter returns when there will be room for a job, behind the clients that were
 // told to come back before. Each of them is told a later time, so that they return
-// spread over the time in which there is room.
+// spread over the time in which there is room. Where they are too many for that, later
+// ones are spread over the same time again: all of them together would be refused again.
 func (r *Refuser) retryAfter(f sched.Forecast) time.Duration {
-	behind := time.Duration(r.returning / f.Cores * float64(time.Second))
-	return min(maxRetryAfter, max(minRetryAfter, f.RoomIn+behind))
+	earliest := min(latestRoomIn, max(minRetryAfter, f.RoomIn))
+	if r.returning >= f.Cores*(maxRetryAfter-earliest).Seconds() {
+		r.returning = 0
+	}
+	return earliest + time.Duration(r.returning/f.Cores*float64(time.Second))
 }
 
 // settle forgets the work that the pool got through since the last decision, and
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -100,3 +100,32 @@
 	must.EqOp(t, 0, Share("c", weights))
 	must.EqOp(t, 0, Share("a", nil))
 }
+
+// Guards against times to come back that stay at the longest for minutes after a short
+// flood, when nobody can still be about to come back.
+func TestFloodIsForgottenOnceItsClientsAreBack(t *testing.T) {
+	var r Refuser
+	for i := range 1000 {
+		r.Decide(fmt.Sprint(i), hopeless(), 0, epoch)
+	}
+	after := epoch.Add(maxRetryAfter)
+	must.EqOp(t, 2*time.Second, r.Decide("later", hopeless(), 0, after).RetryAfter)
+}
+
+// Guards against a flood of clients that are refused at once and come back at once, when
+// they are too many for all to have room within the longest time.
+func TestFloodComesBackSpread(t *testing.T) {
+	const clients = 1000
+	for _, roomIn := range []time.Duration{time.Second, 10 * time.Second, time.Minute} {
+		var r Refuser
+		bySecond := make(map[int]int)
+		flood := hopeless()
+		flood.RoomIn = roomIn
+		for i := range clients {
+			bySecond[int(r.Decide(fmt.Sprint(i), flood, 0, epoch).RetryAfter.Seconds())]++
+		}
+		for second, count := range bySecond {
+			must.LessEq(t, clients/6, count, must.Sprint(roomIn, second))
+		}
+	}
+}
