--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -115,10 +115,16 @@
 	if r.first == nil {
 		r.first = make(map[string]time.Time)
 	}
+	if at, known := r.first[id]; known {
+		if now.Sub(at) > attemptRetention {
+			r.first[id] = now
+		}
+		return
+	}
 	if len(r.first) >= maxAttempts {
 		r.forget(now)
 	}
-	if _, known := r.first[id]; !known && len(r.first) < maxAttempts {
+	if len(r.first) < maxAttempts {
 		r.first[id] = now
 	}
 }
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -129,3 +129,13 @@
 		}
 	}
 }
+
+// Guards against a job with the ID of one that was refused long ago, which never gets the
+// place of its first attempt.
+func TestOldAttemptGivesWayToNewOne(t *testing.T) {
+	var r Refuser
+	r.Decide("a", hopeless(), 0, epoch)
+	again := epoch.Add(2 * attemptRetention)
+	r.Decide("a", hopeless(), 0, again)
+	must.EqOp(t, again, r.FirstAttempt("a", again.Add(time.Second)))
+}
