Search for old attempts at most once a second

Cause: once 4,096 attempts of refused jobs are kept, each further refusal looked through all of them in the pool's goroutine, in just the flood that fills the memory. TestFullAttemptsAreSearchedOnceInAWhile is new; the cost itself was not measured.

--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -34,6 +34,8 @@
 	attemptRetention = 2 * maxRetryAfter
 	// maxAttempts bounds the attempts that are kept.
 	maxAttempts = 4096
+	// searchInterval is the least time between two searches for old attempts.
+	searchInterval = time.Second
 )
 
 // Decision is what becomes of a job that is being submitted.
@@ -54,6 +56,8 @@
 type Refuser struct {
 	// first holds the first attempts of refused jobs by ID.
 	first map[string]time.Time
+	// searchedAt is when old attempts were last searched for.
+	searchedAt time.Time
 	// returning is the work of clients that were told to come back, in core-seconds
 	// as of returningAt. It shrinks as the pool gets through it, and begins again at
 	// zero once it is more than the pool can do within the longest time to come back.
@@ -131,6 +135,10 @@
 
 // forget drops the attempts of clients that did not come back.
 func (r *Refuser) forget(now time.Time) {
+	if now.Sub(r.searchedAt) < searchInterval {
+		return
+	}
+	r.searchedAt = now
 	for id, at := range r.first {
 		if now.Sub(at) > attemptRetention {
 			delete(r.first, id)
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -139,3 +139,17 @@
 	r.Decide("a", hopeless(), 0, again)
 	must.EqOp(t, again, r.FirstAttempt("a", again.Add(time.Second)))
 }
+
+// Guards against a search through all kept attempts with each refusal, in a flood of new
+// IDs that fills the memory for them.
+func TestFullAttemptsAreSearchedOnceInAWhile(t *testing.T) {
+	var r Refuser
+	for i := range maxAttempts + 1 {
+		r.Decide(fmt.Sprint(i), hopeless(), 0, epoch)
+	}
+	searched := r.searchedAt
+	r.Decide("more", hopeless(), 0, epoch.Add(searchInterval/2))
+	must.EqOp(t, searched, r.searchedAt)
+	r.Decide("later", hopeless(), 0, epoch.Add(2*attemptRetention))
+	must.MapLen(t, 1, r.first)
+}
