Refuse nothing for room while the inbox can't be read

Cause: a refused job must not lie in the inbox from an earlier attempt, but only the claim's confirmation was asked for, which comes from another watch. Where reading the inbox fails or hangs alone, the holder told clients that a job had not run which it would run as soon as it saw it. What was written within the time in which the inbox's watch delivers is still not seen. TestHolderWithoutInboxRefusesNothingForRoom before: no room.

--- a/internal/poolmanager/harness_test.go
+++ b/internal/poolmanager/harness_test.go
@@ -35,6 +35,8 @@
 	jobs    int
 	// limits is nil where organisations have no weights and limits.
 	limits poolmanager.LimitSource
+	// through is the store as holders reach it, nil for store itself.
+	through store.Transactor
 }
 
 // runEnv runs a test in virtual time and fails it for each violation that the
@@ -96,8 +98,12 @@
 	if !previousStopped {
 		priorLeaseTTL += poolmanager.ConfirmationTimeout
 	}
+	through := e.through
+	if through == nil {
+		through = e.store
+	}
 	m := poolmanager.New(poolmanager.Config{
-		Pool: pool, Holder: holder, Store: e.store, Workers: e.workers, Hosts: e.workers, Limits: e.limits, Log: zerolog.Nop(),
+		Pool: pool, Holder: holder, Store: through, Workers: e.workers, Hosts: e.workers, Limits: e.limits, Log: zerolog.Nop(),
 		Metrics: poolmanager.NewMetrics(nil),
 		Sched: sched.Config{
 			LeaseTTL: leaseTTL, PriorLeaseTTL: priorLeaseTTL, StopGrace: stopGrace, RemoteFactor: 3, StatusRetention: time.Minute,
--- a/internal/poolmanager/inbox.go
+++ b/internal/poolmanager/inbox.go
@@ -17,6 +17,9 @@
 		Store: m.Store, Prefix: poolstore.InboxPrefix(m.Pool), MinInterval: inboxMinInterval,
 		OnList:   m.applyInbox,
 		OnEvents: func(events []store.Event) { m.applyInbox(listwatch.WrittenEntries(events)) },
+		OnCurrent: func(at time.Time) {
+			m.enqueue(m.ctx, func() { m.inboxCurrentAt = at })
+		},
 	}
 	w.Run(ctx)
 }
--- a/internal/poolmanager/manager.go
+++ b/internal/poolmanager/manager.go
@@ -140,6 +140,8 @@
 	// claimConfirmedAt is when the store last confirmed that this process holds
 	// the pool.
 	claimConfirmedAt time.Time
+	// inboxCurrentAt is up to when all entries of the inbox were applied.
+	inboxCurrentAt time.Time
 	// committedAt is when the head's lane last committed.
 	committedAt   time.Time
 	statsLoggedAt time.Time
--- a/internal/poolmanager/refuse.go
+++ b/internal/poolmanager/refuse.go
@@ -19,6 +19,11 @@
 // a holder that has no store doesn't see it: it would call a job not run that is to run.
 const refusalConfirmation = 1500 * time.Millisecond
 
+// inboxMaxAge is how long ago the inbox must have been known in full for a job to be
+// refused for want of room: a quiet inbox is confirmed every 1.3 s. Reading it may fail, or
+// hang, while the claim is confirmed.
+const inboxMaxAge = 2 * time.Second
+
 var refusalResults = map[overload.Reason]Result{overload.NoRoom: NoRoom, overload.OverShare: OverShare}
 
 // refusal decides whether a job that this process has never seen is refused for want of
@@ -27,7 +32,7 @@
 func (m *Manager) refusal(record *work.JobRecord) (accepted *work.JobRecord, reply Reply) {
 	now := time.Now()
 	weights := m.weights()
-	if len(weights) == 0 || m.knows(record.ID) || now.Sub(m.claimConfirmedAt) > refusalConfirmation {
+	if len(weights) == 0 || m.knows(record.ID) || !m.seesStore(now) {
 		return record, Reply{}
 	}
 	first := m.refuser.FirstAttempt(record.ID, now)
@@ -55,6 +60,12 @@
 	return record, Reply{}
 }
 
+// seesStore reports whether this process has lately seen in the store that it holds the
+// pool, and what other entry hosts left in the inbox.
+func (m *Manager) seesStore(now time.Time) bool {
+	return now.Sub(m.claimConfirmedAt) <= refusalConfirmation && now.Sub(m.inboxCurrentAt) <= inboxMaxAge
+}
+
 // knows reports whether a job was submitted before and may be stored.
 func (m *Manager) knows(id string) bool {
 	return m.submissions[id] != nil || m.pool.Has(id)
--- a/internal/poolmanager/refuse_test.go
+++ b/internal/poolmanager/refuse_test.go
@@ -1,6 +1,8 @@
 package poolmanager_test
 
 import (
+	"context"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -9,7 +11,9 @@
 
 	"auburnglade.example/glade/internal/emulate"
 	"auburnglade.example/glade/internal/poolmanager"
+	"auburnglade.example/glade/internal/poolstore"
 	"auburnglade.example/glade/internal/quota"
+	"auburnglade.example/glade/internal/store"
 	"auburnglade.example/glade/internal/work"
 )
 
@@ -122,3 +126,28 @@
 		must.EqOp(t, poolmanager.Stored, m.Submit(e.ctx, record).Result)
 	})
 }
+
+// inboxlessStore fails all reads of the pool's inbox.
+type inboxlessStore struct{ store.Transactor }
+
+func (s inboxlessStore) List(ctx context.Context, prefix string) (store.Listing, error) {
+	if strings.HasPrefix(prefix, poolstore.InboxPrefix(pool)) {
+		return store.Listing{}, &store.UnavailableError{Op: "list", Cause: context.DeadlineExceeded}
+	}
+	return s.Transactor.List(ctx, prefix)
+}
+
+// Guards against refusals by a holder that can't read its inbox, where another entry host
+// may have left the same job, although the store confirms its claim.
+func TestHolderWithoutInboxRefusesNothingForRoom(t *testing.T) {
+	runEnv(t, emulate.WorkersConfig{}, 2, func(e *env) {
+		e.limits = weighted{"loud": 1}
+		e.through = inboxlessStore{e.store}
+		m := e.takeOver(true)
+		time.Sleep(4 * time.Second)
+		for range 100 {
+			m.ConfirmClaim()
+			e.submit(m, shortStep(16))
+		}
+	})
+}
