Count no backlog of lower priority before a job that can't be in time

Cause: late work counted as going before a new job whatever its queue's priority, though the scheduler starts late jobs by priority first. A job of a queue that goes first was refused for the backlog of one that waits for it. Of lower priorities only what the last plan admitted goes before; admission itself knows no priority, so whether a job can be in time is judged as before.

--- a/internal/sched/forecast_test.go
+++ b/internal/sched/forecast_test.go
@@ -199,3 +199,24 @@
 		must.False(t, c.Forecast(record, c.now, c.now).Known)
 	}
 }
+
+// Guards against refusing a job of a queue that goes first, for the backlog of one that
+// waits for it.
+func TestBacklogOfLowerPriorityDoesNotStandInTheWay(t *testing.T) {
+	c := crowded(t, 40)
+	record := func(priority int) *work.JobRecord {
+		return &work.JobRecord{
+			ID: "a", Queue: work.Queue{Name: "q", MaxAttempts: 1, Stretch: 1, Slack: time.Second, Priority: priority},
+			Spec: work.Spec{Steps: []work.Step{{Count: 8, Resources: work.Resources{MilliCPU: 1000}, Estimate: time.Second}}},
+		}
+	}
+	must.True(t, c.Forecast(record(-1), c.now, c.now).Worthwhile)
+	must.False(t, c.Forecast(record(0), c.now, c.now).Worthwhile)
+	must.False(t, c.Forecast(record(1), c.now, c.now).Worthwhile)
+	for i := range 40 {
+		c.submitUnstored(1000+i, 8)
+	}
+	must.True(t, c.Forecast(record(-1), c.now, c.now).Worthwhile)
+	c.now = c.now.Add(2 * backlogMaxAge)
+	must.True(t, c.Forecast(record(-1), c.now, c.now).Worthwhile)
+}
--- a/internal/sched/jobs.go
+++ b/internal/sched/jobs.go
@@ -56,11 +56,12 @@
 const submittedRetention = 20 * time.Second
 
 // submittedJob is a job that is not stored yet: when it was submitted, its work in
-// core-seconds and its organisation.
+// core-seconds, its organisation and its queue's priority.
 type submittedJob struct {
 	at           time.Time
 	work         float64
 	organisation string
+	priority     int
 	// dropped is set when it will not be stored.
 	dropped bool
 }
@@ -76,9 +77,9 @@
 	if record.Spec.LongRunning() {
 		return
 	}
-	work := p.recordArrival(record, now)
-	p.submitted[record.ID] = submittedJob{at: now, work: work, organisation: record.Organisation}
-	p.backlog.add(work, record.Organisation)
+	s := submittedJob{at: now, work: p.recordArrival(record, now), organisation: record.Organisation, priority: record.Queue.Priority}
+	p.submitted[record.ID] = s
+	p.backlog.add(s, s.work)
 }
 
 // noteSubmittedAgain records that a client has returned with a job.
@@ -88,7 +89,7 @@
 	}
 	s.dropped = false
 	p.submitted[id] = s
-	p.backlog.add(s.work, s.organisation)
+	p.backlog.add(s, s.work)
 }
 
 // NoteNotStored records that a submitted job will not be stored. It stays known, so that
@@ -100,7 +101,7 @@
 	}
 	s.dropped = true
 	p.submitted[id] = s
-	p.backlog.add(-s.work, s.organisation)
+	p.backlog.add(s, -s.work)
 }
 
 // forgetSubmitted drops submitted jobs that were not stored in time.
