--- a/internal/entryhost/harness_test.go
+++ b/internal/entryhost/harness_test.go
@@ -44,6 +44,8 @@
 	hostsPerCore carrier.HostsPerCore
 	// operator provides the limits of organisations, nil for none.
 	operator *operator
+	// weights are the weights of organisations that have no limits, nil for none.
+	weights map[string]int
 }
 
 // nodes are the names of up to three entry hosts, in order.
@@ -143,6 +145,9 @@
 		source = &limitSource{}
 		config.Limits, config.ApplyConfig = source, source.apply
 	}
+	if dep.weights != nil {
+		config.Limits = weightSource(dep.weights)
+	}
 	host := entryhost.New(config)
 	if source != nil {
 		source.relay = host.Relay
