--- a/internal/poolmanager/harness_test.go
+++ b/internal/poolmanager/harness_test.go
@@ -38,6 +38,10 @@
 	starts *linkbudget.Budget
 	fence  int64
 	jobs   int
+	// limits is nil where organisations have no weights and limits.
+	limits poolmanager.LimitSource
+	// through is the store as holders reach it, nil for store itself.
+	through store.Transactor
 }
 
 // runEnv runs a test in virtual time and fails it for each violation that the
@@ -100,8 +104,12 @@
 	if !previousStopped {
 		priorLeaseTTL += poolmanager.ConfirmationTimeout
 	}
+	through := e.through
+	if through == nil {
+		through = e.store
+	}
 	m := poolmanager.New(poolmanager.Config{
-		Pool: pool, Holder: holder, Store: e.store, Workers: e.calls, Hosts: e.workers, Starts: e.starts, Log: zerolog.Nop(),
+		Pool: pool, Holder: holder, Store: through, Workers: e.calls, Hosts: e.workers, Limits: e.limits, Starts: e.starts, Log: zerolog.Nop(),
 		Metrics: poolmanager.NewMetrics(nil),
 		Sched: sched.Config{
 			LeaseTTL: leaseTTL, PriorLeaseTTL: priorLeaseTTL, StopGrace: stopGrace, RemoteFactor: 3, StatusRetention: time.Minute,
@@ -117,7 +125,7 @@
 func (e *env) submit(m *runningManager, steps ...work.Step) string {
 	e.t.Helper()
 	record := e.record(steps...)
-	must.EqOp(e.t, poolmanager.Stored, m.Submit(e.ctx, record))
+	must.EqOp(e.t, poolmanager.Stored, m.Submit(e.ctx, record).Result)
 	return record.ID
 }
 
--- a/internal/poolmanager/manager.go
+++ b/internal/poolmanager/manager.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"auburnglade.example/glade/internal/linkbudget"
+	"auburnglade.example/glade/internal/overload"
 	"auburnglade.example/glade/internal/poolstore"
 	"auburnglade.example/glade/internal/sched"
 	"auburnglade.example/glade/internal/store"
@@ -131,6 +132,7 @@
 	commitLatency time.Duration
 	hedger        hedger
 	quotas        *quotaKeeper
+	refuser       overload.Refuser
 	// claimMissing is set while the claim has to be written again under the lease
 	// in takeover.
 	claimMissing bool
@@ -141,6 +143,8 @@
 	// claimConfirmedAt is when the store last confirmed that this process holds
 	// the pool.
 	claimConfirmedAt time.Time
+	// inboxCurrentAt is up to when all entries of the inbox were applied.
+	inboxCurrentAt time.Time
 	// committedAt is when the head's lane last committed.
 	committedAt   time.Time
 	statsLoggedAt time.Time
--- a/internal/poolmanager/submit.go
+++ b/internal/poolmanager/submit.go
@@ -24,12 +24,20 @@
 	JobNotFound
 	// Conflict means that a job of another organisation has the submitted ID.
 	Conflict
+	// NoRoom means that the job was refused since the pool can't do it while it is
+	// worth anything. It was not stored.
+	NoRoom
+	// OverShare is NoRoom for a job whose organisation has used up its share.
+	OverShare
 )
 
-var resultNames = [...]string{"unknown", "stored", "refused", "no job", "conflict"}
+var resultNames = [...]string{"unknown", "stored", "refused", "no job", "conflict", "no room", "over share"}
 
 func (r Result) String() string { return resultNames[r] }
 
+// ForRoom reports whether a job was refused because the pool has too little room.
+func (r Result) ForRoom() bool { return r == NoRoom || r == OverShare }
+
 // submission is a submitted job that is not stored yet.
 type submission struct {
 	record *work.JobRecord
@@ -82,17 +90,27 @@
 	return reply
 }
 
-// Submit stores a job and adds it to the pool. When ctx ends first, the result is
-// Refused if the job will not be stored by this call, and ResultUnknown if it may
-// be.
-func (m *Manager) Submit(ctx context.Context, record *work.JobRecord) Result {
-	reply, result := m.call(ctx, func() <-chan Result { return m.submit(record) })
+// Submit stores a job and adds it to the pool, or refuses it for want of room. When ctx
+// ends first, the result is Refused if the job will not be stored by this call, and
+// ResultUnknown if it may be.
+func (m *Manager) Submit(ctx context.Context, record *work.JobRecord) Reply {
+	var refusal Reply
+	reply, result := m.call(ctx, func() <-chan Result {
+		var accepted *work.JobRecord
+		if accepted, refusal = m.refusal(record); accepted == nil {
+			return resolved(refusal.Result)
+		}
+		return m.submit(accepted)
+	})
 	if reply == nil {
-		return result
+		return Reply{Result: result}
 	}
 	result = m.awaitSubmit(ctx, record.ID, reply)
 	m.Metrics.submits.WithLabelValues(result.String()).Inc()
-	return result
+	if result.ForRoom() {
+		return refusal
+	}
+	return Reply{Result: result}
 }
 
 // call runs fn in the pool's goroutine and returns the channel that will receive
@@ -153,7 +171,7 @@
 	case <-ctx.Done():
 	}
 	withdrawn := make(chan Result, 1)
-	ok := m.enqueue(context.WithoutCancel(ctx), func() { withdrawn <- m.withdraw(id) })
+	ok := m.enqueue(context.WithoutCancel(ctx), func() { withdrawn <- m.withdraw(id, reply) })
 	if !ok {
 		return finalResult(reply)
 	}
@@ -191,9 +209,15 @@
 	}
 }
 
-// withdraw drops a submitted job that no commit can have stored. The job stays
-// while other callers that submitted it are waiting.
-func (m *Manager) withdraw(id string) Result {
+// withdraw drops a submitted job that no commit can have stored, for the caller who
+// waits for reply. The job stays while other callers that submitted it are waiting. A
+// caller who has its result already is none of them: the job may be another's.
+func (m *Manager) withdraw(id string, reply <-chan Result) Result {
+	select {
+	case result := <-reply:
+		return result
+	default:
+	}
 	s := m.submissions[id]
 	switch {
 	case s == nil && m.pool.Has(id):
@@ -208,10 +232,16 @@
 		s.withdrawn = true
 		return ResultUnknown
 	}
-	delete(m.submissions, id)
+	m.dropSubmission(id)
 	return Refused
 }
 
+// dropSubmission forgets a submitted job that is not and will not be stored.
+func (m *Manager) dropSubmission(id string) {
+	delete(m.submissions, id)
+	m.pool.NoteNotStored(id)
+}
+
 // Cancel cancels a job and returns once the cancellation is stored.
 func (m *Manager) Cancel(ctx context.Context, job work.JobRef) Result {
 	reply, result := m.call(ctx, func() <-chan Result { return m.cancelFor(job) })
--- a/internal/poolmanager/thinlink_test.go
+++ b/internal/poolmanager/thinlink_test.go
@@ -85,7 +85,7 @@
 		for range burst {
 			record := e.record(shortStep(tasks))
 			record.Spec.Payload = strings.Repeat("x", payload)
-			must.EqOp(t, poolmanager.Stored, m.Submit(e.ctx, record))
+			must.EqOp(t, poolmanager.Stored, m.Submit(e.ctx, record).Result)
 			jobs = append(jobs, record.ID)
 		}
 		for range 40 {
--- a/internal/sched/jobs.go
+++ b/internal/sched/jobs.go
@@ -55,28 +55,67 @@
 // that it counts once. Its client times out sooner.
 const submittedRetention = 20 * time.Second
 
+// submittedJob is a job that is not stored yet: when it was submitted, its work in
+// core-seconds, its organisation and its queue's priority.
+type submittedJob struct {
+	at           time.Time
+	work         float64
+	organisation string
+	priority     int
+	// dropped is set when it will not be stored.
+	dropped bool
+}
+
 // NoteSubmitted records that a job was submitted, which may be some time before it
 // is stored. If jobs were counted only when stored, a pause of the store or of a
 // busy process would look like the end of a demand burst.
 func (p *Pool) NoteSubmitted(record *work.JobRecord, now time.Time) {
-	if _, known := p.submitted[record.ID]; known || record.Spec.LongRunning() {
+	if s, known := p.submitted[record.ID]; known {
+		p.noteSubmittedAgain(record.ID, s)
+		return
+	}
+	if record.Spec.LongRunning() {
+		return
+	}
+	s := submittedJob{at: now, work: p.recordArrival(record, now), organisation: record.Organisation, priority: record.Queue.Priority}
+	p.submitted[record.ID] = s
+	p.backlog.add(s, s.work)
+}
+
+// noteSubmittedAgain records that a client has returned with a job.
+func (p *Pool) noteSubmittedAgain(id string, s submittedJob) {
+	if !s.dropped {
+		return
+	}
+	s.dropped = false
+	p.submitted[id] = s
+	p.backlog.add(s, s.work)
+}
+
+// NoteNotStored records that a submitted job will not be stored. It stays known, so that
+// it counts once as an arrival, but is no work to be done.
+func (p *Pool) NoteNotStored(id string) {
+	s, known := p.submitted[id]
+	if !known || s.dropped {
 		return
 	}
-	p.submitted[record.ID] = now
-	p.recordArrival(record, now)
+	s.dropped = true
+	p.submitted[id] = s
+	p.backlog.add(s, -s.work)
 }
 
 // forgetSubmitted drops submitted jobs that were not stored in time.
 func (p *Pool) forgetSubmitted(now time.Time) {
-	for id, at := range p.submitted {
-		if now.Sub(at) > submittedRetention {
+	for id, s := range p.submitted {
+		if now.Sub(s.at) > submittedRetention {
 			delete(p.submitted, id)
 		}
 	}
 }
 
-// recordArrival records when a job was submitted and how much work it brings.
-func (p *Pool) recordArrival(record *work.JobRecord, at time.Time) {
+// recordArrival records when a job was submitted and returns how much work it brings, in
+// core-seconds.
+func (p *Pool) recordArrival(record *work.JobRecord, at time.Time) float64 {
 	a := p.arrivals[record.Queue.Name]
 	if a == nil {
 		a = &arrivals{countedSince: p.started}
@@ -89,6 +128,7 @@
 	}
 	a.note(at, work)
 	p.history.note(at, work)
+	return work
 }
 
 func (p *Pool) add(record *work.JobRecord, now, wall time.Time) *job {
