Have the next holder settle what a lost one saw of a crash

A run that had just started on a host that refuses connections was stored as a proven crash before the end of the host was certain. If the host, or the carrier to it, was only cut off, the next holder counted it until the host was heard again: two such runs and one crash failed the job.

Such a run is now stored as presumed, with its host's incarnation and address. It weighs as unproven. The next holder calls that incarnation, also if the platform lists it no more, and knows as much as for its own runs: another incarnation answers, the crash is proven, and the job fails if that is enough; the same one answers, it stays unproven. Hosts that leave as planned presume nothing.

Ruled out as evidence: that a host isn't listed any more (one that is cut off from the store as well isn't either).

--- a/internal/sched/crashes.go
+++ b/internal/sched/crashes.go
@@ -222,7 +222,7 @@
 // and all current runs of a suspect. A holder that is lost together with the host
 // cannot add them later.
 func (t *task) crashedRuns() []int {
-	runs := t.crashNumbers(Unproven, Proven, Decisive)
+	runs := t.crashNumbers(Unproven, Presumed, Proven, Decisive)
 	if t.chargedRun > 0 {
 		runs = append(runs, t.chargedRun)
 	}
--- a/internal/sched/evidence.go
+++ b/internal/sched/evidence.go
@@ -34,6 +34,9 @@
 	// not have crashed, or the run had executed for long and other hosts crashed at
 	// the same moment.
 	Unproven Proof = "unproven"
+	// Presumed: proven once its host's incarnation is known to have ended. An earlier
+	// holder that was lost before it knew that has stored it.
+	Presumed Proof = "presumed"
 	// Proven: the run executed until its host crashed. Another run or a common cause
 	// may be at fault.
 	Proven Proof = "proven"
@@ -46,8 +49,10 @@
 type Crash struct {
 	Run   int
 	Proof Proof
-	// Host is empty if an earlier holder counted the crash.
+	// Host is empty if an earlier holder counted the crash, unless it is presumed.
 	Host string
+	// Address is the host's address, set for a presumed crash.
+	Address string
 	// Seen is set when the run was known to execute, Executed for how long it had
 	// when its host last responded.
 	Seen     bool
@@ -165,20 +170,6 @@
 	return numbers
 }
 
-// provenRuns returns the numbers of the runs to store as proven crashes: those that are,
-// and current runs on hosts that refuse connections. A holder that is lost before it
-// learns that such a host has ended cannot store that later, and the next holder clears
-// the run if the host turns out to be up.
-func (t *task) provenRuns() []int {
-	runs := t.crashNumbers(Proven, Decisive)
-	for _, r := range t.currentRuns() {
-		if r.executedUntilRefusal() && r.justStarted() {
-			runs = append(runs, r.number)
-		}
-	}
-	return runs
-}
-
 // currentRuns returns the runs of a task that may be on a host.
 func (t *task) currentRuns() []*run {
 	if t.run == nil {
@@ -215,6 +206,11 @@
 		}
 		t.crashes = append(t.crashes, c)
 	}
+	for _, presumed := range stored.CrashesPresumed {
+		if at := t.crashIndex(presumed.Run); at >= 0 {
+			t.crashes[at].Proof, t.crashes[at].Host, t.crashes[at].Address = Presumed, presumed.Host, presumed.Address
+		}
+	}
 	t.step.crashes += len(t.crashes)
 	t.crashedAt = now
 }
--- a/internal/sched/jobs.go
+++ b/internal/sched/jobs.go
@@ -235,7 +235,9 @@
 			due = now.Add(-wall.Sub(dueWall))
 		}
 		if !j.doneOccurrences[j.nextOccurrence] {
-			j.occurrences = append(j.occurrences, newOccurrence(j, j.nextOccurrence, due, now))
+			o := newOccurrence(j, j.nextOccurrence, due, now)
+			j.occurrences = append(j.occurrences, o)
+			p.watchPresumed(o, now)
 		}
 		j.nextOccurrence++
 	}
@@ -329,14 +331,15 @@
 			for _, t := range s.tasks {
 				crashed := t.crashedRuns()
 				var proven, decisive []int
+				var presumed []work.PresumedCrash
 				if len(crashed) > 0 {
-					proven, decisive = t.provenRuns(), t.crashNumbers(Decisive)
+					proven, decisive, presumed = t.crashNumbers(Proven, Decisive), t.crashNumbers(Decisive), t.presumedCrashes()
 				}
 				if t.done || len(t.failed) > 0 || len(crashed) > 0 || t.checkpoint != "" || t.lastRun > 1 {
 					progress.Tasks = append(progress.Tasks, work.TaskProgress{
 						Occurrence: o.number, Step: s.index, Index: t.name.Index,
 						Done: t.done, Failed: t.failed, Crashed: crashed, Run: t.lastRun, Checkpoint: t.checkpoint,
-						CrashesProven: proven, CrashesDecisive: decisive,
+						CrashesProven: proven, CrashesDecisive: decisive, CrashesPresumed: presumed,
 					})
 				}
 			}
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -58,6 +58,9 @@
 	storedRoster map[string]bool
 	// refusals holds the last refusal of each host, by ID.
 	refusals map[string]refusal
+	// presumed holds the hosts under which an earlier holder presumed crashes, by ID,
+	// until it is known whether they ended.
+	presumed map[string]*presumedEnd
 	// losses holds the losses that Losses has not returned yet.
 	losses []Loss
 	// stops counts the runs that are to be stopped.
@@ -110,6 +113,7 @@
 		history:       newHistory(now),
 		submitted:     make(map[string]submittedJob),
 		refusals:      make(map[string]refusal),
+		presumed:      make(map[string]*presumedEnd),
 		usages:        make(map[string]*usage),
 		unreached:     make(map[string]time.Time),
 		roster:        make(map[string]bool),
@@ -273,6 +277,7 @@
 	p.forgetSubmitted(now)
 	p.forgetBacklog(now)
 	p.forgetRefusals(now)
+	p.forgetPresumed(now)
 	return p.forgetEnded(now)
 }
 
@@ -288,7 +293,7 @@
 		p.loseRuns(h, LeaseExpired, now, wall)
 	}
 	if !h.listed && unresponsive && len(h.runs) == 0 && now.Sub(h.unlistedSince) > removalDelay {
-		if _, pending := p.unreached[id]; !pending {
+		if _, pending := p.unreached[id]; !pending && p.presumed[id] == nil {
 			delete(p.hosts, id)
 		}
 	}
@@ -310,6 +315,7 @@
 	if h == nil {
 		return
 	}
+	p.provePresumed(h, now, wall)
 	p.loseRuns(h, InstanceReplaced, now, wall)
 	delete(p.hosts, id)
 }
--- a/internal/sched/quota.go
+++ b/internal/sched/quota.go
@@ -100,7 +100,7 @@
 	}
 	for id := range p.unreached {
 		capacity := largest
-		if h := p.hosts[id]; h != nil {
+		if h := p.hosts[id]; h != nil && h.Capacity != (work.Resources{}) {
 			capacity = h.Capacity
 		}
 		room = room.Plus(capacity)
--- a/internal/sched/replies.go
+++ b/internal/sched/replies.go
@@ -18,6 +18,7 @@
 	}
 	h.repliedAt, h.clock = now, reply.ClockMs
 	delete(p.unreached, id)
+	p.refutePresumed(id)
 	p.applyEnds(h, reply.Ended, now, wall)
 	if !reply.RunningOmitted {
 		h.reportedAt, h.reportedClock, h.reached = now, reply.ClockMs, true
--- a/internal/work/progress.go
+++ b/internal/work/progress.go
@@ -36,12 +36,23 @@
 	// CrashesProven are those of Crashed that were seen executing until their host
 	// crashed, CrashesDecisive those of them that nothing else explains.
 	CrashesProven, CrashesDecisive []int
+	// CrashesPresumed are those of Crashed that are proven once the end of their
+	// host's incarnation is known.
+	CrashesPresumed []PresumedCrash
 	// Run is the highest run number recorded.
 	Run int
 	// Checkpoint is the last checkpoint, empty for none.
 	Checkpoint string
 }
 
+// PresumedCrash is a run that was seen executing until its host refused connections,
+// with the incarnation of the host and its address.
+type PresumedCrash struct {
+	Run     int    `json:"r"`
+	Host    string `json:"h"`
+	Address string `json:"a"`
+}
+
 // appendRow appends p to a buffer as a JSON array, which takes a third of the
 // space of a JSON object.
 func (p *TaskProgress) appendRow(buf []byte) []byte {
@@ -59,10 +70,13 @@
 	if len(p.Crashed) > 0 {
 		buf = appendInts(append(buf, ','), p.Crashed)
 	}
-	if len(p.CrashesProven) > 0 {
+	if len(p.CrashesProven) > 0 || len(p.CrashesPresumed) > 0 {
 		buf = appendInts(append(buf, ','), p.CrashesProven)
 		buf = appendInts(append(buf, ','), p.CrashesDecisive)
 	}
+	if len(p.CrashesPresumed) > 0 {
+		buf = append(append(buf, ','), encode(p.CrashesPresumed)...)
+	}
 	return append(buf, ']')
 }
 
@@ -90,7 +104,7 @@
 // UnmarshalJSON decodes the JSON array written by appendRow.
 func (p *TaskProgress) UnmarshalJSON(data []byte) error {
 	var done int
-	row := []any{&p.Occurrence, &p.Step, &p.Index, &done, &p.Failed, &p.Run, &p.Checkpoint, &p.Crashed, &p.CrashesProven, &p.CrashesDecisive}
+	row := []any{&p.Occurrence, &p.Step, &p.Index, &done, &p.Failed, &p.Run, &p.Checkpoint, &p.Crashed, &p.CrashesProven, &p.CrashesDecisive, &p.CrashesPresumed}
 	if err := json.Unmarshal(data, &row); err != nil {
 		return &CorruptError{"task progress", err}
 	}
