Keep the proof of a crash that a stop came just before

A single stop within 0.1 s of the refusal of connections no longer voids it for a run that had just started: an end in between would have been reported at once by the heartbeat that waits. Such a crash is proven, never decisive.

Ruled out: that the crash had reset the stops (they were answered); counting any stop that isn't answered (a run that was stopped earlier, or again, or that had executed for long proves nothing, as before).

--- a/internal/sched/evidence.go
+++ b/internal/sched/evidence.go
@@ -21,6 +21,9 @@
 	// refuse connections, as seen here: their next calls are some tens of
 	// milliseconds apart, and a busy process reads the outcomes late.
 	refusalSpread = 300 * time.Millisecond
+	// stopRace is how long before its host refuses connections a run may be told to
+	// stop and still count as executing then: a call in flight and the next one.
+	stopRace = 100 * time.Millisecond
 	// promptCrash is how long after the start of a run its host must have responded
 	// for the start not to have crashed it.
 	promptCrash = 500 * time.Millisecond
@@ -81,7 +84,7 @@
 	}
 	switch {
 	case !p.executedUntilCrash(r, evidence) || c.Executed >= promptCrash && c.Unexplained > 0:
-	case c.Alone && c.Unexplained == 0 && c.Executed < promptCrash:
+	case r.stopsInDoubt == 0 && c.Alone && c.Unexplained == 0 && c.Executed < promptCrash:
 		c.Proof = Decisive
 	default:
 		c.Proof = Proven
@@ -90,8 +93,8 @@
 }
 
 // executedUntilCrash reports whether a run was seen to execute and its host certainly
-// crashed before the run could end. A run that was told to stop may have ended, and so
-// may one on a host that was silent before it crashed. While the claim is unconfirmed,
+// crashed before the run could end. A run that was told to stop may have ended, unless
+// the stop and the crash were too close, and so may one on a host that was silent before it crashed. While the claim is unconfirmed,
 // the list of hosts may be old and the host may have left as planned.
 func (p *Pool) executedUntilCrash(r *run, evidence Evidence) bool {
 	return evidence == InstanceReplaced && !p.claimUnconfirmed && r.executedUntilRefusal()
@@ -100,7 +103,16 @@
 // executedUntilRefusal reports whether a run was seen to execute and could not end
 // before its host refused connections.
 func (r *run) executedUntilRefusal() bool {
-	return !r.startedAt.IsZero() && r.stopsInDoubt == 0 && r.host.refusedPromptly()
+	return !r.startedAt.IsZero() && (r.stopsInDoubt == 0 || r.stopRacedCrash()) && r.host.refusedPromptly()
+}
+
+// stopRacedCrash reports whether a run that had just started got its only stop within
+// stopRace of its host's refusal. A run that ended in between would have been reported
+// at once, as hosts answer the heartbeat that waits with it; one whose end was lost
+// with that reply is too rare to clear tasks that are preempted as they start.
+func (r *run) stopRacedCrash() bool {
+	since := r.host.refusedSince.Sub(r.doubtedStopAt)
+	return r.stopsInDoubt == 1 && r.justStarted() && since >= 0 && since <= stopRace
 }
 
 // justStarted reports whether a run's host has not responded since the run had executed
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -156,7 +156,9 @@
 				continue
 			}
 			r.stopSentAt = pl.now
-			r.stopsInDoubt++
+			if r.stopsInDoubt++; r.stopsInDoubt == 1 {
+				r.doubtedStopAt = pl.now
+			}
 			pl.plan.Orders = append(pl.plan.Orders, Order{
 				Verb: Stop, To: worker.Target{ID: h.ID, Address: h.Address}, Task: r.task.name, Run: r.number, Reason: r.reason,
 			})
--- a/internal/sched/task.go
+++ b/internal/sched/task.go
@@ -143,8 +143,10 @@
 	// stopSentAt is when the last stop was ordered, stopAnsweredAt when one was
 	// answered.
 	stopSentAt, stopAnsweredAt time.Time
-	// stopsInDoubt counts the stops that are not known to have missed the host.
-	stopsInDoubt int
+	// stopsInDoubt counts the stops that are not known to have missed the host,
+	// doubtedStopAt is when the first of them was ordered.
+	stopsInDoubt  int
+	doubtedStopAt time.Time
 	// reason is why it is to be stopped.
 	reason string
 	// suspect is set when its task may crash hosts, judged when it was started or
