--- a/internal/entryhost/random_test.go
+++ b/internal/entryhost/random_test.go
@@ -138,6 +138,15 @@
 	})
 }
 
+// Guards against a crash that is stored in advance and dropped when its host, which was
+// closed to be drained meanwhile, is lost: its task starts once too often.
+func TestRandomDayWithRunsCrashingHostsThatDrain(t *testing.T) {
+	runDays(t, 1195, 1, func(d *day, seed int) {
+		d.siteFaults = rand.New(rand.NewPCG(uint64(seed), 9))
+		d.crashFaults = rand.New(rand.NewPCG(uint64(seed), 10))
+	})
+}
+
 // hostCrashDaysInCI is the default number of days with hosts that crash together.
 const hostCrashDaysInCI = 24
 
--- a/internal/sched/evidence.go
+++ b/internal/sched/evidence.go
@@ -94,8 +94,9 @@
 
 // executedUntilCrash reports whether a run was seen to execute and its host certainly
 // crashed before the run could end. A run that was told to stop may have ended, unless
-// the stop and the crash were too close, and so may one on a host that was silent before it crashed. While the claim is unconfirmed,
-// the list of hosts may be old and the host may have left as planned.
+// the stop and the crash were too close, and so may one on a host that was silent before
+// it crashed. While the claim is unconfirmed, the list of hosts may be old and the host
+// may have left as planned.
 func (p *Pool) executedUntilCrash(r *run, evidence Evidence) bool {
 	return evidence == InstanceReplaced && !p.claimUnconfirmed && r.executedUntilRefusal()
 }
