Divide a short pool's cores among organisations by weight

Cause: admission took the jobs of all organisations as one line, and late work that would soon be worth nothing went before everything. One organisation at several times its usual made the others' jobs late.

Now, where a configured organisation has a weight: when the hosts can't do all in time, work of the organisation furthest beyond its share is put off first; what stays admitted starts by start tags, late work included. Nothing is kept between plans.

--- a/internal/measure/loadsim/draw.go
+++ b/internal/measure/loadsim/draw.go
@@ -28,6 +28,8 @@
 	coreSeconds float64
 	goal        time.Duration
 	worth       float64
+	// beyond is set for a job beyond what its organisation usually submits.
+	beyond bool
 	// done is the time from which a client can see that the job is done; zero if it
 	// isn't done.
 	done time.Duration
@@ -90,12 +92,14 @@
 	for at := time.Duration(0); at < p.Length; at += step {
 		for i := range p.Classes {
 			k := &p.Classes[i]
-			rate := k.Rate * p.demandFactor(burstPools, k.Pool, at)
+			rate := k.Rate * p.demandFactor(burstPools, k.Pool, at) * p.totalLoudness(at)
 			if p.SpikeAt > 0 && at >= p.SpikeAt && at < p.SpikeAt+2*time.Second {
 				rate *= p.SpikeFactor
 			}
 			if random.Float64() < rate*step.Seconds() {
-				jobs = append(jobs, k.job(random, number, at))
+				h := k.job(random, number, at)
+				p.assign(random, h)
+				jobs = append(jobs, h)
 				number++
 			}
 		}
--- a/internal/measure/loadsim/load.go
+++ b/internal/measure/loadsim/load.go
@@ -28,6 +28,7 @@
 	Seed     uint64   `help:"First seed." default:"1"`
 	Days     int      `help:"Days of each pattern, with seeds counted up." default:"8"`
 	Jobs     int      `help:"Days played at once." default:"4"`
+	NoShares bool     `help:"Play without the weights of organisations."`
 }
 
 // Result holds the means over the days, by pattern and policy.
@@ -64,6 +65,7 @@
 // simulateDays simulates the days, up to c.Jobs at a time.
 func (c *Cmd) simulateDays(p Pattern, policy string) []Figures {
 	days := make([]Figures, c.Days)
+	p.NoShares = c.NoShares
 	slots := make(chan struct{}, max(1, c.Jobs))
 	var wait sync.WaitGroup
 	for i := range days {
--- a/internal/measure/loadsim/load_test.go
+++ b/internal/measure/loadsim/load_test.go
@@ -77,3 +77,15 @@
 	must.EqOp(t, 0, w.figures.WorstSize)
 	must.Between(t, 0.6, w.figures.Whole, 0.7)
 }
+
+// Two organisations send seven times their usual one after the other. With shares, the worst
+// tenth of the organisations must be served better than without, and all jobs no worse.
+func TestSharesPayOffUnderLoudOrganisations(t *testing.T) {
+	p := pattern(t, "two-loud")
+	with := Cmd{Seed: 1, Days: 4, Jobs: 4}
+	without := with
+	without.NoShares = true
+	got, before := summarize(with.simulateDays(p, "product")), summarize(without.simulateDays(p, "product"))
+	must.Greater(t, before.WorstOrganisations+0.05, got.WorstOrganisations)
+	must.Greater(t, before.Whole-0.01, got.Whole)
+}
--- a/internal/measure/loadsim/pattern.go
+++ b/internal/measure/loadsim/pattern.go
@@ -91,6 +91,12 @@
 	// multiplied by SpikeFactor for two seconds.
 	SpikeAt     time.Duration
 	SpikeFactor float64
+	// Organisations is the number of organisations that submit the jobs, none for
+	// zero; Loud lists the times at which one submits more than its usual.
+	Organisations int
+	Loud          []Loudness
+	// NoShares is set to play without the weights of organisations.
+	NoShares bool
 	// HostSecondCost is the cost of a host in a pool for a second, MoveCost that of
 	// a move, both as fractions of the maximum credit of a day.
 	HostSecondCost, MoveCost float64
@@ -191,6 +197,16 @@
 		}),
 		named("steady", func(p *Pattern) { p.Bursts.Length = 0 }),
 		named("bursts", func(p *Pattern) { p.Bursts.Length, p.SpikeAt, p.SpikeFactor = 0, 12*time.Second, 4 }),
+		named("loud", func(p *Pattern) {
+			p.Organisations, p.Loud = organisations, []Loudness{{0, 8 * time.Second, 6 * time.Second, 5}}
+		}),
+		named("two-loud", func(p *Pattern) {
+			p.Organisations, p.Loud = organisations, []Loudness{{1, 6 * time.Second, 6 * time.Second, 7}, {2, 14 * time.Second, 6 * time.Second, 7}}
+		}),
+		named("loud-burst", func(p *Pattern) {
+			p.Bursts.Length, p.SpikeAt, p.SpikeFactor = 0, 10*time.Second, 2.5
+			p.Organisations, p.Loud = organisations, []Loudness{{0, 8 * time.Second, 7 * time.Second, 6}}
+		}),
 		named("large-turns", func(p *Pattern) { *p = p.as(large()) }),
 		named("large-wave", func(p *Pattern) {
 			*p = p.as(large())
--- a/internal/measure/loadsim/policies.go
+++ b/internal/measure/loadsim/policies.go
@@ -98,6 +98,8 @@
 	s.Whole = mean(func(f Figures) float64 { return f.Whole })
 	s.WorstKind = mean(func(f Figures) float64 { return f.WorstKind })
 	s.WorstSize = mean(func(f Figures) float64 { return f.WorstSize })
+	s.Owed = mean(func(f Figures) float64 { return f.Owed })
+	s.WorstOrganisations = mean(func(f Figures) float64 { return f.WorstOrganisations })
 	s.WorstWindows = mean(func(f Figures) float64 { return f.WorstWindows })
 	s.Worth = stat.Mean(worths, nil)
 	s.HostSeconds = mean(func(f Figures) float64 { return f.HostSeconds })
--- a/internal/measure/loadsim/score.go
+++ b/internal/measure/loadsim/score.go
@@ -16,6 +16,11 @@
 	WorstKind    float64 `json:"worst_kind"`
 	WorstSize    float64 `json:"worst_size"`
 	WorstWindows float64 `json:"worst_windows"`
+	// Owed is the credit of the jobs that are within what their organisations usually
+	// submit, WorstOrganisations that of the worst tenth of organisations. Both are 1
+	// and of all jobs where there are no organisations.
+	Owed               float64 `json:"owed"`
+	WorstOrganisations float64 `json:"worst_organisations"`
 	// Worth is the weighted sum of the credits minus the costs of hosts and moves.
 	Worth       float64 `json:"worth"`
 	HostSeconds float64 `json:"host_seconds"`
@@ -67,6 +72,7 @@
 func (w *world) score(jobs []*submission) {
 	f := &w.figures
 	f.Whole, f.WorstKind, f.WorstSize = share(jobs), 1, 1
+	f.Owed, f.WorstOrganisations = share(within(jobs)), w.worstOrganisations(jobs)
 	byKind := make(map[*JobClass][]*submission)
 	windows := make([][]*submission, int(w.Length/windowLength)+1)
 	for _, h := range jobs {
--- a/internal/measure/loadsim/world.go
+++ b/internal/measure/loadsim/world.go
@@ -80,6 +80,9 @@
 			Fence: 1, LeaseTTL: leaseTTL, StopGrace: stopTime, RemoteFactor: 1.5, StatusRetention: leaseTTL,
 		}, sched.Roster{}, w.time())}
 	}
+	for _, each := range w.pools {
+		each.sched.SetShares(p.weights())
+	}
 	submissions := p.schedule(rand.New(rand.NewPCG(seed, 3)))
 	for _, h := range submissions {
 		w.jobs[h.record.ID] = h
--- a/internal/poolmanager/quota.go
+++ b/internal/poolmanager/quota.go
@@ -59,6 +59,7 @@
 		return
 	}
 	limits := k.source.Limits()
+	m.pool.SetShares(limits.Weights)
 	if limits.Revision == 0 {
 		m.pool.SetQuotas(nil, quota.LimitsUnknown)
 		return
--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -93,6 +93,9 @@
 	s.onHost[h]++
 	r.task.liveRuns++
 	r.task.job().usage.add(r, 1)
+	if !s.spec.LongRunning {
+		r.task.job().account.AddRunning(s.spec.Resources.MilliCPU)
+	}
 	if s.spec.LongRunning {
 		h.longRunning++
 		h.longRunningCPU += s.spec.Reserved().MilliCPU
@@ -113,6 +116,9 @@
 	s.removeRun(h)
 	r.task.liveRuns--
 	r.task.job().usage.add(r, -1)
+	if !s.spec.LongRunning {
+		r.task.job().account.AddRunning(-s.spec.Resources.MilliCPU)
+	}
 	if s.spec.LongRunning {
 		h.longRunning--
 		h.longRunningCPU -= s.spec.Reserved().MilliCPU
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -5,6 +5,8 @@
 	"container/heap"
 	"slices"
 	"time"
+
+	"auburnglade.example/glade/internal/fairshare"
 )
 
 // candidate is a step with waiting tasks, together with its rank.
@@ -16,6 +18,9 @@
 	// value ranks within a class, lowest first: for a job that can be done in time
 	// the seconds that it may still wait, for others the remaining core-seconds.
 	value float64
+	// tag and running rank before value while not all jobs can be done in time, and
+	// are zero otherwise: the start tag, and what the job's organisation runs.
+	tag, running float64
 	// age is how long it has been due; position is where the search found it, which
 	// makes the order deterministic.
 	age      time.Duration
@@ -28,6 +33,10 @@
 		return cmp.Compare(c.class, other.class)
 	case c.priority != other.priority:
 		return cmp.Compare(c.priority, other.priority)
+	case c.tag != other.tag:
+		return cmp.Compare(c.tag, other.tag)
+	case c.running != other.running:
+		return cmp.Compare(c.running, other.running)
 	case c.value != other.value:
 		return cmp.Compare(c.value, other.value)
 	case c.age != other.age:
@@ -114,10 +123,14 @@
 	left := s.occurrence.remaining()
 	c.value = left.coreSeconds
 	switch {
+	case s.occurrence.tagged:
+		c.class = classInTime
+		c.tag, c.running = s.occurrence.startTag, j.account.Running()
+		c.value = s.occurrence.slack(pl.now).Seconds()
 	case s.occurrence.admitted:
 		c.class = classInTime
 		c.value = s.occurrence.slack(pl.now).Seconds()
-	case s.occurrence.slack(pl.now) < 0 && s.occurrence.atRisk(pl.now):
+	case s.occurrence.slack(pl.now) < 0 && s.occurrence.atRisk(pl.now) && !s.occurrence.postponed:
 		c.class = classAtRisk
 	case s.occurrence.timeUntilWorthless(pl.now) >= 0:
 		c.class = classLate
@@ -139,6 +152,16 @@
 	slices.SortFunc(waiting, func(a, b *applicant) int {
 		return cmp.Or(cmp.Compare(a.slack+a.chain, b.slack+b.chain), cmp.Compare(a.position, b.position))
 	})
+	if pl.shares.Weighted() {
+		pl.admitByShare(waiting, cores)
+	} else {
+		pl.admitLeastWork(waiting, cores, work)
+	}
+	pl.scratch.release()
+}
+
+// admitLeastWork drops the occurrence with the most remaining work each time.
+func (pl *planner) admitLeastWork(waiting []*applicant, cores, work float64) {
 	accepted := &pl.scratch.accepted
 	*accepted = (*accepted)[:0]
 	for _, a := range waiting {
@@ -150,7 +173,6 @@
 			work -= last.coreSeconds
 		}
 	}
-	pl.scratch.release()
 }
 
 // applicant is an occurrence that can still be done in time, with the values of
@@ -163,13 +185,16 @@
 	coreSeconds, weight float64
 	// position is where the search found it, which makes the order deterministic.
 	position int
+	// atRiskNow is set for late work that will soon be worth nothing; its slack is the
+	// time until then.
+	atRiskNow bool
 }
 
 // inTime returns the occurrences that can still be done in time, each marked as
 // admitted for now, and the remaining core-seconds of the late ones that go before
-// them.
+// them. Where organisations have shares, those late ones are among the returned.
 func (pl *planner) inTime() (waiting []*applicant, atRisk float64) {
-	found := pl.scratch.applicants[:0]
+	found, weighted := pl.scratch.applicants[:0], pl.shares.Weighted()
 	for _, j := range pl.active {
 		if j.state != "" || j.record.Spec.LongRunning() {
 			continue
@@ -177,11 +202,15 @@
 		for _, o := range j.occurrences {
 			left := o.remaining()
 			slack := o.slack(pl.now)
+			o.postponed, o.tagged = false, false
 			if slack < 0 && o.atRisk(pl.now) {
 				atRisk += left.coreSeconds
+				if weighted {
+					found = append(found, applicant{o, o.timeUntilWorthless(pl.now), left.chain, left.coreSeconds, o.weight(), len(found), true})
+				}
 			}
 			if o.admitted = slack >= 0; o.admitted {
-				found = append(found, applicant{o, slack, left.chain, left.coreSeconds, o.weight(), len(found)})
+				found = append(found, applicant{o, slack, left.chain, left.coreSeconds, o.weight(), len(found), false})
 			}
 		}
 	}
@@ -200,6 +229,7 @@
 	applicants []applicant
 	waiting    []*applicant
 	accepted   workHeap
+	selection  fairshare.Selection
 }
 
 // release clears the pointers of an admission.
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -14,6 +14,7 @@
 	"math"
 	"time"
 
+	"auburnglade.example/glade/internal/fairshare"
 	"auburnglade.example/glade/internal/quota"
 	"auburnglade.example/glade/internal/work"
 	"auburnglade.example/glade/internal/worker"
@@ -84,6 +85,8 @@
 	othersFrozen quota.Reason
 	// inherited is what the pool held of organisations' limits at the takeover.
 	inherited map[string]work.Resources
+	// shares holds the shares of organisations.
+	shares *fairshare.Book
 	// fenced is set once a host has refused this holder's fencing token.
 	fenced bool
 	// claimUnconfirmed is set while another process may hold the pool; nothing
@@ -115,6 +118,7 @@
 		refusals:      make(map[string]refusal),
 		presumed:      make(map[string]*presumedEnd),
 		usages:        make(map[string]*usage),
+		shares:        fairshare.NewBook(),
 		unreached:     make(map[string]time.Time),
 		roster:        make(map[string]bool),
 		frozen:        make(map[string]bool),
--- a/internal/sched/task.go
+++ b/internal/sched/task.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"auburnglade.example/glade/internal/fairshare"
 	"auburnglade.example/glade/internal/work"
 )
 
@@ -12,7 +13,9 @@
 	adopted bool
 	arrived time.Time
 	// usage is what the job's organisation uses, nil without one.
-	usage    *usage
+	usage *usage
+	// account is that of its organisation among the shares of the pool.
+	account  *fairshare.Account
 	runtimes *runtimeModel
 	state    work.State
 	endedAt  time.Time
@@ -49,6 +52,13 @@
 	// admitted is set when it can be done in time together with all other admitted
 	// ones.
 	admitted bool
+	// postponed is set when it is late, will soon be worth nothing, and is beyond its
+	// organisation's share.
+	postponed bool
+	// startTag is its start tag; tagged is set while it has one, which is when it is
+	// admitted and others are not.
+	startTag float64
+	tagged   bool
 }
 
 type step struct {
