Tell operators which organisation uses a pool's room

Cause: no line of a job named its organisation, and no metric told shares.

Metrics by pool and organisation: jobs by result, starts, waiting tasks, the share by weight and the share of the cores in use; 64 organisations have a series, the others are counted together, and a pool's gauges go when another process holds it.

--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -6,7 +6,10 @@
 // takeover could lose.
 package fairshare
 
-import "maps"
+import (
+	"maps"
+	"slices"
+)
 
 // Account is the state of one organisation in one pool.
 type Account struct {
@@ -14,6 +17,8 @@
 	weight float64
 	// running is the thousandths of a core that its tasks use.
 	running int
+	// starts counts the tasks that were ordered to start.
+	starts int
 	// admitted is the core-seconds of entries, which are those admitted in this plan.
 	admitted float64
 	entries  entryHeap
@@ -36,6 +41,15 @@
 	}
 }
 
+// CountStart counts a task that was ordered to start.
+func (a *Account) CountStart() { a.starts++ }
+
+// Starts returns the number of tasks that were ordered to start.
+func (a *Account) Starts() int { return a.starts }
+
+// MilliCPU returns the thousandths of a core that the organisation's tasks use.
+func (a *Account) MilliCPU() int { return a.running }
+
 // Running returns the thousandths of a core that the organisation's tasks use, divided by
 // its weight.
 func (a *Account) Running() float64 {
@@ -99,6 +113,9 @@
 	return a
 }
 
+// Accounts returns all accounts, in no order.
+func (b *Book) Accounts() []*Account { return slices.Collect(maps.Values(b.accounts)) }
+
 // weightOf returns the weight that counts for an organisation. Jobs without an
 // organisation share the mean weight: they come by public queues, and nobody has said
 // what these are entitled to. An organisation that has no weight, or is not configured
--- a/internal/poolmanager/manager.go
+++ b/internal/poolmanager/manager.go
@@ -133,6 +133,8 @@
 	hedger        hedger
 	quotas        *quotaKeeper
 	refuser       overload.Refuser
+	// reportedStarts are the starts in the metrics of organisations, by label.
+	reportedStarts map[string]int
 	// claimMissing is set while the claim has to be written again under the lease
 	// in takeover.
 	claimMissing bool
@@ -172,6 +174,7 @@
 		heartbeating: make(map[string]bool), submissions: make(map[string]*submission), cancellations: make(map[string]*cancellation),
 		head: takeover.Head, lanes: newLanes(takeover.Revision), committing: make(map[string]bool),
 		inboxApplied: make(map[string]bool), claimConfirmedAt: time.Now(), quotas: newQuotaKeeper(config.Limits, config.Pool, takeover.Head.Fence),
+		reportedStarts: make(map[string]int),
 	}
 }
 
@@ -198,6 +201,7 @@
 	planTimer := time.NewTimer(planMinDelay)
 	defer planTimer.Stop()
 	defer m.resolveWaiters()
+	defer m.dropOrganisations()
 	for {
 		select {
 		case <-ctx.Done():
@@ -245,6 +249,7 @@
 		return
 	}
 	m.statsLoggedAt = now
+	m.reportOrganisations()
 	s := m.pool.Stats(now)
 	m.Log.Info().Dur("plan_ms", m.planDuration).Dur("worst_lag_ms", m.maxLag).Dur("worst_reply_late_ms", m.maxReplyLate).Dur("order_ms", m.hedger.latency()).Int("jobs", s.Jobs).Int("hosts", s.Hosts).Int("usable", s.Usable).Interface("unusable", s.UnusableReasons).
 		Int("unreached", s.Unreached).Int("runs", s.Runs).Int("waiting_tasks", s.WaitingTasks).
--- a/internal/poolmanager/metrics.go
+++ b/internal/poolmanager/metrics.go
@@ -40,6 +40,8 @@
 	jobWait  prometheus.Histogram
 	// quotaCalls counts calls about the quota ledger.
 	quotaCalls *prometheus.CounterVec
+	// organisations tells who uses the room.
+	organisations organisationMetrics
 	// partSeconds is the processing time of the pools' goroutines, by part.
 	partSeconds *prometheus.CounterVec
 	// planSeconds is the duration of plans, lagSeconds the delay with which a
@@ -131,7 +133,9 @@
 	m.partSeconds = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "glade_pool_busy_seconds_total", Help: "Time that the goroutines of pools held here spent, by part.",
 	}, []string{"part"})
+	m.organisations = newOrganisationMetrics()
 	if registerer != nil {
+		registerer.MustRegister(m.organisations.collectors()...)
 		registerer.MustRegister(m.replyLateSeconds, m.quotaCalls, m.partSeconds, m.verdicts, m.lostHosts, m.lostRuns, m.planSeconds, m.lagSeconds, m.takeovers, m.starts, m.speculativeStarts, m.hedges, m.stops, m.throttles, m.calls, m.callSeconds, m.commits, m.commitSeconds, m.entries, m.submits,
 			m.jobs, m.jobAge, m.jobWait, m.lossyPeriods, m.sideCommits, m.refusals)
 	}
--- a/internal/poolmanager/outcome.go
+++ b/internal/poolmanager/outcome.go
@@ -140,7 +140,7 @@
 	for _, s := range b.submissions {
 		delete(m.submissions, s.record.ID)
 		if m.pool.Accept(s.record, now, wall) {
-			m.Log.Info().Str("job", s.record.ID).Str("queue", s.record.Queue.Name).Int64("revision", int64(revision)).Msg("Accepted a job.")
+			m.Log.Info().Str("job", s.record.ID).Str("queue", s.record.Queue.Name).Str("organisation", s.record.Organisation).Int64("revision", int64(revision)).Msg("Accepted a job.")
 		}
 		s.resolve(Stored)
 		if m.cancellations[s.record.ID] != nil {
@@ -159,6 +159,7 @@
 			state, summary := change.Progress.State, change.Summary
 			m.logEnd(change.Job, state, summary, revision)
 			m.Metrics.jobEnded(string(state), summary.Age, summary.Waited)
+			m.Metrics.organisations.jobs.WithLabelValues(m.Pool, m.Metrics.organisations.labels.label(summary.Organisation), jobResult(state, summary)).Inc()
 		}
 		if c := m.cancellations[change.Job]; c != nil && m.pool.Stored(change.Job) {
 			delete(m.cancellations, change.Job)
@@ -174,7 +175,7 @@
 	if state == work.Failed {
 		level = zerolog.WarnLevel
 	}
-	line := m.Log.WithLevel(level).Str("job", id).Str("queue", s.Queue).Str("state", string(state)).
+	line := m.Log.WithLevel(level).Str("job", id).Str("queue", s.Queue).Str("organisation", s.Organisation).Str("state", string(state)).
 		Dur("age_ms", s.Age).Dur("goal_ms", s.Goal).Dur("waited_ms", s.Waited).
 		Int("starts", s.Starts).Str("failure", s.Failure)
 	if len(s.FailureCrashes) > 0 {
--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -51,6 +51,32 @@
 	}
 }
 
+// BenchmarkPlanWithShares measures one plan of a full pool whose jobs belong to twenty
+// organisations and can't all be in time, by number of hosts.
+func BenchmarkPlanWithShares(b *testing.B) {
+	for _, hosts := range []int{9, 85, 250, 1000} {
+		for _, weighted := range []bool{false, true} {
+			b.Run(fmt.Sprintf("hosts=%d/weighted=%t", hosts, weighted), func(b *testing.B) {
+				p, now := loadedPool(hosts)
+				weights := make(map[string]int)
+				for i, j := range p.active {
+					name := fmt.Sprint("o", i%20)
+					j.account = p.shares.Account(name)
+					weights[name] = 1 + i%20
+				}
+				if weighted {
+					p.SetShares(weights)
+				}
+				p.Plan(now, now)
+				b.ReportAllocs()
+				for b.Loop() {
+					p.Plan(now, now)
+				}
+			})
+		}
+	}
+}
+
 // BenchmarkDemandBurst measures the cost of a pool in a demand burst by number of
 // hosts: for each plan, 20 tasks end and each job that is done is replaced by a new
 // one.
--- a/internal/sched/jobs.go
+++ b/internal/sched/jobs.go
@@ -362,7 +362,7 @@
 
 // Summary describes an ended job for the log.
 type Summary struct {
-	Queue string
+	Queue, Organisation string
 	// Age is the time from its arrival to its end, Goal what that should have been,
 	// Waited the part before its first task was ordered to start.
 	Age, Goal, Waited time.Duration
@@ -377,7 +377,7 @@
 func (j *job) summary() Summary {
 	queue := &j.record.Queue
 	goal := time.Duration(queue.Stretch*float64(j.record.Spec.CriticalPath())) + queue.Slack
-	s := Summary{Queue: queue.Name, Goal: goal, Starts: j.starts, Failure: j.failure, FailureCrashes: j.failureCrashes}
+	s := Summary{Queue: queue.Name, Organisation: j.record.Organisation, Goal: goal, Starts: j.starts, Failure: j.failure, FailureCrashes: j.failureCrashes}
 	if !j.endedAt.IsZero() {
 		s.Age = j.endedAt.Sub(j.arrived)
 	}
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -261,6 +261,9 @@
 	}
 	j.starts++
 	h.addRun(r)
+	if !t.step.spec.LongRunning {
+		j.account.CountStart()
+	}
 	order := Order{
 		Verb: Start, To: worker.Target{ID: h.ID, Address: h.Address}, Task: t.name, Run: number,
 		Payload: t.job().record.Spec.Payload, DeadlineMs: h.deadline(pl.LeaseTTL, pl.now), Checkpoint: t.checkpoint,
