--- a/internal/fairshare/selection.go
+++ b/internal/fairshare/selection.go
@@ -17,7 +17,8 @@
 // small ones of others. Each call takes time logarithmic in the entries and organisations.
 type Selection struct {
 	accounts accountHeap
-	touched  []*Account
+	// touched are the accounts that Next has changed.
+	touched []*Account
 }
 
 // Begin empties the selection for a new plan.
@@ -33,9 +34,6 @@
 	s.accounts = s.accounts[:0]
 }
 
-// Len returns the number of organisations with admitted work.
-func (s *Selection) Len() int { return len(s.accounts) }
-
 // Add admits work of an organisation.
 func (s *Selection) Add(a *Account, e Entry) {
 	first := len(a.entries) == 0
@@ -145,7 +143,8 @@
 	}
 }
 
-// Next returns the start tag of an organisation's next work.
+// Next returns the start tag of an organisation's next work, which goes before all that
+// follows. Add and Next aren't mixed between two calls of Begin.
 func (s *Selection) Next(a *Account, coreSeconds float64) float64 {
 	if a.admitted == 0 {
 		s.touched = append(s.touched, a)
--- a/internal/sched/shares_test.go
+++ b/internal/sched/shares_test.go
@@ -366,3 +366,38 @@
 		d.finish(rt)
 	})
 }
+
+// One organisation sends more than twice what the hosts can do, in jobs of one to six tasks,
+// beside two that send less than their shares. Of their jobs the largest tenth must be in
+// time no less than half as often as all.
+func TestLargestJobsAreServedWhileAnotherIsLoud(t *testing.T) {
+	d := newShareDay(map[string]int{"a": 4, "b": 2, "c": 1})
+	const largest = 6
+	sizes := []int{1, 2, 1, 1, 3, 1, 2, 1, 1, largest}
+	quiet := make(map[string]int)
+	for i := range 4000 {
+		switch {
+		case i%40 == 0:
+			size := sizes[i/40%len(sizes)]
+			quiet[d.submit([]string{"b", "c"}[i/40%3%2], size, shareRuntime)] = size
+		case i%4 == 0:
+			d.submit("a", sizes[i/4%len(sizes)], shareRuntime)
+		}
+		d.step()
+	}
+	d.finish(t)
+	all, allLarge, inTime, largeInTime := 0, 0, 0, 0
+	for id, size := range quiet {
+		in := 0
+		if d.doneIn[id] <= d.goal(id) {
+			in = 1
+		}
+		all, inTime = all+1, inTime+in
+		if size == largest {
+			allLarge, largeInTime = allLarge+1, largeInTime+in
+		}
+	}
+	must.Less(t, 0.7, d.inTime("a"))
+	must.Greater(t, all*8/10, inTime)
+	must.Greater(t, float64(inTime)/float64(all)/2, float64(largeInTime)/float64(allLarge))
+}
