Order by shares only while a job that waits is put off

A job whose tasks all run counts with its whole work until they end, and was enough to call the room short.

--- a/internal/sched/shares.go
+++ b/internal/sched/shares.go
@@ -24,7 +24,7 @@
 		if a.coreSeconds > room {
 			// Counted as admitted, it would push out all others and be late still.
 			a.postpone()
-			short = true
+			short = short || a.waits()
 			continue
 		}
 		selected.Add(a.job.account, fairshare.Entry{ID: i, CoreSeconds: a.coreSeconds, Rank: a.shareRank()})
@@ -35,7 +35,7 @@
 			}
 			waiting[dropped.ID].postpone()
 			work -= dropped.CoreSeconds
-			short = true
+			short = short || waiting[dropped.ID].waits()
 		}
 	}
 	if short {
@@ -63,6 +63,16 @@
 	}
 }
 
+// waits reports whether any task could start if there were room.
+func (o *occurrence) waits() bool {
+	for _, s := range o.steps {
+		if s.waiting > 0 && s.ready() {
+			return true
+		}
+	}
+	return false
+}
+
 // postpone puts an applicant behind all admitted ones.
 func (a *applicant) postpone() { a.admitted, a.postponed = false, a.atRiskNow }
 
