Replay each burst load on the tracker; a peak needs several jobs

A host manager that comes after the loss of its predecessor and of the pool's holder waits until the holder reports the actual load, continues a running burst and doesn't count it. One large job is no peak. Bursts are learned from after two seconds, the time a host takes to arrive.

--- a/internal/hostmanager/bursts.go
+++ b/internal/hostmanager/bursts.go
@@ -31,6 +31,8 @@
 // burstState is the state of one pool's bursts.
 type burstState struct {
 	phase burstPhase
+	// restored is set once the pool has reported what its earlier bursts were.
+	restored bool
 	// startedAt is when the last burst started, zero for none yet; previousStart is
 	// that of the burst before it. pausedAt is when jobs last stopped arriving.
 	startedAt, previousStart, pausedAt time.Time
@@ -89,10 +91,9 @@
 	// minUsageSamples is how many samples a burst must have for its usage to limit
 	// its need.
 	minUsageSamples = 8
-	// minProvenSamples is how many samples a burst must have to be learned from.
-	minProvenSamples = 6
-	// minPeakSamples is how many samples a burst must have to update the peak.
-	minPeakSamples = 10
+	// minProvenSamples is how many samples a burst must have to be learned from: the
+	// two seconds that a host takes to arrive for it.
+	minProvenSamples = 10
 	// needFactor times the offered load is the capacity that a burst gets. Jobs
 	// arrive in batches and tasks don't fill hosts to the last core: with a factor
 	// of 1.2 instead of 2, a tenth of a burst's jobs was late.
@@ -126,13 +127,16 @@
 		}
 		t := bt.pools[p.Name]
 		if t == nil {
-			t = restoredState(p, now)
+			t = &burstState{}
 			bt.pools[p.Name] = t
 		}
 		if p.Load.WarmingUp {
 			p.BurstNeed = t.need(&p.Load)
 			continue
 		}
+		if !t.restored {
+			t.restore(p, now)
+		}
 		wasOver := t.phase == noBurst
 		bt.update(p, now)
 		if over := t.phase == noBurst; over != wasOver {
@@ -144,21 +148,20 @@
 	return changes
 }
 
-// restoredState returns the state of a pool that is observed for the first time, from
-// the peak that its holder reports. It answers the loss of the host manager: a burst
+// restore sets the state of a pool that reports its load for the first time, from the
+// peak that its holder reports. It answers the loss of the host manager: a burst
 // that is under way is continued and not counted, since the order of the bursts
 // before it is unknown.
-func restoredState(p *PoolView, now time.Time) *burstState {
-	t := &burstState{}
+func (t *burstState) restore(p *PoolView, now time.Time) {
+	t.restored = true
 	peak := float64(p.Load.Peak)
 	if peak < max(minStartShare*float64(p.Load.Capacity), 1) {
-		return t
+		return
 	}
 	t.peak, t.startedAt = peak, now.Add(-p.Load.SincePeak)
 	if p.Load.SincePeak < timeToMove && float64(p.Load.Offered) > startShare*peak {
 		t.phase, t.proven, t.startLevel = burstActive, true, startShare*peak
 	}
-	return t
 }
 
 // update advances a pool's burst by one sample.
@@ -190,7 +193,7 @@
 // start starts a burst.
 func (t *burstState) start(l *Load, ranks rankCounts, now time.Time) {
 	*t = burstState{
-		phase: burstActive, startedAt: now, previousStart: t.startedAt, ranks: ranks, startLevel: t.level(l),
+		phase: burstActive, restored: true, startedAt: now, previousStart: t.startedAt, ranks: ranks, startLevel: t.level(l),
 		quiet: t.quiet, peak: t.peak, likelihood: t.likelihood,
 	}
 }
@@ -203,12 +206,16 @@
 	}
 }
 
-// level is the offered load from which the pool has a burst, in millicores.
+// level is the offered load from which the pool has a burst, in millicores. What was
+// learned from a burst that has faded does not start it again.
 func (t *burstState) level(l *Load) float64 {
 	level := firstStartShare * float64(l.Capacity)
 	if t.peak > 0 {
 		level = max(startShare*t.peak, minStartShare*float64(l.Capacity))
 	}
+	if t.phase == burstPaused {
+		level = max(level, t.startLevel)
+	}
 	return max(level, quietFactor*t.quiet)
 }
 
@@ -240,13 +247,13 @@
 }
 
 // learn updates what is known of the pool's bursts from an active one. It answers
-// noise: a burst of less than a second leaves no trace.
+// noise: a burst that ends before hosts could arrive leaves no trace.
 func (bt *BurstTracker) learn(t *burstState) {
 	if !t.proven && t.samples >= minProvenSamples && t.offered >= stayShare*t.startLevel {
 		t.proven = true
 		bt.hits.add(t.ranks)
 	}
-	if t.proven && t.samples >= minPeakSamples {
+	if t.proven {
 		t.peak = max(t.peak*peakDecay, t.offered)
 	}
 }
--- a/internal/sched/arrivals_test.go
+++ b/internal/sched/arrivals_test.go
@@ -23,3 +23,18 @@
 	must.Between(t, 300, a.work, 330)
 	must.Less(t, 400, a.cores(now))
 }
+
+// Guards against a peak that is one large job: the next host manager took it for what
+// the pool's demand bursts need, and saw none of the real ones.
+func TestFewJobsAreNoPeak(t *testing.T) {
+	origin := time.Now()
+	h := newHistory(origin)
+	for range peakJobs - 1 {
+		h.note(origin, 3000)
+	}
+	cores, _ := h.peak(origin.Add(time.Second))
+	must.EqOp(t, 0, cores)
+	h.note(origin.Add(time.Second), 1000)
+	cores, _ = h.peak(origin.Add(time.Second))
+	must.EqOp(t, 2500, cores)
+}
