Give hosts to the pools in which they bring the most

Cause: only idle hosts moved, and a pool that works on late jobs spreads them over all its hosts, so that it has no idle one while another pool's jobs could still be in time.

Pools report what more cores would do in tiers of value (in time 1, late and not yet worthless 0.1). The planner gives each host to the pool where the next one brings the most, idle hosts first, then busy ones that are empty soonest, if the use that is expected there outweighs what is lost until they are drained, moved and listed. How long a burst goes on is learned from earlier ones.

--- /dev/null
+++ b/internal/hostmanager/allocation.go
@@ -0,0 +1,219 @@
+package hostmanager
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// outTime is how long a moving host serves nobody: it moves, and the destination's
+	// holder gets it with its next list.
+	outTime = 2300 * time.Millisecond
+	// minUse is how long a moved host is expected to be used where it goes if no demand
+	// burst is active there: twice the time for which it is out.
+	minUse = 2 * outTime
+	// minBusyUse is the least expected use for which a busy host is moved.
+	minBusyUse = outTime
+	// SettlingTime is how long after a move a host isn't drained for another one.
+	SettlingTime = outTime + minUse
+	// minRecipientValue is the least mean value of a host's capacity for which a busy
+	// host is drained: half of a host for late work.
+	minRecipientValue = LateValue / 2
+	// maxBusyRemaining is the longest expected remaining run time of a busy host that
+	// is given away. Runs take up to a third longer than expected, and a host that
+	// isn't empty within moveDrainTimeout stays.
+	maxBusyRemaining = moveDrainTimeout * 3 / 4
+	// maxBusyShare is the share of a pool's schedulable hosts that one plan drains. The
+	// next plan follows when the pool has reported what that did to its work in time.
+	maxBusyShare = 0.25
+	// maxReportAge is how old the report of a pool may be for it to give busy hosts. An
+	// older one says nothing about what runs on its hosts.
+	maxReportAge = 800 * time.Millisecond
+)
+
+// Reason tells why a host is moved.
+type Reason string
+
+// Reasons for moves.
+const (
+	// ReasonValue means that the host brings more at the destination.
+	ReasonValue Reason = "value"
+	// ReasonShortage means that the destination needs the host, which is idle.
+	ReasonShortage Reason = "shortage"
+	// ReasonLevel means that free capacity is levelled.
+	ReasonLevel Reason = "level"
+)
+
+// allocator assigns hosts to the pools in which they bring the most, one after the
+// other. It answers loads under which several pools are short at once: none has idle
+// hosts, and some work on jobs that are late while jobs elsewhere could be in time.
+type allocator struct {
+	*movePlanner
+	pools []*valuedPool
+}
+
+// valuedPool is a pool with its value curve.
+type valuedPool struct {
+	*plannedPool
+	curve valueCurve
+	// hostSize is the mean capacity of a host, in millicores.
+	hostSize float64
+	// busy are the busy hosts that the pool can give, the cheapest first.
+	busy []busyHost
+	// next is the value of one more host, kept the value of the last one.
+	next, kept float64
+}
+
+type busyHost struct {
+	Host
+	remaining time.Duration
+}
+
+// allocateByValue moves hosts to pools in which they bring more than where they are:
+// idle hosts and those of spare pools first, then busy ones.
+func (m *movePlanner) allocateByValue() {
+	a := &allocator{movePlanner: m}
+	mean := m.meanHostCPU
+	for _, p := range m.pools {
+		v := &valuedPool{plannedPool: p, hostSize: p.hostCPU(mean)}
+		if p.Known {
+			v.curve = p.curve()
+			v.busy = p.busyHosts()
+		}
+		v.update()
+		a.pools = append(a.pools, v)
+	}
+	for a.moveBest() {
+	}
+}
+
+// update computes the values at the pool's current capacity.
+func (v *valuedPool) update() {
+	v.next = v.curve.meanValue(v.capacity, v.capacity+v.hostSize)
+	v.kept = v.curve.meanValue(v.capacity-v.hostSize, v.capacity)
+}
+
+// receives reports whether the pool can get hosts.
+func (v *valuedPool) receives() bool {
+	return v.canReceive() && v.ReportAge <= maxReportAge && v.next >= minRecipientValue
+}
+
+// moveBest moves the host that gains the most, and reports whether one does.
+func (a *allocator) moveBest() bool {
+	var recipients []*valuedPool
+	for _, v := range a.pools {
+		if v.receives() {
+			recipients = append(recipients, v)
+		}
+	}
+	slices.SortStableFunc(recipients, func(x, y *valuedPool) int {
+		return cmp.Or(cmp.Compare(y.next, x.next), cmp.Compare(x.capacity*y.need(), y.capacity*x.need()), cmp.Compare(x.Name, y.Name))
+	})
+	for _, to := range recipients {
+		if a.moveIdleTo(to) || a.moveBusyTo(to) {
+			return true
+		}
+		// No later plan step can serve this pool either: hosts only become fewer.
+		to.next = 0
+	}
+	return false
+}
+
+// moveIdleTo moves an idle host to a pool, and reports whether there is one.
+func (a *allocator) moveIdleTo(to *valuedPool) bool {
+	var best *valuedPool
+	for _, from := range a.pools {
+		if from == to || from.shortage > 0 || !a.hasAllowed(from.movable, to.Name) {
+			continue
+		}
+		if best == nil || from.Spare && !best.Spare || from.Spare == best.Spare && from.freeCPU() > best.freeCPU() {
+			best = from
+		}
+	}
+	if best == nil {
+		return false
+	}
+	a.moveOne(to.plannedPool, []*plannedPool{best.plannedPool}, ReasonValue)
+	to.update()
+	best.update()
+	return true
+}
+
+// expectedUse is for how long the pool will use a host that arrives after out.
+func (v *valuedPool) expectedUse(out time.Duration) time.Duration {
+	if v.BurstNeed > 0 {
+		return v.BurstLeft - out
+	}
+	return minUse
+}
+
+func (a *allocator) hasAllowed(hosts []Host, pool string) bool {
+	return slices.ContainsFunc(hosts, func(h Host) bool { return a.allowed(h, pool) })
+}
+
+// moveBusyTo drains the busy host that loses the least and gains something, and
+// reports whether there is one.
+func (a *allocator) moveBusyTo(to *valuedPool) bool {
+	var best *valuedPool
+	index, lowest := 0, 0.0
+	for _, from := range a.pools {
+		if from == to {
+			continue
+		}
+		i := slices.IndexFunc(from.busy, func(h busyHost) bool { return a.allowed(h.Host, to.Name) })
+		if i < 0 {
+			continue
+		}
+		// The host serves nobody until it is drained, moved and listed.
+		out := outTime + from.busy[i].remaining
+		use := to.expectedUse(out)
+		lost := from.kept * (out + use).Seconds()
+		if use >= minBusyUse && lost < to.next*use.Seconds() && (best == nil || lost < lowest) {
+			best, index, lowest = from, i, lost
+		}
+	}
+	if best == nil {
+		return false
+	}
+	h := best.busy[index].Host
+	best.busy = slices.Delete(best.busy, index, index+1)
+	a.transfer(best.plannedPool, to.plannedPool, Move{Host: h, To: to.Name, Busy: true, Reason: ReasonValue})
+	to.update()
+	best.update()
+	return true
+}
+
+// busyHosts returns the busy hosts that a pool can give away, the ones that are empty
+// soonest first. Hosts with long-running tasks stay, and so do hosts that have just
+// arrived. The pool keeps the hosts that its long-running tasks and gangs need.
+func (p *plannedPool) busyHosts() []busyHost {
+	if p.Spare || p.Load.WarmingUp || p.ReportAge > maxReportAge || len(p.Load.Demand) == 0 {
+		return nil
+	}
+	free := make(map[string]bool, len(p.movable))
+	for _, h := range p.movable {
+		free[h.Name] = true
+	}
+	loads := p.loadsByWorker()
+	var hosts []busyHost
+	for _, h := range p.Hosts {
+		l, known := loads[h.Worker]
+		if known && l.drainable() && !free[h.Name] && !h.Settling {
+			hosts = append(hosts, busyHost{h, l.Remaining})
+		}
+	}
+	slices.SortFunc(hosts, func(a, b busyHost) int {
+		return cmp.Or(trueFirst(b.MaintenanceDue, a.MaintenanceDue), cmp.Compare(a.remaining, b.remaining),
+			cmp.Compare(loads[a.Worker].WorkValue, loads[b.Worker].WorkValue), cmp.Compare(a.Name, b.Name))
+	})
+	schedulable := p.Load.schedulable()
+	limit := schedulable - p.Load.minSchedulable() - reserveHosts - len(p.movable)
+	limit = min(limit, int(maxBusyShare*float64(schedulable)), len(hosts))
+	return hosts[:max(0, limit)]
+}
+
+// drainable reports whether the host is empty soon once it accepts no new tasks.
+func (h HostLoad) drainable() bool {
+	return h.LongRunning == 0 && !h.Unschedulable && h.Remaining <= maxBusyRemaining
+}
--- a/internal/hostmanager/hostmanager.go
+++ b/internal/hostmanager/hostmanager.go
@@ -18,7 +18,9 @@
 	// Up is set if the host is neither moving between pools nor in maintenance.
 	Up bool
 	// Down is set while the host is in maintenance.
-	Down      bool
+	Down bool
+	// Moving is set while the host moves to Pool.
+	Moving    bool
 	Kind      string
 	Rack      string
 	Resources work.Resources
@@ -26,6 +28,8 @@
 	Worker string
 	// MaintenanceDue is set if the host's maintenance is still to come.
 	MaintenanceDue bool
+	// Settling is set if the host was moved to its pool less than SettlingTime ago.
+	Settling bool
 }
 
 // Wave requests maintenance of each of its hosts.
@@ -106,6 +110,9 @@
 	// WarmingUp is set shortly after a holder took the pool over, when the need it
 	// reports is lower than the actual need.
 	WarmingUp bool
+	// Demand is what more cores would do, without long-running tasks, highest value
+	// first. Holders of an earlier version report none.
+	Demand []DemandTier
 	// Hosts are the loads of the pool's hosts.
 	Hosts []HostLoad
 }
@@ -118,6 +125,9 @@
 	// Remaining is the expected remaining run time of the tasks that aren't
 	// long-running.
 	Remaining time.Duration
+	// WorkValue is the value of its tasks that aren't long-running, in millicores of
+	// work that can be in time.
+	WorkValue int
 	// Unschedulable is set if the host accepts no new tasks, because it is to be
 	// drained or is unresponsive.
 	Unschedulable bool
--- a/internal/hostmanager/manager.go
+++ b/internal/hostmanager/manager.go
@@ -74,8 +74,9 @@
 	revision store.Revision
 	claim    []byte
 
-	// bursts is used only by the goroutine of Run.
-	bursts *BurstTracker
+	// bursts and lengths are used only by the goroutine of Run.
+	bursts  *BurstTracker
+	lengths *BurstLengths
 
 	mu sync.Mutex
 	// maintenanceTimes estimates how long hosts are out for maintenance.
@@ -95,6 +96,8 @@
 	confirmedAt time.Time
 	// limiter keeps calls for hosts within the platform's rate limit.
 	limiter *rate.Limiter
+	// movedAt is when hosts were last moved by this process.
+	movedAt map[string]time.Time
 	// rejected are the pools that a kind of host can't belong to.
 	rejected map[kindAndPool]bool
 	// listSlot is occupied by the goroutine that reads the list of hosts. It is a
@@ -137,8 +140,8 @@
 func New(config Config, fence int64, revision store.Revision, claim []byte) *Manager {
 	return &Manager{
 		Config: config, fence: fence, revision: revision, claim: claim, drains: newDrainBatcher(config.Pools), listSlot: make(chan struct{}, 1), limiter: newLimiter(config.CallsPerSecond),
-		bursts: NewBurstTracker(), maintenanceTimes: NewMaintenanceTimes(), operations: make(map[string]*operation), waves: make(map[int64]*waveState),
-		rejected: make(map[kindAndPool]bool), confirmedAt: time.Now(),
+		bursts: NewBurstTracker(), lengths: NewBurstLengths(), maintenanceTimes: NewMaintenanceTimes(), operations: make(map[string]*operation), waves: make(map[int64]*waveState),
+		rejected: make(map[kindAndPool]bool), movedAt: make(map[string]time.Time), confirmedAt: time.Now(),
 	}
 }
 
--- a/internal/hostmanager/moves.go
+++ b/internal/hostmanager/moves.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // PoolView is the input of move planning for one pool.
@@ -24,12 +25,19 @@
 	// BurstNeed is what an active demand burst needs in millicores, without
 	// long-running tasks; zero if none is active.
 	BurstNeed float64
+	// BurstLeft is how long an active demand burst is expected to go on.
+	BurstLeft time.Duration
+	// ReportAge is how old Load is.
+	ReportAge time.Duration
 }
 
 // Move moves a host to another pool.
 type Move struct {
 	Host Host
 	To   string
+	// Busy is set if tasks run on the host, which has to be drained first.
+	Busy   bool
+	Reason Reason
 }
 
 const (
@@ -129,7 +137,18 @@
 // get them from the spare pools first, then from the pools with the most free
 // capacity. The free capacity left after that is levelled over the pools, since it
 // is unknown which of them will have more work next, and a move takes two seconds.
+// If pools are short at once, hosts first go where they bring the most.
 func PlanMoves(pools []PoolView, allowed func(h Host, pool string) bool) []Move {
+	m := newMovePlanner(pools, allowed)
+	m.allocateByValue()
+	m.fillShortages()
+	m.levelFree()
+	return m.moves
+}
+
+// PlanMovesByNeed is like PlanMoves, but moves only idle hosts, to the pools with the
+// least capacity relative to their need.
+func PlanMovesByNeed(pools []PoolView, allowed func(h Host, pool string) bool) []Move {
 	m := newMovePlanner(pools, allowed)
 	m.fillShortages()
 	m.levelFree()
@@ -142,6 +161,8 @@
 	allowed func(h Host, pool string) bool
 	pools   []*plannedPool
 	moves   []Move
+	// meanHostCPU is the mean size of the hosts that can be moved, in millicores.
+	meanHostCPU float64
 }
 
 // plannedPool is a pool with the moves planned so far applied, in millicores.
@@ -153,8 +174,8 @@
 }
 
 func newMovePlanner(pools []PoolView, allowed func(h Host, pool string) bool) *movePlanner {
-	m := &movePlanner{allowed: allowed}
 	mean := meanHostCPU(pools)
+	m := &movePlanner{allowed: allowed, meanHostCPU: mean}
 	for i := range pools {
 		p := &pools[i]
 		planned := &plannedPool{PoolView: p, capacity: p.expectedCapacity(mean)}
@@ -194,7 +215,7 @@
 		if to == nil {
 			return
 		}
-		if !m.moveOne(to, m.donors(to)) {
+		if !m.moveOne(to, m.donors(to), ReasonShortage) {
 			to.shortage = 0
 		}
 	}
@@ -224,25 +245,30 @@
 	return donors
 }
 
-// moveOne moves one host to a pool, and reports whether a donor had one.
-func (m *movePlanner) moveOne(to *plannedPool, donors []*plannedPool) bool {
+// moveOne moves one idle host to a pool, and reports whether a donor had one.
+func (m *movePlanner) moveOne(to *plannedPool, donors []*plannedPool, reason Reason) bool {
 	for _, from := range donors {
 		for i, h := range from.movable {
 			if !m.allowed(h, to.Name) {
 				continue
 			}
-			from.movable = slices.Delete(slices.Clone(from.movable), i, i+1)
-			m.moves = append(m.moves, Move{h, to.Name})
-			size := float64(h.Resources.MilliCPU)
-			from.capacity -= size
-			to.capacity += size
-			to.shortage -= size
+			from.movable = slices.Delete(from.movable, i, i+1)
+			m.transfer(from, to, Move{Host: h, To: to.Name, Reason: reason})
 			return true
 		}
 	}
 	return false
 }
 
+// transfer adds a move and applies it to the pools' capacities.
+func (m *movePlanner) transfer(from, to *plannedPool, move Move) {
+	m.moves = append(m.moves, move)
+	size := float64(move.Host.Resources.MilliCPU)
+	from.capacity -= size
+	to.capacity += size
+	to.shortage -= size
+}
+
 // allReported reports whether the needs of all pools are known. After the loss of
 // all entry hosts, the first pools with a holder otherwise got hosts that the
 // others turned out to need a moment later.
@@ -284,7 +310,7 @@
 		if most == nil || most == least || excess(most)-excess(least) < gap*float64(most.movable[0].Resources.MilliCPU) {
 			return
 		}
-		if !m.moveOne(least, []*plannedPool{most}) {
+		if !m.moveOne(least, []*plannedPool{most}, ReasonLevel) {
 			return
 		}
 	}
@@ -318,10 +344,7 @@
 // submitted, and a demand burst in progress would find it without hosts. Keeping
 // all of them did more harm: another pool whose demand burst started lacked them.
 func (p *PoolView) freeHosts() []Host {
-	loads := make(map[string]HostLoad, len(p.Load.Hosts))
-	for _, h := range p.Load.Hosts {
-		loads[h.Worker] = h
-	}
+	loads := p.loadsByWorker()
 	free := p.Load.Capacity - p.Load.Used
 	var hosts []Host
 	for _, h := range p.Hosts {
@@ -344,3 +367,12 @@
 	}
 	return movable
 }
+
+// loadsByWorker returns the loads of the pool's hosts by worker.
+func (p *PoolView) loadsByWorker() map[string]HostLoad {
+	loads := make(map[string]HostLoad, len(p.Load.Hosts))
+	for _, h := range p.Load.Hosts {
+		loads[h.Worker] = h
+	}
+	return loads
+}
--- a/internal/hostmanager/moving.go
+++ b/internal/hostmanager/moving.go
@@ -19,9 +19,11 @@
 		load, known := loads[name]
 		views = append(views, PoolView{Name: name, Spare: spare, Load: load, Known: known})
 	}
-	for _, change := range m.bursts.Observe(views, time.Now()) {
+	changes := m.bursts.Observe(views, time.Now())
+	for _, change := range changes {
 		m.logBurst(change)
 	}
+	m.lengths.Observe(changes, views, time.Now())
 	m.fillViews(views)
 	// The hosts are listed only if some may move, since each list is a call.
 	if len(PlanMoves(views, m.moveAllowed)) == 0 && !anyNeedsHosts(views) {
@@ -56,19 +58,27 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	due := m.maintenanceDue(waves)
+	now := time.Now()
+	index := make(map[string]*PoolView, len(views))
 	for i := range views {
-		v := &views[i]
-		v.Incoming, v.Hosts = 0, nil
-		for _, op := range m.operations {
-			if op.to == v.Name {
-				v.Incoming++
-			}
+		views[i].Incoming, views[i].Hosts = 0, nil
+		index[views[i].Name] = &views[i]
+	}
+	for _, op := range m.operations {
+		if v := index[op.to]; v != nil {
+			v.Incoming++
 		}
-		for _, h := range m.hosts {
-			if h.Pool == v.Name && h.Up && m.operations[h.Name] == nil {
-				h.MaintenanceDue = due[h.Name]
-				v.Hosts = append(v.Hosts, h)
-			}
+	}
+	for _, h := range m.hosts {
+		v := index[h.Pool]
+		switch {
+		case v == nil || m.operations[h.Name] != nil:
+		case h.Up:
+			h.MaintenanceDue, h.Settling = due[h.Name], now.Sub(m.movedAt[h.Name]) < SettlingTime
+			v.Hosts = append(v.Hosts, h)
+		case h.Moving:
+			// The move was started by an earlier host manager.
+			v.Incoming++
 		}
 	}
 }
@@ -101,7 +111,15 @@
 			m.mu.Unlock()
 		}
 		if moved {
+			m.noteMoved(move.Host.Name)
 			m.awaitReturn(ctx, move.Host)
 		}
 	}()
 }
+
+// noteMoved records that a host has just been moved.
+func (m *Manager) noteMoved(host string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.movedAt[host] = time.Now()
+}
--- a/internal/hostmanager/scale_test.go
+++ b/internal/hostmanager/scale_test.go
@@ -113,7 +113,7 @@
 	must.NoError(t, manager.list(t.Context()))
 	start := time.Now()
 	for _, h := range m.hosts {
-		manager.startMove(t.Context(), Move{h, "to"})
+		manager.startMove(t.Context(), Move{Host: h, To: "to"})
 	}
 	for {
 		time.Sleep(50 * time.Millisecond)
--- a/internal/measure/loadsim/draw.go
+++ b/internal/measure/loadsim/draw.go
@@ -144,7 +144,7 @@
 			continue
 		}
 		begin := time.Duration(i) * p.Bursts.Length
-		end := begin + p.Bursts.Length
+		end := begin + p.Bursts.Length + p.Bursts.Overlap
 		if at >= begin && at < end+p.Bursts.Ramp {
 			rise := float64(at-begin) / float64(p.Bursts.Ramp)
 			fall := float64(end+p.Bursts.Ramp-at) / float64(p.Bursts.Ramp)
--- a/internal/measure/loadsim/fleet.go
+++ b/internal/measure/loadsim/fleet.go
@@ -78,7 +78,8 @@
 }
 
 func (w *world) managedHost(m *machine) hostmanager.Host {
-	return hostmanager.Host{Name: m.name, Pool: m.pool, Up: true, Kind: "a", Rack: m.rack, Resources: m.size, Worker: m.current.id, MaintenanceDue: m.maintenanceDue}
+	return hostmanager.Host{Name: m.name, Pool: m.pool, Up: true, Kind: "a", Rack: m.rack, Resources: m.size, Worker: m.current.id, MaintenanceDue: m.maintenanceDue,
+		Settling: m.movedAt != 0 && w.now < m.movedAt+hostmanager.SettlingTime}
 }
 
 // advanceOperation advances an operation: it drains the host, starts the move or
@@ -121,7 +122,7 @@
 // moveTo starts the move of a host to another pool.
 func (w *world) moveTo(m *machine, to string) {
 	w.takeDown(m, callTime+migrateTime)
-	m.pool = to
+	m.pool, m.movedAt = to, w.now
 }
 
 // markDue draws the hosts for which the wave's maintenance is due.
--- a/internal/measure/loadsim/hosts.go
+++ b/internal/measure/loadsim/hosts.go
@@ -41,6 +41,8 @@
 	inList         bool
 	// maintenanceDue reports whether the wave's maintenance of the host is pending.
 	maintenanceDue bool
+	// movedAt is when the host was last moved, zero for never.
+	movedAt time.Duration
 	// unresponsiveUntil is the time until which the host is unresponsive.
 	unresponsiveUntil time.Duration
 }
--- a/internal/measure/loadsim/pattern.go
+++ b/internal/measure/loadsim/pattern.go
@@ -48,6 +48,8 @@
 	High, Low float64
 	// Ramp is the duration of the rise and of the fall of a burst.
 	Ramp time.Duration
+	// Overlap is for how long a burst goes on after the next one has started.
+	Overlap time.Duration
 	// Order determines which pool has the next burst.
 	Order Order
 }
@@ -207,6 +209,20 @@
 			p.Bursts.Length, p.SpikeAt, p.SpikeFactor = 0, 10*time.Second, 2.5
 			p.Organisations, p.Loud = organisations, []Loudness{{0, 8 * time.Second, 7 * time.Second, 6}}
 		}),
+		// The bursts of two pools overlap, and each needs more than its pool has.
+		named("overlap", func(p *Pattern) { p.Bursts.Overlap, p.Bursts.High = 4*time.Second, 5 }),
+		// Each burst leaves a backlog of late jobs behind, beside which the next one starts.
+		named("backlog", func(p *Pattern) { p.Bursts.High = 7 }),
+		// Two pools have bursts in turn, so that one starts on the pool that gives hosts.
+		named("donor-burst", func(p *Pattern) {
+			p.Bursts.Order, p.Bursts.Length, p.Bursts.Overlap, p.Bursts.High = Alternating, 4*time.Second, time.Second, 7
+		}),
+		// Small pools beside large ones, with the demand for their size.
+		named("small-pools", func(p *Pattern) {
+			p.Bursts.Overlap, p.Bursts.High = 3*time.Second, 6
+			p.Pools = []Pool{{"p1", 4, 1, 2, 1300}, {"p2", 16, 2, 5, 1500}, {"p3", 4, 1, 2, 1600}, {"p4", 16, 2, 5, 1800}}
+			p.Classes[0].Rate, p.Classes[2].Rate = p.Classes[0].Rate/2, p.Classes[2].Rate/2
+		}),
 		named("large-turns", func(p *Pattern) { *p = p.as(large()) }),
 		named("large-wave", func(p *Pattern) {
 			*p = p.as(large())
--- a/internal/measure/loadsim/policies.go
+++ b/internal/measure/loadsim/policies.go
@@ -13,7 +13,7 @@
 
 // PolicyNames are the policies that can be simulated: that of the product and two
 // simple ones for comparison.
-var PolicyNames = []string{"product", "fixed", "fullest"}
+var PolicyNames = []string{"product", "need", "fixed", "fullest"}
 
 func newPolicy(name string) Policy {
 	switch name {
@@ -21,16 +21,22 @@
 		return fixed{}
 	case "fullest":
 		return fullest{}
+	case "need":
+		return product{hostmanager.NewBurstTracker(), hostmanager.NewBurstLengths(), hostmanager.PlanMovesByNeed}
 	}
-	return product{hostmanager.NewBurstTracker()}
+	return product{hostmanager.NewBurstTracker(), hostmanager.NewBurstLengths(), hostmanager.PlanMoves}
 }
 
 // product is the policy of the host manager.
-type product struct{ bursts *hostmanager.BurstTracker }
+type product struct {
+	bursts  *hostmanager.BurstTracker
+	lengths *hostmanager.BurstLengths
+	plan    func(pools []hostmanager.PoolView, allowed func(hostmanager.Host, string) bool) []hostmanager.Move
+}
 
 func (p product) Plan(pools []hostmanager.PoolView, now time.Time) []hostmanager.Move {
-	p.bursts.Observe(pools, now)
-	return hostmanager.PlanMoves(pools, func(hostmanager.Host, string) bool { return true })
+	p.lengths.Observe(p.bursts.Observe(pools, now), pools, now)
+	return p.plan(pools, func(hostmanager.Host, string) bool { return true })
 }
 
 func (p product) BurstLikelihoods() map[string]float64 { return p.bursts.Likelihoods() }
--- a/internal/poolrpc/poolrpc.go
+++ b/internal/poolrpc/poolrpc.go
@@ -135,7 +135,10 @@
 		Arriving: int64(load.Offered), Onset: int64(load.RecentOffered), Due: int64(load.DeadlineNeed), Peak: int64(load.Peak), PeakAgoMs: load.SincePeak.Milliseconds(), Spread: int64(load.MinHosts), Young: load.WarmingUp,
 	}
 	for _, h := range load.Hosts {
-		reply.Hosts = append(reply.Hosts, &poolpb.HostLoad{Worker: h.Worker, Used: int64(h.Used), Lasting: int64(h.LongRunning), Closed: h.Unschedulable, LeftMs: h.Remaining.Milliseconds()})
+		reply.Hosts = append(reply.Hosts, &poolpb.HostLoad{Worker: h.Worker, Used: int64(h.Used), Lasting: int64(h.LongRunning), Closed: h.Unschedulable, LeftMs: h.Remaining.Milliseconds(), WorkValue: int64(h.WorkValue)})
+	}
+	for _, tier := range load.Demand {
+		reply.Demand = append(reply.Demand, &poolpb.DemandTier{Size: int64(tier.MilliCPU), Value: tier.Value})
 	}
 	return reply, nil
 }
@@ -245,7 +248,10 @@
 	}
 	load = hostmanager.Load{Capacity: int(reply.Capacity), Used: int(reply.Used), Waiting: int(reply.Waiting), LongRunning: int(reply.Lasting), Offered: int(reply.Arriving), RecentOffered: int(reply.Onset), DeadlineNeed: int(reply.Due), Peak: int(reply.Peak), SincePeak: time.Duration(reply.PeakAgoMs) * time.Millisecond, MinHosts: int(reply.Spread), WarmingUp: reply.Young}
 	for _, h := range reply.Hosts {
-		load.Hosts = append(load.Hosts, hostmanager.HostLoad{Worker: h.Worker, Used: int(h.Used), LongRunning: int(h.Lasting), Unschedulable: h.Closed, Remaining: time.Duration(h.LeftMs) * time.Millisecond})
+		load.Hosts = append(load.Hosts, hostmanager.HostLoad{Worker: h.Worker, Used: int(h.Used), LongRunning: int(h.Lasting), Unschedulable: h.Closed, Remaining: time.Duration(h.LeftMs) * time.Millisecond, WorkValue: int(h.WorkValue)})
+	}
+	for _, tier := range reply.Demand {
+		load.Demand = append(load.Demand, hostmanager.DemandTier{MilliCPU: int(tier.Size), Value: tier.Value})
 	}
 	return load, reply.Result != poolpb.Result_RESULT_NOT_HELD, nil
 }
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -18,6 +18,7 @@
 		total = total.Plus(h.Capacity)
 		hostLoad := hostmanager.HostLoad{
 			Worker: id, Used: h.used.MilliCPU, LongRunning: h.longRunningCPU, Unschedulable: h.unschedulable || h.reached && p.unresponsive(h, now),
+			WorkValue: h.workValue(now),
 		}
 		for _, r := range h.runs {
 			if !r.task.step.spec.LongRunning {
@@ -30,15 +31,20 @@
 		load.Used += hostLoad.Used
 		load.Hosts = append(load.Hosts, hostLoad)
 	}
+	var demand coreDemand
 	for _, j := range p.active {
 		for _, o := range j.occurrences {
 			p.addDemand(&load, o, total, now)
+			if !j.record.Spec.LongRunning() {
+				demand.add(o, now)
+			}
 		}
 	}
 	for _, a := range p.arrivals {
 		load.Offered += int(a.cores(now) * milli)
 		load.RecentOffered += int(a.recentCores(now) * milli)
 	}
+	load.Demand = demand.tiers(load.Offered)
 	peak, ago := p.history.peak(now)
 	load.Peak, load.SincePeak = int(peak*milli), ago
 	return load
