--- a/internal/entryhost/settings.go
+++ b/internal/entryhost/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"auburnglade.example/glade/internal/carrier"
+	"auburnglade.example/glade/internal/hostmanager"
 	"auburnglade.example/glade/internal/settings"
 )
 
@@ -11,6 +12,12 @@
 	Log     LogSettings     `ini:"log"`
 	Runtime RuntimeSettings `ini:"runtime"`
 	Carrier CarrierSettings `ini:"carrier"`
+	Hosts   HostSettings    `ini:"hosts"`
+}
+
+// HostSettings control how hosts are shared out to pools.
+type HostSettings struct {
+	Allocation string `ini:"allocation" want:"value|need" help:"How hosts go to pools that are short of some: value (to where they bring the most, also busy hosts of a pool with late work) or need (only idle hosts)."`
 }
 
 // LogSettings limit the level and the rate of the log.
@@ -35,6 +42,7 @@
 		Log:     LogSettings{Level: "info", LinesPerSecond: 400},
 		Runtime: RuntimeSettings{GCPercent: 100},
 		Carrier: CarrierSettings{HostsPerCore: carrier.DefaultHostsPerCore},
+		Hosts:   HostSettings{Allocation: string(hostmanager.AllocateByValue)},
 	}
 }
 
--- a/internal/hostmanager/allocation.go
+++ b/internal/hostmanager/allocation.go
@@ -20,6 +20,8 @@
 	// minRecipientValue is the least mean value of a host's capacity for which a busy
 	// host is drained: half of a host for late work.
 	minRecipientValue = LateValue / 2
+	// minIdleGain is the least gain for which an idle host is moved.
+	minIdleGain = minRecipientValue
 	// maxBusyRemaining is the longest expected remaining run time of a busy host that
 	// is given away. Runs take up to a third longer than expected, and a host that
 	// isn't empty within moveDrainTimeout stays.
@@ -50,7 +52,8 @@
 // hosts, and some work on jobs that are late while jobs elsewhere could be in time.
 type allocator struct {
 	*movePlanner
-	pools []*valuedPool
+	pools  []*valuedPool
+	byPool map[*plannedPool]*valuedPool
 }
 
 // valuedPool is a pool with its value curve.
@@ -63,6 +66,8 @@
 	busy []busyHost
 	// next is the value of one more host, kept the value of the last one.
 	next, kept float64
+	// unserved is set once no pool has a host to give to this one.
+	unserved bool
 }
 
 type busyHost struct {
@@ -70,10 +75,15 @@
 	remaining time.Duration
 }
 
-// allocateByValue moves hosts to pools in which they bring more than where they are:
-// idle hosts and those of spare pools first, then busy ones.
-func (m *movePlanner) allocateByValue() {
-	a := &allocator{movePlanner: m}
+// allocate moves hosts to pools in which they bring more than where they are: idle
+// hosts and those of spare pools first, then busy ones.
+func (a *allocator) allocate() {
+	for a.moveBest() {
+	}
+}
+
+func newAllocator(m *movePlanner) *allocator {
+	a := &allocator{movePlanner: m, byPool: make(map[*plannedPool]*valuedPool, len(m.pools))}
 	mean := m.meanHostCPU
 	for _, p := range m.pools {
 		v := &valuedPool{plannedPool: p, hostSize: p.hostCPU(mean)}
@@ -82,10 +92,9 @@
 			v.busy = p.busyHosts()
 		}
 		v.update()
-		a.pools = append(a.pools, v)
-	}
-	for a.moveBest() {
+		a.pools, a.byPool[p] = append(a.pools, v), v
 	}
+	return a
 }
 
 // update computes the values at the pool's current capacity.
@@ -101,56 +110,52 @@
 
 // moveBest moves the host that gains the most, and reports whether one does.
 func (a *allocator) moveBest() bool {
-	var recipients []*valuedPool
-	for _, v := range a.pools {
-		if v.receives() {
-			recipients = append(recipients, v)
+	for {
+		to := a.bestRecipient()
+		if to == nil {
+			return false
 		}
-	}
-	slices.SortStableFunc(recipients, func(x, y *valuedPool) int {
-		return cmp.Or(cmp.Compare(y.next, x.next), cmp.Compare(x.capacity*y.need(), y.capacity*x.need()), cmp.Compare(x.Name, y.Name))
-	})
-	for _, to := range recipients {
 		if a.moveIdleTo(to) || a.moveBusyTo(to) {
 			return true
 		}
-		// No later plan step can serve this pool either: hosts only become fewer.
-		to.next = 0
+		// Nothing changes for this pool until the next plan: the hosts that can be
+		// given only become fewer.
+		to.unserved = true
 	}
-	return false
 }
 
-// moveIdleTo moves an idle host to a pool, and reports whether there is one.
-func (a *allocator) moveIdleTo(to *valuedPool) bool {
-	var best *valuedPool
-	for _, from := range a.pools {
-		if from == to || from.shortage > 0 || !a.hasAllowed(from.movable, to.Name) {
+// bestRecipient returns the pool in which the next host brings the most; among equal
+// ones that with the least capacity relative to its need.
+func (a *allocator) bestRecipient() (best *valuedPool) {
+	for _, v := range a.pools {
+		if v.unserved || !v.receives() {
 			continue
 		}
-		if best == nil || from.Spare && !best.Spare || from.Spare == best.Spare && from.freeCPU() > best.freeCPU() {
-			best = from
+		if best == nil || v.next > best.next || v.next == best.next && v.capacity*best.needed < best.capacity*v.needed {
+			best = v
 		}
 	}
-	if best == nil {
+	return best
+}
+
+// moveIdleTo moves an idle host to a pool, and reports whether there is one.
+func (a *allocator) moveIdleTo(to *valuedPool) bool {
+	from := a.bestDonor(to.plannedPool, func(from *plannedPool) bool { return a.byPool[from].givesIdleTo(to) })
+	if from == nil {
 		return false
 	}
-	a.moveOne(to.plannedPool, []*plannedPool{best.plannedPool}, ReasonValue)
+	a.moveOne(to.plannedPool, from, ReasonValue)
 	to.update()
-	best.update()
+	a.byPool[from].update()
 	return true
 }
 
-// expectedUse is for how long the pool will use a host that arrives after out.
-func (v *valuedPool) expectedUse(out time.Duration) time.Duration {
-	if v.BurstNeed > 0 {
-		return v.BurstLeft - out
-	}
-	return minUse
-}
+// givesIdleTo reports whether the pool gives idle hosts to another one, which has to
+// gain something: the two would otherwise pass hosts to and fro.
+func (v *valuedPool) givesIdleTo(to *valuedPool) bool { return v.kept+minIdleGain <= to.next }
 
-func (a *allocator) hasAllowed(hosts []Host, pool string) bool {
-	return slices.ContainsFunc(hosts, func(h Host) bool { return a.allowed(h, pool) })
-}
+// hasUnused reports whether the pool has no work for its last host.
+func (a *allocator) hasUnused(p *plannedPool) bool { return a.byPool[p].kept < minRecipientValue }
 
 // moveBusyTo drains the busy host that loses the least and gains something, and
 // reports whether there is one.
@@ -184,6 +189,14 @@
 	return true
 }
 
+// expectedUse is for how long the pool will use a host that arrives after out.
+func (v *valuedPool) expectedUse(out time.Duration) time.Duration {
+	if v.BurstNeed > 0 {
+		return v.BurstLeft - out
+	}
+	return minUse
+}
+
 // busyHosts returns the busy hosts that a pool can give away, the ones that are empty
 // soonest first. Hosts with long-running tasks stay, and so do hosts that have just
 // arrived. The pool keeps the hosts that its long-running tasks and gangs need.
@@ -209,10 +222,13 @@
 	})
 	schedulable := p.Load.schedulable()
 	limit := schedulable - p.Load.minSchedulable() - reserveHosts - len(p.movable)
-	limit = min(limit, int(maxBusyShare*float64(schedulable)), len(hosts))
+	limit = min(limit, busyLimit(schedulable), len(hosts))
 	return hosts[:max(0, limit)]
 }
 
+// busyLimit is how many hosts one plan drains at most of a pool's schedulable ones.
+func busyLimit(schedulable int) int { return int(maxBusyShare * float64(schedulable)) }
+
 // drainable reports whether the host is empty soon once it accepts no new tasks.
 func (h HostLoad) drainable() bool {
 	return h.LongRunning == 0 && !h.Unschedulable && h.Remaining <= maxBusyRemaining
--- a/internal/hostmanager/burstlength.go
+++ b/internal/hostmanager/burstlength.go
@@ -6,8 +6,9 @@
 	// initialBurstLength is the assumed length of demand bursts before one was seen
 	// whole: the shortest one for which a busy host is worth moving.
 	initialBurstLength = 2*outTime + minUse
-	// burstLengthWeight is the weight of each burst in the mean length.
-	burstLengthWeight = 0.25
+	// burstLengthWeight is the weight of each burst in the mean length. Two outweigh
+	// the initial assumption.
+	burstLengthWeight = 0.5
 	// minBurstLength is the shortest burst that counts. Shorter ones are over before a
 	// host has moved, and single large jobs look like one.
 	minBurstLength = outTime
--- a/internal/hostmanager/hostmanager.go
+++ b/internal/hostmanager/hostmanager.go
@@ -110,6 +110,8 @@
 	// WarmingUp is set shortly after a holder took the pool over, when the need it
 	// reports is lower than the actual need.
 	WarmingUp bool
+	// ReceivedAt is when the host manager received the report.
+	ReceivedAt time.Time
 	// Demand is what more cores would do, without long-running tasks, highest value
 	// first. Holders of an earlier version report none.
 	Demand []DemandTier
--- a/internal/hostmanager/manager.go
+++ b/internal/hostmanager/manager.go
@@ -63,7 +63,12 @@
 	// CallsPerSecond is how many moves and maintenances the platform accepts per
 	// second; zero means no limit.
 	CallsPerSecond float64
-	Log            zerolog.Logger
+	// Allocation is how hosts are allocated to pools that are short of some; empty
+	// selects AllocateByValue.
+	Allocation Allocation
+	// Metrics are nil if none are kept.
+	Metrics *Metrics
+	Log     zerolog.Logger
 }
 
 // Manager sends hosts to maintenance in waves and moves them between pools while
@@ -296,6 +301,7 @@
 			if load, ok := m.Pools.Load(ctx, name, due[name]); ok {
 				mu.Lock()
 				defer mu.Unlock()
+				load.ReceivedAt = time.Now()
 				loads[name] = load
 			}
 		})
--- a/internal/hostmanager/moves.go
+++ b/internal/hostmanager/moves.go
@@ -140,17 +140,37 @@
 // If pools are short at once, hosts first go where they bring the most.
 func PlanMoves(pools []PoolView, allowed func(h Host, pool string) bool) []Move {
 	m := newMovePlanner(pools, allowed)
-	m.allocateByValue()
-	m.fillShortages()
+	a := newAllocator(m)
+	a.allocate()
+	m.fillShortages(a.hasUnused)
 	m.levelFree()
 	return m.moves
 }
 
+// Allocation selects how hosts are allocated to pools that are short of some.
+type Allocation string
+
+// Ways to allocate hosts.
+const (
+	// AllocateByValue moves hosts to where they bring the most, also busy ones.
+	AllocateByValue Allocation = "value"
+	// AllocateByNeed moves only idle hosts.
+	AllocateByNeed Allocation = "need"
+)
+
+// planMoves plans moves as selected; the default is by value.
+func (a Allocation) planMoves(pools []PoolView, allowed func(h Host, pool string) bool) []Move {
+	if a == AllocateByNeed {
+		return PlanMovesByNeed(pools, allowed)
+	}
+	return PlanMoves(pools, allowed)
+}
+
 // PlanMovesByNeed is like PlanMoves, but moves only idle hosts, to the pools with the
 // least capacity relative to their need.
 func PlanMovesByNeed(pools []PoolView, allowed func(h Host, pool string) bool) []Move {
 	m := newMovePlanner(pools, allowed)
-	m.fillShortages()
+	m.fillShortages(func(*plannedPool) bool { return true })
 	m.levelFree()
 	return m.moves
 }
@@ -169,6 +189,8 @@
 type plannedPool struct {
 	*PoolView
 	capacity, shortage float64
+	// needed and retainedCPU are need and retained, computed once.
+	needed, retainedCPU float64
 	// movable are the hosts that the pool can give away, the cheapest first.
 	movable []Host
 }
@@ -178,7 +200,7 @@
 	m := &movePlanner{allowed: allowed, meanHostCPU: mean}
 	for i := range pools {
 		p := &pools[i]
-		planned := &plannedPool{PoolView: p, capacity: p.expectedCapacity(mean)}
+		planned := &plannedPool{PoolView: p, capacity: p.expectedCapacity(mean), needed: p.need(), retainedCPU: p.retained()}
 		switch {
 		case p.Spare:
 			planned.movable = slices.SortedFunc(slices.Values(p.Hosts), byMoveCost)
@@ -194,7 +216,7 @@
 }
 
 // freeCPU is the pool's capacity beyond what it retains.
-func (p *plannedPool) freeCPU() float64 { return p.capacity - p.retained() }
+func (p *plannedPool) freeCPU() float64 { return p.capacity - p.retainedCPU }
 
 // likelihood is how likely the pool has the next demand burst.
 func (p *plannedPool) likelihood() float64 {
@@ -209,55 +231,71 @@
 
 // fillShortages moves hosts to the pools that are short of some. Each goes to the
 // pool with the least capacity relative to its need.
-func (m *movePlanner) fillShortages() {
+func (m *movePlanner) fillShortages(mayGive func(from *plannedPool) bool) {
 	for {
 		to := m.neediest()
 		if to == nil {
 			return
 		}
-		if !m.moveOne(to, m.donors(to), ReasonShortage) {
+		from := m.bestDonor(to, func(from *plannedPool) bool { return from.shortage <= 0 && mayGive(from) })
+		if from == nil {
 			to.shortage = 0
+			continue
 		}
+		m.moveOne(to, from, ReasonShortage)
 	}
 }
 
 func (m *movePlanner) neediest() (to *plannedPool) {
 	for _, p := range m.pools {
-		if p.shortage > 0 && (to == nil || p.capacity*to.need() < to.capacity*p.need()) {
+		if p.shortage > 0 && (to == nil || p.capacity*to.needed < to.capacity*p.needed) {
 			to = p
 		}
 	}
 	return to
 }
 
-// donors returns the pools that may give hosts to a pool, the best first: spare
-// pools, then those with the most free capacity.
-func (m *movePlanner) donors(to *plannedPool) []*plannedPool {
-	var donors []*plannedPool
-	for _, p := range m.pools {
-		if p != to && p.shortage <= 0 && len(p.movable) > 0 {
-			donors = append(donors, p)
+// bestDonor returns the best of the pools that may give an idle host to a pool: a spare
+// pool, or the one with the most free capacity. It is nil if no pool may.
+func (m *movePlanner) bestDonor(to *plannedPool, mayGive func(from *plannedPool) bool) (best *plannedPool) {
+	for _, from := range m.pools {
+		if from == to || len(from.movable) == 0 || best != nil && !from.betterDonor(best) || !mayGive(from) {
+			continue
+		}
+		if m.firstAllowed(from.movable, to.Name) >= 0 {
+			best = from
 		}
 	}
-	slices.SortStableFunc(donors, func(a, b *plannedPool) int {
-		return cmp.Or(trueFirst(a.Spare, b.Spare), cmp.Compare(b.freeCPU(), a.freeCPU()))
-	})
-	return donors
+	return best
 }
 
-// moveOne moves one idle host to a pool, and reports whether a donor had one.
-func (m *movePlanner) moveOne(to *plannedPool, donors []*plannedPool, reason Reason) bool {
-	for _, from := range donors {
-		for i, h := range from.movable {
-			if !m.allowed(h, to.Name) {
-				continue
-			}
-			from.movable = slices.Delete(from.movable, i, i+1)
-			m.transfer(from, to, Move{Host: h, To: to.Name, Reason: reason})
-			return true
-		}
+// betterDonor reports whether the pool gives hosts before another one.
+func (p *plannedPool) betterDonor(other *plannedPool) bool {
+	if p.Spare != other.Spare {
+		return p.Spare
+	}
+	return p.freeCPU() > other.freeCPU()
+}
+
+// firstAllowed returns the index of the first host that may move to a pool, or -1.
+func (m *movePlanner) firstAllowed(hosts []Host, pool string) int {
+	return slices.IndexFunc(hosts, func(h Host) bool { return m.allowed(h, pool) })
+}
+
+// moveOne moves one idle host to a pool, and reports whether the donor had one.
+func (m *movePlanner) moveOne(to, from *plannedPool, reason Reason) bool {
+	i := m.firstAllowed(from.movable, to.Name)
+	if i < 0 {
+		return false
+	}
+	h := from.movable[i]
+	if i == 0 {
+		from.movable = from.movable[1:]
+	} else {
+		from.movable = slices.Delete(from.movable, i, i+1)
 	}
-	return false
+	m.transfer(from, to, Move{Host: h, To: to.Name, Reason: reason})
+	return true
 }
 
 // transfer adds a move and applies it to the pools' capacities.
@@ -310,7 +348,7 @@
 		if most == nil || most == least || excess(most)-excess(least) < gap*float64(most.movable[0].Resources.MilliCPU) {
 			return
 		}
-		if !m.moveOne(least, []*plannedPool{most}, ReasonLevel) {
+		if !m.moveOne(least, most, ReasonLevel) {
 			return
 		}
 	}
--- a/internal/hostmanager/moving.go
+++ b/internal/hostmanager/moving.go
@@ -17,7 +17,7 @@
 	var views []PoolView
 	for name, spare := range m.PoolNames() {
 		load, known := loads[name]
-		views = append(views, PoolView{Name: name, Spare: spare, Load: load, Known: known})
+		views = append(views, PoolView{Name: name, Spare: spare, Load: load, Known: known, ReportAge: time.Since(load.ReceivedAt)})
 	}
 	changes := m.bursts.Observe(views, time.Now())
 	for _, change := range changes {
@@ -25,8 +25,9 @@
 	}
 	m.lengths.Observe(changes, views, time.Now())
 	m.fillViews(views)
+	m.Metrics.observe(views, nil)
 	// The hosts are listed only if some may move, since each list is a call.
-	if len(PlanMoves(views, m.moveAllowed)) == 0 && !anyNeedsHosts(views) {
+	if len(m.Allocation.planMoves(views, m.moveAllowed)) == 0 && !anyNeedsHosts(views) {
 		return
 	}
 	if err := m.ensureRecentList(ctx); err != nil {
@@ -34,7 +35,11 @@
 		return
 	}
 	m.fillViews(views)
-	for _, move := range PlanMoves(views, m.moveAllowed) {
+	moves := m.Allocation.planMoves(views, m.moveAllowed)
+	decisions := Decisions(moves, views)
+	m.logDecisions(decisions)
+	m.Metrics.observe(views, decisions)
+	for _, move := range moves {
 		m.startMove(ctx, move)
 	}
 }
