--- a/internal/hostmanager/allocation.go
+++ b/internal/hostmanager/allocation.go
@@ -66,7 +66,7 @@
 	busy []busyHost
 	// next is the value of one more host, kept the value of the last one.
 	next, kept float64
-	// unserved is set once no pool has a host to give to this one.
+	// unserved is set once no pool had a host to give to this one.
 	unserved bool
 }
 
@@ -78,8 +78,21 @@
 // allocate moves hosts to pools in which they bring more than where they are: idle
 // hosts and those of spare pools first, then busy ones.
 func (a *allocator) allocate() {
+	for a.allocateRound() {
+	}
+}
+
+// allocateRound moves hosts until none gains anything, and reports whether one moved. A
+// pool that found no host is left out for the rest of the round; it may find one after
+// others have got theirs.
+func (a *allocator) allocateRound() (moved bool) {
+	for _, v := range a.pools {
+		v.unserved = false
+	}
 	for a.moveBest() {
+		moved = true
 	}
+	return moved
 }
 
 func newAllocator(m *movePlanner) *allocator {
@@ -118,8 +131,6 @@
 		if a.moveIdleTo(to) || a.moveBusyTo(to) {
 			return true
 		}
-		// Nothing changes for this pool until the next plan: the hosts that can be
-		// given only become fewer.
 		to.unserved = true
 	}
 }
@@ -155,7 +166,11 @@
 func (v *valuedPool) givesIdleTo(to *valuedPool) bool { return v.kept+minIdleGain <= to.next }
 
 // hasUnused reports whether the pool has no work for its last host.
-func (a *allocator) hasUnused(p *plannedPool) bool { return a.byPool[p].kept < minRecipientValue }
+func (a *allocator) hasUnused(p *plannedPool) bool {
+	v := a.byPool[p]
+	v.update()
+	return v.kept < minRecipientValue
+}
 
 // moveBusyTo drains the busy host that loses the least and gains something, and
 // reports whether there is one.
