--- a/internal/hostmanager/allocation.go
+++ b/internal/hostmanager/allocation.go
@@ -165,11 +165,15 @@
 // gain something: the two would otherwise pass hosts to and fro.
 func (v *valuedPool) givesIdleTo(to *valuedPool) bool { return v.kept+minIdleGain <= to.next }
 
-// hasUnused reports whether the pool has no work for its last host.
+// hasUnused reports whether the pool has no work for its last host, and isn't short
+// without it.
 func (a *allocator) hasUnused(p *plannedPool) bool {
+	if p.Spare {
+		return true
+	}
 	v := a.byPool[p]
 	v.update()
-	return v.kept < minRecipientValue
+	return v.kept < minRecipientValue && v.needed <= requestFactor*(v.capacity-v.hostSize)
 }
 
 // moveBusyTo drains the busy host that loses the least and gains something, and
@@ -178,7 +182,7 @@
 	var best *valuedPool
 	index, lowest := 0, 0.0
 	for _, from := range a.pools {
-		if from == to {
+		if from == to || len(from.busy) == 0 || best != nil && from.kept*outTime.Seconds() >= lowest {
 			continue
 		}
 		i := slices.IndexFunc(from.busy, func(h busyHost) bool { return a.allowed(h.Host, to.Name) })
@@ -197,13 +201,21 @@
 		return false
 	}
 	h := best.busy[index].Host
-	best.busy = slices.Delete(best.busy, index, index+1)
+	best.removeBusy(index)
 	a.transfer(best.plannedPool, to.plannedPool, Move{Host: h, To: to.Name, Busy: true, Reason: ReasonValue})
 	to.update()
 	best.update()
 	return true
 }
 
+func (v *valuedPool) removeBusy(index int) {
+	if index == 0 {
+		v.busy = v.busy[1:]
+		return
+	}
+	v.busy = slices.Delete(v.busy, index, index+1)
+}
+
 // expectedUse is for how long the pool will use a host that arrives after out.
 func (v *valuedPool) expectedUse(out time.Duration) time.Duration {
 	if v.BurstNeed > 0 {
--- a/internal/hostmanager/moves.go
+++ b/internal/hostmanager/moves.go
@@ -143,7 +143,7 @@
 	a := newAllocator(m)
 	a.allocate()
 	m.fillShortages(a.hasUnused)
-	m.levelFree()
+	m.levelFree(a.hasUnused)
 	return m.moves
 }
 
@@ -170,8 +170,9 @@
 // least capacity relative to their need.
 func PlanMovesByNeed(pools []PoolView, allowed func(h Host, pool string) bool) []Move {
 	m := newMovePlanner(pools, allowed)
-	m.fillShortages(func(*plannedPool) bool { return true })
-	m.levelFree()
+	anyPool := func(*plannedPool) bool { return true }
+	m.fillShortages(anyPool)
+	m.levelFree(anyPool)
 	return m.moves
 }
 
@@ -318,7 +319,7 @@
 // the one with the smallest, until the two differ by less than the gap. Each pool's
 // fair share is proportional to how likely it has the next demand burst, as a host
 // takes two seconds to move.
-func (m *movePlanner) levelFree() {
+func (m *movePlanner) levelFree(mayGive func(from *plannedPool) bool) {
 	if !m.allReported() {
 		return
 	}
@@ -338,7 +339,7 @@
 			if !p.canReceive() {
 				continue
 			}
-			if len(p.movable) > 0 && (most == nil || excess(p) > excess(most)) {
+			if len(p.movable) > 0 && (most == nil || excess(p) > excess(most)) && mayGive(p) {
 				most = p
 			}
 			if least == nil || excess(p) < excess(least) {
