--- a/internal/hostmanager/allocation.go
+++ b/internal/hostmanager/allocation.go
@@ -78,10 +78,30 @@
 // allocate moves hosts to pools in which they bring more than where they are: idle
 // hosts and those of spare pools first, then busy ones.
 func (a *allocator) allocate() {
+	a.fillMinHosts()
 	for a.allocateRound() {
 	}
 }
 
+// fillMinHosts moves idle hosts to pools that lack some for their long-running tasks and
+// gangs, whatever they bring elsewhere: these would wait for ever.
+func (a *allocator) fillMinHosts() {
+	for _, to := range a.pools {
+		if !to.canReceive() {
+			continue
+		}
+		for range to.Load.minSchedulable() - to.Load.schedulable() - to.Incoming {
+			from := a.bestDonor(to.plannedPool, func(from *plannedPool) bool { return from.shortage <= 0 })
+			if from == nil {
+				break
+			}
+			a.moveOne(to.plannedPool, from, ReasonShortage)
+			to.update()
+			a.byPool[from].update()
+		}
+	}
+}
+
 // allocateRound moves hosts until none gains anything, and reports whether one moved. A
 // pool that found no host is left out for the rest of the round; it may find one after
 // others have got theirs.
--- a/internal/measure/loadsim/load.go
+++ b/internal/measure/loadsim/load.go
@@ -24,7 +24,7 @@
 // Cmd is the subcommand that simulates load patterns.
 type Cmd struct {
 	Patterns []string `help:"Patterns to play, all when none is named."`
-	Policies []string `help:"Policies to play: product, fixed, fullest; all when none is named."`
+	Policies []string `help:"Policies to play: product, need, shares, fixed, fullest; all when none is named."`
 	Seed     uint64   `help:"First seed." default:"1"`
 	Days     int      `help:"Days of each pattern, with seeds counted up." default:"8"`
 	Jobs     int      `help:"Days played at once." default:"4"`
--- a/internal/measure/loadsim/policies.go
+++ b/internal/measure/loadsim/policies.go
@@ -13,7 +13,7 @@
 
 // PolicyNames are the policies that can be simulated: that of the product and two
 // simple ones for comparison.
-var PolicyNames = []string{"product", "need", "fixed", "fullest"}
+var PolicyNames = []string{"product", "need", "shares", "fixed", "fullest"}
 
 func newPolicy(name string) Policy {
 	switch name {
@@ -21,6 +21,8 @@
 		return fixed{}
 	case "fullest":
 		return fullest{}
+	case "shares":
+		return &shares{product: product{hostmanager.NewBurstTracker(), hostmanager.NewBurstLengths(), hostmanager.PlanMovesByNeed}}
 	case "need":
 		return product{hostmanager.NewBurstTracker(), hostmanager.NewBurstLengths(), hostmanager.PlanMovesByNeed}
 	}
