--- a/internal/poolrpc/poolrpc.go
+++ b/internal/poolrpc/poolrpc.go
@@ -129,8 +129,14 @@
 
 func (s *server) Load(ctx context.Context, r *poolpb.LoadRequest) (*poolpb.LoadReply, error) {
 	load, held := s.service.LocalLoad(ctx, r.Pool, r.Due)
+	reply := encodeLoad(load)
+	reply.Result = encodeHeld(held)
+	return reply, nil
+}
+
+func encodeLoad(load hostmanager.Load) *poolpb.LoadReply {
 	reply := &poolpb.LoadReply{
-		Result: encodeHeld(held), Capacity: int64(load.Capacity), Used: int64(load.Used),
+		Capacity: int64(load.Capacity), Used: int64(load.Used),
 		Waiting: int64(load.Waiting), Lasting: int64(load.LongRunning),
 		Arriving: int64(load.Offered), Onset: int64(load.RecentOffered), Due: int64(load.DeadlineNeed), Peak: int64(load.Peak), PeakAgoMs: load.SincePeak.Milliseconds(), Spread: int64(load.MinHosts), Young: load.WarmingUp,
 	}
@@ -140,7 +146,7 @@
 	for _, tier := range load.Demand {
 		reply.Demand = append(reply.Demand, &poolpb.DemandTier{Size: int64(tier.MilliCPU), Value: tier.Value})
 	}
-	return reply, nil
+	return reply
 }
 
 func (s *server) Configuration(_ context.Context, r *poolpb.ConfigurationRequest) (*poolpb.ConfigurationReply, error) {
@@ -246,14 +252,18 @@
 		c.dropIdle()
 		return hostmanager.Load{}, false, err
 	}
-	load = hostmanager.Load{Capacity: int(reply.Capacity), Used: int(reply.Used), Waiting: int(reply.Waiting), LongRunning: int(reply.Lasting), Offered: int(reply.Arriving), RecentOffered: int(reply.Onset), DeadlineNeed: int(reply.Due), Peak: int(reply.Peak), SincePeak: time.Duration(reply.PeakAgoMs) * time.Millisecond, MinHosts: int(reply.Spread), WarmingUp: reply.Young}
+	return decodeLoad(reply), reply.Result != poolpb.Result_RESULT_NOT_HELD, nil
+}
+
+func decodeLoad(reply *poolpb.LoadReply) hostmanager.Load {
+	load := hostmanager.Load{Capacity: int(reply.Capacity), Used: int(reply.Used), Waiting: int(reply.Waiting), LongRunning: int(reply.Lasting), Offered: int(reply.Arriving), RecentOffered: int(reply.Onset), DeadlineNeed: int(reply.Due), Peak: int(reply.Peak), SincePeak: time.Duration(reply.PeakAgoMs) * time.Millisecond, MinHosts: int(reply.Spread), WarmingUp: reply.Young}
 	for _, h := range reply.Hosts {
 		load.Hosts = append(load.Hosts, hostmanager.HostLoad{Worker: h.Worker, Used: int(h.Used), LongRunning: int(h.Lasting), Unschedulable: h.Closed, Remaining: time.Duration(h.LeftMs) * time.Millisecond, WorkValue: int(h.WorkValue)})
 	}
 	for _, tier := range reply.Demand {
 		load.Demand = append(load.Demand, hostmanager.DemandTier{MilliCPU: int(tier.Size), Value: tier.Value})
 	}
-	return load, reply.Result != poolpb.Result_RESULT_NOT_HELD, nil
+	return load
 }
 
 // Configuration implements configrelay.Peers.
