--- a/internal/hostmanager/bursts.go
+++ b/internal/hostmanager/bursts.go
@@ -56,7 +56,8 @@
 }
 
 const (
-	// timeToMove is how long a host takes to move to another pool.
+	// timeToMove is how long a moving host serves nobody: it moves, and the
+	// destination's holder gets it with its next list.
 	timeToMove = 2300 * time.Millisecond
 	// startShare is the share of a pool's usual burst at which a burst has certainly
 	// started; risingShare is enough if the recent offered load exceeds startShare.
--- a/internal/hostmanager/manager.go
+++ b/internal/hostmanager/manager.go
@@ -63,7 +63,12 @@
 	// CallsPerSecond is how many moves and maintenances the platform accepts per
 	// second; zero means no limit.
 	CallsPerSecond float64
-	Log            zerolog.Logger
+	// Allocation is how hosts are allocated to pools that are short of some; empty
+	// selects AllocateByValue.
+	Allocation Allocation
+	// Metrics are nil if none are kept.
+	Metrics *Metrics
+	Log     zerolog.Logger
 }
 
 // Manager sends hosts to maintenance in waves and moves them between pools while
@@ -74,8 +79,9 @@
 	revision store.Revision
 	claim    []byte
 
-	// bursts is used only by the goroutine of Run.
-	bursts *BurstTracker
+	// bursts and lengths are used only by the goroutine of Run.
+	bursts  *BurstTracker
+	lengths *BurstLengths
 
 	mu sync.Mutex
 	// maintenanceTimes estimates how long hosts are out for maintenance.
@@ -95,6 +101,8 @@
 	confirmedAt time.Time
 	// limiter keeps calls for hosts within the platform's rate limit.
 	limiter *rate.Limiter
+	// movedAt is when hosts were last moved by this process.
+	movedAt map[string]time.Time
 	// rejected are the pools that a kind of host can't belong to.
 	rejected map[kindAndPool]bool
 	// listSlot is occupied by the goroutine that reads the list of hosts. It is a
@@ -137,8 +145,8 @@
 func New(config Config, fence int64, revision store.Revision, claim []byte) *Manager {
 	return &Manager{
 		Config: config, fence: fence, revision: revision, claim: claim, drains: newDrainBatcher(config.Pools), listSlot: make(chan struct{}, 1), limiter: newLimiter(config.CallsPerSecond),
-		bursts: NewBurstTracker(), maintenanceTimes: NewMaintenanceTimes(), operations: make(map[string]*operation), waves: make(map[int64]*waveState),
-		rejected: make(map[kindAndPool]bool), confirmedAt: time.Now(),
+		bursts: NewBurstTracker(), lengths: NewBurstLengths(), maintenanceTimes: NewMaintenanceTimes(), operations: make(map[string]*operation), waves: make(map[int64]*waveState),
+		rejected: make(map[kindAndPool]bool), movedAt: make(map[string]time.Time), confirmedAt: time.Now(),
 	}
 }
 
@@ -293,6 +301,7 @@
 			if load, ok := m.Pools.Load(ctx, name, due[name]); ok {
 				mu.Lock()
 				defer mu.Unlock()
+				load.ReceivedAt = time.Now()
 				loads[name] = load
 			}
 		})
--- a/internal/hostmanager/moves.go
+++ b/internal/hostmanager/moves.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // PoolView is the input of move planning for one pool.
@@ -24,12 +25,19 @@
 	// BurstNeed is what an active demand burst needs in millicores, without
 	// long-running tasks; zero if none is active.
 	BurstNeed float64
+	// BurstLeft is how long an active demand burst is expected to go on.
+	BurstLeft time.Duration
+	// ReportAge is how old Load is.
+	ReportAge time.Duration
 }
 
 // Move moves a host to another pool.
 type Move struct {
 	Host Host
 	To   string
+	// Busy is set if tasks run on the host, which has to be drained first.
+	Busy   bool
+	Reason Reason
 }
 
 const (
@@ -129,10 +137,42 @@
 // get them from the spare pools first, then from the pools with the most free
 // capacity. The free capacity left after that is levelled over the pools, since it
 // is unknown which of them will have more work next, and a move takes two seconds.
+// If pools are short at once, hosts first go where they bring the most.
 func PlanMoves(pools []PoolView, allowed func(h Host, pool string) bool) []Move {
 	m := newMovePlanner(pools, allowed)
-	m.fillShortages()
-	m.levelFree()
+	a := newAllocator(m)
+	a.allocate()
+	m.fillShortages(a.hasUnused)
+	m.levelFree(a.hasUnused)
+	return m.moves
+}
+
+// Allocation selects how hosts are allocated to pools that are short of some.
+type Allocation string
+
+// Ways to allocate hosts.
+const (
+	// AllocateByValue moves hosts to where they bring the most, also busy ones.
+	AllocateByValue Allocation = "value"
+	// AllocateByNeed moves only idle hosts.
+	AllocateByNeed Allocation = "need"
+)
+
+// planMoves plans moves as selected; the default is by value.
+func (a Allocation) planMoves(pools []PoolView, allowed func(h Host, pool string) bool) []Move {
+	if a == AllocateByNeed {
+		return PlanMovesByNeed(pools, allowed)
+	}
+	return PlanMoves(pools, allowed)
+}
+
+// PlanMovesByNeed is like PlanMoves, but moves only idle hosts, to the pools with the
+// least capacity relative to their need.
+func PlanMovesByNeed(pools []PoolView, allowed func(h Host, pool string) bool) []Move {
+	m := newMovePlanner(pools, allowed)
+	anyPool := func(*plannedPool) bool { return true }
+	m.fillShortages(anyPool)
+	m.levelFree(anyPool)
 	return m.moves
 }
 
@@ -142,22 +182,26 @@
 	allowed func(h Host, pool string) bool
 	pools   []*plannedPool
 	moves   []Move
+	// meanHostCPU is the mean size of the hosts that can be moved, in millicores.
+	meanHostCPU float64
 }
 
 // plannedPool is a pool with the moves planned so far applied, in millicores.
 type plannedPool struct {
 	*PoolView
 	capacity, shortage float64
+	// needed and retainedCPU are need and retained, computed once.
+	needed, retainedCPU float64
 	// movable are the hosts that the pool can give away, the cheapest first.
 	movable []Host
 }
 
 func newMovePlanner(pools []PoolView, allowed func(h Host, pool string) bool) *movePlanner {
-	m := &movePlanner{allowed: allowed}
 	mean := meanHostCPU(pools)
+	m := &movePlanner{allowed: allowed, meanHostCPU: mean}
 	for i := range pools {
 		p := &pools[i]
-		planned := &plannedPool{PoolView: p, capacity: p.expectedCapacity(mean)}
+		planned := &plannedPool{PoolView: p, capacity: p.expectedCapacity(mean), needed: p.need(), retainedCPU: p.retained()}
 		switch {
 		case p.Spare:
 			planned.movable = slices.SortedFunc(slices.Values(p.Hosts), byMoveCost)
@@ -173,7 +217,7 @@
 }
 
 // freeCPU is the pool's capacity beyond what it retains.
-func (p *plannedPool) freeCPU() float64 { return p.capacity - p.retained() }
+func (p *plannedPool) freeCPU() float64 { return p.capacity - p.retainedCPU }
 
 // likelihood is how likely the pool has the next demand burst.
 func (p *plannedPool) likelihood() float64 {
@@ -188,59 +232,80 @@
 
 // fillShortages moves hosts to the pools that are short of some. Each goes to the
 // pool with the least capacity relative to its need.
-func (m *movePlanner) fillShortages() {
+func (m *movePlanner) fillShortages(mayGive func(from *plannedPool) bool) {
 	for {
 		to := m.neediest()
 		if to == nil {
 			return
 		}
-		if !m.moveOne(to, m.donors(to)) {
+		from := m.bestDonor(to, func(from *plannedPool) bool { return from.shortage <= 0 && mayGive(from) })
+		if from == nil {
 			to.shortage = 0
+			continue
 		}
+		m.moveOne(to, from, ReasonShortage)
 	}
 }
 
 func (m *movePlanner) neediest() (to *plannedPool) {
 	for _, p := range m.pools {
-		if p.shortage > 0 && (to == nil || p.capacity*to.need() < to.capacity*p.need()) {
+		if p.shortage > 0 && (to == nil || p.capacity*to.needed < to.capacity*p.needed) {
 			to = p
 		}
 	}
 	return to
 }
 
-// donors returns the pools that may give hosts to a pool, the best first: spare
-// pools, then those with the most free capacity.
-func (m *movePlanner) donors(to *plannedPool) []*plannedPool {
-	var donors []*plannedPool
-	for _, p := range m.pools {
-		if p != to && p.shortage <= 0 && len(p.movable) > 0 {
-			donors = append(donors, p)
+// bestDonor returns the best of the pools that may give an idle host to a pool: a spare
+// pool, or the one with the most free capacity. It is nil if no pool may.
+func (m *movePlanner) bestDonor(to *plannedPool, mayGive func(from *plannedPool) bool) (best *plannedPool) {
+	for _, from := range m.pools {
+		if from == to || len(from.movable) == 0 || best != nil && !from.betterDonor(best) || !mayGive(from) {
+			continue
+		}
+		if m.firstAllowed(from.movable, to.Name) >= 0 {
+			best = from
 		}
 	}
-	slices.SortStableFunc(donors, func(a, b *plannedPool) int {
-		return cmp.Or(trueFirst(a.Spare, b.Spare), cmp.Compare(b.freeCPU(), a.freeCPU()))
-	})
-	return donors
+	return best
 }
 
-// moveOne moves one host to a pool, and reports whether a donor had one.
-func (m *movePlanner) moveOne(to *plannedPool, donors []*plannedPool) bool {
-	for _, from := range donors {
-		for i, h := range from.movable {
-			if !m.allowed(h, to.Name) {
-				continue
-			}
-			from.movable = slices.Delete(slices.Clone(from.movable), i, i+1)
-			m.moves = append(m.moves, Move{h, to.Name})
-			size := float64(h.Resources.MilliCPU)
-			from.capacity -= size
-			to.capacity += size
-			to.shortage -= size
-			return true
-		}
+// betterDonor reports whether the pool gives hosts before another one.
+func (p *plannedPool) betterDonor(other *plannedPool) bool {
+	if p.Spare != other.Spare {
+		return p.Spare
+	}
+	return p.freeCPU() > other.freeCPU()
+}
+
+// firstAllowed returns the index of the first host that may move to a pool, or -1.
+func (m *movePlanner) firstAllowed(hosts []Host, pool string) int {
+	return slices.IndexFunc(hosts, func(h Host) bool { return m.allowed(h, pool) })
+}
+
+// moveOne moves one idle host to a pool, and reports whether the donor had one.
+func (m *movePlanner) moveOne(to, from *plannedPool, reason Reason) bool {
+	i := m.firstAllowed(from.movable, to.Name)
+	if i < 0 {
+		return false
+	}
+	h := from.movable[i]
+	if i == 0 {
+		from.movable = from.movable[1:]
+	} else {
+		from.movable = slices.Delete(from.movable, i, i+1)
 	}
-	return false
+	m.transfer(from, to, Move{Host: h, To: to.Name, Reason: reason})
+	return true
+}
+
+// transfer adds a move and applies it to the pools' capacities.
+func (m *movePlanner) transfer(from, to *plannedPool, move Move) {
+	m.moves = append(m.moves, move)
+	size := float64(move.Host.Resources.MilliCPU)
+	from.capacity -= size
+	to.capacity += size
+	to.shortage -= size
 }
 
 // allReported reports whether the needs of all pools are known. After the loss of
@@ -254,7 +319,7 @@
 // the one with the smallest, until the two differ by less than the gap. Each pool's
 // fair share is proportional to how likely it has the next demand burst, as a host
 // takes two seconds to move.
-func (m *movePlanner) levelFree() {
+func (m *movePlanner) levelFree(mayGive func(from *plannedPool) bool) {
 	if !m.allReported() {
 		return
 	}
@@ -274,7 +339,7 @@
 			if !p.canReceive() {
 				continue
 			}
-			if len(p.movable) > 0 && (most == nil || excess(p) > excess(most)) {
+			if len(p.movable) > 0 && (most == nil || excess(p) > excess(most)) && mayGive(p) {
 				most = p
 			}
 			if least == nil || excess(p) < excess(least) {
@@ -284,7 +349,7 @@
 		if most == nil || most == least || excess(most)-excess(least) < gap*float64(most.movable[0].Resources.MilliCPU) {
 			return
 		}
-		if !m.moveOne(least, []*plannedPool{most}) {
+		if !m.moveOne(least, most, ReasonLevel) {
 			return
 		}
 	}
@@ -318,10 +383,7 @@
 // submitted, and a demand burst in progress would find it without hosts. Keeping
 // all of them did more harm: another pool whose demand burst started lacked them.
 func (p *PoolView) freeHosts() []Host {
-	loads := make(map[string]HostLoad, len(p.Load.Hosts))
-	for _, h := range p.Load.Hosts {
-		loads[h.Worker] = h
-	}
+	loads := p.loadsByWorker()
 	free := p.Load.Capacity - p.Load.Used
 	var hosts []Host
 	for _, h := range p.Hosts {
@@ -344,3 +406,12 @@
 	}
 	return movable
 }
+
+// loadsByWorker returns the loads of the pool's hosts by worker.
+func (p *PoolView) loadsByWorker() map[string]HostLoad {
+	loads := make(map[string]HostLoad, len(p.Load.Hosts))
+	for _, h := range p.Load.Hosts {
+		loads[h.Worker] = h
+	}
+	return loads
+}
--- a/internal/measure/loadsim/bursts.go
+++ b/internal/measure/loadsim/bursts.go
@@ -67,7 +67,7 @@
 	}
 	high := 0.0
 	for _, b := range bursts {
-		end := b.begin + b.last
+		end := b.begin + b.last + p.Bursts.Overlap
 		if b.pool == pool && at >= b.begin && at < end+p.Bursts.Ramp {
 			rise := float64(at-b.begin) / float64(p.Bursts.Ramp)
 			fall := float64(end+p.Bursts.Ramp-at) / float64(p.Bursts.Ramp)
