Start copies only of runs on slow hosts and of hanging ones

Cause: one number for a queue's run times made a task that is long by itself look like one on a slow host. Its copy took as long and was thrown away. Now a pure function tells long tasks, slow hosts, hangs and unclear cases apart from the run's pace, the paces beside it on its host (just ended ones included), those of its step elsewhere and the queue's 0.99 quantile of taken to declared time, kept in a fixed logarithmic histogram that is off by 5% at most. A copy for a slow host starts only in room that waiting jobs in time do not need. Ruled out by the tests: judging only by runs that go on (ordinary ones end first), and by runs of the same job alone (a wrong declaration looks like a slow host).

--- a/internal/poolmanager/metrics.go
+++ b/internal/poolmanager/metrics.go
@@ -13,7 +13,10 @@
 	takeovers         prometheus.Counter
 	starts            prometheus.Counter
 	speculativeStarts prometheus.Counter
-	hedges            prometheus.Counter
+	// stragglers counts the decisions on runs that take long, by
+	// sched.StragglerVerdict and decision.
+	stragglers *prometheus.CounterVec
+	hedges     prometheus.Counter
 	// lossyPeriods counts periods in which healthy hosts left calls unanswered.
 	lossyPeriods prometheus.Counter
 	stops        prometheus.Counter
@@ -77,6 +80,9 @@
 		speculativeStarts: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "glade_task_copies_total", Help: "Starts ordered beside an earlier run that may go on.",
 		}),
+		stragglers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "glade_task_stragglers_total", Help: "Decisions on runs that take long, by why they do and what was decided.",
+		}, []string{"verdict", "decision"}),
 		hedges: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "glade_worker_repeats_total", Help: "Starts and stops sent again since they had no answer.",
 		}),
@@ -136,7 +142,7 @@
 	m.organisations = newOrganisationMetrics()
 	if registerer != nil {
 		registerer.MustRegister(m.organisations.collectors()...)
-		registerer.MustRegister(m.replyLateSeconds, m.quotaCalls, m.partSeconds, m.verdicts, m.lostHosts, m.lostRuns, m.planSeconds, m.lagSeconds, m.takeovers, m.starts, m.speculativeStarts, m.hedges, m.stops, m.throttles, m.calls, m.callSeconds, m.commits, m.commitSeconds, m.entries, m.submits,
+		registerer.MustRegister(m.replyLateSeconds, m.quotaCalls, m.partSeconds, m.verdicts, m.lostHosts, m.lostRuns, m.planSeconds, m.lagSeconds, m.takeovers, m.starts, m.speculativeStarts, m.stragglers, m.hedges, m.stops, m.throttles, m.calls, m.callSeconds, m.commits, m.commitSeconds, m.entries, m.submits,
 			m.jobs, m.jobAge, m.jobWait, m.lossyPeriods, m.sideCommits, m.refusals)
 	}
 	return m
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -87,6 +87,7 @@
 		return
 	}
 	r.host.health.recovered()
+	r.host.notePace(r, now)
 	if !r.startedAt.IsZero() && r.speed == fullPercent && r.task.checkpoint == "" {
 		r.task.step.recordRuntime(now.Sub(r.startedAt))
 	}
--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -52,6 +52,8 @@
 	// failures.
 	backoffUntil time.Time
 	health       health
+	// endedPaces holds the paces of the last runs that ended successfully.
+	endedPaces []endedPace
 	// roomReservation keeps the room that is being made on it.
 	roomReservation roomReservation
 	// unschedulable is set while the host is being drained and gets no new work,
--- a/internal/sched/jobs.go
+++ b/internal/sched/jobs.go
@@ -136,7 +136,7 @@
 		record: record, doneOccurrences: make(map[int]bool), restored: make(map[taskKey]work.TaskProgress),
 		arrived: now.Add(-max(0, wall.Sub(time.UnixMilli(record.ArrivedMs)))),
 	}
-	j.runtimes, j.usage = p.runtimesOf(record.Queue.Name), p.usageOf(record.Organisation)
+	j.runtimes, j.ratios, j.usage = p.runtimesOf(record.Queue.Name), p.ratiosOf(record.Queue.Name), p.usageOf(record.Organisation)
 	j.account = p.shares.Account(record.Organisation)
 	p.jobs[record.ID] = j
 	p.active = append(p.active, j)
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -57,6 +57,8 @@
 type Plan struct {
 	Orders         []Order
 	AdviceRequests []AdviceRequest
+	// Stragglers holds what was decided about runs that take long.
+	Stragglers []StragglerDecision
 }
 
 // stopRetry is the pause between two stops of one run.
@@ -247,7 +249,7 @@
 func (pl *planner) start(t *task, h *host, number int) {
 	crashes := pl.suspectedCrashes(t, pl.now)
 	r := &run{
-		task: t, number: number, host: h, state: starting, orderedAt: pl.now, progressedAt: pl.now, speed: fullPercent,
+		task: t, number: number, host: h, state: starting, orderedAt: pl.now, progressedAt: pl.now, speed: fullPercent, resumed: t.checkpoint != "",
 		suspect: crashes > 0, isolated: crashes >= strongSuspect,
 	}
 	t.run, t.lastRun, t.chargedRun = r, number, 0
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -72,6 +72,8 @@
 	lastRunScan time.Time
 	// runtimes predicts the run time of tasks, by queue.
 	runtimes map[string]*runtimeModel
+	// ratios holds the ratios of taken to declared run times, by queue.
+	ratios map[string]*ratioSketch
 	// arrivals tracks the rate of submitted jobs, by queue.
 	arrivals map[string]*arrivals
 	history  history
@@ -112,6 +114,7 @@
 		jobs:          make(map[string]*job),
 		hosts:         make(map[string]*host),
 		runtimes:      make(map[string]*runtimeModel),
+		ratios:        make(map[string]*ratioSketch),
 		arrivals:      make(map[string]*arrivals),
 		history:       newHistory(now),
 		submitted:     make(map[string]submittedJob),
--- a/internal/sched/replies.go
+++ b/internal/sched/replies.go
@@ -238,7 +238,7 @@
 	}
 	r := &run{
 		task: t, number: report.Run, host: h, state: running, orderedAt: now, startedAt: now, progressedAt: now,
-		percent: report.Percent, speed: fullPercent, adopted: true,
+		percent: report.Percent, firstPercent: report.Percent, speed: fullPercent, adopted: true,
 	}
 	r.suspect = t.clearCrash(report.Run) || len(t.crashes) > 0
 	h.addRun(r)
--- a/internal/sched/runtimes.go
+++ b/internal/sched/runtimes.go
@@ -76,6 +76,16 @@
 	return f
 }
 
+// ratiosOf returns the distribution of the ratios of a queue.
+func (p *Pool) ratiosOf(queue string) *ratioSketch {
+	s := p.ratios[queue]
+	if s == nil {
+		s = &ratioSketch{}
+		p.ratios[queue] = s
+	}
+	return s
+}
+
 // stepPrior is the number of a step's tasks that must have ended for their run
 // times to weigh as much as the model of the queue.
 const stepPrior = 1
@@ -97,4 +107,5 @@
 	s.runtimeSamples++
 	s.totalRuntime += took
 	s.occurrence.job.runtimes.add(s.spec.Estimate, took)
+	s.occurrence.job.ratios.add(s.spec.Estimate, took)
 }
--- a/internal/sched/speculate.go
+++ b/internal/sched/speculate.go
@@ -1,6 +1,10 @@
 package sched
 
-import "time"
+import (
+	"time"
+
+	"auburnglade.example/glade/internal/work"
+)
 
 const (
 	// takeoverReplyTime is how long after a takeover all reachable hosts have
@@ -14,11 +18,24 @@
 	minSlowLeft = 600 * time.Millisecond
 )
 
+// StragglerDecision is what was decided about a run that takes long.
+type StragglerDecision struct {
+	Task    work.TaskName
+	Run     int
+	Host    string
+	Verdict StragglerVerdict
+	// Copied is set when the task may start elsewhere, NoRoom when it may not because
+	// jobs that are in time need the room.
+	Copied, NoRoom bool
+	Inputs         StragglerInputs
+}
+
 // speculate lets tasks of steps that allow speculative execution start elsewhere
-// while a run of theirs is on an unresponsive host, is being stopped or is slow.
-// Otherwise a task on an unresponsive host waits five seconds for the lease to
-// expire. The first run to end counts.
+// while a run of theirs is on an unresponsive host, is being stopped, hangs or is on
+// a slow host. Otherwise a task on an unresponsive host waits five seconds for the
+// lease to expire. The first run to end counts.
 func (pl *planner) speculate() {
+	spare := pl.spareCPU()
 	for _, h := range pl.hosts {
 		unresponsive := pl.unresponsive(h, pl.now)
 		for _, r := range h.runs {
@@ -26,11 +43,57 @@
 			if r.task.run != r || !s.spec.Speculative || s.spec.Gang || s.occurrence.job.state != "" || !pl.maySpeculate(r.task, pl.now) {
 				continue
 			}
-			if unresponsive || r.state == stopping || len(r.task.copies) == 0 && r.slow(pl.now) && pl.find(r.task) != nil {
+			if unresponsive || r.state == stopping {
 				pl.demoteToCopy(r)
+				continue
+			}
+			if len(r.task.copies) == 0 && r.slow(pl.now) && pl.find(r.task) != nil {
+				spare -= pl.decideStraggler(r, spare)
+			}
+		}
+	}
+}
+
+// spareCPU returns the thousandths of a core that are free beyond what the waiting
+// tasks of jobs that are in time need.
+func (pl *planner) spareCPU() int {
+	spare := 0
+	for _, h := range pl.open {
+		spare += h.free().MilliCPU
+	}
+	for _, j := range pl.active {
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
+				if o.admitted && s.waiting > 0 && s.ready() {
+					spare -= s.waiting * s.spec.Reserved().MilliCPU
+				}
 			}
 		}
 	}
+	return spare
+}
+
+// decideStraggler lets the task of a slow run start elsewhere if that ends sooner,
+// and returns the thousandths of a core that this takes. A run that hangs never ends,
+// so its task competes for room like any other.
+func (pl *planner) decideStraggler(r *run, spare int) (taken int) {
+	in := r.stragglerInputs()
+	verdict := judgeStraggler(in)
+	resources := r.task.step.spec.Reserved().MilliCPU
+	noRoom := verdict == SlowHost && spare < resources
+	copied := verdict == Hanging || verdict == SlowHost && !noRoom
+	if copied || r.verdict == "" {
+		// Two entries for a run at most: the first verdict and the copy.
+		r.verdict = verdict
+		pl.plan.Stragglers = append(pl.plan.Stragglers, StragglerDecision{
+			Task: r.task.name, Run: r.number, Host: r.host.ID, Verdict: verdict, Copied: copied, NoRoom: noRoom, Inputs: in,
+		})
+	}
+	if !copied {
+		return 0
+	}
+	pl.demoteToCopy(r)
+	return resources
 }
 
 // slow reports whether a run will take much longer than a new one would.
@@ -43,7 +106,8 @@
 		return true
 	}
 	// The percent is as old as its report.
-	left := r.progressedAt.Sub(r.startedAt)*time.Duration(fullPercent-r.percent)/time.Duration(r.percent) - now.Sub(r.progressedAt)
+	gained := max(1, r.percent-r.firstPercent)
+	left := r.progressedAt.Sub(r.startedAt)*time.Duration(fullPercent-r.percent)/time.Duration(gained) - now.Sub(r.progressedAt)
 	return left > max(minSlowLeft, time.Duration(slowFactor*float64(estimate)))
 }
 
--- a/internal/sched/task.go
+++ b/internal/sched/task.go
@@ -17,6 +17,7 @@
 	// account is that of its organisation among the shares of the pool.
 	account  *fairshare.Account
 	runtimes *runtimeModel
+	ratios   *ratioSketch
 	state    work.State
 	endedAt  time.Time
 	endedMs  int64
@@ -139,6 +140,12 @@
 	// known to execute.
 	orderedAt, startedAt time.Time
 	percent              int
+	// firstPercent is the percent at startedAt, above zero for an adopted run.
+	firstPercent int
+	// resumed is set for a run that was started from a checkpoint.
+	resumed bool
+	// verdict is the first one on why it takes long, empty before.
+	verdict StragglerVerdict
 	// progressedAt is when percent last changed, progressClock the host's clock at
 	// the report that showed it, zero before the first one.
 	progressedAt  time.Time
