Measure predicted against taken run times and the outcome of copies

Cause: nothing showed operators how far predictions are off in each queue, nor whether copies are of use and why they were started.

--- a/internal/poolmanager/manager.go
+++ b/internal/poolmanager/manager.go
@@ -312,9 +312,7 @@
 	for _, order := range plan.Orders {
 		m.dispatch(order)
 	}
-	for _, straggler := range plan.Stragglers {
-		m.reportStraggler(straggler)
-	}
+	m.reportMeasured(plan)
 	for _, request := range plan.AdviceRequests {
 		go m.requestAdvice(request)
 	}
--- a/internal/poolmanager/metrics.go
+++ b/internal/poolmanager/metrics.go
@@ -16,7 +16,11 @@
 	// stragglers counts the decisions on runs that take long, by
 	// sched.StragglerVerdict and decision.
 	stragglers *prometheus.CounterVec
-	hedges     prometheus.Counter
+	// copies counts the copied tasks whose earlier run has ended, by sched.CopyReason
+	// and sched.CopyOutcome.
+	copies   *prometheus.CounterVec
+	runtimes *runtimeMetrics
+	hedges   prometheus.Counter
 	// lossyPeriods counts periods in which healthy hosts left calls unanswered.
 	lossyPeriods prometheus.Counter
 	stops        prometheus.Counter
@@ -83,6 +87,10 @@
 		stragglers: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "glade_task_stragglers_total", Help: "Decisions on runs that take long, by why they do and what was decided.",
 		}, []string{"verdict", "decision"}),
+		copies: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "glade_task_copies_ended_total", Help: "Copied tasks whose earlier run has ended, by why they were copied and how it ended.",
+		}, []string{"reason", "outcome"}),
+		runtimes: newRuntimeMetrics(),
 		hedges: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "glade_worker_repeats_total", Help: "Starts and stops sent again since they had no answer.",
 		}),
@@ -142,7 +150,7 @@
 	m.organisations = newOrganisationMetrics()
 	if registerer != nil {
 		registerer.MustRegister(m.organisations.collectors()...)
-		registerer.MustRegister(m.replyLateSeconds, m.quotaCalls, m.partSeconds, m.verdicts, m.lostHosts, m.lostRuns, m.planSeconds, m.lagSeconds, m.takeovers, m.starts, m.speculativeStarts, m.stragglers, m.hedges, m.stops, m.throttles, m.calls, m.callSeconds, m.commits, m.commitSeconds, m.entries, m.submits,
+		registerer.MustRegister(m.replyLateSeconds, m.quotaCalls, m.partSeconds, m.verdicts, m.lostHosts, m.lostRuns, m.planSeconds, m.lagSeconds, m.takeovers, m.starts, m.speculativeStarts, m.stragglers, m.copies, m.runtimes.ratios, m.hedges, m.stops, m.throttles, m.calls, m.callSeconds, m.commits, m.commitSeconds, m.entries, m.submits,
 			m.jobs, m.jobAge, m.jobWait, m.lossyPeriods, m.sideCommits, m.refusals)
 	}
 	return m
--- a/internal/poolmanager/stragglers.go
+++ b/internal/poolmanager/stragglers.go
@@ -9,6 +9,20 @@
 	stragglerNoRoom = "no room"
 )
 
+// reportMeasured reports what a plan says about run times, copies and runs that take
+// long.
+func (m *Manager) reportMeasured(plan sched.Plan) {
+	for _, record := range plan.Runtimes {
+		m.Metrics.runtimes.observe(record)
+	}
+	for _, record := range plan.Copies {
+		m.Metrics.copies.WithLabelValues(string(record.Reason), string(record.Outcome)).Inc()
+	}
+	for _, straggler := range plan.Stragglers {
+		m.reportStraggler(straggler)
+	}
+}
+
 // reportStraggler counts and logs a decision on a run that takes long, at most twice
 // for each run.
 func (m *Manager) reportStraggler(d sched.StragglerDecision) {
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -89,6 +89,7 @@
 	r.host.health.recovered()
 	r.host.notePace(r, now)
 	if !r.startedAt.IsZero() && r.speed == fullPercent && r.task.checkpoint == "" {
+		p.recordPrediction(r, now.Sub(r.startedAt))
 		r.task.step.recordRuntime(now.Sub(r.startedAt))
 	}
 }
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -59,6 +59,9 @@
 	AdviceRequests []AdviceRequest
 	// Stragglers holds what was decided about runs that take long.
 	Stragglers []StragglerDecision
+	// Runtimes and Copies hold what was measured since the last plan.
+	Runtimes []RuntimeRecord
+	Copies   []CopyRecord
 }
 
 // stopRetry is the pause between two stops of one run.
@@ -92,6 +95,8 @@
 	pl.evacuate()
 	pl.scheduleStarts()
 	pl.sendStops()
+	measured := p.records.take()
+	pl.plan.Runtimes, pl.plan.Copies = measured.runtimes, measured.copies
 	return pl.plan
 }
 
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -76,7 +76,9 @@
 	ratios map[string]*ratioSketch
 	// arrivals tracks the rate of submitted jobs, by queue.
 	arrivals map[string]*arrivals
-	history  history
+	// records holds what was measured since the last plan.
+	records records
+	history history
 	// submitted holds the jobs that were submitted and are not stored yet.
 	submitted map[string]submittedJob
 	// usages holds what organisations use, quotas what they may use, by name.
--- a/internal/sched/replies.go
+++ b/internal/sched/replies.go
@@ -147,6 +147,7 @@
 		t.job().version++
 	}
 	if t.run != r {
+		p.recordCopy(r, reason)
 		t.copies = slices.DeleteFunc(t.copies, func(c *run) bool { return c == r })
 		return
 	}
--- a/internal/sched/speculate.go
+++ b/internal/sched/speculate.go
@@ -43,8 +43,12 @@
 			if r.task.run != r || !s.spec.Speculative || s.spec.Gang || s.occurrence.job.state != "" || !pl.maySpeculate(r.task, pl.now) {
 				continue
 			}
-			if unresponsive || r.state == stopping {
-				pl.demoteToCopy(r)
+			switch {
+			case unresponsive:
+				pl.demoteToCopy(r, CopySilentHost)
+				continue
+			case r.state == stopping:
+				pl.demoteToCopy(r, CopyStopping)
 				continue
 			}
 			if len(r.task.copies) == 0 && r.slow(pl.now) && pl.find(r.task) != nil {
@@ -92,7 +96,11 @@
 	if !copied {
 		return 0
 	}
-	pl.demoteToCopy(r)
+	reason := CopySlowHost
+	if verdict == Hanging {
+		reason = CopyHanging
+	}
+	pl.demoteToCopy(r, reason)
 	return resources
 }
 
@@ -113,8 +121,9 @@
 
 // demoteToCopy turns a run into one of its task's copies, so that the task waits
 // for another start. The run counts on its host until it has certainly ended.
-func (pl *planner) demoteToCopy(r *run) {
+func (pl *planner) demoteToCopy(r *run, reason CopyReason) {
 	t := r.task
+	r.copyReason = reason
 	t.run = nil
 	t.copies = append(t.copies, r)
 	if !t.done {
--- a/internal/sched/straggler_test.go
+++ b/internal/sched/straggler_test.go
@@ -103,13 +103,23 @@
 	}
 }
 
-// pass lets time pass and returns the copies and decisions. Runs that start gain what
-// rate returns for their host and task, in percent in a tick.
+// pass lets time pass and returns the copies and decisions.
 func (s *stragglerScript) pass(length time.Duration, rate func(host string, task int) float64) (copies []Order, decisions []StragglerDecision) {
+	copies, plans := s.passPlans(length, rate)
+	for _, plan := range plans {
+		decisions = append(decisions, plan.Stragglers...)
+	}
+	return copies, decisions
+}
+
+// passPlans lets time pass and returns the copies and plans. Runs that start gain what
+// rate returns for their host and task, in percent in a tick.
+func (s *stragglerScript) passPlans(length time.Duration, rate func(host string, task int) float64) (copies []Order, plans []Plan) {
 	for end := s.now.Add(length); s.now.Before(end); {
 		plan := s.p.Plan(s.now, s.now)
 		for _, o := range plan.Orders {
 			if r := s.running[o.To.ID][o.Task]; o.Verb == Stop && r != nil && r.Run == o.Run {
+				s.p.StopOutcome(o.To.ID, o.Task, o.Run, worker.Accepted, s.now, s.now)
 				s.end(o.To.ID, o.Task, work.EndStopped)
 			}
 			if o.Verb != Start {
@@ -121,7 +131,7 @@
 				copies = append(copies, o)
 			}
 		}
-		decisions = append(decisions, plan.Stragglers...)
+		plans = append(plans, plan)
 		s.now = s.now.Add(scriptTick)
 		for id, runs := range s.running {
 			for name, r := range runs {
@@ -135,7 +145,7 @@
 		s.reply()
 		s.p.Tick(s.now, s.now)
 	}
-	return copies, decisions
+	return copies, plans
 }
 
 // end ends a run on its host.
--- a/internal/sched/task.go
+++ b/internal/sched/task.go
@@ -142,6 +142,8 @@
 	percent              int
 	// firstPercent is the percent at startedAt, above zero for an adopted run.
 	firstPercent int
+	// copyReason is why its task was started elsewhere.
+	copyReason CopyReason
 	// resumed is set for a run that was started from a checkpoint.
 	resumed bool
 	// verdict is the first one on why it takes long, empty before.
