--- a/internal/poolmanager/manager.go
+++ b/internal/poolmanager/manager.go
@@ -312,6 +312,7 @@
 	for _, order := range plan.Orders {
 		m.dispatch(order)
 	}
+	m.reportMeasured(plan)
 	for _, request := range plan.AdviceRequests {
 		go m.requestAdvice(request)
 	}
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -72,9 +72,13 @@
 	lastRunScan time.Time
 	// runtimes predicts the run time of tasks, by queue.
 	runtimes map[string]*runtimeModel
+	// ratios holds the ratios of taken to declared run times, by queue.
+	ratios map[string]*ratioSketch
 	// arrivals tracks the rate of submitted jobs, by queue.
 	arrivals map[string]*arrivals
-	history  history
+	// records holds what was measured since the last plan.
+	records records
+	history history
 	// submitted holds the jobs that were submitted and are not stored yet.
 	submitted map[string]submittedJob
 	// usages holds what organisations use, quotas what they may use, by name.
@@ -112,6 +116,7 @@
 		jobs:          make(map[string]*job),
 		hosts:         make(map[string]*host),
 		runtimes:      make(map[string]*runtimeModel),
+		ratios:        make(map[string]*ratioSketch),
 		arrivals:      make(map[string]*arrivals),
 		history:       newHistory(now),
 		submitted:     make(map[string]submittedJob),
--- a/internal/sched/replies.go
+++ b/internal/sched/replies.go
@@ -147,6 +147,7 @@
 		t.job().version++
 	}
 	if t.run != r {
+		p.recordCopy(r, reason)
 		t.copies = slices.DeleteFunc(t.copies, func(c *run) bool { return c == r })
 		return
 	}
@@ -238,7 +239,7 @@
 	}
 	r := &run{
 		task: t, number: report.Run, host: h, state: running, orderedAt: now, startedAt: now, progressedAt: now,
-		percent: report.Percent, speed: fullPercent, adopted: true,
+		percent: report.Percent, firstPercent: report.Percent, speed: fullPercent, adopted: true,
 	}
 	r.suspect = t.clearCrash(report.Run) || len(t.crashes) > 0
 	h.addRun(r)
