--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -84,7 +84,13 @@
 // New returns an entry host. It is inactive until Run.
 func New(config Config) *Host {
 	config.Self.CanCarry = true
-	h := &Host{Config: config, managers: make(map[string]*poolmanager.Manager), poolMetrics: poolmanager.NewMetrics(config.Registerer), carrierMetrics: carrier.NewMetrics(config.Registerer), starts: linkbudget.New(config.LinkMbps, startShare)}
+	h := &Host{
+		Config:         config,
+		managers:       make(map[string]*poolmanager.Manager),
+		poolMetrics:    poolmanager.NewMetrics(config.Registerer),
+		carrierMetrics: carrier.NewMetrics(config.Registerer),
+		starts:         linkbudget.New(config.LinkMbps, startShare),
+	}
 	h.Carrier = carrier.NewServer(config.Workers, carrier.BatchDelay(config.LinkMbps), h.carrierMetrics)
 	h.Cluster = cluster.New(cluster.Config{
 		Store: config.Store, Self: config.Self, Pools: h.claims, StartPool: h.startPool,
@@ -187,7 +193,8 @@
 // router returns the router for calls to the hosts of a claimed pool.
 func (h *Host) router(takeover cluster.Takeover) *carrier.Router {
 	return carrier.NewRouter(carrier.Config{
-		Pool: takeover.Pool, Session: fmt.Sprintf("%s/%s/%d", h.Self.HolderID(), takeover.Pool, takeover.Head.Fence), CPUShare: h.Self.CPUShare, HostsPerCore: cmp.Or(h.HostsPerCore, carrier.DefaultHostsPerCore),
+		Pool: takeover.Pool, Session: fmt.Sprintf("%s/%s/%d", h.Self.HolderID(), takeover.Pool, takeover.Head.Fence),
+		CPUShare: h.Self.CPUShare, HostsPerCore: cmp.Or(h.HostsPerCore, carrier.DefaultHostsPerCore),
 		Direct: h.Workers, Hosts: h.Hosts, Peers: h.CarrierPeers, BatchDelay: carrier.BatchDelay(h.LinkMbps), Candidates: h.candidates, Metrics: h.carrierMetrics,
 		Log: telemetry.PartLogger(h.Log, "carrier").With().Str("pool", takeover.Pool).Logger(),
 	})
--- a/internal/hostmanager/allocation.go
+++ b/internal/hostmanager/allocation.go
@@ -14,8 +14,8 @@
 	minBusyUse = timeToMove
 	// SettlingTime is how long after a move a host isn't drained for another one.
 	SettlingTime = timeToMove + minUse
-	// minRecipientValue is the least mean value of a host's capacity for which a busy
-	// host is drained: half of a host for late work.
+	// minRecipientValue is the least mean value of one more host for which a pool gets
+	// one: that of a host of which half works on late jobs.
 	minRecipientValue = LateValue / 2
 	// minIdleGain is the least gain for which an idle host is moved.
 	minIdleGain = minRecipientValue
@@ -61,7 +61,7 @@
 	hostSize float64
 	// busy are the busy hosts that the pool can give, the cheapest first.
 	busy []busyHost
-	// next is the value of one more host, kept the value of the last one.
+	// next is the mean value of a core of one more host, kept that of the last host.
 	next, kept float64
 	// unserved is set once no pool had a host to give to this one.
 	unserved bool
@@ -170,6 +170,7 @@
 	var best *valuedPool
 	index, lowest := 0, 0.0
 	for _, from := range a.pools {
+		// No host of a pool loses less than what its cores bring while it moves.
 		if from == to || len(from.busy) == 0 || best != nil && from.kept*timeToMove.Seconds() >= lowest {
 			continue
 		}
@@ -213,8 +214,9 @@
 }
 
 // busyHosts returns the busy hosts that a pool can give away beside those that are
-// promised, the ones that are empty soonest first. Hosts with long-running tasks stay, and so do hosts that have just
-// arrived. The pool keeps the hosts that its long-running tasks and gangs need.
+// promised: first those without maintenance due, then the ones that are empty soonest.
+// Hosts with long-running tasks stay, and so do hosts that have just arrived. The pool
+// keeps the hosts that its long-running tasks and gangs need.
 func (p *plannedPool) busyHosts(promised map[string]bool) []busyHost {
 	if p.Spare || p.Load.WarmingUp || p.ReportAge > maxReportAge || len(p.Load.Demand) == 0 {
 		return nil
--- a/internal/hostmanager/allocation_test.go
+++ b/internal/hostmanager/allocation_test.go
@@ -44,8 +44,8 @@
 }
 
 // A large pool's burst is over and it works on late jobs on all of its hosts. Another
-// pool's burst starts; it waited until hosts of the first became idle by chance. Busy
-// hosts have to be drained, a part of them with each plan, those empty soonest first.
+// pool's burst starts, and must not wait until hosts of the first become idle by chance.
+// Busy hosts have to be drained, a part of them with each plan, those empty soonest first.
 func TestBusyHostsMoveFromLateWorkToWorkInTime(t *testing.T) {
 	large, next := busyPool("large", 198, 30, 160), busyPool("next", 31, 120, 0).inBurst(8*time.Second)
 	moves := PlanMovesByValue([]PoolView{large, next}, anywhere)
--- a/internal/hostmanager/bursts.go
+++ b/internal/hostmanager/bursts.go
@@ -96,8 +96,7 @@
 	// two seconds that a host takes to arrive for it.
 	minProvenSamples = 10
 	// needFactor times the offered load is the capacity that a burst gets. Jobs
-	// arrive in batches and tasks don't fill hosts to the last core: with a factor
-	// of 1.2 instead of 2, a tenth of a burst's jobs was late.
+	// arrive in batches and tasks don't fill hosts to the last core.
 	needFactor = 1.6
 	// maxUsageFactor times what runs and waits limits that capacity: with more,
 	// hosts are idle while the next burst starts in another pool.
--- a/internal/hostmanager/bursts_load_test.go
+++ b/internal/hostmanager/bursts_load_test.go
@@ -69,8 +69,8 @@
 // active reports whether the pool gets hosts for a burst.
 func (r *burstReplay) active(pool string) bool { return r.views[pool].BurstNeed > 0 }
 
-// A few jobs arrive before the real load. A pool that kept its burst for them missed
-// its real one.
+// A few jobs arrive before the real load. A pool that kept its burst for them would
+// miss its real one.
 func TestNoiseBeforeFirstBurstIsForgotten(t *testing.T) {
 	r := newBurstReplay(map[string]int{"a": 10, "b": 10})
 	r.play(600*time.Millisecond, map[string]float64{"a": 12})
@@ -133,8 +133,8 @@
 	must.False(t, r.active("a"))
 }
 
-// Jobs arrive in bunches with gaps of half a second. The burst started and ended with
-// each of them, and counted as several.
+// Jobs arrive in bunches with gaps of half a second. The burst must not start and end
+// with each of them, and must not count as several.
 func TestArrivalsInBunchesAreOneBurst(t *testing.T) {
 	r := newBurstReplay(map[string]int{"a": 10, "b": 10})
 	high, low := map[string]float64{"a": 16}, map[string]float64{"a": 0.1}
@@ -150,8 +150,8 @@
 	must.EqOp(t, 1, r.ends["a"])
 }
 
-// The host manager is lost in mid-burst. Its successor took the running burst for a new
-// one and counted it as a second burst of the same pool.
+// The host manager is lost in mid-burst. Its successor must not take the running burst
+// for a new one and count it as a second burst of the same pool.
 func TestTakeoverInMidBurstCountsNoBurst(t *testing.T) {
 	r := newBurstReplay(map[string]int{"a": 10, "b": 10, "c": 10})
 	r.peaks["a"], r.highAt["a"] = 15, r.now.Add(-20*time.Second)
@@ -167,7 +167,7 @@
 }
 
 // The pool's holder is lost with the host manager in mid-burst. What it reports while
-// it warms up is too low, and the burst counted as a new one after that.
+// it warms up is too low, and the burst must not count as a new one after that.
 func TestTakeoverOfHolderAndHostManagerCountsNoBurst(t *testing.T) {
 	tracker, now := NewBurstTracker(), time.Unix(1_000_000, 0)
 	p := poolView("a", 10, 0, 0)
--- a/internal/hostmanager/decisions.go
+++ b/internal/hostmanager/decisions.go
@@ -26,7 +26,7 @@
 
 func (d *Decision) hosts() int { return d.IdleHosts + d.BusyHosts }
 
-// Decisions summarizes the moves of a plan, the ones of most hosts first.
+// Decisions summarizes the moves of a plan, the decisions that move most hosts first.
 func Decisions(moves []Move, views []PoolView) []Decision {
 	type key struct {
 		to     string
--- a/internal/hostmanager/manager.go
+++ b/internal/hostmanager/manager.go
@@ -64,9 +64,9 @@
 	// second; zero means no limit.
 	CallsPerSecond float64
 	// Allocation is how hosts are allocated to pools that are short of some; empty
-	// selects AllocateByValue.
+	// means AllocateByNeed.
 	Allocation Allocation
-	// Metrics are nil if none are kept.
+	// Metrics may be nil: then none are kept.
 	Metrics *Metrics
 	Log     zerolog.Logger
 }
@@ -144,9 +144,11 @@
 // token, revision the revision of its head, and claim the claim record.
 func New(config Config, fence int64, revision store.Revision, claim []byte) *Manager {
 	return &Manager{
-		Config: config, fence: fence, revision: revision, claim: claim, drains: newDrainBatcher(config.Pools), listSlot: make(chan struct{}, 1), limiter: newLimiter(config.CallsPerSecond),
-		bursts: NewBurstTracker(), lengths: NewBurstLengths(), maintenanceTimes: NewMaintenanceTimes(), operations: make(map[string]*operation), waves: make(map[int64]*waveState),
-		rejected: make(map[kindAndPool]bool), movedAt: make(map[string]time.Time), confirmedAt: time.Now(),
+		Config: config, fence: fence, revision: revision, claim: claim, confirmedAt: time.Now(),
+		drains: newDrainBatcher(config.Pools), listSlot: make(chan struct{}, 1), limiter: newLimiter(config.CallsPerSecond),
+		bursts: NewBurstTracker(), lengths: NewBurstLengths(), maintenanceTimes: NewMaintenanceTimes(),
+		operations: make(map[string]*operation), waves: make(map[int64]*waveState),
+		rejected: make(map[kindAndPool]bool), movedAt: make(map[string]time.Time),
 	}
 }
 
--- a/internal/hostmanager/moves.go
+++ b/internal/hostmanager/moves.go
@@ -50,13 +50,13 @@
 	// hosts: a smaller excess has ended before a host arrives.
 	requestFactor = 1.05
 	// requestSurge times its need is the capacity that a pool short of hosts
-	// requests. Demand that exceeds a pool's capacity goes on growing for some
-	// seconds, and a host takes 2.5 s to arrive.
+	// requests. Demand that exceeds a pool's capacity goes on growing while the hosts
+	// for it arrive.
 	requestSurge = 3
 	// minLevelGap is by how many hosts the free capacity of two pools must differ
 	// before a host is moved to level them, or levelGapShare of all hosts where
-	// that is more. Free capacity changes every tenth of a second, and each move
-	// takes a host out of use for two seconds.
+	// that is more. Free capacity changes faster than a host moves, and each move
+	// takes a host out of use.
 	minLevelGap   = 6
 	levelGapShare = 0.03
 )
@@ -136,7 +136,7 @@
 // PlanMoves plans the moves of hosts between pools. Pools that are short of hosts
 // get them from the spare pools first, then from the pools with the most free
 // capacity. The free capacity left after that is levelled over the pools, since it
-// is unknown which of them will have more work next, and a move takes two seconds.
+// is unknown which of them will have more work next, and a move takes timeToMove.
 func PlanMoves(pools []PoolView, allowed func(h Host, pool string) bool) []Move {
 	m := newMovePlanner(pools, allowed)
 	m.planIdle()
@@ -173,9 +173,8 @@
 
 // planIdle plans the moves of idle hosts.
 func (m *movePlanner) planIdle() {
-	anyPool := func(*plannedPool) bool { return true }
-	m.fillShortages(anyPool)
-	m.levelFree(anyPool)
+	m.fillShortages()
+	m.levelFree()
 }
 
 // movePlanner plans moves between the pools that can give hosts and those that
@@ -229,18 +228,19 @@
 	return p.BurstLikelihood
 }
 
-// canReceive reports whether the pool can get hosts when free capacity is levelled.
+// canReceive reports whether the pool can get hosts by value or as free capacity is
+// levelled.
 func (p *plannedPool) canReceive() bool { return p.Known && !p.Spare && !p.unregistered() }
 
 // fillShortages moves hosts to the pools that are short of some. Each goes to the
 // pool with the least capacity relative to its need.
-func (m *movePlanner) fillShortages(mayGive func(from *plannedPool) bool) {
+func (m *movePlanner) fillShortages() {
 	for {
 		to := m.neediest()
 		if to == nil {
 			return
 		}
-		from := m.bestDonor(to, func(from *plannedPool) bool { return from.shortage <= 0 && mayGive(from) })
+		from := m.bestDonor(to, func(from *plannedPool) bool { return from.shortage <= 0 })
 		if from == nil {
 			to.shortage = 0
 			continue
@@ -326,17 +326,17 @@
 }
 
 // allReported reports whether the needs of all pools are known. After the loss of
-// all entry hosts, the first pools with a holder otherwise got hosts that the
-// others turned out to need a moment later.
+// all entry hosts, the first pools with a holder would otherwise get hosts that the
+// others need a moment later.
 func (m *movePlanner) allReported() bool {
 	return !slices.ContainsFunc(m.pools, func(p *plannedPool) bool { return !p.Spare && (!p.Known || p.Load.WarmingUp) })
 }
 
 // levelFree moves hosts from the pool with the largest excess of free capacity to
 // the one with the smallest, until the two differ by less than the gap. Each pool's
-// fair share is proportional to how likely it has the next demand burst, as a host
-// takes two seconds to move.
-func (m *movePlanner) levelFree(mayGive func(from *plannedPool) bool) {
+// fair share is proportional to how likely it has the next demand burst, since hosts
+// that move only after its start serve nobody meanwhile.
+func (m *movePlanner) levelFree() {
 	if !m.allReported() {
 		return
 	}
@@ -356,7 +356,7 @@
 			if !p.canReceive() {
 				continue
 			}
-			if len(p.movable) > 0 && (most == nil || excess(p) > excess(most)) && mayGive(p) {
+			if len(p.movable) > 0 && (most == nil || excess(p) > excess(most)) {
 				most = p
 			}
 			if least == nil || excess(p) < excess(least) {
@@ -385,8 +385,8 @@
 
 // byMoveCost orders hosts by the cost of giving them to a pool short of hosts.
 // Hosts due for maintenance come last, since they can go to maintenance where they
-// are idle. Without this order, such hosts had to be drained in the middle of the
-// burst that they were moved for.
+// are idle. Moved first, they would be drained for it in the middle of the burst
+// that they were moved for.
 func byMoveCost(a, b Host) int {
 	return cmp.Or(trueFirst(b.MaintenanceDue, a.MaintenanceDue), cmp.Compare(a.Name, b.Name))
 }
@@ -397,8 +397,8 @@
 // tasks stay, since a move would end these; so do unschedulable ones, which have an
 // operation in progress or are unresponsive and can't be drained. A pool that was
 // just taken over keeps half of its hosts: nothing runs there yet, no jobs have been
-// submitted, and a demand burst in progress would find it without hosts. Keeping
-// all of them did more harm: another pool whose demand burst started lacked them.
+// submitted, and a demand burst in progress would find it without hosts. If it kept
+// all of them, another pool whose demand burst starts would lack them.
 func (p *PoolView) freeHosts() []Host {
 	loads := p.loadsByWorker()
 	free := p.Load.Capacity - p.Load.Used
--- a/internal/jobrouter/routes.go
+++ b/internal/jobrouter/routes.go
@@ -29,9 +29,11 @@
 type remoteCall func(ctx context.Context, address string, relay bool) (poolmanager.Result, bool, error)
 
 // everyRoute tries the pool's holder, then the pool's inbox in the store, then other
-// entry hosts. JobNotFound is final only if the store reports it. refusals counts the other
-// entry hosts that refused.
-func (r *Router) everyRoute(ctx context.Context, pool string, local localCall, writeToStore func() poolmanager.Result, remote remoteCall) (result poolmanager.Result, refusals int) {
+// entry hosts. JobNotFound is final only if the store reports it, a refusal for want of
+// room only if the holder does. refusals counts the other entry hosts that refused.
+func (r *Router) everyRoute(
+	ctx context.Context, pool string, local localCall, writeToStore func() poolmanager.Result, remote remoteCall,
+) (result poolmanager.Result, refusals int) {
 	result = r.viaHolder(ctx, pool, local, remote)
 	if result == poolmanager.Stored || result == poolmanager.Conflict || result.ForRoom() {
 		return result, 0
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -105,8 +105,8 @@
 	return earliest + time.Duration(r.returning/f.Cores*float64(time.Second))
 }
 
-// settle forgets the work that the pool got through since the last decision, and
-// attempts that are old.
+// settle forgets the work of returning clients that the pool got through since the last
+// decision.
 func (r *Refuser) settle(cores float64, now time.Time) {
 	if done := cores * now.Sub(r.returningAt).Seconds(); !r.returningAt.IsZero() {
 		r.returning = max(0, r.returning-done)
--- a/internal/poolmanager/manager.go
+++ b/internal/poolmanager/manager.go
@@ -251,7 +251,8 @@
 	m.statsLoggedAt = now
 	m.reportOrganisations()
 	s := m.pool.Stats(now)
-	m.Log.Info().Dur("plan_ms", m.planDuration).Dur("worst_lag_ms", m.maxLag).Dur("worst_reply_late_ms", m.maxReplyLate).Dur("order_ms", m.hedger.latency()).Int("jobs", s.Jobs).Int("hosts", s.Hosts).Int("usable", s.Usable).Interface("unusable", s.UnusableReasons).
+	m.Log.Info().Dur("plan_ms", m.planDuration).Dur("worst_lag_ms", m.maxLag).Dur("worst_reply_late_ms", m.maxReplyLate).Dur("order_ms", m.hedger.latency()).
+		Int("jobs", s.Jobs).Int("hosts", s.Hosts).Int("usable", s.Usable).Interface("unusable", s.UnusableReasons).
 		Int("unreached", s.Unreached).Int("runs", s.Runs).Int("waiting_tasks", s.WaitingTasks).
 		Int("waiting_lasting", s.LongRunningWaiting).Int("used_cores", s.UsedCores).Int("cores", s.Cores).Dict("busy_ms", m.workTimes.takeSpent()).Msg("Pool statistics.")
 	m.maxLag, m.maxReplyLate = 0, 0
--- a/internal/poolmanager/metrics.go
+++ b/internal/poolmanager/metrics.go
@@ -150,8 +150,9 @@
 	m.organisations = newOrganisationMetrics()
 	if registerer != nil {
 		registerer.MustRegister(m.organisations.collectors()...)
-		registerer.MustRegister(m.replyLateSeconds, m.quotaCalls, m.partSeconds, m.verdicts, m.lostHosts, m.lostRuns, m.planSeconds, m.lagSeconds, m.takeovers, m.starts, m.speculativeStarts, m.stragglers, m.copies, m.runtimes.ratios, m.hedges, m.stops, m.throttles, m.calls, m.callSeconds, m.commits, m.commitSeconds, m.entries, m.submits,
-			m.jobs, m.jobAge, m.jobWait, m.lossyPeriods, m.sideCommits, m.refusals)
+		registerer.MustRegister(m.replyLateSeconds, m.quotaCalls, m.partSeconds, m.verdicts, m.lostHosts, m.lostRuns, m.planSeconds, m.lagSeconds,
+			m.takeovers, m.starts, m.speculativeStarts, m.stragglers, m.copies, m.runtimes.ratios, m.hedges, m.stops, m.throttles, m.calls,
+			m.callSeconds, m.commits, m.commitSeconds, m.entries, m.submits, m.jobs, m.jobAge, m.jobWait, m.lossyPeriods, m.sideCommits, m.refusals)
 	}
 	return m
 }
--- a/internal/poolmanager/organisations.go
+++ b/internal/poolmanager/organisations.go
@@ -1,8 +1,6 @@
 package poolmanager
 
 import (
-	"sync"
-
 	"github.com/prometheus/client_golang/prometheus"
 
 	"auburnglade.example/glade/internal/sched"
@@ -10,26 +8,26 @@
 )
 
 const (
-	// maxCounted bounds the organisations that have series of their own; all others
-	// are counted together.
-	maxCounted = 64
-	// uncounted is the label of those others, nobody that of jobs without an
-	// organisation.
-	uncounted = "(others)"
-	nobody    = "(none)"
+	// maxOrganisationLabels bounds the organisations that have series of their own; all
+	// others are counted together.
+	maxOrganisationLabels = 64
+	// otherOrganisations is the label of those others, noOrganisation that of jobs
+	// without an organisation.
+	otherOrganisations = "(others)"
+	noOrganisation     = "(none)"
 )
 
 // organisationMetrics tells who uses the room of the pools held here.
 type organisationMetrics struct {
-	jobs, starts        *prometheus.CounterVec
-	waiting, due, given *prometheus.GaugeVec
-	labels              *organisationLabels
+	jobs, starts       *prometheus.CounterVec
+	waiting, due, used *prometheus.GaugeVec
+	labels             organisationLabels
 }
 
 func newOrganisationMetrics() organisationMetrics {
 	labels := []string{"pool", "organisation"}
 	return organisationMetrics{
-		labels: &organisationLabels{known: make(map[string]bool)},
+		labels: newOrganisationLabels(),
 		jobs: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "glade_organisation_jobs_total", Help: "Jobs that have ended, by pool, organisation and result: in time, late, or their state.",
 		}, append(labels, "result")),
@@ -42,14 +40,14 @@
 		due: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "glade_organisation_share_due", Help: "Share of a pool's cores by weight, among the organisations that have tasks there.",
 		}, labels),
-		given: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		used: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "glade_organisation_share_used", Help: "Share of the cores in use in a pool, by organisation.",
 		}, labels),
 	}
 }
 
 func (m organisationMetrics) collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.jobs, m.starts, m.waiting, m.due, m.given}
+	return []prometheus.Collector{m.jobs, m.starts, m.waiting, m.due, m.used}
 }
 
 // jobResult returns the result of an ended job.
@@ -63,24 +61,18 @@
 	return "late"
 }
 
-// organisationLabels gives each organisation its label. The first maxCounted that the
-// process sees have their names.
-type organisationLabels struct {
-	mu    sync.Mutex
-	known map[string]bool
+// organisationLabels gives each organisation its label.
+type organisationLabels struct{ *boundedLabels }
+
+func newOrganisationLabels() organisationLabels {
+	return organisationLabels{newBoundedLabels(maxOrganisationLabels, otherOrganisations)}
 }
 
-func (l *organisationLabels) label(organisation string) string {
+func (l organisationLabels) label(organisation string) string {
 	if organisation == "" {
-		return nobody
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if !l.known[organisation] && len(l.known) >= maxCounted {
-		return uncounted
+		return noOrganisation
 	}
-	l.known[organisation] = true
-	return organisation
+	return l.boundedLabels.label(organisation)
 }
 
 // shares are the figures of one label.
@@ -90,7 +82,7 @@
 }
 
 // sharesByLabel sums the statistics by label.
-func sharesByLabel(list []sched.OrganisationStats, labels *organisationLabels) map[string]shares {
+func sharesByLabel(list []sched.OrganisationStats, labels organisationLabels) map[string]shares {
 	byLabel := make(map[string]shares)
 	for _, o := range list {
 		label := labels.label(o.Name)
@@ -120,14 +112,14 @@
 		m.reportedStarts[label] = s.starts
 		metrics.waiting.WithLabelValues(m.Pool, label).Set(float64(s.waiting))
 		metrics.due.WithLabelValues(m.Pool, label).Set(fraction(s.weight, weight))
-		metrics.given.WithLabelValues(m.Pool, label).Set(fraction(float64(s.running), float64(running)))
+		metrics.used.WithLabelValues(m.Pool, label).Set(fraction(float64(s.running), float64(running)))
 	}
 }
 
 // dropOrganisations removes the gauges of a pool that isn't held here any more.
 func (m *Manager) dropOrganisations() {
 	pool := prometheus.Labels{"pool": m.Pool}
-	for _, gauge := range []*prometheus.GaugeVec{m.Metrics.organisations.waiting, m.Metrics.organisations.due, m.Metrics.organisations.given} {
+	for _, gauge := range []*prometheus.GaugeVec{m.Metrics.organisations.waiting, m.Metrics.organisations.due, m.Metrics.organisations.used} {
 		gauge.DeletePartialMatch(pool)
 	}
 }
--- a/internal/poolmanager/organisations_test.go
+++ b/internal/poolmanager/organisations_test.go
@@ -15,20 +15,21 @@
 // Guards against a series for each of thousands of organisations: those beyond the bound
 // are counted together, and each keeps its label.
 func TestOrganisationLabelsAreBounded(t *testing.T) {
-	labels := &organisationLabels{known: make(map[string]bool)}
-	for i := range 10 * maxCounted {
+	labels := newOrganisationLabels()
+	for i := range 10 * maxOrganisationLabels {
 		labels.label(fmt.Sprint("o", i))
 	}
 	must.EqOp(t, "o3", labels.label("o3"))
-	must.EqOp(t, uncounted, labels.label("o500"))
-	must.EqOp(t, nobody, labels.label(""))
+	must.EqOp(t, otherOrganisations, labels.label("o500"))
+	must.EqOp(t, noOrganisation, labels.label(""))
 }
 
 // The figures of organisations without a label of their own must be summed, and only
 // organisations with tasks have a share by weight.
 func TestSharesAreSummedByLabel(t *testing.T) {
-	labels := &organisationLabels{known: map[string]bool{"a": true}}
-	for i := range maxCounted - 1 {
+	labels := newOrganisationLabels()
+	labels.label("a")
+	for i := range maxOrganisationLabels - 1 {
 		labels.label(fmt.Sprint("x", i))
 	}
 	got := sharesByLabel([]sched.OrganisationStats{
@@ -36,7 +37,7 @@
 		{Name: "b", Weight: 5, RunningMilliCPU: 700, Starts: 1},
 		{Name: "c", Weight: 7, Starts: 9},
 	}, labels)
-	must.Eq(t, map[string]shares{"a": {waiting: 4, starts: 2, weight: 3}, uncounted: {running: 700, starts: 10, weight: 5}}, got)
+	must.Eq(t, map[string]shares{"a": {waiting: 4, starts: 2, weight: 3}, otherOrganisations: {running: 700, starts: 10, weight: 5}}, got)
 }
 
 // A pool that is not held here any more must leave no gauges behind, which would tell old
--- a/internal/poolmanager/refuse_test.go
+++ b/internal/poolmanager/refuse_test.go
@@ -24,7 +24,7 @@
 func (w weighted) LimitsCurrent(time.Time) bool { return true }
 func (w weighted) ConfigKey() string            { return "config" }
 
-// overloaded hands in jobs of an organisation until one is refused, and returns the
+// overloaded submits jobs of an organisation until one is refused, and returns the
 // refusal and the job.
 func (e *env) overloaded(m *runningManager, organisation string) (poolmanager.Reply, *work.JobRecord) {
 	e.t.Helper()
--- a/internal/poolmanager/runtimemetrics.go
+++ b/internal/poolmanager/runtimemetrics.go
@@ -1,8 +1,6 @@
 package poolmanager
 
 import (
-	"sync"
-
 	"github.com/prometheus/client_golang/prometheus"
 
 	"auburnglade.example/glade/internal/sched"
@@ -23,8 +21,7 @@
 // be used concurrently.
 type runtimeMetrics struct {
 	ratios *prometheus.HistogramVec
-	mu     sync.Mutex
-	queues map[string]bool
+	queues *boundedLabels
 }
 
 func newRuntimeMetrics() *runtimeMetrics {
@@ -32,7 +29,7 @@
 		ratios: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "glade_task_runtime_ratio", Help: "Ratio of taken to predicted run time by queue.", Buckets: runtimeRatioBuckets,
 		}, []string{"queue"}),
-		queues: make(map[string]bool),
+		queues: newBoundedLabels(maxRuntimeQueues, otherQueues),
 	}
 }
 
@@ -40,16 +37,5 @@
 	if record.Predicted <= 0 {
 		return
 	}
-	m.ratios.WithLabelValues(m.label(record.Queue)).Observe(record.Taken.Seconds() / record.Predicted.Seconds())
-}
-
-// label returns the label of a queue.
-func (m *runtimeMetrics) label(queue string) string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if !m.queues[queue] && len(m.queues) >= maxRuntimeQueues {
-		return otherQueues
-	}
-	m.queues[queue] = true
-	return queue
+	m.ratios.WithLabelValues(m.queues.label(record.Queue)).Observe(record.Taken.Seconds() / record.Predicted.Seconds())
 }
--- a/internal/poolmanager/runtimemetrics_test.go
+++ b/internal/poolmanager/runtimemetrics_test.go
@@ -10,13 +10,13 @@
 	"auburnglade.example/glade/internal/sched"
 )
 
-// Callers with thousands of queues that fill the memory with histograms.
+// Guards against callers with thousands of queues that fill the memory with histograms.
 func TestQueuesWithHistogramsAreBounded(t *testing.T) {
 	m := newRuntimeMetrics()
 	for i := range 10 * maxRuntimeQueues {
 		m.observe(sched.RuntimeRecord{Queue: fmt.Sprint(i), Predicted: time.Second, Taken: time.Second})
 	}
-	must.EqOp(t, "0", m.label("0"))
-	must.EqOp(t, otherQueues, m.label("one more"))
-	must.MapLen(t, maxRuntimeQueues, m.queues)
+	must.EqOp(t, "0", m.queues.label("0"))
+	must.EqOp(t, otherQueues, m.queues.label("one more"))
+	must.MapLen(t, maxRuntimeQueues, m.queues.known)
 }
--- a/internal/poolrpc/poolrpc.go
+++ b/internal/poolrpc/poolrpc.go
@@ -138,10 +138,14 @@
 	reply := &poolpb.LoadReply{
 		Capacity: int64(load.Capacity), Used: int64(load.Used),
 		Waiting: int64(load.Waiting), Lasting: int64(load.LongRunning),
-		Arriving: int64(load.Offered), Onset: int64(load.RecentOffered), Due: int64(load.DeadlineNeed), Peak: int64(load.Peak), PeakAgoMs: load.SincePeak.Milliseconds(), Spread: int64(load.MinHosts), Young: load.WarmingUp,
+		Arriving: int64(load.Offered), Onset: int64(load.RecentOffered), Due: int64(load.DeadlineNeed),
+		Peak: int64(load.Peak), PeakAgoMs: load.SincePeak.Milliseconds(), Spread: int64(load.MinHosts), Young: load.WarmingUp,
 	}
 	for _, h := range load.Hosts {
-		reply.Hosts = append(reply.Hosts, &poolpb.HostLoad{Worker: h.Worker, Used: int64(h.Used), Lasting: int64(h.LongRunning), Closed: h.Unschedulable, LeftMs: h.Remaining.Milliseconds(), WorkValue: int64(h.WorkValue)})
+		reply.Hosts = append(reply.Hosts, &poolpb.HostLoad{
+			Worker: h.Worker, Used: int64(h.Used), Lasting: int64(h.LongRunning), Closed: h.Unschedulable,
+			LeftMs: h.Remaining.Milliseconds(), WorkValue: int64(h.WorkValue),
+		})
 	}
 	for _, tier := range load.Demand {
 		reply.Demand = append(reply.Demand, &poolpb.DemandTier{Size: int64(tier.MilliCPU), Value: tier.Value})
@@ -198,7 +202,8 @@
 		c.dropIdle()
 		return poolmanager.Reply{Result: poolmanager.ResultUnknown}, true, err
 	}
-	return poolmanager.Reply{Result: keeperResults[reply.Result], RetryAfter: time.Duration(reply.RetryAfterMs) * time.Millisecond}, reply.Result != poolpb.Result_RESULT_NOT_HELD, nil
+	result = poolmanager.Reply{Result: keeperResults[reply.Result], RetryAfter: time.Duration(reply.RetryAfterMs) * time.Millisecond}
+	return result, reply.Result != poolpb.Result_RESULT_NOT_HELD, nil
 }
 
 // Cancel cancels a job at an entry host. After an error the outcome is unknown.
@@ -256,9 +261,16 @@
 }
 
 func decodeLoad(reply *poolpb.LoadReply) hostmanager.Load {
-	load := hostmanager.Load{Capacity: int(reply.Capacity), Used: int(reply.Used), Waiting: int(reply.Waiting), LongRunning: int(reply.Lasting), Offered: int(reply.Arriving), RecentOffered: int(reply.Onset), DeadlineNeed: int(reply.Due), Peak: int(reply.Peak), SincePeak: time.Duration(reply.PeakAgoMs) * time.Millisecond, MinHosts: int(reply.Spread), WarmingUp: reply.Young}
+	load := hostmanager.Load{
+		Capacity: int(reply.Capacity), Used: int(reply.Used), Waiting: int(reply.Waiting), LongRunning: int(reply.Lasting),
+		Offered: int(reply.Arriving), RecentOffered: int(reply.Onset), DeadlineNeed: int(reply.Due),
+		Peak: int(reply.Peak), SincePeak: time.Duration(reply.PeakAgoMs) * time.Millisecond, MinHosts: int(reply.Spread), WarmingUp: reply.Young,
+	}
 	for _, h := range reply.Hosts {
-		load.Hosts = append(load.Hosts, hostmanager.HostLoad{Worker: h.Worker, Used: int(h.Used), LongRunning: int(h.Lasting), Unschedulable: h.Closed, Remaining: time.Duration(h.LeftMs) * time.Millisecond, WorkValue: int(h.WorkValue)})
+		load.Hosts = append(load.Hosts, hostmanager.HostLoad{
+			Worker: h.Worker, Used: int(h.Used), LongRunning: int(h.Lasting), Unschedulable: h.Closed,
+			Remaining: time.Duration(h.LeftMs) * time.Millisecond, WorkValue: int(h.WorkValue),
+		})
 	}
 	for _, tier := range reply.Demand {
 		load.Demand = append(load.Demand, hostmanager.DemandTier{MilliCPU: int(tier.Size), Value: tier.Value})
--- a/internal/sched/arrivals_test.go
+++ b/internal/sched/arrivals_test.go
@@ -24,8 +24,8 @@
 	must.Less(t, 400, a.cores(now))
 }
 
-// Guards against a peak that is one large job: the next host manager took it for what
-// the pool's demand bursts need, and saw none of the real ones.
+// Guards against a peak that is one large job: the next host manager would take it for
+// what the pool's demand bursts need, and see none of the real ones.
 func TestFewJobsAreNoPeak(t *testing.T) {
 	origin := time.Now()
 	h := newHistory(origin)
--- a/internal/sched/forecast.go
+++ b/internal/sched/forecast.go
@@ -6,8 +6,8 @@
 	"auburnglade.example/glade/internal/work"
 )
 
-// Forecast estimates what would become of a job that is submitted now. It answers the
-// load of a pool that is handed more than it can do.
+// Forecast estimates what would become of a job that is submitted now. It answers
+// callers who submit more to a pool than it can do.
 type Forecast struct {
 	// Known is false while the pool knows too little to judge: shortly after a
 	// takeover, and for jobs without an objective or with one that they can't come near
@@ -29,9 +29,9 @@
 	Age time.Duration
 }
 
-// forecastMargin times what the hosts can do until then must be ahead of a job
-// for it to count as impossible: run times may be half of what is expected, and
-// as many hosts again may be on their way.
+// forecastMargin times what the hosts can do in the time left is how much work may go
+// before a job, itself included, for it still to count as possible: run times may be
+// half of what is expected, or as many hosts again on their way.
 const forecastMargin = 2
 
 // Forecast estimates what would become of a job that its client first submitted at
--- a/internal/sched/forecast_test.go
+++ b/internal/sched/forecast_test.go
@@ -23,7 +23,7 @@
 }
 
 // crowded is a pool of eight cores after its warm-up, with jobs of eight core-seconds each
-// that are handed in now.
+// that are submitted now.
 func crowded(t *testing.T, jobs int) *jobBurst {
 	c := newJobBurst(t)
 	c.now = c.now.Add(warmupPeriod)
@@ -107,7 +107,7 @@
 	must.EqOp(t, 0, f.Age)
 }
 
-// submitUnstored hands in a job that isn't stored yet.
+// submitUnstored submits a job that isn't stored yet.
 func (c *jobBurst) submitUnstored(number, tasks int) string {
 	id := fmt.Sprintf("%016x", number)
 	c.NoteSubmitted(&work.JobRecord{
@@ -136,7 +136,7 @@
 	}
 }
 
-// Guards against refusing a small job for large ones that were handed in a moment before
+// Guards against refusing a small job for large ones that were submitted a moment before
 // and go after it anyway.
 func TestSmallJobIsWorthwhileBesideLargeOnesJustHandedIn(t *testing.T) {
 	c := crowded(t, 0)
--- a/internal/sched/presumed.go
+++ b/internal/sched/presumed.go
@@ -38,8 +38,8 @@
 	return presumed
 }
 
-// watchPresumed has the hosts called under which the restored tasks of an occurrence
-// have presumed crashes. The platform may list them no more.
+// watchPresumed adds the hosts under which the restored tasks of an occurrence have
+// presumed crashes, so that they are called. The platform may list them no more.
 func (p *Pool) watchPresumed(o *occurrence, now time.Time) {
 	for _, s := range o.steps {
 		for _, t := range s.tasks {
--- a/internal/sched/shares.go
+++ b/internal/sched/shares.go
@@ -1,8 +1,6 @@
 package sched
 
-import (
-	"auburnglade.example/glade/internal/fairshare"
-)
+import "auburnglade.example/glade/internal/fairshare"
 
 // SetShares sets the weights of organisations. The caller doesn't change the map later.
 // Without a weight above zero, jobs are ordered as if all were of one organisation.
