Recognise demand bursts as before

Ruled out: the allocation (off by default), verdicts on stragglers, shares, refusals, the bound on starts.

--- a/internal/hostmanager/allocation.go
+++ b/internal/hostmanager/allocation.go
@@ -7,6 +7,9 @@
 )
 
 const (
+	// timeToMove is how long a moving host serves nobody: it moves, and the
+	// destination's holder gets it with its next list.
+	timeToMove = 2300 * time.Millisecond
 	// minUse is how long a moved host is expected to be used where it goes if no demand
 	// burst is active there: twice the time for which it is out.
 	minUse = 2 * timeToMove
--- a/internal/hostmanager/bursts.go
+++ b/internal/hostmanager/bursts.go
@@ -1,86 +1,61 @@
 package hostmanager
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // BurstTracker tracks the demand bursts of pools. It estimates what an active burst
-// needs, and how likely each pool has the next one. What counts as a burst depends
-// on the pool's own earlier bursts, its own load between them and its own hosts, so
-// that neither a larger pool nor its noise hides a small pool's bursts.
+// needs, and how likely each pool has the next one.
 //
 // If bursts rotate through the pools, the pool whose last burst is the oldest is
 // the likeliest to be next, and the one whose burst has just ended the least likely.
-// How far that holds is counted for each burst: if bursts come in any order, all
-// pools soon get similar likelihoods.
+// How far that holds is counted at the start of each burst: if bursts come in any
+// order, all pools soon get similar likelihoods.
 type BurstTracker struct {
 	pools map[string]*burstState
-	// hits counts the ranks that the pools of past bursts had as these started.
-	hits rankCounts
+	// hits counts, at the start of each burst, the rank of its pool in the order
+	// of last bursts, latest first.
+	hits [rankBuckets]float64
 }
 
-// burstPhase is the phase of a pool's burst.
-type burstPhase int
-
-const (
-	noBurst burstPhase = iota
-	burstActive
-	// burstPaused means that jobs have stopped arriving. If they return before a
-	// host could have moved away and back, the same burst continues.
-	burstPaused
-)
-
 // burstState is the state of one pool's bursts.
 type burstState struct {
-	phase burstPhase
-	// restored is set once the pool has reported what its earlier bursts were.
-	restored bool
-	// startedAt is when the last burst started, zero for none yet; previousStart is
-	// that of the burst before it. pausedAt is when jobs last stopped arriving.
-	startedAt, previousStart, pausedAt time.Time
-	// proven is set once the burst has lasted long enough to learn from. Until
-	// then ranks are those to count for it.
-	proven bool
-	ranks  rankCounts
-	// startLevel is the offered load from which the burst counted as one, and
-	// lowSamples the number of samples since it was last near that.
-	startLevel float64
-	lowSamples int
-	// samples counts the samples of the burst. offered and usage are moving averages
-	// of the offered load and of what runs or waits, in millicores.
+	// active is set during a burst. startedAt is when the last one started, zero
+	// for none yet.
+	active    bool
+	startedAt time.Time
+	// samples counts the samples of the active burst. offered and usage are moving
+	// averages of the offered load and of what runs or waits, in millicores.
 	samples        int
 	offered, usage float64
-	// quiet is the moving average of the offered load between bursts, and peak what
-	// the pool's bursts need; it decays slowly. Both are in millicores.
-	quiet, peak float64
+	// peak is what the pool's bursts need in millicores; it decays slowly.
+	peak float64
 	// likelihood is how likely the pool has the next burst.
 	likelihood float64
 }
 
 const (
-	// timeToMove is how long a moving host serves nobody: it moves, and the
-	// destination's holder gets it with its next list.
-	timeToMove = 2300 * time.Millisecond
-	// startShare is the share of a pool's usual burst at which a burst has certainly
-	// started; risingShare is enough if the recent offered load exceeds startShare.
+	// rankBuckets is how many buckets the order of last bursts is divided into:
+	// the latest bursts, those between, and the oldest.
+	rankBuckets = 3
+	// rankPrior is the weight, in bursts, of the assumption that bursts rotate,
+	// before any was observed: a third of a burst, so that two observed ones
+	// outweigh it.
+	rankPrior = 0.34
+	// minLikelihood is the minimum for any pool, and activeLikelihood the value for
+	// a pool with an active burst, where 1 is shared out among all pools.
+	minLikelihood, activeLikelihood = 0.1, 0.15
+	// startShare is the share of a typical burst's need at which a burst has
+	// certainly started; risingShare is enough if the recent offered load exceeds
+	// startShare.
 	startShare, risingShare = 0.4, 0.08
-	// firstStartShare and firstRisingShare are the same in terms of a pool's
-	// capacity, for a pool without an earlier burst.
-	firstStartShare, firstRisingShare = 0.5, 0.15
-	// minStartShare is the least share of a pool's capacity that a burst needs:
-	// smaller ones find enough hosts.
-	minStartShare = 0.125
-	// quietFactor times the usual load between bursts is the least load of a burst.
-	quietFactor = 2
-	// quietWeight is the weight of a sample in the load between bursts, which covers
-	// about four seconds.
-	quietWeight = 0.05
 	// endShare is the share of a burst's offered load below which the recent offered
-	// load must fall for the burst to end, confirmShare the same for the offered load.
-	// Recent jobs alone also run out between two bunches of jobs.
-	endShare, confirmShare = 0.25, 0.5
-	// stayShare is the share of its start level that a burst must keep up, and
-	// maxLowSamples how many samples it may be below: about a second.
-	stayShare     = 0.5
-	maxLowSamples = 4
+	// load must fall for the burst to end. When that load covers two gaps between
+	// jobs, these must take as long as eight usual ones, which happens by chance once
+	// in seventy seconds of bursts.
+	endShare = 0.25
 	// sampleWeight is the weight of a sample in a burst's moving averages, which
 	// cover about a second.
 	sampleWeight = 0.15
@@ -92,11 +67,11 @@
 	// minUsageSamples is how many samples a burst must have for its usage to limit
 	// its need.
 	minUsageSamples = 8
-	// minProvenSamples is how many samples a burst must have to be learned from: the
-	// two seconds that a host takes to arrive for it.
-	minProvenSamples = 10
+	// minPeakSamples is how many samples a burst must have to update the peak.
+	minPeakSamples = 10
 	// needFactor times the offered load is the capacity that a burst gets. Jobs
-	// arrive in batches and tasks don't fill hosts to the last core.
+	// arrive in batches and tasks don't fill hosts to the last core: with a factor
+	// of 1.2 instead of 2, a tenth of a burst's jobs was late.
 	needFactor = 1.6
 	// maxUsageFactor times what runs and waits limits that capacity: with more,
 	// hosts are idle while the next burst starts in another pool.
@@ -110,176 +85,169 @@
 type BurstChange struct {
 	Pool    string
 	Started bool
-	// Offered is the offered load, Typical what the pool's bursts typically need,
-	// both in millicores.
+	// Offered is the offered load, Typical what bursts typically need, both in
+	// millicores.
 	Offered int
 	Typical float64
 }
 
 // Observe takes a sample of all pools, and sets their BurstNeed and BurstLikelihood.
-// It returns the bursts that started or ended. A burst has ended once its jobs have
-// been missing for as long as a host takes to move; its BurstNeed ends before.
+// It returns the bursts that started or ended.
 func (bt *BurstTracker) Observe(pools []PoolView, now time.Time) (changes []BurstChange) {
+	bt.restore(pools, now)
+	typical := 0.0
 	for i := range pools {
-		p := &pools[i]
-		if !p.Known || p.Spare {
-			continue
+		if p := &pools[i]; p.Known && !p.Spare {
+			typical = max(typical, bt.sample(p))
 		}
-		t := bt.pools[p.Name]
-		if t == nil {
-			t = &burstState{}
-			bt.pools[p.Name] = t
-		}
-		if p.Load.WarmingUp {
-			p.BurstNeed = t.need(&p.Load)
-			continue
-		}
-		if !t.restored {
-			t.restore(p, now)
-		}
-		wasOver := t.phase == noBurst
-		bt.update(p, now)
-		if over := t.phase == noBurst; over != wasOver {
-			changes = append(changes, BurstChange{p.Name, wasOver, p.Load.Offered, t.peak})
+	}
+	for i := range pools {
+		if p := &pools[i]; p.Known && !p.Spare {
+			wasActive := bt.pools[p.Name].active
+			bt.updateBurst(p, typical, now)
+			if active := bt.pools[p.Name].active; active != wasActive {
+				changes = append(changes, BurstChange{p.Name, active, p.Load.Offered, typical})
+			}
 		}
-		p.BurstNeed = t.need(&p.Load)
 	}
-	bt.setLikelihoods(pools, now)
+	bt.setLikelihoods(pools)
 	return changes
 }
 
-// restore sets the state of a pool that reports its load for the first time, from the
-// peak that its holder reports. It answers the loss of the host manager: a burst
-// that is under way is continued and not counted, since the order of the bursts
-// before it is unknown.
-func (t *burstState) restore(p *PoolView, now time.Time) {
-	t.restored = true
-	peak := float64(p.Load.Peak)
-	if peak < max(minStartShare*float64(p.Load.Capacity), 1) {
-		return
-	}
-	t.peak, t.startedAt = peak, now.Add(-p.Load.SincePeak)
-	if p.Load.SincePeak < timeToMove && float64(p.Load.Offered) > startShare*peak {
-		t.phase, t.proven, t.startLevel = burstActive, true, startShare*peak
+// restore initializes the state of pools that are observed for the first time from
+// the peaks that their holders report, as a process that has just become the host
+// manager has observed no bursts.
+func (bt *BurstTracker) restore(pools []PoolView, now time.Time) {
+	highest := 0
+	for i := range pools {
+		highest = max(highest, pools[i].Load.Peak)
 	}
-}
-
-// update advances a pool's burst by one sample.
-func (bt *BurstTracker) update(p *PoolView, now time.Time) {
-	t := bt.pools[p.Name]
-	switch t.phase {
-	case noBurst:
-		if !t.starts(&p.Load) {
-			t.quiet += quietWeight * (float64(p.Load.Offered) - t.quiet)
-			return
-		}
-		t.start(&p.Load, bt.rankShares(p.Name), now)
-	case burstActive:
-		t.sample(&p.Load)
-		bt.learn(t)
-		if t.stops(&p.Load) {
-			t.phase, t.pausedAt = burstPaused, now
+	for i := range pools {
+		p := &pools[i]
+		if !p.Known || p.Spare || bt.pools[p.Name] != nil {
+			continue
 		}
-	case burstPaused:
-		switch {
-		case t.starts(&p.Load):
-			t.phase, t.lowSamples = burstActive, 0
-		case now.Sub(t.pausedAt) >= timeToMove:
-			t.end()
+		t := &burstState{}
+		if p.Load.Peak > 0 && float64(p.Load.Peak) >= startShare*float64(highest) {
+			t.peak, t.startedAt = float64(p.Load.Peak), now.Add(-p.Load.SincePeak)
 		}
+		bt.pools[p.Name] = t
 	}
 }
 
-// start starts a burst.
-func (t *burstState) start(l *Load, ranks rankCounts, now time.Time) {
-	*t = burstState{
-		phase: burstActive, restored: true, startedAt: now, previousStart: t.startedAt, ranks: ranks, startLevel: t.level(l),
-		quiet: t.quiet, peak: t.peak, likelihood: t.likelihood,
+// sample updates the averages of an active burst, and returns what the pool's bursts
+// need. The reports of a holder that has just taken over are too low and are not
+// used.
+func (bt *BurstTracker) sample(p *PoolView) (peak float64) {
+	t := bt.pools[p.Name]
+	if !t.active || p.Load.WarmingUp {
+		return t.peak
 	}
-}
-
-// end ends a burst. One that wasn't proven is forgotten.
-func (t *burstState) end() {
-	t.phase = noBurst
-	if !t.proven {
-		t.startedAt = t.previousStart
+	t.samples++
+	weight := max(1/float64(t.samples), sampleWeight)
+	t.offered += weight * (float64(p.Load.Offered) - t.offered)
+	t.usage += weight * (p.Load.usage() - t.usage)
+	if t.samples >= minPeakSamples {
+		t.peak = max(t.peak*peakDecay, t.offered)
 	}
+	return t.peak
 }
 
-// level is the offered load from which the pool has a burst, in millicores. What was
-// learned from a burst that has faded does not start it again.
-func (t *burstState) level(l *Load) float64 {
-	level := firstStartShare * float64(l.Capacity)
-	if t.peak > 0 {
-		level = max(startShare*t.peak, minStartShare*float64(l.Capacity))
+// updateBurst detects the start and the end of a pool's burst, and sets its
+// BurstNeed. typical is what bursts typically need, zero if none was observed.
+func (bt *BurstTracker) updateBurst(p *PoolView, typical float64, now time.Time) {
+	t := bt.pools[p.Name]
+	switch {
+	case p.Load.WarmingUp:
+	case !t.active && p.Load.burstStarted(typical):
+		bt.countRank(p.Name)
+		*t = burstState{active: true, startedAt: now, peak: t.peak, likelihood: t.likelihood}
+	case t.active && t.samples > 0 && float64(p.Load.RecentOffered) < endShare*t.offered:
+		t.active = false
+	}
+	if !t.active {
+		return
 	}
-	if t.phase == burstPaused {
-		level = max(level, t.startLevel)
+	if t.samples >= minNeedSamples {
+		p.BurstNeed = needFactor * t.offered
 	}
-	return max(level, quietFactor*t.quiet)
-}
-
-// risingLevel is the offered load that is enough if the recent load exceeds level.
-func (t *burstState) risingLevel(l *Load) float64 {
-	if t.peak > 0 {
-		return risingShare * t.peak
+	if t.samples > minUsageSamples {
+		p.BurstNeed = min(p.BurstNeed, maxUsageFactor*max(t.usage, p.Load.usage()))
 	}
-	return firstRisingShare * float64(l.Capacity)
 }
 
-// starts reports whether a burst of the pool starts. It answers a load that rises
-// to a multiple within a second, in a pool of any size, and not single large jobs.
-func (t *burstState) starts(l *Load) bool {
-	offered, recent, level := float64(l.Offered), float64(l.RecentOffered), t.level(l)
-	return offered > level || recent > level && offered > t.risingLevel(l)
+// usage is what runs and waits, without long-running tasks, in millicores.
+func (l Load) usage() float64 { return float64(l.finiteUsed() + l.Waiting) }
+
+// burstStarted reports whether a demand burst of the pool has started.
+func (l Load) burstStarted(typical float64) bool {
+	offered, recent := float64(l.Offered), float64(l.RecentOffered)
+	if typical == 0 {
+		return offered > float64(l.Capacity)/2
+	}
+	return offered > startShare*typical || recent > startShare*typical && offered > risingShare*typical
 }
 
-// sample adds a sample to the averages of an active burst.
-func (t *burstState) sample(l *Load) {
-	t.samples++
-	weight := max(1/float64(t.samples), sampleWeight)
-	t.offered += weight * (float64(l.Offered) - t.offered)
-	t.usage += weight * (l.usage() - t.usage)
-	t.lowSamples++
-	if float64(l.Offered) >= stayShare*t.startLevel {
-		t.lowSamples = 0
+// countRank counts the rank of a pool whose burst starts.
+func (bt *BurstTracker) countRank(name string) {
+	for bucket, share := range bt.rankShares(name) {
+		bt.hits[bucket] += share
 	}
 }
 
-// learn updates what is known of the pool's bursts from an active one. It answers
-// noise: a burst that ends before hosts could arrive leaves no trace.
-func (bt *BurstTracker) learn(t *burstState) {
-	if !t.proven && t.samples >= minProvenSamples && t.offered >= stayShare*t.startLevel {
-		t.proven = true
-		bt.hits.add(t.ranks)
+// rankShares returns the shares of a pool in the buckets of the order of last bursts,
+// latest first. Pools without a burst share the ranks at its end.
+func (bt *BurstTracker) rankShares(name string) (shares [rankBuckets]float64) {
+	var names []string
+	for other := range bt.pools {
+		names = append(names, other)
 	}
-	if t.proven {
-		t.peak = max(t.peak*peakDecay, t.offered)
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(bt.pools[b].startedAt.Compare(bt.pools[a].startedAt), cmp.Compare(a, b))
+	})
+	var ranks []int
+	for i, other := range names {
+		if bt.pools[other].startedAt.Equal(bt.pools[name].startedAt) {
+			ranks = append(ranks, i)
+		}
+	}
+	for _, rank := range ranks {
+		shares[rank*rankBuckets/len(names)] += 1 / float64(len(ranks))
 	}
+	return shares
 }
 
-// stops reports whether jobs have stopped arriving. It answers the end of a burst,
-// whose hosts another pool may need at once, and one that was none and fades: its
-// average fades with it, so that only the level at its start shows it. Jobs that
-// arrive in bunches do not end it.
-func (t *burstState) stops(l *Load) bool {
-	if t.lowSamples > maxLowSamples {
-		return true
+// Likelihoods returns, by pool, how likely it had the next burst at the last
+// observation.
+func (bt *BurstTracker) Likelihoods() map[string]float64 {
+	likelihoods := make(map[string]float64, len(bt.pools))
+	for name, t := range bt.pools {
+		likelihoods[name] = t.likelihood
 	}
-	return float64(l.RecentOffered) < endShare*t.offered && float64(l.Offered) < confirmShare*t.offered
+	return likelihoods
 }
 
-// need is the capacity that the burst needs, in millicores; zero if none is active.
-func (t *burstState) need(l *Load) float64 {
-	if t.phase != burstActive || t.samples < minNeedSamples {
-		return 0
+// setLikelihoods sets how likely each pool has the next burst.
+func (bt *BurstTracker) setLikelihoods(pools []PoolView) {
+	total := 0.0
+	var weights [rankBuckets]float64
+	for bucket := range weights {
+		weights[bucket] = bt.hits[bucket] + rankPrior*float64(bucket)
+		total += weights[bucket]
 	}
-	need := needFactor * t.offered
-	if t.samples > minUsageSamples {
-		need = min(need, maxUsageFactor*max(t.usage, l.usage()))
+	for i := range pools {
+		p := &pools[i]
+		t := bt.pools[p.Name]
+		if t == nil {
+			continue
+		}
+		p.BurstLikelihood = minLikelihood
+		for bucket, share := range bt.rankShares(p.Name) {
+			p.BurstLikelihood += share * weights[bucket] / total
+		}
+		if t.active {
+			p.BurstLikelihood = activeLikelihood
+		}
+		t.likelihood = p.BurstLikelihood
 	}
-	return need
 }
-
-// usage is what runs and waits, without long-running tasks, in millicores.
-func (l Load) usage() float64 { return float64(l.finiteUsed() + l.Waiting) }
--- a/internal/sched/arrivals.go
+++ b/internal/sched/arrivals.go
@@ -23,8 +23,9 @@
 	// gapFactor times the mean gap between jobs may pass before the rate falls; a
 	// longer gap occurs by chance once in twelve.
 	gapFactor = 2.5
-	// minWorkWeight is the least weight of a new job in the mean work of a queue.
-	minWorkWeight = 1.0 / 24
+	// workDecay is the weight of the earlier jobs in the mean work of a queue, with
+	// each new job.
+	workDecay = 1 - 1.0/24
 )
 
 // arrivals tracks the arrival rate of a queue's jobs and the work that they bring.
@@ -33,18 +34,17 @@
 	countedSince time.Time
 	// latest holds the times of the latest jobs, newest first.
 	latest []time.Time
-	// jobs counts all jobs, work is the mean work of one in core-seconds.
-	jobs int
+	// work is the mean work of a job in core-seconds.
 	work float64
 }
 
 // note records a job and its work in core-seconds. After a takeover jobs are
 // recorded in any order.
 func (a *arrivals) note(at time.Time, work float64) {
-	a.jobs++
-	// All of the first jobs weigh the same: one large job that comes first would
-	// make the next ones look like a demand burst.
-	a.work += max(minWorkWeight, 1/float64(a.jobs)) * (work - a.work)
+	if len(a.latest) == 0 {
+		a.work = work
+	}
+	a.work = a.work*workDecay + work*(1-workDecay)
 	place := 0
 	for place < len(a.latest) && a.latest[place].After(at) {
 		place++
@@ -71,8 +71,7 @@
 // rateOver returns the cores that arriving jobs keep busy, taken over the latest
 // jobs, at least that many and over at least span. With fewer jobs the rate is taken
 // over all the time since counting began; otherwise the first two large jobs, one
-// after the other, would look like a demand burst. The first job shows no rate: what
-// it needs itself is in the need of accepted jobs.
+// after the other, would look like a demand burst.
 func (a *arrivals) rateOver(now time.Time, jobs int, span time.Duration) float64 {
 	if len(a.latest) == 0 {
 		return 0
@@ -82,7 +81,7 @@
 		if oldest := a.latest[len(a.latest)-1]; oldest.Before(began) {
 			began = oldest
 		}
-		return a.work * float64(len(a.latest)-1) / max(now.Sub(began), recentSpan).Seconds()
+		return a.work * float64(len(a.latest)) / max(now.Sub(began), recentSpan).Seconds()
 	}
 	for jobs < len(a.latest) && now.Sub(a.latest[jobs-1]) < span {
 		jobs++
--- a/internal/sched/history.go
+++ b/internal/sched/history.go
@@ -10,9 +10,6 @@
 	// is averaged over, so that one large job does not count as a demand burst.
 	historySlot = time.Second
 	peakSlots   = 4
-	// peakJobs is the least number of jobs in a peak: fewer show no rate, however
-	// large they are.
-	peakJobs = 4
 	// peakShare times the peak is the rate from which a demand burst counts as
 	// under way.
 	peakShare = 0.5
@@ -25,12 +22,10 @@
 	origin time.Time
 	// work is in core-seconds by slot since origin; slots before it are negative.
 	work map[int]float64
-	// jobs counts the jobs by slot.
-	jobs map[int]int
 }
 
 func newHistory(origin time.Time) history {
-	return history{origin, make(map[int]float64), make(map[int]int)}
+	return history{origin, make(map[int]float64)}
 }
 
 func (h *history) slot(at time.Time) int {
@@ -42,11 +37,7 @@
 }
 
 // note adds a job's work.
-func (h *history) note(at time.Time, work float64) {
-	slot := h.slot(at)
-	h.work[slot] += work
-	h.jobs[slot]++
-}
+func (h *history) note(at time.Time, work float64) { h.work[h.slot(at)] += work }
 
 // forget drops slots older than historyWindow.
 func (h *history) forget(now time.Time) {
@@ -54,7 +45,6 @@
 	for slot := range h.work {
 		if slot < oldest {
 			delete(h.work, slot)
-			delete(h.jobs, slot)
 		}
 	}
 }
@@ -65,7 +55,9 @@
 	first, last := h.slot(now.Add(-historyWindow)), h.slot(now)
 	means := make([]float64, last-first+1)
 	for i := range means {
-		means[i] = h.mean(first + i)
+		for slot := first + i - peakSlots + 1; slot <= first+i; slot++ {
+			means[i] += h.work[slot] / (peakSlots * historySlot.Seconds())
+		}
 		cores = max(cores, means[i])
 	}
 	if cores == 0 {
@@ -78,17 +70,3 @@
 	}
 	return cores, historyWindow
 }
-
-// mean returns the cores that work arriving in the slots up to last kept busy; zero
-// if it came in too few jobs to be a rate.
-func (h *history) mean(last int) float64 {
-	work, jobs := 0.0, 0
-	for slot := last - peakSlots + 1; slot <= last; slot++ {
-		work += h.work[slot]
-		jobs += h.jobs[slot]
-	}
-	if jobs < peakJobs {
-		return 0
-	}
-	return work / (peakSlots * historySlot.Seconds())
-}
