Count the crash of a host that was to be drained

Hosts that are to be drained were taken for hosts that leave; but these are taken away only once nothing runs on them, so the loss of a run there is a crash like any other. One that refuses connections with nothing on it still counts as leaving.

--- a/internal/sched/crashes.go
+++ b/internal/sched/crashes.go
@@ -75,9 +75,10 @@
 
 // lossMayBeCrash reports whether a run may have caused the loss of its host.
 // Draining hosts end anyway, and one that is still listed may only be partitioned
-// from this process.
+// from this process. One that this pool was asked to drain may have crashed like any
+// other: it is taken away only once nothing runs on it.
 func (h *host) lossMayBeCrash(evidence Evidence) bool {
-	return !h.Draining && !h.unschedulable && (evidence == InstanceReplaced || !h.listed)
+	return !h.Draining && (evidence == InstanceReplaced || !h.listed)
 }
 
 // attributeLoss counts the loss of a run's host against its task. It is called
--- a/internal/sched/evidence.go
+++ b/internal/sched/evidence.go
@@ -147,7 +147,7 @@
 // noteRefusal records that a host began to refuse connections, unless it leaves as
 // planned.
 func (p *Pool) noteRefusal(h *host, now time.Time) {
-	if h.Draining || h.unschedulable {
+	if h.Draining || h.unschedulable && len(h.runs) == 0 {
 		return
 	}
 	explained := false
--- a/internal/sched/presumed.go
+++ b/internal/sched/presumed.go
@@ -31,7 +31,7 @@
 		}
 	}
 	for _, r := range t.currentRuns() {
-		if h := r.host; r.executedUntilRefusal() && r.justStarted() && !h.Draining && !h.unschedulable {
+		if h := r.host; r.executedUntilRefusal() && r.justStarted() && !h.Draining {
 			presumed = append(presumed, work.PresumedCrash{Run: r.number, Host: h.ID, Address: h.Address})
 		}
 	}
