--- a/internal/hostmanager/bursts.go
+++ b/internal/hostmanager/bursts.go
@@ -69,9 +69,8 @@
 	minUsageSamples = 8
 	// minPeakSamples is how many samples a burst must have to update the peak.
 	minPeakSamples = 10
-	// needFactor times the offered load is the capacity that a burst gets. Jobs
-	// arrive in batches and tasks don't fill hosts to the last core: with a factor
-	// of 1.2 instead of 2, a tenth of a burst's jobs was late.
+	// needFactor times the offered load is the capacity that a burst gets: jobs arrive
+	// in batches and tasks don't fill hosts to the last core.
 	needFactor = 1.6
 	// maxUsageFactor times what runs and waits limits that capacity: with more,
 	// hosts are idle while the next burst starts in another pool.
