Level free hosts only until a pool covers any burst

Cause: free hosts were levelled by shares of all free room, weighted by each pool's likelihood of the next burst. Each pool had some five times the room of the largest burst, so that each change of the likelihoods (a burst starts, ends, the host manager begins again) moved hundreds of hosts: 744 at 31.0 s, 716 back at 32.9 s. The moves grow with the fleet's room, not with its work.

Ruled out, from the log of all processes: moves asked for twice (each has its own decision), a host manager that begins again (two takeovers, at 21.9 and 27.0 s, moves between), need computed by a new holder (every decision has the reason level).

A peak counts as the size of a burst from four times the median offered load; before one was seen hosts are levelled as before.

--- a/internal/hostmanager/moves.go
+++ b/internal/hostmanager/moves.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -59,6 +60,9 @@
 	// takes a host out of use.
 	minLevelGap   = 6
 	levelGapShare = 0.03
+	// minBurstRatio times the median offered load of the pools is the least peak of a
+	// pool that shows how large demand bursts are. Below it there may have been none.
+	minBurstRatio = 4
 )
 
 // need is the capacity that the pool can use right now, in millicores: the offered
@@ -332,14 +336,34 @@
 	return !slices.ContainsFunc(m.pools, func(p *plannedPool) bool { return !p.Spare && (!p.Known || p.Load.WarmingUp) })
 }
 
+// burstCover is the free capacity with which a pool can serve the largest demand burst
+// of any pool without further hosts, in millicores. It is infinite while the size of
+// bursts is unknown. It answers a fleet with far more room than any burst needs: shares
+// of all that room moved hundreds of hosts with each change of the pools' likelihoods.
+func (m *movePlanner) burstCover() float64 {
+	largest, offered := 0, make([]int, 0, len(m.pools))
+	for _, p := range m.pools {
+		if p.canReceive() {
+			largest = max(largest, p.Load.Peak)
+			offered = append(offered, p.Load.Offered)
+		}
+	}
+	slices.Sort(offered)
+	if largest == 0 || largest < minBurstRatio*offered[len(offered)/2] {
+		return math.Inf(1)
+	}
+	return needFactor * float64(largest)
+}
+
 // levelFree moves hosts from the pool with the largest excess of free capacity to
-// the one with the smallest, until the two differ by less than the gap. Each pool's
-// fair share is proportional to how likely it has the next demand burst, since hosts
-// that move only after its start serve nobody meanwhile.
+// the one with the smallest, until the two differ by less than the gap or the latter can
+// serve any burst. Each pool's fair share is proportional to how likely it has the next
+// demand burst, since hosts that move only after its start serve nobody meanwhile.
 func (m *movePlanner) levelFree() {
 	if !m.allReported() {
 		return
 	}
+	cover := m.burstCover()
 	total, weights := 0.0, 0.0
 	for _, p := range m.pools {
 		if p.canReceive() {
@@ -359,11 +383,11 @@
 			if len(p.movable) > 0 && (most == nil || excess(p) > excess(most)) {
 				most = p
 			}
-			if least == nil || excess(p) < excess(least) {
+			if p.freeCPU() < cover && (least == nil || excess(p) < excess(least)) {
 				least = p
 			}
 		}
-		if most == nil || most == least || excess(most)-excess(least) < gap*float64(most.movable[0].Resources.MilliCPU) {
+		if most == nil || least == nil || most == least || excess(most)-excess(least) < gap*float64(most.movable[0].Resources.MilliCPU) {
 			return
 		}
 		if !m.moveOne(least, most, ReasonLevel) {
