Watch the store through relays; make a holder's refused calls through others

After all were killed the claims came 0.9 to 1.4 s after the first entry hosts were up, and the answers to the watches of all 583 were late by 0.4 s.

Cause: every entry host watches all members and the operator's entries by itself, and each writes its own record. Idle calls grow with the entry hosts, events of a mass restart with their square: 583 x 583 x some 330 bytes, 0.9 s of the store's link; 3.8 s at twice the size. And a holder had no other way to the store than its own.

Change (internal/storeaccess, internal/storerpc): in each availability zone the strongest entry hosts without claims are relays, two or as many as their links need to serve all; holders and relays watch the store, all others follow a relay. What is passed on carries the moment up to which the store confirmed it; a relay that isn't confirmed says so, nobody follows a follower. A follower whose relays fail asks the store, then other zones, with growing, spread pauses. A process that starts reads the members of its zone first. A holder's call that the store certainly refused is made through up to three others, not again for a second if all were refused.

Ruled out: refusals for the store's rate in the restart (one of 583 lists was throttled).

Growth tests at 16, 32 and 64 entry hosts in virtual time: watches a second idle and calls for a change are the same at all sizes, a mass restart costs at most 24 calls an entry host (with all watching 394 calls at 16 already), an outage isn't multiplied, followers of lost relays learn of changes within 2.5 s, a holder turned away goes on. A rapid model of a follower that changes between two relays: it never goes back and misses nothing.

--- a/internal/carrierrpc/carrierrpc.go
+++ b/internal/carrierrpc/carrierrpc.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"net/http"
 
 	"auburnglade.example/glade/internal/carrier"
@@ -73,7 +71,7 @@
 	}
 	reply, err := c.peers.Get(address).Exchange(ctx, request)
 	if err != nil {
-		if notSent(err) {
+		if clientcache.NotSent(err) {
 			return nil, &carrier.UnsentError{Address: address, Cause: err}
 		}
 		return nil, err
@@ -84,10 +82,3 @@
 	}
 	return replies, nil
 }
-
-// notSent reports whether err is a failure to open a connection, so that nothing
-// can have been sent.
-func notSent(err error) bool {
-	var operation *net.OpError
-	return errors.As(err, &operation) && operation.Op == "dial"
-}
--- a/internal/clientcache/cache.go
+++ b/internal/clientcache/cache.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -63,3 +65,10 @@
 // CloseIdleConnections closes the idle connections, whose peers may no longer
 // respond.
 func (c *Cache[T]) CloseIdleConnections() { c.transport.CloseIdleConnections() }
+
+// NotSent reports whether err is a failure to open a connection, so that nothing
+// can have been sent.
+func NotSent(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -19,6 +19,7 @@
 	"auburnglade.example/glade/internal/pause"
 	"auburnglade.example/glade/internal/poolstore"
 	"auburnglade.example/glade/internal/store"
+	"auburnglade.example/glade/internal/storeaccess"
 )
 
 const (
@@ -29,8 +30,11 @@
 	renewInterval = 500 * time.Millisecond
 	// retryInterval is the pause after a failed call.
 	retryInterval = 150 * time.Millisecond
-	// minWatchInterval is the minimum time between two watches.
+	// minWatchInterval is the minimum time between two watches of a relay or holder,
+	// followInterval that of all others: while all start at once, each change would
+	// otherwise cost as many calls as there are entry hosts.
 	minWatchInterval = 20 * time.Millisecond
+	followInterval   = 100 * time.Millisecond
 	// claimDelayWork divided by a process's share of a core is how long it waits
 	// after it has started before its first claim, so that processes that start
 	// together get pools according to their CPU shares: 0.4 s for 0.4 of a core.
@@ -61,6 +65,11 @@
 	// CanCarry is set if the process makes calls to hosts for holders on other
 	// nodes. Processes of versions without this field can't.
 	CanCarry bool `json:"k,omitempty"`
+	// CanRelay is set if the process serves other nodes in place of the store.
+	// Processes of versions without this field don't.
+	CanRelay bool `json:"r,omitempty"`
+	// LinkMbps is the bandwidth of the node's network link in Mbit/s, zero if unknown.
+	LinkMbps float64 `json:"m,omitempty"`
 	// Draining is set if the process is leaving (see Leave): it takes over no more
 	// pools.
 	Draining bool `json:"l,omitempty"`
@@ -83,8 +92,9 @@
 
 // HeldPool is a pool held by this process.
 type HeldPool interface {
-	// ConfirmClaim records that the store shows this process as the holder.
-	ConfirmClaim()
+	// ConfirmClaim records that the store showed this process as the holder at the
+	// moment at.
+	ConfirmClaim(at time.Time)
 	// RestoreClaim writes the claim again under a lease.
 	RestoreClaim(lease store.LeaseID)
 }
@@ -127,7 +137,10 @@
 	// withoutHolderSince is when a pool was first seen without a holder.
 	withoutHolderSince map[string]time.Time
 	held               map[string]HeldPool
-	// updatedAt is when the store last reported members and claims.
+	// route is the route to the store that follows from members and claims, nil when
+	// these have changed since.
+	route *storeaccess.Route
+	// updatedAt is the latest moment whose members and claims the store has shown.
 	updatedAt time.Time
 	leaving   bool
 }
@@ -188,10 +201,7 @@
 	members := c.Members()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	counts := make(map[string]int, len(c.claims))
-	for _, claim := range c.claims {
-		counts[claim.HolderID()]++
-	}
+	counts := c.claimCountsLocked()
 	peers := make([]Peer, 0, len(members))
 	for _, m := range members {
 		if !m.Draining {
@@ -201,6 +211,46 @@
 	return peers
 }
 
+// Route returns how this process reaches the store, given the members that it knows.
+func (c *Cluster) Route() storeaccess.Route {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.route == nil {
+		route := storeaccess.PlanRoute(c.Self.Node, c.nodesLocked())
+		c.route = &route
+	}
+	route := *c.route
+	if len(c.held) > 0 {
+		route.Direct, route.HoldsClaims = true, true
+	}
+	return route
+}
+
+func (c *Cluster) nodesLocked() []storeaccess.Node {
+	counts := c.claimCountsLocked()
+	nodes := make([]storeaccess.Node, 0, len(c.members)+1)
+	for _, m := range c.members {
+		if m.Node != c.Self.Node {
+			nodes = append(nodes, relayNode(m, counts))
+		}
+	}
+	return append(nodes, relayNode(c.Self, counts))
+}
+
+func relayNode(m Member, claims map[string]int) storeaccess.Node {
+	return storeaccess.Node{
+		Name: m.Node, Address: m.Address, Zone: m.Zone, CPUShare: m.CPUShare, LinkMbps: m.LinkMbps, Claims: claims[m.HolderID()], CanRelay: m.CanRelay && !m.Draining,
+	}
+}
+
+func (c *Cluster) claimCountsLocked() map[string]int {
+	counts := make(map[string]int, len(c.claims))
+	for _, claim := range c.claims {
+		counts[claim.HolderID()]++
+	}
+	return counts
+}
+
 // PoolReleased records that this process no longer manages a pool.
 func (c *Cluster) PoolReleased(pool string) {
 	c.mu.Lock()
@@ -281,7 +331,7 @@
 	c.mu.Lock()
 	self.Draining = c.leaving
 	c.mu.Unlock()
-	_, err := c.Store.Commit(ctx, store.Txn{Puts: []store.Put{{Key: poolstore.MemberPrefix + c.Self.Node, Value: encode(self), Lease: lease}}})
+	_, err := c.Store.Commit(ctx, store.Txn{Puts: []store.Put{{Key: poolstore.MemberKey(c.Self.Zone, c.Self.Node), Value: encode(self), Lease: lease}}})
 	return err
 }
 
@@ -296,13 +346,37 @@
 
 // watch watches members and claims.
 func (c *Cluster) watch(ctx context.Context) {
+	c.findRelays(ctx)
 	w := listwatch.Watcher{
-		Store: c.Store, Prefix: poolstore.EphemeralPrefix, MinInterval: minWatchInterval, RelistOnError: true,
-		OnList: c.applyList, OnEvents: c.applyEvents, OnAvailability: c.availabilityChanged,
+		Store: c.Store, Prefix: poolstore.EphemeralPrefix, Interval: c.watchInterval, RelistOnError: true,
+		OnList: c.applyList, OnEvents: c.applyEvents, OnSeen: c.seen, OnAvailability: c.availabilityChanged,
 	}
 	w.Run(ctx)
 }
 
+func (c *Cluster) watchInterval() time.Duration {
+	if c.Route().Direct {
+		return minWatchInterval
+	}
+	return followInterval
+}
+
+// findRelays reads the members of this process's zone, so that it can read all others from
+// a relay. When all processes start at once, lists of all members from the store alone
+// would fill its link.
+func (c *Cluster) findRelays(ctx context.Context) {
+	listing, err := c.Store.List(ctx, poolstore.ZonePrefix(c.Self.Zone))
+	if err != nil {
+		c.Log.Warn().Err(err).Msg("Failed to list the members of the zone; all are read from the store.")
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, entry := range listing.Entries {
+		c.applyLocked(store.Event{Entry: entry})
+	}
+}
+
 func (c *Cluster) availabilityChanged(cause error) {
 	if cause != nil {
 		c.Log.Warn().Err(cause).Msg("Store unavailable.")
@@ -316,10 +390,10 @@
 	defer c.mu.Unlock()
 	clear(c.members)
 	clear(c.claims)
+	c.route = nil
 	for _, entry := range entries {
 		c.applyLocked(store.Event{Entry: entry})
 	}
-	c.updatedLocked()
 }
 
 func (c *Cluster) applyEvents(events []store.Event) {
@@ -328,11 +402,11 @@
 	for _, event := range events {
 		c.applyLocked(event)
 	}
-	c.updatedLocked()
 }
 
 func (c *Cluster) applyLocked(event store.Event) {
-	if node, ok := strings.CutPrefix(event.Entry.Key, poolstore.MemberPrefix); ok {
+	c.route = nil
+	if node, ok := poolstore.ParseMemberKey(event.Entry.Key); ok {
 		var m Member
 		if event.Deleted || json.Unmarshal(event.Entry.Value, &m) != nil {
 			delete(c.members, node)
@@ -358,15 +432,19 @@
 	return ok && m.HolderID() != claim.HolderID()
 }
 
-// updatedLocked reacts to an update of members and claims: it confirms the claims of
-// held pools, and restores a claim of this process that vanished.
-func (c *Cluster) updatedLocked() {
-	c.updatedAt = time.Now()
+// seen reacts to the members and claims that the store showed at the moment at: it
+// confirms the claims of held pools, and restores a claim of this process that vanished.
+func (c *Cluster) seen(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if at.After(c.updatedAt) {
+		c.updatedAt = at
+	}
 	for pool, held := range c.held {
 		claim, ok := c.claims[pool]
 		switch {
 		case ok && claim.HolderID() == c.Self.HolderID():
-			go held.ConfirmClaim()
+			go held.ConfirmClaim(at)
 		case !ok && c.lease != 0:
 			go held.RestoreClaim(c.lease)
 		}
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -19,7 +19,7 @@
 // noopPool does nothing.
 type noopPool struct{}
 
-func (noopPool) ConfirmClaim()              {}
+func (noopPool) ConfirmClaim(time.Time)     {}
 func (noopPool) RestoreClaim(store.LeaseID) {}
 
 // claimLog records which node claimed which pool.
--- a/internal/emulate/switch.go
+++ b/internal/emulate/switch.go
@@ -12,6 +12,7 @@
 	"auburnglade.example/glade/internal/poolmanager"
 	"auburnglade.example/glade/internal/poolrpc"
 	"auburnglade.example/glade/internal/store"
+	"auburnglade.example/glade/internal/storeaccess"
 	"auburnglade.example/glade/internal/work"
 )
 
@@ -28,6 +29,7 @@
 type connection struct {
 	poolrpc.Service
 	carrier *carrier.Server
+	access  *storeaccess.Access
 }
 
 // Network delivers calls between emulated entry hosts. It implements
@@ -37,6 +39,8 @@
 	connections map[string]connection
 	// exchanges is the number of exchanges delivered to a carrier.
 	exchanges int
+	// storeCalls counts the calls in place of the store that were delivered.
+	storeCalls StoreCalls
 }
 
 var (
@@ -50,10 +54,10 @@
 }
 
 // Connect makes an entry host reachable at address. A nil service disconnects it.
-func (n *Network) Connect(address string, service poolrpc.Service, carrierServer *carrier.Server) {
+func (n *Network) Connect(address string, service poolrpc.Service, carrierServer *carrier.Server, access *storeaccess.Access) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.connections[address] = connection{service, carrierServer}
+	n.connections[address] = connection{service, carrierServer, access}
 }
 
 // Exchange implements carrier.Peers.
--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -22,8 +22,10 @@
 	"auburnglade.example/glade/internal/linkbudget"
 	"auburnglade.example/glade/internal/poolmanager"
 	"auburnglade.example/glade/internal/poolrpc"
+	"auburnglade.example/glade/internal/poolstore"
 	"auburnglade.example/glade/internal/sched"
 	"auburnglade.example/glade/internal/store"
+	"auburnglade.example/glade/internal/storeaccess"
 	"auburnglade.example/glade/internal/telemetry"
 	"auburnglade.example/glade/internal/work"
 	"auburnglade.example/glade/internal/worker"
@@ -42,6 +44,11 @@
 	// that are used as carriers.
 	Peers        poolrpc.Peers
 	CarrierPeers carrier.Peers
+	// StorePeers is the client for other entry hosts that stand in for the store.
+	StorePeers storeaccess.Peers
+	// OperatorPrefix is the prefix of the operator's entries, which all entry hosts
+	// watch.
+	OperatorPrefix string
 	// HostsPerCore is how many hosts a core of an entry host can call; zero selects
 	// the default.
 	HostsPerCore carrier.HostsPerCore
@@ -66,6 +73,8 @@
 	Config
 	Cluster *cluster.Cluster
 	Jobs    *jobrouter.Router
+	// Access is this entry host's way to the store.
+	Access *storeaccess.Access
 	// Relay keeps the newest version of the operator's configuration.
 	Relay *configrelay.Relay
 	// Carrier makes calls to hosts for other entry hosts that hold large pools.
@@ -83,7 +92,7 @@
 
 // New returns an entry host. It is inactive until Run.
 func New(config Config) *Host {
-	config.Self.CanCarry = true
+	config.Self.CanCarry, config.Self.CanRelay, config.Self.LinkMbps = true, true, config.LinkMbps
 	h := &Host{
 		Config:         config,
 		managers:       make(map[string]*poolmanager.Manager),
@@ -92,8 +101,12 @@
 		starts:         linkbudget.New(config.LinkMbps, startShare),
 	}
 	h.Carrier = carrier.NewServer(config.Workers, carrier.BatchDelay(config.LinkMbps), h.carrierMetrics)
+	h.Access = storeaccess.New(storeaccess.Config{
+		Direct: config.Store, Peers: config.StorePeers, Shared: []string{poolstore.EphemeralPrefix, config.OperatorPrefix},
+		Route: h.route, Log: telemetry.PartLogger(config.Log, "store"), Metrics: storeaccess.NewMetrics(config.Registerer),
+	})
 	h.Cluster = cluster.New(cluster.Config{
-		Store: config.Store, Self: config.Self, Pools: h.claims, StartPool: h.startPool,
+		Store: h.Access, Self: config.Self, Pools: h.claims, StartPool: h.startPool,
 		Log: telemetry.PartLogger(config.Log, "cluster"),
 	})
 	h.Relay = configrelay.New(configrelay.Config{
@@ -114,6 +127,8 @@
 	return h.Cluster.Run(ctx)
 }
 
+func (h *Host) route() storeaccess.Route { return h.Cluster.Route() }
+
 func (h *Host) applyConfig(version configrelay.Version) {
 	if h.ApplyConfig != nil {
 		h.ApplyConfig(version)
@@ -149,7 +164,7 @@
 // startHostManager starts the host manager after its claim was acquired.
 func (h *Host) startHostManager(takeover cluster.Takeover) cluster.HeldPool {
 	config := h.HostManager
-	config.Holder, config.Store, config.Pools = h.Self.HolderID(), h.Store, h.Jobs
+	config.Holder, config.Store, config.Pools = h.Self.HolderID(), h.Access, h.Jobs
 	config.HasHolder = func(pool string) bool { return slices.Contains(h.Pools(), pool) }
 	config.Log = telemetry.PartLogger(h.Log, "duty")
 	manager := hostmanager.New(config, takeover.Head.Fence, takeover.Revision, takeover.Claim)
@@ -178,7 +193,7 @@
 	}
 	router := h.router(takeover)
 	manager := poolmanager.New(poolmanager.Config{
-		Pool: takeover.Pool, Holder: h.Self.HolderID(), Store: h.Store, Workers: router, Hosts: router, Adviser: h.Adviser, Limits: h.Limits, Starts: h.starts,
+		Pool: takeover.Pool, Holder: h.Self.HolderID(), Store: h.Access, Workers: router, Hosts: router, Adviser: h.Adviser, Limits: h.Limits, Starts: h.starts,
 		Sched: config, Log: telemetry.PartLogger(h.Log, "pool").With().Str("pool", takeover.Pool).Logger(), Metrics: h.poolMetrics,
 	}, poolmanager.Takeover{
 		Head: takeover.Head, Revision: takeover.Revision, Claim: takeover.Claim, Lease: takeover.Lease,
--- a/internal/entryhost/harness_test.go
+++ b/internal/entryhost/harness_test.go
@@ -44,6 +44,10 @@
 	hostsPerCore carrier.HostsPerCore
 	// operator provides the limits of organisations, nil for none.
 	operator *operator
+	// zones is the number of availability zones of the entry hosts, zero for one.
+	zones int
+	// gated is set if the store can turn single entry hosts away.
+	gated bool
 	// weights are the weights of organisations that have no limits, nil for none.
 	weights map[string]int
 }
@@ -114,7 +118,7 @@
 
 // start starts or restarts an entry host's process.
 func (dep *deployment) start(node string) *entry {
-	if dep.operator == nil {
+	if dep.operator == nil && !dep.gated {
 		return dep.startOn(node, dep.store)
 	}
 	through := &cutStore{Store: dep.store}
@@ -128,8 +132,8 @@
 	dep.starts++
 	ctx, cancel := context.WithCancel(dep.ctx)
 	config := entryhost.Config{
-		Self:  cluster.Member{Node: node, Incarnation: fmt.Sprint(dep.starts), Address: node, CPUShare: 0.4},
-		Store: s, Workers: dep.workers, Hosts: dep.workers, Peers: dep.net, CarrierPeers: dep.net, HostsPerCore: dep.hostsPerCore, Sched: entryhost.SchedConfig(bounds),
+		Self:  cluster.Member{Node: node, Incarnation: fmt.Sprint(dep.starts), Address: node, Zone: dep.zoneOf(node), CPUShare: 0.4},
+		Store: s, Workers: dep.workers, Hosts: dep.workers, Peers: dep.net, CarrierPeers: dep.net, StorePeers: dep.net, OperatorPrefix: operatorPrefix, HostsPerCore: dep.hostsPerCore, Sched: entryhost.SchedConfig(bounds),
 		Pools: func() []string { return []string{"day", "night"} },
 		HostManager: hostmanager.Config{
 			Fleet: dep.fleet, Waves: dep.listWaves,
@@ -155,11 +159,23 @@
 	}
 	e := &entry{Host: host, address: node, kill: cancel}
 	dep.entries[node] = e
-	dep.net.Connect(node, host.Jobs, host.Carrier)
+	dep.net.Connect(node, host.Jobs, host.Carrier, host.Access)
 	go host.Run(ctx)
 	return e
 }
 
+// operatorPrefix is the prefix of the operator's entries.
+const operatorPrefix = "operator/"
+
+// zoneOf returns the availability zone of an entry host.
+func (dep *deployment) zoneOf(node string) string {
+	var number int
+	if _, err := fmt.Sscanf(node, "entry-%d", &number); err != nil || dep.zones == 0 {
+		return ""
+	}
+	return fmt.Sprintf("zone-%d", number%dep.zones)
+}
+
 func (dep *deployment) listWaves() []hostmanager.Wave {
 	dep.mu.Lock()
 	defer dep.mu.Unlock()
@@ -190,7 +206,7 @@
 
 // kill terminates an entry host's process abruptly.
 func (dep *deployment) kill(node string) {
-	dep.net.Connect(node, nil, nil)
+	dep.net.Connect(node, nil, nil, nil)
 	dep.entries[node].kill()
 	delete(dep.entries, node)
 }
--- a/internal/hostmanager/manager.go
+++ b/internal/hostmanager/manager.go
@@ -166,10 +166,12 @@
 }
 
 // ConfirmClaim implements cluster.HeldPool.
-func (m *Manager) ConfirmClaim() {
+func (m *Manager) ConfirmClaim(at time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.confirmedAt = time.Now()
+	if at.After(m.confirmedAt) {
+		m.confirmedAt = at
+	}
 }
 
 // maxUnconfirmed is how long the manager goes on acting when the store doesn't
--- a/internal/hostmanager/manager_test.go
+++ b/internal/hostmanager/manager_test.go
@@ -17,7 +17,7 @@
 		must.True(t, m.mayAct())
 		time.Sleep(maxUnconfirmed)
 		must.False(t, m.mayAct())
-		m.ConfirmClaim()
+		m.ConfirmClaim(time.Now())
 		must.True(t, m.mayAct())
 		m.setFenced()
 		must.False(t, m.mayAct())
@@ -33,7 +33,7 @@
 		// counts.
 		m.confirmedAt = time.Now().Round(0).Add(-maxUnconfirmed)
 		must.False(t, m.mayAct())
-		m.ConfirmClaim()
+		m.ConfirmClaim(time.Now())
 		must.True(t, m.mayAct())
 	})
 }
--- a/internal/hostmanager/scale_test.go
+++ b/internal/hostmanager/scale_test.go
@@ -106,7 +106,7 @@
 	}, 1, 1, nil)
 	go func() {
 		for range 100 {
-			manager.ConfirmClaim()
+			manager.ConfirmClaim(time.Now())
 			time.Sleep(200 * time.Millisecond)
 		}
 	}()
--- a/internal/listwatch/watcher.go
+++ b/internal/listwatch/watcher.go
@@ -20,6 +20,8 @@
 	// MinInterval is the minimum time between two calls. Events within it arrive
 	// together, which costs one call.
 	MinInterval time.Duration
+	// Interval, if it isn't nil, returns the minimum time in place of MinInterval.
+	Interval func() time.Duration
 	// RelistOnError lists again after a failed watch. A list returns at once, while
 	// the next watch may take as long as the last one.
 	RelistOnError bool
@@ -31,6 +33,10 @@
 	// OnCurrent is called after each successful call with the moment up to which all
 	// changes are known. It may be nil.
 	OnCurrent func(at time.Time)
+	// OnSeen is called after each successful call with the moment whose state was
+	// seen: when the store's own response arrived, or else as for OnCurrent. It may be
+	// nil.
+	OnSeen func(at time.Time)
 	// OnAvailability is called with the cause when the store becomes unavailable,
 	// and with nil when it is available again. It may be nil.
 	OnAvailability func(cause error)
@@ -56,10 +62,17 @@
 			pause.For(ctx, pause.Jitter(retryInterval))
 			continue
 		}
-		pause.For(ctx, w.MinInterval)
+		pause.For(ctx, w.minInterval())
 	}
 }
 
+func (w *Watcher) minInterval() time.Duration {
+	if w.Interval != nil {
+		return w.Interval()
+	}
+	return w.MinInterval
+}
+
 // listOrWatch makes one call and returns the revision to watch from, zero to list.
 func (w *Watcher) listOrWatch(ctx context.Context, revision store.Revision) (store.Revision, error) {
 	sent := time.Now()
@@ -69,7 +82,7 @@
 			return 0, err
 		}
 		w.OnList(listing.Entries)
-		w.current(sent)
+		w.current(sent.Add(listing.Quiet), listing.Relayed)
 		return listing.Revision, nil
 	}
 	batch, err := w.Store.Watch(ctx, w.Prefix, revision)
@@ -83,14 +96,21 @@
 		return revision, err
 	}
 	w.OnEvents(batch.Events)
-	w.current(sent.Add(batch.Quiet))
+	w.current(sent.Add(batch.Quiet), batch.Relayed)
 	return batch.Revision, nil
 }
 
-func (w *Watcher) current(at time.Time) {
+func (w *Watcher) current(at time.Time, relayed bool) {
 	if w.OnCurrent != nil {
 		w.OnCurrent(at)
 	}
+	if w.OnSeen == nil {
+		return
+	}
+	if !relayed {
+		at = time.Now()
+	}
+	w.OnSeen(at)
 }
 
 // WrittenEntries returns the entries that events wrote, without the deleted ones.
--- a/internal/poolmanager/crashing_test.go
+++ b/internal/poolmanager/crashing_test.go
@@ -22,7 +22,7 @@
 func confirmFor(m *runningManager, length time.Duration) {
 	for range length / time.Second {
 		time.Sleep(time.Second)
-		m.ConfirmClaim()
+		m.ConfirmClaim(time.Now())
 	}
 }
 
--- a/internal/poolmanager/manager.go
+++ b/internal/poolmanager/manager.go
@@ -270,10 +270,14 @@
 	}
 }
 
-// ConfirmClaim records that the store has just shown this process as the pool's
-// holder.
-func (m *Manager) ConfirmClaim() {
-	m.enqueue(context.Background(), func() { m.claimConfirmedAt = time.Now() })
+// ConfirmClaim records that the store showed this process as the pool's holder at the
+// moment at.
+func (m *Manager) ConfirmClaim(at time.Time) {
+	m.enqueue(context.Background(), func() {
+		if at.After(m.claimConfirmedAt) {
+			m.claimConfirmedAt = at
+		}
+	})
 }
 
 // claimConfirmed reports whether the store has confirmed the claim within
--- a/internal/poolmanager/manager_test.go
+++ b/internal/poolmanager/manager_test.go
@@ -172,7 +172,7 @@
 		for range 12 {
 			// The store keeps confirming the claim.
 			time.Sleep(time.Second)
-			m.ConfirmClaim()
+			m.ConfirmClaim(time.Now())
 		}
 		must.EqOp(t, 1, e.workers.Checker.Running(id))
 		must.NotEqOp(t, unresponsive, e.hostOf(id))
--- a/internal/poolmanager/refuse_test.go
+++ b/internal/poolmanager/refuse_test.go
@@ -29,7 +29,7 @@
 func (e *env) overloaded(m *runningManager, organisation string) (poolmanager.Reply, *work.JobRecord) {
 	e.t.Helper()
 	for range 200 {
-		m.ConfirmClaim()
+		m.ConfirmClaim(time.Now())
 		record := e.record(shortStep(16))
 		record.Organisation = organisation
 		if reply := m.Submit(e.ctx, record); reply.Result.ForRoom() {
@@ -52,7 +52,7 @@
 		must.GreaterEq(t, time.Second, reply.RetryAfter)
 		for range 60 {
 			time.Sleep(time.Second)
-			m.ConfirmClaim()
+			m.ConfirmClaim(time.Now())
 		}
 		_, known, ok := m.JobState(e.ctx, work.JobRef{ID: record.ID})
 		must.True(t, ok)
@@ -70,7 +70,7 @@
 		e.limits = weighted{"loud": 1}
 		m := e.takeOver(true)
 		time.Sleep(4 * time.Second)
-		m.ConfirmClaim()
+		m.ConfirmClaim(time.Now())
 		first := e.record(shortStep(16))
 		must.EqOp(t, poolmanager.Stored, m.Submit(e.ctx, first).Result)
 		e.overloaded(m, "loud")
@@ -98,7 +98,7 @@
 		m := e.takeOver(true)
 		time.Sleep(4 * time.Second)
 		for range 100 {
-			m.ConfirmClaim()
+			m.ConfirmClaim(time.Now())
 			e.submit(m, shortStep(16))
 		}
 	})
@@ -111,7 +111,7 @@
 		e.limits = weighted{"loud": 1}
 		m := e.takeOver(true)
 		time.Sleep(4 * time.Second)
-		m.ConfirmClaim()
+		m.ConfirmClaim(time.Now())
 		e.store.SetDown(true)
 		var refused sync.WaitGroup
 		for range 200 {
@@ -121,7 +121,7 @@
 		refused.Wait()
 		e.store.SetDown(false)
 		time.Sleep(2 * time.Second)
-		m.ConfirmClaim()
+		m.ConfirmClaim(time.Now())
 		record := e.record(shortStep(16))
 		must.EqOp(t, poolmanager.Stored, m.Submit(e.ctx, record).Result)
 	})
@@ -146,7 +146,7 @@
 		m := e.takeOver(true)
 		time.Sleep(4 * time.Second)
 		for range 100 {
-			m.ConfirmClaim()
+			m.ConfirmClaim(time.Now())
 			e.submit(m, shortStep(16))
 		}
 	})
--- a/internal/poolstore/poolstore.go
+++ b/internal/poolstore/poolstore.go
@@ -73,6 +73,19 @@
 // is valid.
 func ClaimKey(pool string) string { return ClaimPrefix + pool }
 
+// ZonePrefix is the prefix of the records of the processes in an availability zone.
+func ZonePrefix(zone string) string { return MemberPrefix + zone + "/" }
+
+// MemberKey is the key of the record of a node's process.
+func MemberKey(zone, node string) string { return ZonePrefix(zone) + node }
+
+// ParseMemberKey returns the node in the key of a process's record. Processes of earlier
+// versions have keys without a zone.
+func ParseMemberKey(key string) (node string, ok bool) {
+	rest, ok := strings.CutPrefix(key, MemberPrefix)
+	return rest[strings.LastIndexByte(rest, '/')+1:], ok
+}
+
 // Head is the record that serializes a pool's commits.
 type Head struct {
 	// Fence is the fencing token; every takeover increases it.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -43,6 +43,9 @@
 type Listing struct {
 	Entries  []Entry  `json:"entries"`
 	Revision Revision `json:"revision"`
+	// Quiet and Relayed are those of WatchBatch.
+	Quiet   time.Duration `json:"-"`
+	Relayed bool          `json:"-"`
 }
 
 // Event is one change under a watched prefix. Deleted events carry no value.
@@ -57,8 +60,11 @@
 	Events   []Event  `json:"events"`
 	Revision Revision `json:"revision"`
 	// Quiet is how long the store has waited, at least, before it answered without
-	// events.
+	// events. All changes are known up to that long after the call was sent. It is
+	// negative if an entry host answered that learned less.
 	Quiet time.Duration `json:"-"`
+	// Relayed is set if another entry host answered in place of the store.
+	Relayed bool `json:"-"`
 }
 
 // Lease is a granted lease. The store counts TTL from when it sends its
--- /dev/null
+++ b/internal/storeaccess/cache.go
@@ -0,0 +1,224 @@
+package storeaccess
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"auburnglade.example/glade/internal/store"
+)
+
+const (
+	// maxServedAge is the age up to which a relay passes on what it knows. A watch that
+	// waits in vain confirms it once a second; a later answer means that the store
+	// doesn't respond.
+	maxServedAge = 1600 * time.Millisecond
+	// maxFailures is how many calls in a row may fail before a relay sends its followers
+	// away: a single lost answer would send them all to the store.
+	maxFailures = 2
+	// maxHistoryEvents and maxHistoryBytes bound the recent changes that are kept for
+	// followers. One that is further behind lists.
+	maxHistoryEvents = 2048
+	maxHistoryBytes  = 1 << 20
+)
+
+// NotCurrentError reports that an entry host doesn't know the current state of the store.
+type NotCurrentError struct{ Prefix string }
+
+func (e *NotCurrentError) Error() string {
+	return "the current entries under " + e.Prefix + " are not known here"
+}
+
+// cache holds the entries under one prefix and their recent changes, as the store or a
+// relay showed them, and serves them to followers while the store confirms them here.
+type cache struct {
+	prefix string
+
+	mu       sync.Mutex
+	entries  map[string]store.Entry
+	revision store.Revision
+	// history are the recent events in order, complete for revisions after historyFrom.
+	history      []store.Event
+	historyFrom  store.Revision
+	historyBytes int
+	// currentAt is the moment up to which the store itself has shown all changes.
+	currentAt time.Time
+	// failures counts the direct calls in a row that failed.
+	failures int
+	// changed is closed and replaced when something to serve has changed.
+	changed chan struct{}
+}
+
+func newCache(prefix string) *cache {
+	return &cache{prefix: prefix, entries: make(map[string]store.Entry), changed: make(chan struct{})}
+}
+
+// listed replaces the entries. The differences become events, so that followers go on
+// without a list of their own. direct is set for a list by the store, sent at the moment at.
+func (c *cache) listed(listing store.Listing, direct bool, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := c.revision > 0
+	listed := make(map[string]store.Entry, len(listing.Entries))
+	var events []store.Event
+	for _, entry := range listing.Entries {
+		listed[entry.Key] = entry
+		if old, ok := c.entries[entry.Key]; !ok || old.ModRevision < entry.ModRevision {
+			events = append(events, store.Event{Entry: entry})
+		}
+	}
+	slices.SortFunc(events, func(a, b store.Event) int { return cmp.Compare(a.Entry.ModRevision, b.Entry.ModRevision) })
+	for key := range c.entries {
+		if _, ok := listed[key]; !ok {
+			events = append(events, store.Event{Entry: store.Entry{Key: key, ModRevision: listing.Revision}, Deleted: true})
+		}
+	}
+	c.entries, c.revision = listed, max(c.revision, listing.Revision)
+	if known {
+		c.appendLocked(events)
+	} else {
+		c.historyFrom = listing.Revision
+	}
+	c.notedLocked(direct, at)
+}
+
+// watched applies the answer to a watch.
+func (c *cache) watched(batch store.WatchBatch, direct bool, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, event := range batch.Events {
+		if event.Deleted {
+			delete(c.entries, event.Entry.Key)
+		} else {
+			c.entries[event.Entry.Key] = event.Entry
+		}
+	}
+	c.appendLocked(batch.Events)
+	c.revision = max(c.revision, batch.Revision)
+	c.notedLocked(direct, at)
+}
+
+func (c *cache) notedLocked(direct bool, at time.Time) {
+	if direct {
+		c.failures = 0
+		if at.After(c.currentAt) {
+			c.currentAt = at
+		}
+	}
+	c.wakeLocked()
+}
+
+func (c *cache) wakeLocked() {
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// failed records that the store didn't answer.
+func (c *cache) failed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failures++
+	if c.failures == maxFailures {
+		c.wakeLocked()
+	}
+}
+
+func (c *cache) appendLocked(events []store.Event) {
+	for _, event := range events {
+		c.history = append(c.history, event)
+		c.historyBytes += eventBytes(event)
+	}
+	drop := 0
+	for len(c.history)-drop > maxHistoryEvents || c.historyBytes > maxHistoryBytes && drop < len(c.history) {
+		c.historyBytes -= eventBytes(c.history[drop])
+		c.historyFrom = max(c.historyFrom, c.history[drop].Entry.ModRevision)
+		drop++
+	}
+	c.history = slices.Delete(c.history, 0, drop)
+}
+
+func eventBytes(event store.Event) int { return len(event.Entry.Key) + len(event.Entry.Value) }
+
+// lastRevision is the newest revision that was shown.
+func (c *cache) lastRevision() store.Revision {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.revision
+}
+
+// ageLocked is how old the state is. The monotonic clock stands still while a process is
+// suspended, the wall clock doesn't.
+func (c *cache) ageLocked(now time.Time) time.Duration {
+	return max(now.Sub(c.currentAt), now.Round(0).Sub(c.currentAt.Round(0)))
+}
+
+// checkLocked returns *NotCurrentError if the state can't be served.
+func (c *cache) checkLocked(now time.Time) error {
+	if c.currentAt.IsZero() || c.failures >= maxFailures || c.ageLocked(now) > maxServedAge {
+		return &NotCurrentError{c.prefix}
+	}
+	return nil
+}
+
+// list returns all entries, for a call that arrived at the moment received.
+func (c *cache) list(received time.Time) (store.Listing, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if err := c.checkLocked(now); err != nil {
+		return store.Listing{}, err
+	}
+	listing := store.Listing{Revision: c.revision, Quiet: now.Sub(received) - c.ageLocked(now)}
+	for _, entry := range c.entries {
+		listing.Entries = append(listing.Entries, entry)
+	}
+	slices.SortFunc(listing.Entries, func(a, b store.Entry) int { return strings.Compare(a.Key, b.Key) })
+	return listing, nil
+}
+
+// watch waits for events after a revision, for the next confirmation by the store, or
+// until the state can't be served any more.
+func (c *cache) watch(ctx context.Context, after store.Revision) (store.WatchBatch, error) {
+	received := time.Now()
+	timeout := time.NewTimer(maxServedAge)
+	defer timeout.Stop()
+	var confirmed time.Time
+	for {
+		batch, currentAt, changed, err := c.eventsAfter(after, received)
+		if confirmed.IsZero() {
+			confirmed = currentAt
+		}
+		if err != nil || len(batch.Events) > 0 || currentAt.After(confirmed) {
+			return batch, err
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			return store.WatchBatch{}, &NotCurrentError{c.prefix}
+		case <-ctx.Done():
+			return store.WatchBatch{}, ctx.Err()
+		}
+	}
+}
+
+func (c *cache) eventsAfter(after store.Revision, received time.Time) (batch store.WatchBatch, currentAt time.Time, changed <-chan struct{}, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if err := c.checkLocked(now); err != nil {
+		return batch, c.currentAt, c.changed, err
+	}
+	if after < c.historyFrom {
+		return batch, c.currentAt, c.changed, &store.CompactedError{Asked: after, Oldest: c.historyFrom}
+	}
+	batch = store.WatchBatch{Revision: max(after, c.revision), Quiet: now.Sub(received) - c.ageLocked(now)}
+	for _, event := range c.history {
+		if event.Entry.ModRevision > after {
+			batch.Events = append(batch.Events, event)
+		}
+	}
+	return batch, c.currentAt, c.changed, nil
+}
