Watch hosts and inbox through others where the store turns a holder away

Cause: only commits, reads and lease renewals went through others.

Change: a holder's refused watch is made through another entry host too. What binds there: docs/design/whole-fleet.md.

--- a/internal/emulate/storecalls.go
+++ b/internal/emulate/storecalls.go
@@ -84,6 +84,11 @@
 	return throughPeer(ctx, n, address, "list", false, func(s store.Transactor) (store.Listing, error) { return s.List(ctx, prefix) })
 }
 
+// Watch implements storeaccess.Peers.
+func (n *Network) Watch(ctx context.Context, address, prefix string, after store.Revision) (store.WatchBatch, error) {
+	return throughPeer(ctx, n, address, "watch", false, func(s store.Transactor) (store.WatchBatch, error) { return s.Watch(ctx, prefix, after) })
+}
+
 // Get implements storeaccess.Peers.
 func (n *Network) Get(ctx context.Context, address, key string) (store.Entry, error) {
 	return throughPeer(ctx, n, address, "get", false, func(s store.Transactor) (store.Entry, error) { return s.Get(ctx, key) })
--- a/internal/storeaccess/access.go
+++ b/internal/storeaccess/access.go
@@ -34,8 +34,8 @@
 	// relayTimeout bounds the tries of one call through other entry hosts, and a list by a
 	// relay.
 	relayTimeout = 700 * time.Millisecond
-	// followTimeout bounds a watch of a relay. It answers when the store has confirmed,
-	// which it does once a second, or says that it hasn't.
+	// followTimeout bounds a watch of a relay, or through another entry host. It answers
+	// when the store has confirmed, which it does once a second, or says that it hasn't.
 	followTimeout = maxServedAge + 300*time.Millisecond
 )
 
@@ -51,6 +51,7 @@
 	Commit(ctx context.Context, address string, txn store.Txn) (store.Revision, error)
 	Get(ctx context.Context, address, key string) (store.Entry, error)
 	List(ctx context.Context, address, prefix string) (store.Listing, error)
+	Watch(ctx context.Context, address, prefix string, after store.Revision) (store.WatchBatch, error)
 	Grant(ctx context.Context, address string, ttl time.Duration) (store.Lease, error)
 	KeepAlive(ctx context.Context, address string, id store.LeaseID) (store.Lease, error)
 }
@@ -188,7 +189,7 @@
 func (a *Access) List(ctx context.Context, prefix string) (listing store.Listing, err error) {
 	shared := a.caches[prefix]
 	if shared == nil {
-		return throughPeers(ctx, a, func() (store.Listing, error) { return a.Direct.List(ctx, prefix) },
+		return throughPeers(ctx, a, relayTimeout, func() (store.Listing, error) { return a.Direct.List(ctx, prefix) },
 			func(ctx context.Context, address string) (store.Listing, error) {
 				return a.Peers.List(ctx, address, prefix)
 			})
@@ -223,7 +224,10 @@
 func (a *Access) Watch(ctx context.Context, prefix string, after store.Revision) (batch store.WatchBatch, err error) {
 	shared := a.caches[prefix]
 	if shared == nil {
-		return a.Direct.Watch(ctx, prefix, after)
+		return throughPeers(ctx, a, followTimeout, func() (store.WatchBatch, error) { return a.Direct.Watch(ctx, prefix, after) },
+			func(ctx context.Context, address string) (store.WatchBatch, error) {
+				return a.Peers.Watch(ctx, address, prefix, after)
+			})
 	}
 	err = a.read(ctx, prefix, func(ctx context.Context, source string) (err error) {
 		sent := time.Now()
--- a/internal/storeaccess/through.go
+++ b/internal/storeaccess/through.go
@@ -11,8 +11,9 @@
 // throughPeers makes a call to the store, and makes it through other entry hosts if the
 // store refuses this one and may serve others. A holder that the store alone turns away
 // would otherwise store nothing until its claim expires and another one has taken over.
-// Only a call that certainly wasn't carried out is made again.
-func throughPeers[T any](ctx context.Context, a *Access, direct func() (T, error), via func(ctx context.Context, address string) (T, error)) (T, error) {
+// Only a call that certainly wasn't carried out is made again. timeout bounds all tries
+// through others.
+func throughPeers[T any](ctx context.Context, a *Access, timeout time.Duration, direct func() (T, error), via func(ctx context.Context, address string) (T, error)) (T, error) {
 	result, err := direct()
 	if !a.refused(err) {
 		return result, err
@@ -21,7 +22,7 @@
 	if len(peers) == 0 {
 		return result, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	for _, address := range peers {
 		relayed, relayErr := via(ctx, address)
@@ -76,13 +77,13 @@
 
 // Get implements store.Store.
 func (a *Access) Get(ctx context.Context, key string) (store.Entry, error) {
-	return throughPeers(ctx, a, func() (store.Entry, error) { return a.Direct.Get(ctx, key) },
+	return throughPeers(ctx, a, relayTimeout, func() (store.Entry, error) { return a.Direct.Get(ctx, key) },
 		func(ctx context.Context, address string) (store.Entry, error) { return a.Peers.Get(ctx, address, key) })
 }
 
 // Commit implements store.Transactor.
 func (a *Access) Commit(ctx context.Context, txn store.Txn) (store.Revision, error) {
-	return throughPeers(ctx, a, func() (store.Revision, error) { return a.Direct.Commit(ctx, txn) },
+	return throughPeers(ctx, a, relayTimeout, func() (store.Revision, error) { return a.Direct.Commit(ctx, txn) },
 		func(ctx context.Context, address string) (store.Revision, error) {
 			return a.Peers.Commit(ctx, address, txn)
 		})
@@ -90,7 +91,7 @@
 
 // Grant implements store.Store.
 func (a *Access) Grant(ctx context.Context, ttl time.Duration) (store.Lease, error) {
-	return throughPeers(ctx, a, func() (store.Lease, error) { return a.Direct.Grant(ctx, ttl) },
+	return throughPeers(ctx, a, relayTimeout, func() (store.Lease, error) { return a.Direct.Grant(ctx, ttl) },
 		func(ctx context.Context, address string) (store.Lease, error) {
 			return a.Peers.Grant(ctx, address, ttl)
 		})
@@ -98,7 +99,7 @@
 
 // KeepAlive implements store.Store.
 func (a *Access) KeepAlive(ctx context.Context, id store.LeaseID) (store.Lease, error) {
-	return throughPeers(ctx, a, func() (store.Lease, error) { return a.Direct.KeepAlive(ctx, id) },
+	return throughPeers(ctx, a, relayTimeout, func() (store.Lease, error) { return a.Direct.KeepAlive(ctx, id) },
 		func(ctx context.Context, address string) (store.Lease, error) {
 			return a.Peers.KeepAlive(ctx, address, id)
 		})
--- a/internal/storerpc/storerpc.go
+++ b/internal/storerpc/storerpc.go
@@ -40,14 +40,21 @@
 }
 
 func (s *server) WatchShared(ctx context.Context, r *storepb.WatchRequest) (*storepb.WatchReply, error) {
-	batch, err := s.service.ServeWatch(ctx, r.Prefix, store.Revision(r.After))
+	return watchReply(s.service.ServeWatch(ctx, r.Prefix, store.Revision(r.After))), nil
+}
+
+func (s *server) Watch(ctx context.Context, r *storepb.WatchRequest) (*storepb.WatchReply, error) {
+	return watchReply(s.service.Own().Watch(ctx, r.Prefix, store.Revision(r.After))), nil
+}
+
+func watchReply(batch store.WatchBatch, err error) *storepb.WatchReply {
 	reply := &storepb.WatchReply{Outcome: outcomeOf(err), Revision: int64(batch.Revision), QuietUs: batch.Quiet.Microseconds()}
 	for _, event := range batch.Events {
 		encoded := encodeEntry(event.Entry)
 		encoded.Deleted = event.Deleted
 		reply.Events = append(reply.Events, encoded)
 	}
-	return reply, nil
+	return reply
 }
 
 func (s *server) List(ctx context.Context, r *storepb.ListRequest) (*storepb.ListReply, error) {
@@ -144,6 +151,16 @@
 // WatchShared implements storeaccess.Peers.
 func (c *Client) WatchShared(ctx context.Context, address, prefix string, after store.Revision) (store.WatchBatch, error) {
 	reply, err := c.peers.Get(address).WatchShared(ctx, &storepb.WatchRequest{Prefix: prefix, After: int64(after)})
+	return c.batch(reply, err, prefix, after)
+}
+
+// Watch implements storeaccess.Peers.
+func (c *Client) Watch(ctx context.Context, address, prefix string, after store.Revision) (store.WatchBatch, error) {
+	reply, err := c.peers.Get(address).Watch(ctx, &storepb.WatchRequest{Prefix: prefix, After: int64(after)})
+	return c.batch(reply, err, prefix, after)
+}
+
+func (c *Client) batch(reply *storepb.WatchReply, err error, prefix string, after store.Revision) (store.WatchBatch, error) {
 	if err != nil {
 		return store.WatchBatch{}, c.failed("watch", false, err)
 	}
