Remember how large bursts are while several overlap

Cause: a peak counted as the size of a burst only while it was four times the median offered load. While bursts overlap none is, the size was taken for unknown, and all free room was shared out by likelihood as before.

Change: the burst tracker sets the size, from the pools' peaks of two minutes, and keeps that it is known; the median of an even number of pools is the lower one. The test fails on the code before.

--- a/internal/hostmanager/bursts.go
+++ b/internal/hostmanager/bursts.go
@@ -18,6 +18,8 @@
 	// hits counts, at the start of each burst, the rank of its pool in the order
 	// of last bursts, latest first.
 	hits [rankBuckets]float64
+	// sizeKnown is set once the pools' peaks have shown how large bursts are.
+	sizeKnown bool
 }
 
 // burstState is the state of one pool's bursts.
@@ -61,6 +63,9 @@
 	sampleWeight = 0.15
 	// peakDecay is the share of a peak that remains after each sample.
 	peakDecay = 0.99
+	// minBurstRatio times the median offered load of the pools is the least peak of a
+	// pool that shows how large bursts are. Below it there may have been none.
+	minBurstRatio = 4
 	// minNeedSamples is how many samples a burst must have for its averages to
 	// count as its need.
 	minNeedSamples = 2
@@ -110,9 +115,33 @@
 		}
 	}
 	bt.setLikelihoods(pools)
+	bt.setLargestBurst(pools)
 	return changes
 }
 
+// setLargestBurst sets the pools' LargestBurst. Once it is known it remains so: while
+// several pools have bursts at once, the peaks don't stand out from what is offered.
+func (bt *BurstTracker) setLargestBurst(pools []PoolView) {
+	largest, offered := 0, make([]int, 0, len(pools))
+	for i := range pools {
+		if p := &pools[i]; p.Known && !p.Spare {
+			largest = max(largest, p.Load.Peak)
+			offered = append(offered, p.Load.Offered)
+		}
+	}
+	if len(offered) == 0 {
+		return
+	}
+	slices.Sort(offered)
+	bt.sizeKnown = bt.sizeKnown || largest > 0 && largest >= minBurstRatio*offered[(len(offered)-1)/2]
+	if !bt.sizeKnown {
+		return
+	}
+	for i := range pools {
+		pools[i].LargestBurst = float64(largest)
+	}
+}
+
 // restore initializes the state of pools that are observed for the first time from
 // the peaks that their holders report, as a process that has just become the host
 // manager has observed no bursts.
--- a/internal/hostmanager/levelling_test.go
+++ b/internal/hostmanager/levelling_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
@@ -16,7 +17,7 @@
 	for i := range pools {
 		p := poolView(fmt.Sprintf("p%d", i), hostsPerPool-i*hostsPerPool/20, 0, 0)
 		p.Load.Peak, p.Load.Offered = burst, burst/100
-		p.BurstLikelihood = minLikelihood + float64(i)/10
+		p.BurstLikelihood, p.LargestBurst = minLikelihood+float64(i)/10, float64(burst)
 		pools[i] = p
 	}
 	pools[0].Load.Offered, pools[0].BurstNeed = burst, needFactor*float64(burst)
@@ -37,7 +38,7 @@
 	for _, hostsPerPool := range []int{100, 400, 1600} {
 		pools := ampleFleet(hostsPerPool)
 		small := poolView("small", hostsPerPool/10, 0, 0)
-		small.Load.Peak = pools[1].Load.Peak
+		small.LargestBurst = pools[1].LargestBurst
 		small.BurstLikelihood = 1
 		moves := PlanMoves(append(pools, small), anywhere)
 		lacking := hostsPerPool/5*8/5 - hostsPerPool/10
@@ -51,9 +52,30 @@
 // While no burst was seen, its size is unknown and free hosts are levelled as before.
 func TestLevellingWithoutKnownBurstSharesAllFreeHosts(t *testing.T) {
 	pools := ampleFleet(100)
-	pools[0].Load.Offered, pools[0].BurstNeed = pools[1].Load.Offered, 0
 	for i := range pools {
-		pools[i].Load.Peak = 2 * pools[i].Load.Offered
+		pools[i].LargestBurst = 0
 	}
 	must.SliceNotEmpty(t, PlanMoves(pools, anywhere))
 }
+
+// Guards against 2,000 moved hosts at the moment at which three of four pools have bursts:
+// no peak stands out then, and the size of bursts was taken for unknown.
+func TestSizeOfBurstsIsRememberedWhileSeveralOverlap(t *testing.T) {
+	bursts, now := NewBurstTracker(), time.Unix(1000, 0)
+	pools := ampleFleet(100)[:4]
+	burst := pools[0].Load.Peak
+	observe := func(offered ...int) float64 {
+		now = now.Add(reconcileInterval)
+		for i := range pools {
+			pools[i].Load.Offered, pools[i].Load.Peak, pools[i].LargestBurst = offered[i], 2*offered[i], 0
+		}
+		if offered[0] == burst {
+			pools[0].Load.Peak = burst
+		}
+		bursts.Observe(pools, now)
+		return pools[3].LargestBurst
+	}
+	must.EqOp(t, 0, observe(10, 10, 10, 10))
+	must.EqOp(t, float64(burst), observe(burst, 10, 10, 10))
+	must.Positive(t, observe(burst, burst, burst, 10))
+}
--- a/internal/hostmanager/moves.go
+++ b/internal/hostmanager/moves.go
@@ -28,6 +28,9 @@
 	BurstNeed float64
 	// BurstLeft is how long an active demand burst is expected to go on.
 	BurstLeft time.Duration
+	// LargestBurst is the offered load of the largest recent demand burst of any pool in
+	// millicores, zero if it is unknown.
+	LargestBurst float64
 	// ReportAge is how old Load is.
 	ReportAge time.Duration
 }
@@ -60,9 +63,6 @@
 	// takes a host out of use.
 	minLevelGap   = 6
 	levelGapShare = 0.03
-	// minBurstRatio times the median offered load of the pools is the least peak of a
-	// pool that shows how large demand bursts are. Below it there may have been none.
-	minBurstRatio = 4
 )
 
 // need is the capacity that the pool can use right now, in millicores: the offered
@@ -341,18 +341,14 @@
 // bursts is unknown. It answers a fleet with far more room than any burst needs: shares
 // of all that room moved hundreds of hosts with each change of the pools' likelihoods.
 func (m *movePlanner) burstCover() float64 {
-	largest, offered := 0, make([]int, 0, len(m.pools))
+	largest := 0.0
 	for _, p := range m.pools {
-		if p.canReceive() {
-			largest = max(largest, p.Load.Peak)
-			offered = append(offered, p.Load.Offered)
-		}
+		largest = max(largest, p.LargestBurst)
 	}
-	slices.Sort(offered)
-	if largest == 0 || largest < minBurstRatio*offered[len(offered)/2] {
+	if largest == 0 {
 		return math.Inf(1)
 	}
-	return needFactor * float64(largest)
+	return needFactor * largest
 }
 
 // levelFree moves hosts from the pool with the largest excess of free capacity to
