--- a/internal/storeaccess/cache.go
+++ b/internal/storeaccess/cache.go
@@ -77,10 +77,10 @@
 		}
 	}
 	c.entries, c.revision = listed, max(c.revision, listing.Revision)
-	if known {
-		c.appendLocked(events)
-	} else {
+	if !known {
 		c.historyFrom = listing.Revision
+	} else if direct {
+		c.appendLocked(events)
 	}
 	c.notedLocked(direct, at)
 }
@@ -96,19 +96,24 @@
 			c.entries[event.Entry.Key] = event.Entry
 		}
 	}
-	c.appendLocked(batch.Events)
 	c.revision = max(c.revision, batch.Revision)
+	if direct {
+		c.appendLocked(batch.Events)
+	}
 	c.notedLocked(direct, at)
 }
 
 func (c *cache) notedLocked(direct bool, at time.Time) {
-	if direct {
-		c.failures = 0
-		if at.After(c.currentAt) {
-			c.currentAt = at
-		}
+	defer c.wakeLocked()
+	if !direct {
+		// A follower serves nobody and keeps no history.
+		c.history, c.historyBytes, c.historyFrom = nil, 0, c.revision
+		return
+	}
+	c.failures = 0
+	if at.After(c.currentAt) {
+		c.currentAt = at
 	}
-	c.wakeLocked()
 }
 
 func (c *cache) wakeLocked() {
--- a/internal/storeaccess/through.go
+++ b/internal/storeaccess/through.go
@@ -8,6 +8,19 @@
 	"auburnglade.example/glade/internal/store"
 )
 
+const (
+	// throttledFor is how long the store must have refused all calls for its rate limit
+	// before another entry host makes them. A store that is busy refuses some calls of
+	// all, and each refused call would be made several times.
+	throttledFor = 300 * time.Millisecond
+	// relayBackoff is the pause after all entry hosts that were asked were refused too:
+	// the store is then unavailable to all.
+	relayBackoff = time.Second
+	// relayTimeout bounds the tries of one call through other entry hosts, and a list by a
+	// relay.
+	relayTimeout = 700 * time.Millisecond
+)
+
 // throughPeers makes a call to the store, and makes it through other entry hosts if the
 // store refuses this one and may serve others. A holder that the store alone turns away
 // would otherwise store nothing until its claim expires and another one has taken over.
@@ -74,41 +87,3 @@
 	defer a.mu.Unlock()
 	a.relayAfter = time.Now().Add(spread(relayBackoff))
 }
-
-// Get implements store.Store.
-func (a *Access) Get(ctx context.Context, key string) (store.Entry, error) {
-	return throughPeers(ctx, a, relayTimeout, func() (store.Entry, error) { return a.Direct.Get(ctx, key) },
-		func(ctx context.Context, address string) (store.Entry, error) { return a.Peers.Get(ctx, address, key) })
-}
-
-// Commit implements store.Transactor.
-func (a *Access) Commit(ctx context.Context, txn store.Txn) (store.Revision, error) {
-	return throughPeers(ctx, a, relayTimeout, func() (store.Revision, error) { return a.Direct.Commit(ctx, txn) },
-		func(ctx context.Context, address string) (store.Revision, error) {
-			return a.Peers.Commit(ctx, address, txn)
-		})
-}
-
-// Grant implements store.Store.
-func (a *Access) Grant(ctx context.Context, ttl time.Duration) (store.Lease, error) {
-	return throughPeers(ctx, a, relayTimeout, func() (store.Lease, error) { return a.Direct.Grant(ctx, ttl) },
-		func(ctx context.Context, address string) (store.Lease, error) {
-			return a.Peers.Grant(ctx, address, ttl)
-		})
-}
-
-// KeepAlive implements store.Store.
-func (a *Access) KeepAlive(ctx context.Context, id store.LeaseID) (store.Lease, error) {
-	return throughPeers(ctx, a, relayTimeout, func() (store.Lease, error) { return a.Direct.KeepAlive(ctx, id) },
-		func(ctx context.Context, address string) (store.Lease, error) {
-			return a.Peers.KeepAlive(ctx, address, id)
-		})
-}
-
-// CompareAndSwap implements store.Store.
-func (a *Access) CompareAndSwap(ctx context.Context, write store.SwapRequest) (store.Revision, error) {
-	return a.Direct.CompareAndSwap(ctx, write)
-}
-
-// Revoke implements store.Store.
-func (a *Access) Revoke(ctx context.Context, id store.LeaseID) error { return a.Direct.Revoke(ctx, id) }
--- a/internal/storerpc/codec.go
+++ b/internal/storerpc/codec.go
@@ -50,6 +50,7 @@
 func outcomeOf(err error) storepb.Outcome {
 	var throttled *store.ThrottledError
 	var notCurrent *storeaccess.NotCurrentError
+	var tooMany *store.TooManyOpsError
 	switch {
 	case err == nil:
 		return storepb.Outcome_OUTCOME_DONE
@@ -57,7 +58,7 @@
 		return storepb.Outcome_OUTCOME_THROTTLED
 	case errors.As(err, &notCurrent):
 		return storepb.Outcome_OUTCOME_NOT_CURRENT
-	case store.IsRefused(err):
+	case store.IsRefused(err), errors.As(err, &tooMany):
 		return storepb.Outcome_OUTCOME_UNAVAILABLE
 	case store.IsCompacted(err):
 		return storepb.Outcome_OUTCOME_COMPACTED
