--- a/internal/storeaccess/cache.go
+++ b/internal/storeaccess/cache.go
@@ -19,10 +19,11 @@
 	// maxFailures is how many calls in a row may fail before a relay sends its followers
 	// away: a single lost answer would send them all to the store.
 	maxFailures = 2
-	// maxHistoryEvents and maxHistoryBytes bound the recent changes that are kept for
-	// followers. One that is further behind lists.
+	// maxHistoryEvents, maxHistoryBytes and maxGaps bound the recent changes that are kept
+	// for followers. One that is further behind lists.
 	maxHistoryEvents = 2048
 	maxHistoryBytes  = 1 << 20
+	maxGaps          = 16
 )
 
 // NotCurrentError reports that an entry host doesn't know the current state of the store.
@@ -44,6 +45,10 @@
 	history      []store.Event
 	historyFrom  store.Revision
 	historyBytes int
+	// gaps are the spans of revisions that lists skipped. A follower whose revision lies
+	// in one may know a key that neither list has, written and deleted in between, of
+	// which no event tells.
+	gaps []gap
 	// currentAt is the moment up to which the store itself has shown all changes.
 	currentAt time.Time
 	// failures counts the direct calls in a row that failed.
@@ -52,6 +57,9 @@
 	changed chan struct{}
 }
 
+// gap is the span between two lists, without its ends.
+type gap struct{ from, to store.Revision }
+
 func newCache(prefix string) *cache {
 	return &cache{prefix: prefix, entries: make(map[string]store.Entry), changed: make(chan struct{})}
 }
@@ -76,10 +84,12 @@
 			events = append(events, store.Event{Entry: store.Entry{Key: key, ModRevision: listing.Revision}, Deleted: true})
 		}
 	}
-	c.entries, c.revision = listed, max(c.revision, listing.Revision)
+	before := c.revision
+	c.entries, c.revision = listed, max(before, listing.Revision)
 	if !known {
 		c.historyFrom = listing.Revision
 	} else if direct {
+		c.gaps = append(c.gaps, gap{before, listing.Revision})
 		c.appendLocked(events)
 	}
 	c.notedLocked(direct, at)
@@ -107,7 +117,7 @@
 	defer c.wakeLocked()
 	if !direct {
 		// A follower serves nobody and keeps no history.
-		c.history, c.historyBytes, c.historyFrom = nil, 0, c.revision
+		c.history, c.historyBytes, c.historyFrom, c.gaps = nil, 0, c.revision, nil
 		return
 	}
 	c.failures = 0
@@ -143,6 +153,17 @@
 		drop++
 	}
 	c.history = slices.Delete(c.history, 0, drop)
+	c.gaps = slices.DeleteFunc(c.gaps, func(g gap) bool { return g.to <= c.historyFrom })
+	if over := len(c.gaps) - maxGaps; over > 0 {
+		c.historyFrom = max(c.historyFrom, c.gaps[over-1].to)
+		c.gaps = slices.Delete(c.gaps, 0, over)
+	}
+}
+
+// completeAfterLocked reports whether the history has all changes after a revision.
+func (c *cache) completeAfterLocked(after store.Revision) bool {
+	skipped := slices.ContainsFunc(c.gaps, func(g gap) bool { return g.from < after && after < g.to })
+	return after >= c.historyFrom && !skipped
 }
 
 func eventBytes(event store.Event) int { return len(event.Entry.Key) + len(event.Entry.Value) }
@@ -216,7 +237,7 @@
 	if err := c.checkLocked(now); err != nil {
 		return batch, c.currentAt, c.changed, err
 	}
-	if after < c.historyFrom {
+	if !c.completeAfterLocked(after) {
 		return batch, c.currentAt, c.changed, &store.CompactedError{Asked: after, Oldest: c.historyFrom}
 	}
 	batch = store.WatchBatch{Revision: max(after, c.revision), Quiet: now.Sub(received) - c.ageLocked(now)}
--- a/internal/storeaccess/cache_test.go
+++ b/internal/storeaccess/cache_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"flag"
 	"maps"
+	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +15,17 @@
 	"auburnglade.example/glade/internal/store"
 )
 
+// TestMain fixes the seed of the random checks unless one is given.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == seed.DefValue {
+		if err := seed.Value.Set("1"); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
 // view is what a follower knows.
 type view struct {
 	revision store.Revision
@@ -113,6 +126,18 @@
 	})
 }
 
+// Guards against a follower that goes on knowing a deleted key: the key was written and
+// deleted between two lists of its new relay, and seen through another one meanwhile.
+func TestFollowerInTheGapBetweenTwoListsIsSentToList(t *testing.T) {
+	c := newCache("p")
+	c.listed(store.Listing{Revision: 10}, true, time.Now())
+	c.listed(store.Listing{Revision: 20}, true, time.Now())
+	for after, complete := range map[store.Revision]bool{10: true, 15: false, 20: true, 21: true} {
+		_, _, _, err := c.eventsAfter(after, time.Now())
+		must.EqOp(t, complete, !store.IsCompacted(err), must.Sprint(after))
+	}
+}
+
 // Guards against a follower that believes old things with a fresh date: the age counts
 // from what the store confirmed to the relay, not from the relay's answer.
 func TestRelayPassesOnTheAgeOfWhatItKnows(t *testing.T) {
