Take the lease of a transaction in one place; say in one line what tests guard against

No change of behaviour: the client of the store and the RPCs between entry hosts each looked for the lease that a transaction's puts are bound to.

--- a/internal/entryhost/relays_test.go
+++ b/internal/entryhost/relays_test.go
@@ -105,8 +105,7 @@
 	}
 }
 
-// Guards against store calls that grow with the fleet although nothing changes: each entry
-// host watched the store by itself.
+// Guards against store calls that grow with the fleet although nothing changes.
 func TestIdleWatchesDoNotGrowWithEntryHosts(t *testing.T) {
 	const seconds = 10
 	// Two relays a zone and three holders watch two prefixes, once a second with what
@@ -123,7 +122,7 @@
 	}
 }
 
-// A change costs the store one answer for each relay and holder, and reaches all at once.
+// Guards against changes that cost the store an answer for each entry host.
 func TestChangeCostsStoreNoMoreWithMoreEntryHosts(t *testing.T) {
 	for _, size := range fleetSizes {
 		runFleet(t, size, func(dep *deployment, seen *operatorView) {
@@ -139,8 +138,7 @@
 	}
 }
 
-// Guards against a second outage after all entry hosts were killed: each watched the
-// others come, so that the calls grew with the square of the fleet.
+// Guards against calls that grow with the square of the fleet after all were killed.
 func TestMassRestartCostsStoreAFewCallsAnEntryHost(t *testing.T) {
 	// A grant, the member's record, lists and watches until relays are known, renewals.
 	const callsEach = 24
@@ -166,8 +164,7 @@
 	}
 }
 
-// Guards against an old configuration at the followers of relays that are killed, or that
-// only the store turns away: they reach the store or other relays by themselves.
+// Guards against an old configuration at the followers of relays that are lost.
 func TestFollowersOfLostRelaysLearnOfChanges(t *testing.T) {
 	lose := map[string]func(dep *deployment, relay string){
 		"killed":            func(dep *deployment, relay string) { dep.kill(relay) },
@@ -197,8 +194,7 @@
 	}
 }
 
-// Guards against a pool that stores nothing until its claim expires: the store turns away
-// its holder alone, and jobs wait and are late.
+// Guards against a pool that stores nothing while the store turns away its holder alone.
 func TestHolderTurnedAwayByStoreGoesOnThroughOthers(t *testing.T) {
 	runTestOf(t, 5, func(dep *deployment) { dep.gated = true }, func(dep *deployment) {
 		holder := dep.holder("day")
@@ -217,8 +213,7 @@
 	})
 }
 
-// Guards against calls that multiply while the store serves nobody: each refused call
-// would be made through others, which are refused too.
+// Guards against refused calls that multiply while the store serves nobody.
 func TestStoreOutageIsNotMultipliedByRelayedCalls(t *testing.T) {
 	for _, size := range fleetSizes {
 		runFleet(t, size, func(dep *deployment, _ *operatorView) {
--- a/internal/hostmanager/levelling_test.go
+++ b/internal/hostmanager/levelling_test.go
@@ -24,16 +24,14 @@
 	return pools
 }
 
-// Guards against hosts that move to and fro in a fleet whose pools all have room for any
-// burst: with shares of all free room, moves grew with the fleet at unchanged need.
+// Guards against hosts that move to and fro between pools that all have room for any burst.
 func TestLevellingMovesNoHostsBetweenPoolsThatCoverAnyBurst(t *testing.T) {
 	for _, hostsPerPool := range []int{100, 400, 1600} {
 		must.Len(t, 0, PlanMoves(ampleFleet(hostsPerPool), anywhere), must.Sprintf("%d hosts a pool", hostsPerPool))
 	}
 }
 
-// A pool that could not serve the next burst gets hosts up to what it needs for it, and
-// not its share of all free room.
+// Guards against a pool that gets its share of all free room instead of what a burst needs.
 func TestLevellingStopsWhereBurstIsCovered(t *testing.T) {
 	for _, hostsPerPool := range []int{100, 400, 1600} {
 		pools := ampleFleet(hostsPerPool)
@@ -58,8 +56,7 @@
 	must.SliceNotEmpty(t, PlanMoves(pools, anywhere))
 }
 
-// Guards against 2,000 moved hosts at the moment at which three of four pools have bursts:
-// no peak stands out then, and the size of bursts was taken for unknown.
+// Guards against the size of bursts being forgotten while no peak stands out.
 func TestSizeOfBurstsIsRememberedWhileSeveralOverlap(t *testing.T) {
 	bursts, now := NewBurstTracker(), time.Unix(1000, 0)
 	pools := ampleFleet(100)[:4]
--- a/internal/store/txn.go
+++ b/internal/store/txn.go
@@ -35,6 +35,16 @@
 // OpCount returns the number of operations that count towards MaxTxnOps.
 func (t Txn) OpCount() int { return len(t.Conditions) + len(t.Puts) + len(t.Deletes) }
 
+// Lease returns the lease that the transaction's puts are bound to, zero if there is none.
+func (t Txn) Lease() LeaseID {
+	for _, put := range t.Puts {
+		if put.Lease != 0 {
+			return put.Lease
+		}
+	}
+	return 0
+}
+
 // TxnConflictError reports that a condition did not hold. Nothing was written.
 // Current has the existing entries of the keys named by the conditions; absent
 // keys are left out.
--- a/internal/storeaccess/cache_test.go
+++ b/internal/storeaccess/cache_test.go
@@ -69,9 +69,8 @@
 	v.revision = batch.Revision
 }
 
-// Guards against a follower that takes an older version for a newer, or misses a change:
-// it changes between two relays, each of which reads the store now and then, by lists and
-// by watches whose history may be gone.
+// Guards against a follower of two relays that goes back to an older version or misses a
+// change.
 func TestFollowerOfTwoRelaysNeverGoesBack(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		keys := rapid.SampledFrom([]string{"a", "b", "c", "d"})
@@ -126,8 +125,8 @@
 	})
 }
 
-// Guards against a follower that goes on knowing a deleted key: the key was written and
-// deleted between two lists of its new relay, and seen through another one meanwhile.
+// Guards against a follower that goes on knowing a key that was written and deleted between
+// two lists of its relay.
 func TestFollowerInTheGapBetweenTwoListsIsSentToList(t *testing.T) {
 	c := newCache("p")
 	c.listed(store.Listing{Revision: 10}, true, time.Now())
@@ -138,8 +137,8 @@
 	}
 }
 
-// Guards against a follower that believes old things with a fresh date: the age counts
-// from what the store confirmed to the relay, not from the relay's answer.
+// Guards against a follower that takes the moment of the relay's answer for the age of what
+// it knows.
 func TestRelayPassesOnTheAgeOfWhatItKnows(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCache("p")
@@ -156,8 +155,8 @@
 	})
 }
 
-// A relay that the store turns away sends its waiting followers away at once, and not for
-// a single lost answer.
+// Guards against followers that wait for a relay without the store, or leave it for a single
+// lost answer.
 func TestRelayWithoutStoreSendsFollowersAway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCache("p")
@@ -177,8 +176,7 @@
 	})
 }
 
-// A waiting follower is answered by the relay's next confirmation, so that what it knows
-// is as old as at the relay and not twice as old.
+// Guards against a follower whose knowledge is twice as old as its relay's.
 func TestFollowerIsAnsweredByConfirmation(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCache("p")
@@ -196,7 +194,7 @@
 	})
 }
 
-// Configurations are large: the history kept for followers is bounded by bytes too.
+// Guards against memory that grows with the size of configurations.
 func TestHistoryIsBounded(t *testing.T) {
 	c := newCache("p")
 	c.listed(store.Listing{Revision: 1}, true, time.Now())
--- a/internal/storeaccess/route_test.go
+++ b/internal/storeaccess/route_test.go
@@ -30,15 +30,14 @@
 	return names
 }
 
-// The entry hosts that watch the store must not grow with a zone.
+// Guards against relays that grow with their zone.
 func TestRelaysDoNotGrowWithZone(t *testing.T) {
 	for _, size := range []int{30, 60, 120, 240} {
 		must.Len(t, minRelays, direct(zoneOf("a", size, 12, 20)), must.Sprintf("%d entry hosts", size))
 	}
 }
 
-// With the strong entry hosts gone, relays on thin links must pass a configuration on in
-// time: one to a hundred others takes seconds.
+// Guards against a configuration that takes seconds over the thin link of a relay.
 func TestThinLinksGetMoreRelays(t *testing.T) {
 	nodes := zoneOf("a", 105, 0, 20)
 	must.Len(t, 5, direct(nodes))
@@ -57,8 +56,7 @@
 	must.Len(t, 7, direct(zoneOf("a", 7, 0, 1000)))
 }
 
-// A holder needs the store's own word that it still holds its claim, and its processor
-// for its pool.
+// Guards against relays that are busy with a pool, and claims confirmed by hearsay.
 func TestHoldersWatchTheStoreAndAreNoRelays(t *testing.T) {
 	nodes := zoneOf("a", 20, 4, 20)
 	for i := range 3 {
--- a/internal/storerpc/storerpc.go
+++ b/internal/storerpc/storerpc.go
@@ -199,16 +199,7 @@
 	if err != nil {
 		return 0, c.failed("commit", true, err)
 	}
-	return store.Revision(reply.Revision), errorOf(reply.Outcome, "commit", failure{current: reply.Current, lease: leaseIn(txn)})
-}
-
-func leaseIn(txn store.Txn) store.LeaseID {
-	for _, put := range txn.Puts {
-		if put.Lease != 0 {
-			return put.Lease
-		}
-	}
-	return 0
+	return store.Revision(reply.Revision), errorOf(reply.Outcome, "commit", failure{current: reply.Current, lease: txn.Lease()})
 }
 
 // Grant implements storeaccess.Peers.
--- a/internal/storerpc/storerpc_test.go
+++ b/internal/storerpc/storerpc_test.go
@@ -60,8 +60,7 @@
 	return NewClient(), strings.TrimPrefix(server.URL, "http://")
 }
 
-// Guards against a refused write that is taken for one that may have happened, or the other
-// way round, on its way through another entry host.
+// Guards against a refused write that is taken for one that may have happened, or vice versa.
 func TestErrorsOfTheStoreSurviveTheWay(t *testing.T) {
 	for _, want := range []error{
 		&store.UnavailableError{Op: "commit"}, &store.ThrottledError{Op: "commit"}, &store.UnknownOutcomeError{Op: "commit"},
@@ -106,8 +105,7 @@
 	must.Len(t, 1, batch.Events)
 }
 
-// A write that never left is refused, so that it may be made through yet another entry
-// host; one whose answer was lost isn't.
+// Guards against a write that never left and isn't tried elsewhere.
 func TestWriteThatNeverLeftIsRefused(t *testing.T) {
 	server := httptest.NewServer(nil)
 	address := strings.TrimPrefix(server.URL, "http://")
