Don't take what a relay told for newer than now

Found by reading: a follower that is suspended between its question and the answer has a clock that stood still, the relay's went on. The relay's word that it knew all changes a second after the question arrived then lay in the follower's future, and its configuration would have looked younger than it is by up to a second. The store's own answers are bounded by the time since the question; a relay's are now too.

--- a/internal/storeaccess/shared.go
+++ b/internal/storeaccess/shared.go
@@ -64,7 +64,7 @@
 		// The relay is behind the one followed before.
 		return listing, &NotCurrentError{c.prefix}
 	}
-	listing.Relayed = true
+	listing.Relayed, listing.Quiet = true, min(listing.Quiet, time.Since(sent))
 	c.listed(listing, false, sent)
 	return listing, nil
 }
@@ -94,7 +94,8 @@
 	defer cancel()
 	batch, err := a.Peers.WatchShared(ctx, source, c.prefix, after)
 	if err == nil {
-		batch.Relayed = true
+		// While this process was suspended, its clock stood still and the relay's went on.
+		batch.Relayed, batch.Quiet = true, min(batch.Quiet, time.Since(sent))
 		c.watched(batch, false, sent)
 	}
 	return batch, err
