--- a/internal/carrierrpc/carrierrpc.go
+++ b/internal/carrierrpc/carrierrpc.go
@@ -56,9 +56,9 @@
 
 var _ carrier.Peers = (*Client)(nil)
 
-// NewClient returns a client without connections.
-func NewClient() *Client {
-	return &Client{clientcache.New(clientcache.Config{MaxConnections: connections, BufferBytes: bufferBytes}, func(url string, httpClient *http.Client) carrierpb.Carriers {
+// NewClient returns a client without connections, which it opens with dial.
+func NewClient(dial clientcache.Dialer) *Client {
+	return &Client{clientcache.New(clientcache.Config{Dial: dial, MaxConnections: connections, BufferBytes: bufferBytes}, func(url string, httpClient *http.Client) carrierpb.Carriers {
 		return carrierpb.NewCarriersProtobufClient(url, httpClient)
 	})}
 }
--- a/internal/carrierrpc/messages_test.go
+++ b/internal/carrierrpc/messages_test.go
@@ -14,6 +14,7 @@
 
 	"auburnglade.example/glade/internal/carrier"
 	"auburnglade.example/glade/internal/carrierrpc/carrierpb"
+	"auburnglade.example/glade/internal/clientcache"
 	"auburnglade.example/glade/internal/work"
 	"auburnglade.example/glade/internal/worker"
 )
@@ -100,7 +101,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(PathPrefix, NewHandler(echo{}))
 	server := httptest.NewServer(mux)
-	client, address := NewClient(), strings.TrimPrefix(server.URL, "http://")
+	client, address := NewClient(clientcache.DialTCP), strings.TrimPrefix(server.URL, "http://")
 	stop := worker.Stop{Task: work.TaskName{Job: "j"}, Run: 1}
 	calls := []carrier.Call{{ID: 4, Stop: &stop}, {ID: 5, Stop: &stop}}
 	replies, err := client.Exchange(t.Context(), address, "s", calls)
--- a/internal/clientcache/cache.go
+++ b/internal/clientcache/cache.go
@@ -3,6 +3,7 @@
 package clientcache
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -17,8 +18,18 @@
 	idleTimeout = time.Minute
 )
 
+// Dialer opens a connection to another entry host.
+type Dialer func(ctx context.Context, network, address string) (net.Conn, error)
+
+// DialTCP is the Dialer for connections over the network.
+func DialTCP(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	return dialer.DialContext(ctx, network, address)
+}
+
 // Config limits the connections to each entry host.
 type Config struct {
+	Dial Dialer
 	// MaxConnections is the maximum number of open connections to one entry host.
 	MaxConnections int
 	// BufferBytes is the size of the read buffer and of the write buffer of a
@@ -38,10 +49,9 @@
 
 // New returns an empty cache. client creates the client of one entry host.
 func New[T any](config Config, client func(url string, httpClient *http.Client) T) *Cache[T] {
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Cache[T]{
 		transport: &http.Transport{
-			DialContext: dialer.DialContext, MaxConnsPerHost: config.MaxConnections, MaxIdleConnsPerHost: config.MaxConnections,
+			DialContext: config.Dial, MaxConnsPerHost: config.MaxConnections, MaxIdleConnsPerHost: config.MaxConnections,
 			IdleConnTimeout: idleTimeout, DisableCompression: true,
 			ReadBufferSize: config.BufferBytes, WriteBufferSize: config.BufferBytes,
 		},
@@ -56,7 +66,7 @@
 	defer c.mu.Unlock()
 	client, ok := c.byAddress[address]
 	if !ok {
-		client = c.client("http://"+address, &http.Client{Transport: c.transport})
+		client = c.client("http://"+address, &http.Client{Transport: &receiver{c.transport}})
 		c.byAddress[address] = client
 	}
 	return client
--- a/internal/configrelay/relay.go
+++ b/internal/configrelay/relay.go
@@ -130,7 +130,7 @@
 		return
 	}
 	r.Log.Info().Int64("revision", int64(version.Revision)).Int64("before", int64(before)).Str("from", source).
-		Dur("age_ms", age).Msg("Learned a configuration.")
+		Int("bytes", len(version.Data)).Dur("age_ms", age).Msg("Learned a configuration.")
 	r.Apply(version)
 }
 
@@ -238,7 +238,8 @@
 	switch {
 	case err != nil:
 		r.metrics.asked.WithLabelValues("no answer").Inc()
-		r.Log.Debug().Err(err).Str("address", address).Msg("An entry host did not tell its configuration.")
+		r.Log.Info().Err(err).Str("address", address).Int64("known", int64(known)).Dur("took_ms", time.Since(sent)).
+			Msg("An entry host did not tell its configuration.")
 	case answer.Revision < known || answer.Revision == 0:
 		r.metrics.asked.WithLabelValues("behind").Inc()
 	case answer.Revision > known && len(answer.Data) == 0:
--- a/internal/poolrpc/poolrpc.go
+++ b/internal/poolrpc/poolrpc.go
@@ -163,9 +163,9 @@
 	peers *clientcache.Cache[poolpb.Pools]
 }
 
-// NewClient returns a client without connections.
-func NewClient() *Client {
-	return &Client{clientcache.New(clientcache.Config{MaxConnections: connections}, func(url string, httpClient *http.Client) poolpb.Pools {
+// NewClient returns a client without connections, which it opens with dial.
+func NewClient(dial clientcache.Dialer) *Client {
+	return &Client{clientcache.New(clientcache.Config{Dial: dial, MaxConnections: connections}, func(url string, httpClient *http.Client) poolpb.Pools {
 		return poolpb.NewPoolsProtobufClient(url, httpClient)
 	})}
 }
--- a/internal/poolrpc/poolrpc_test.go
+++ b/internal/poolrpc/poolrpc_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"auburnglade.example/glade/internal/clientcache"
 	"auburnglade.example/glade/internal/poolmanager"
 	"auburnglade.example/glade/internal/poolrpc"
 	"auburnglade.example/glade/internal/work"
@@ -31,7 +32,7 @@
 	stub := &submitStub{held: true}
 	server := httptest.NewServer(poolrpc.NewHandler(stub))
 	defer server.Close()
-	client := poolrpc.NewClient()
+	client := poolrpc.NewClient(clientcache.DialTCP)
 	record := &work.JobRecord{
 		ID: "5c0e7a21d94b36f8", Queue: work.Queue{Name: "q", Pool: "p", MaxAttempts: 1, Stretch: 1},
 		Spec: work.Spec{Steps: []work.Step{{Count: 1, Resources: work.Resources{MilliCPU: 1000}, Estimate: time.Second}}},
--- a/internal/storeaccess/shared.go
+++ b/internal/storeaccess/shared.go
@@ -118,6 +118,7 @@
 func (a *Access) read(ctx context.Context, prefix string, from func(ctx context.Context, source string) error) error {
 	var failure error = &store.UnavailableError{Op: "read", Cause: &NoSourceError{prefix}}
 	for _, source := range a.sources(time.Now()) {
+		began := time.Now()
 		err := from(ctx, source)
 		if ctx.Err() != nil {
 			return ctx.Err()
@@ -126,7 +127,7 @@
 			a.answered(source)
 			return err
 		}
-		a.didNotAnswer(source, err)
+		a.didNotAnswer(source, prefix, time.Since(began), err)
 		failure = err
 	}
 	return failure
@@ -152,9 +153,10 @@
 	return source
 }
 
-func (a *Access) didNotAnswer(source string, cause error) {
+func (a *Access) didNotAnswer(source, prefix string, took time.Duration, cause error) {
 	if a.avoid(source) {
-		a.Log.Warn().Err(cause).Str("from", sourceName(source)).Msg("The source of shared entries did not answer.")
+		a.Log.Warn().Err(cause).Str("from", sourceName(source)).Str("prefix", prefix).Dur("took_ms", took).
+			Msg("The source of shared entries did not answer.")
 	}
 }
 
--- a/internal/storerpc/storerpc.go
+++ b/internal/storerpc/storerpc.go
@@ -107,9 +107,9 @@
 
 var _ storeaccess.Peers = (*Client)(nil)
 
-// NewClient returns a client without connections.
-func NewClient() *Client {
-	return &Client{clientcache.New(clientcache.Config{MaxConnections: connections}, func(url string, httpClient *http.Client) storepb.Store {
+// NewClient returns a client without connections, which it opens with dial.
+func NewClient(dial clientcache.Dialer) *Client {
+	return &Client{clientcache.New(clientcache.Config{Dial: dial, MaxConnections: connections}, func(url string, httpClient *http.Client) storepb.Store {
 		return storepb.NewStoreProtobufClient(url, httpClient)
 	})}
 }
--- a/internal/storerpc/storerpc_test.go
+++ b/internal/storerpc/storerpc_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"auburnglade.example/glade/internal/clientcache"
 	"auburnglade.example/glade/internal/store"
 	"auburnglade.example/glade/internal/store/memstore"
 	"auburnglade.example/glade/internal/storeaccess"
@@ -57,7 +58,7 @@
 func connect(t *testing.T, s Service) (client *Client, address string) {
 	server := httptest.NewServer(NewHandler(s))
 	t.Cleanup(server.Close)
-	return NewClient(), strings.TrimPrefix(server.URL, "http://")
+	return NewClient(clientcache.DialTCP), strings.TrimPrefix(server.URL, "http://")
 }
 
 // Guards against a refused write that is taken for one that may have happened, or vice versa.
@@ -110,7 +111,7 @@
 	server := httptest.NewServer(nil)
 	address := strings.TrimPrefix(server.URL, "http://")
 	server.Close()
-	_, err := NewClient().Commit(t.Context(), address, store.Txn{})
+	_, err := NewClient(clientcache.DialTCP).Commit(t.Context(), address, store.Txn{})
 	must.True(t, store.IsRefused(err))
 }
 
