--- a/internal/entryhost/harness_test.go
+++ b/internal/entryhost/harness_test.go
@@ -50,6 +50,9 @@
 	gated bool
 	// weights are the weights of organisations that have no limits, nil for none.
 	weights map[string]int
+	// links connects the entry hosts, each with linkMbps, nil for links without limit.
+	links    *emulate.Links
+	linkMbps float64
 }
 
 // nodes are the names of up to three entry hosts, in order.
@@ -152,7 +155,13 @@
 	if dep.weights != nil {
 		config.Limits = weightSource(dep.weights)
 	}
+	if dep.links != nil {
+		dep.connect(&config)
+	}
 	host := entryhost.New(config)
+	if dep.links != nil {
+		dep.serve(ctx, host)
+	}
 	if source != nil {
 		source.relay = host.Relay
 		go source.follow(ctx, s)
--- /dev/null
+++ b/internal/entryhost/links_test.go
@@ -0,0 +1,129 @@
+package entryhost_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+
+	"auburnglade.example/glade/internal/configrelay"
+	"auburnglade.example/glade/internal/emulate"
+	"auburnglade.example/glade/internal/entryhost"
+	"auburnglade.example/glade/internal/listwatch"
+	"auburnglade.example/glade/internal/poolrpc"
+	"auburnglade.example/glade/internal/store"
+	"auburnglade.example/glade/internal/storerpc"
+)
+
+// configurationInForce is the time in which a version must be in force everywhere after
+// the store has acknowledged it, as the users state it for some tens of entry hosts.
+const configurationInForce = 3 * time.Second
+
+// connect makes an entry host reach the store and others over its link.
+func (dep *deployment) connect(config *entryhost.Config) {
+	address := config.Self.Address
+	config.LinkMbps = dep.linkMbps
+	config.Store = emulate.LinkedStore{Transactor: config.Store, Link: dep.links.Add(address, dep.linkMbps)}
+	config.Peers, config.StorePeers = poolrpc.NewClient(dep.links.Dialer(address)), storerpc.NewClient(dep.links.Dialer(address))
+}
+
+// serve serves an entry host's RPCs over its link until ctx ends.
+func (dep *deployment) serve(ctx context.Context, host *entryhost.Host) {
+	mux := http.NewServeMux()
+	mux.Handle(poolrpc.PathPrefix, poolrpc.NewHandler(host.Jobs))
+	mux.Handle(storerpc.PathPrefix, storerpc.NewHandler(host.Access))
+	server := &http.Server{Handler: mux}
+	go server.Serve(dep.links.Listen(host.Self.Address))
+	context.AfterFunc(ctx, func() { server.Close() })
+}
+
+// followOperator keeps an entry host's configuration as package platform does.
+func followOperator(ctx context.Context, e *entry) {
+	apply := func(entries []store.Entry) {
+		for _, entry := range entries {
+			e.Relay.Written(configrelay.Version{Revision: entry.ModRevision, Data: entry.Value})
+		}
+	}
+	w := listwatch.Watcher{
+		Store: e.Access, Prefix: operatorPrefix, MinInterval: 20 * time.Millisecond, OnList: apply,
+		OnEvents: func(events []store.Event) { apply(listwatch.WrittenEntries(events)) }, OnCurrent: e.Relay.Confirmed,
+		OnAvailability: func(cause error) {
+			if cause != nil {
+				e.Relay.StoreFailed()
+			}
+		},
+	}
+	w.Run(ctx)
+}
+
+// routesOf returns a configuration with routes as operators write them.
+func routesOf(count int) string {
+	random := rand.New(rand.NewPCG(uint64(count), 1))
+	word := func(length int) string {
+		letters := make([]byte, length)
+		for i := range letters {
+			letters[i] = 'a' + byte(random.IntN(26))
+		}
+		return string(letters)
+	}
+	type route struct {
+		Name, Host, Prefix, Service   string
+		Priority, Attempts, TimeoutMs int
+		Stretch                       float64
+		SloMs                         int
+	}
+	routes := make([]route, count)
+	for i := range routes {
+		routes[i] = route{"r-" + word(7), word(4) + fmt.Sprint(random.IntN(100)) + ".example", "/" + word(8) + "/", word(7), i % 3, 3, 3000 + i%5, 1.6, 600}
+	}
+	value, err := json.Marshal(routes)
+	if err != nil {
+		panic(err)
+	}
+	return string(value)
+}
+
+// runOnLinks runs a test on a zone of entry hosts with thin links that follow the operator.
+func runOnLinks(t *testing.T, entries int, mbps float64, play func(dep *deployment)) {
+	runTestOf(t, entries, func(dep *deployment) { dep.links, dep.linkMbps = emulate.NewLinks(), mbps }, func(dep *deployment) {
+		for _, e := range dep.entries {
+			go followOperator(dep.ctx, e)
+		}
+		time.Sleep(3 * time.Second)
+		play(dep)
+	})
+}
+
+// without returns the entry hosts that don't have a version of the configuration.
+func (dep *deployment) without(revision store.Revision) (names []string) {
+	for node, e := range dep.entries {
+		if e.Relay.Revision() < revision {
+			names = append(names, node)
+		}
+	}
+	return names
+}
+
+// Guards against copies of a large configuration that fill thin links and are given up.
+func TestLargeConfigurationIsInForceInTimeOnThinLinks(t *testing.T) {
+	// The larger one is the largest that the store takes.
+	for _, routes := range []int{3300, 6700} {
+		runOnLinks(t, 12, 10, func(dep *deployment) {
+			dep.write(routesOf(50))
+			time.Sleep(2 * time.Second)
+			const gap = 2200 * time.Millisecond
+			first := dep.write(routesOf(routes))
+			time.Sleep(gap)
+			second := dep.write(routesOf(routes + 1))
+			time.Sleep(configurationInForce - gap)
+			test.SliceEmpty(t, dep.without(first), test.Sprintf("%d routes", routes))
+			time.Sleep(gap)
+			test.SliceEmpty(t, dep.without(second), test.Sprintf("%d routes after %d", routes+1, routes))
+		})
+	}
+}
