Read a version of the configuration once, however long it takes

What callers saw: 404 for a route, 3.0 to 3.6 s after its version was acknowledged.

Cause: an answer was given up after a fixed time (a watch of a relay 1.9 s, a question to another entry host 0.5 s) although its bytes arrived, and begun anew. Questions were sent to two entry hosts every 0.3 s, each answered with the whole configuration. On a link of 10 Mbit/s a copy of 0.52 MB takes 0.42 s alone; three at a time never ended. A relay to which a large answer came counted as without the store once that had taken 1.6 s, and sent its followers to the store for a copy of their own.

TestEntryHostsReceiveALargeConfigurationOnce fails on the code before: 12 of 24 entry hosts received up to 2.1 MB for 0.6 MB.

Now each wait for more of an answer is bounded, not the whole of it (package progress, also in place of the store client's own); a question carries no data; a version is read from one entry host at a time, and only if it is not on its way from the store or a relay; a relay serves as long as it hears the store, and tells how old what it knows is. The version in force is the one applied, not the one that has arrived.

Ruled out: the processor (48 to 73 ms from arrival to use, at most 4 % in use).

--- a/internal/clientcache/receiver.go
+++ b/internal/clientcache/receiver.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"io"
 	"net/http"
+
+	"auburnglade.example/glade/internal/progress"
 )
 
 // InterruptedError reports an answer that ended before it was complete.
@@ -19,26 +21,28 @@
 
 func (e *InterruptedError) Unwrap() error { return e.Cause }
 
-// receiver is a transport that counts the bytes of each answer.
+// receiver is a transport that counts the bytes of each answer, which are progress of its
+// call.
 type receiver struct{ base http.RoundTripper }
 
 // RoundTrip implements http.RoundTripper.
 func (r *receiver) RoundTrip(request *http.Request) (*http.Response, error) {
 	response, err := r.base.RoundTrip(request)
 	if err == nil {
-		response.Body = &countedBody{ReadCloser: response.Body}
+		response.Body = &countedBody{Reader: &progress.Reader{Context: request.Context(), Reader: response.Body}, Closer: response.Body}
 	}
 	return response, err
 }
 
 type countedBody struct {
-	io.ReadCloser
+	io.Reader
+	io.Closer
 	received int64
 }
 
 // Read implements io.Reader.
 func (b *countedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
+	n, err := b.Reader.Read(p)
 	b.received += int64(n)
 	if err != nil && err != io.EOF {
 		err = &InterruptedError{b.received, err}
--- a/internal/configrelay/relay_test.go
+++ b/internal/configrelay/relay_test.go
@@ -12,6 +12,7 @@
 	"github.com/shoenig/test/must"
 
 	"auburnglade.example/glade/internal/pause"
+	"auburnglade.example/glade/internal/progress"
 	"auburnglade.example/glade/internal/store"
 )
 
@@ -28,6 +29,12 @@
 	asked     int
 }
 
+func (s *site) NewestConfiguration(ctx context.Context, address string) (Answer, error) {
+	answer, err := s.Configuration(ctx, address, 0)
+	answer.Data = nil
+	return answer, err
+}
+
 func (s *site) Configuration(ctx context.Context, address string, known store.Revision) (Answer, error) {
 	s.locked(func() { s.asked++ })
 	pause.For(ctx, time.Millisecond)
@@ -38,12 +45,94 @@
 	return s.relays[address].Answer(known), nil
 }
 
+// copies is how many versions are being read from other entry hosts, with the largest number
+// at a time and in all.
+type copies struct{ now, most, all int }
+
+// slowPeers are entry hosts with a newer version that takes three seconds to read.
+type slowPeers struct {
+	mu     sync.Mutex
+	copies copies
+}
+
+func (p *slowPeers) NewestConfiguration(context.Context, string) (Answer, error) {
+	return Answer{Version: Version{Revision: 2}}, nil
+}
+
+func (p *slowPeers) Configuration(ctx context.Context, _ string, _ store.Revision) (Answer, error) {
+	p.count(1)
+	defer p.count(-1)
+	for range 30 {
+		pause.For(ctx, 100*time.Millisecond)
+		if ctx.Err() != nil {
+			return Answer{}, ctx.Err()
+		}
+		progress.Made(ctx)
+	}
+	return Answer{Version: Version{Revision: 2, Data: []byte("2")}}, nil
+}
+
+func (p *slowPeers) count(by int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.copies.now += by
+	p.copies.most = max(p.copies.most, p.copies.now)
+	if by > 0 {
+		p.copies.all++
+	}
+}
+
+// Guards against copies of a version that take the link from each other and are given up.
+func TestVersionIsReadOnceHoweverLongItTakes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		peers := &slowPeers{}
+		relay := New(Config{
+			Peers: peers, Addresses: func() []string { return []string{"e1", "e2", "e3"} }, Apply: func(Version) {}, Log: zerolog.Nop(),
+		})
+		relay.Written(Version{1, []byte("1")})
+		go relay.Run(ctx)
+		time.Sleep(5 * time.Second)
+		must.EqOp(t, 2, relay.Revision())
+		must.EqOp(t, copies{most: 1, all: 1}, peers.copies)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against a second copy of a version that is on its way from the store or a relay.
+func TestVersionThatIsArrivingIsNotReadElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		peers := &slowPeers{}
+		relay := New(Config{
+			Peers: peers, Addresses: func() []string { return []string{"e1", "e2", "e3"} }, Arriving: func() bool { return true },
+			Apply: func(Version) {}, Log: zerolog.Nop(),
+		})
+		relay.Written(Version{1, []byte("1")})
+		go relay.Run(ctx)
+		time.Sleep(5 * time.Second)
+		must.EqOp(t, copies{}, peers.copies)
+		must.True(t, relay.Standing(time.Now()).Replaced)
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // siteView is the site as one entry host sees it.
 type siteView struct {
 	*site
 	self string
 }
 
+func (v siteView) NewestConfiguration(ctx context.Context, address string) (Answer, error) {
+	answer, err := v.Configuration(ctx, address, 0)
+	answer.Data = nil
+	return answer, err
+}
+
 func (v siteView) Configuration(ctx context.Context, address string, known store.Revision) (Answer, error) {
 	if v.isCut(v.self) {
 		<-ctx.Done()
--- a/internal/emulate/links.go
+++ b/internal/emulate/links.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"auburnglade.example/glade/internal/progress"
 	"auburnglade.example/glade/internal/store"
 )
 
@@ -20,8 +21,9 @@
 	bytesPerSecond float64
 
 	mu sync.Mutex
-	// free is when all data that has been taken on is through.
-	free time.Time
+	// free is when all data that has been taken on is through, bytes how much that was.
+	free  time.Time
+	bytes int64
 }
 
 // reserve takes data on and returns when it is through.
@@ -31,10 +33,18 @@
 	if now := time.Now(); l.free.Before(now) {
 		l.free = now
 	}
+	l.bytes += int64(bytes)
 	l.free = l.free.Add(time.Duration(float64(bytes) / l.bytesPerSecond * float64(time.Second)))
 	return l.free
 }
 
+// Received returns how many bytes the entry host has received.
+func (l *Link) Received() int64 {
+	l.down.mu.Lock()
+	defer l.down.mu.Unlock()
+	return l.down.bytes
+}
+
 // Links connects entry hosts over links of limited bandwidth in virtual time, for tests
 // of what is sent between processes as it is encoded.
 type Links struct {
@@ -58,6 +68,13 @@
 	return link
 }
 
+// Link returns the link of an entry host.
+func (l *Links) Link(address string) *Link {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.links[address]
+}
+
 // Listen returns a listener for connections to an entry host.
 func (l *Links) Listen(address string) net.Listener {
 	l.mu.Lock()
@@ -147,7 +164,7 @@
 func (s LinkedStore) List(ctx context.Context, prefix string) (store.Listing, error) {
 	listing, err := s.Transactor.List(ctx, prefix)
 	for _, entry := range listing.Entries {
-		s.receive(entry)
+		s.receive(ctx, entry)
 	}
 	return listing, err
 }
@@ -156,14 +173,15 @@
 func (s LinkedStore) Watch(ctx context.Context, prefix string, after store.Revision) (store.WatchBatch, error) {
 	batch, err := s.Transactor.Watch(ctx, prefix, after)
 	for _, event := range batch.Events {
-		s.receive(event.Entry)
+		s.receive(ctx, event.Entry)
 	}
 	return batch, err
 }
 
 // receive waits until an entry has arrived. The store encodes values in base64.
-func (s LinkedStore) receive(entry store.Entry) {
+func (s LinkedStore) receive(ctx context.Context, entry store.Entry) {
 	for left := len(entry.Key) + len(entry.Value)*4/3; left > 0; left -= chunkBytes {
 		time.Sleep(time.Until(s.Link.down.reserve(min(left, chunkBytes))))
+		progress.Made(ctx)
 	}
 }
--- a/internal/emulate/switch.go
+++ b/internal/emulate/switch.go
@@ -145,6 +145,13 @@
 	return drained, held, nil
 }
 
+// NewestConfiguration implements configrelay.Peers.
+func (n *Network) NewestConfiguration(ctx context.Context, address string) (configrelay.Answer, error) {
+	answer, err := n.Configuration(ctx, address, 0)
+	answer.Data = nil
+	return answer, err
+}
+
 // Configuration implements configrelay.Peers.
 func (n *Network) Configuration(ctx context.Context, address string, known store.Revision) (configrelay.Answer, error) {
 	service, err := n.reach(ctx, address)
--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -110,7 +110,7 @@
 		Log: telemetry.PartLogger(config.Log, "cluster"),
 	})
 	h.Relay = configrelay.New(configrelay.Config{
-		Peers: config.Peers, Addresses: h.addresses, Apply: h.applyConfig,
+		Peers: config.Peers, Addresses: h.addresses, Arriving: func() bool { return h.Access.Arriving(config.OperatorPrefix) }, Apply: h.applyConfig,
 		Log: telemetry.PartLogger(config.Log, "config"), Registerer: config.Registerer,
 	})
 	h.Jobs = jobrouter.New(jobrouter.Config{
--- a/internal/entryhost/links_test.go
+++ b/internal/entryhost/links_test.go
@@ -127,3 +127,36 @@
 		})
 	}
 }
+
+// randomBytes returns a value that can't be compressed.
+func randomBytes(count int) string {
+	random, value := rand.New(rand.NewPCG(uint64(count), 2)), make([]byte, count)
+	for i := range value {
+		value[i] = byte(random.IntN(256))
+	}
+	return string(value)
+}
+
+// Guards against answers that are given up and begun anew, and against copies from several
+// entry hosts at once.
+func TestEntryHostsReceiveALargeConfigurationOnce(t *testing.T) {
+	const size = 600_000
+	// The store encodes values in base64; the rest is for other calls.
+	const most = size*4/3 + size/10
+	for _, mbps := range []float64{2, 10} {
+		runOnLinks(t, 12, mbps, func(dep *deployment) {
+			dep.write(routesOf(50))
+			time.Sleep(2 * time.Second)
+			before := make(map[string]int64)
+			for node := range dep.entries {
+				before[node] = dep.links.Link(node).Received()
+			}
+			revision := dep.write(randomBytes(size))
+			time.Sleep(15 * time.Second)
+			test.SliceEmpty(t, dep.without(revision), test.Sprintf("%v Mbit/s", mbps))
+			for node := range dep.entries {
+				test.LessEq(t, most, dep.links.Link(node).Received()-before[node], test.Sprintf("%v Mbit/s, %s", mbps, node))
+			}
+		})
+	}
+}
--- a/internal/poolrpc/poolrpc.go
+++ b/internal/poolrpc/poolrpc.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"time"
 
@@ -278,6 +279,14 @@
 	return load
 }
 
+// noData is a revision that no configuration is newer than, so that the answer has no data.
+const noData = store.Revision(math.MaxInt64)
+
+// NewestConfiguration implements configrelay.Peers.
+func (c *Client) NewestConfiguration(ctx context.Context, address string) (configrelay.Answer, error) {
+	return c.Configuration(ctx, address, noData)
+}
+
 // Configuration implements configrelay.Peers.
 func (c *Client) Configuration(ctx context.Context, address string, known store.Revision) (configrelay.Answer, error) {
 	reply, err := c.peers.Get(address).Configuration(ctx, &poolpb.ConfigurationRequest{Revision: int64(known)})
--- a/internal/storeaccess/cache.go
+++ b/internal/storeaccess/cache.go
@@ -12,13 +12,16 @@
 )
 
 const (
-	// maxServedAge is the age up to which a relay passes on what it knows. A watch that
-	// waits in vain confirms it once a second; a later answer means that the store
-	// doesn't respond.
-	maxServedAge = 1600 * time.Millisecond
+	// maxSilence is the time without a byte from the store after which a relay sends its
+	// followers away. A watch that waits in vain is answered once a second; a later answer
+	// means that the store doesn't respond.
+	maxSilence = 1600 * time.Millisecond
 	// maxFailures is how many calls in a row may fail before a relay sends its followers
 	// away: a single lost answer would send them all to the store.
 	maxFailures = 2
+	// stalledAfter is the time without a byte after which an answer doesn't count as
+	// arriving. On a full link packets wait half as long.
+	stalledAfter = 500 * time.Millisecond
 	// maxHistoryEvents, maxHistoryBytes and maxGaps bound the recent changes that are kept
 	// for followers. One that is further behind lists.
 	maxHistoryEvents = 2048
@@ -49,8 +52,11 @@
 	// in one may know a key that neither list has, written and deleted in between, of
 	// which no event tells.
 	gaps []gap
-	// currentAt is the moment up to which the store itself has shown all changes.
-	currentAt time.Time
+	// currentAt is the moment up to which the store itself has shown all changes, heardAt
+	// when it last sent something. A large answer is old when it has arrived.
+	currentAt, heardAt time.Time
+	// arrivedAt is when the last part of an unfinished answer arrived, zero for none.
+	arrivedAt time.Time
 	// failures counts the direct calls in a row that failed.
 	failures int
 	// changed is closed and replaced when something to serve has changed.
@@ -64,6 +70,31 @@
 	return &cache{prefix: prefix, entries: make(map[string]store.Entry), changed: make(chan struct{})}
 }
 
+// progressed records that a part of an answer has arrived, from the store itself if direct
+// is set.
+func (c *cache) progressed(direct bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.arrivedAt = time.Now()
+	if direct {
+		c.heardAt = c.arrivedAt
+	}
+}
+
+// finished records that no answer is awaited.
+func (c *cache) finished() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.arrivedAt = time.Time{}
+}
+
+// arriving reports whether an answer is arriving.
+func (c *cache) arriving() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return elapsed(c.arrivedAt, time.Now()) < stalledAfter
+}
+
 // listed replaces the entries. The differences become events, so that followers go on
 // without a list of their own. direct is set for a list by the store, sent at the moment at.
 func (c *cache) listed(listing store.Listing, direct bool, at time.Time) {
@@ -120,7 +151,7 @@
 		c.history, c.historyBytes, c.historyFrom, c.gaps = nil, 0, c.revision, nil
 		return
 	}
-	c.failures = 0
+	c.failures, c.heardAt = 0, time.Now()
 	if at.After(c.currentAt) {
 		c.currentAt = at
 	}
@@ -175,20 +206,28 @@
 	return c.revision
 }
 
-// ageLocked is how old the state is. The monotonic clock stands still while a process is
+// elapsed is the time from then to now. The monotonic clock stands still while a process is
 // suspended, the wall clock doesn't.
-func (c *cache) ageLocked(now time.Time) time.Duration {
-	return max(now.Sub(c.currentAt), now.Round(0).Sub(c.currentAt.Round(0)))
+func elapsed(then, now time.Time) time.Duration {
+	return max(now.Sub(then), now.Round(0).Sub(then.Round(0)))
 }
 
-// checkLocked returns *NotCurrentError if the state can't be served.
+// checkLocked returns *NotCurrentError if the store doesn't respond here. What is known may
+// be older than its last answer, which is told; followers that are sent away for it would
+// all read the same answer from the store.
 func (c *cache) checkLocked(now time.Time) error {
-	if c.currentAt.IsZero() || c.failures >= maxFailures || c.ageLocked(now) > maxServedAge {
+	if c.currentAt.IsZero() || c.failures >= maxFailures || elapsed(c.heardAt, now) > maxSilence {
 		return &NotCurrentError{c.prefix}
 	}
 	return nil
 }
 
+// quietLocked is how long after the moment received all changes are known; negative for
+// before.
+func (c *cache) quietLocked(received, now time.Time) time.Duration {
+	return now.Sub(received) - elapsed(c.currentAt, now)
+}
+
 // list returns all entries, for a call that arrived at the moment received.
 func (c *cache) list(received time.Time) (store.Listing, error) {
 	c.mu.Lock()
@@ -197,7 +236,7 @@
 	if err := c.checkLocked(now); err != nil {
 		return store.Listing{}, err
 	}
-	listing := store.Listing{Revision: c.revision, Quiet: now.Sub(received) - c.ageLocked(now)}
+	listing := store.Listing{Revision: c.revision, Quiet: c.quietLocked(received, now)}
 	for _, entry := range c.entries {
 		listing.Entries = append(listing.Entries, entry)
 	}
@@ -209,7 +248,7 @@
 // until the state can't be served any more.
 func (c *cache) watch(ctx context.Context, after store.Revision) (store.WatchBatch, error) {
 	received := time.Now()
-	timeout := time.NewTimer(maxServedAge)
+	timeout := time.NewTimer(maxSilence)
 	defer timeout.Stop()
 	var confirmed time.Time
 	for {
@@ -223,7 +262,8 @@
 		select {
 		case <-changed:
 		case <-timeout.C:
-			return store.WatchBatch{}, &NotCurrentError{c.prefix}
+			batch, _, _, err := c.eventsAfter(after, received)
+			return batch, err
 		case <-ctx.Done():
 			return store.WatchBatch{}, ctx.Err()
 		}
@@ -240,7 +280,7 @@
 	if !c.completeAfterLocked(after) {
 		return batch, c.currentAt, c.changed, &store.CompactedError{Asked: after, Oldest: c.historyFrom}
 	}
-	batch = store.WatchBatch{Revision: max(after, c.revision), Quiet: now.Sub(received) - c.ageLocked(now)}
+	batch = store.WatchBatch{Revision: max(after, c.revision), Quiet: c.quietLocked(received, now)}
 	for _, event := range c.history {
 		if event.Entry.ModRevision > after {
 			batch.Events = append(batch.Events, event)
--- a/internal/storeaccess/cache_test.go
+++ b/internal/storeaccess/cache_test.go
@@ -149,12 +149,30 @@
 		listing, err := c.list(sent)
 		must.NoError(t, err)
 		must.EqOp(t, 0, sent.Add(listing.Quiet).Sub(confirmed))
-		time.Sleep(maxServedAge)
+		time.Sleep(maxSilence)
 		_, err = c.list(time.Now())
 		must.True(t, isNotCurrent(err))
 	})
 }
 
+// Guards against followers that a relay sends away since its last answer was large, and took
+// longer to arrive than a silent store is waited for.
+func TestRelayServesAnAnswerThatTookLongToArrive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCache("p")
+		sent := time.Now()
+		for range 10 {
+			time.Sleep(maxSilence / 2)
+			c.progressed(true)
+		}
+		c.listed(store.Listing{Revision: 5}, true, sent)
+		received := time.Now()
+		listing, err := c.list(received)
+		must.NoError(t, err)
+		must.EqOp(t, sent, received.Add(listing.Quiet))
+	})
+}
+
 // Guards against followers that wait for a relay without the store, or leave it for a single
 // lost answer.
 func TestRelayWithoutStoreSendsFollowersAway(t *testing.T) {
--- a/internal/storeaccess/shared.go
+++ b/internal/storeaccess/shared.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"auburnglade.example/glade/internal/progress"
 	"auburnglade.example/glade/internal/store"
 )
 
@@ -17,9 +18,10 @@
 	// once.
 	minAvoid = 100 * time.Millisecond
 	maxAvoid = 800 * time.Millisecond
-	// followTimeout bounds a watch of a relay, or through another entry host. It answers
-	// when the store has confirmed, which it does once a second, or says that it hasn't.
-	followTimeout = maxServedAge + 300*time.Millisecond
+	// followTimeout bounds each wait for more of the answer to a watch of a relay, or through
+	// another entry host. It answers when the store has confirmed, which it does once a
+	// second, or says that it hasn't.
+	followTimeout = maxSilence + 300*time.Millisecond
 )
 
 // NoSourceError reports that all sources of a shared prefix failed a moment ago.
@@ -36,7 +38,7 @@
 
 // listShared lists a shared prefix from the first source that answers.
 func (a *Access) listShared(ctx context.Context, c *cache) (listing store.Listing, err error) {
-	err = a.read(ctx, c.prefix, func(ctx context.Context, source string) (err error) {
+	err = a.read(ctx, c, func(ctx context.Context, source string) (err error) {
 		listing, err = a.listFrom(ctx, source, c)
 		return err
 	})
@@ -54,7 +56,7 @@
 		c.listed(listing, true, sent)
 		return listing, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	ctx, cancel := progress.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	listing, err := a.Peers.ListShared(ctx, source, c.prefix)
 	if err != nil {
@@ -71,7 +73,7 @@
 
 // watchShared watches a shared prefix at the first source that answers.
 func (a *Access) watchShared(ctx context.Context, c *cache, after store.Revision) (batch store.WatchBatch, err error) {
-	err = a.read(ctx, c.prefix, func(ctx context.Context, source string) (err error) {
+	err = a.read(ctx, c, func(ctx context.Context, source string) (err error) {
 		batch, err = a.watchFrom(ctx, source, c, after)
 		return err
 	})
@@ -90,7 +92,7 @@
 		}
 		return batch, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, followTimeout)
+	ctx, cancel := progress.WithTimeout(ctx, followTimeout)
 	defer cancel()
 	batch, err := a.Peers.WatchShared(ctx, source, c.prefix, after)
 	if err == nil {
@@ -115,11 +117,12 @@
 }
 
 // read tries the sources of a shared prefix in order until one answers.
-func (a *Access) read(ctx context.Context, prefix string, from func(ctx context.Context, source string) error) error {
-	var failure error = &store.UnavailableError{Op: "read", Cause: &NoSourceError{prefix}}
+func (a *Access) read(ctx context.Context, c *cache, from func(ctx context.Context, source string) error) error {
+	var failure error = &store.UnavailableError{Op: "read", Cause: &NoSourceError{c.prefix}}
+	defer c.finished()
 	for _, source := range a.sources(time.Now()) {
 		began := time.Now()
-		err := from(ctx, source)
+		err := from(progress.Observe(ctx, func() { c.progressed(source == directSource) }), source)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
@@ -127,12 +130,18 @@
 			a.answered(source)
 			return err
 		}
-		a.didNotAnswer(source, prefix, time.Since(began), err)
+		a.didNotAnswer(source, c.prefix, time.Since(began), err)
 		failure = err
 	}
 	return failure
 }
 
+// Arriving reports whether an answer about a shared prefix is arriving.
+func (a *Access) Arriving(prefix string) bool {
+	c := a.caches[prefix]
+	return c != nil && c.arriving()
+}
+
 // answered records that a source serves this process.
 func (a *Access) answered(source string) {
 	a.mu.Lock()
