--- a/internal/configrelay/relay_test.go
+++ b/internal/configrelay/relay_test.go
@@ -121,6 +121,31 @@
 	})
 }
 
+// Guards against an entry host that takes a version for the one in force while it is still
+// working on it, and denies what that version has added.
+func TestVersionIsInForceOnceItIsApplied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		applied := make(chan struct{})
+		relay := New(Config{Addresses: func() []string { return nil }, Log: zerolog.Nop(), Apply: func(v Version) {
+			if v.Revision == 2 {
+				<-applied
+			}
+		}})
+		relay.Written(Version{1, []byte("1")})
+		relay.Confirmed(time.Now())
+		must.True(t, relay.Standing(time.Now()).Current(time.Second))
+		time.Sleep(time.Second)
+		go relay.Written(Version{2, []byte("2")})
+		synctest.Wait()
+		relay.Confirmed(time.Now())
+		must.Eq(t, Standing{Known: true, Age: time.Second, Replaced: true}, relay.Standing(time.Now()))
+		close(applied)
+		synctest.Wait()
+		relay.Confirmed(time.Now())
+		must.Eq(t, Standing{Known: true}, relay.Standing(time.Now()))
+	})
+}
+
 // siteView is the site as one entry host sees it.
 type siteView struct {
 	*site
