Bound the waits for an answer in place of the whole answer elsewhere

The cause of the late configuration, an answer given up after a fixed time although its bytes arrive, sought in all calls that can have large answers:

- a list through another entry host, for a holder that the store turns away: 0.7 s for all of it.
A new holder would never have read its pool's jobs over a thin link.
- changes of the configuration between the daemons of the other road: 1 s for all of them (TestLargeChangesAreNotGivenUp, failed before).

Looked at and left: replies of hosts, which are too old to use when they take long; exchanges with carriers, whose calls go by other routes at once; loads of pools, 60 kB for the largest pool; calls about the ledger, 0.8 s, which at 261 pools would be 348 kB.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -9,15 +9,16 @@
 
 	"auburnglade.example/glade/internal/configstate"
 	"auburnglade.example/glade/internal/peer/peerpb"
+	"auburnglade.example/glade/internal/progress"
 	"auburnglade.example/glade/internal/store"
 )
 
 const (
-	// callTimeout limits a call that does not wait for a change, and the time
-	// that a waiting call may take in addition to its wait.
+	// callTimeout limits a call that does not wait for a change, and what a waiting call
+	// may take in addition to its wait until the first of its response, and for more.
 	callTimeout = time.Second
-	// pageTimeout limits the fetch of one page of a snapshot: two megabytes
-	// between busy hosts take longer than a response without changes.
+	// pageTimeout limits each wait for more of a page of a snapshot, which takes a busy
+	// host longer to prepare than a response without changes.
 	pageTimeout = 5 * time.Second
 	// maxPages limits the pages of one snapshot, far above what the store can
 	// hold.
@@ -144,7 +145,7 @@
 	if wait == 0 {
 		timeout = pageTimeout
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := progress.WithTimeout(ctx, timeout)
 	defer cancel()
 	response, err := peer.Fetch(ctx, request)
 	if err != nil {
@@ -203,7 +204,8 @@
 func (t *boundedTransport) RoundTrip(request *http.Request) (*http.Response, error) {
 	response, err := t.next.RoundTrip(request)
 	if err == nil {
-		response.Body = boundedBody{io.LimitReader(response.Body, maxResponseBytes), response.Body}
+		body := &progress.Reader{Context: request.Context(), Reader: io.LimitReader(response.Body, maxResponseBytes)}
+		response.Body = boundedBody{body, response.Body}
 	}
 	return response, err
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/shoenig/test/must"
@@ -54,6 +56,31 @@
 	must.Eq(t, source.Snapshot().Digest, target.Snapshot().Digest)
 }
 
+// slowWriter sends a response in pieces with a pause after each.
+type slowWriter struct{ http.ResponseWriter }
+
+func (w slowWriter) Write(p []byte) (int, error) {
+	const pieces = 8
+	for i := range pieces {
+		_, _ = w.ResponseWriter.Write(p[i*len(p)/pieces : (i+1)*len(p)/pieces])
+		_ = http.NewResponseController(w.ResponseWriter).Flush()
+		time.Sleep(200 * time.Millisecond)
+	}
+	return len(p), nil
+}
+
+// Guards against changes that are never read over a thin link.
+func TestLargeChangesAreNotGivenUp(t *testing.T) {
+	server, source := newServer("a")
+	source.Install(configstate.FromListing(nil, listing(7, 2, 100<<10)))
+	_, handler := server.Handler()
+	web := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { handler.ServeHTTP(slowWriter{w}, r) }))
+	defer web.Close()
+	result, err := peer.NewClient().Fetch(t.Context(), web.Listener.Addr().String(), 0, time.Millisecond)
+	must.NoError(t, err)
+	must.EqOp(t, 7, result.Delta.Revision)
+}
+
 // changingPeer activates a newer snapshot after the first page.
 type changingPeer struct {
 	*peer.Server
--- a/internal/storeaccess/access.go
+++ b/internal/storeaccess/access.go
@@ -76,7 +76,7 @@
 	if c := a.caches[prefix]; c != nil {
 		return a.listShared(ctx, c)
 	}
-	return throughPeers(ctx, a, relayTimeout, func() (store.Listing, error) { return a.Direct.List(ctx, prefix) },
+	return throughPeers(ctx, a, listThroughTimeout, func() (store.Listing, error) { return a.Direct.List(ctx, prefix) },
 		func(ctx context.Context, address string) (store.Listing, error) {
 			return a.Peers.List(ctx, address, prefix)
 		})
--- a/internal/storeaccess/through.go
+++ b/internal/storeaccess/through.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"auburnglade.example/glade/internal/progress"
 	"auburnglade.example/glade/internal/store"
 )
 
@@ -16,16 +17,18 @@
 	// relayBackoff is the pause after all entry hosts that were asked were refused too:
 	// the store is then unavailable to all.
 	relayBackoff = time.Second
-	// relayTimeout bounds the tries of one call through other entry hosts, and a list by a
-	// relay.
-	relayTimeout = 700 * time.Millisecond
+	// relayTimeout bounds the waits of one call through other entry hosts, and of a list by
+	// a relay. listThroughTimeout is that of a list, which an entry host reads itself before
+	// it sends the first of it.
+	relayTimeout       = 700 * time.Millisecond
+	listThroughTimeout = followTimeout
 )
 
 // throughPeers makes a call to the store, and makes it through other entry hosts if the
 // store refuses this one and may serve others. A holder that the store alone turns away
 // would otherwise store nothing until its claim expires and another one has taken over.
-// Only a call that certainly wasn't carried out is made again. timeout bounds all tries
-// through others.
+// Only a call that certainly wasn't carried out is made again. timeout bounds each wait of
+// all tries through others for more of an answer.
 func throughPeers[T any](ctx context.Context, a *Access, timeout time.Duration, direct func() (T, error), via func(ctx context.Context, address string) (T, error)) (T, error) {
 	result, err := direct()
 	if !a.refused(err) {
@@ -35,7 +38,7 @@
 	if len(peers) == 0 {
 		return result, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := progress.WithTimeout(ctx, timeout)
 	defer cancel()
 	for _, address := range peers {
 		relayed, relayErr := via(ctx, address)
