Follow the operator's configuration in one place; give the usual source a quarter of a second

The watch of the operator's entries stood in package platform and twice in tests; it is configrelay.Relay.Follow now. A process without any version reads the first that it can get; one that has one gives the store or its relay 250 ms to begin to send a newer one before it reads it elsewhere: with 500 ms an entry host whose store has gone silent would have a version some 1.8 s after it was written, of the 2 s that small deployments allow.

--- a/internal/configrelay/ask.go
+++ b/internal/configrelay/ask.go
@@ -26,7 +26,7 @@
 	fetchTimeout = time.Second
 	// headStart is the time in which the store or a relay, while it responds, may begin to
 	// send a version that another entry host has.
-	headStart = 500 * time.Millisecond
+	headStart = 250 * time.Millisecond
 	// askAtOnce is how many entry hosts are asked in a round. One of two has the
 	// store nine times in ten if a third of all are turned away.
 	askAtOnce = 2
@@ -139,9 +139,12 @@
 }
 
 // expectedLocked reports whether the newest version is on its way from the store or a relay,
-// or is likely to be.
+// or is likely to be. Without any version, the first one that can be had is read.
 func (r *Relay) expectedLocked() bool {
-	return !r.storeFailed && time.Since(r.toldAt) < headStart || r.Arriving != nil && r.Arriving()
+	if r.Arriving != nil && r.Arriving() {
+		return true
+	}
+	return r.version.Revision != 0 && !r.storeFailed && time.Since(r.toldAt) < headStart
 }
 
 // fetch reads a version from another entry host.
--- a/internal/entryhost/harness_test.go
+++ b/internal/entryhost/harness_test.go
@@ -13,6 +13,7 @@
 
 	"auburnglade.example/glade/internal/carrier"
 	"auburnglade.example/glade/internal/cluster"
+	"auburnglade.example/glade/internal/configrelay"
 	"auburnglade.example/glade/internal/emulate"
 	"auburnglade.example/glade/internal/entryhost"
 	"auburnglade.example/glade/internal/hostmanager"
@@ -164,7 +165,7 @@
 	}
 	if source != nil {
 		source.relay = host.Relay
-		go source.follow(ctx, s)
+		go host.Relay.Follow(ctx, configrelay.Source{Store: s, Prefix: operatorKey, Key: operatorKey})
 	}
 	e := &entry{Host: host, address: node, kill: cancel}
 	dep.entries[node] = e
--- a/internal/entryhost/limits_test.go
+++ b/internal/entryhost/limits_test.go
@@ -1,7 +1,6 @@
 package entryhost_test
 
 import (
-	"context"
 	"encoding/json"
 	"math/rand/v2"
 	"sync/atomic"
@@ -12,7 +11,6 @@
 
 	"auburnglade.example/glade/internal/configrelay"
 	"auburnglade.example/glade/internal/emulate"
-	"auburnglade.example/glade/internal/listwatch"
 	"auburnglade.example/glade/internal/quota"
 	"auburnglade.example/glade/internal/store"
 	"auburnglade.example/glade/internal/work"
@@ -55,25 +53,6 @@
 	s.current.Store(&limits)
 }
 
-// follow watches the operator's configuration through an entry host's way to the store.
-func (s *limitSource) follow(ctx context.Context, through store.Store) {
-	apply := func(entries []store.Entry) {
-		for _, entry := range entries {
-			s.relay.Written(configrelay.Version{Revision: entry.ModRevision, Data: entry.Value})
-		}
-	}
-	w := listwatch.Watcher{
-		Store: through, Prefix: operatorKey, OnList: apply, OnCurrent: s.relay.Confirmed,
-		OnEvents: func(events []store.Event) { apply(listwatch.WrittenEntries(events)) },
-		OnAvailability: func(cause error) {
-			if cause != nil {
-				s.relay.StoreFailed()
-			}
-		},
-	}
-	w.Run(ctx)
-}
-
 // setLimits writes the limits of all organisations. It reports whether the store has
 // taken them.
 func (dep *deployment) setLimits(limits map[string]work.Resources) bool {
--- a/internal/entryhost/links_test.go
+++ b/internal/entryhost/links_test.go
@@ -14,7 +14,6 @@
 	"auburnglade.example/glade/internal/configrelay"
 	"auburnglade.example/glade/internal/emulate"
 	"auburnglade.example/glade/internal/entryhost"
-	"auburnglade.example/glade/internal/listwatch"
 	"auburnglade.example/glade/internal/poolrpc"
 	"auburnglade.example/glade/internal/store"
 	"auburnglade.example/glade/internal/storerpc"
@@ -42,25 +41,6 @@
 	context.AfterFunc(ctx, func() { server.Close() })
 }
 
-// followOperator keeps an entry host's configuration as package platform does.
-func followOperator(ctx context.Context, e *entry) {
-	apply := func(entries []store.Entry) {
-		for _, entry := range entries {
-			e.Relay.Written(configrelay.Version{Revision: entry.ModRevision, Data: entry.Value})
-		}
-	}
-	w := listwatch.Watcher{
-		Store: e.Access, Prefix: operatorPrefix, MinInterval: 20 * time.Millisecond, OnList: apply,
-		OnEvents: func(events []store.Event) { apply(listwatch.WrittenEntries(events)) }, OnCurrent: e.Relay.Confirmed,
-		OnAvailability: func(cause error) {
-			if cause != nil {
-				e.Relay.StoreFailed()
-			}
-		},
-	}
-	w.Run(ctx)
-}
-
 // routesOf returns a configuration with routes as operators write them.
 func routesOf(count int) string {
 	random := rand.New(rand.NewPCG(uint64(count), 1))
@@ -92,7 +72,9 @@
 func runOnLinks(t *testing.T, entries int, mbps float64, play func(dep *deployment)) {
 	runTestOf(t, entries, func(dep *deployment) { dep.links, dep.linkMbps = emulate.NewLinks(), mbps }, func(dep *deployment) {
 		for _, e := range dep.entries {
-			go followOperator(dep.ctx, e)
+			go e.Relay.Follow(dep.ctx, configrelay.Source{
+				Store: e.Access, Prefix: operatorPrefix, Key: operatorKey, MinInterval: 20 * time.Millisecond,
+			})
 		}
 		time.Sleep(3 * time.Second)
 		play(dep)
