--- a/internal/emulate/links.go
+++ b/internal/emulate/links.go
@@ -13,8 +13,55 @@
 // chunkBytes is how much of a connection's data takes its turn on a link at once.
 const chunkBytes = 4 << 10
 
+// dialTimeout bounds opening a connection over a link that is cut.
+const dialTimeout = 300 * time.Millisecond
+
 // Link is the network link of an entry host. All of its connections share it.
-type Link struct{ up, down lane }
+type Link struct {
+	up, down lane
+
+	mu sync.Mutex
+	// healed is closed when the link is whole again, nil while it is.
+	healed chan struct{}
+}
+
+// Cut holds up all that is sent to other entry hosts and by them, until it is healed.
+// Connections are silent meanwhile.
+func (l *Link) Cut() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.healed == nil {
+		l.healed = make(chan struct{})
+	}
+}
+
+// Heal ends a cut.
+func (l *Link) Heal() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.healed != nil {
+		close(l.healed)
+		l.healed = nil
+	}
+}
+
+// awaitWhole waits until the link isn't cut or given is closed. It returns false for the
+// latter.
+func (l *Link) awaitWhole(given <-chan struct{}) bool {
+	for {
+		l.mu.Lock()
+		healed := l.healed
+		l.mu.Unlock()
+		if healed == nil {
+			return true
+		}
+		select {
+		case <-healed:
+		case <-given:
+			return false
+		}
+	}
+}
 
 // lane is one direction of a link.
 type lane struct {
@@ -96,10 +143,15 @@
 		if listener == nil {
 			return nil, &net.OpError{Op: "dial", Err: UnreachableError{address}}
 		}
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		if !caller.awaitWhole(ctx.Done()) || !callee.awaitWhole(ctx.Done()) {
+			return nil, &net.OpError{Op: "dial", Err: ctx.Err()}
+		}
 		near, far := net.Pipe()
 		select {
-		case listener.accepted <- &linkConn{far, callee, caller}:
-			return &linkConn{near, caller, callee}, nil
+		case listener.accepted <- newLinkConn(far, callee, caller):
+			return newLinkConn(near, caller, callee), nil
 		case <-listener.closed:
 			return nil, &net.OpError{Op: "dial", Err: UnreachableError{address}}
 		case <-ctx.Done():
@@ -138,11 +190,26 @@
 type linkConn struct {
 	net.Conn
 	near, far *Link
+	closing   sync.Once
+	closed    chan struct{}
+}
+
+func newLinkConn(conn net.Conn, near, far *Link) *linkConn {
+	return &linkConn{Conn: conn, near: near, far: far, closed: make(chan struct{})}
+}
+
+// Close implements net.Conn.
+func (c *linkConn) Close() error {
+	c.closing.Do(func() { close(c.closed) })
+	return c.Conn.Close()
 }
 
 // Write implements net.Conn.
 func (c *linkConn) Write(p []byte) (written int, err error) {
 	for len(p) > 0 && err == nil {
+		if !c.near.awaitWhole(c.closed) || !c.far.awaitWhole(c.closed) {
+			return written, net.ErrClosed
+		}
 		chunk := p[:min(len(p), chunkBytes)]
 		up, down := c.near.up.reserve(len(chunk)), c.far.down.reserve(len(chunk))
 		time.Sleep(max(time.Until(up), time.Until(down)))
--- a/internal/entryhost/disconnect_test.go
+++ b/internal/entryhost/disconnect_test.go
@@ -8,12 +8,21 @@
 	"auburnglade.example/glade/internal/store"
 )
 
-// gate refuses store calls while it is closed.
-type gate struct{ closed atomic.Bool }
+// gate refuses store calls while it is closed, and gives no answer while it is silent.
+type gate struct{ closed, silent atomic.Bool }
 
 func (g *gate) set(closed bool) { g.closed.Store(closed) }
 
+func (g *gate) silence(silent bool) { g.silent.Store(silent) }
+
+// storeTimeout is how long a call to the store waits for an answer.
+const storeTimeout = 1500 * time.Millisecond
+
 func (g *gate) refusal(op string) error {
+	if g.silent.Load() {
+		time.Sleep(storeTimeout)
+		return &store.UnavailableError{Op: op, Cause: context.DeadlineExceeded}
+	}
 	if !g.closed.Load() {
 		return nil
 	}
--- a/internal/entryhost/harness_test.go
+++ b/internal/entryhost/harness_test.go
@@ -62,7 +62,9 @@
 type entry struct {
 	*entryhost.Host
 	address string
-	kill    context.CancelFunc
+	// ctx ends when the process is killed.
+	ctx  context.Context
+	kill context.CancelFunc
 	// gate turns the entry host away from the store, nil where it can't.
 	gate *gate
 }
@@ -167,7 +169,7 @@
 		source.relay = host.Relay
 		go host.Relay.Follow(ctx, configrelay.Source{Store: s, Prefix: operatorKey, Key: operatorKey})
 	}
-	e := &entry{Host: host, address: node, kill: cancel}
+	e := &entry{Host: host, address: node, ctx: ctx, kill: cancel}
 	dep.entries[node] = e
 	dep.net.Connect(node, host.Jobs, host.Carrier, host.Access)
 	go host.Run(ctx)
