Date an answer that was held up by its question; stop a host manager whose claim is lost

What callers saw: nothing.

Cause: the answer to a watch that waited in a suspended process was taken for the state at its arrival. The claim counted as confirmed for 1.8 s more, while another process had it, and nothing told the manager when the next answer showed that.

Evidence: the log of edge-mx-central-c-2, still from 16.3 to 19.5 s, acting until 20.9 s with fence 1; edge-mx-central-b-2 acts from 18.8 s on with fence 2.

Now an answer that took over 2 s of the wall clock shows the state as of its question, and the holder of a claim is told when another process has it with a higher fence.

--- a/internal/cluster/claim_test.go
+++ b/internal/cluster/claim_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/shoenig/test/must"
@@ -52,3 +54,35 @@
 	must.NoError(t, err)
 	must.EqOp(t, owner.HolderID(), head.Holder)
 }
+
+// lossPool records whether its claim was lost.
+type lossPool struct {
+	noopPool
+	lost chan struct{}
+}
+
+func (p lossPool) ClaimLost() { close(p.lost) }
+
+// Guards against a replaced holder that goes on after its process was suspended, and against
+// one that takes the claim it has just replaced for a newer one.
+func TestHolderLearnsThatItsClaimIsLost(t *testing.T) {
+	for fence, lost := range map[int64]bool{1: false, 3: true} {
+		synctest.Test(t, func(t *testing.T) {
+			pool := lossPool{lost: make(chan struct{})}
+			c := New(Config{
+				Self: Member{Node: "self", Incarnation: "1"}, Log: zerolog.Nop(), StartPool: func(Takeover) HeldPool { return pool },
+			})
+			c.runPool(Takeover{Pool: "pool", Head: poolstore.Head{Fence: 2}})
+			other := Claim{Member{Node: "other", Incarnation: "1"}, fence}
+			c.applyEvents([]store.Event{{Entry: store.Entry{Key: poolstore.ClaimKey("pool"), Value: encode(other), ModRevision: 9}}})
+			c.seen(time.Now())
+			synctest.Wait()
+			select {
+			case <-pool.lost:
+				must.True(t, lost)
+			default:
+				must.False(t, lost)
+			}
+		})
+	}
+}
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -97,6 +97,15 @@
 	ConfirmClaim(at time.Time)
 	// RestoreClaim writes the claim again under a lease.
 	RestoreClaim(lease store.LeaseID)
+	// ClaimLost records that the store showed a claim of another process with a higher
+	// fence.
+	ClaimLost()
+}
+
+// heldPool is a HeldPool with the fence of its claim.
+type heldPool struct {
+	HeldPool
+	fence int64
 }
 
 // Takeover is a pool that this process has just claimed.
@@ -136,7 +145,7 @@
 	claims  map[string]storedClaim
 	// withoutHolderSince is when a pool was first seen without a holder.
 	withoutHolderSince map[string]time.Time
-	held               map[string]HeldPool
+	held               map[string]heldPool
 	// route is the route to the store that follows from members and claims, nil when
 	// these have changed since.
 	route *storeaccess.Route
@@ -149,7 +158,7 @@
 func New(config Config) *Cluster {
 	return &Cluster{
 		Config: config, members: make(map[string]Member), claims: make(map[string]storedClaim),
-		withoutHolderSince: make(map[string]time.Time), held: make(map[string]HeldPool),
+		withoutHolderSince: make(map[string]time.Time), held: make(map[string]heldPool),
 	}
 }
 
@@ -433,7 +442,8 @@
 }
 
 // seen reacts to the members and claims that the store showed at the moment at: it
-// confirms the claims of held pools, and restores a claim of this process that vanished.
+// confirms the claims of held pools, tells those that were replaced, and restores a claim
+// of this process that vanished.
 func (c *Cluster) seen(at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -445,6 +455,8 @@
 		switch {
 		case ok && claim.HolderID() == c.Self.HolderID():
 			go held.ConfirmClaim(at)
+		case ok && claim.Fence > held.fence:
+			go held.ClaimLost()
 		case !ok && c.lease != 0:
 			go held.RestoreClaim(c.lease)
 		}
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -21,6 +21,7 @@
 
 func (noopPool) ConfirmClaim(time.Time)     {}
 func (noopPool) RestoreClaim(store.LeaseID) {}
+func (noopPool) ClaimLost()                 {}
 
 // claimLog records which node claimed which pool.
 type claimLog struct {
--- a/internal/cluster/elect.go
+++ b/internal/cluster/elect.go
@@ -38,7 +38,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	claim, ok := c.claims[pool]
-	return ok && claim.HolderID() == c.Self.HolderID() && c.held[pool] == nil && !c.leaving
+	return ok && claim.HolderID() == c.Self.HolderID() && !c.holdsLocked(pool) && !c.leaving
 }
 
 // adopt starts to manage a pool whose claim by this process got no response. A claim
@@ -67,10 +67,15 @@
 func (c *Cluster) runPool(takeover Takeover) {
 	held := c.StartPool(takeover)
 	c.mu.Lock()
-	c.held[takeover.Pool] = held
+	c.held[takeover.Pool] = heldPool{held, takeover.Head.Fence}
 	c.mu.Unlock()
 }
 
+func (c *Cluster) holdsLocked(pool string) bool {
+	_, held := c.held[pool]
+	return held
+}
+
 // claimBasis is what a claim of a pool depends on.
 type claimBasis struct {
 	lease store.LeaseID
@@ -84,7 +89,7 @@
 	defer c.mu.Unlock()
 	claim, claimed := c.claims[pool]
 	claimed = claimed && !c.holderEndedLocked(claim)
-	if claimed || c.leaving || c.lease == 0 || c.held[pool] != nil || time.Since(c.updatedAt) > leaseTTL {
+	if claimed || c.leaving || c.lease == 0 || c.holdsLocked(pool) || time.Since(c.updatedAt) > leaseTTL {
 		return claimBasis{}, false
 	}
 	if c.withoutHolderSince[pool].IsZero() {
--- a/internal/hostmanager/manager.go
+++ b/internal/hostmanager/manager.go
@@ -174,6 +174,15 @@
 	}
 }
 
+// ClaimLost implements cluster.HeldPool. Not all platforms check the fences of calls for
+// hosts, so that the manager stops at once.
+func (m *Manager) ClaimLost() {
+	if !m.isFenced() {
+		m.Log.Warn().Int64("fence", m.fence).Msg("Another process manages the hosts.")
+	}
+	m.setFenced()
+}
+
 // maxUnconfirmed is how long the manager goes on acting when the store doesn't
 // confirm its claim. It is less than another process takes to claim the role: two
 // managers that act on one host in turn would each undo what the other plans.
--- a/internal/hostmanager/manager_test.go
+++ b/internal/hostmanager/manager_test.go
@@ -38,6 +38,16 @@
 	})
 }
 
+// Guards against two managers that act on one host in turn.
+func TestManagerDoesNotActOnceItsClaimIsLost(t *testing.T) {
+	m := New(Config{}, 1, 1, nil)
+	must.True(t, m.mayAct())
+	m.ClaimLost()
+	must.False(t, m.mayAct())
+	m.ConfirmClaim(time.Now())
+	must.False(t, m.mayAct())
+}
+
 // poolsWithoutWorkers are pools without any of the workers to be drained.
 type poolsWithoutWorkers struct{ Pools }
 
--- a/internal/listwatch/watcher.go
+++ b/internal/listwatch/watcher.go
@@ -10,8 +10,13 @@
 	"auburnglade.example/glade/internal/store"
 )
 
-// retryInterval is the pause after a failed call.
-const retryInterval = 150 * time.Millisecond
+const (
+	// retryInterval is the pause after a failed call.
+	retryInterval = 150 * time.Millisecond
+	// heldUpAfter is the time on the wall clock from a call to its response after which the
+	// response was held up, as in a process that was suspended. A watch waits for a second.
+	heldUpAfter = 2 * time.Second
+)
 
 // Watcher tracks the keys under one prefix.
 type Watcher struct {
@@ -34,8 +39,8 @@
 	// changes are known. It may be nil.
 	OnCurrent func(at time.Time)
 	// OnSeen is called after each successful call with the moment whose state was
-	// seen: when the store's own response arrived, or else as for OnCurrent. It may be
-	// nil.
+	// seen: when the store's own response arrived, unless it was held up, or else as for
+	// OnCurrent. It may be nil.
 	OnSeen func(at time.Time)
 	// OnAvailability is called with the cause when the store becomes unavailable,
 	// and with nil when it is available again. It may be nil.
@@ -82,7 +87,7 @@
 			return 0, err
 		}
 		w.OnList(listing.Entries)
-		w.current(sent.Add(listing.Quiet), listing.Relayed)
+		w.current(sent, listing.Quiet, listing.Relayed)
 		return listing.Revision, nil
 	}
 	batch, err := w.Store.Watch(ctx, w.Prefix, revision)
@@ -96,21 +101,28 @@
 		return revision, err
 	}
 	w.OnEvents(batch.Events)
-	w.current(sent.Add(batch.Quiet), batch.Relayed)
+	w.current(sent, batch.Quiet, batch.Relayed)
 	return batch.Revision, nil
 }
 
-func (w *Watcher) current(at time.Time, relayed bool) {
+func (w *Watcher) current(sent time.Time, quiet time.Duration, relayed bool) {
 	if w.OnCurrent != nil {
-		w.OnCurrent(at)
+		w.OnCurrent(sent.Add(quiet))
 	}
-	if w.OnSeen == nil {
-		return
+	if w.OnSeen != nil {
+		w.OnSeen(seenAt(sent, time.Now(), quiet, relayed))
 	}
-	if !relayed {
-		at = time.Now()
+}
+
+// seenAt returns the moment whose state a response showed that arrived now. A response that
+// was held up may be as old as its call: in a process that resumes after a suspension, a
+// claim that has since passed to another process would appear to be held still.
+func seenAt(sent, now time.Time, quiet time.Duration, relayed bool) time.Time {
+	heldUp := now.Round(0).Sub(sent.Round(0)) > heldUpAfter
+	if relayed || heldUp {
+		return sent.Add(quiet)
 	}
-	w.OnSeen(at)
+	return now
 }
 
 // WrittenEntries returns the entries that events wrote, without the deleted ones.
--- a/internal/poolmanager/manager.go
+++ b/internal/poolmanager/manager.go
@@ -280,6 +280,10 @@
 	})
 }
 
+// ClaimLost implements cluster.HeldPool. Nothing is left to do: hosts refuse the calls of a
+// replaced holder by their fences, and it stops with its next commit.
+func (m *Manager) ClaimLost() {}
+
 // claimConfirmed reports whether the store has confirmed the claim within
 // ConfirmationTimeout.
 func (m *Manager) claimConfirmed(now time.Time) bool {
