--- a/internal/clientcache/cache.go
+++ b/internal/clientcache/cache.go
@@ -27,8 +27,9 @@
 	return dialer.DialContext(ctx, network, address)
 }
 
-// Config limits the connections to each entry host.
+// Config configures a Cache.
 type Config struct {
+	// Dial opens the connections.
 	Dial Dialer
 	// MaxConnections is the maximum number of open connections to one entry host.
 	MaxConnections int
--- a/internal/entryhost/configdays_test.go
+++ b/internal/entryhost/configdays_test.go
@@ -20,6 +20,8 @@
 	// calmAfter is how long an entry host must have been without a fault of its own for a
 	// version to be in force there in time.
 	calmAfter = 4 * time.Second
+	// minCalm is the least number of entry hosts without a fault for another one to begin.
+	minCalm = 8
 	// configDay is how long a day lasts, configDaysInCI how many are played by default.
 	configDay      = 40 * time.Second
 	configDaysInCI = 12
@@ -45,9 +47,10 @@
 	// calmSince is since when an entry host has no fault, zero while it has one.
 	calmSince map[string]time.Time
 	written   []writtenVersion
-	seen      map[string]store.Revision
-	reported  map[string]bool
-	pending   []pendingAct
+	// seen is the newest revision that was seen on each entry host, reported what was.
+	seen     map[string]store.Revision
+	reported map[string]bool
+	pending  []pendingAct
 	// largest is the size in bytes of the largest version.
 	largest int
 	// violations describe what entry hosts had late or took for the newest.
@@ -78,7 +81,7 @@
 			followed = append(followed, node)
 		}
 	}
-	if len(calm) < 8 {
+	if len(calm) < minCalm {
 		return ""
 	}
 	if len(followed) > 0 && d.random.IntN(2) == 0 {
@@ -95,7 +98,9 @@
 		return
 	}
 	d.calmSince[node] = time.Time{}
-	e, link, lasts := d.entries[node], d.links.Link(node), time.Duration(500+d.random.IntN(5500))*time.Millisecond
+	gate, link := d.entries[node].gate, d.links.Link(node)
+	lasts := time.Duration(500+d.random.IntN(5500)) * time.Millisecond
+	calm := func() { d.calmSince[node] = time.Now() }
 	switch d.random.IntN(4) {
 	case 0:
 		d.kill(node)
@@ -104,19 +109,19 @@
 		link.Cut()
 		d.later(lasts, func() {
 			link.Heal()
-			d.calmSince[node] = time.Now()
+			calm()
 		})
 	case 2:
-		e.gate.set(true)
+		gate.set(true)
 		d.later(lasts, func() {
-			e.gate.set(false)
-			d.calmSince[node] = time.Now()
+			gate.set(false)
+			calm()
 		})
 	default:
-		e.gate.silence(true)
+		gate.silence(true)
 		d.later(lasts, func() {
-			e.gate.silence(false)
-			d.calmSince[node] = time.Now()
+			gate.silence(false)
+			calm()
 		})
 	}
 }
