--- a/review/standin/process.go
+++ b/review/standin/process.go
@@ -8,7 +8,9 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -100,11 +102,25 @@
 	if err := e.process.Start(); err != nil {
 		return err
 	}
-	w.entries = append(w.entries, e)
+	if !slices.Contains(w.entries, e) {
+		w.entries = append(w.entries, e)
+	}
 	w.record("%s starts, front %s", e.node, e.front)
 	return nil
 }
 
+// restartEntry stops an entry host as planned and starts it again.
+func (w *world) restartEntry(e *entry) error {
+	w.record("%s gets SIGTERM", e.node)
+	if err := e.process.Process.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	// A process that is stopped ends with an error or without one.
+	_ = e.process.Wait()
+	w.record("%s has ended", e.node)
+	return w.startEntry(e)
+}
+
 // stopEntries kills the project's processes.
 func (w *world) stopEntries() {
 	w.entriesMu.Lock()
