--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -37,6 +37,38 @@
 	leases  map[int64]*kvLease
 	next    int64
 	changed chan struct{}
+	// late, while it is set, picks writes that get no answer and are done lateBy later;
+	// writes and lates count the writes since then, and those picked.
+	late          func(txnRequest) bool
+	writes, lates int
+}
+
+// lateBy is how much later a write without an answer is done: 1 to 6 s.
+const lateBy = 3500 * time.Millisecond
+
+// unanswered is how long a call without an answer is held before its connection ends.
+const unanswered = 3 * time.Second
+
+// loseAnswers sets which writes are late; nil for none. It returns how many writes there
+// were since it was last called, and how many of them were late.
+func (s *kvStore) loseAnswers(late func(txnRequest) bool) (writes, lates int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	writes, lates = s.writes, s.lates
+	s.late, s.writes, s.lates = late, 0, 0
+	return writes, lates
+}
+
+// isLate counts a write and reports whether it is late.
+func (s *kvStore) isLate(txn txnRequest) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes++
+	if s.late == nil || !s.late(txn) {
+		return false
+	}
+	s.lates++
+	return true
 }
 
 func newStore() *kvStore {
@@ -240,6 +272,11 @@
 		return
 	}
 	time.Sleep(storeDelay)
+	if s.isLate(txn) {
+		time.AfterFunc(lateBy, func() { s.commit(txn) })
+		time.Sleep(unanswered)
+		panic(http.ErrAbortHandler)
+	}
 	status, body := s.commit(txn)
 	reply(w, status, body)
 }
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"strings"
 	"sync"
 	"time"
 )
@@ -26,6 +27,10 @@
 	minions  map[string]*minion
 	doneEnds map[string][]*doneEnd
 	verdicts []string
+	// unfair is set if a disruption went beyond its limits.
+	unfair bool
+	// lasting are the jobs whose tasks last.
+	lasting map[string]bool
 
 	entriesMu sync.Mutex
 	entries   []*entry
@@ -49,7 +54,7 @@
 	}
 	return &world{
 		ip: "127.0.0.1", zones: []string{"zone-a", "zone-b", "zone-c"}, store: newStore(), began: time.Now(), length: length, out: bufio.NewWriter(file),
-		minions: make(map[string]*minion), doneEnds: make(map[string][]*doneEnd),
+		minions: make(map[string]*minion), doneEnds: make(map[string][]*doneEnd), lasting: make(map[string]bool),
 	}, nil
 }
 
@@ -74,8 +79,16 @@
 	w.verdicts = append(w.verdicts, text)
 }
 
-// lengthOf is how long a run of a task takes.
-func (w *world) lengthOf(string) time.Duration { return w.length }
+// lengthOf is how long a run of a task takes, zero for one that lasts.
+func (w *world) lengthOf(task string) time.Duration {
+	id, _, _ := strings.Cut(task, ".")
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.lasting[id] {
+		return 0
+	}
+	return w.length
+}
 
 // started is told of each start that a minion began. The minion holds its lock.
 func (w *world) started(m *minion, o orderRequest) {
