--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -214,3 +214,93 @@
 		clients.Go(func() { w.submit("/quick/"+id, job("spec of "+id, 1, 500, 100)) })
 	}
 }
+
+// crashes lets five of the eight minions of a service crash one after the other, one every
+// 9 s and each for 2.5 s, while one long job runs there.
+func crashes(w *world, dir string, trouble bool) error {
+	const (
+		minions = 8
+		crashed = 5
+		down    = 2500 * time.Millisecond
+		pace    = 9 * time.Second
+	)
+	if err := w.deploy(dir, minions, []string{"alpha"}, route{"/quick/", "alpha"}); err != nil {
+		return err
+	}
+	id := jobID(1)
+	if !w.submit("/quick/"+id, job("spec of "+id, 1, 1000, int(w.length.Milliseconds()))) {
+		return fmt.Errorf("job %s was not accepted", id)
+	}
+	if trouble {
+		go func() {
+			for i := range crashed {
+				time.Sleep(pace - down)
+				if err := w.restart(fmt.Sprintf("m-alpha-%02d", i+1), down, false); err != nil {
+					w.record("restart: %v", err)
+					return
+				}
+			}
+		}()
+	}
+	state := ""
+	for end := time.Now().Add(crashed*pace + w.length + 5*time.Second); time.Now().Before(end); time.Sleep(time.Second) {
+		if status, answer := w.ask(http.MethodGet, "/quick/"+id, nil); status == http.StatusOK {
+			state = answer
+		}
+		if strings.Contains(state, "done") || strings.Contains(state, "failed") {
+			break
+		}
+	}
+	// No run ends failed here: a run ends done, is stopped, or is lost with its minion.
+	if strings.Contains(state, "failed") {
+		w.broken("LOST: job %s is shown as failed, and no run of it has ended failed", id)
+	}
+	w.record("the job's last state was %s", state)
+	return nil
+}
+
+// droppedQueue removes the only queue of a service from the configuration, while a job that
+// lasts runs there, and then stops and starts the entry hosts in turn.
+func droppedQueue(w *world, dir string, trouble bool) error {
+	const tasks = 4
+	services := []string{"alpha", "beta"}
+	if err := w.deploy(dir, 4, services, route{"/watch/", "alpha"}, route{"/quick/", "beta"}); err != nil {
+		return err
+	}
+	id := jobID(1)
+	spec := job("spec of "+id, tasks, 1000, 900)
+	step := spec["steps"].([]map[string]any)[0]
+	step["longRunning"], step["mayMiss"] = true, 1
+	w.mu.Lock()
+	w.lasting[id] = true
+	w.mu.Unlock()
+	if !w.submit("/watch/"+id, spec) {
+		return fmt.Errorf("job %s was not accepted", id)
+	}
+	time.Sleep(5 * time.Second)
+	if on := w.running(id, tasks); on != tasks {
+		return fmt.Errorf("%d of %d tasks run", on, tasks)
+	}
+	if trouble {
+		w.configure(3, services, route{"/quick/", "beta"})
+		time.Sleep(4 * time.Second)
+		for _, e := range w.entries {
+			if err := w.restartEntry(e); err != nil {
+				return err
+			}
+			time.Sleep(2 * time.Second)
+		}
+	}
+	if err := w.awaitReady(10 * time.Second); err != nil {
+		return err
+	}
+	w.record("nothing is disrupted from here on")
+	const calm = 20 * time.Second
+	time.Sleep(calm)
+	if on := w.running(id, tasks); on < tasks {
+		w.broken("LOST: %d of %d tasks of job %s, which last and which nobody has cancelled, run after %v of calm, with all minions up and idle", on, tasks, id, calm)
+	}
+	status, answer := w.ask(http.MethodGet, "/watch/"+id, nil)
+	w.record("the job is asked for: %d %s", status, answer)
+	return nil
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -15,9 +15,12 @@
 
 var cases = map[string]func(w *world, dir string, trouble bool) error{
 	"reborn": reborn, "moved-queue": movedQueue, "lost-members": lostMembers,
+	// Shown, but not among the three cases.
+	"crashes": crashes, "dropped-queue": droppedQueue,
 }
 
-var runLengths = map[string]time.Duration{"reborn": time.Second, "moved-queue": 25 * time.Second, "lost-members": 100 * time.Millisecond}
+var runLengths = map[string]time.Duration{"reborn": time.Second, "moved-queue": 25 * time.Second, "lost-members": 100 * time.Millisecond,
+	"crashes": 45 * time.Second, "dropped-queue": time.Second}
 
 func main() {
 	name := flag.String("case", "", "the case to play")
