Carriers: a session per link, so that replies reach their own calls

Cause: the links to both processes of a restarted entry host name the same session and number their calls from 1 each; the carrier hands the replies of a session to whichever link asks, and the link delivers them by number.

Ruled out: the numbers within one link (they only rise), and the host's own restart (it had not restarted before).

The session now has the carrier process's name.

--- a/internal/carrier/link.go
+++ b/internal/carrier/link.go
@@ -47,9 +47,12 @@
 	failed time.Time
 }
 
-func newLink(address string, config Config) *link {
+// newLink returns a link with a session of its own: the links to two processes of one
+// entry host may both be in use at its address and number their calls alike.
+func newLink(c Candidate, config Config) *link {
+	config.Session += "/" + c.Name
 	return &link{
-		Config: config, address: address, log: config.Log.With().Str("carrier", address).Logger(), wake: make(chan struct{}, 1), pending: make(map[uint64]chan Reply),
+		Config: config, address: c.Address, log: config.Log.With().Str("carrier", c.Address).Logger(), wake: make(chan struct{}, 1), pending: make(map[uint64]chan Reply),
 	}
 }
 
--- a/internal/carrier/router.go
+++ b/internal/carrier/router.go
@@ -18,7 +18,8 @@
 // Config configures a Router.
 type Config struct {
 	Pool string
-	// Session is unique to the holder and its tenure of the pool.
+	// Session is unique to the holder and its tenure of the pool; each link adds its
+	// carrier's name.
 	Session string
 	// CPUShare is the number of cores available to this process.
 	CPUShare float64
@@ -130,7 +131,7 @@
 func (r *Router) link(ctx context.Context, c Candidate) *link {
 	l := r.links[c.Name]
 	if l == nil {
-		l = newLink(c.Address, r.Config)
+		l = newLink(c, r.Config)
 		r.links[c.Name] = l
 		go l.run(ctx)
 	}
--- a/internal/carrier/router_test.go
+++ b/internal/carrier/router_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -146,3 +147,31 @@
 		must.EqOp(t, 0, p.calls("x"))
 	})
 }
+
+// Guards against replies that reach the calls of another host: a carrier restarts at its
+// address, and the links to both of its processes number their calls alike.
+func TestRepliesOfARestartedCarrierReachTheirCalls(t *testing.T) {
+	runTest(t, func(p *testPool) {
+		p.add("x")
+		p.update(hosts(ownHosts+1, "a"))
+		settle()
+		var calls sync.WaitGroup
+		call := func(host string, number int64, wait time.Duration) {
+			calls.Go(func() {
+				answer, outcome := p.router.Heartbeat(p.ctx, worker.Target{ID: host}, worker.Heartbeat{AckedEnd: number, Wait: wait})
+				must.EqOp(t, worker.Accepted, outcome)
+				must.EqOp(t, number, answer.ClockMs)
+			})
+		}
+		const before, after = 20, 40
+		for i := range before {
+			call(fmt.Sprint("a-", i), int64(i), 400*time.Millisecond+time.Duration(i)*10*time.Millisecond)
+		}
+		p.set(func() { p.candidates[0].Name = "x, restarted" })
+		settle()
+		for i := before; i < after; i++ {
+			call(fmt.Sprint("a-", i), int64(i), time.Duration(i)*10*time.Millisecond)
+		}
+		calls.Wait()
+	})
+}
