--- a/internal/carrierrpc/messages.go
+++ b/internal/carrierrpc/messages.go
@@ -85,7 +85,7 @@
 }
 
 func encodeReply(r *carrier.Reply) *carrierpb.Reply {
-	reply := &carrierpb.Reply{Id: r.ID, Outcome: outcomes[r.Outcome], ClockMs: r.Heartbeat.ClockMs, Brief: r.Heartbeat.RunningOmitted}
+	reply := &carrierpb.Reply{Id: r.ID, Outcome: outcomes[r.Outcome], ClockMs: r.Heartbeat.ClockMs, Born: r.Heartbeat.Born, Brief: r.Heartbeat.RunningOmitted}
 	for _, run := range r.Heartbeat.Running {
 		reply.Running = append(reply.Running, &carrierpb.Report{
 			Job: run.Task.Job, Time: int64(run.Task.Occurrence), Step: int64(run.Task.Step), Index: int64(run.Task.Index),
@@ -102,7 +102,7 @@
 }
 
 func decodeReply(r *carrierpb.Reply) carrier.Reply {
-	reply := carrier.Reply{ID: r.Id, Outcome: workerOutcomes[r.Outcome], Heartbeat: worker.HeartbeatReply{ClockMs: r.ClockMs, RunningOmitted: r.Brief}}
+	reply := carrier.Reply{ID: r.Id, Outcome: workerOutcomes[r.Outcome], Heartbeat: worker.HeartbeatReply{Born: r.Born, ClockMs: r.ClockMs, RunningOmitted: r.Brief}}
 	if len(r.Running) > 0 {
 		reply.Heartbeat.Running = make([]worker.Report, 0, len(r.Running))
 	}
--- a/internal/carrierrpc/messages_test.go
+++ b/internal/carrierrpc/messages_test.go
@@ -60,7 +60,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		reply := carrier.Reply{
 			ID: rapid.Uint64().Draw(t, "id"), Outcome: worker.Outcome(rapid.IntRange(int(worker.Unknown), int(worker.NotSent)).Draw(t, "outcome")),
-			Heartbeat: worker.HeartbeatReply{ClockMs: rapid.Int64Range(0, 1<<40).Draw(t, "clock"), RunningOmitted: rapid.Bool().Draw(t, "brief")},
+			Heartbeat: worker.HeartbeatReply{Born: rapid.Int64Range(0, 1<<42).Draw(t, "born"), ClockMs: rapid.Int64Range(0, 1<<40).Draw(t, "clock"), RunningOmitted: rapid.Bool().Draw(t, "brief")},
 		}
 		for range rapid.IntRange(0, 3).Draw(t, "runs") {
 			reply.Heartbeat.Running = append(reply.Heartbeat.Running, worker.Report{
--- a/internal/emulate/calls.go
+++ b/internal/emulate/calls.go
@@ -233,7 +233,7 @@
 	if o.Fence < h.fence {
 		return worker.HeartbeatReply{}, worker.Fenced
 	}
-	reply := worker.HeartbeatReply{ClockMs: h.clockMs()}
+	reply := worker.HeartbeatReply{Born: h.Born, ClockMs: h.clockMs()}
 	for _, r := range h.runs {
 		reply.Running = append(reply.Running, worker.Report{
 			Task: r.name, Run: r.number, Checkpoint: r.checkpoint, Percent: w.percent(r),
--- a/internal/emulate/workers.go
+++ b/internal/emulate/workers.go
@@ -75,6 +75,8 @@
 	Fails func(name work.TaskName, run int) bool
 	// Crashes reports whether a task crashes each host that starts it.
 	Crashes func(name work.TaskName) bool
+	// KeepsID reports whether a crashed host restarts under its ID, nil for never.
+	KeepsID func(id string) bool
 }
 
 // Workers emulates the hosts of all pools. It implements worker.Client and
@@ -181,10 +183,27 @@
 		clockRate:   1 - 0.02*w.random.Float64(), runs: make(map[work.TaskName]*run), maxEndedRun: make(map[work.TaskName]int),
 		runEnded: make(chan struct{}),
 	}
+	if w.KeepsID != nil {
+		w.hosts[id].Born = time.Now().UnixMilli()
+	}
 	w.notifyLocked()
 	return id
 }
 
+// restart starts the next incarnation of a crashed host under the ID that it had. Its
+// clock starts anew.
+func (w *Workers) restart(crashed *host) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	entry := crashed.Host
+	entry.Born = time.Now().UnixMilli()
+	w.hosts[entry.ID] = &host{
+		Host: entry, born: time.Now(), clockRate: 1 - 0.02*w.random.Float64(),
+		runs: make(map[work.TaskName]*run), maxEndedRun: make(map[work.TaskName]int), runEnded: make(chan struct{}),
+	}
+	w.notifyLocked()
+}
+
 // SetFaults replaces the injected faults of a host.
 func (w *Workers) SetFaults(id string, faults HostFaults) {
 	w.mu.Lock()
@@ -355,6 +374,10 @@
 		w.mu.Lock()
 		delete(w.crashed, h.ID)
 		w.mu.Unlock()
+		if w.KeepsID != nil && w.KeepsID(h.ID) {
+			w.restart(h)
+			return
+		}
 		next := w.Add(h.Pool, h.Rack, h.Capacity)
 		if w.onRestart != nil {
 			w.onRestart(h.ID, next)
--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -291,7 +291,7 @@
 func SchedConfig(b work.Bounds) sched.Config {
 	ttl := min(leaseTTL, b.MaxLease)
 	return sched.Config{
-		LeaseTTL: ttl, PriorLeaseTTL: sched.LeaseUpperBound(ttl), StopGrace: b.StopGrace,
+		LeaseTTL: ttl, MaxLeaseTTL: b.MaxLease, PriorLeaseTTL: sched.LeaseUpperBound(ttl), StopGrace: b.StopGrace,
 		RemoteFactor: b.RemoteFactor, StatusRetention: b.StatusRetention,
 	}
 }
--- a/internal/measure/loadsim/fleet.go
+++ b/internal/measure/loadsim/fleet.go
@@ -103,7 +103,7 @@
 	}
 	e.next = w.now + drainPollInterval
 	if p := w.pools[m.pool]; p != nil {
-		empty, known, _ := p.sched.Drain(m.current.id, w.time())
+		empty, known := p.sched.Drain(m.current.id, w.time())
 		p.dirty = true
 		if !empty && known || !known && m.inList {
 			return
--- a/internal/measure/loadsim/world.go
+++ b/internal/measure/loadsim/world.go
@@ -279,9 +279,9 @@
 func (w *world) reportOutcome(p *pool, order sched.Order, outcome worker.Outcome) {
 	switch order.Verb {
 	case sched.Start:
-		p.sched.StartOutcome(order.To.ID, order.Task, order.Run, outcome, w.time(), w.time())
+		p.sched.StartOutcome(order.To, order.Task, order.Run, outcome, w.time(), w.time())
 	case sched.Stop:
-		p.sched.StopOutcome(order.To.ID, order.Task, order.Run, outcome, w.time(), w.time())
+		p.sched.StopOutcome(order.To, order.Task, order.Run, outcome, w.time(), w.time())
 	}
 	p.dirty = true
 }
--- a/internal/poolmanager/calls.go
+++ b/internal/poolmanager/calls.go
@@ -188,7 +188,7 @@
 		m.Log.Info().Str("task", order.Task.String()).Int("run", order.Run).Str("host", order.To.ID).
 			Stringer("outcome", outcome).Msg("A start was not accepted.")
 	}
-	m.enqueuePart(m.ctx, partOrders, func() { m.pool.StartOutcome(order.To.ID, order.Task, order.Run, outcome, time.Now(), m.WallClock()) })
+	m.enqueuePart(m.ctx, partOrders, func() { m.pool.StartOutcome(order.To, order.Task, order.Run, outcome, time.Now(), m.WallClock()) })
 }
 
 // startPending reports whether a start without a response may be sent again.
@@ -207,13 +207,13 @@
 		return m.Workers.Stop(m.ctx, order.To, worker.Stop{Task: order.Task, Run: order.Run, Fence: m.takeover.Head.Fence})
 	})
 	m.Metrics.recordCall("stop", outcome, time.Since(sent))
-	m.enqueuePart(m.ctx, partOrders, func() { m.pool.StopOutcome(order.To.ID, order.Task, order.Run, outcome, time.Now(), m.WallClock()) })
+	m.enqueuePart(m.ctx, partOrders, func() { m.pool.StopOutcome(order.To, order.Task, order.Run, outcome, time.Now(), m.WallClock()) })
 }
 
 // heartbeatLoop sends heartbeats to one host for as long as it is in the pool.
 // The heartbeat after a lost one requests an immediate reply, so that a single
 // loss does not make the host count as unresponsive.
-func (m *Manager) heartbeatLoop(target worker.Target) {
+func (m *Manager) heartbeatLoop(id string) {
 	lost := 0
 	for {
 		wait, timeout := heartbeatWait, time.Duration(0)
@@ -223,15 +223,15 @@
 		if lost > 0 {
 			wait = 0
 		}
-		heartbeat, ok := m.nextHeartbeat(target.ID, wait)
+		next, ok := m.nextHeartbeat(id, wait)
 		if !ok {
 			return
 		}
 		if timeout > 0 {
-			timeout += heartbeat.ExtraTimeout
+			timeout += next.heartbeat.ExtraTimeout
 		}
 		delay := m.hedger.heartbeatDelay()
-		if _, outcome := m.sendHeartbeat(target, heartbeat, timeout); outcome == worker.Accepted {
+		if _, outcome := m.sendHeartbeat(next.target, next.heartbeat, timeout); outcome == worker.Accepted {
 			m.recordReply(lost > 0)
 			lost = 0
 		} else if lost++; lost > 1 {
@@ -265,14 +265,14 @@
 			m.pool.ApplyHeartbeat(target.ID, sent, reply, time.Now(), m.WallClock())
 		})
 	} else {
-		m.enqueuePart(m.ctx, partHeartbeats, func() { m.heartbeatFailed(target.ID, outcome) })
+		m.enqueuePart(m.ctx, partHeartbeats, func() { m.heartbeatFailed(target, outcome) })
 	}
 	return reply, outcome
 }
 
-func (m *Manager) heartbeatFailed(id string, outcome worker.Outcome) {
+func (m *Manager) heartbeatFailed(target worker.Target, outcome worker.Outcome) {
 	if outcome == worker.Gone {
-		m.Log.Info().Str("host", id).Msg("A host instance has ended.")
+		m.Log.Info().Str("host", target.ID).Int64("born", target.Born).Msg("A host instance has ended.")
 	}
-	m.pool.HeartbeatFailed(id, outcome, time.Now(), m.WallClock())
+	m.pool.HeartbeatFailed(target, outcome, time.Now(), m.WallClock())
 }
--- a/internal/poolmanager/commit.go
+++ b/internal/poolmanager/commit.go
@@ -180,6 +180,9 @@
 // does not wait for a host in use that is missing from the stored roster, and
 // waits seconds in vain for one that is listed there and no longer in use.
 func (m *Manager) rosterStale(roster sched.Roster) bool {
+	if m.pool.AwaitsRoster() {
+		return true
+	}
 	stored := make(map[string]bool, len(m.head.HostsInUse))
 	for _, id := range m.head.HostsInUse {
 		stored[id] = true
--- a/internal/poolmanager/dispatch.go
+++ b/internal/poolmanager/dispatch.go
@@ -50,21 +50,26 @@
 	m.enqueue(m.ctx, func() { m.pool.ApplyAdvice(request, tickets, validity, err == nil, sent, time.Now()) })
 }
 
+// nextHeartbeat is a heartbeat and the host that it is for. known is false when the
+// pool does not have the host.
+type nextHeartbeat struct {
+	heartbeat worker.Heartbeat
+	target    worker.Target
+	known     bool
+}
+
 // nextHeartbeat returns the next heartbeat for a host, whose reply the host may
 // delay by wait. ok is false when the host is no longer in the pool or the
 // manager has stopped; the heartbeat loop ends then.
-func (m *Manager) nextHeartbeat(id string, wait time.Duration) (worker.Heartbeat, bool) {
-	type next struct {
-		heartbeat worker.Heartbeat
-		ok        bool
-	}
-	result, ok := query(m.ctx, m, func() (n next) {
+func (m *Manager) nextHeartbeat(id string, wait time.Duration) (next nextHeartbeat, ok bool) {
+	next, ok = query(m.ctx, m, func() (n nextHeartbeat) {
 		now := time.Now()
-		n.heartbeat, n.ok = m.pool.NextHeartbeat(id, wait, m.claimConfirmed(now), now)
-		if !n.ok {
+		n.heartbeat, n.known = m.pool.NextHeartbeat(id, wait, m.claimConfirmed(now), now)
+		n.target, _ = m.pool.Target(id)
+		if !n.known {
 			delete(m.heartbeating, id)
 		}
 		return n
 	})
-	return result.heartbeat, ok && result.ok
+	return next, ok && next.known
 }
--- a/internal/poolmanager/drain.go
+++ b/internal/poolmanager/drain.go
@@ -14,32 +14,24 @@
 // unresponsive; it is asked again with the next call.
 const drainConfirmTimeout = 250 * time.Millisecond
 
-// drainTarget is the drain state of a host and its address.
-type drainTarget struct {
-	hostmanager.DrainState
-	address string
-}
-
 // Drain marks hosts as unschedulable and returns, in the same order, which of
 // them are empty. ok is false when the manager has stopped or ctx ends first.
 func (m *Manager) Drain(ctx context.Context, hosts []string) (drained []hostmanager.DrainState, ok bool) {
-	states, ok := query(ctx, m, func() []drainTarget {
+	drained, ok = query(ctx, m, func() []hostmanager.DrainState {
 		now := time.Now()
-		states := make([]drainTarget, len(hosts))
+		states := make([]hostmanager.DrainState, len(hosts))
 		for i, id := range hosts {
-			states[i].Empty, states[i].Known, states[i].address = m.pool.Drain(id, now)
+			states[i].Empty, states[i].Known = m.pool.Drain(id, now)
 		}
 		return states
 	})
 	if !ok {
 		return nil, false
 	}
-	drained = make([]hostmanager.DrainState, len(hosts))
 	var confirming sync.WaitGroup
-	for i, state := range states {
-		drained[i] = state.DrainState
+	for i, state := range drained {
 		if state.Empty {
-			confirming.Go(func() { drained[i] = m.confirmEmpty(worker.Target{ID: hosts[i], Address: state.address}) })
+			confirming.Go(func() { drained[i] = m.confirmEmpty(hosts[i]) })
 		}
 	}
 	confirming.Wait()
@@ -49,12 +41,12 @@
 // confirmEmpty asks a host once more whether it is empty: this process may have
 // lost the pool without having noticed, and the next holder may already have
 // started tasks on the host.
-func (m *Manager) confirmEmpty(target worker.Target) hostmanager.DrainState {
-	heartbeat, ok := m.nextHeartbeat(target.ID, 0)
+func (m *Manager) confirmEmpty(host string) hostmanager.DrainState {
+	next, ok := m.nextHeartbeat(host, 0)
 	if !ok {
 		return hostmanager.DrainState{}
 	}
-	heartbeat.OmitRunning = false
-	reply, outcome := m.sendHeartbeat(target, heartbeat, drainConfirmTimeout)
+	next.heartbeat.OmitRunning = false
+	reply, outcome := m.sendHeartbeat(next.target, next.heartbeat, drainConfirmTimeout)
 	return hostmanager.DrainState{Known: true, Empty: outcome == worker.Accepted && len(reply.Running) == 0}
 }
--- a/internal/poolmanager/losses.go
+++ b/internal/poolmanager/losses.go
@@ -9,7 +9,8 @@
 // maxLoggedRuns bounds the runs that are logged for one lost host.
 const maxLoggedRuns = 24
 
-// reportLosses logs and counts the hosts that were lost with runs on them.
+// reportLosses logs and counts the hosts that were lost with runs on them, and those that
+// restarted under their ID.
 func (m *Manager) reportLosses() {
 	for _, loss := range m.pool.Losses() {
 		m.Metrics.lostHosts.WithLabelValues(string(loss.Evidence)).Inc()
@@ -17,13 +18,20 @@
 		for _, r := range loss.Runs {
 			m.Metrics.verdicts.WithLabelValues(string(r.Verdict)).Inc()
 		}
-		m.Log.Warn().Str("host", loss.Host).Str("evidence", string(loss.Evidence)).Bool("listed", loss.Listed).
+		m.Log.Warn().Str("host", loss.Host).Int64("born", loss.Born).Int64("restarted", loss.Restarted).Int("unsettled", loss.Unsettled).Str("evidence", string(loss.Evidence)).Bool("listed", loss.Listed).
 			Dur("unheard_ms", loss.Unresponsive).Bool("refused", loss.Refused).Dur("refused_after_ms", loss.RefusedAfter).
 			Int("lost_together", loss.LostTogether).Int("unexplained", loss.Unexplained).Int("count", len(loss.Runs)).Array("runs", lostRuns(loss.Runs)).
-			Msg("A host was lost with runs on it.")
+			Msg(lossMessage(loss))
 	}
 }
 
+func lossMessage(loss sched.Loss) string {
+	if loss.Restarted != 0 {
+		return "A host has restarted under its ID."
+	}
+	return "A host was lost with runs on it."
+}
+
 // lostRuns encodes the runs of a lost host for the log.
 type lostRuns []sched.LostRun
 
--- a/internal/poolmanager/manager.go
+++ b/internal/poolmanager/manager.go
@@ -168,7 +168,7 @@
 	if config.WallClock == nil {
 		config.WallClock = time.Now
 	}
-	config.Sched.Fence = takeover.Head.Fence
+	config.Sched.Fence, config.Sched.TakenOverAt = takeover.Head.Fence, time.Now()
 	return &Manager{
 		Config: config, takeover: takeover, messages: make(chan message, messageQueueSize), workTimes: newWorkTimes(config.Metrics), stopped: make(chan struct{}),
 		heartbeating: make(map[string]bool), submissions: make(map[string]*submission), cancellations: make(map[string]*cancellation),
@@ -300,7 +300,7 @@
 	for _, target := range m.pool.HeartbeatTargets() {
 		if !m.heartbeating[target.ID] {
 			m.heartbeating[target.ID] = true
-			go m.heartbeatLoop(target)
+			go m.heartbeatLoop(target.ID)
 		}
 	}
 	m.refreshQuotas(now)
--- a/internal/poolmanager/outcome.go
+++ b/internal/poolmanager/outcome.go
@@ -76,7 +76,7 @@
 	}
 	m.detach(b)
 	if b.lane.isHead() {
-		m.pool.RosterStored(rosterOf(m.head))
+		m.pool.RosterNotStored(rosterOf(m.head))
 	}
 	b.lane.notBefore = time.Now().Add(commitRetryDelay)
 	for _, s := range b.submissions {
--- a/internal/sched/crash_model_test.go
+++ b/internal/sched/crash_model_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
 	"auburnglade.example/glade/internal/work"
+	"auburnglade.example/glade/internal/worker"
 )
 
 // The model of one task with a task that crashes each host that starts it: the host
@@ -26,11 +28,18 @@
 	// commit after a first start may leave that start unrecorded.
 	crashModelHolders = 2
 	crashModelSeeds   = 3000
+	// restartModelSeeds is more, since a restart under the ID must fall between an end
+	// and its acknowledgement.
+	restartModelSeeds = 10_000
 )
 
 // crash ends a host's incarnation with its run.
 func (m *model) crash(host *modelHost) {
 	m.crashes++
+	if m.keepsID {
+		m.restart(host)
+		return
+	}
 	next := fmt.Sprintf("%s.%d", host.incarnations[0], len(host.incarnations))
 	*host = modelHost{incarnations: append(host.incarnations, next), downUntil: m.now + modelDowntime}
 	for _, h := range m.holders {
@@ -40,6 +49,30 @@
 	}
 }
 
+// restart ends a host's incarnation with its run and starts another one under the same
+// ID. The heartbeats in flight fail with their connections; each holder has one at all
+// times, but for a pause shorter than any restart. Attempts of other orders may still
+// arrive.
+func (m *model) restart(host *modelHost) {
+	up := m.now + time.Duration(m.random.Int64N(int64(modelDowntime)))
+	*host = modelHost{incarnations: host.incarnations, born: host.born + 1, clockZero: up, downUntil: up}
+	m.orders = slices.DeleteFunc(m.orders, func(o *modelOrder) bool {
+		return o.host == host && o.answer == nil && o.heartbeat != nil
+	})
+	now := m.at(m.now)
+	for _, h := range m.holders {
+		if h.crashed {
+			continue
+		}
+		if to, ok := h.pool.Target(host.id()); ok {
+			h.pool.HeartbeatFailed(to, worker.Unknown, now, now)
+		}
+		if m.random.IntN(2) == 0 {
+			h.pool.SetHosts(m.list(), now)
+		}
+	}
+}
+
 // minCrashesToFail is the number of hosts that must have crashed under a task before its
 // job may be failed.
 const minCrashesToFail = 2
@@ -99,6 +132,34 @@
 	must.Greater(t, crashModelSeeds/50, done, must.Sprint("the task must succeed for a fiftieth of the seeds"))
 }
 
+// restartLeaseTTL exceeds the time in which an order may reach the next incarnation and
+// its run may end there, as leases do.
+const restartLeaseTTL = 4500 * time.Millisecond
+
+func newRestartModel(seed uint64) *model {
+	m := newModel(seed, noMutation)
+	m.hostsCrash, m.keepsID, m.leaseTTL = true, true, restartLeaseTTL
+	m.holders = nil
+	m.takeOver()
+	return m
+}
+
+// The model of one task on hosts that restart under their ID. Guards against taking what
+// one incarnation said or was told for the next one's: the task would run twice, or run
+// again after its success was acknowledged.
+func TestModelOfATaskOnHostsThatRestartUnderTheirID(t *testing.T) {
+	done := 0
+	for seed := range uint64(restartModelSeeds) {
+		m := newRestartModel(seed)
+		violation, succeeded := m.run()
+		must.EqOp(t, "", violation, must.Sprintf("seed %d", seed))
+		if succeeded {
+			done++
+		}
+	}
+	must.Greater(t, restartModelSeeds/50, done, must.Sprint("the task must succeed for a fiftieth of the seeds"))
+}
+
 func newCrashModel(seed uint64, step work.Step, answered bool) *model {
 	m := newModel(seed, noMutation)
 	m.crashesHosts, m.crashesLater, m.maxHolders = true, answered, crashModelHolders
--- a/internal/sched/crashes.go
+++ b/internal/sched/crashes.go
@@ -78,7 +78,7 @@
 // from this process. One that this pool was asked to drain may have crashed like any
 // other: it is taken away only once nothing runs on it.
 func (h *host) lossMayBeCrash(evidence Evidence) bool {
-	return !h.Draining && (evidence == InstanceReplaced || !h.listed)
+	return !h.leaving && (evidence == InstanceReplaced || !h.listed)
 }
 
 // attributeLoss counts the loss of a run's host against its task. It is called
@@ -231,7 +231,9 @@
 		return runs
 	}
 	for _, r := range t.currentRuns() {
-		runs = append(runs, r.number)
+		if !slices.Contains(runs, r.number) {
+			runs = append(runs, r.number)
+		}
 	}
 	return runs
 }
--- a/internal/sched/crashes_test.go
+++ b/internal/sched/crashes_test.go
@@ -19,7 +19,7 @@
 		Steps: []work.Step{{Count: 1, Resources: work.Resources{MilliCPU: 1000}, LongRunning: true}},
 	}}, now, now)
 	order := p.Plan(now, now).Orders[0]
-	p.StartOutcome("w", order.Task, order.Run, worker.Accepted, now, now)
+	p.StartOutcome(worker.Target{ID: "w"}, order.Task, order.Run, worker.Accepted, now, now)
 	unresponsive := now.Add(unresponsiveAfter + time.Millisecond)
 	p.Tick(unresponsive, unresponsive)
 	must.EqOp(t, 1, p.hosts["w"].suspects)
@@ -36,9 +36,9 @@
 	p, _, now := oneHost(t)
 	accept(p, now)
 	order := p.Plan(now, now).Orders[0]
-	p.StartOutcome("w", order.Task, order.Run, worker.Accepted, now, now)
+	p.StartOutcome(worker.Target{ID: "w"}, order.Task, order.Run, worker.Accepted, now, now)
 	now = now.Add(10 * time.Millisecond)
-	p.HeartbeatFailed("w", worker.NotSent, now, now)
+	p.HeartbeatFailed(worker.Target{ID: "w"}, worker.NotSent, now, now)
 	p.RemoveHost("w", now, now)
 	must.EqOp(t, Suspected, p.Losses()[0].Runs[0].Verdict)
 	task := p.jobs[order.Task.Job].find(order.Task)
@@ -63,10 +63,10 @@
 				continue
 			}
 			starts++
-			s.p.StartOutcome(order.To.ID, order.Task, order.Run, worker.Accepted, s.now, s.now)
+			s.p.StartOutcome(order.To, order.Task, order.Run, worker.Accepted, s.now, s.now)
 			s.silent[order.To.ID] = true
 			s.now = s.now.Add(10 * time.Millisecond)
-			s.p.HeartbeatFailed(order.To.ID, worker.NotSent, s.now, s.now)
+			s.p.HeartbeatFailed(order.To, worker.NotSent, s.now, s.now)
 			s.p.stop(s.p.hosts[order.To.ID].runs[order.Task], "preempted")
 		}
 	}
@@ -79,7 +79,7 @@
 	p, _, now := oneHost(t)
 	accept(p, now)
 	order := p.Plan(now, now).Orders[0]
-	p.StartOutcome("w", order.Task, order.Run, worker.Accepted, now, now)
+	p.StartOutcome(worker.Target{ID: "w"}, order.Task, order.Run, worker.Accepted, now, now)
 	must.True(t, p.Cancel(order.Task.Job, now, now))
 	changes := p.Changes(1, nil)
 	must.True(t, changes[0].Ends)
--- a/internal/sched/drain.go
+++ b/internal/sched/drain.go
@@ -10,10 +10,10 @@
 // move away. It reports whether the host is empty; known is false when the pool does
 // not have the host. Callers repeat it until the host is empty, and act at once
 // then.
-func (p *Pool) Drain(id string, now time.Time) (empty, known bool, address string) {
+func (p *Pool) Drain(id string, now time.Time) (empty, known bool) {
 	h := p.hosts[id]
 	if h == nil {
-		return false, false, ""
+		return false, false
 	}
 	h.unschedulable, h.unschedulableUntil = true, now.Add(drainTimeout)
 	// Only a host that has answered with this holder's fencing token has reported
@@ -22,7 +22,7 @@
 	// respond, and if this holder was cut off from the store and replaced, its
 	// successor would wait eleven seconds for that host before starting the waiting
 	// tasks it found.
-	return h.reached && len(h.runs) == 0 && !p.storedRoster[id], true, h.Address
+	return h.reached && len(h.runs) == 0 && !p.storedRoster[id], true
 }
 
 // maintenanceDueTTL is how long a notice of due maintenance is valid; it is
--- a/internal/sched/draincrash_test.go
+++ b/internal/sched/draincrash_test.go
@@ -18,7 +18,7 @@
 	lost := s.executed(100 * time.Millisecond)
 	s.p.Drain(lost, s.now)
 	s.silent[lost] = true
-	s.p.HeartbeatFailed(lost, worker.NotSent, s.now, s.now)
+	s.p.HeartbeatFailed(worker.Target{ID: lost}, worker.NotSent, s.now, s.now)
 	s.crash(lost)
 	must.Len(t, 1, s.proofs())
 }
--- a/internal/sched/evidence.go
+++ b/internal/sched/evidence.go
@@ -52,8 +52,10 @@
 type Crash struct {
 	Run   int
 	Proof Proof
-	// Host is empty if an earlier holder counted the crash, unless it is presumed.
+	// Host is empty if an earlier holder counted the crash, unless it is presumed. Born
+	// is its incarnation, zero if unknown.
 	Host string
+	Born int64
 	// Address is the host's address, set for a presumed crash.
 	Address string
 	// Seen is set when the run was known to execute, Executed for how long it had
@@ -77,7 +79,7 @@
 
 // crashOf returns what is known of the loss of a run's host.
 func (p *Pool) crashOf(r *run, evidence Evidence) Crash {
-	c := Crash{Run: r.number, Proof: Unproven, Host: r.host.ID, Seen: !r.startedAt.IsZero(), Alone: r.wasAlone()}
+	c := Crash{Run: r.number, Proof: Unproven, Host: r.host.ID, Born: r.host.life.born, Seen: !r.startedAt.IsZero(), Alone: r.wasAlone()}
 	c.LostTogether, c.Unexplained = p.lostTogether(r.host)
 	if c.Seen {
 		c.Executed = r.host.repliedAt.Sub(r.startedAt)
@@ -147,7 +149,7 @@
 // noteRefusal records that a host began to refuse connections, unless it leaves as
 // planned.
 func (p *Pool) noteRefusal(h *host, now time.Time) {
-	if h.Draining || h.unschedulable && len(h.runs) == 0 {
+	if h.leaving || h.unschedulable && len(h.runs) == 0 {
 		return
 	}
 	explained := false
@@ -221,7 +223,7 @@
 	}
 	for _, presumed := range stored.CrashesPresumed {
 		if at := t.crashIndex(presumed.Run); at >= 0 {
-			t.crashes[at].Proof, t.crashes[at].Host, t.crashes[at].Address = Presumed, presumed.Host, presumed.Address
+			t.crashes[at].Proof, t.crashes[at].Host, t.crashes[at].Address, t.crashes[at].Born = Presumed, presumed.Host, presumed.Address, presumed.Born
 		}
 	}
 	t.step.crashes += len(t.crashes)
--- a/internal/sched/giveup_test.go
+++ b/internal/sched/giveup_test.go
@@ -73,7 +73,7 @@
 			report, busy := running[id]
 			switch {
 			case s.silent[id]:
-				s.p.HeartbeatFailed(id, worker.NotSent, s.now, s.now)
+				s.p.HeartbeatFailed(worker.Target{ID: id}, worker.NotSent, s.now, s.now)
 			case busy:
 				report.Percent++
 				running[id] = report
@@ -124,7 +124,7 @@
 func (s *crashScript) executed(length time.Duration) (host string) {
 	order, ok := s.start()
 	must.True(s.t, ok, must.Sprint("the task must start"))
-	s.p.StartOutcome(order.To.ID, order.Task, order.Run, worker.Accepted, s.now, s.now)
+	s.p.StartOutcome(order.To, order.Task, order.Run, worker.Accepted, s.now, s.now)
 	s.pass(length, map[string]worker.Report{order.To.ID: {Task: order.Task, Run: order.Run}})
 	return order.To.ID
 }
@@ -142,7 +142,7 @@
 	for range 6 {
 		order, ok := s.start()
 		must.True(t, ok, must.Sprint("the task must start"))
-		s.p.StartOutcome(order.To.ID, order.Task, order.Run, worker.Unknown, s.now, s.now)
+		s.p.StartOutcome(order.To, order.Task, order.Run, worker.Unknown, s.now, s.now)
 		s.crash(order.To.ID)
 		s.pass(time.Second, nil)
 		s.mustNotFail()
@@ -197,7 +197,7 @@
 		// The lease of a silent host lasts longer than this.
 		for range 20 {
 			s.now = s.now.Add(100 * time.Millisecond)
-			s.p.HeartbeatFailed(host, worker.Unknown, s.now, s.now)
+			s.p.HeartbeatFailed(worker.Target{ID: host}, worker.Unknown, s.now, s.now)
 			for _, id := range s.hosts {
 				if id != host {
 					s.reply(id)
--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -7,18 +7,17 @@
 	"auburnglade.example/glade/internal/worker"
 )
 
-// host is one incarnation of a host.
+// host is a host of the pool with the runs that may be on it. Its entry in the
+// platform's list may be of another incarnation than the one in life.
 type host struct {
 	worker.Host
+	life
 	// listed is set while the platform lists the host; unlistedSince is when it
 	// stopped doing so.
 	listed        bool
 	unlistedSince time.Time
-	// reached is set once the host has answered a heartbeat with this holder's
-	// fencing token.
-	reached bool
-	used    work.Resources
-	runs    map[work.TaskName]*run
+	used          work.Resources
+	runs          map[work.TaskName]*run
 	// longRunning counts the long-running runs, longRunningCPU is what they use in
 	// thousandths of a core. Both are updated as runs are added and removed, since
 	// a plan reads them many times.
@@ -26,8 +25,32 @@
 	// unknownRuns counts the runs whose resources are not known, suspects those
 	// whose task may crash its hosts.
 	unknownRuns, suspects int
+	// unschedulable is set while the host is being drained and gets no new work,
+	// until unschedulableUntil at the latest.
+	unschedulable      bool
+	unschedulableUntil time.Time
+	// maintenanceDueUntil is the time until which it counts as due for maintenance.
+	maintenanceDueUntil time.Time
+}
+
+// life is what is known of one incarnation of a host. Nothing of it holds for the
+// next one.
+type life struct {
+	// born is the incarnation, zero if unknown.
+	born int64
+	// reached is set once the host has answered a heartbeat with this holder's
+	// fencing token.
+	reached bool
 	// firstSeen is when this incarnation was first seen.
 	firstSeen time.Time
+	// leaving is set when the host is listed as draining.
+	leaving bool
+	// callFailed is set when a heartbeat has failed since the last reply.
+	callFailed bool
+	// strayLeaseUntil is the time until which an order meant for the incarnation before
+	// may have extended the lease on its runs, as far as hosts allow. A successor
+	// would not wait that long, so the host gets no work until then.
+	strayLeaseUntil time.Time
 	// reservedFor is a suspect task for which the host takes no other work until
 	// reservedUntil, so that it can run there alone.
 	reservedFor   *task
@@ -56,12 +79,16 @@
 	endedPaces []endedPace
 	// roomReservation keeps the room that is being made on it.
 	roomReservation roomReservation
-	// unschedulable is set while the host is being drained and gets no new work,
-	// until unschedulableUntil at the latest.
-	unschedulable      bool
-	unschedulableUntil time.Time
-	// maintenanceDueUntil is the time until which it counts as due for maintenance.
-	maintenanceDueUntil time.Time
+}
+
+// newHost returns a host that was first seen now.
+func newHost(entry worker.Host, now time.Time) *host {
+	return &host{Host: entry, runs: make(map[work.TaskName]*run), life: life{health: newHealth(), firstSeen: now}}
+}
+
+// target returns the address for orders to the host's present incarnation.
+func (h *host) target() worker.Target {
+	return worker.Target{ID: h.ID, Address: h.Address, Born: h.born}
 }
 
 // unstoredEnd is an end that may not be stored yet.
@@ -81,7 +108,7 @@
 		h.refusedSince = now
 		p.noteRefusal(h, now)
 	}
-	h.connectFailedAt = now
+	h.connectFailedAt, h.callFailed = now, true
 	h.suspectAll()
 }
 
--- a/internal/sched/losses.go
+++ b/internal/sched/losses.go
@@ -22,6 +22,11 @@
 type Loss struct {
 	Host     string
 	Evidence Evidence
+	// Born is the incarnation that was lost. Restarted is the one that answers under
+	// its ID, zero if none does; Unsettled counts the runs whose start may yet reach
+	// that one.
+	Born, Restarted int64
+	Unsettled       int
 	// Listed is set when the platform still listed the host.
 	Listed bool
 	// Unresponsive is for how long the host had not responded.
@@ -64,7 +69,15 @@
 	if len(h.runs) == 0 {
 		return
 	}
-	loss := Loss{Host: h.ID, Evidence: evidence, Listed: h.listed, Unresponsive: now.Sub(h.repliedAt), Refused: h.unreachable()}
+	p.losses = append(p.losses, p.attributeRuns(h, evidence, now, wall))
+	for _, r := range h.runs {
+		p.endRun(r, work.EndExpired, "", now)
+	}
+}
+
+// attributeRuns attributes the loss of a host to the tasks of its runs.
+func (p *Pool) attributeRuns(h *host, evidence Evidence, now, wall time.Time) Loss {
+	loss := Loss{Host: h.ID, Born: h.born, Evidence: evidence, Listed: h.listed, Unresponsive: now.Sub(h.repliedAt), Refused: h.unreachable()}
 	loss.LostTogether, loss.Unexplained = p.lostTogether(h)
 	if loss.Refused {
 		loss.RefusedAfter = h.refusedSince.Sub(h.repliedAt)
@@ -77,8 +90,5 @@
 		}
 		loss.Runs = append(loss.Runs, lost)
 	}
-	p.losses = append(p.losses, loss)
-	for _, r := range h.runs {
-		p.endRun(r, work.EndExpired, "", now)
-	}
+	return loss
 }
--- a/internal/sched/loststart_test.go
+++ b/internal/sched/loststart_test.go
@@ -21,7 +21,7 @@
 	orders := p.Plan(now, now).Orders
 	must.Len(t, 1, orders)
 	now = now.Add(time.Second)
-	p.StartOutcome("w", orders[0].Task, orders[0].Run, worker.Unknown, now, now)
+	p.StartOutcome(worker.Target{ID: "w"}, orders[0].Task, orders[0].Run, worker.Unknown, now, now)
 	return p, orders[0], now
 }
 
@@ -51,7 +51,7 @@
 	orders := p.Plan(later, later).Orders
 	must.Len(t, 1, orders)
 	must.EqOp(t, Stop, orders[0].Verb)
-	p.StopOutcome("w", order.Task, order.Run, worker.Accepted, later, later)
+	p.StopOutcome(worker.Target{ID: "w"}, order.Task, order.Run, worker.Accepted, later, later)
 	after := later.Add(200 * time.Millisecond)
 	p.ApplyHeartbeat("w", later.Add(time.Millisecond), worker.HeartbeatReply{ClockMs: 1400}, after, after)
 	orders = p.Plan(after, after).Orders
--- a/internal/sched/model_test.go
+++ b/internal/sched/model_test.go
@@ -41,6 +41,8 @@
 	modelHosts    = 2
 	modelLeaseTTL = 1500 * time.Millisecond
 	modelSteps    = 800
+	// modelMaxLease is the longest lease that a host grants.
+	modelMaxLease = 10 * time.Second
 	// confirmWindow is how long after a takeover the replaced holder still takes its
 	// claim as confirmed.
 	confirmWindow = 600 * time.Millisecond
@@ -51,14 +53,17 @@
 // incarnations is its current ID.
 type modelHost struct {
 	incarnations []string
-	downUntil    time.Duration
-	fence        int64
-	leaseExpiry  time.Duration
-	run          int
-	startedAt    time.Duration
-	maxEndedRun  int
-	ended        []worker.RunEnd
-	lastEnd      int64
+	// born numbers the incarnations under one ID; clockZero is when its clock started.
+	born        int64
+	clockZero   time.Duration
+	downUntil   time.Duration
+	fence       int64
+	leaseExpiry time.Duration
+	run         int
+	startedAt   time.Duration
+	maxEndedRun int
+	ended       []worker.RunEnd
+	lastEnd     int64
 	// expiredEnd is the number of the last end when the lease expired. A success up to
 	// it that is acknowledged later doesn't count as stored.
 	expiredEnd int64
@@ -70,6 +75,7 @@
 	host *modelHost
 	// incarnation is the host ID that the order is addressed to.
 	incarnation string
+	to          worker.Target
 	order       Order
 	heartbeat   *worker.Heartbeat
 	sent        time.Duration
@@ -77,6 +83,16 @@
 	// resolved is set once the holder has received an outcome or has timed out. The
 	// copies of an order share it.
 	resolved *bool
+	// repeated is set if there are copies, one of which may be delivered where another
+	// was not.
+	repeated bool
+	// answer is the host's answer that is under way, nil before.
+	answer *modelAnswer
+}
+
+type modelAnswer struct {
+	outcome worker.Outcome
+	reply   worker.HeartbeatReply
 }
 
 type modelHolder struct {
@@ -108,6 +124,7 @@
 	// crashes counts the host crashes, startsAfterCrashes the starts after crashLimit
 	// of them.
 	crashes, startsAfterCrashes int
+	leaseTTL                    time.Duration
 	// crashesLater makes the task crash a host only after the host has accepted the
 	// start, as it is known to do.
 	crashesLater bool
@@ -117,6 +134,9 @@
 	// a run of the task.
 	hostsCrash bool
 	lostUnder  int
+	// keepsID makes crashed hosts restart under their ID, and answers overtake each
+	// other.
+	keepsID bool
 }
 
 var (
@@ -129,7 +149,7 @@
 func (m *model) at(t time.Duration) time.Time { return modelEpoch.Add(t) }
 
 func newModel(seed uint64, mutation mutation) *model {
-	m := &model{random: rand.New(rand.NewPCG(seed, 11)), mutation: mutation, now: time.Second, record: modelRecord, maxHolders: 5}
+	m := &model{random: rand.New(rand.NewPCG(seed, 11)), mutation: mutation, now: time.Second, record: modelRecord, maxHolders: 5, leaseTTL: modelLeaseTTL}
 	for i := range modelHosts {
 		m.hosts = append(m.hosts, &modelHost{incarnations: []string{fmt.Sprint("h", i)}})
 	}
@@ -139,7 +159,7 @@
 
 // takeOver adds a new holder. The previous one is not notified.
 func (m *model) takeOver() {
-	fence, priorLeaseTTL := int64(len(m.holders)+1), LeaseUpperBound(modelLeaseTTL)+confirmWindow
+	fence, priorLeaseTTL := int64(len(m.holders)+1), LeaseUpperBound(m.leaseTTL)+confirmWindow
 	switch m.mutation {
 	case reusedFence:
 		fence = 1
@@ -150,7 +170,7 @@
 		m.holders[len(m.holders)-1].replacedAt = m.now
 	}
 	now := m.at(m.now)
-	h := &modelHolder{fence: fence, pool: New(Config{Fence: fence, LeaseTTL: modelLeaseTTL, PriorLeaseTTL: priorLeaseTTL, StatusRetention: time.Hour}, m.roster, now)}
+	h := &modelHolder{fence: fence, pool: New(Config{Fence: fence, LeaseTTL: m.leaseTTL, MaxLeaseTTL: modelMaxLease, PriorLeaseTTL: priorLeaseTTL, StatusRetention: time.Hour}, m.roster, now)}
 	h.pool.SetHosts(m.list(), now)
 	h.pool.Restore(m.record, m.stored, now, now)
 	m.holders = append(m.holders, h)
@@ -159,7 +179,7 @@
 // list returns the hosts as the platform lists them.
 func (m *model) list() (list []worker.Host) {
 	for _, host := range m.hosts {
-		list = append(list, worker.Host{ID: host.id(), Address: host.id(), Capacity: work.Resources{MilliCPU: 1000, MemMB: 1000}})
+		list = append(list, worker.Host{ID: host.id(), Born: host.born, Address: host.id(), Capacity: work.Resources{MilliCPU: 1000, MemMB: 1000}})
 	}
 	return list
 }
@@ -217,6 +237,12 @@
 	}
 }
 
+// extendLease extends the lease to a deadline on the host's clock.
+func (h *modelHost) extendLease(now time.Duration, deadlineMs int64) {
+	deadline := h.clockZero + time.Duration(deadlineMs)*time.Millisecond
+	h.leaseExpiry = max(h.leaseExpiry, min(deadline, now+modelMaxLease))
+}
+
 func (h *modelHost) endRun(reason work.EndReason) {
 	h.lastEnd++
 	h.ended = append(h.ended, worker.RunEnd{Seq: h.lastEnd, Task: work.TaskName{Job: modelRecord.ID}, Run: h.run, Reason: reason})
@@ -230,7 +256,8 @@
 	incarnation := host.incarnations[max(0, len(host.incarnations)-1-m.random.IntN(2))]
 	renew := h.replacedAt == 0 || m.now-h.replacedAt < confirmWindow
 	if heartbeat, ok := h.pool.NextHeartbeat(incarnation, 0, renew, m.at(m.now)); ok && !h.crashed {
-		m.send(&modelOrder{from: h, host: host, incarnation: incarnation, heartbeat: &heartbeat})
+		to, _ := h.pool.Target(incarnation)
+		m.send(&modelOrder{from: h, host: host, incarnation: incarnation, to: to, heartbeat: &heartbeat})
 	}
 }
 
@@ -242,7 +269,7 @@
 	for _, order := range h.pool.Plan(m.at(m.now), m.at(m.now)).Orders {
 		for _, host := range m.hosts {
 			if host.hadIncarnation(order.To.ID) {
-				m.send(&modelOrder{from: h, host: host, incarnation: order.To.ID, order: order})
+				m.send(&modelOrder{from: h, host: host, incarnation: order.To.ID, to: order.To, order: order})
 			}
 		}
 	}
@@ -253,6 +280,7 @@
 	o.sent, o.fence, o.resolved = m.now, o.from.fence, new(bool)
 	m.orders = append(m.orders, o)
 	if m.random.IntN(5) == 0 {
+		o.repeated = true
 		duplicate := *o
 		m.orders = append(m.orders, &duplicate)
 	}
@@ -269,6 +297,11 @@
 	}
 	i := m.random.IntN(len(m.orders))
 	o := m.orders[i]
+	if o.answer != nil {
+		m.orders = append(m.orders[:i], m.orders[i+1:]...)
+		m.reply(o, o.answer.outcome, o.answer.reply)
+		return
+	}
 	chance := m.random.IntN(12)
 	if chance <= 2 {
 		// The holder times out, but the order stays in flight and may arrive later.
@@ -284,6 +317,12 @@
 	if chance == 4 {
 		outcome, reply = worker.Unknown, worker.HeartbeatReply{}
 	}
+	if m.keepsID && m.random.IntN(3) == 0 {
+		late := *o
+		late.answer = &modelAnswer{outcome, reply}
+		m.orders = append(m.orders, &late)
+		return
+	}
 	m.reply(o, outcome, reply)
 }
 
@@ -291,10 +330,15 @@
 func (m *model) execute(o *modelOrder) (worker.Outcome, worker.HeartbeatReply) {
 	host := o.host
 	switch {
+	case m.now < host.downUntil && m.keepsID && o.repeated:
+		return worker.Unknown, worker.HeartbeatReply{}
 	case m.now < host.downUntil:
 		return worker.NotSent, worker.HeartbeatReply{}
 	case o.incarnation != host.id():
 		return worker.Gone, worker.HeartbeatReply{}
+	case o.sent < host.clockZero && m.now-o.sent >= worker.OrderTimeout:
+		// The last attempt to send it ended with the incarnation before.
+		return worker.Unknown, worker.HeartbeatReply{}
 	}
 	stale := o.fence < host.fence
 	if stale && (m.mutation != staleStartAccepted || o.heartbeat != nil || o.order.Verb != Start) {
@@ -303,7 +347,7 @@
 	host.fence = max(host.fence, o.fence)
 	switch {
 	case o.heartbeat != nil:
-		host.leaseExpiry = max(host.leaseExpiry, time.Duration(o.heartbeat.DeadlineMs)*time.Millisecond)
+		host.extendLease(m.now, o.heartbeat.DeadlineMs)
 		return worker.Accepted, m.heartbeatReply(host, o.heartbeat.AckedEnd)
 	case o.order.Verb == Stop:
 		host.maxEndedRun = max(host.maxEndedRun, o.order.Run)
@@ -312,9 +356,8 @@
 		}
 		return worker.Accepted, worker.HeartbeatReply{}
 	}
-	deadline := time.Duration(o.order.DeadlineMs) * time.Millisecond
 	switch {
-	case deadline < m.now:
+	case host.clockZero+time.Duration(o.order.DeadlineMs)*time.Millisecond < m.now:
 		return worker.TooLate, worker.HeartbeatReply{}
 	case host.run == o.order.Run:
 		return worker.Accepted, worker.HeartbeatReply{}
@@ -327,7 +370,8 @@
 		m.crash(host)
 		return worker.Unknown, worker.HeartbeatReply{}
 	}
-	host.run, host.startedAt, host.leaseExpiry = o.order.Run, m.now, max(host.leaseExpiry, deadline)
+	host.run, host.startedAt = o.order.Run, m.now
+	host.extendLease(m.now, o.order.DeadlineMs)
 	return worker.Accepted, worker.HeartbeatReply{}
 }
 
@@ -351,7 +395,7 @@
 // heartbeatReply returns a host's reply to a heartbeat and drops the acknowledged
 // ends.
 func (m *model) heartbeatReply(host *modelHost, acked int64) worker.HeartbeatReply {
-	reply := worker.HeartbeatReply{ClockMs: m.now.Milliseconds()}
+	reply := worker.HeartbeatReply{Born: host.born, ClockMs: (m.now - host.clockZero).Milliseconds()}
 	for len(host.ended) > 0 && host.ended[0].Seq <= acked {
 		m.successStored = m.successStored || host.ended[0].Reason == work.EndDone && host.ended[0].Seq > host.expiredEnd
 		host.ended = host.ended[1:]
@@ -375,11 +419,11 @@
 	case o.heartbeat != nil && outcome == worker.Accepted:
 		pool.ApplyHeartbeat(o.incarnation, m.at(o.sent), reply, now, now)
 	case o.heartbeat != nil:
-		pool.HeartbeatFailed(o.incarnation, outcome, now, now)
+		pool.HeartbeatFailed(o.to, outcome, now, now)
 	case o.order.Verb == Start:
-		pool.StartOutcome(o.incarnation, o.order.Task, o.order.Run, outcome, now, now)
+		pool.StartOutcome(o.to, o.order.Task, o.order.Run, outcome, now, now)
 	case o.order.Verb == Stop:
-		pool.StopOutcome(o.incarnation, o.order.Task, o.order.Run, outcome, now, now)
+		pool.StopOutcome(o.to, o.order.Task, o.order.Run, outcome, now, now)
 	}
 }
 
--- a/internal/sched/outcomes.go
+++ b/internal/sched/outcomes.go
@@ -11,9 +11,9 @@
 // that a lasting refusal does not cause a flood of retries.
 const refusalPause = 200 * time.Millisecond
 
-// StartOutcome applies the outcome of a start.
-func (p *Pool) StartOutcome(id string, name work.TaskName, number int, outcome worker.Outcome, now, wall time.Time) {
-	h := p.hosts[id]
+// StartOutcome applies the outcome of a start that was addressed to to.
+func (p *Pool) StartOutcome(to worker.Target, name work.TaskName, number int, outcome worker.Outcome, now, wall time.Time) {
+	h := p.addressee(to, outcome)
 	if h == nil {
 		return
 	}
@@ -32,7 +32,7 @@
 			p.startUnanswered(r, now)
 		}
 	case worker.Gone:
-		p.RemoveHost(id, now, wall)
+		p.RemoveHost(to.ID, now, wall)
 	default:
 		p.startRefused(h, r, outcome, now)
 	}
@@ -66,9 +66,6 @@
 // host.
 func (p *Pool) startRefused(h *host, r *run, outcome worker.Outcome, now time.Time) {
 	t := r.task
-	if outcome == worker.Fenced {
-		p.fenced = true
-	}
 	if r.state == running {
 		return
 	}
@@ -88,9 +85,9 @@
 	}
 }
 
-// StopOutcome applies the outcome of a stop.
-func (p *Pool) StopOutcome(id string, name work.TaskName, number int, outcome worker.Outcome, now, wall time.Time) {
-	h := p.hosts[id]
+// StopOutcome applies the outcome of a stop that was addressed to to.
+func (p *Pool) StopOutcome(to worker.Target, name work.TaskName, number int, outcome worker.Outcome, now, wall time.Time) {
+	h := p.addressee(to, outcome)
 	if h == nil {
 		return
 	}
@@ -102,10 +99,8 @@
 		r.stopsInDoubt--
 	}
 	switch outcome {
-	case worker.Fenced:
-		p.fenced = true
 	case worker.Gone:
-		p.RemoveHost(id, now, wall)
+		p.RemoveHost(to.ID, now, wall)
 	case worker.NotSent:
 		p.connectFailed(h, now)
 	case worker.Accepted:
@@ -115,16 +110,17 @@
 	}
 }
 
-// HeartbeatFailed applies the outcome of a heartbeat that got no reply.
-func (p *Pool) HeartbeatFailed(id string, outcome worker.Outcome, now, wall time.Time) {
-	switch outcome {
-	case worker.Fenced:
-		p.fenced = true
-	case worker.Gone:
-		p.RemoveHost(id, now, wall)
-	case worker.NotSent:
-		if h := p.hosts[id]; h != nil {
-			p.connectFailed(h, now)
-		}
+// HeartbeatFailed applies the outcome of a heartbeat, addressed to to, that got no
+// reply.
+func (p *Pool) HeartbeatFailed(to worker.Target, outcome worker.Outcome, now, wall time.Time) {
+	h := p.addressee(to, outcome)
+	switch {
+	case h == nil:
+	case outcome == worker.Gone:
+		p.RemoveHost(to.ID, now, wall)
+	case outcome == worker.NotSent:
+		p.connectFailed(h, now)
+	default:
+		h.callFailed = true
 	}
 }
--- a/internal/sched/partialreply_test.go
+++ b/internal/sched/partialreply_test.go
@@ -17,7 +17,7 @@
 	p, _, now := oneHost(t)
 	accept(p, now)
 	order := p.Plan(now, now).Orders[0]
-	p.StartOutcome("w", order.Task, order.Run, worker.Accepted, now, now)
+	p.StartOutcome(worker.Target{ID: "w"}, order.Task, order.Run, worker.Accepted, now, now)
 	heartbeat, _ := p.NextHeartbeat("w", time.Second, true, now)
 	must.True(t, heartbeat.OmitRunning, must.Sprint("a full report was just received"))
 	soon := now.Add(100 * time.Millisecond)
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -10,10 +10,14 @@
 	switch {
 	case !h.listed:
 		return "not listed"
+	case !h.describedByEntry():
+		return "listed as another incarnation"
 	case !h.reached || p.unresponsive(h, now):
 		return "silent"
 	case h.unreachable():
 		return "refuses connections"
+	case now.Before(h.strayLeaseUntil):
+		return "restarted with orders under way"
 	case !p.roster[h.ID]:
 		return "not stored as in use"
 	case h.Draining:
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -167,7 +167,7 @@
 				r.doubtedStopAt = pl.now
 			}
 			pl.plan.Orders = append(pl.plan.Orders, Order{
-				Verb: Stop, To: worker.Target{ID: h.ID, Address: h.Address}, Task: r.task.name, Run: r.number, Reason: r.reason,
+				Verb: Stop, To: h.target(), Task: r.task.name, Run: r.number, Reason: r.reason,
 			})
 		}
 	}
@@ -272,7 +272,7 @@
 		j.account.CountStart()
 	}
 	order := Order{
-		Verb: Start, To: worker.Target{ID: h.ID, Address: h.Address}, Task: t.name, Run: number,
+		Verb: Start, To: h.target(), Task: t.name, Run: number,
 		Payload: t.job().record.Spec.Payload, DeadlineMs: h.deadline(pl.LeaseTTL, pl.now), Checkpoint: t.checkpoint,
 		Speculative: len(t.copies) > 0,
 	}
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -24,9 +24,14 @@
 type Config struct {
 	// Fence is the fencing token that all orders carry.
 	Fence int64
+	// TakenOverAt is when the store had taken the claim with that token, zero for when
+	// the pool was created.
+	TakenOverAt time.Time
 	// LeaseTTL is the duration of a lease on a host's runs, measured by the host's
 	// clock.
 	LeaseTTL time.Duration
+	// MaxLeaseTTL is the longest lease that a host grants.
+	MaxLeaseTTL time.Duration
 	// PriorLeaseTTL is how long after a takeover the leases of earlier holders may
 	// last on a host that cannot be reached.
 	PriorLeaseTTL time.Duration
@@ -57,6 +62,9 @@
 	roster, frozen map[string]bool
 	// storedRoster holds all hosts in the stored roster.
 	storedRoster map[string]bool
+	// restarted holds the hosts that have restarted under their ID since the last
+	// roster was sent, confirming those whose restart the roster being stored follows.
+	restarted, confirming map[string]bool
 	// refusals holds the last refusal of each host, by ID.
 	refusals map[string]refusal
 	// presumed holds the hosts under which an earlier holder presumed crashes, by ID,
@@ -128,6 +136,8 @@
 		roster:        make(map[string]bool),
 		frozen:        make(map[string]bool),
 		storedRoster:  make(map[string]bool),
+		restarted:     make(map[string]bool),
+		confirming:    make(map[string]bool),
 	}
 	for _, id := range roster.InUse {
 		wait := config.PriorLeaseTTL
@@ -161,12 +171,22 @@
 	}
 	p.hostsChanged = false
 	targets := make([]worker.Target, 0, len(p.hosts))
-	for id, h := range p.hosts {
-		targets = append(targets, worker.Target{ID: id, Address: h.Address})
+	for _, h := range p.hosts {
+		targets = append(targets, h.target())
 	}
 	return targets
 }
 
+// Target returns the address for calls to a host's present incarnation. ok is false
+// when the pool does not have the host.
+func (p *Pool) Target(id string) (target worker.Target, ok bool) {
+	h := p.hosts[id]
+	if h == nil {
+		return worker.Target{}, false
+	}
+	return h.target(), true
+}
+
 // SetHosts applies the platform's list of the pool's hosts.
 func (p *Pool) SetHosts(list []worker.Host, now time.Time) {
 	listed := make(map[string]bool, len(list))
@@ -174,11 +194,14 @@
 		listed[entry.ID] = true
 		h := p.hosts[entry.ID]
 		if h == nil {
-			h = &host{runs: make(map[work.TaskName]*run), health: newHealth(), firstSeen: now}
+			h = newHost(entry, now)
 			p.hosts[entry.ID] = h
 			p.hostsChanged = true
 		}
 		h.Host, h.listed = entry, true
+		if h.describedByEntry() {
+			h.leaving = entry.Draining
+		}
 	}
 	for id, h := range p.hosts {
 		if h.listed && !listed[id] {
@@ -200,6 +223,11 @@
 		return worker.Heartbeat{}, false
 	}
 	heartbeat = worker.Heartbeat{Fence: p.Fence, AckedEnd: h.storedEnd, Wait: wait, ExtraTimeout: p.lagAllowance}
+	if h.callFailed {
+		// The host may have restarted under its ID, and its next incarnation would
+		// forget ends that nobody has seen.
+		heartbeat.AckedEnd = 0
+	}
 	if !h.reached {
 		// The first reply reports the host's clock and its runs.
 		heartbeat.Wait = 0
@@ -208,7 +236,8 @@
 	// A host whose replies are lost may still receive heartbeats. If these went on
 	// renewing its lease, the lease would never certainly expire.
 	heartbeat.OmitRunning = now.Sub(h.reportedAt) < fullReportInterval
-	if renew && !p.unresponsive(h, now) && !p.frozen[id] {
+	// Nor may the next incarnation take a deadline on this one's clock.
+	if renew && !h.callFailed && !p.unresponsive(h, now) && !p.frozen[id] {
 		h.leaseSentAt = now
 		heartbeat.DeadlineMs = h.deadline(p.LeaseTTL, now)
 	}
@@ -238,7 +267,11 @@
 			last = r.orderedAt
 		}
 	}
-	return last.Add(LeaseUpperBound(p.LeaseTTL))
+	expire := last.Add(LeaseUpperBound(p.LeaseTTL))
+	if h.strayLeaseUntil.After(expire) {
+		return h.strayLeaseUntil
+	}
+	return expire
 }
 
 const (
--- a/internal/sched/presumed.go
+++ b/internal/sched/presumed.go
@@ -18,8 +18,14 @@
 
 // presumedEnd is a host whose end would prove crashes.
 type presumedEnd struct {
-	tasks []*task
-	until time.Time
+	crashes []presumedCrash
+	until   time.Time
+}
+
+// presumedCrash is a task's presumed crash of one incarnation of a host.
+type presumedCrash struct {
+	task *task
+	born int64
 }
 
 // presumedCrashes returns the crashes of a task to store as presumed: those that are,
@@ -27,12 +33,12 @@
 func (t *task) presumedCrashes() (presumed []work.PresumedCrash) {
 	for _, c := range t.crashes {
 		if c.Proof == Presumed {
-			presumed = append(presumed, work.PresumedCrash{Run: c.Run, Host: c.Host, Address: c.Address})
+			presumed = append(presumed, work.PresumedCrash{Run: c.Run, Host: c.Host, Address: c.Address, Born: c.Born})
 		}
 	}
 	for _, r := range t.currentRuns() {
-		if h := r.host; r.executedUntilRefusal() && r.justStarted() && !h.Draining {
-			presumed = append(presumed, work.PresumedCrash{Run: r.number, Host: h.ID, Address: h.Address})
+		if h := r.host; t.crashIndex(r.number) < 0 && r.executedUntilRefusal() && r.justStarted() && !h.leaving {
+			presumed = append(presumed, work.PresumedCrash{Run: r.number, Host: h.ID, Address: h.Address, Born: h.life.born})
 		}
 	}
 	return presumed
@@ -58,12 +64,11 @@
 		end = &presumedEnd{until: now.Add(presumedRetention)}
 		p.presumed[c.Host] = end
 	}
-	end.tasks = append(end.tasks, t)
+	end.crashes = append(end.crashes, presumedCrash{t, c.Born})
 	if p.hosts[c.Host] == nil {
-		p.hosts[c.Host] = &host{
-			Host: worker.Host{ID: c.Host, Address: c.Address}, runs: make(map[work.TaskName]*run), health: newHealth(),
-			firstSeen: now, unlistedSince: now,
-		}
+		h := newHost(worker.Host{ID: c.Host, Address: c.Address}, now)
+		h.unlistedSince = now
+		p.hosts[c.Host] = h
 		p.hostsChanged = true
 	}
 }
@@ -85,31 +90,42 @@
 	if end == nil || p.claimUnconfirmed || !h.lossMayBeCrash(InstanceReplaced) {
 		return
 	}
-	for _, t := range end.tasks {
-		t.settlePresumed(h.ID, Proven)
-		if t.job().state == "" && !t.done && t.crashesHosts() {
-			p.failForCrashes(t, now, wall)
-		}
+	for _, c := range end.crashes {
+		p.proveCrash(c, h.ID, now, wall)
+	}
+}
+
+func (p *Pool) proveCrash(c presumedCrash, host string, now, wall time.Time) {
+	t := c.task
+	t.settlePresumed(host, c.born, Proven)
+	if t.job().state == "" && !t.done && t.crashesHosts() {
+		p.failForCrashes(t, now, wall)
 	}
 }
 
-// refutePresumed counts the presumed crashes under a host as unproven, since the same
-// incarnation has answered.
-func (p *Pool) refutePresumed(id string) {
-	end := p.presumed[id]
+// settlePresumed settles the presumed crashes under a host that has answered. They are
+// unproven if the same incarnation did, proven if a later one did.
+func (p *Pool) settlePresumed(h *host, now, wall time.Time) {
+	end := p.presumed[h.ID]
 	if end == nil {
 		return
 	}
-	delete(p.presumed, id)
-	for _, t := range end.tasks {
-		t.settlePresumed(id, Unproven)
+	delete(p.presumed, h.ID)
+	for _, c := range end.crashes {
+		switch {
+		case sameIncarnation(c.born, h.life.born):
+			c.task.settlePresumed(h.ID, c.born, Unproven)
+		case !p.claimUnconfirmed:
+			p.proveCrash(c, h.ID, now, wall)
+		}
 	}
 }
 
-// settlePresumed sets the proof of a task's presumed crashes under a host.
-func (t *task) settlePresumed(host string, proof Proof) {
+// settlePresumed sets the proof of a task's presumed crashes of one incarnation of a
+// host.
+func (t *task) settlePresumed(host string, born int64, proof Proof) {
 	for i := range t.crashes {
-		if c := &t.crashes[i]; c.Proof == Presumed && c.Host == host {
+		if c := &t.crashes[i]; c.Proof == Presumed && c.Host == host && c.Born == born {
 			c.Proof = proof
 			t.job().version++
 		}
--- a/internal/sched/presumed_test.go
+++ b/internal/sched/presumed_test.go
@@ -68,7 +68,7 @@
 	must.Eq(t, []Proof{Presumed}, s.proofs())
 	s.pass(removalDelay+time.Second, nil)
 	must.SliceContains(t, s.p.HeartbeatTargets(), worker.Target{ID: crashed, Address: crashed})
-	s.p.HeartbeatFailed(crashed, worker.Gone, s.now, s.now)
+	s.p.HeartbeatFailed(worker.Target{ID: crashed}, worker.Gone, s.now, s.now)
 	must.Eq(t, []Proof{Proven}, s.proofs())
 	must.MapNotContainsKey(t, s.p.hosts, crashed)
 }
@@ -82,7 +82,7 @@
 	s.p.Plan(s.now, s.now)
 	s.pass(time.Second, nil)
 	s.mustNotFail()
-	s.p.HeartbeatFailed("gone", worker.Gone, s.now, s.now)
+	s.p.HeartbeatFailed(worker.Target{ID: "gone"}, worker.Gone, s.now, s.now)
 	s.pass(time.Second, nil)
 	state, _ := s.p.VisibleState(scriptTask.Job)
 	must.EqOp(t, work.Failed, state)
--- a/internal/sched/refused_test.go
+++ b/internal/sched/refused_test.go
@@ -14,7 +14,7 @@
 func TestNoStartOnAnUnreachableHost(t *testing.T) {
 	p, _, lastReply := oneHost(t)
 	now := lastReply.Add(time.Millisecond)
-	p.HeartbeatFailed("w", worker.NotSent, now, now)
+	p.HeartbeatFailed(worker.Target{ID: "w"}, worker.NotSent, now, now)
 	accept(p, now)
 	must.SliceEmpty(t, p.Plan(now, now).Orders)
 	later := now.Add(20 * time.Millisecond)
@@ -28,7 +28,7 @@
 	now := lastReply.Add(time.Millisecond)
 	accept(p, now)
 	order := p.Plan(now, now).Orders[0]
-	p.StartOutcome("w", order.Task, order.Run, worker.NotSent, now, now)
+	p.StartOutcome(worker.Target{ID: "w"}, order.Task, order.Run, worker.NotSent, now, now)
 	later := now.Add(refusalPause + time.Millisecond)
 	must.SliceEmpty(t, p.Plan(later, later).Orders)
 }
@@ -39,8 +39,8 @@
 	p, _, now := oneHost(t)
 	accept(p, now)
 	order := p.Plan(now, now).Orders[0]
-	p.StartOutcome("w", order.Task, order.Run, worker.Accepted, now, now)
-	p.HeartbeatFailed("w", worker.NotSent, now, now)
+	p.StartOutcome(worker.Target{ID: "w"}, order.Task, order.Run, worker.Accepted, now, now)
+	p.HeartbeatFailed(worker.Target{ID: "w"}, worker.NotSent, now, now)
 	changes := p.Changes(1, nil)
 	must.Len(t, 1, changes)
 	must.Eq(t, []int{order.Run}, changes[0].Progress.Tasks[0].Crashed)
--- a/internal/sched/replies.go
+++ b/internal/sched/replies.go
@@ -13,12 +13,12 @@
 // dropped.
 func (p *Pool) ApplyHeartbeat(id string, sent time.Time, reply worker.HeartbeatReply, now, wall time.Time) {
 	h := p.hosts[id]
-	if h == nil || reply.ClockMs < h.clock {
+	if h == nil || !p.recognize(h, &reply, sent, now, wall) || reply.ClockMs < h.clock {
 		return
 	}
-	h.repliedAt, h.clock = now, reply.ClockMs
+	h.repliedAt, h.clock, h.callFailed = now, reply.ClockMs, false
 	delete(p.unreached, id)
-	p.refutePresumed(id)
+	p.settlePresumed(h, now, wall)
 	p.applyEnds(h, reply.Ended, now, wall)
 	if !reply.RunningOmitted {
 		h.reportedAt, h.reportedClock, h.reached = now, reply.ClockMs, true
--- a/internal/sched/roster.go
+++ b/internal/sched/roster.go
@@ -1,6 +1,9 @@
 package sched
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Roster is the stored set of hosts on which tasks may run.
 type Roster struct {
@@ -63,6 +66,27 @@
 	for id := range r.Unresponsive {
 		p.frozen[id] = true
 	}
+	p.confirming, p.restarted = p.restarted, make(map[string]bool)
+}
+
+// awaitRoster keeps work from a host that has restarted under its ID, or may have since
+// the takeover, until a roster that is sent from now on was stored. The host has
+// forgotten all fencing tokens: only that shows that no other holder has taken over and
+// called it before the restart.
+func (p *Pool) awaitRoster(id string) {
+	delete(p.roster, id)
+	delete(p.confirming, id)
+	p.restarted[id] = true
+}
+
+// AwaitsRoster reports whether a host in the roster gets no work before it was stored
+// again.
+func (p *Pool) AwaitsRoster() bool { return len(p.restarted) > 0 }
+
+// RosterNotStored records that the roster that was sent was not stored; r still is.
+func (p *Pool) RosterNotStored(r Roster) {
+	maps.Copy(p.restarted, p.confirming)
+	p.RosterStored(r)
 }
 
 // RosterStored records the roster that was stored. Other hosts get no work yet,
@@ -71,11 +95,12 @@
 	clear(p.roster)
 	clear(p.frozen)
 	clear(p.storedRoster)
+	clear(p.confirming)
 	for _, id := range r.InUse {
 		p.storedRoster[id] = true
 		if _, unresponsive := r.Unresponsive[id]; unresponsive {
 			p.frozen[id] = true
-		} else {
+		} else if !p.restarted[id] {
 			p.roster[id] = true
 		}
 	}
--- a/internal/sched/roster_test.go
+++ b/internal/sched/roster_test.go
@@ -54,16 +54,16 @@
 // them. A host must not be reported as drained while the stored roster lists it.
 func TestHostInTheStoredRosterIsNotDrained(t *testing.T) {
 	p, _, now := oneHost(t)
-	drained, known, _ := p.Drain("w", now)
+	drained, known := p.Drain("w", now)
 	must.True(t, known)
 	must.False(t, drained)
 	must.True(t, p.HasDrainedInRoster())
 	roster := p.Roster(now)
 	p.RosterSent(roster)
-	drained, _, _ = p.Drain("w", now)
+	drained, _ = p.Drain("w", now)
 	must.False(t, drained, must.Sprint("the roster may still fail to be stored"))
 	p.RosterStored(roster)
-	drained, _, _ = p.Drain("w", now)
+	drained, _ = p.Drain("w", now)
 	must.True(t, drained)
 	must.False(t, p.HasDrainedInRoster())
 }
--- a/internal/sched/shares_test.go
+++ b/internal/sched/shares_test.go
@@ -124,7 +124,7 @@
 		}
 		starts[d.record[order.Task.Job].Organisation]++
 		d.runs[order.Task], d.began[order.Task] = order, d.now
-		d.StartOutcome(d.host, order.Task, order.Run, worker.Accepted, d.now, d.now)
+		d.StartOutcome(worker.Target{ID: d.host}, order.Task, order.Run, worker.Accepted, d.now, d.now)
 	}
 	return starts
 }
--- a/internal/sched/stoprace_test.go
+++ b/internal/sched/stoprace_test.go
@@ -17,7 +17,7 @@
 	s.stopRun(host, worker.Accepted)
 	s.now = s.now.Add(stopToRefusal)
 	s.silent[host] = true
-	s.p.HeartbeatFailed(host, worker.NotSent, s.now, s.now)
+	s.p.HeartbeatFailed(worker.Target{ID: host}, worker.NotSent, s.now, s.now)
 	return host
 }
 
@@ -26,7 +26,7 @@
 	s.p.stop(s.p.hosts[host].runs[scriptTask], "preempted")
 	for _, order := range s.p.Plan(s.now, s.now).Orders {
 		if order.Verb == Stop {
-			s.p.StopOutcome(host, order.Task, order.Run, outcome, s.now, s.now)
+			s.p.StopOutcome(worker.Target{ID: host}, order.Task, order.Run, outcome, s.now, s.now)
 		}
 	}
 }
@@ -57,7 +57,7 @@
 			lost := s.executed(100 * time.Millisecond)
 			s.silent[lost] = true
 			s.now = s.now.Add(time.Millisecond)
-			s.p.HeartbeatFailed(lost, worker.NotSent, s.now, s.now)
+			s.p.HeartbeatFailed(worker.Target{ID: lost}, worker.NotSent, s.now, s.now)
 			s.now = s.now.Add(stopRace)
 			s.stopRun(lost, worker.Accepted)
 			return lost
--- a/internal/sched/straggler_test.go
+++ b/internal/sched/straggler_test.go
@@ -119,13 +119,13 @@
 		plan := s.p.Plan(s.now, s.now)
 		for _, o := range plan.Orders {
 			if r := s.running[o.To.ID][o.Task]; o.Verb == Stop && r != nil && r.Run == o.Run {
-				s.p.StopOutcome(o.To.ID, o.Task, o.Run, worker.Accepted, s.now, s.now)
+				s.p.StopOutcome(o.To, o.Task, o.Run, worker.Accepted, s.now, s.now)
 				s.end(o.To.ID, o.Task, work.EndStopped)
 			}
 			if o.Verb != Start {
 				continue
 			}
-			s.p.StartOutcome(o.To.ID, o.Task, o.Run, worker.Accepted, s.now, s.now)
+			s.p.StartOutcome(o.To, o.Task, o.Run, worker.Accepted, s.now, s.now)
 			s.running[o.To.ID][o.Task] = &scriptedRun{Report: worker.Report{Task: o.Task, Run: o.Run}}
 			if o.Speculative {
 				copies = append(copies, o)
--- a/internal/sched/throttle.go
+++ b/internal/sched/throttle.go
@@ -56,7 +56,7 @@
 	}
 	r.speed, r.speedOrderedAt = wanted, pl.now
 	pl.plan.Orders = append(pl.plan.Orders, Order{
-		Verb: Throttle, To: worker.Target{ID: h.ID, Address: h.Address}, Task: r.task.name, Run: r.number, Percent: wanted,
+		Verb: Throttle, To: h.target(), Task: r.task.name, Run: r.number, Percent: wanted,
 		Reason: "response time of a serving task on its host",
 	})
 }
--- a/internal/work/progress.go
+++ b/internal/work/progress.go
@@ -51,6 +51,8 @@
 	Run     int    `json:"r"`
 	Host    string `json:"h"`
 	Address string `json:"a"`
+	// Born is the incarnation, zero if unknown.
+	Born int64 `json:"b,omitempty"`
 }
 
 // appendRow appends p to a buffer as a JSON array, which takes a third of the
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -10,10 +10,13 @@
 	"auburnglade.example/glade/internal/work"
 )
 
-// Host is one incarnation of a pooled host as listed by the platform. A host has
-// a new ID after each restart.
+// Host is a pooled host as listed by the platform. After a restart a host may have a
+// new ID or keep the one that it had; Born then tells its incarnations apart.
 type Host struct {
-	ID       string
+	ID string
+	// Born is when this incarnation started, in Unix milliseconds by the host's own
+	// clock, zero if unknown.
+	Born     int64
 	Pool     string
 	Address  string
 	Zone     string
@@ -27,10 +30,13 @@
 // Has reports whether the host has the label.
 func (h *Host) Has(label string) bool { return slices.Contains(h.Labels, label) }
 
-// Target is the host incarnation that an order is addressed to.
+// Target is the host incarnation that an order is addressed to. Hosts check the ID
+// only: an order may reach a later incarnation under the same ID.
 type Target struct {
 	ID      string
 	Address string
+	// Born is the incarnation that the sender means, as in Host; it is not sent.
+	Born int64
 }
 
 // Start starts one run of a task.
@@ -145,6 +151,8 @@
 
 // HeartbeatReply is a host's reply to a heartbeat.
 type HeartbeatReply struct {
+	// Born is the incarnation that replies, as in Host.
+	Born int64
 	// ClockMs is the host's clock in milliseconds.
 	ClockMs int64
 	// RunningOmitted is set when Running was left out of the reply.
