A job stays known in the pool that accepted it, wherever its queue goes

Cause: jobs are stored under the pool that accepted them and looked up under the pool that their queue has now. Evidence: the stand-in's record, accepted and started on alpha at 3.1 to 3.4 s, moved at 10.4 s, 410 from all three entry hosts at 14.4 s. The claim names the front; store lookups, the holder's check for a known ID, the inbox, cancels and the count of waiting jobs assumed the same.

Now a record for each queue (by host name and path prefix) names the pools that have jobs of it. A commit that accepts jobs depends on it, and where it names further pools, on none of them having the job: of two pools one accepts an ID, whatever versions of the configuration the entry hosts have, and after any restart. Calls for a job that is not where the configuration says ask the record's other pools. A pool without jobs of a queue leaves the record.

Weighed: a key for each job (three operations a job; 600 jobs in 500 ms would not be stored), and the memory of entry hosts (lost with them).

Queue and pool names of a version before this one have no path: such jobs are found as before.

--- a/internal/entryhost/harness_test.go
+++ b/internal/entryhost/harness_test.go
@@ -247,7 +247,7 @@
 	dep.jobs++
 	record := &work.JobRecord{
 		ID: fmt.Sprintf("%016x", dep.jobs), ArrivedMs: time.Now().UnixMilli(),
-		Queue: work.Queue{Name: "q", Pool: pool, MaxAttempts: 3, Stretch: 1.6, Slack: 600 * time.Millisecond},
+		Queue: work.Queue{Name: "q", Path: "host/" + pool + "/", Pool: pool, MaxAttempts: 3, Stretch: 1.6, Slack: 600 * time.Millisecond},
 		Spec:  work.Spec{Payload: fmt.Sprintf("text %d", dep.jobs), Steps: steps},
 	}
 	dep.workers.Checker.Submitted(record)
--- /dev/null
+++ b/internal/jobrouter/queuelength.go
@@ -0,0 +1,91 @@
+package jobrouter
+
+import (
+	"context"
+	"time"
+
+	"auburnglade.example/glade/internal/poolstore"
+	"auburnglade.example/glade/internal/work"
+)
+
+const (
+	// countTTL is how long a count of waiting jobs is served from the cache, and
+	// maxCountAge how old a cached count may be when no holder responds. A client
+	// may get a count that is up to 2 s old.
+	countTTL    = 300 * time.Millisecond
+	maxCountAge = 1500 * time.Millisecond
+	// queuePoolsTTL is how long the record of a queue's pools is used without another
+	// look into the store.
+	queuePoolsTTL = 1500 * time.Millisecond
+)
+
+type cachedCount struct {
+	value int
+	at    time.Time
+}
+
+type cachedPools struct {
+	poolstore.QueuePools
+	at time.Time
+}
+
+// QueueLength returns the number of waiting jobs of a queue for a client, also in pools
+// that the queue had before. ok is false if no sufficiently recent count is available.
+func (r *Router) QueueLength(ctx context.Context, queue work.Queue) (value int, ok bool) {
+	key := queue.Pool + "\x00" + queue.Name
+	r.mu.Lock()
+	last := r.queueLengths[key]
+	r.mu.Unlock()
+	if time.Since(last.at) < countTTL {
+		return last.value, true
+	}
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, holderTimeout)
+	defer cancel()
+	if value, ok = r.waitingIn(ctx, queue.Pool, queue.Name); !ok {
+		return last.value, time.Since(last.at) < maxCountAge
+	}
+	for _, pool := range r.formerPoolsOf(ctx, queue) {
+		if count, ok := r.waitingIn(ctx, pool, queue.Name); ok {
+			value += count
+		}
+	}
+	r.mu.Lock()
+	r.queueLengths[key] = cachedCount{value, began}
+	r.mu.Unlock()
+	return value, true
+}
+
+// waitingIn returns the number of waiting jobs of a queue in one pool.
+func (r *Router) waitingIn(ctx context.Context, pool, queue string) (int, bool) {
+	if count, ok := r.Waiting(ctx, pool, queue); ok {
+		return count, true
+	}
+	address, usable := r.remote(pool)
+	if !usable {
+		return 0, false
+	}
+	count, held, err := r.Peers.Waiting(ctx, address, pool, queue)
+	return count, held && err == nil
+}
+
+// formerPoolsOf returns the pools besides its own that may have jobs of a queue. If the
+// store does not answer, they are those known last.
+func (r *Router) formerPoolsOf(ctx context.Context, queue work.Queue) []string {
+	r.mu.Lock()
+	last := r.pools[queue.Path]
+	r.mu.Unlock()
+	if time.Since(last.at) < queuePoolsTTL {
+		return last.Others(queue.Pool)
+	}
+	began := time.Now()
+	pools, err := r.queuePools(ctx, queue.Path)
+	if err != nil {
+		r.Log.Info().Err(err).Str("queue", queue.Name).Dur("age_ms", time.Since(last.at)).Msg("Counting in the pools that a queue was known to have.")
+		return last.Others(queue.Pool)
+	}
+	r.mu.Lock()
+	r.pools[queue.Path] = cachedPools{pools, began}
+	r.mu.Unlock()
+	return pools.Others(queue.Pool)
+}
--- a/internal/jobrouter/router.go
+++ b/internal/jobrouter/router.go
@@ -49,11 +49,6 @@
 	outageLogGap = 5 * time.Second
 	// RetryAfter is how long a refused client should wait before it retries.
 	RetryAfter = time.Second
-	// countTTL is how long a count of waiting jobs is served from the cache, and
-	// maxCountAge how old a cached count may be when no holder responds. A client
-	// may get a count that is up to 2 s old.
-	countTTL    = 300 * time.Millisecond
-	maxCountAge = 1500 * time.Millisecond
 )
 
 // LocalPools gives access to the pools held by this process.
@@ -81,19 +76,16 @@
 	mu           sync.Mutex
 	avoidUntil   map[string]time.Time
 	queueLengths map[string]cachedCount
+	// pools holds the records of queues by path.
+	pools map[string]cachedPools
 	// outage is when the store was last found to be unavailable to all entry
 	// hosts.
 	outage time.Time
 }
 
-type cachedCount struct {
-	value int
-	at    time.Time
-}
-
 // New returns a router.
 func New(config Config) *Router {
-	return &Router{Config: config, avoidUntil: make(map[string]time.Time), queueLengths: make(map[string]cachedCount)}
+	return &Router{Config: config, avoidUntil: make(map[string]time.Time), queueLengths: make(map[string]cachedCount), pools: make(map[string]cachedPools)}
 }
 
 var _ poolrpc.Service = (*Router)(nil)
@@ -199,10 +191,22 @@
 
 func (r *Router) writeJob(ctx context.Context, record *work.JobRecord) poolmanager.Result {
 	key := poolstore.InboxJobKey(record.Queue.Pool, record.ID)
-	result, existing := r.writeInbox(ctx, key, work.EncodeRecord(record))
-	if existing != nil {
-		if other, err := work.DecodeRecord(existing.Value); err == nil && !other.BelongsTo(record.Organisation) {
-			return poolmanager.Conflict
+	txn, others, err := r.inboxTxn(ctx, record)
+	if err != nil {
+		// Nothing was written.
+		return poolmanager.Refused
+	}
+	result, conflict := r.writeInbox(ctx, key, work.EncodeRecord(record), txn)
+	if conflict == nil {
+		return result
+	}
+	existing := conflict.Find(key)
+	if other, err := work.DecodeRecord(existing.Value); existing.ModRevision != 0 && err == nil && !other.BelongsTo(record.Organisation) {
+		return poolmanager.Conflict
+	}
+	for _, other := range others {
+		if poolstore.HasJob(conflict, other, record.ID) {
+			return poolmanager.Elsewhere
 		}
 	}
 	return result
@@ -231,6 +235,9 @@
 	if result.ForRoom() {
 		return result, true
 	}
+	if result == poolmanager.Elsewhere {
+		return r.acceptedElsewhere(ctx, record), true
+	}
 	final = result == poolmanager.Refused && refusals == maxRelays
 	if final {
 		r.recordOutage()
@@ -283,7 +290,7 @@
 	case state.Final():
 		return poolmanager.Stored
 	}
-	result, _ := r.writeInbox(ctx, poolstore.InboxCancelKey(job.Pool, job.ID), []byte("{}"))
+	result, _ := r.writeInbox(ctx, poolstore.InboxCancelKey(job.Pool, job.ID), []byte("{}"), store.Txn{})
 	return result
 }
 
@@ -303,7 +310,7 @@
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, 2*acceptTimeout)
 	defer cancel()
-	result := retry(ctx, func() (poolmanager.Result, bool) { return r.cancel(ctx, job), false })
+	result := retry(ctx, func() (poolmanager.Result, bool) { return r.cancelAnywhere(ctx, job), false })
 	r.Metrics.call("cancel", result.String(), time.Since(began))
 	r.Log.Info().Str("job", job.ID).Str("result", result.String()).Dur("took_ms", time.Since(began)).Msg("A client cancelled a job.")
 	return result
@@ -342,9 +349,10 @@
 	if state, known, ok = r.stateFromHolder(ctx, job); ok && known {
 		return state, true, true
 	}
-	lookup, cancel := context.WithTimeout(ctx, storeTimeout)
-	state, known, err := poolstore.LookupState(lookup, r.Store, job)
-	cancel()
+	state, known, err := r.stateFromStore(ctx, job)
+	if err == nil && !known {
+		state, known, err = r.stateElsewhere(ctx, job)
+	}
 	if err == nil {
 		return state, known, true
 	}
@@ -362,6 +370,12 @@
 	return "", false, false
 }
 
+func (r *Router) stateFromStore(ctx context.Context, job work.JobRef) (state work.State, known bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return poolstore.LookupState(ctx, r.Store, job)
+}
+
 func (r *Router) stateFromHolder(ctx context.Context, job work.JobRef) (state work.State, known, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, holderTimeout)
 	defer cancel()
@@ -388,34 +402,6 @@
 	return manager.WaitingJobs(ctx, queue)
 }
 
-// QueueLength returns the number of waiting jobs of a queue for a client. ok is false
-// if no sufficiently recent count is available.
-func (r *Router) QueueLength(ctx context.Context, pool, queue string) (value int, ok bool) {
-	key := pool + "\x00" + queue
-	r.mu.Lock()
-	last := r.queueLengths[key]
-	r.mu.Unlock()
-	if time.Since(last.at) < countTTL {
-		return last.value, true
-	}
-	began := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, holderTimeout)
-	defer cancel()
-	value, ok = r.Waiting(ctx, pool, queue)
-	if address, usable := r.remote(pool); !ok && usable {
-		var err error
-		value, ok, err = r.Peers.Waiting(ctx, address, pool, queue)
-		ok = ok && err == nil
-	}
-	if ok {
-		r.mu.Lock()
-		r.queueLengths[key] = cachedCount{value, began}
-		r.mu.Unlock()
-		return value, true
-	}
-	return last.value, time.Since(last.at) < maxCountAge
-}
-
 // DrainLocal implements poolrpc.Service for the pools held by this process.
 func (r *Router) DrainLocal(ctx context.Context, pool string, hosts []string) (states []hostmanager.DrainState, ok bool) {
 	manager := r.Local.PoolManager(pool)
--- a/internal/jobrouter/routes.go
+++ b/internal/jobrouter/routes.go
@@ -8,7 +8,7 @@
 )
 
 // combine merges the results a and b of two routes for the same request: Stored takes
-// precedence, then Conflict and JobNotFound, and a refusal does not override an unknown
+// precedence, then Conflict, Elsewhere and JobNotFound, and a refusal does not override an unknown
 // outcome.
 func combine(a, b poolmanager.Result) poolmanager.Result {
 	switch {
@@ -16,6 +16,8 @@
 		return poolmanager.Stored
 	case a == poolmanager.Conflict || b == poolmanager.Conflict:
 		return poolmanager.Conflict
+	case a == poolmanager.Elsewhere || b == poolmanager.Elsewhere:
+		return poolmanager.Elsewhere
 	case a == poolmanager.JobNotFound || b == poolmanager.JobNotFound:
 		return poolmanager.JobNotFound
 	case a == poolmanager.ResultUnknown || b == poolmanager.ResultUnknown:
@@ -35,11 +37,11 @@
 	ctx context.Context, pool string, local localCall, writeToStore func() poolmanager.Result, remote remoteCall,
 ) (result poolmanager.Result, refusals int) {
 	result = r.viaHolder(ctx, pool, local, remote)
-	if result == poolmanager.Stored || result == poolmanager.Conflict || result.ForRoom() {
+	if result == poolmanager.Stored || result == poolmanager.Conflict || result == poolmanager.Elsewhere || result.ForRoom() {
 		return result, 0
 	}
 	written := writeToStore()
-	if written == poolmanager.JobNotFound || written == poolmanager.Conflict {
+	if written == poolmanager.JobNotFound || written == poolmanager.Conflict || written == poolmanager.Elsewhere {
 		return written, 0
 	}
 	if result = combine(result, written); result == poolmanager.Stored {
@@ -90,24 +92,23 @@
 	return result, refusals
 }
 
-// writeInbox writes a value to a pool's inbox unless the key exists; then it returns
-// the existing entry.
-func (r *Router) writeInbox(ctx context.Context, key string, value []byte) (poolmanager.Result, *store.Entry) {
+// writeInbox writes a value to a pool's inbox unless the key exists, together with txn.
+// conflict is set if a condition did not hold; the result is Stored if the key exists and
+// Refused if another condition failed, since nothing was written then.
+func (r *Router) writeInbox(ctx context.Context, key string, value []byte, txn store.Txn) (result poolmanager.Result, conflict *store.TxnConflictError) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	_, err := r.Store.Commit(ctx, store.Txn{
-		Conditions: []store.Condition{{Key: key}},
-		Puts:       []store.Put{{Key: key, Value: value}},
-	})
-	conflict, exists := err.(*store.TxnConflictError)
+	txn.Conditions = append(txn.Conditions, store.Condition{Key: key})
+	txn.Puts = append(txn.Puts, store.Put{Key: key, Value: value})
+	_, err := r.Store.Commit(ctx, txn)
+	conflict, failed := err.(*store.TxnConflictError)
 	switch {
 	case err == nil:
 		return poolmanager.Stored, nil
-	case exists:
-		existing := conflict.Find(key)
-		return poolmanager.Stored, &existing
-	case store.IsRefused(err):
-		return poolmanager.Refused, nil
+	case failed && conflict.Find(key).ModRevision != 0:
+		return poolmanager.Stored, conflict
+	case failed || store.IsRefused(err):
+		return poolmanager.Refused, conflict
 	}
 	return poolmanager.ResultUnknown, nil
 }
--- a/internal/poolmanager/commit.go
+++ b/internal/poolmanager/commit.go
@@ -21,8 +21,11 @@
 	sequence    int64
 	head        poolstore.Head
 	submissions []*submission
-	changes     []sched.Change
-	inboxKeys   []string
+	// queues are the keys of the queues' records that it depends on, retired those of
+	// them from which it removes the pool.
+	queues, retired []string
+	changes         []sched.Change
+	inboxKeys       []string
 	// expiredJobs counts the expired jobs that this batch deletes.
 	expiredJobs int
 	// restoresClaim is set when the batch writes the claim again.
@@ -94,7 +97,7 @@
 		room -= 2
 	}
 	room = m.addJobs(b, room)
-	m.addDeletes(b, room)
+	m.addRetirements(b, m.addDeletes(b, room), now)
 	if len(b.txn.Puts)+len(b.txn.Deletes) == 0 && !m.rosterStale(roster) {
 		return nil
 	}
@@ -107,10 +110,7 @@
 func (m *Manager) addJobs(b *batch, room int) int {
 	for _, s := range m.submissions {
 		if room > 0 && s.batch == nil {
-			b.submissions = append(b.submissions, s)
-			b.txn.Puts = append(b.txn.Puts, store.Put{Key: poolstore.JobKey(m.Pool, s.record.ID), Value: work.EncodeRecord(s.record)})
-			s.maybeStored, s.batch = true, b
-			room--
+			room = m.addSubmission(b, s, room)
 		}
 	}
 	return m.addProgress(b, room)
@@ -134,14 +134,15 @@
 	for _, s := range b.submissions {
 		s.batch = nil
 	}
+	m.releaseQueues(b)
 	for _, change := range b.changes {
 		delete(m.committing, change.Job)
 	}
 }
 
 // addDeletes adds the deletion of applied inbox entries and of expired jobs, up
-// to room operations.
-func (m *Manager) addDeletes(b *batch, room int) {
+// to room operations, and returns the room left.
+func (m *Manager) addDeletes(b *batch, room int) int {
 	for key := range m.inboxApplied {
 		if room > 0 && m.inboxEntryStored(b, key) {
 			b.inboxKeys = append(b.inboxKeys, key)
@@ -155,6 +156,7 @@
 		b.txn.Deletes = append(b.txn.Deletes, poolstore.JobKey(m.Pool, id), poolstore.ProgressKey(m.Pool, id))
 		room -= 2
 	}
+	return room
 }
 
 // inboxEntryStored reports whether the request in an inbox entry is stored or
--- a/internal/poolmanager/harness_test.go
+++ b/internal/poolmanager/harness_test.go
@@ -133,7 +133,7 @@
 	e.jobs++
 	record := &work.JobRecord{
 		ID: fmt.Sprintf("%016x", e.jobs), ArrivedMs: time.Now().UnixMilli(),
-		Queue: work.Queue{Name: "q", Pool: pool, MaxAttempts: 3, Stretch: 1.6, Slack: 600 * time.Millisecond},
+		Queue: work.Queue{Name: "q", Path: "host/" + pool + "/", Pool: pool, MaxAttempts: 3, Stretch: 1.6, Slack: 600 * time.Millisecond},
 		Spec:  work.Spec{Payload: fmt.Sprintf("text %d", e.jobs), Steps: steps},
 	}
 	e.workers.Checker.Submitted(record)
--- a/internal/poolmanager/loading.go
+++ b/internal/poolmanager/loading.go
@@ -13,6 +13,7 @@
 // processes from trying.
 func (m *Manager) load(ctx context.Context) error {
 	began := time.Now()
+	m.loadQueues(ctx)
 	for {
 		loaded, err := poolstore.Load(ctx, m.Store, m.Pool)
 		if err == nil {
--- a/internal/poolmanager/manager.go
+++ b/internal/poolmanager/manager.go
@@ -117,6 +117,10 @@
 	// inboxApplied are the keys of inbox entries that were applied and not yet
 	// deleted.
 	inboxApplied map[string]bool
+	// queues are the records of queues, retiredAt is when those without jobs were last
+	// looked for.
+	queues    queueStates
+	retiredAt time.Time
 	// expiredJobs are the IDs of ended jobs to be deleted from the store.
 	expiredJobs []string
 	head        poolstore.Head
@@ -174,7 +178,7 @@
 		heartbeating: make(map[string]bool), submissions: make(map[string]*submission), cancellations: make(map[string]*cancellation),
 		head: takeover.Head, lanes: newLanes(takeover.Revision), committing: make(map[string]bool),
 		inboxApplied: make(map[string]bool), claimConfirmedAt: time.Now(), quotas: newQuotaKeeper(config.Limits, config.Pool, takeover.Head.Fence),
-		reportedStarts: make(map[string]int),
+		reportedStarts: make(map[string]int), queues: make(queueStates),
 	}
 }
 
--- a/internal/poolmanager/outcome.go
+++ b/internal/poolmanager/outcome.go
@@ -108,6 +108,8 @@
 	switch {
 	case ours && record.Sequence == b.sequence:
 		m.applyCommit(b, entry.ModRevision)
+	case ours && entry.ModRevision == b.lane.revision && m.stillFenced(b, conflict) && m.queueConflicts(b, conflict):
+		m.dissolve(b)
 	case ours && entry.ModRevision == b.lane.revision && b.restoresClaim:
 		// Only the condition on the claim failed: the claim exists already.
 		m.claimMissing = false
@@ -119,10 +121,17 @@
 	}
 }
 
+// stillFenced reports whether no takeover is the reason why a batch failed. The head
+// shows that by itself.
+func (m *Manager) stillFenced(b *batch, conflict *store.TxnConflictError) bool {
+	return b.lane.isHead() || conflict.Find(poolstore.FenceKey(m.Pool)).ModRevision == m.takeover.Revision
+}
+
 // applyCommit updates the state for a batch that is stored.
 func (m *Manager) applyCommit(b *batch, revision store.Revision) {
 	now, wall := time.Now(), m.WallClock()
 	m.Metrics.entries.Add(float64(b.txn.OpCount()))
+	m.queuesStored(b, revision)
 	m.detach(b)
 	b.lane.revision, b.lane.sequence = revision, b.sequence
 	m.claimConfirmedAt = now
--- a/internal/poolmanager/submit.go
+++ b/internal/poolmanager/submit.go
@@ -29,9 +29,12 @@
 	NoRoom
 	// OverShare is NoRoom for a job whose organisation has used up its share.
 	OverShare
+	// Elsewhere means that another pool has accepted a job of the queue with the
+	// submitted ID.
+	Elsewhere
 )
 
-var resultNames = [...]string{"unknown", "stored", "refused", "no job", "conflict", "no room", "over share"}
+var resultNames = [...]string{"unknown", "stored", "refused", "no job", "conflict", "no room", "over share", "elsewhere"}
 
 func (r Result) String() string { return resultNames[r] }
 
--- a/internal/poolrpc/poolrpc.go
+++ b/internal/poolrpc/poolrpc.go
@@ -74,6 +74,7 @@
 	poolmanager.Refused: poolpb.Result_RESULT_REFUSED, poolmanager.JobNotFound: poolpb.Result_RESULT_NO_JOB,
 	poolmanager.Conflict: poolpb.Result_RESULT_CONFLICT,
 	poolmanager.NoRoom:   poolpb.Result_RESULT_NO_ROOM, poolmanager.OverShare: poolpb.Result_RESULT_OVER_SHARE,
+	poolmanager.Elsewhere: poolpb.Result_RESULT_ELSEWHERE,
 }
 
 func encodeResult(result poolmanager.Result, held bool) poolpb.Result {
@@ -97,11 +98,11 @@
 }
 
 func refOf(r *poolpb.JobRequest) work.JobRef {
-	return work.JobRef{Pool: r.Pool, ID: r.Id, Organisation: r.Organisation}
+	return work.JobRef{Pool: r.Pool, ID: r.Id, Queue: r.Queue, Organisation: r.Organisation}
 }
 
 func jobRequest(ctx context.Context, job work.JobRef, relay bool) *poolpb.JobRequest {
-	return &poolpb.JobRequest{Pool: job.Pool, Id: job.ID, Organisation: job.Organisation, TimeoutMs: calleeTimeoutMs(ctx), Relay: relay}
+	return &poolpb.JobRequest{Pool: job.Pool, Id: job.ID, Queue: job.Queue, Organisation: job.Organisation, TimeoutMs: calleeTimeoutMs(ctx), Relay: relay}
 }
 
 func (s *server) Cancel(ctx context.Context, r *poolpb.JobRequest) (*poolpb.ResultReply, error) {
@@ -205,6 +206,7 @@
 	poolpb.Result_RESULT_REFUSED: poolmanager.Refused, poolpb.Result_RESULT_NO_JOB: poolmanager.JobNotFound,
 	poolpb.Result_RESULT_NOT_HELD: poolmanager.Refused, poolpb.Result_RESULT_CONFLICT: poolmanager.Conflict,
 	poolpb.Result_RESULT_NO_ROOM: poolmanager.NoRoom, poolpb.Result_RESULT_OVER_SHARE: poolmanager.OverShare,
+	poolpb.Result_RESULT_ELSEWHERE: poolmanager.Elsewhere,
 }
 
 // Submit submits a job to an entry host. After an error the outcome is unknown.
--- a/internal/sched/jobs.go
+++ b/internal/sched/jobs.go
@@ -439,3 +439,12 @@
 		h.unstoredEnds = h.unstoredEnds[1:]
 	}
 }
+
+// QueuePaths returns the paths of the queues of which the pool has jobs.
+func (p *Pool) QueuePaths() map[string]bool {
+	paths := make(map[string]bool)
+	for _, j := range p.jobs {
+		paths[j.record.Queue.Path] = true
+	}
+	return paths
+}
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -264,6 +264,9 @@
 // Queue is the scheduling policy of a queue's jobs.
 type Queue struct {
 	Name string `json:"n"`
+	// Path is where clients reach the queue, over all versions of the configuration:
+	// host name and path prefix. Jobs of earlier versions of this program have none.
+	Path string `json:"u,omitempty"`
 	// Pool is the pool whose hosts run the tasks.
 	Pool string `json:"p"`
 	// Priority orders jobs, 0 first. Work of a higher priority may preempt work of
@@ -291,7 +294,10 @@
 
 // JobRef names a job on behalf of a client.
 type JobRef struct {
+	// Pool is the pool that has the job, as far as is known.
 	Pool, ID string
+	// Queue is the Path of its queue.
+	Queue string
 	// Organisation is the organisation that asks, empty on a public queue.
 	Organisation string
 }
