A pool without a queue is held while it has jobs

Cause: only the pools that the newest configuration sends queues to got a holder (Process.pools).

The host manager uses the same list: hosts with such jobs are occupied.

--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -59,7 +59,7 @@
 	// ApplyConfig is called with each newer version of the operator's configuration;
 	// nil if there is none.
 	ApplyConfig func(configrelay.Version)
-	// Pools returns the pools that need a holder.
+	// Pools returns the pools that queues go to.
 	Pools func() []string
 	// HostManager configures the host manager. Its Fleet is nil if there are no hosts to
 	// manage.
@@ -83,6 +83,7 @@
 	carrierMetrics *carrier.Metrics
 	// starts is the share of the link for the starts of all pools held here.
 	starts *linkbudget.Budget
+	owed   *owedPools
 	ctx    context.Context
 
 	mu          sync.Mutex
@@ -105,6 +106,7 @@
 		Direct: config.Store, Peers: config.StorePeers, Shared: []string{poolstore.EphemeralPrefix, config.OperatorPrefix},
 		Route: h.route, Log: telemetry.PartLogger(config.Log, "store"), Metrics: storeaccess.NewMetrics(config.Registerer),
 	})
+	h.owed = newOwedPools(h.Access, telemetry.PartLogger(config.Log, "pools"))
 	h.Cluster = cluster.New(cluster.Config{
 		Store: h.Access, Self: config.Self, Pools: h.claims, StartPool: h.startPool,
 		Log: telemetry.PartLogger(config.Log, "cluster"),
@@ -124,6 +126,7 @@
 func (h *Host) Run(ctx context.Context) error {
 	h.ctx = ctx
 	go h.Relay.Run(ctx)
+	go h.owed.run(ctx)
 	return h.Cluster.Run(ctx)
 }
 
@@ -154,18 +157,21 @@
 // claims returns what can be claimed: the pools that need a holder, and the host
 // manager's role if there is a fleet.
 func (h *Host) claims() []string {
-	pools := h.Pools()
+	pools := h.heldPools()
 	if h.HostManager.Fleet != nil && len(pools) > 0 {
 		pools = append(pools, hostmanager.ClaimName)
 	}
 	return pools
 }
 
+// heldPools returns the pools that need a holder.
+func (h *Host) heldPools() []string { return h.owed.with(h.Pools(), time.Now()) }
+
 // startHostManager starts the host manager after its claim was acquired.
 func (h *Host) startHostManager(takeover cluster.Takeover) cluster.HeldPool {
 	config := h.HostManager
 	config.Holder, config.Store, config.Pools = h.Self.HolderID(), h.Access, h.Jobs
-	config.HasHolder = func(pool string) bool { return slices.Contains(h.Pools(), pool) }
+	config.HasHolder = func(pool string) bool { return slices.Contains(h.heldPools(), pool) }
 	config.Log = telemetry.PartLogger(h.Log, "duty")
 	manager := hostmanager.New(config, takeover.Head.Fence, takeover.Revision, takeover.Claim)
 	h.mu.Lock()
--- a/internal/entryhost/harness_test.go
+++ b/internal/entryhost/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -35,9 +36,11 @@
 	pools   map[string]bool
 	mu      sync.Mutex
 	waves   []hostmanager.Wave
-	entries map[string]*entry
-	starts  int
-	jobs    int
+	// routedPools are the pools that queues go to, nil for day and night.
+	routedPools []string
+	entries     map[string]*entry
+	starts      int
+	jobs        int
 	// crashing holds the jobs whose first task crashes the hosts that it runs on.
 	crashing map[string]bool
 	// hostsPerCore is how many hosts a core of an entry host can call, zero for
@@ -140,7 +143,7 @@
 	config := entryhost.Config{
 		Self:  cluster.Member{Node: node, Incarnation: fmt.Sprint(dep.starts), Address: node, Zone: dep.zoneOf(node), CPUShare: 0.4},
 		Store: s, Workers: dep.workers, Hosts: dep.workers, Peers: dep.net, CarrierPeers: dep.net, StorePeers: dep.net, OperatorPrefix: operatorPrefix, HostsPerCore: dep.hostsPerCore, Sched: entryhost.SchedConfig(bounds),
-		Pools: func() []string { return []string{"day", "night"} },
+		Pools: dep.routed,
 		HostManager: hostmanager.Config{
 			Fleet: dep.fleet, Waves: dep.listWaves,
 			PoolNames: func() map[string]bool { return dep.pools },
@@ -176,6 +179,22 @@
 	return e
 }
 
+// routed returns the pools that queues go to.
+func (dep *deployment) routed() []string {
+	dep.mu.Lock()
+	defer dep.mu.Unlock()
+	if dep.routedPools == nil {
+		return []string{"day", "night"}
+	}
+	return slices.Clone(dep.routedPools)
+}
+
+func (dep *deployment) setRouted(pools ...string) {
+	dep.mu.Lock()
+	defer dep.mu.Unlock()
+	dep.routedPools = pools
+}
+
 // operatorPrefix is the prefix of the operator's entries.
 const operatorPrefix = "operator/"
 
