A late write of an earlier process leaves its successor's record alone

Cause: the record of a node's process was written without a condition. A late announcement that a process leaves replaces its successor's record under a lease that ends, and nobody writes it again; a process without a record claims nothing.

The record is now written under the condition that it is as the process knows it, and written again when the store shows it as gone or another's.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -152,6 +152,10 @@
 	// updatedAt is the latest moment whose members and claims the store has shown.
 	updatedAt time.Time
 	leaving   bool
+	// recordRevision is that of the stored record of this node's process, as far as is
+	// known, registeredAt when this process last wrote it.
+	recordRevision store.Revision
+	registeredAt   time.Time
 }
 
 // New returns a Cluster whose only known member is this process.
@@ -292,6 +296,9 @@
 		} else {
 			err = c.keepAlive(ctx, lease)
 		}
+		if err == nil && lease != 0 {
+			err = c.restoreRecord(ctx, lease)
+		}
 		if err != nil {
 			pause.For(ctx, pause.Jitter(retryInterval))
 			continue
@@ -335,15 +342,6 @@
 	return nil
 }
 
-func (c *Cluster) register(ctx context.Context, lease store.LeaseID) error {
-	self := c.Self
-	c.mu.Lock()
-	self.Draining = c.leaving
-	c.mu.Unlock()
-	_, err := c.Store.Commit(ctx, store.Txn{Puts: []store.Put{{Key: poolstore.MemberKey(c.Self.Zone, c.Self.Node), Value: encode(self), Lease: lease}}})
-	return err
-}
-
 func encode(value any) []byte {
 	data, err := json.Marshal(value)
 	if err != nil {
