A crash long after a run's start does not prove that its task crashes hosts

Cause: each crash under a run that was seen to execute counted as proven, however long it had executed. Evidence: the stand-in's record, runs of 6.4, 6.4, 6.4, 1.4 and 1.4 s before their hosts went.

A run that had executed for 1 s when its host last responded now proves nothing. Tasks that crash their hosts do so 10 ms after their start (docs/incidents/crashing-tasks.md), and hosts respond twice a second.

--- a/internal/sched/evidence.go
+++ b/internal/sched/evidence.go
@@ -27,6 +27,10 @@
 	// promptCrash is how long after the start of a run its host must have responded
 	// for the start not to have crashed it.
 	promptCrash = 500 * time.Millisecond
+	// lateCrash is how long a run must have executed when its host last responded for the
+	// crash to prove nothing: tasks crash their hosts as they start, and hosts respond at
+	// least twice a second.
+	lateCrash = time.Second
 )
 
 // Proof is how far a crash is known to be a task's doing.
@@ -34,8 +38,8 @@
 
 const (
 	// Unproven: the run may not have executed when its host crashed, or the host may
-	// not have crashed, or the run had executed for long and other hosts crashed at
-	// the same moment.
+	// not have crashed, or the run had executed for lateCrash, or for promptCrash while
+	// other hosts crashed at the same moment.
 	Unproven Proof = "unproven"
 	// Presumed: proven once its host's incarnation is known to have ended. An earlier
 	// holder that was lost before it knew that has stored it.
@@ -85,7 +89,7 @@
 		c.Executed = r.host.repliedAt.Sub(r.startedAt)
 	}
 	switch {
-	case !p.executedUntilCrash(r, evidence) || c.Executed >= promptCrash && c.Unexplained > 0:
+	case !p.executedUntilCrash(r, evidence) || c.Executed >= lateCrash || c.Executed >= promptCrash && c.Unexplained > 0:
 	case r.stopsInDoubt == 0 && c.Alone && c.Unexplained == 0 && c.Executed < promptCrash:
 		c.Proof = Decisive
 	default:
--- a/internal/sched/giveup_test.go
+++ b/internal/sched/giveup_test.go
@@ -188,6 +188,17 @@
 	}
 }
 
+// Guards against giving up a job whose hosts crash one after the other, most of them long
+// after its task had started there.
+func TestHostsThatCrashInTurnUnderALongTaskDoNotFailItsJob(t *testing.T) {
+	s := newCrashScript(t, 8, work.Step{}, nil)
+	for _, length := range []time.Duration{3 * time.Second, 1200 * time.Millisecond, 2500 * time.Millisecond, 3 * time.Second, 2500 * time.Millisecond} {
+		s.crash(s.executed(length))
+		s.pass(time.Second, nil)
+		s.mustNotFail()
+	}
+}
+
 // Guards against giving up a job whose runs ended unheard on hosts that were cut off and
 // crashed later.
 func TestHostsThatWereSilentBeforeTheyCrashedDoNotFailJobs(t *testing.T) {
