--- a/internal/sched/evidence.go
+++ b/internal/sched/evidence.go
@@ -83,7 +83,7 @@
 
 // crashOf returns what is known of the loss of a run's host.
 func (p *Pool) crashOf(r *run, evidence Evidence) Crash {
-	c := Crash{Run: r.number, Proof: Unproven, Host: r.host.ID, Born: r.host.life.born, Seen: !r.startedAt.IsZero(), Alone: r.wasAlone()}
+	c := Crash{Run: r.number, Proof: Unproven, Host: r.host.ID, Born: r.host.life.incarnation, Seen: !r.startedAt.IsZero(), Alone: r.wasAlone()}
 	c.LostTogether, c.Unexplained = p.lostTogether(r.host)
 	if c.Seen {
 		c.Executed = r.host.repliedAt.Sub(r.startedAt)
--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -36,8 +36,8 @@
 // life is what is known of one incarnation of a host. Nothing of it holds for the
 // next one.
 type life struct {
-	// born is the incarnation, zero if unknown.
-	born int64
+	// incarnation is when it started, as in worker.Host.Born, zero if unknown.
+	incarnation int64
 	// reached is set once the host has answered a heartbeat with this holder's
 	// fencing token.
 	reached bool
@@ -88,7 +88,7 @@
 
 // target returns the address for orders to the host's present incarnation.
 func (h *host) target() worker.Target {
-	return worker.Target{ID: h.ID, Address: h.Address, Born: h.born}
+	return worker.Target{ID: h.ID, Address: h.Address, Born: h.incarnation}
 }
 
 // unstoredEnd is an end that may not be stored yet.
--- a/internal/sched/presumed.go
+++ b/internal/sched/presumed.go
@@ -38,7 +38,7 @@
 	}
 	for _, r := range t.currentRuns() {
 		if h := r.host; t.crashIndex(r.number) < 0 && r.executedUntilRefusal() && r.justStarted() && !h.leaving {
-			presumed = append(presumed, work.PresumedCrash{Run: r.number, Host: h.ID, Address: h.Address, Born: h.life.born})
+			presumed = append(presumed, work.PresumedCrash{Run: r.number, Host: h.ID, Address: h.Address, Born: h.life.incarnation})
 		}
 	}
 	return presumed
@@ -113,7 +113,7 @@
 	delete(p.presumed, h.ID)
 	for _, c := range end.crashes {
 		switch {
-		case sameIncarnation(c.born, h.life.born):
+		case sameIncarnation(c.born, h.life.incarnation):
 			c.task.settlePresumed(h.ID, c.born, Unproven)
 		case !p.claimUnconfirmed:
 			p.proveCrash(c, h.ID, now, wall)
--- a/internal/sched/restart.go
+++ b/internal/sched/restart.go
@@ -22,7 +22,7 @@
 
 // describedByEntry reports whether the platform's entry is of the incarnation that
 // replied last. The room and labels of another one may differ.
-func (h *host) describedByEntry() bool { return sameIncarnation(h.Host.Born, h.life.born) }
+func (h *host) describedByEntry() bool { return sameIncarnation(h.Host.Born, h.life.incarnation) }
 
 // recognize reports whether a reply to a heartbeat sent at sent is of a host's present
 // incarnation, and starts a later one. A late reply of an earlier one must not bring it
@@ -35,9 +35,9 @@
 		born = h.Host.Born
 	}
 	switch {
-	case born == 0 || born == h.life.born:
-	case h.life.born == 0:
-		h.life.born = born
+	case born == 0 || born == h.life.incarnation:
+	case h.life.incarnation == 0:
+		h.life.incarnation = born
 		if !p.upAtTakeover(reply.ClockMs, now) {
 			p.awaitRoster(h.ID)
 		}
@@ -80,7 +80,7 @@
 	}
 	loss.Unsettled = len(unsettled)
 	p.losses = append(p.losses, loss)
-	next := life{born: born, health: newHealth(), firstSeen: now}
+	next := life{incarnation: born, health: newHealth(), firstSeen: now}
 	if now.Sub(lastOrderAt) < attemptsOutlast {
 		next.strayLeaseUntil = now.Add(LeaseUpperBound(p.MaxLeaseTTL))
 	}
@@ -115,7 +115,7 @@
 		p.fenced = true
 	}
 	h := p.hosts[to.ID]
-	if h == nil || !sameIncarnation(to.Born, h.life.born) {
+	if h == nil || !sameIncarnation(to.Born, h.life.incarnation) {
 		return nil
 	}
 	return h
--- a/internal/sched/restart_test.go
+++ b/internal/sched/restart_test.go
@@ -149,7 +149,7 @@
 	s.reply(worker.HeartbeatReply{})
 	late := worker.HeartbeatReply{Born: born, ClockMs: 60_000, Running: []worker.Report{{Task: restartTask, Run: 1}}}
 	s.p.ApplyHeartbeat("w", sent, late, s.now, s.now)
-	must.EqOp(t, s.host.Born, s.p.hosts["w"].life.born)
+	must.EqOp(t, s.host.Born, s.p.hosts["w"].life.incarnation)
 	must.EqOp(t, 0, len(s.p.hosts["w"].runs))
 }
 
@@ -160,7 +160,7 @@
 	s.restart()
 	s.host.Born = firstBorn - 500
 	s.reply(worker.HeartbeatReply{})
-	must.EqOp(t, firstBorn-500, s.p.hosts["w"].life.born)
+	must.EqOp(t, firstBorn-500, s.p.hosts["w"].life.incarnation)
 }
 
 // Guards against a task that runs twice: an attempt to send its start reaches the host's
