--- a/internal/sched/jobs.go
+++ b/internal/sched/jobs.go
@@ -30,6 +30,9 @@
 	for _, t := range progress.Tasks {
 		j.restored[taskKey{t.Occurrence, t.Step, t.Index}] = t
 	}
+	for _, t := range progress.Tasks {
+		p.addOccurrencesTo(j, t.Occurrence, now, wall)
+	}
 	j.started = len(progress.Tasks) > 0 || len(progress.OccurrencesDone) > 0
 	if progress.State != "" {
 		j.state, j.storedState = progress.State, progress.State
@@ -225,25 +228,47 @@
 
 // addDueOccurrences creates the occurrences that have come due.
 func (p *Pool) addDueOccurrences(j *job, now, wall time.Time) {
-	spec := &j.record.Spec
-	for j.nextOccurrence < spec.Occurrences() {
-		due := j.arrived
-		if spec.Repeats > 0 {
-			dueWall := time.UnixMilli(spec.FirstMs).Add(time.Duration(j.nextOccurrence) * spec.Interval)
-			if wall.Before(dueWall) {
-				return
-			}
-			due = now.Add(-wall.Sub(dueWall))
-		}
-		if !j.doneOccurrences[j.nextOccurrence] {
-			o := newOccurrence(j, j.nextOccurrence, due, now)
-			j.occurrences = append(j.occurrences, o)
-			p.watchPresumed(o, now)
+	for j.nextOccurrence < j.record.Spec.Occurrences() {
+		due := j.nextDue(now, wall)
+		if j.record.Spec.Repeats > 0 && due.After(now) {
+			return
 		}
-		j.nextOccurrence++
+		p.addOccurrence(j, due, now)
+	}
+}
+
+// addOccurrencesTo creates the occurrences up to a number that an earlier holder has begun.
+// Its time of day may have been ahead: without them, what its hosts report and what it
+// stored of them would be dropped. They start when they are due here.
+func (p *Pool) addOccurrencesTo(j *job, number int, now, wall time.Time) {
+	for j.nextOccurrence <= min(number, j.record.Spec.Occurrences()-1) {
+		p.addOccurrence(j, j.nextDue(now, wall), now)
 	}
 }
 
+// nextDue returns when the next occurrence is due.
+func (j *job) nextDue(now, wall time.Time) time.Time {
+	spec := &j.record.Spec
+	if spec.Repeats == 0 {
+		return j.arrived
+	}
+	return now.Add(time.UnixMilli(spec.FirstMs).Add(time.Duration(j.nextOccurrence) * spec.Interval).Sub(wall))
+}
+
+func (p *Pool) addOccurrence(j *job, due, now time.Time) {
+	if !j.doneOccurrences[j.nextOccurrence] {
+		o := newOccurrence(j, j.nextOccurrence, due, now)
+		j.occurrences = append(j.occurrences, o)
+		p.watchPresumed(o, now)
+	}
+	j.nextOccurrence++
+}
+
+// begun reports whether an occurrence is due.
+func (o *occurrence) begun(now time.Time) bool {
+	return o.job.record.Spec.Repeats == 0 || !o.due.After(now)
+}
+
 // newOccurrence creates the tasks of one occurrence, with the progress that was
 // restored at the takeover.
 func newOccurrence(j *job, number int, due, now time.Time) *occurrence {
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -86,6 +86,9 @@
 			continue
 		}
 		for _, o := range j.occurrences {
+			if !o.begun(pl.now) {
+				continue
+			}
 			for _, s := range o.steps {
 				if s.waiting > 0 && s.ready() && pl.takeoverSettled(s) {
 					c := pl.rank(s)
--- a/internal/sched/replies.go
+++ b/internal/sched/replies.go
@@ -49,7 +49,7 @@
 }
 
 func (p *Pool) applyEnd(h *host, j *job, end worker.RunEnd, now, wall time.Time) {
-	p.addDueOccurrences(j, now, wall)
+	p.addOccurrencesTo(j, end.Task.Occurrence, now, wall)
 	t := j.find(end.Task)
 	if t == nil {
 		return
@@ -232,7 +232,7 @@
 		// the run going forever, so it is stopped as a run of a placeholder task.
 		j = placeholderJob(report.Task)
 	}
-	p.addDueOccurrences(j, now, wall)
+	p.addOccurrencesTo(j, report.Task.Occurrence, now, wall)
 	t := j.find(report.Task)
 	if t == nil {
 		t = placeholderTask(j, report.Task)
