Take the lock to add a wave, which other goroutines look up

Cause: loadWaveState adds to the map of waves without the lock under which reserveDown reads it in goroutines of its own.

--- a/internal/hostmanager/waves.go
+++ b/internal/hostmanager/waves.go
@@ -54,7 +54,9 @@
 	}
 	state.revision = entry.ModRevision
 	state.startedAt = time.Now().Add(-min(wave.TimeLimit, max(0, time.Since(time.UnixMilli(state.StartedMs)))))
+	m.mu.Lock()
 	m.waves[wave.Number] = state
+	m.mu.Unlock()
 	m.Log.Info().Int64("wave", wave.Number).Int("hosts", len(wave.Hosts)).Int("done", len(state.Done)).Dur("within", wave.TimeLimit).Msg("Managing a wave.")
 	return state
 }
