A changed queue record on a side lane no longer stops the pool's holder

Callers would see, since the record of a queue's pools: jobs of a pool wait without end after its holder has stopped, in a slow store while another pool gets its first jobs of the queue.

Cause: two conflicts were taken for another process's doing. A side lane that the holder has not used yet has no record, or an earlier holder's; and a second batch that fails for a change which the first has taught compared with what is known by now, not with what it had required.

A lane counts as unchanged by its revision and the fence, and a conflict is judged by the conditions of the batch itself.

The new test of the lanes failed before in both settings.

--- a/internal/entryhost/movedqueue_test.go
+++ b/internal/entryhost/movedqueue_test.go
@@ -188,6 +188,53 @@
 	return both
 }
 
+// movingDaysInCI is the default number of days with a queue whose pool changes.
+const movingDaysInCI = 12
+
+// The days of large sites on which all jobs are of one queue, which goes to either pool, and
+// are submitted again to the other one. No task may run in both, and each pool knows the jobs
+// of the other. GLADE_FIRST_MOVING_DAY and GLADE_MOVING_DAYS select others.
+func TestRandomDaysWithAQueueOfTwoPools(t *testing.T) {
+	runDays(t, envInt(t, "GLADE_FIRST_MOVING_DAY", 0), envInt(t, "GLADE_MOVING_DAYS", movingDaysInCI), func(d *day, seed int) {
+		d.siteFaults = rand.New(rand.NewPCG(uint64(seed), 9))
+		d.moves = rand.New(rand.NewPCG(uint64(seed), 15))
+	})
+}
+
+// repeat is a submission that arrives again at a later time.
+type repeat struct {
+	record *work.JobRecord
+	at     time.Time
+}
+
+// moveQueue makes a job one of the queue of both pools, and has it submitted again.
+func (d *day) moveQueue(record *work.JobRecord) {
+	record.Queue.Path = "host/moving/"
+	other := map[string]string{"day": "night", "night": "day"}[record.Queue.Pool]
+	for range d.moves.IntN(3) {
+		d.repeats = append(d.repeats, repeat{moved(record, other), time.Now().Add(time.Duration(d.moves.IntN(5000)) * time.Millisecond)})
+	}
+}
+
+// repeatDue submits the jobs again that are due, and asks the other pool for those that were
+// accepted long enough ago.
+func (d *day) repeatDue() {
+	var later []repeat
+	for _, r := range d.repeats {
+		if time.Now().Before(r.at) {
+			later = append(later, r)
+			continue
+		}
+		e := d.anyEntry()
+		e.Jobs.SubmitJob(d.ctx, r.record)
+		_, accepted := d.accepted[r.record.ID]
+		if _, known, ok := e.Jobs.JobState(d.ctx, refOf(r.record, r.record.Queue.Pool)); accepted && ok {
+			must.True(d.t, known, must.Sprintf("job %s is known to pool %s", r.record.ID, r.record.Queue.Pool))
+		}
+	}
+	d.repeats = later
+}
+
 // Guards against a pool that is asked for a queue's jobs for ever, though it has none.
 func TestPoolWithoutJobsOfAQueueIsRemovedFromItsRecord(t *testing.T) {
 	runTest(t, 1, func(dep *deployment) {
--- a/internal/entryhost/random_test.go
+++ b/internal/entryhost/random_test.go
@@ -185,7 +185,11 @@
 	hostCrashes *rand.Rand
 	// limits draws the organisations of jobs and the changes of their limits, nil for
 	// none.
-	limits      *rand.Rand
+	limits *rand.Rand
+	// moves draws when jobs are submitted again to the other pool, as if their queue had
+	// gone there, nil for never.
+	moves       *rand.Rand
+	repeats     []repeat
 	accepted    map[string]string
 	longRunning map[string]string
 	gone        map[string]bool
@@ -216,6 +220,7 @@
 			d.changeLimits()
 		}
 		d.submit()
+		d.repeatDue()
 		time.Sleep(time.Duration(d.random.IntN(400)) * time.Millisecond)
 	}
 	d.clearFaults()
@@ -276,6 +281,9 @@
 	if d.limits != nil && !isLongRunning {
 		record.Organisation = []string{"a", "b", "c"}[d.limits.IntN(3)]
 	}
+	if d.moves != nil {
+		d.moveQueue(record)
+	}
 	crashOnStart := d.crashFaults != nil && !isLongRunning && d.crashFaults.IntN(12) == 0
 	if crashOnStart {
 		d.crashOnStart(record.ID)
--- a/internal/poolmanager/lanes_test.go
+++ b/internal/poolmanager/lanes_test.go
@@ -115,6 +115,44 @@
 	})
 }
 
+// Guards against a holder that takes itself for replaced: another pool gets jobs of the
+// queue while commits are in flight on side lanes that were never used, or by an earlier
+// holder only.
+func TestChangedQueueOnASideLaneKeepsTheHolder(t *testing.T) {
+	for name, takeovers := range map[string]int{"unused lanes": 1, "lanes of an earlier holder": 2} {
+		t.Run(name, func(t *testing.T) {
+			runEnv(t, emulate.WorkersConfig{Seed: 1}, 12, func(e *env) {
+				var m *runningManager
+				for range takeovers {
+					if m != nil {
+						m.kill()
+						<-m.ended
+					}
+					m = e.takeOver(true)
+					e.store.SetLatency(slowResponse)
+					e.submit(m, shortStep(1))
+					_, results := e.submitAll(m, 200)
+					results()
+					e.store.SetLatency(0)
+				}
+				e.store.SetLatency(slowResponse)
+				_, results := e.submitAll(m, 200)
+				time.Sleep(100 * time.Millisecond)
+				e.store.SetLatency(0)
+				path := "host/" + pool + "/"
+				queue, err := poolstore.ReadQueuePools(e.ctx, e.store, path)
+				must.NoError(t, err)
+				_, err = e.store.Commit(e.ctx, store.Txn{Puts: []store.Put{{Key: poolstore.QueueKey(path), Value: queue.With("other").Encode()}}})
+				must.NoError(t, err)
+				for _, result := range results() {
+					must.EqOp(t, poolmanager.Stored, result)
+				}
+				must.EqOp(t, 0, len(m.ended))
+			})
+		})
+	}
+}
+
 // A response is lost on a side lane. The commit must be sent again, and the
 // lane's own key must show that it was applied.
 func TestLostSideLaneResponsesAreResolved(t *testing.T) {
--- a/internal/poolmanager/outcome.go
+++ b/internal/poolmanager/outcome.go
@@ -105,12 +105,14 @@
 	entry := conflict.Find(b.lane.key(m.Pool))
 	record, err := poolstore.DecodeHead(entry)
 	ours := err == nil && record.Holder == m.Holder && record.Fence == m.head.Fence
+	// A lane that this holder has not used yet has no record, or that of an earlier one.
+	unchanged := entry.ModRevision == b.lane.revision && m.stillFenced(b, conflict)
 	switch {
 	case ours && record.Sequence == b.sequence:
 		m.applyCommit(b, entry.ModRevision)
-	case ours && entry.ModRevision == b.lane.revision && m.stillFenced(b, conflict) && m.queueConflicts(b, conflict):
+	case unchanged && m.queueConflicts(b, conflict):
 		m.dissolve(b)
-	case ours && entry.ModRevision == b.lane.revision && b.restoresClaim:
+	case unchanged && b.restoresClaim:
 		// Only the condition on the claim failed: the claim exists already.
 		m.claimMissing = false
 		m.handleRefusal(b)
--- a/internal/poolmanager/queues.go
+++ b/internal/poolmanager/queues.go
@@ -48,10 +48,11 @@
 // addSubmission adds a submitted job to a batch, if that takes at most room operations. It
 // returns the room left.
 func (m *Manager) addSubmission(b *batch, s *submission, room int) int {
-	needs, ok := m.submissionTxn(b, s)
+	needs, others, ok := m.submissionTxn(b, s)
 	if !ok || needs.OpCount() > room {
 		return room
 	}
+	s.absentFrom = others
 	b.txn.Conditions = append(b.txn.Conditions, needs.Conditions...)
 	b.txn.Puts = append(b.txn.Puts, needs.Puts...)
 	b.submissions = append(b.submissions, s)
@@ -66,27 +67,28 @@
 	return room - needs.OpCount()
 }
 
-// submissionTxn returns what a submitted job adds to a batch. ok is false while another
-// batch writes the record of its queue's pools.
-func (m *Manager) submissionTxn(b *batch, s *submission) (txn store.Txn, ok bool) {
+// submissionTxn returns what a submitted job adds to a batch, and the pools that must not
+// have it. ok is false while another batch writes the record of its queue's pools.
+func (m *Manager) submissionTxn(b *batch, s *submission) (txn store.Txn, others []string, ok bool) {
 	if path := s.record.Queue.Path; path != "" {
 		key := poolstore.QueueKey(path)
 		q := m.queues.get(key)
 		if q.changing != nil && q.changing != b {
-			return txn, false
+			return txn, nil, false
 		}
 		if !slices.Contains(b.queues, key) {
 			txn = q.Registration(key, m.Pool)
 		}
 		if !s.inInbox {
 			// Accepted in the inbox, a job was absent elsewhere then.
-			for _, other := range q.Others(m.Pool) {
+			others = q.Others(m.Pool)
+			for _, other := range others {
 				txn.Conditions = append(txn.Conditions, poolstore.JobAbsent(other, s.record.ID)...)
 			}
 		}
 	}
 	txn.Puts = append(txn.Puts, store.Put{Key: poolstore.JobKey(m.Pool, s.record.ID), Value: work.EncodeRecord(s.record)})
-	return txn, true
+	return txn, others, true
 }
 
 // retireInterval is how often queues are looked for of which the pool has no job any more.
@@ -166,34 +168,58 @@
 // changed or another pool has one of its jobs. It learns the records, and ends the
 // submissions of those jobs: they live where they were accepted.
 func (m *Manager) queueConflicts(b *batch, conflict *store.TxnConflictError) (found bool) {
-	others := make(map[string][]string)
 	for _, key := range b.queues {
-		q, entry := m.queues.get(key), conflict.Find(key)
-		others[key] = q.Others(m.Pool)
-		if entry.ModRevision == q.Revision {
-			continue
-		}
-		found = true
-		pools, err := poolstore.DecodeQueuePools(entry)
-		if err != nil {
-			m.Log.Error().Err(err).Str("queue_key", key).Msg("Cannot decode the pools of a queue; they are written anew.")
+		if entry := conflict.Find(key); entry.ModRevision != b.expected(key) {
+			found = true
+			m.learnQueue(key, entry)
 		}
-		q.QueuePools = pools
 	}
 	for _, s := range b.submissions {
-		for _, other := range others[poolstore.QueueKey(s.record.Queue.Path)] {
-			if !s.inInbox && poolstore.HasJob(conflict, other, s.record.ID) {
-				found = true
-				m.Log.Info().Str("job", s.record.ID).Str("queue", s.record.Queue.Name).Str("lives_in", other).Msg("Another pool has accepted a job before.")
-				m.dropSubmission(s.record.ID)
-				s.resolve(Elsewhere)
-				break
-			}
+		if other := s.livesIn(conflict); other != "" {
+			found = true
+			m.Log.Info().Str("job", s.record.ID).Str("queue", s.record.Queue.Name).Str("lives_in", other).Msg("Another pool has accepted a job before.")
+			m.dropSubmission(s.record.ID)
+			s.resolve(Elsewhere)
 		}
 	}
 	return found
 }
 
+// learnQueue updates the record of a queue's pools from a failed commit, unless another one
+// has shown a newer record.
+func (m *Manager) learnQueue(key string, entry store.Entry) {
+	q := m.queues.get(key)
+	if entry.ModRevision != 0 && entry.ModRevision <= q.Revision {
+		return
+	}
+	pools, err := poolstore.DecodeQueuePools(entry)
+	if err != nil {
+		m.Log.Error().Err(err).Str("queue_key", key).Msg("Cannot decode the pools of a queue; they are written anew.")
+	}
+	q.QueuePools = pools
+}
+
+// expected returns the revision that a batch requires of a key.
+func (b *batch) expected(key string) store.Revision {
+	for _, c := range b.txn.Conditions {
+		if c.Key == key {
+			return c.Expect
+		}
+	}
+	return 0
+}
+
+// livesIn returns the pool that has accepted a submitted job before, as the failed commit of
+// its batch shows, or an empty string.
+func (s *submission) livesIn(conflict *store.TxnConflictError) string {
+	for _, other := range s.absentFrom {
+		if poolstore.HasJob(conflict, other, s.record.ID) {
+			return other
+		}
+	}
+	return ""
+}
+
 // dissolve gives up a batch that can't be applied any more: a record that it depends on
 // has changed, or a job exists that must be absent. Its number is not used again, as
 // attempts of it may still be under way.
--- a/internal/poolmanager/submit.go
+++ b/internal/poolmanager/submit.go
@@ -48,6 +48,9 @@
 	// maybeStored is set while a commit that contains the job may have been
 	// applied.
 	maybeStored bool
+	// absentFrom are the other pools of its queue that must not have the job, as of its
+	// last batch.
+	absentFrom []string
 	// batch is the batch in flight that contains the job, or nil.
 	batch *batch
 	// submittedAt is when the job was submitted.
