A pool whose manager stopped by itself is claimed again

Callers would see: a pool without a holder for as long as the entry host lives on which its manager has stopped by itself, by a panic for example; its jobs wait and lasting tasks lapse.

Cause: the process forgets the claim, the store keeps it under the process's lease, and no event tells of it again; each new claim fails for it.

A claim that fails now learns the claim that is there; adopt releases it. The test failed before.

--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -73,6 +73,27 @@
 	})
 }
 
+// Guards against a pool that nobody holds for as long as a process lives: the manager of the
+// pool there has stopped by itself, and its claim is still in the store.
+func TestPoolWhoseManagerStoppedIsClaimedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		fences := make(chan int64, 8)
+		m := New(Config{
+			Store: memstore.New(), Self: Member{Node: "n", Incarnation: "1", CPUShare: 0.8}, Log: zerolog.Nop(), Pools: func() []string { return []string{"a"} },
+			StartPool: func(g Takeover) HeldPool { fences <- g.Head.Fence; return noopPool{} },
+		})
+		go func() { _ = m.Run(ctx) }()
+		must.EqOp(t, 1, <-fences)
+		time.Sleep(time.Second)
+		m.PoolReleased("a")
+		time.Sleep(3 * time.Second)
+		must.EqOp(t, 1, len(fences))
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
+
 // A slow host without others claims all pools soon.
 func TestSlowHostAloneClaimsAllPools(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/cluster/elect.go
+++ b/internal/cluster/elect.go
@@ -164,6 +164,7 @@
 		// If the claim was written nonetheless, it shows in the watch and is found
 		// by adopt, or it expires with the lease.
 		c.Log.Info().Err(err).Str("pool", pool).Msg("Failed to claim the pool.")
+		c.learnClaim(pool, err)
 		c.postpone(pool)
 		return
 	}
@@ -174,6 +175,19 @@
 	c.runPool(takeover)
 }
 
+// learnClaim records the claim that a failed commit has found. A claim of this process whose
+// manager has stopped by itself is in the store and no longer known here, and no event tells
+// of it again: without this, every later claim fails for it. Once known, adopt releases it.
+func (c *Cluster) learnClaim(pool string, failed error) {
+	conflict, ok := failed.(*store.TxnConflictError)
+	if !ok {
+		return
+	}
+	if entry := conflict.Find(poolstore.ClaimKey(pool)); entry.ModRevision != 0 {
+		c.applyEvents([]store.Event{{Entry: entry}})
+	}
+}
+
 // postpone lets the next candidate try first.
 func (c *Cluster) postpone(pool string) {
 	c.mu.Lock()
--- a/internal/cluster/membership_test.go
+++ b/internal/cluster/membership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,14 +18,15 @@
 // lateStore executes commits late while late is set, without an answer.
 type lateStore struct {
 	*memstore.Store
-	late time.Duration
+	late atomic.Int64
 }
 
 func (s *lateStore) Commit(ctx context.Context, txn store.Txn) (store.Revision, error) {
-	if s.late == 0 {
+	late := time.Duration(s.late.Load())
+	if late == 0 {
 		return s.Store.Commit(ctx, txn)
 	}
-	time.AfterFunc(s.late, func() { _, _ = s.Store.Commit(context.WithoutCancel(ctx), txn) })
+	time.AfterFunc(late, func() { _, _ = s.Store.Commit(context.WithoutCancel(ctx), txn) })
 	return 0, &store.UnknownOutcomeError{}
 }
 
@@ -52,10 +54,10 @@
 		before := newMember(s, "1", taken)
 		go func() { _ = before.Run(first) }()
 		time.Sleep(3 * time.Second)
-		s.late = 1500 * time.Millisecond
+		s.late.Store(int64(1500 * time.Millisecond))
 		before.Leave(ctx)
 		stop()
-		s.late = 0
+		s.late.Store(0)
 		after := newMember(s.Store, "2", taken)
 		go func() { _ = after.Run(ctx) }()
 		time.Sleep(12 * time.Second)
