Counts of waiting jobs do not wait for the store

Callers would see, since counts include the pools that a queue had before: a GET of a queue takes up to half a second while the store does not respond, which it did not ask before.

Cause: the record of the queue's pools was read within the call.

Only the first call for a queue waits for the read now; later ones use the record known last and have it read again beside. The test failed before.

--- a/internal/entryhost/movedqueue_test.go
+++ b/internal/entryhost/movedqueue_test.go
@@ -135,6 +135,25 @@
 	})
 }
 
+// Guards against counts that wait for a store that does not respond.
+func TestCountsDoNotWaitForTheStore(t *testing.T) {
+	runTest(t, 3, func(dep *deployment) {
+		e := dep.anyEntry()
+		queue := dep.record("day").Queue
+		_, ok := e.Jobs.QueueLength(dep.ctx, queue)
+		must.True(t, ok)
+		dep.store.SetLatency(2 * time.Second)
+		for range 4 {
+			time.Sleep(time.Second)
+			began := time.Now()
+			_, ok = e.Jobs.QueueLength(dep.ctx, queue)
+			must.True(t, ok)
+			must.Less(t, 100*time.Millisecond, time.Since(began))
+		}
+		dep.store.SetLatency(0)
+	})
+}
+
 // Guards against two pools that both accept a job: entry hosts with different versions of
 // the configuration submit it at the same moment.
 func TestOneOfTwoPoolsAcceptsAJob(t *testing.T) {
--- a/internal/jobrouter/queuelength.go
+++ b/internal/jobrouter/queuelength.go
@@ -69,23 +69,39 @@
 	return count, held && err == nil
 }
 
-// formerPoolsOf returns the pools besides its own that may have jobs of a queue. If the
-// store does not answer, they are those known last.
+// formerPoolsOf returns the pools besides its own that may have jobs of a queue. Only the
+// first call for a queue waits for the store: its outage must not hold up counts.
 func (r *Router) formerPoolsOf(ctx context.Context, queue work.Queue) []string {
 	r.mu.Lock()
-	last := r.pools[queue.Path]
+	last, known := r.pools[queue.Path]
+	due := time.Since(last.at) >= queuePoolsTTL
+	if due {
+		r.pools[queue.Path] = cachedPools{last.QueuePools, time.Now()}
+	}
 	r.mu.Unlock()
-	if time.Since(last.at) < queuePoolsTTL {
-		return last.Others(queue.Pool)
+	switch {
+	case !due:
+	case known:
+		go r.refreshPools(context.WithoutCancel(ctx), queue)
+	default:
+		r.refreshPools(ctx, queue)
+		r.mu.Lock()
+		last = r.pools[queue.Path]
+		r.mu.Unlock()
 	}
+	return last.Others(queue.Pool)
+}
+
+// refreshPools reads the record of a queue's pools. If the store does not answer, the pools
+// known last stay.
+func (r *Router) refreshPools(ctx context.Context, queue work.Queue) {
 	began := time.Now()
 	pools, err := r.queuePools(ctx, queue.Path)
 	if err != nil {
-		r.Log.Info().Err(err).Str("queue", queue.Name).Dur("age_ms", time.Since(last.at)).Msg("Counting in the pools that a queue was known to have.")
-		return last.Others(queue.Pool)
+		r.Log.Info().Err(err).Str("queue", queue.Name).Msg("Failed to read the pools of a queue; counting in those known last.")
+		return
 	}
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.pools[queue.Path] = cachedPools{pools, began}
-	r.mu.Unlock()
-	return pools.Others(queue.Pool)
 }
