Say of a long-running task without a run what it waits for

A holder's log had a count of waiting tasks every 5 s; whether one waited for a takeover, for its host's leases, for a pause after crashes or for a host could not be told apart. Now a line after 2 s and every 2 s, one when it is back in service, with the time spent on each reason; the takeover's line says whether the previous holder had stopped and how long hosts are waited for; a line for each host that never answered. No decision changes: the time added where the previous holder may go on moved from entryhost to poolmanager.

--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -193,16 +193,12 @@
 	if takeover.Pool == hostmanager.ClaimName {
 		return h.startHostManager(takeover)
 	}
-	config := h.Sched
-	if !takeover.PreviousStopped {
-		config.PriorLeaseTTL += poolmanager.ConfirmationTimeout
-	}
 	router := h.router(takeover)
 	manager := poolmanager.New(poolmanager.Config{
 		Pool: takeover.Pool, Holder: h.Self.HolderID(), Store: h.Access, Workers: router, Hosts: router, Adviser: h.Adviser, Limits: h.Limits, Starts: h.starts,
-		Sched: config, Log: telemetry.PartLogger(h.Log, "pool").With().Str("pool", takeover.Pool).Logger(), Metrics: h.poolMetrics,
+		Sched: h.Sched, Log: telemetry.PartLogger(h.Log, "pool").With().Str("pool", takeover.Pool).Logger(), Metrics: h.poolMetrics,
 	}, poolmanager.Takeover{
-		Head: takeover.Head, Revision: takeover.Revision, Claim: takeover.Claim, Lease: takeover.Lease,
+		Head: takeover.Head, Revision: takeover.Revision, Claim: takeover.Claim, Lease: takeover.Lease, PreviousStopped: takeover.PreviousStopped,
 	})
 	h.mu.Lock()
 	h.managers[takeover.Pool] = manager
--- a/internal/poolmanager/harness_test.go
+++ b/internal/poolmanager/harness_test.go
@@ -100,10 +100,6 @@
 		},
 	})
 	must.NoError(e.t, err)
-	priorLeaseTTL := sched.LeaseUpperBound(leaseTTL)
-	if !previousStopped {
-		priorLeaseTTL += poolmanager.ConfirmationTimeout
-	}
 	through := e.through
 	if through == nil {
 		through = e.store
@@ -112,9 +108,9 @@
 		Pool: pool, Holder: holder, Store: through, Workers: e.calls, Hosts: e.workers, Limits: e.limits, Starts: e.starts, Log: zerolog.Nop(),
 		Metrics: poolmanager.NewMetrics(nil),
 		Sched: sched.Config{
-			LeaseTTL: leaseTTL, PriorLeaseTTL: priorLeaseTTL, StopGrace: stopGrace, RemoteFactor: 3, StatusRetention: time.Minute,
+			LeaseTTL: leaseTTL, PriorLeaseTTL: sched.LeaseUpperBound(leaseTTL), StopGrace: stopGrace, RemoteFactor: 3, StatusRetention: time.Minute,
 		},
-	}, poolmanager.Takeover{Head: head, Revision: takenAt})
+	}, poolmanager.Takeover{Head: head, Revision: takenAt, PreviousStopped: previousStopped})
 	ctx, cancel := context.WithCancel(e.ctx)
 	ended := make(chan error, 1)
 	go func() { ended <- m.Run(ctx) }()
--- a/internal/poolmanager/loading.go
+++ b/internal/poolmanager/loading.go
@@ -43,5 +43,5 @@
 	}
 	m.Metrics.takeovers.Inc()
 	m.Log.Info().Int64("fence", m.head.Fence).Int("jobs", len(loaded.Jobs)).Int("roster", len(m.head.HostsInUse)).Int("silent", len(m.head.Unresponsive)).
-		Dur("loading_ms", time.Since(began)).Msg("Took over the pool.")
+		Bool("previous_stopped", m.takeover.PreviousStopped).Dur("prior_lease_ms", m.Sched.PriorLeaseTTL).Dur("loading_ms", time.Since(began)).Msg("Took over the pool.")
 }
--- a/internal/poolmanager/losses.go
+++ b/internal/poolmanager/losses.go
@@ -12,6 +12,9 @@
 // reportLosses logs and counts the hosts that were lost with runs on them, and those that
 // restarted under their ID.
 func (m *Manager) reportLosses() {
+	for _, h := range m.pool.UnansweredHosts() {
+		m.Log.Warn().Str("host", h.Host).Dur("waited_ms", h.Waited).Msg("A host of the previous holder did not answer; nothing runs there any more.")
+	}
 	for _, loss := range m.pool.Losses() {
 		m.Metrics.lostHosts.WithLabelValues(string(loss.Evidence)).Inc()
 		m.Metrics.lostRuns.Add(float64(len(loss.Runs)))
--- a/internal/poolmanager/manager.go
+++ b/internal/poolmanager/manager.go
@@ -97,6 +97,8 @@
 	Revision store.Revision
 	Claim    []byte
 	Lease    store.LeaseID
+	// PreviousStopped is set if the previous holder renews no more leases on hosts.
+	PreviousStopped bool
 }
 
 // Manager runs one pool. Its exported methods are safe for concurrent use.
@@ -173,6 +175,9 @@
 		config.WallClock = time.Now
 	}
 	config.Sched.Fence, config.Sched.TakenOverAt = takeover.Head.Fence, time.Now()
+	if !takeover.PreviousStopped {
+		config.Sched.PriorLeaseTTL += ConfirmationTimeout
+	}
 	return &Manager{
 		Config: config, takeover: takeover, messages: make(chan message, messageQueueSize), workTimes: newWorkTimes(config.Metrics), stopped: make(chan struct{}),
 		heartbeating: make(map[string]bool), submissions: make(map[string]*submission), cancellations: make(map[string]*cancellation),
--- a/internal/poolmanager/metrics.go
+++ b/internal/poolmanager/metrics.go
@@ -33,10 +33,14 @@
 	lostRuns  prometheus.Counter
 	// verdicts counts the consequences of lost hosts for the tasks that ran there, by
 	// sched.Verdict.
-	verdicts      *prometheus.CounterVec
-	commits       *prometheus.CounterVec
-	commitSeconds prometheus.Histogram
-	entries       prometheus.Counter
+	verdicts *prometheus.CounterVec
+	// absenceSeconds is how long long-running tasks were out of service,
+	// absenceWaits what they waited for, by sched.WaitReason.
+	absenceSeconds prometheus.Histogram
+	absenceWaits   *prometheus.CounterVec
+	commits        *prometheus.CounterVec
+	commitSeconds  prometheus.Histogram
+	entries        prometheus.Counter
 	// sideCommits counts commits on side lanes.
 	sideCommits prometheus.Counter
 	submits     *prometheus.CounterVec
@@ -144,13 +148,19 @@
 	m.verdicts = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "glade_crash_verdicts_total", Help: "What lost hosts meant for the tasks that ran there.",
 	}, []string{"verdict"})
+	m.absenceSeconds = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "glade_long_running_absence_seconds", Help: "How long long-running tasks were out of service, where that was noticed.", Buckets: jobBuckets,
+	})
+	m.absenceWaits = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "glade_long_running_waits_seconds_total", Help: "What long-running tasks that were out of service waited for.",
+	}, []string{"reason"})
 	m.partSeconds = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "glade_pool_busy_seconds_total", Help: "Time that the goroutines of pools held here spent, by part.",
 	}, []string{"part"})
 	m.organisations = newOrganisationMetrics()
 	if registerer != nil {
 		registerer.MustRegister(m.organisations.collectors()...)
-		registerer.MustRegister(m.replyLateSeconds, m.quotaCalls, m.partSeconds, m.verdicts, m.lostHosts, m.lostRuns, m.planSeconds, m.lagSeconds,
+		registerer.MustRegister(m.replyLateSeconds, m.quotaCalls, m.partSeconds, m.absenceSeconds, m.absenceWaits, m.verdicts, m.lostHosts, m.lostRuns, m.planSeconds, m.lagSeconds,
 			m.takeovers, m.starts, m.speculativeStarts, m.stragglers, m.copies, m.runtimes.ratios, m.hedges, m.stops, m.throttles, m.calls,
 			m.callSeconds, m.commits, m.commitSeconds, m.entries, m.submits, m.jobs, m.jobAge, m.jobWait, m.lossyPeriods, m.sideCommits, m.refusals)
 	}
--- a/internal/poolmanager/stragglers.go
+++ b/internal/poolmanager/stragglers.go
@@ -9,8 +9,8 @@
 	stragglerNoRoom = "no room"
 )
 
-// reportMeasured reports what a plan says about run times, copies and runs that take
-// long.
+// reportMeasured reports what a plan says about run times, copies, runs that take long
+// and long-running tasks that are out of service.
 func (m *Manager) reportMeasured(plan sched.Plan) {
 	for _, record := range plan.Runtimes {
 		m.Metrics.runtimes.observe(record)
@@ -21,6 +21,9 @@
 	for _, straggler := range plan.Stragglers {
 		m.reportStraggler(straggler)
 	}
+	for _, absence := range plan.Absences {
+		m.reportAbsence(absence)
+	}
 }
 
 // reportStraggler counts and logs a decision on a run that takes long, at most twice
--- a/internal/sched/jobs.go
+++ b/internal/sched/jobs.go
@@ -276,7 +276,7 @@
 	for i := range j.record.Spec.Steps {
 		s := &step{spec: &j.record.Spec.Steps[i], occurrence: o, index: i, onHost: make(map[*host]int)}
 		for index := range s.spec.Count {
-			t := &task{step: s, name: work.TaskName{Job: j.record.ID, Occurrence: number, Step: i, Index: index}, outOfServiceSince: now}
+			t := &task{step: s, name: work.TaskName{Job: j.record.ID, Occurrence: number, Step: i, Index: index}}
 			if j.adopted {
 				t.lastRun = takeoverRunGap
 			}
--- a/internal/sched/losses.go
+++ b/internal/sched/losses.go
@@ -64,6 +64,22 @@
 	return losses
 }
 
+// UnansweredHost is a host of an earlier holder that never answered this one. Nothing runs
+// there any more.
+type UnansweredHost struct {
+	Host string
+	// Waited is the time since the takeover.
+	Waited time.Duration
+}
+
+// UnansweredHosts returns the hosts of earlier holders that were given up since the last
+// call.
+func (p *Pool) UnansweredHosts() []UnansweredHost {
+	unanswered := p.unanswered
+	p.unanswered = nil
+	return unanswered
+}
+
 // loseRuns ends all runs on a lost host and records the loss.
 func (p *Pool) loseRuns(h *host, evidence Evidence, now, wall time.Time) {
 	if len(h.runs) == 0 {
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -59,6 +59,9 @@
 	AdviceRequests []AdviceRequest
 	// Stragglers holds what was decided about runs that take long.
 	Stragglers []StragglerDecision
+	// Absences holds the long-running tasks that are out of service for long, or were
+	// until now.
+	Absences []Absence
 	// Runtimes and Copies hold what was measured since the last plan.
 	Runtimes []RuntimeRecord
 	Copies   []CopyRecord
@@ -87,7 +90,8 @@
 		p.addDueOccurrences(j, now, wall)
 		pl.lowestPriority = max(pl.lowestPriority, j.record.Queue.Priority)
 	}
-	if now.Sub(p.lastRunScan) >= runScanInterval {
+	scan := now.Sub(p.lastRunScan) >= runScanInterval
+	if scan {
 		p.lastRunScan = now
 		pl.throttleRuns()
 		pl.speculate()
@@ -95,6 +99,9 @@
 	pl.evacuate()
 	pl.scheduleStarts()
 	pl.sendStops()
+	if scan {
+		pl.noteAbsences()
+	}
 	measured := p.records.take()
 	pl.plan.Runtimes, pl.plan.Copies = measured.runtimes, measured.copies
 	return pl.plan
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -70,8 +70,10 @@
 	// presumed holds the hosts under which an earlier holder presumed crashes, by ID,
 	// until it is known whether they ended.
 	presumed map[string]*presumedEnd
-	// losses holds the losses that Losses has not returned yet.
-	losses []Loss
+	// losses holds the losses that Losses has not returned yet, unanswered the hosts
+	// that UnansweredHosts has not.
+	losses     []Loss
+	unanswered []UnansweredHost
 	// stops counts the runs that are to be stopped.
 	stops int
 	// hostsChanged is set when a host was added.
@@ -309,6 +311,7 @@
 	for id, until := range p.unreached {
 		if now.After(until) {
 			delete(p.unreached, id)
+			p.unanswered = append(p.unanswered, UnansweredHost{id, now.Sub(p.started)})
 		}
 	}
 	for id, h := range p.hosts {
--- a/internal/sched/quota.go
+++ b/internal/sched/quota.go
@@ -121,15 +121,10 @@
 // withinQuota reports whether the organisation of a step may start count more of its
 // tasks, and otherwise counts all that wait as its demand.
 func (pl *planner) withinQuota(s *step, count int) bool {
-	u := s.occurrence.job.usage
-	if u == nil || !u.limited {
-		return true
-	}
-	more := s.spec.Resources.Times(count)
-	used := u.Total(pl.hidden)
-	if u.quota.Allows(used, more) || u.quota.AllowsExtra(used, more, s.spec.Resources) && !pl.startsPending(u) {
+	if pl.quotaAllows(s, count) {
 		return true
 	}
+	u, more := s.occurrence.job.usage, s.spec.Resources.Times(count)
 	u.waiting = u.waiting.Plus(s.spec.Resources.Times(s.waiting))
 	if u.next == (work.Resources{}) {
 		u.next, u.task = more, s.spec.Resources
@@ -137,6 +132,16 @@
 	return false
 }
 
+// quotaAllows reports whether the organisation of a step may run count more of its tasks.
+func (pl *planner) quotaAllows(s *step, count int) bool {
+	u := s.occurrence.job.usage
+	if u == nil || !u.limited {
+		return true
+	}
+	more, used := s.spec.Resources.Times(count), u.Total(pl.hidden)
+	return u.quota.Allows(used, more) || u.quota.AllowsExtra(used, more, s.spec.Resources) && !pl.startsPending(u)
+}
+
 // startsPending reports whether a start of an organisation's task has no answer yet.
 func (p *Pool) startsPending(u *usage) bool {
 	for _, h := range p.hosts {
--- a/internal/sched/replies.go
+++ b/internal/sched/replies.go
@@ -156,7 +156,6 @@
 		t.checkpoint = checkpoint
 		t.job().version++
 	}
-	t.outOfServiceSince = now
 	if !t.done {
 		t.step.waiting++
 	}
@@ -204,7 +203,6 @@
 		r.task.checkpoint = report.Checkpoint
 	}
 	if r.task.step.spec.LongRunning && r.percent >= fullPercent {
-		r.task.outOfServiceSince = time.Time{}
 		r.resetCrashes(now)
 		if h := &r.host.health; h.probation && r.orderedAt.After(h.quarantinedUntil) {
 			// A long-running task that has come into service there ends the
--- a/internal/sched/task.go
+++ b/internal/sched/task.go
@@ -113,9 +113,13 @@
 	liveRuns int
 	// roomReservedUntil is the time until which room is being made for it.
 	roomReservedUntil time.Time
-	// outOfServiceSince is when a long-running task was last seen out of service,
-	// zero while it is in service.
-	outOfServiceSince time.Time
+	// servedAt is when a long-running task was last known to be in service, zero if it
+	// was not since the takeover; servedRun and servedOn are its run and host then.
+	servedAt  time.Time
+	servedRun int
+	servedOn  string
+	// absence is set while a long-running task is out of service.
+	absence *absence
 }
 
 func (t *task) job() *job { return t.step.occurrence.job }
