--- a/internal/emulate/calls.go
+++ b/internal/emulate/calls.go
@@ -15,12 +15,13 @@
 func (w *Workers) reach(ctx context.Context, to worker.Target) (*host, worker.Outcome) {
 	w.mu.Lock()
 	h := w.hosts[to.ID]
-	unresponsive, down := h != nil && h.faults.Unresponsive, w.crashed[to.ID] != nil
+	lost := w.lost[to.ID]
+	unresponsive, down := h != nil && h.faults.Unresponsive || lost != nil, w.crashed[to.ID] != nil || lost != nil && lost.refuses
 	w.mu.Unlock()
 	if down {
 		return nil, worker.NotSent
 	}
-	if h == nil {
+	if h == nil && lost == nil {
 		return nil, worker.Gone
 	}
 	if unresponsive {
--- a/internal/emulate/checker.go
+++ b/internal/emulate/checker.go
@@ -105,6 +105,10 @@
 	// lostByCrash the number of such crashes.
 	lostAt      time.Time
 	lostByCrash int
+	// awaySince is when the last run ended, zero while the task runs or before its first
+	// start; longestAway is the longest time between two runs.
+	awaySince   time.Time
+	longestAway time.Duration
 }
 
 // NewChecker returns a Checker without recorded jobs.
@@ -221,6 +225,7 @@
 	job, s := c.jobs[o.Task.Job], c.stepLocked(o.Task)
 	t := c.task(o.Task)
 	defer func() {
+		t.endAway()
 		t.running[h.ID] = o.Run
 		if c.onHost[h.ID] == nil {
 			c.onHost[h.ID] = make(map[work.TaskName]bool)
@@ -301,6 +306,9 @@
 	t := c.task(name)
 	delete(t.running, host)
 	delete(c.onHost[host], name)
+	if len(t.running) == 0 {
+		t.awaySince = time.Now()
+	}
 	if s := c.stepLocked(name); s != nil {
 		c.used[host] = c.used[host].Minus(s.Reserved())
 		c.limits.ended(c.jobs[name.Job].record.Organisation, s.Resources)
@@ -392,6 +400,31 @@
 	}
 }
 
+// endAway ends the time without a run.
+func (t *taskState) endAway() {
+	if !t.awaySince.IsZero() {
+		t.longestAway = max(t.longestAway, time.Since(t.awaySince))
+		t.awaySince = time.Time{}
+	}
+}
+
+// LongestAway returns the longest time that a task of a job was without a run between or
+// after its runs.
+func (c *Checker) LongestAway(job string) (longest time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name, t := range c.tasks {
+		if name.Job != job {
+			continue
+		}
+		longest = max(longest, t.longestAway)
+		if !t.awaySince.IsZero() {
+			longest = max(longest, time.Since(t.awaySince))
+		}
+	}
+	return longest
+}
+
 // RunsOn returns the number of runs of a job on a host.
 func (c *Checker) RunsOn(host, job string) int {
 	c.mu.Lock()
--- a/internal/emulate/fleet.go
+++ b/internal/emulate/fleet.go
@@ -155,6 +155,9 @@
 	var list []hostmanager.Host
 	for _, name := range f.names {
 		h := f.hosts[name].Host
+		if f.workers.isLost(h.Worker) {
+			continue
+		}
 		h.Up = f.isUp(f.hosts[name])
 		list = append(list, h)
 	}
--- a/internal/emulate/workers.go
+++ b/internal/emulate/workers.go
@@ -93,6 +93,8 @@
 	// crashed are the crashed incarnations whose host isn't back yet: connections
 	// to their addresses fail, but the host list still contains them.
 	crashed map[string]*host
+	// lost are the incarnations of hosts that are gone for good.
+	lost map[string]*lostHost
 	// onRestart, if not nil, is called when a crashed host is back, with the IDs of
 	// the previous and the new incarnation.
 	onRestart func(before, after string)
@@ -153,6 +155,7 @@
 	return &Workers{
 		WorkersConfig: config, Checker: NewChecker(), random: rand.New(rand.NewPCG(config.Seed, 1)),
 		hosts: make(map[string]*host), changed: make(chan struct{}), crashed: make(map[string]*host),
+		lost: make(map[string]*lostHost),
 	}
 }
 
@@ -307,6 +310,11 @@
 				list = append(list, h.Host)
 			}
 		}
+		for _, h := range w.lost {
+			if h.Pool == pool && h.listed {
+				list = append(list, h.Host)
+			}
+		}
 		changed := w.changed
 		w.mu.Unlock()
 		update(list)
--- a/internal/entryhost/harness_test.go
+++ b/internal/entryhost/harness_test.go
@@ -89,6 +89,11 @@
 func runTestOf(t *testing.T, entries int, prepare, test func(dep *deployment)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
+		defer func() {
+			// All goroutines end, also after a failure.
+			cancel()
+			time.Sleep(30 * time.Second)
+		}()
 		var dep *deployment
 		workers := emulate.NewWorkers(emulate.WorkersConfig{
 			Seed: 1, MaxLeaseTTL: bounds.MaxLease, StopGrace: bounds.StopGrace, GangTimeout: bounds.GangTimeout,
@@ -120,8 +125,6 @@
 		for _, violation := range dep.fleet.Violations() {
 			t.Errorf("invariant violated: %s", violation)
 		}
-		cancel()
-		time.Sleep(30 * time.Second)
 	})
 }
 
--- a/internal/poolmanager/harness_test.go
+++ b/internal/poolmanager/harness_test.go
@@ -49,6 +49,11 @@
 func runEnv(t *testing.T, config emulate.WorkersConfig, hosts int, test func(e *env)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
+		defer func() {
+			// All goroutines end, also after a failure.
+			cancel()
+			time.Sleep(30 * time.Second)
+		}()
 		config.MaxLeaseTTL, config.StopGrace, config.Startup = 10*time.Second, stopGrace, 300*time.Millisecond
 		config.GangTimeout, config.Checkpoint = 3*time.Second, time.Second
 		e := &env{t: t, ctx: ctx, store: memstore.New(), workers: emulate.NewWorkers(config)}
@@ -62,8 +67,6 @@
 		for _, violation := range e.workers.Checker.Violations() {
 			t.Errorf("rule violated: %s", violation)
 		}
-		cancel()
-		time.Sleep(30 * time.Second)
 	})
 }
 
