Ask the platform whether hosts that do not answer are still there

Cause: whether a silent host had gone was left to the clock alone. Its leases are counted for 5.0 s, after a takeover from the takeover on, and 6 s more where the previous holder isn't known to have stopped; a holder whose machine never comes back never is. A host that was lost up to a second before its pool's holder, or with it, was waited for 11 s after a takeover that itself takes 2.3 s. Why it works: the machine service knows which machines are up; a holder asks it while tasks may run on hosts that do not answer. While the machine service is down too, the clock decides as before.

--- a/internal/poolmanager/losses.go
+++ b/internal/poolmanager/losses.go
@@ -13,7 +13,7 @@
 // restarted under their ID.
 func (m *Manager) reportLosses() {
 	for _, h := range m.pool.UnansweredHosts() {
-		m.Log.Warn().Str("host", h.Host).Dur("waited_ms", h.Waited).Msg("A host of the previous holder did not answer; nothing runs there any more.")
+		m.Log.Warn().Str("host", h.Host).Str("evidence", string(h.Evidence)).Dur("waited_ms", h.Waited).Msg("A host of the previous holder did not answer; nothing runs there any more.")
 	}
 	for _, loss := range m.pool.Losses() {
 		m.Metrics.lostHosts.WithLabelValues(string(loss.Evidence)).Inc()
--- a/internal/poolmanager/metrics.go
+++ b/internal/poolmanager/metrics.go
@@ -38,9 +38,11 @@
 	// absenceWaits what they waited for, by sched.WaitReason.
 	absenceSeconds prometheus.Histogram
 	absenceWaits   *prometheus.CounterVec
-	commits        *prometheus.CounterVec
-	commitSeconds  prometheus.Histogram
-	entries        prometheus.Counter
+	// censuses counts questions to the platform about hosts in doubt, by outcome.
+	censuses      *prometheus.CounterVec
+	commits       *prometheus.CounterVec
+	commitSeconds prometheus.Histogram
+	entries       prometheus.Counter
 	// sideCommits counts commits on side lanes.
 	sideCommits prometheus.Counter
 	submits     *prometheus.CounterVec
@@ -154,13 +156,16 @@
 	m.absenceWaits = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "glade_long_running_waits_seconds_total", Help: "What long-running tasks that were out of service waited for.",
 	}, []string{"reason"})
+	m.censuses = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "glade_host_censuses_total", Help: "Questions to the platform which hosts are up, while some did not answer.",
+	}, []string{"outcome"})
 	m.partSeconds = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "glade_pool_busy_seconds_total", Help: "Time that the goroutines of pools held here spent, by part.",
 	}, []string{"part"})
 	m.organisations = newOrganisationMetrics()
 	if registerer != nil {
 		registerer.MustRegister(m.organisations.collectors()...)
-		registerer.MustRegister(m.replyLateSeconds, m.quotaCalls, m.partSeconds, m.absenceSeconds, m.absenceWaits, m.verdicts, m.lostHosts, m.lostRuns, m.planSeconds, m.lagSeconds,
+		registerer.MustRegister(m.replyLateSeconds, m.quotaCalls, m.partSeconds, m.absenceSeconds, m.absenceWaits, m.censuses, m.verdicts, m.lostHosts, m.lostRuns, m.planSeconds, m.lagSeconds,
 			m.takeovers, m.starts, m.speculativeStarts, m.stragglers, m.copies, m.runtimes.ratios, m.hedges, m.stops, m.throttles, m.calls,
 			m.callSeconds, m.commits, m.commitSeconds, m.entries, m.submits, m.jobs, m.jobAge, m.jobWait, m.lossyPeriods, m.sideCommits, m.refusals)
 	}
--- a/internal/sched/absence_test.go
+++ b/internal/sched/absence_test.go
@@ -57,5 +57,5 @@
 	must.Len(t, 1, reports)
 	must.True(t, reports[0].SinceTakeover)
 	must.EqOp(t, WaitUnreached, reports[0].Reason)
-	must.Eq(t, []UnansweredHost{{"gone", s.now.Sub(s.p.started) - 400*time.Millisecond}}, s.p.UnansweredHosts())
+	must.Eq(t, []UnansweredHost{{"gone", LeaseExpired, s.now.Sub(s.p.started) - 400*time.Millisecond}}, s.p.UnansweredHosts())
 }
--- a/internal/sched/crashes.go
+++ b/internal/sched/crashes.go
@@ -78,7 +78,7 @@
 // from this process. One that this pool was asked to drain may have crashed like any
 // other: it is taken away only once nothing runs on it.
 func (h *host) lossMayBeCrash(evidence Evidence) bool {
-	return !h.leaving && (evidence == InstanceReplaced || !h.listed)
+	return !h.leaving && (evidence.certain() || !h.listed)
 }
 
 // attributeLoss counts the loss of a run's host against its task. It is called
--- a/internal/sched/evidence.go
+++ b/internal/sched/evidence.go
@@ -104,7 +104,7 @@
 // it crashed. While the claim is unconfirmed, the list of hosts may be old and the host
 // may have left as planned.
 func (p *Pool) executedUntilCrash(r *run, evidence Evidence) bool {
-	return evidence == InstanceReplaced && !p.claimUnconfirmed && r.executedUntilRefusal()
+	return evidence.certain() && !p.claimUnconfirmed && r.executedUntilRefusal()
 }
 
 // executedUntilRefusal reports whether a run was seen to execute and could not end
--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -16,6 +16,8 @@
 	// stopped doing so.
 	listed        bool
 	unlistedSince time.Time
+	// addedAt is when the pool began to call it. Its ID may have been here before.
+	addedAt time.Time
 	used          work.Resources
 	runs          map[work.TaskName]*run
 	// longRunning counts the long-running runs, longRunningCPU is what they use in
@@ -83,7 +85,7 @@
 
 // newHost returns a host that was first seen now.
 func newHost(entry worker.Host, now time.Time) *host {
-	return &host{Host: entry, runs: make(map[work.TaskName]*run), life: life{health: newHealth(), firstSeen: now}}
+	return &host{Host: entry, addedAt: now, runs: make(map[work.TaskName]*run), life: life{health: newHealth(), firstSeen: now}}
 }
 
 // target returns the address for orders to the host's present incarnation.
--- a/internal/sched/losses.go
+++ b/internal/sched/losses.go
@@ -16,8 +16,15 @@
 	// LeaseExpired: the host has not responded for longer than any lease lasts. It
 	// may still be up.
 	LeaseExpired Evidence = "its holds ran out"
+	// HostDown: the platform lists the host as down.
+	HostDown Evidence = "the platform lists it as down"
+	// HostRemoved: the platform has no such host any more.
+	HostRemoved Evidence = "the platform has it no more"
 )
 
+// certain reports whether the host's incarnation has certainly ended.
+func (e Evidence) certain() bool { return e != LeaseExpired }
+
 // Loss is a host that was lost with runs on it.
 type Loss struct {
 	Host     string
@@ -68,6 +75,8 @@
 // there any more.
 type UnansweredHost struct {
 	Host string
+	// Evidence is how that is known.
+	Evidence Evidence
 	// Waited is the time since the takeover.
 	Waited time.Duration
 }
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -101,6 +101,8 @@
 	inherited map[string]work.Resources
 	// shares holds the shares of organisations.
 	shares *fairshare.Book
+	// missing holds the hosts in doubt that the last census did not list.
+	missing map[string]bool
 	// fenced is set once a host has refused this holder's fencing token.
 	fenced bool
 	// claimUnconfirmed is set while another process may hold the pool; nothing
@@ -132,6 +134,7 @@
 		submitted:     make(map[string]submittedJob),
 		refusals:      make(map[string]refusal),
 		presumed:      make(map[string]*presumedEnd),
+		missing:       make(map[string]bool),
 		usages:        make(map[string]*usage),
 		shares:        fairshare.NewBook(),
 		unreached:     make(map[string]time.Time),
@@ -311,7 +314,7 @@
 	for id, until := range p.unreached {
 		if now.After(until) {
 			delete(p.unreached, id)
-			p.unanswered = append(p.unanswered, UnansweredHost{id, now.Sub(p.started)})
+			p.unanswered = append(p.unanswered, UnansweredHost{id, LeaseExpired, now.Sub(p.started)})
 		}
 	}
 	for id, h := range p.hosts {
@@ -353,14 +356,19 @@
 	return ids
 }
 
-// RemoveHost removes an incarnation of a host that has certainly ended.
+// RemoveHost removes a host in whose place another incarnation answers.
 func (p *Pool) RemoveHost(id string, now, wall time.Time) {
+	p.removeHost(id, InstanceReplaced, now, wall)
+}
+
+// removeHost removes an incarnation of a host that has certainly ended.
+func (p *Pool) removeHost(id string, evidence Evidence, now, wall time.Time) {
 	delete(p.unreached, id)
 	h := p.hosts[id]
 	if h == nil {
 		return
 	}
 	p.provePresumed(h, now, wall)
-	p.loseRuns(h, InstanceReplaced, now, wall)
+	p.loseRuns(h, evidence, now, wall)
 	delete(p.hosts, id)
 }
--- a/internal/sched/replies.go
+++ b/internal/sched/replies.go
@@ -10,10 +10,10 @@
 
 // ApplyHeartbeat applies a host's reply to a heartbeat that was sent at sent.
 // Replies may overtake each other; one that is older than the newest applied is
-// dropped.
+// dropped, and so is one to a host of that ID that was removed.
 func (p *Pool) ApplyHeartbeat(id string, sent time.Time, reply worker.HeartbeatReply, now, wall time.Time) {
 	h := p.hosts[id]
-	if h == nil || !p.recognize(h, &reply, sent, now, wall) || reply.ClockMs < h.clock {
+	if h == nil || sent.Before(h.addedAt) || !p.recognize(h, &reply, sent, now, wall) || reply.ClockMs < h.clock {
 		return
 	}
 	h.repliedAt, h.clock, h.callFailed = now, reply.ClockMs, false
