A long-running task is started again however often its hosts crash

What callers saw (rule LOST): a task that lasts and is never started again, with seven of eight hosts up. Cause: from a weight of 14 it was held back for good, as if it crashed its hosts. What stays: such a task starts apart from others and after a pause.

RuleCrashes no longer counts the starts of a long-running task but their distance (2 s, so that it has one host down at a time, as a rule).

--- a/internal/emulate/checker.go
+++ b/internal/emulate/checker.go
@@ -30,7 +30,8 @@
 	// attempts.
 	RuleAttempts Rule = "too many attempts"
 	// RuleCrashes is violated when a task that has crashed three hosts is started
-	// three more times.
+	// three more times. A long-running one is owed a run all the same: it violates the
+	// rule when it is started within minCrashSpacing of its last start.
 	RuleCrashes Rule = "too many hosts crashed"
 	// RuleUnavailable is violated by stopping a long-running task while MaxUnavailable
 	// other tasks of its step are unavailable.
@@ -61,6 +62,9 @@
 	// crashing its hosts. maxStartsAfterCrashes further starts violate RuleCrashes.
 	crashLimit            = 3
 	maxStartsAfterCrashes = 3
+	// minCrashSpacing is the least time between two starts of a long-running task after
+	// crashLimit crashes, so that it has one host down at a time, as a rule.
+	minCrashSpacing = 2 * time.Second
 )
 
 // crashDetectionDelay is the time after a host crash during which its long-running
@@ -101,6 +105,8 @@
 	// crashes is the number of hosts that the task has crashed, startsAfterCrashes
 	// the number of its starts after crashLimit crashes.
 	crashes, startsAfterCrashes int
+	// crashStartAt is when it was last started after crashLimit crashes.
+	crashStartAt time.Time
 	// lostAt is the time when a host crash last ended a run of the task,
 	// lostByCrash the number of such crashes.
 	lostAt      time.Time
@@ -253,10 +259,8 @@
 	if !s.LongRunning && len(t.failed) >= job.record.Queue.MaxAttempts {
 		c.addViolation(RuleAttempts, "%s run %d on %s after %d failures", o.Task, o.Run, h.ID, len(t.failed))
 	}
-	if t.crashes >= crashLimit {
-		if t.startsAfterCrashes++; t.startsAfterCrashes == maxStartsAfterCrashes {
-			c.addViolation(RuleCrashes, "%s run %d on %s after %d crashes", o.Task, o.Run, h.ID, t.crashes)
-		}
+	if t.startedAfterCrashes(s.LongRunning) {
+		c.addViolation(RuleCrashes, "%s run %d on %s after %d crashes", o.Task, o.Run, h.ID, t.crashes)
 	}
 	for _, before := range s.After {
 		if !c.stepDone(o.Task.Job, o.Task.Occurrence, before) {
@@ -273,6 +277,21 @@
 	}
 }
 
+// startedAfterCrashes counts a start of a task that crashes its hosts and reports whether
+// it violates RuleCrashes.
+func (t *taskState) startedAfterCrashes(longRunning bool) bool {
+	if t.crashes < crashLimit {
+		return false
+	}
+	t.startsAfterCrashes++
+	since := time.Since(t.crashStartAt)
+	t.crashStartAt = time.Now()
+	if longRunning {
+		return since < minCrashSpacing
+	}
+	return t.startsAfterCrashes == maxStartsAfterCrashes
+}
+
 func (c *Checker) checkPlacement(h *host, name work.TaskName, s *work.Step) {
 	if s.Requires != "" && !h.Has(s.Requires) {
 		c.addViolation(RulePlacement, "%s on %s without %s", name, h.ID, s.Requires)
--- a/internal/sched/absence.go
+++ b/internal/sched/absence.go
@@ -23,8 +23,6 @@
 	WaitUnreached WaitReason = "hosts of an earlier holder have not answered"
 	// WaitRefusal: a start was refused a moment ago.
 	WaitRefusal WaitReason = "a start was refused"
-	// WaitHeldBack: it is not started again since it crashes its hosts.
-	WaitHeldBack WaitReason = "held back for crashes"
 	// WaitPaused: it pauses after crashes.
 	WaitPaused WaitReason = "paused after crashes"
 	// WaitCrashNotStored: the store does not have its next run as a crash yet.
@@ -155,8 +153,6 @@
 		return WaitUnreached
 	case pl.now.Before(t.notBefore):
 		return WaitRefusal
-	case t.blocked():
-		return WaitHeldBack
 	case t.pausedForCrashes(pl.now):
 		return WaitPaused
 	case t.chargedRun > 0 && t.job().storedVersion < t.chargedVersion:
--- a/internal/sched/crashes.go
+++ b/internal/sched/crashes.go
@@ -24,10 +24,6 @@
 	provenWeight   = 2
 	decisiveWeight = 4
 	maxCrashWeight = 7
-	// longRunningMaxWeight is the weight from which a long-running task is not
-	// started again. It is higher, since a mistake would harm its job for as long as
-	// it runs.
-	longRunningMaxWeight = 2 * maxCrashWeight
 	// undecidedCrashes is the number of crashes from which a task that is not failed
 	// for them waits for its next start.
 	undecidedCrashes = 3
@@ -65,12 +61,12 @@
 // Verdict is the consequence of the loss of a host for a task that ran there.
 type Verdict string
 
-// The verdicts. Blocked applies to long-running tasks, JobFailed to all others.
+// The verdicts. No job is failed for a long-running task: it is owed a run however its
+// last one ended.
 const (
 	Unblamed  Verdict = "unblamed"
 	Suspected Verdict = "suspected"
 	JobFailed Verdict = "given up"
-	Blocked   Verdict = "held back"
 )
 
 // lossMayBeCrash reports whether a run may have caused the loss of its host.
@@ -90,10 +86,6 @@
 	}
 	t.recordCrash(p.crashOf(r, evidence), now)
 	switch {
-	case t.step.spec.LongRunning && t.blocked():
-		return Blocked
-	case t.step.spec.LongRunning:
-		return Suspected
 	case t.crashesHosts():
 		p.failForCrashes(t, now, wall)
 		return JobFailed
@@ -132,22 +124,10 @@
 	p.finish(j, work.Failed, now, wall)
 }
 
-// blocked reports whether a long-running task is not started again because it
-// crashes each host that starts it. The other tasks of its step continue.
-func (t *task) blocked() bool {
-	return t.step.spec.LongRunning && t.provenToCrash(longRunningMaxWeight)
-}
-
 // crashesHosts reports whether a task was found to crash its hosts. An earlier
 // holder may have counted the last crash without failing the job.
 func (t *task) crashesHosts() bool {
-	return !t.step.spec.LongRunning && t.provenToCrash(maxCrashWeight)
-}
-
-// provenToCrash reports whether a task has enough proven crashes, and all its crashes
-// weigh at least limit.
-func (t *task) provenToCrash(limit int) bool {
-	return len(t.crashNumbers(Proven, Decisive)) >= minProvenCrashes && t.crashWeight() >= limit
+	return !t.step.spec.LongRunning && len(t.crashNumbers(Proven, Decisive)) >= minProvenCrashes && t.crashWeight() >= maxCrashWeight
 }
 
 // pausedForCrashes reports whether a task whose crashes prove too little must wait for
@@ -313,7 +293,7 @@
 // none is, other tasks of its kind may still find one.
 func (pl *planner) startSuspect(t *task) {
 	number := t.lastRun + 1
-	if t.blocked() || t.pausedForCrashes(pl.now) || len(t.copies) > 0 && !pl.maySpeculate(t, pl.now) || !pl.crashRecorded(t, number) {
+	if t.pausedForCrashes(pl.now) || len(t.copies) > 0 && !pl.maySpeculate(t, pl.now) || !pl.crashRecorded(t, number) {
 		return
 	}
 	if h := pl.find(t); h != nil {
--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -18,8 +18,8 @@
 	unlistedSince time.Time
 	// addedAt is when the pool began to call it. Its ID may have been here before.
 	addedAt time.Time
-	used          work.Resources
-	runs          map[work.TaskName]*run
+	used    work.Resources
+	runs    map[work.TaskName]*run
 	// longRunning counts the long-running runs, longRunningCPU is what they use in
 	// thousandths of a core. Both are updated as runs are added and removed, since
 	// a plan reads them many times.
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -295,7 +295,7 @@
 	number := 0
 	checkpoint := ""
 	for _, t := range s.tasks {
-		if t.run != nil || pl.now.Before(t.notBefore) || t.blocked() || t.pausedForCrashes(pl.now) {
+		if t.run != nil || pl.now.Before(t.notBefore) || t.pausedForCrashes(pl.now) {
 			return
 		}
 		number = max(number, t.lastRun+1)
