Bound the sum of what holds a long-running task back

Cause: the pause after a third crash begins when the loss is believed, 5.0 s after it, and anew with each holder that restores the count. Class: bounds on single waits, none on their sum. Each is defensible alone (a lease, a pause, a host of its own); one after the other, or anew at each takeover, they exceed what the platform allows. Why it works: the pause of a long-running task ends 5 s after its last run, whatever it waited for before; a holder that restores the task counts 3 s for the takeover. Jobs that can be failed keep their pause: it bounds how many hosts they take.

--- a/internal/sched/crashes.go
+++ b/internal/sched/crashes.go
@@ -131,9 +131,16 @@
 }
 
 // pausedForCrashes reports whether a task whose crashes prove too little must wait for
-// its next start.
+// its next start. A long-running one is owed a run: what it has waited until its host's end
+// was known counts.
 func (t *task) pausedForCrashes(now time.Time) bool {
-	return len(t.crashes) >= undecidedCrashes && now.Sub(t.crashedAt) < undecidedPause
+	if len(t.crashes) < undecidedCrashes {
+		return false
+	}
+	if t.step.spec.LongRunning {
+		return !t.overdue(now)
+	}
+	return now.Sub(t.crashedAt) < undecidedPause
 }
 
 // harmless reports whether a run had executed for harmlessAfter when its host last
--- a/internal/sched/jobs.go
+++ b/internal/sched/jobs.go
@@ -276,9 +276,9 @@
 	for i := range j.record.Spec.Steps {
 		s := &step{spec: &j.record.Spec.Steps[i], occurrence: o, index: i, onHost: make(map[*host]int)}
 		for index := range s.spec.Count {
-			t := &task{step: s, name: work.TaskName{Job: j.record.ID, Occurrence: number, Step: i, Index: index}}
+			t := &task{step: s, name: work.TaskName{Job: j.record.ID, Occurrence: number, Step: i, Index: index}, ranAt: now}
 			if j.adopted {
-				t.lastRun = takeoverRunGap
+				t.lastRun, t.ranAt = takeoverRunGap, now.Add(-takeoverAbsence)
 			}
 			if restored, ok := j.restored[taskKey{number, i, index}]; ok {
 				t.done, t.failed, t.checkpoint = restored.Done, restored.Failed, restored.Checkpoint
--- a/internal/sched/replies.go
+++ b/internal/sched/replies.go
@@ -139,6 +139,7 @@
 		return
 	}
 	h.removeRun(r)
+	t.noteRan(r)
 	if r.state == stopping {
 		p.stops--
 	}
--- a/internal/sched/task.go
+++ b/internal/sched/task.go
@@ -113,6 +113,9 @@
 	liveRuns int
 	// roomReservedUntil is the time until which room is being made for it.
 	roomReservedUntil time.Time
+	// ranAt is when its last run was last known to go on; before its first one, when it
+	// became known.
+	ranAt time.Time
 	// servedAt is when a long-running task was last known to be in service, zero if it
 	// was not since the takeover; servedRun and servedOn are its run and host then.
 	servedAt  time.Time
