An overdue long-running task goes to any host that can take it

Cause: a task under suspicion from its second crash on waited for a host without other suspects and without young runs. Suspicion of a long-running task lasts until it has served for 10 s, so 20 of them on eight hosts leave none such; the same holds for hosts in quarantine or on probation, which jobs that always fail bring about on sound ones, and for a store that doesn't take the suspicion. Why it works: what keeps a host from work is split into limits of the platform (not listed, silent, not in the roster, leaving, full) and preferences (quarantine, probation, isolation, reservation); 5 s after its last run a long-running task takes any host within the limits, those without objection first.

--- a/internal/sched/crashes.go
+++ b/internal/sched/crashes.go
@@ -300,7 +300,10 @@
 // none is, other tasks of its kind may still find one.
 func (pl *planner) startSuspect(t *task) {
 	number := t.lastRun + 1
-	if t.pausedForCrashes(pl.now) || len(t.copies) > 0 && !pl.maySpeculate(t, pl.now) || !pl.crashRecorded(t, number) {
+	if t.pausedForCrashes(pl.now) || len(t.copies) > 0 && !pl.maySpeculate(t, pl.now) {
+		return
+	}
+	if !pl.crashRecorded(t, number) && !t.overdue(pl.now) {
 		return
 	}
 	if h := pl.find(t); h != nil {
@@ -338,9 +341,7 @@
 // false where it would be unclear whether a strong suspect or another run caused a
 // crash.
 func (pl *planner) suspectPenalty(t *task, crashes int, h *host) (score float64, ok bool) {
-	if crashes >= strongSuspect && (h.suspects > 0 || h.hasUnprovenRuns()) {
-		return 0, false
-	}
+	ok = crashes < strongSuspect || h.suspects == 0 && !h.hasUnprovenRuns()
 	score = suspectsWeight*float64(h.suspects) + longRunningWeight*float64(h.longRunning) + otherRunWeight*float64(len(h.runs))
 	if t.step.spec.Gang {
 		// The members of the gang that are placed in this pass do not run there
@@ -350,7 +351,7 @@
 	if pl.now.Sub(h.firstSeen) < newIncarnationPeriod {
 		score += newIncarnationWeight
 	}
-	return score, true
+	return score, ok
 }
 
 // resetCrashes resets the crashes of a long-running task that has been in service
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -1,12 +1,20 @@
 package sched
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // usable reports whether a host takes new work.
 func (pl *planner) usable(h *host) bool { return pl.unusable(h, pl.now) == "" }
 
 // unusable returns why a host gets no new work, or an empty string.
 func (p *Pool) unusable(h *host, now time.Time) string {
+	return cmp.Or(p.unavailable(h, now), h.avoided(now))
+}
+
+// unavailable returns the limit for which a host can get no new work, or an empty string.
+func (p *Pool) unavailable(h *host, now time.Time) string {
 	switch {
 	case !h.listed:
 		return "not listed"
@@ -28,6 +36,14 @@
 		return "runs a task of unknown size"
 	case now.Before(h.backoffUntil):
 		return "backoff after a refusal"
+	}
+	return ""
+}
+
+// avoided returns why a host that could get new work gets none but overdue long-running
+// tasks, or an empty string.
+func (h *host) avoided(now time.Time) string {
+	switch {
 	case now.Before(h.health.quarantinedUntil):
 		return "in quarantine"
 	case h.runsProbationTask():
@@ -49,10 +65,19 @@
 	return s.occurrence.job.record.Queue.Advice == nil || s.advice.ticket(h.ID, pl.now) != ""
 }
 
-// avoids reports whether a host already runs its probation task, isolates a suspect
-// or is reserved for another task.
+// avoids reports whether a host gets no new work at all or is reserved for another task.
 func (h *host) avoids(t *task, now time.Time) bool {
-	return h.runsProbationTask() || h.isolatesSuspect(now) || h.reservedForOther(t, now)
+	return h.avoided(now) != "" || h.reservedForOther(t, now)
+}
+
+// availableHosts returns the hosts that could get new work, avoided ones among them.
+func (pl *planner) availableHosts() (hosts []*host) {
+	for _, h := range pl.hosts {
+		if pl.unavailable(h, pl.now) == "" {
+			hosts = append(hosts, h)
+		}
+	}
+	return hosts
 }
 
 // removeRun removes one run of the step from a host's count.
@@ -76,25 +101,32 @@
 func (pl *planner) find(t *task) *host {
 	s := t.step
 	resources := s.spec.Reserved()
-	if !resources.Fits(pl.maxFree) {
+	hosts, overdue := pl.open, t.overdue(pl.now)
+	if overdue {
+		hosts = pl.availableHosts()
+	} else if !resources.Fits(pl.maxFree) {
 		return nil
 	}
 	crashes := pl.suspectedCrashes(t, pl.now)
 	var best *host
 	var bestScore float64
-	for _, h := range pl.open {
+	for _, h := range hosts {
 		// Most hosts of a busy pool are full, so the room is checked first.
-		if !resources.Fits(h.free()) || h.avoids(t, pl.now) || !pl.allowed(s, h) || t.liveRuns > 0 && h.runs[t.name] != nil {
+		if !resources.Fits(h.free()) || !pl.allowed(s, h) || t.liveRuns > 0 && h.runs[t.name] != nil {
 			continue
 		}
-		if !s.spec.LongRunning && pl.reserved[h] || h.roomReservation.excludes(s, pl.now) {
+		avoids := h.avoids(t, pl.now) || h.roomReservation.excludes(s, pl.now) || !s.spec.LongRunning && pl.reserved[h]
+		if avoids && !overdue {
 			continue
 		}
 		score, ok := pl.score(s, h)
+		if avoids {
+			score += avoidedWeight
+		}
 		if ok && crashes > 0 {
-			var penalty float64
-			penalty, ok = pl.suspectPenalty(t, crashes, h)
+			penalty, suits := pl.suspectPenalty(t, crashes, h)
 			score += penalty
+			ok = suits || overdue
 		}
 		if ok && (best == nil || score < bestScore || score == bestScore && h.ID < best.ID) {
 			best, bestScore = h, score
@@ -115,6 +147,8 @@
 	pinWeight = 10
 	// maintenanceWeight prefers any other host to one that is due for maintenance.
 	maintenanceWeight = 100_000
+	// avoidedWeight prefers any host to one that should get no work.
+	avoidedWeight = 50_000_000
 	// remoteWeight prefers any host near the data to any other.
 	remoteWeight = 10_000
 )
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -217,7 +217,7 @@
 			return
 		}
 		shape := taskShape{s.spec.Reserved(), s.spec.Requires, s.spec.DataRack}
-		if pl.noRoomFor[shape] {
+		if pl.noRoomFor[shape] && !t.overdue(pl.now) {
 			return
 		}
 		h := pl.find(t)
