Ask the advice service about hosts that came after it was asked

What a caller would see: a task of an advised queue, short or long-running, that waits until its step's tickets expire though hosts are free. Cause: tickets count as long as they are valid, also those for hosts that have left, and the service is asked again only when none is; a host that restarts under its ID stayed marked as asked. Evidence: TestTicketsAreRequestedForHostsThatCameLater (two hosts come back under new IDs): not started within 3 s before, at once now. Now more tickets are requested when none is for a host that can take the task and such a host was not asked about.

--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -43,24 +43,42 @@
 }
 
 // hasTickets reports whether a step has valid tickets. It requests some when there
-// are none.
+// are none, and more when none is for a host that can take a task now: hosts leave, and
+// others come after the service was asked.
 func (pl *planner) hasTickets(s *step) bool {
 	if s.advice == nil {
 		s.advice = &advice{tickets: make(map[string]ticketEntry), askedHosts: make(map[string]bool)}
 	}
 	a := s.advice
-	valid := 0
+	valid, suitable := 0, false
 	for id := range a.tickets {
 		if a.ticket(id, pl.now) != "" {
 			valid++
+			suitable = suitable || pl.hasRoom(s, pl.hosts[id])
 		}
 	}
-	if !a.requested && !pl.now.Before(a.retryAt) && valid == 0 {
+	if !a.requested && !pl.now.Before(a.retryAt) && (valid == 0 || !suitable && pl.mayAskFurther(s)) {
 		pl.requestTickets(s)
 	}
 	return valid > 0
 }
 
+// hasRoom reports whether a host can take a task of a step now. h is nil for one that
+// has left.
+func (pl *planner) hasRoom(s *step, h *host) bool {
+	return h != nil && pl.usable(h) && s.spec.Reserved().Fits(h.free()) && (s.spec.MaxPerHost == 0 || s.onHost[h] < s.spec.MaxPerHost)
+}
+
+// mayAskFurther reports whether a host that can take a task of a step was not asked about.
+func (pl *planner) mayAskFurther(s *step) bool {
+	for _, h := range pl.open {
+		if !s.advice.askedHosts[h.ID] && pl.hasRoom(s, h) {
+			return true
+		}
+	}
+	return false
+}
+
 // maxAdviceHosts is the largest number of hosts in one request: each takes the
 // service some time, and a step needs few.
 const maxAdviceHosts = 30
--- a/internal/sched/restart.go
+++ b/internal/sched/restart.go
@@ -128,6 +128,7 @@
 			for _, s := range o.steps {
 				if s.advice != nil {
 					delete(s.advice.tickets, host)
+					delete(s.advice.askedHosts, host)
 				}
 			}
 		}
