Take a queue's pools from what was written, not from what is known then

Evidence: three tests of the record's owner failed before (the other pool is lost; a later record is replaced by an older one; a pool that has left stays in).

--- a/internal/poolmanager/commit.go
+++ b/internal/poolmanager/commit.go
@@ -21,11 +21,10 @@
 	sequence    int64
 	head        poolstore.Head
 	submissions []*submission
-	// queues are the keys of the queues' records that it depends on, retired those of
-	// them from which it removes the pool.
-	queues, retired []string
-	changes         []sched.Change
-	inboxKeys       []string
+	// queues are the keys of the queues' records that it depends on.
+	queues    []string
+	changes   []sched.Change
+	inboxKeys []string
 	// expiredJobs counts the expired jobs that this batch deletes.
 	expiredJobs int
 	// restoresClaim is set when the batch writes the claim again.
--- a/internal/poolmanager/queues.go
+++ b/internal/poolmanager/queues.go
@@ -116,7 +116,6 @@
 		room -= retireOps
 		b.addQueue(key)
 		q.changing = b
-		b.retired = append(b.retired, key)
 		b.txn.Conditions = append(b.txn.Conditions, store.Condition{Key: key, Expect: q.Revision})
 		if others := q.Others(m.Pool); len(others) > 0 {
 			b.txn.Puts = append(b.txn.Puts, store.Put{Key: key, Value: poolstore.QueuePools{Pools: others}.Encode()})
@@ -136,25 +135,35 @@
 	}
 }
 
-// queuesStored updates the records that a batch has written at a revision.
+// queuesStored updates the records that a batch has written at a revision. What it wrote
+// counts, not what is known now: late answers of other attempts may have come since.
 func (m *Manager) queuesStored(b *batch, revision store.Revision) {
 	for _, key := range b.queues {
 		q := m.queues.get(key)
-		if q.changing != b {
+		if q.changing != b || q.Revision > revision {
 			continue
 		}
-		if slices.Contains(b.retired, key) {
-			q.Pools = q.Others(m.Pool)
-		} else {
-			q.Pools = q.With(m.Pool).Pools
-		}
-		if q.Revision = revision; len(q.Pools) == 0 {
-			q.Revision = 0
-		}
+		q.QueuePools = b.writtenQueue(key, revision)
 		m.Log.Info().Str("queue_key", key).Strs("pools", q.Pools).Int64("revision", int64(revision)).Msg("The pools of a queue have changed.")
 	}
 }
 
+// writtenQueue returns the record that a batch has written at a revision, the zero record
+// if it has deleted it.
+func (b *batch) writtenQueue(key string, revision store.Revision) poolstore.QueuePools {
+	for _, put := range b.txn.Puts {
+		if put.Key == key {
+			written, err := poolstore.DecodeQueuePools(store.Entry{Key: key, Value: put.Value, ModRevision: revision})
+			if err != nil {
+				// The value was encoded here.
+				panic(err)
+			}
+			return written
+		}
+	}
+	return poolstore.QueuePools{}
+}
+
 // releaseQueues ends the changes of records by a batch whose outcome is known.
 func (m *Manager) releaseQueues(b *batch) {
 	for _, key := range b.queues {
