Tasks of one job that start together explain no crash of several hosts

Cause: two pairs of hosts crash at the same moment, each pair just after tasks of one step had started there. A crash was decisive if no host without a fresh run went at that moment, and the sibling on the other host counted as one; two decisive crashes fail a job. Siblings start together by plan, so their starts say nothing about why the hosts went. Only a start of another job explains now.

--- a/internal/sched/evidence.go
+++ b/internal/sched/evidence.go
@@ -74,17 +74,23 @@
 	LostTogether, Unexplained int
 }
 
-// refusal is when a host began to refuse connections. It is explained if a run had
+// refusal is when a host began to refuse connections, with the jobs of which a run had
 // just started there, which may have crashed the host.
 type refusal struct {
-	at        time.Time
-	explained bool
+	at      time.Time
+	started []string
+}
+
+// explained reports whether a run of another job than that had just started. Tasks of one
+// job start together, so that they are there when hosts crash together for another reason.
+func (r refusal) explained(job string) bool {
+	return slices.ContainsFunc(r.started, func(started string) bool { return started != job })
 }
 
 // crashOf returns what is known of the loss of a run's host.
 func (p *Pool) crashOf(r *run, evidence Evidence) Crash {
 	c := Crash{Run: r.number, Proof: Unproven, Host: r.host.ID, Born: r.host.life.incarnation, Seen: !r.startedAt.IsZero(), Alone: r.wasAlone()}
-	c.LostTogether, c.Unexplained = p.lostTogether(r.host)
+	c.LostTogether, c.Unexplained = p.lostTogether(r.host, r.task.name.Job)
 	if c.Seen {
 		c.Executed = r.host.repliedAt.Sub(r.startedAt)
 	}
@@ -133,8 +139,9 @@
 }
 
 // lostTogether counts the other hosts that began to refuse connections at the same
-// moment as h, and those of them on which no run had just started.
-func (p *Pool) lostTogether(h *host) (count, unexplained int) {
+// moment as h, and those of them on which no run of another job than that had just
+// started.
+func (p *Pool) lostTogether(h *host, job string) (count, unexplained int) {
 	if !h.unreachable() {
 		return 0, 0
 	}
@@ -143,7 +150,7 @@
 			continue
 		}
 		count++
-		if !other.explained {
+		if !other.explained(job) {
 			unexplained++
 		}
 	}
@@ -156,11 +163,13 @@
 	if h.leaving || h.unschedulable && len(h.runs) == 0 {
 		return
 	}
-	explained := false
+	var started []string
 	for _, r := range h.runs {
-		explained = explained || r.startedAt.IsZero() || r.justStarted()
+		if r.startedAt.IsZero() || r.justStarted() {
+			started = append(started, r.task.name.Job)
+		}
 	}
-	p.refusals[h.ID] = refusal{at: now, explained: explained}
+	p.refusals[h.ID] = refusal{now, started}
 }
 
 // forgetRefusals drops the refusals that are older than refusalRetention.
--- a/internal/sched/giveup_test.go
+++ b/internal/sched/giveup_test.go
@@ -221,3 +221,46 @@
 		s.mustNotFail()
 	}
 }
+
+// Guards against giving up a job for hosts that crash together, twice, each time just after
+// tasks of one of its steps have started there.
+func TestHostsThatCrashTogetherUnderOneJobDoNotFailIt(t *testing.T) {
+	s := newCrashScript(t, 8, work.Step{}, nil)
+	must.True(t, s.p.Cancel(scriptTask.Job, s.now, s.now))
+	pair := &work.JobRecord{ID: "0000000000000002", Queue: work.Queue{MaxAttempts: 3}, Spec: work.Spec{
+		Steps: []work.Step{{Count: 2, Resources: work.Resources{MilliCPU: 1000}, Estimate: 5 * time.Second}},
+	}}
+	must.True(t, s.p.Accept(pair, s.now, s.now))
+	for range 2 {
+		crashing := s.startAll(2)
+		s.now = s.now.Add(50 * time.Millisecond)
+		for _, id := range crashing {
+			s.silent[id] = true
+			s.p.HeartbeatFailed(worker.Target{ID: id}, worker.NotSent, s.now, s.now)
+		}
+		s.crash(crashing...)
+	}
+	s.pass(time.Second, nil)
+	state, _ := s.p.VisibleState(pair.ID)
+	must.EqOp(t, work.Running, state)
+}
+
+// startAll lets time pass until count runs were ordered, which their hosts accept, and
+// returns these hosts.
+func (s *crashScript) startAll(count int) (hosts []string) {
+	s.t.Helper()
+	for range 200 {
+		s.pass(100*time.Millisecond, nil)
+		for _, o := range s.p.Plan(s.now, s.now).Orders {
+			if o.Verb == Start {
+				s.p.StartOutcome(o.To, o.Task, o.Run, worker.Accepted, s.now, s.now)
+				hosts = append(hosts, o.To.ID)
+			}
+		}
+		if len(hosts) >= count {
+			return hosts
+		}
+	}
+	s.t.Fatalf("%d runs were ordered", len(hosts))
+	return nil
+}
--- a/internal/sched/losses.go
+++ b/internal/sched/losses.go
@@ -103,7 +103,7 @@
 // attributeRuns attributes the loss of a host to the tasks of its runs.
 func (p *Pool) attributeRuns(h *host, evidence Evidence, now, wall time.Time) Loss {
 	loss := Loss{Host: h.ID, Born: h.incarnation, Evidence: evidence, Listed: h.listed, Unresponsive: now.Sub(h.repliedAt), Refused: h.unreachable()}
-	loss.LostTogether, loss.Unexplained = p.lostTogether(h)
+	loss.LostTogether, loss.Unexplained = p.lostTogether(h, "")
 	if loss.Refused {
 		loss.RefusedAfter = h.refusedSince.Sub(h.repliedAt)
 	}
