--- a/internal/poolmanager/longrunning_test.go
+++ b/internal/poolmanager/longrunning_test.go
@@ -37,6 +37,18 @@
 	return ""
 }
 
+// crashInTurn has the host of a job crash each time that the job has run there for a while,
+// and waits until it runs again.
+func (e *env) crashInTurn(id string, times int, running time.Duration) {
+	e.t.Helper()
+	for range times {
+		host := e.awaitHost(id)
+		time.Sleep(running)
+		e.workers.Crash(host)
+	}
+	e.awaitHost(id)
+}
+
 // Guards against a long-running task whose pause after crashes adds up with the time until
 // the loss of its host is believed: its hosts go for good in turn.
 func TestLongRunningTaskWhoseHostsAreLostInTurn(t *testing.T) {
@@ -67,12 +79,7 @@
 				m := e.takeOver(true)
 				confirm(e, m)
 				id := e.submit(m, longRunningStep(1))
-				for range 16 {
-					host := e.awaitHost(id)
-					time.Sleep(length)
-					e.workers.Crash(host)
-				}
-				e.awaitHost(id)
+				e.crashInTurn(id, 16, length)
 				must.Less(t, maxAway, e.workers.Checker.LongestAway(id))
 				must.EqOp(t, work.Running, e.state(m, id))
 			})
@@ -110,12 +117,7 @@
 		young := shortStep(4)
 		young.Resources, young.MaxPerHost = work.Resources{MilliCPU: 500, MemMB: 100}, 1
 		stop := feed(e, m, 300*time.Millisecond, young)
-		for range 4 {
-			host := e.awaitHost(id)
-			time.Sleep(2500 * time.Millisecond)
-			e.workers.Crash(host)
-		}
-		e.awaitHost(id)
+		e.crashInTurn(id, 4, 2500*time.Millisecond)
 		stop()
 		must.Less(t, maxAway, e.workers.Checker.LongestAway(id))
 	})
@@ -156,12 +158,7 @@
 		first.Estimate, faulty.Estimate = 100*time.Millisecond, 200*time.Millisecond
 		stop := feed(e, m, 150*time.Millisecond, first, faulty)
 		time.Sleep(6 * time.Second)
-		for range 4 {
-			host := e.awaitHost(id)
-			time.Sleep(3 * time.Second)
-			e.workers.Crash(host)
-		}
-		e.awaitHost(id)
+		e.crashInTurn(id, 4, 3*time.Second)
 		stop()
 		must.Less(t, maxAway, e.workers.Checker.LongestAway(id))
 	})
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -71,13 +71,15 @@
 }
 
 // availableHosts returns the hosts that could get new work, avoided ones among them.
-func (pl *planner) availableHosts() (hosts []*host) {
-	for _, h := range pl.hosts {
-		if pl.unavailable(h, pl.now) == "" {
-			hosts = append(hosts, h)
+func (pl *planner) availableHosts() []*host {
+	if pl.available == nil {
+		for _, h := range pl.hosts {
+			if pl.unavailable(h, pl.now) == "" {
+				pl.available = append(pl.available, h)
+			}
 		}
 	}
-	return hosts
+	return pl.available
 }
 
 // removeRun removes one run of the step from a host's count.
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -117,6 +117,8 @@
 	// resource free than maxFree.
 	open    []*host
 	maxFree work.Resources
+	// available holds the open hosts and the avoided ones, nil before it is needed.
+	available []*host
 	// hidden bounds what runs of earlier holders use on hosts that have not answered.
 	hidden work.Resources
 	// noRoomFor holds the kinds of tasks that found no room in this plan.
