--- a/internal/poolmanager/absences.go
+++ b/internal/poolmanager/absences.go
@@ -8,12 +8,19 @@
 	"auburnglade.example/glade/internal/sched"
 )
 
+// absenceWarnAfter is how long a long-running task may be without a run before the
+// platform counts it as lost.
+const absenceWarnAfter = 6 * time.Second
+
 // reportAbsence logs and counts a long-running task that is out of service for long, or
 // was until now.
 func (m *Manager) reportAbsence(a sched.Absence) {
-	event, message := m.Log.Warn(), "A long-running task is out of service."
+	event, message := m.Log.Info(), "A long-running task is out of service."
+	if a.Away >= absenceWarnAfter {
+		event = m.Log.Warn()
+	}
 	if a.Reason == "" {
-		event, message = m.Log.Info(), "A long-running task is back in service."
+		message = "A long-running task is back in service."
 		m.Metrics.absenceSeconds.Observe(a.Away.Seconds())
 		for reason, length := range a.Waited {
 			m.Metrics.absenceWaits.WithLabelValues(string(reason)).Add(length.Seconds())
--- a/internal/poolmanager/census.go
+++ b/internal/poolmanager/census.go
@@ -41,12 +41,13 @@
 // applyCensus applies the answer to a question that was asked at sent.
 func (m *Manager) applyCensus(census worker.Census, err error, sent time.Time) {
 	now := time.Now()
-	m.census = censusSchedule{next: now.Add(max(censusMinInterval, censusCostFactor*now.Sub(sent)))}
+	m.census = censusSchedule{next: now.Add(censusMinInterval)}
 	if err != nil {
 		m.Log.Warn().Err(err).Msg("The platform did not say which hosts are up; those in doubt are waited for.")
 		m.Metrics.censuses.WithLabelValues("failed").Inc()
 		return
 	}
+	m.census.next = now.Add(max(censusMinInterval, censusCostFactor*now.Sub(sent)))
 	m.Metrics.censuses.WithLabelValues("answered").Inc()
 	m.pool.ApplyCensus(census, sent, now, m.WallClock())
 }
--- a/internal/sched/absence.go
+++ b/internal/sched/absence.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"maps"
 	"time"
 
 	"auburnglade.example/glade/internal/work"
@@ -84,7 +85,7 @@
 		}
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
-				if s.spec.LongRunning {
+				if s.spec.LongRunning && o.begun(pl.now) && s.ready() {
 					pl.noteAbsencesOf(s)
 				}
 			}
@@ -130,13 +131,9 @@
 }
 
 func (a *absence) report(t *task, reason WaitReason, now time.Time) Absence {
-	waited := make(map[WaitReason]time.Duration, len(a.waited))
-	for r, length := range a.waited {
-		waited[r] = length
-	}
 	return Absence{
 		Task: t.name, Run: a.run, Host: a.host, Away: now.Sub(a.since), SinceTakeover: a.sinceTakeover,
-		Reason: reason, Waited: waited, Crashes: len(t.crashes),
+		Reason: reason, Waited: maps.Clone(a.waited), Crashes: len(t.crashes),
 	}
 }
 
--- a/internal/sched/absence_test.go
+++ b/internal/sched/absence_test.go
@@ -59,3 +59,14 @@
 	must.EqOp(t, WaitUnreached, reports[0].Reason)
 	must.Eq(t, []UnansweredHost{{"gone", LeaseExpired, s.now.Sub(s.p.started) - 400*time.Millisecond}}, s.p.UnansweredHosts())
 }
+
+// A long-running task whose turn has not come waits for nothing.
+func TestAbsenceBeforeItsTurnIsNotReported(t *testing.T) {
+	s := newCrashScript(t, 1, work.Step{}, nil)
+	later := &work.JobRecord{ID: "0000000000000002", Queue: work.Queue{MaxAttempts: 3}, Spec: work.Spec{Steps: []work.Step{
+		{Count: 1, Resources: work.Resources{MilliCPU: 1000}, Estimate: time.Minute},
+		{Count: 1, Resources: work.Resources{MilliCPU: 1000}, LongRunning: true, After: []int{0}},
+	}}}
+	must.True(t, s.p.Accept(later, s.now, s.now))
+	must.SliceEmpty(t, s.absences(5*time.Second))
+}
