Load simulator: no heartbeat is sent before its host was listed

Cause: the simulator dates the first heartbeat of a host before the host was listed, and the pool now drops replies to heartbeats that are older than the host, since its ID may have been in use before.

--- a/internal/measure/loadsim/world.go
+++ b/internal/measure/loadsim/world.go
@@ -185,7 +185,10 @@
 	if since < minHeartbeatInterval || !m.current.runEnded && since < maxHeartbeatInterval && !m.current.neverContacted() {
 		return
 	}
-	sent := w.time().Add(-since + minHeartbeatInterval/2)
+	sent := w.time()
+	if m.current.contacted {
+		sent = sent.Add(-since + minHeartbeatInterval/2)
+	}
 	heartbeat, ok := p.sched.NextHeartbeat(m.current.id, maxHeartbeatInterval, true, sent)
 	if !ok {
 		return
