Say of a run that is given up what that rests on, and whether it was heard of again

The record of the incident can't tell the hypotheses apart: a lost host's line names the evidence, but not how fresh it was nor how long the leases still had to run; a start's line doesn't say that the last run was given up, nor when that was ordered; and nothing says that a run that was given up went on.

Added: since_order_ms, lease_left_ms and census_age_ms in 'A host was lost with runs on it.'; 'A task starts again after a run that was given up.' with both runs, hosts and the evidence; 'A run that was given up was heard of again.' with its end, also for a run beside another one that an earlier holder may have given up, and a metric for it; a line when the claim's confirmation has become too old and when there is one again, and its age in the pool's statistics. No logic of decisions is changed.

--- a/internal/poolmanager/census.go
+++ b/internal/poolmanager/census.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"auburnglade.example/glade/internal/sched"
 	"auburnglade.example/glade/internal/worker"
 )
 
@@ -21,6 +22,17 @@
 type censusSchedule struct {
 	pending bool
 	next    time.Time
+	// appliedAskedAt is when the last one that was applied was asked for.
+	appliedAskedAt time.Time
+}
+
+// censusAge returns how long ago the census was asked for that gives the evidence, zero
+// for other evidence.
+func (m *Manager) censusAge(evidence sched.Evidence) time.Duration {
+	if evidence != sched.HostDown && evidence != sched.HostRemoved {
+		return 0
+	}
+	return time.Since(m.census.appliedAskedAt)
 }
 
 // askForDoubted asks the platform which hosts are up while tasks may run on some that do
@@ -41,7 +53,7 @@
 // applyCensus applies the answer to a question that was asked at sent.
 func (m *Manager) applyCensus(census worker.Census, err error, sent time.Time) {
 	now := time.Now()
-	m.census = censusSchedule{next: now.Add(censusMinInterval)}
+	m.census.pending, m.census.next = false, now.Add(censusMinInterval)
 	if err != nil {
 		m.Log.Warn().Err(err).Msg("The platform did not say which hosts are up; those in doubt are waited for.")
 		m.Metrics.censuses.WithLabelValues("failed").Inc()
@@ -49,5 +61,6 @@
 	}
 	m.census.next = now.Add(max(censusMinInterval, censusCostFactor*now.Sub(sent)))
 	m.Metrics.censuses.WithLabelValues("answered").Inc()
+	m.census.appliedAskedAt = sent
 	m.pool.ApplyCensus(census, sent, now, m.WallClock())
 }
--- a/internal/poolmanager/losses.go
+++ b/internal/poolmanager/losses.go
@@ -22,12 +22,29 @@
 			m.Metrics.verdicts.WithLabelValues(string(r.Verdict)).Inc()
 		}
 		m.Log.Warn().Str("host", loss.Host).Int64("born", loss.Born).Int64("restarted", loss.Restarted).Int("unsettled", loss.Unsettled).Str("evidence", string(loss.Evidence)).Bool("listed", loss.Listed).
-			Dur("unheard_ms", loss.Unresponsive).Bool("refused", loss.Refused).Dur("refused_after_ms", loss.RefusedAfter).
+			Dur("unheard_ms", loss.Unresponsive).Dur("since_order_ms", loss.SinceOrder).Dur("lease_left_ms", loss.LeaseLeft).Dur("census_age_ms", m.censusAge(loss.Evidence)).Bool("refused", loss.Refused).Dur("refused_after_ms", loss.RefusedAfter).
 			Int("lost_together", loss.LostTogether).Int("unexplained", loss.Unexplained).Int("count", len(loss.Runs)).Array("runs", lostRuns(loss.Runs)).
 			Msg(lossMessage(loss))
 	}
 }
 
+// reportHeardAgain logs and counts the runs that were given up and reported afterwards.
+func (m *Manager) reportHeardAgain() {
+	for _, h := range m.pool.HeardAgain() {
+		m.Metrics.heardAgain.WithLabelValues(string(h.Evidence), string(h.End)).Inc()
+		m.Log.Warn().Str("task", h.Task.String()).Int("run", h.Run).Str("host", h.Host).Str("evidence", string(h.Evidence)).
+			Str("end", string(h.End)).Dur("after_ms", h.After).Msg("A run that was given up was heard of again.")
+	}
+}
+
+// reportRestarts logs the starts of tasks whose last run was given up.
+func (m *Manager) reportRestarts(restarts []sched.Restart) {
+	for _, r := range restarts {
+		m.Log.Info().Str("task", r.Task.String()).Int("run", r.Run).Str("host", r.Host).Int("previous", r.Previous).Str("previous_host", r.PreviousHost).
+			Str("evidence", string(r.Evidence)).Dur("since_order_ms", r.SinceOrder).Dur("since_given_up_ms", r.SinceGivenUp).Msg("A task starts again after a run that was given up.")
+	}
+}
+
 func lossMessage(loss sched.Loss) string {
 	if loss.Restarted != 0 {
 		return "A host has restarted under its ID."
--- a/internal/poolmanager/manager.go
+++ b/internal/poolmanager/manager.go
@@ -153,6 +153,8 @@
 	// claimConfirmedAt is when the store last confirmed that this process holds
 	// the pool.
 	claimConfirmedAt time.Time
+	// confirmationLost is set while that is too long ago.
+	confirmationLost bool
 	// inboxCurrentAt is up to when all entries of the inbox were applied.
 	inboxCurrentAt time.Time
 	// committedAt is when the head's lane last committed.
@@ -233,6 +235,7 @@
 		}
 		m.planDue = false
 		m.reportLosses()
+		m.reportHeardAgain()
 		if m.released {
 			return nil
 		}
@@ -264,7 +267,7 @@
 	m.statsLoggedAt = now
 	m.reportOrganisations()
 	s := m.pool.Stats(now)
-	m.Log.Info().Dur("plan_ms", m.planDuration).Dur("worst_lag_ms", m.maxLag).Dur("worst_reply_late_ms", m.maxReplyLate).Dur("order_ms", m.hedger.latency()).
+	m.Log.Info().Dur("plan_ms", m.planDuration).Dur("worst_lag_ms", m.maxLag).Dur("worst_reply_late_ms", m.maxReplyLate).Dur("order_ms", m.hedger.latency()).Dur("confirmed_ms", now.Sub(m.claimConfirmedAt)).
 		Int("jobs", s.Jobs).Int("hosts", s.Hosts).Int("usable", s.Usable).Interface("unusable", s.UnusableReasons).
 		Int("unreached", s.Unreached).Int("runs", s.Runs).Int("waiting_tasks", s.WaitingTasks).
 		Int("waiting_lasting", s.LongRunningWaiting).Int("used_cores", s.UsedCores).Int("cores", s.Cores).Dict("busy_ms", m.workTimes.takeSpent()).Msg("Pool statistics.")
@@ -303,6 +306,22 @@
 	return now.Sub(m.claimConfirmedAt) < ConfirmationTimeout
 }
 
+// noteConfirmation logs when the confirmation of the claim has become too old, and when
+// there is a new one.
+func (m *Manager) noteConfirmation(now time.Time) {
+	confirmed := m.claimConfirmed(now)
+	if confirmed != m.confirmationLost {
+		return
+	}
+	m.confirmationLost = !confirmed
+	age := now.Sub(m.claimConfirmedAt)
+	if confirmed {
+		m.Log.Info().Int64("fence", m.takeover.Head.Fence).Dur("age_ms", age).Msg("The store has confirmed the claim again.")
+		return
+	}
+	m.Log.Warn().Int64("fence", m.takeover.Head.Fence).Dur("age_ms", age).Msg("The store has not confirmed the claim for too long; nothing starts and no lease is renewed.")
+}
+
 func (m *Manager) setHosts(hosts []worker.Host) {
 	m.enqueue(m.ctx, func() { m.pool.SetHosts(hosts, time.Now()) })
 }
@@ -325,6 +344,7 @@
 // plan computes the next scheduling decisions and sends the resulting orders and
 // advice requests.
 func (m *Manager) plan(now time.Time) {
+	m.noteConfirmation(now)
 	m.pool.SetClaimConfirmed(m.claimConfirmed(now))
 	m.pool.SetStartBytes(m.Starts.Available(now))
 	plan := m.pool.Plan(now, m.WallClock())
--- a/internal/poolmanager/metrics.go
+++ b/internal/poolmanager/metrics.go
@@ -31,6 +31,9 @@
 	// those runs.
 	lostHosts *prometheus.CounterVec
 	lostRuns  prometheus.Counter
+	// heardAgain counts the runs that were given up and reported afterwards, by evidence
+	// and end.
+	heardAgain *prometheus.CounterVec
 	// verdicts counts the consequences of lost hosts for the tasks that ran there, by
 	// sched.Verdict.
 	verdicts *prometheus.CounterVec
@@ -147,6 +150,9 @@
 		Name: "glade_hosts_lost_total", Help: "Hosts lost with runs on them, by how that is known.",
 	}, []string{"evidence"})
 	m.lostRuns = prometheus.NewCounter(prometheus.CounterOpts{Name: "glade_runs_lost_total", Help: "Runs that were lost with their host."})
+	m.heardAgain = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "glade_given_up_runs_heard_total", Help: "Runs that were given up and reported by their hosts afterwards, by why they were given up and how they ended.",
+	}, []string{"evidence", "end"})
 	m.verdicts = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "glade_crash_verdicts_total", Help: "What lost hosts meant for the tasks that ran there.",
 	}, []string{"verdict"})
@@ -165,7 +171,7 @@
 	m.organisations = newOrganisationMetrics()
 	if registerer != nil {
 		registerer.MustRegister(m.organisations.collectors()...)
-		registerer.MustRegister(m.replyLateSeconds, m.quotaCalls, m.partSeconds, m.absenceSeconds, m.absenceWaits, m.censuses, m.verdicts, m.lostHosts, m.lostRuns, m.planSeconds, m.lagSeconds,
+		registerer.MustRegister(m.replyLateSeconds, m.quotaCalls, m.partSeconds, m.absenceSeconds, m.absenceWaits, m.censuses, m.heardAgain, m.verdicts, m.lostHosts, m.lostRuns, m.planSeconds, m.lagSeconds,
 			m.takeovers, m.starts, m.speculativeStarts, m.stragglers, m.copies, m.runtimes.ratios, m.hedges, m.stops, m.throttles, m.calls,
 			m.callSeconds, m.commits, m.commitSeconds, m.entries, m.submits, m.jobs, m.jobAge, m.jobWait, m.lossyPeriods, m.sideCommits, m.refusals)
 	}
--- a/internal/poolmanager/stragglers.go
+++ b/internal/poolmanager/stragglers.go
@@ -9,8 +9,8 @@
 	stragglerNoRoom = "no room"
 )
 
-// reportMeasured reports what a plan says about run times, copies, runs that take long
-// and long-running tasks that are out of service.
+// reportMeasured reports what a plan says about run times, copies, runs that take long,
+// starts after runs that were given up, and long-running tasks that are out of service.
 func (m *Manager) reportMeasured(plan sched.Plan) {
 	for _, record := range plan.Runtimes {
 		m.Metrics.runtimes.observe(record)
@@ -21,6 +21,7 @@
 	for _, straggler := range plan.Stragglers {
 		m.reportStraggler(straggler)
 	}
+	m.reportRestarts(plan.Restarts)
 	for _, absence := range plan.Absences {
 		m.reportAbsence(absence)
 	}
--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -100,6 +100,17 @@
 	version uint64
 }
 
+// lastOrderAt returns when a start or a lease renewal was last sent to the host.
+func (h *host) lastOrderAt() time.Time {
+	last := h.leaseSentAt
+	for _, r := range h.runs {
+		if r.orderedAt.After(last) {
+			last = r.orderedAt
+		}
+	}
+	return last
+}
+
 // unreachable reports whether a connection to the host has failed since its last
 // reply.
 func (h *host) unreachable() bool { return h.connectFailedAt.After(h.repliedAt) }
--- a/internal/sched/losses.go
+++ b/internal/sched/losses.go
@@ -38,6 +38,9 @@
 	Listed bool
 	// Unresponsive is for how long the host had not responded.
 	Unresponsive time.Duration
+	// SinceOrder is the time since the last order or lease renewal, LeaseLeft how much
+	// longer the leases of its runs may have lasted, negative if they had expired.
+	SinceOrder, LeaseLeft time.Duration
 	// Refused is set when it refused connections after its last reply,
 	// RefusedAfter how long after it, LostTogether how many other hosts of the pool
 	// began to do so at the same moment.
@@ -96,6 +99,7 @@
 	}
 	p.losses = append(p.losses, p.attributeRuns(h, evidence, now, wall))
 	for _, r := range h.runs {
+		r.giveUp(evidence, now)
 		p.endRun(r, work.EndExpired, "", now)
 	}
 }
@@ -103,6 +107,7 @@
 // attributeRuns attributes the loss of a host to the tasks of its runs.
 func (p *Pool) attributeRuns(h *host, evidence Evidence, now, wall time.Time) Loss {
 	loss := Loss{Host: h.ID, Born: h.incarnation, Evidence: evidence, Listed: h.listed, Unresponsive: now.Sub(h.repliedAt), Refused: h.unreachable()}
+	loss.SinceOrder, loss.LeaseLeft = now.Sub(h.lastOrderAt()), p.leasesExpireAt(h).Sub(now)
 	loss.LostTogether, loss.Unexplained = p.lostTogether(h, "")
 	if loss.Refused {
 		loss.RefusedAfter = h.refusedSince.Sub(h.repliedAt)
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -62,6 +62,8 @@
 	// Absences holds the long-running tasks that are out of service for long, or were
 	// until now.
 	Absences []Absence
+	// Restarts holds the starts of tasks whose last run was given up.
+	Restarts []Restart
 	// Runtimes and Copies hold what was measured since the last plan.
 	Runtimes []RuntimeRecord
 	Copies   []CopyRecord
@@ -266,6 +268,7 @@
 		task: t, number: number, host: h, state: starting, orderedAt: pl.now, progressedAt: pl.now, speed: fullPercent, resumed: t.checkpoint != "",
 		suspect: crashes > 0, isolated: crashes >= strongSuspect,
 	}
+	pl.noteRestart(r, t.lastRun)
 	t.run, t.lastRun, t.chargedRun = r, number, 0
 	t.step.waiting--
 	j := t.job()
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -74,6 +74,8 @@
 	// that UnansweredHosts has not.
 	losses     []Loss
 	unanswered []UnansweredHost
+	// heardAgain holds the reports that HeardAgain has not returned yet.
+	heardAgain []HeardAgain
 	// stops counts the runs that are to be stopped.
 	stops int
 	// hostsChanged is set when a host was added.
@@ -266,13 +268,7 @@
 // leasesExpireAt returns when every run on a host has certainly ended if the host
 // receives nothing more from this holder.
 func (p *Pool) leasesExpireAt(h *host) time.Time {
-	last := h.leaseSentAt
-	for _, r := range h.runs {
-		if r.orderedAt.After(last) {
-			last = r.orderedAt
-		}
-	}
-	expire := last.Add(LeaseUpperBound(p.LeaseTTL))
+	expire := h.lastOrderAt().Add(LeaseUpperBound(p.LeaseTTL))
 	if h.strayLeaseUntil.After(expire) {
 		return h.strayLeaseUntil
 	}
--- a/internal/sched/replies.go
+++ b/internal/sched/replies.go
@@ -55,6 +55,7 @@
 		return
 	}
 	t.lastRun = max(t.lastRun, end.Run)
+	p.noteHeard(t, h.ID, end.Run, end.Reason, now)
 	t.clearCrash(end.Run)
 	r := h.runs[end.Task]
 	if r != nil && r.number > end.Run {
@@ -236,6 +237,7 @@
 	if t == nil {
 		t = placeholderTask(j, report.Task)
 	}
+	p.noteHeard(t, h.ID, report.Run, "", now)
 	r := &run{
 		task: t, number: report.Run, host: h, state: running, orderedAt: now, startedAt: now, progressedAt: now,
 		percent: report.Percent, firstPercent: report.Percent, speed: fullPercent, adopted: true,
--- a/internal/sched/restart.go
+++ b/internal/sched/restart.go
@@ -76,6 +76,7 @@
 			}
 			continue
 		}
+		r.giveUp(InstanceReplaced, now)
 		p.endRun(r, work.EndExpired, "", now)
 	}
 	loss.Unsettled = len(unsettled)
--- a/internal/sched/task.go
+++ b/internal/sched/task.go
@@ -98,6 +98,8 @@
 	// failed holds the runs that failed, crashes those whose host was lost.
 	failed  []int
 	crashes []Crash
+	// givenUp holds the last runs that were given up, oldest first.
+	givenUp []givenUpRun
 	// chargedRun is the next run of a suspect task, which is stored as a crash
 	// before it starts, at version chargedVersion of its job.
 	chargedRun     int
