--- a/internal/emulate/checker.go
+++ b/internal/emulate/checker.go
@@ -16,7 +16,7 @@
 // The rules that a Checker verifies.
 const (
 	// RuleDuplicateRun is violated by two concurrent runs of a task, or a run that
-	// starts after a success was acknowledged.
+	// starts after a success that was acknowledged then or later.
 	RuleDuplicateRun Rule = "task runs twice"
 	// RuleCapacity is violated by more runs on a host than its capacity allows.
 	RuleCapacity Rule = "host over its capacity"
@@ -100,8 +100,10 @@
 	done    bool
 	// ackedAt is the time when a success was acknowledged.
 	ackedAt time.Time
-	failed  map[int]bool
-	seen    map[int]bool
+	// successes holds the runs that ended as done whose ends aren't acknowledged.
+	successes []*success
+	failed    map[int]bool
+	seen      map[int]bool
 	// crashes is the number of hosts that the task has crashed, startsAfterCrashes
 	// the number of its starts after crashLimit crashes.
 	crashes, startsAfterCrashes int
@@ -256,6 +258,9 @@
 	if t.done && !t.ackedAt.IsZero() && (!s.Speculative || sent.Sub(t.ackedAt) > speculativeGrace) {
 		c.addViolation(RuleDuplicateRun, "%s run %d on %s after a success that was acknowledged", o.Task, o.Run, h.ID)
 	}
+	if !s.Speculative {
+		t.startedAfterSuccess(fmt.Sprintf("%s run %d on %s", o.Task, o.Run, h.ID))
+	}
 	if !s.LongRunning && len(t.failed) >= job.record.Queue.MaxAttempts {
 		c.addViolation(RuleAttempts, "%s run %d on %s after %d failures", o.Task, o.Run, h.ID, len(t.failed))
 	}
@@ -335,6 +340,7 @@
 	switch reason {
 	case work.EndDone:
 		t.done = true
+		t.succeeded(host, number)
 	case work.EndFailed:
 		t.failed[number] = true
 	}
@@ -390,10 +396,15 @@
 }
 
 // acknowledged records that the system has acknowledged the end of a run.
-func (c *Checker) acknowledged(_ string, end worker.RunEnd) {
+func (c *Checker) acknowledged(host string, end worker.RunEnd) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if t := c.task(end.Task); end.Reason == work.EndDone && t.ackedAt.IsZero() {
+	if end.Reason != work.EndDone {
+		return
+	}
+	t := c.task(end.Task)
+	c.checkSuccess(t, host, end)
+	if t.ackedAt.IsZero() {
 		t.ackedAt = time.Now()
 	}
 }
--- a/internal/emulate/fleet.go
+++ b/internal/emulate/fleet.go
@@ -27,6 +27,10 @@
 	// LoseResponses is the number of upcoming calls that are executed but whose
 	// response is lost.
 	LoseResponses int
+	// Silent is what the list says of hosts that answer nobody.
+	Silent SilentListing
+	// Lag is how old the list is. It stands still for as long when a lag begins.
+	Lag time.Duration
 }
 
 // Fleet moves and maintains emulated hosts. It implements hostmanager.Fleet and
@@ -39,6 +43,7 @@
 	hosts      map[string]*fleetHost
 	waves      map[int64]hostmanager.Wave
 	faults     FleetFaults
+	past       []pastListing
 	fences     map[string]int64
 	down       map[int64]int
 	maintained map[int64]map[string]bool
@@ -58,7 +63,7 @@
 		workers: workers, hosts: make(map[string]*fleetHost), waves: make(map[int64]hostmanager.Wave),
 		fences: make(map[string]int64), down: make(map[int64]int), maintained: make(map[int64]map[string]bool),
 	}
-	workers.onRestart = f.hostRestarted
+	workers.onRestart, workers.onTick = f.hostRestarted, f.noteList
 	return f
 }
 
@@ -102,6 +107,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.faults = faults
+	f.noteListLocked()
 }
 
 // MaintenanceStarted returns the number of hosts of a wave whose maintenance has
@@ -152,16 +158,7 @@
 	if f.faults.Down {
 		return nil, UnavailableError{}
 	}
-	var list []hostmanager.Host
-	for _, name := range f.names {
-		h := f.hosts[name].Host
-		if f.workers.isLost(h.Worker) {
-			continue
-		}
-		h.Up = f.isUp(f.hosts[name])
-		list = append(list, h)
-	}
-	return list, nil
+	return f.listedLocked(), nil
 }
 
 // Move implements hostmanager.Fleet.
--- a/internal/emulate/workers.go
+++ b/internal/emulate/workers.go
@@ -98,6 +98,8 @@
 	// onRestart, if not nil, is called when a crashed host is back, with the IDs of
 	// the previous and the new incarnation.
 	onRestart func(before, after string)
+	// onTick, if not nil, is called after each tick.
+	onTick func()
 }
 
 var (
@@ -169,6 +171,9 @@
 			return
 		case <-ticker.C:
 			w.tick()
+			if w.onTick != nil {
+				w.onTick()
+			}
 		}
 	}
 }
@@ -345,6 +350,9 @@
 		for _, r := range h.runs {
 			w.advanceLocked(h, r)
 		}
+		if h.clockMs() > h.leaseUntil {
+			w.Checker.leaseExpired(h.ID, h.ended)
+		}
 	}
 }
 
