A holder's claim is not confirmed by what it saw before it was suspended

What callers would see: a second run of a task, on a host that only the suspended holder reaches, or started there before its successor's call.

Cause: a pool's holder measured the age of its confirmation by the monotonic clock alone, which stands still while its machine is suspended. The host manager, configurations and shared reads took the time of day as well, each by code of its own.

Now: one function (internal/elapsed), the longer of both clocks, for all of them; also for how current the list of claims must be for a claim. A time of day that is set forward makes a holder pause until its next confirmation.

--- a/internal/atmostonce/deduplicator.go
+++ b/internal/atmostonce/deduplicator.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"auburnglade.example/glade/internal/elapsed"
 	"auburnglade.example/glade/internal/pause"
 )
 
@@ -191,14 +192,9 @@
 // whose claim has since been removed and whose key has run elsewhere, and the
 // request would run twice. The check is sufficient because a claim is never
 // taken over, only removed, and at the earliest DefaultRetention after it was
-// written, which is at least four windows. The wall clock is checked too,
-// because the monotonic clock of a suspended virtual machine may stand still;
-// either clock can only refuse.
+// written, which is at least four windows.
 func (g *GrantedClaim) CanSend() bool {
-	now := time.Now()
-	monotonic := now.Sub(g.requestedAt)
-	wall := now.Round(0).Sub(g.requestedAt.Round(0))
-	return monotonic < g.claim.Window && wall < g.claim.Window
+	return elapsed.Between(g.requestedAt, time.Now()) < g.claim.Window
 }
 
 // Settle settles the claim. When the request did not run, the claim is freed
--- a/internal/cluster/elect.go
+++ b/internal/cluster/elect.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"auburnglade.example/glade/internal/elapsed"
 	"auburnglade.example/glade/internal/pause"
 	"auburnglade.example/glade/internal/poolstore"
 	"auburnglade.example/glade/internal/store"
@@ -89,7 +90,7 @@
 	defer c.mu.Unlock()
 	claim, claimed := c.claims[pool]
 	claimed = claimed && !c.holderEndedLocked(claim)
-	if claimed || c.leaving || c.lease == 0 || c.holdsLocked(pool) || time.Since(c.updatedAt) > leaseTTL {
+	if claimed || c.leaving || c.lease == 0 || c.holdsLocked(pool) || elapsed.Between(c.updatedAt, time.Now()) > leaseTTL {
 		return claimBasis{}, false
 	}
 	if c.withoutHolderSince[pool].IsZero() {
--- a/internal/configrelay/standing.go
+++ b/internal/configrelay/standing.go
@@ -1,6 +1,10 @@
 package configrelay
 
-import "time"
+import (
+	"time"
+
+	"auburnglade.example/glade/internal/elapsed"
+)
 
 // Standing is what is known of the version in force at one moment.
 type Standing struct {
@@ -49,8 +53,7 @@
 	return r.Standing(now).Current(bound)
 }
 
-// ageLocked is how long ago the version in force was known to be the newest. The monotonic
-// clock stands still while a process is suspended, the wall clock doesn't.
+// ageLocked is how long ago the version in force was known to be the newest.
 func (r *Relay) ageLocked(now time.Time) time.Duration {
-	return max(now.Sub(r.confirmedAt), now.Round(0).Sub(r.confirmedAt.Round(0)))
+	return elapsed.Between(r.confirmedAt, now)
 }
--- a/internal/hostmanager/manager.go
+++ b/internal/hostmanager/manager.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/time/rate"
 
+	"auburnglade.example/glade/internal/elapsed"
 	"auburnglade.example/glade/internal/pause"
 	"auburnglade.example/glade/internal/poolstore"
 	"auburnglade.example/glade/internal/store"
@@ -188,16 +189,12 @@
 // managers that act on one host in turn would each undo what the other plans.
 const maxUnconfirmed = 1800 * time.Millisecond
 
-// mayAct reports whether this process may act on hosts. The monotonic clock
-// stands still while a process is suspended, so that the last confirmation would
-// appear recent after it resumes; the wall clock goes on. If the wall clock is set
+// mayAct reports whether this process may act on hosts. If the time of day is set
 // forward, the manager pauses until the store confirms the claim again.
 func (m *Manager) mayAct() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := time.Now()
-	byWallClock := now.Round(0).Sub(m.confirmedAt.Round(0))
-	return !m.fenced && max(now.Sub(m.confirmedAt), byWallClock) < maxUnconfirmed
+	return !m.fenced && elapsed.Between(m.confirmedAt, time.Now()) < maxUnconfirmed
 }
 
 // RestoreClaim implements cluster.HeldPool.
--- a/internal/poolmanager/manager.go
+++ b/internal/poolmanager/manager.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"auburnglade.example/glade/internal/elapsed"
 	"auburnglade.example/glade/internal/linkbudget"
 	"auburnglade.example/glade/internal/overload"
 	"auburnglade.example/glade/internal/poolstore"
@@ -269,7 +270,7 @@
 	m.statsLoggedAt = now
 	m.reportOrganisations()
 	s := m.pool.Stats(now)
-	m.Log.Info().Dur("plan_ms", m.planDuration).Dur("worst_lag_ms", m.maxLag).Dur("worst_reply_late_ms", m.maxReplyLate).Dur("order_ms", m.hedger.latency()).Dur("confirmed_ms", now.Sub(m.claimConfirmedAt)).
+	m.Log.Info().Dur("plan_ms", m.planDuration).Dur("worst_lag_ms", m.maxLag).Dur("worst_reply_late_ms", m.maxReplyLate).Dur("order_ms", m.hedger.latency()).Dur("confirmed_ms", m.confirmationAge(now)).
 		Int("jobs", s.Jobs).Int("hosts", s.Hosts).Int("usable", s.Usable).Interface("unusable", s.UnusableReasons).
 		Int("unreached", s.Unreached).Int("runs", s.Runs).Int("waiting_tasks", s.WaitingTasks).
 		Int("waiting_lasting", s.LongRunningWaiting).Int("used_cores", s.UsedCores).Int("cores", s.Cores).Dict("busy_ms", m.workTimes.takeSpent()).Msg("Pool statistics.")
@@ -303,10 +304,16 @@
 // replaced holder by their fences, and it stops with its next commit.
 func (m *Manager) ClaimLost() {}
 
+// confirmationAge returns how long ago the claim was last confirmed. A holder that was
+// suspended has been replaced, and would start and renew for as long again otherwise.
+func (m *Manager) confirmationAge(now time.Time) time.Duration {
+	return elapsed.Between(m.claimConfirmedAt, now)
+}
+
 // claimConfirmed reports whether the store has confirmed the claim within
 // ConfirmationTimeout.
 func (m *Manager) claimConfirmed(now time.Time) bool {
-	return now.Sub(m.claimConfirmedAt) < ConfirmationTimeout
+	return m.confirmationAge(now) < ConfirmationTimeout
 }
 
 // noteConfirmation logs when the confirmation of the claim has become too old, and when
@@ -317,7 +324,7 @@
 		return
 	}
 	m.confirmationLost = !confirmed
-	age := now.Sub(m.claimConfirmedAt)
+	age := m.confirmationAge(now)
 	if confirmed {
 		m.Log.Info().Int64("fence", m.takeover.Head.Fence).Dur("age_ms", age).Msg("The store has confirmed the claim again.")
 		return
--- a/internal/storeaccess/cache.go
+++ b/internal/storeaccess/cache.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"auburnglade.example/glade/internal/elapsed"
 	"auburnglade.example/glade/internal/store"
 )
 
@@ -92,7 +93,7 @@
 func (c *cache) arriving() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return elapsed(c.arrivedAt, time.Now()) < stalledAfter
+	return elapsed.Between(c.arrivedAt, time.Now()) < stalledAfter
 }
 
 // listed replaces the entries. The differences become events, so that followers go on
@@ -206,17 +207,11 @@
 	return c.revision
 }
 
-// elapsed is the time from then to now. The monotonic clock stands still while a process is
-// suspended, the wall clock doesn't.
-func elapsed(then, now time.Time) time.Duration {
-	return max(now.Sub(then), now.Round(0).Sub(then.Round(0)))
-}
-
 // checkLocked returns *NotCurrentError if the store doesn't respond here. What is known may
 // be older than its last answer, which is told; followers that are sent away for it would
 // all read the same answer from the store.
 func (c *cache) checkLocked(now time.Time) error {
-	if c.currentAt.IsZero() || c.failures >= maxFailures || elapsed(c.heardAt, now) > maxSilence {
+	if c.currentAt.IsZero() || c.failures >= maxFailures || elapsed.Between(c.heardAt, now) > maxSilence {
 		return &NotCurrentError{c.prefix}
 	}
 	return nil
@@ -225,7 +220,7 @@
 // quietLocked is how long after the moment received all changes are known; negative for
 // before.
 func (c *cache) quietLocked(received, now time.Time) time.Duration {
-	return now.Sub(received) - elapsed(c.currentAt, now)
+	return now.Sub(received) - elapsed.Between(c.currentAt, now)
 }
 
 // list returns all entries, for a call that arrived at the moment received.
