Leases on hosts end with the confirmation of the holder's claim

Cause of the long wait: a holder renewed leases of 4.5 s for 6 s after the store had last confirmed its claim, so that a successor that didn't know it to have stopped waited 11.0 s from the takeover, which is 2.2 s after the loss at the least. The platform lets a long-running task be without a run for 9 s, or for 7 s after the last trouble; the machine list was asked to make up for that.

Now a lease ends 4.0 s after the last confirmation, whenever it is granted. A successor's takeover comes after that, so that it waits 4.5 s for hosts that don't answer, whatever became of the holder before; nothing rests on the belief that it has stopped. The store is asked who took over last when nothing has shown that for 0.55 s (a key that takeovers alone write), so that leases are hardly shorter than before; a holder that was replaced learns of it that way, too. Nothing starts with less than a second left. The head says what its holder grants (LeaseMs), so that after a holder of the build before the wait is as it was.

Price: in an outage of the store for everyone starts go on for 3.0 s and runs for 4.0 s, before for 6 and 10.5 s.

The model of one task (sched) confirms a replaced holder up to the takeover and lets the next one wait for one lease only: stricter than the window of 0.6 s that both had.

--- a/internal/cluster/elect.go
+++ b/internal/cluster/elect.go
@@ -130,8 +130,8 @@
 // claim tries to take over a pool. It succeeds only if the claim is still the one
 // whose holder has ended, or there is none: while the head is read from a slow
 // store, another process may claim the pool and the watch may show it. Replacing
-// that claim took the pool from a running holder, and as it was unknown whether that
-// one had stopped, the tasks found running waited for eleven seconds.
+// that claim took the pool from a running holder, and the tasks found running waited
+// for the leases of hosts that did not answer.
 func (c *Cluster) claim(ctx context.Context, pool string, basis claimBasis) {
 	before, revision, err := poolstore.ReadHead(ctx, c.Store, pool)
 	if err != nil {
@@ -146,7 +146,7 @@
 // candidates failed for this reason, and each waited for the next one, two seconds
 // in all.
 func (c *Cluster) claimWithHead(ctx context.Context, pool string, basis claimBasis, before poolstore.Head, revision store.Revision) {
-	head := poolstore.Head{Fence: before.Fence + 1, Holder: c.Self.HolderID(), HostsInUse: before.HostsInUse, Unresponsive: before.Unresponsive}
+	head := poolstore.Head{Fence: before.Fence + 1, Holder: c.Self.HolderID(), HostsInUse: before.HostsInUse, Unresponsive: before.Unresponsive, LeaseMs: before.LeaseMs}
 	claim := encode(Claim{c.Self, head.Fence})
 	requestedAt := time.Now()
 	taken, err := c.Store.Commit(ctx, store.Txn{
--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -284,10 +284,13 @@
 // renewals, stops, clients and the store; commits take half as much as starts.
 const startShare = 0.5
 
-// leaseTTL is how long a heartbeat extends the lease on a host's runs. A pool whose
-// holder fails is taken over within about 3 s, and running work must outlast that. Tasks
-// of an unresponsive host cannot be started elsewhere until its lease has expired.
-const leaseTTL = 4500 * time.Millisecond
+// leaseTTL is how long after the last confirmation of the pool's claim leases on hosts'
+// runs last. A pool whose holder fails is taken over within about 3 s, and running work
+// must outlast that. Tasks of a host that does not answer cannot start elsewhere before
+// the leases have expired, which after a takeover must take no more than 4.5 s: the
+// platform lets a long-running task be without a run for 7 s of calm, 2.2 s of which pass
+// until the claim of a lost holder has expired.
+const leaseTTL = 4 * time.Second
 
 // SchedConfig derives a pool's scheduling configuration from the platform's bounds.
 func SchedConfig(b work.Bounds) sched.Config {
--- a/internal/measure/loadsim/world.go
+++ b/internal/measure/loadsim/world.go
@@ -189,7 +189,7 @@
 	if m.current.contacted {
 		sent = sent.Add(-since + minHeartbeatInterval/2)
 	}
-	heartbeat, ok := p.sched.NextHeartbeat(m.current.id, maxHeartbeatInterval, true, sent)
+	heartbeat, ok := p.sched.NextHeartbeat(m.current.id, maxHeartbeatInterval, sent)
 	if !ok {
 		return
 	}
--- a/internal/poolmanager/commit.go
+++ b/internal/poolmanager/commit.go
@@ -85,6 +85,7 @@
 	b.head.Sequence++
 	b.sequence = b.head.Sequence
 	roster := m.pool.Roster(now)
+	b.head.LeaseMs = m.Sched.LeaseTTL.Milliseconds()
 	b.head.HostsInUse, b.head.Unresponsive = roster.InUse, roster.Unresponsive
 	b.txn.Conditions = []store.Condition{{Key: headKey, Expect: l.revision}}
 	room := store.MaxTxnOps - len(b.txn.Conditions) - 1
--- a/internal/poolmanager/dispatch.go
+++ b/internal/poolmanager/dispatch.go
@@ -64,7 +64,8 @@
 func (m *Manager) nextHeartbeat(id string, wait time.Duration) (next nextHeartbeat, ok bool) {
 	next, ok = query(m.ctx, m, func() (n nextHeartbeat) {
 		now := time.Now()
-		n.heartbeat, n.known = m.pool.NextHeartbeat(id, wait, m.claimConfirmed(now), now)
+		m.confirm(now)
+		n.heartbeat, n.known = m.pool.NextHeartbeat(id, wait, now)
 		n.target, _ = m.pool.Target(id)
 		if !n.known {
 			delete(m.heartbeating, id)
--- a/internal/poolmanager/harness_test.go
+++ b/internal/poolmanager/harness_test.go
@@ -12,7 +12,6 @@
 
 	"auburnglade.example/glade/internal/emulate"
 	"auburnglade.example/glade/internal/linkbudget"
-	"auburnglade.example/glade/internal/pause"
 	"auburnglade.example/glade/internal/poolmanager"
 	"auburnglade.example/glade/internal/poolstore"
 	"auburnglade.example/glade/internal/sched"
@@ -95,7 +94,7 @@
 	must.NoError(e.t, err)
 	e.fence = previous.Fence + 1
 	holder := fmt.Sprintf("entry-%d", e.fence)
-	head := poolstore.Head{Fence: e.fence, Holder: holder, HostsInUse: previous.HostsInUse, Unresponsive: previous.Unresponsive}
+	head := poolstore.Head{Fence: e.fence, Holder: holder, HostsInUse: previous.HostsInUse, Unresponsive: previous.Unresponsive, LeaseMs: previous.LeaseMs}
 	requestedAt := time.Now()
 	takenAt, err := e.store.Commit(e.ctx, store.Txn{
 		Conditions: []store.Condition{{Key: poolstore.HeadKey(pool), Expect: revision}},
@@ -119,25 +118,9 @@
 	ctx, cancel := context.WithCancel(e.ctx)
 	ended := make(chan error, 1)
 	go func() { ended <- m.Run(ctx) }()
-	go confirmWhileHeld(ctx, through, m, holder)
 	return &runningManager{m, cancel, ended}
 }
 
-// confirmWhileHeld confirms the claim as package cluster does, while the store shows the
-// holder.
-func confirmWhileHeld(ctx context.Context, s store.Store, m *poolmanager.Manager, holder string) {
-	for ctx.Err() == nil {
-		sent := time.Now()
-		if head, _, err := poolstore.ReadHead(ctx, s, pool); err == nil && head.Holder == holder {
-			m.ConfirmClaim(sent)
-		}
-		pause.For(ctx, confirmInterval)
-	}
-}
-
-// confirmInterval is the time between two looks at the store.
-const confirmInterval = 500 * time.Millisecond
-
 // submit submits a job and returns its ID.
 func (e *env) submit(m *runningManager, steps ...work.Step) string {
 	e.t.Helper()
--- a/internal/poolmanager/lateconfirm_test.go
+++ b/internal/poolmanager/lateconfirm_test.go
@@ -10,7 +10,6 @@
 
 	"auburnglade.example/glade/internal/emulate"
 	"auburnglade.example/glade/internal/pause"
-	"auburnglade.example/glade/internal/poolmanager"
 	"auburnglade.example/glade/internal/store"
 	"auburnglade.example/glade/internal/store/memstore"
 	"auburnglade.example/glade/internal/worker"
@@ -100,8 +99,8 @@
 		s.mu.Unlock()
 		e.submit(m, longRunningStep(1))
 		e.store.SetDown(true)
-		time.Sleep(3 * poolmanager.ConfirmationTimeout)
-		must.LessEq(e.t, poolmanager.ConfirmationTimeout, r.lastRenewal().Sub(s.lastShown()), must.Sprint("renewed this long after the store showed the claim last"))
+		time.Sleep(4 * leaseTTL)
+		must.LessEq(e.t, leaseTTL, r.lastRenewal().Sub(s.lastShown()), must.Sprint("renewed this long after the store showed the claim last"))
 		e.store.SetDown(false)
 		m.kill()
 	})
--- a/internal/poolmanager/manager.go
+++ b/internal/poolmanager/manager.go
@@ -11,7 +11,6 @@
 
 	"github.com/rs/zerolog"
 
-	"auburnglade.example/glade/internal/elapsed"
 	"auburnglade.example/glade/internal/linkbudget"
 	"auburnglade.example/glade/internal/overload"
 	"auburnglade.example/glade/internal/poolstore"
@@ -59,12 +58,11 @@
 	statsInterval = 5 * time.Second
 	// inboxMinInterval is the least time between two reads of the inbox.
 	inboxMinInterval = 250 * time.Millisecond
-	// ConfirmationTimeout is how long a holder keeps its leases on hosts without
-	// confirmation from the store that it still holds the pool. While the store
-	// is unavailable to every process nobody can take over, and giving up the
-	// leases would lose work for nothing. While it is unavailable only to this
-	// process, a successor has to wait this long for hosts that it cannot reach.
-	ConfirmationTimeout = 6 * time.Second
+	// formerLeaseTTL is how long leases of holders of versions without Head.LeaseMs last,
+	// formerConfirmationTimeout how long these renew them without confirmation that they
+	// still hold the pool.
+	formerLeaseTTL            = 4500 * time.Millisecond
+	formerConfirmationTimeout = 6 * time.Second
 	// messageQueueSize bounds the messages that wait for the pool's goroutine.
 	messageQueueSize = 1024
 )
@@ -106,6 +104,17 @@
 	PreviousStopped bool
 }
 
+// priorLeaseTTL returns how long after the takeover leases of earlier holders may last.
+func (t *Takeover) priorLeaseTTL(lease time.Duration) time.Duration {
+	switch {
+	case t.Head.LeaseMs > 0:
+		return sched.LeaseUpperBound(max(lease, time.Duration(t.Head.LeaseMs)*time.Millisecond))
+	case t.PreviousStopped:
+		return sched.LeaseUpperBound(max(lease, formerLeaseTTL))
+	}
+	return sched.LeaseUpperBound(max(lease, formerLeaseTTL)) + formerConfirmationTimeout
+}
+
 // Manager runs one pool. Its exported methods are safe for concurrent use.
 type Manager struct {
 	Config
@@ -156,8 +165,10 @@
 	// claimConfirmedAt is the latest moment at which the store is known to have had no
 	// later holder of the pool.
 	claimConfirmedAt time.Time
-	// confirmationLost is set while that is too long ago.
-	confirmationLost bool
+	// confirmationLost is set while that is too long ago; confirmationAskedAt is when the
+	// store was last asked for another one.
+	confirmationLost    bool
+	confirmationAskedAt time.Time
 	// inboxCurrentAt is up to when all entries of the inbox were applied.
 	inboxCurrentAt time.Time
 	// committedAt is when the head's lane last committed.
@@ -183,9 +194,7 @@
 		config.WallClock = time.Now
 	}
 	config.Sched.Fence, config.Sched.TakenOverAt = takeover.Head.Fence, time.Now()
-	if !takeover.PreviousStopped {
-		config.Sched.PriorLeaseTTL += ConfirmationTimeout
-	}
+	config.Sched.PriorLeaseTTL = takeover.priorLeaseTTL(config.Sched.LeaseTTL)
 	return &Manager{
 		Config: config, takeover: takeover, messages: make(chan message, messageQueueSize), workTimes: newWorkTimes(config.Metrics), stopped: make(chan struct{}),
 		heartbeating: make(map[string]bool), submissions: make(map[string]*submission), cancellations: make(map[string]*cancellation),
@@ -261,6 +270,7 @@
 func (m *Manager) tick(now time.Time) {
 	m.expiredJobs = append(m.expiredJobs, m.pool.Tick(now, m.WallClock())...)
 	m.askForDoubted(now)
+	m.askForConfirmation(now)
 	if b := m.lanes[0].batch; b != nil && now.Sub(b.sentAt) > stuckCommitFactor*m.commitLatency {
 		m.refuseBehind(b)
 	}
@@ -289,49 +299,10 @@
 	}
 }
 
-// ConfirmClaim records that no other process had taken over the pool at the moment at.
-func (m *Manager) ConfirmClaim(at time.Time) {
-	m.enqueue(context.Background(), func() { m.confirmed(at) })
-}
-
-func (m *Manager) confirmed(at time.Time) {
-	if at.After(m.claimConfirmedAt) {
-		m.claimConfirmedAt = at
-	}
-}
-
 // ClaimLost implements cluster.HeldPool. Nothing is left to do: hosts refuse the calls of a
 // replaced holder by their fences, and it stops with its next commit.
 func (m *Manager) ClaimLost() {}
 
-// confirmationAge returns how long ago the claim was last confirmed. A holder that was
-// suspended has been replaced, and would start and renew for as long again otherwise.
-func (m *Manager) confirmationAge(now time.Time) time.Duration {
-	return elapsed.Between(m.claimConfirmedAt, now)
-}
-
-// claimConfirmed reports whether the store has confirmed the claim within
-// ConfirmationTimeout.
-func (m *Manager) claimConfirmed(now time.Time) bool {
-	return m.confirmationAge(now) < ConfirmationTimeout
-}
-
-// noteConfirmation logs when the confirmation of the claim has become too old, and when
-// there is a new one.
-func (m *Manager) noteConfirmation(now time.Time) {
-	confirmed := m.claimConfirmed(now)
-	if confirmed != m.confirmationLost {
-		return
-	}
-	m.confirmationLost = !confirmed
-	age := m.confirmationAge(now)
-	if confirmed {
-		m.Log.Info().Int64("fence", m.takeover.Head.Fence).Dur("age_ms", age).Msg("The store has confirmed the claim again.")
-		return
-	}
-	m.Log.Warn().Int64("fence", m.takeover.Head.Fence).Dur("age_ms", age).Msg("The store has not confirmed the claim for too long; nothing starts and no lease is renewed.")
-}
-
 func (m *Manager) setHosts(hosts []worker.Host) {
 	m.enqueue(m.ctx, func() { m.pool.SetHosts(hosts, time.Now()) })
 }
@@ -354,8 +325,8 @@
 // plan computes the next scheduling decisions and sends the resulting orders and
 // advice requests.
 func (m *Manager) plan(now time.Time) {
+	m.confirm(now)
 	m.noteConfirmation(now)
-	m.pool.SetClaimConfirmed(m.claimConfirmed(now))
 	m.pool.SetStartBytes(m.Starts.Available(now))
 	plan := m.pool.Plan(now, m.WallClock())
 	took := time.Since(now)
--- a/internal/poolmanager/manager_test.go
+++ b/internal/poolmanager/manager_test.go
@@ -149,11 +149,11 @@
 	runEnv(t, emulate.WorkersConfig{Seed: 1}, 2, func(e *env) {
 		m := e.takeOver(true)
 		chain := []work.Step{shortStep(1), shortStep(1)}
-		chain[0].Estimate, chain[1].After = poolmanager.ConfirmationTimeout+time.Second, []int{0}
+		chain[0].Estimate, chain[1].After = leaseTTL+time.Second, []int{0}
 		e.submit(m, chain...)
 		time.Sleep(500 * time.Millisecond)
 		e.store.SetDown(true)
-		time.Sleep(3 * poolmanager.ConfirmationTimeout)
+		time.Sleep(4 * leaseTTL)
 		must.EqOp(t, 1, e.workers.Checker.Starts())
 	})
 }
--- a/internal/poolmanager/metrics.go
+++ b/internal/poolmanager/metrics.go
@@ -41,6 +41,9 @@
 	// absenceWaits what they waited for, by sched.WaitReason.
 	absenceSeconds prometheus.Histogram
 	absenceWaits   *prometheus.CounterVec
+	// confirmations counts questions to the store whether the claim still holds, by
+	// outcome.
+	confirmations *prometheus.CounterVec
 	// censuses counts questions to the platform about hosts in doubt, by outcome.
 	censuses      *prometheus.CounterVec
 	commits       *prometheus.CounterVec
@@ -162,6 +165,9 @@
 	m.absenceWaits = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "glade_long_running_waits_seconds_total", Help: "What long-running tasks that were out of service waited for.",
 	}, []string{"reason"})
+	m.confirmations = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "glade_pool_confirmations_total", Help: "Questions to the store whether the claim of a pool still holds, by outcome.",
+	}, []string{"outcome"})
 	m.censuses = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "glade_host_censuses_total", Help: "Questions to the platform which hosts are up, while some did not answer.",
 	}, []string{"outcome"})
@@ -171,7 +177,7 @@
 	m.organisations = newOrganisationMetrics()
 	if registerer != nil {
 		registerer.MustRegister(m.organisations.collectors()...)
-		registerer.MustRegister(m.replyLateSeconds, m.quotaCalls, m.partSeconds, m.absenceSeconds, m.absenceWaits, m.censuses, m.heardAgain, m.verdicts, m.lostHosts, m.lostRuns, m.planSeconds, m.lagSeconds,
+		registerer.MustRegister(m.replyLateSeconds, m.quotaCalls, m.partSeconds, m.absenceSeconds, m.absenceWaits, m.confirmations, m.censuses, m.heardAgain, m.verdicts, m.lostHosts, m.lostRuns, m.planSeconds, m.lagSeconds,
 			m.takeovers, m.starts, m.speculativeStarts, m.stragglers, m.copies, m.runtimes.ratios, m.hedges, m.stops, m.throttles, m.calls,
 			m.callSeconds, m.commits, m.commitSeconds, m.entries, m.submits, m.jobs, m.jobAge, m.jobWait, m.lossyPeriods, m.sideCommits, m.refusals)
 	}
--- a/internal/poolmanager/suspended_test.go
+++ b/internal/poolmanager/suspended_test.go
@@ -6,6 +6,8 @@
 	"unsafe"
 
 	"github.com/shoenig/test/must"
+
+	"auburnglade.example/glade/internal/sched"
 )
 
 // beforeSuspension returns the time of day by d before now with the monotonic reading of
@@ -26,6 +28,8 @@
 func TestClaimIsUnconfirmedAfterASuspension(t *testing.T) {
 	m := New(Config{Pool: "p", Metrics: NewMetrics(nil)}, Takeover{})
 	now := time.Now()
-	m.claimConfirmedAt = beforeSuspension(t, now, ConfirmationTimeout+time.Minute)
-	must.False(t, m.claimConfirmed(now))
+	m.pool = sched.New(sched.Config{LeaseTTL: time.Minute}, sched.Roster{}, now)
+	m.claimConfirmedAt = beforeSuspension(t, now, time.Minute)
+	m.confirm(now)
+	must.False(t, m.pool.Confirmed())
 }
--- a/internal/poolstore/poolstore.go
+++ b/internal/poolstore/poolstore.go
@@ -101,6 +101,10 @@
 	// expired. The holder renews no lease on them until the store lists them as
 	// in use again.
 	Unresponsive map[string]int64 `json:"s,omitempty"`
+	// LeaseMs is how many milliseconds after the last confirmation of the claim leases
+	// on hosts may last that this holder or one before it has granted. It is zero after
+	// holders of versions that grant leases for longer.
+	LeaseMs int64 `json:"l,omitempty"`
 	// Released is set when the holder has released the pool and sends no more
 	// orders.
 	Released bool `json:"x,omitempty"`
--- a/internal/sched/drain.go
+++ b/internal/sched/drain.go
@@ -20,7 +20,7 @@
 	// all its runs and accepts no more from an earlier holder. A host that is still
 	// in the stored roster has to wait: once it has left the pool it does not
 	// respond, and if this holder was cut off from the store and replaced, its
-	// successor would wait eleven seconds for that host before starting the waiting
+	// successor would wait for that host's leases to expire before starting the waiting
 	// tasks it found.
 	return h.reached && len(h.runs) == 0 && !p.storedRoster[id], true
 }
--- a/internal/sched/lag_test.go
+++ b/internal/sched/lag_test.go
@@ -17,7 +17,7 @@
 	p.SetLag(400 * time.Millisecond)
 	later := now.Add(unresponsiveAfter + time.Second)
 	must.Len(t, 1, p.Plan(later, later).Orders)
-	heartbeat, ok := p.NextHeartbeat("w", time.Second, true, later)
+	heartbeat, ok := p.NextHeartbeat("w", time.Second, later)
 	must.True(t, ok)
 	must.Positive(t, heartbeat.DeadlineMs)
 	must.EqOp(t, 1600*time.Millisecond, heartbeat.ExtraTimeout)
--- a/internal/sched/model_test.go
+++ b/internal/sched/model_test.go
@@ -43,9 +43,6 @@
 	modelSteps    = 800
 	// modelMaxLease is the longest lease that a host grants.
 	modelMaxLease = 10 * time.Second
-	// confirmWindow is how long after a takeover the replaced holder still takes its
-	// claim as confirmed.
-	confirmWindow = 600 * time.Millisecond
 	modelRunTime  = 900 * time.Millisecond
 )
 
@@ -159,7 +156,7 @@
 
 // takeOver adds a new holder. The previous one is not notified.
 func (m *model) takeOver() {
-	fence, priorLeaseTTL := int64(len(m.holders)+1), LeaseUpperBound(m.leaseTTL)+confirmWindow
+	fence, priorLeaseTTL := int64(len(m.holders)+1), LeaseUpperBound(m.leaseTTL)
 	switch m.mutation {
 	case reusedFence:
 		fence = 1
@@ -254,18 +251,27 @@
 func (m *model) sendHeartbeat(h *modelHolder) {
 	host := m.hosts[m.random.IntN(len(m.hosts))]
 	incarnation := host.incarnations[max(0, len(host.incarnations)-1-m.random.IntN(2))]
-	renew := h.replacedAt == 0 || m.now-h.replacedAt < confirmWindow
-	if heartbeat, ok := h.pool.NextHeartbeat(incarnation, 0, renew, m.at(m.now)); ok && !h.crashed {
+	m.confirm(h)
+	if heartbeat, ok := h.pool.NextHeartbeat(incarnation, 0, m.at(m.now)); ok && !h.crashed {
 		to, _ := h.pool.Target(incarnation)
 		m.send(&modelOrder{from: h, host: host, incarnation: incarnation, to: to, heartbeat: &heartbeat})
 	}
 }
 
+// confirm confirms a holder's claim, that of a replaced one up to the takeover.
+func (m *model) confirm(h *modelHolder) {
+	at := m.now
+	if h.replacedAt > 0 && m.mutation != unconfirmedStart {
+		at = h.replacedAt
+	}
+	h.pool.SetConfirmed(m.at(at), m.at(m.now))
+}
+
 func (m *model) plan(h *modelHolder) {
 	if h.crashed || h.pool.Fenced() {
 		return
 	}
-	h.pool.SetClaimConfirmed(m.mutation == unconfirmedStart || h.replacedAt == 0 || m.now-h.replacedAt < confirmWindow)
+	m.confirm(h)
 	for _, order := range h.pool.Plan(m.at(m.now), m.at(m.now)).Orders {
 		for _, host := range m.hosts {
 			if host.hadIncarnation(order.To.ID) {
--- a/internal/sched/partialreply_test.go
+++ b/internal/sched/partialreply_test.go
@@ -18,7 +18,7 @@
 	accept(p, now)
 	order := p.Plan(now, now).Orders[0]
 	p.StartOutcome(worker.Target{ID: "w"}, order.Task, order.Run, worker.Accepted, now, now)
-	heartbeat, _ := p.NextHeartbeat("w", time.Second, true, now)
+	heartbeat, _ := p.NextHeartbeat("w", time.Second, now)
 	must.True(t, heartbeat.OmitRunning, must.Sprint("a full report was just received"))
 	soon := now.Add(100 * time.Millisecond)
 	p.ApplyHeartbeat("w", soon, worker.HeartbeatReply{ClockMs: 100, RunningOmitted: true}, soon, soon)
@@ -26,6 +26,6 @@
 	done := worker.HeartbeatReply{ClockMs: 200, RunningOmitted: true, Ended: []worker.RunEnd{{Seq: 1, Task: order.Task, Run: order.Run, Reason: work.EndDone}}}
 	p.ApplyHeartbeat("w", soon, done, soon, soon)
 	must.MapEmpty(t, p.hosts["w"].runs)
-	heartbeat, _ = p.NextHeartbeat("w", time.Second, true, now.Add(fullReportInterval))
+	heartbeat, _ = p.NextHeartbeat("w", time.Second, now.Add(fullReportInterval))
 	must.False(t, heartbeat.OmitRunning)
 }
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -285,7 +285,7 @@
 	}
 	order := Order{
 		Verb: Start, To: h.target(), Task: t.name, Run: number,
-		Payload: t.job().record.Spec.Payload, DeadlineMs: h.deadline(pl.LeaseTTL, pl.now), Checkpoint: t.checkpoint,
+		Payload: t.job().record.Spec.Payload, DeadlineMs: h.deadline(pl.leaseLeft(pl.now), pl.now), Checkpoint: t.checkpoint,
 		Speculative: len(t.copies) > 0,
 	}
 	if t.step.advice != nil {
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -27,13 +27,13 @@
 	// TakenOverAt is when the store had taken the claim with that token, zero for when
 	// the pool was created.
 	TakenOverAt time.Time
-	// LeaseTTL is the duration of a lease on a host's runs, measured by the host's
-	// clock.
+	// LeaseTTL is how long after the last confirmation of the claim the leases on hosts'
+	// runs last, measured by the hosts' clocks.
 	LeaseTTL time.Duration
 	// MaxLeaseTTL is the longest lease that a host grants.
 	MaxLeaseTTL time.Duration
 	// PriorLeaseTTL is how long after a takeover the leases of earlier holders may
-	// last on a host that cannot be reached.
+	// last on a host that cannot be reached. None of their claims was confirmed later.
 	PriorLeaseTTL time.Duration
 	// StopGrace is how long stopping a run may take.
 	StopGrace time.Duration
@@ -107,6 +107,9 @@
 	missing map[string]bool
 	// fenced is set once a host has refused this holder's fencing token.
 	fenced bool
+	// confirmedAt is when the store last showed that this process holds the pool, zero
+	// where nobody else can take it over.
+	confirmedAt time.Time
 	// claimUnconfirmed is set while another process may hold the pool; nothing
 	// starts then.
 	claimUnconfirmed bool
@@ -146,13 +149,17 @@
 		restarted:     make(map[string]bool),
 		confirming:    make(map[string]bool),
 	}
+	takenOverAt := config.TakenOverAt
+	if takenOverAt.IsZero() {
+		takenOverAt = now
+	}
 	for _, id := range roster.InUse {
 		wait := config.PriorLeaseTTL
 		if left, unresponsive := roster.Unresponsive[id]; unresponsive {
 			// The remaining time has shrunk since it was stored.
-			wait = min(wait, time.Duration(left)*time.Millisecond)
+			wait = time.Duration(left) * time.Millisecond
 		}
-		p.unreached[id] = now.Add(wait)
+		p.unreached[id] = takenOverAt.Add(wait)
 	}
 	p.RosterStored(roster)
 	return p
@@ -161,11 +168,31 @@
 // SetFenced records that another process holds the pool.
 func (p *Pool) SetFenced() { p.fenced = true }
 
-// SetClaimConfirmed records whether the store has recently confirmed that this
-// process holds the pool. Without that nothing starts: each start renews its host's
-// lease, and a successor that cannot reach the host relies on the leases granted
-// earlier to have expired.
-func (p *Pool) SetClaimConfirmed(confirmed bool) { p.claimUnconfirmed = !confirmed }
+// minStartLease is the least time that a lease must last for a task to start: with less,
+// its run would expire before the next renewals, and its work would be lost.
+const minStartLease = time.Second
+
+// SetConfirmed records when the store last showed that this process holds the pool. No
+// lease lasts longer than LeaseTTL after that, whoever grants it and whenever: a
+// successor that cannot reach a host counts from its takeover, which came later. Two
+// runs of a task would go on otherwise, as the successor cannot tell a holder that was
+// lost from one that is cut off.
+func (p *Pool) SetConfirmed(at, now time.Time) {
+	p.confirmedAt = at
+	p.claimUnconfirmed = p.leaseLeft(now) < minStartLease
+}
+
+// Confirmed reports whether the claim was confirmed recently enough for starts.
+func (p *Pool) Confirmed() bool { return !p.claimUnconfirmed }
+
+// leaseLeft returns how long a lease that is granted now may last; none may be granted
+// if that is not positive.
+func (p *Pool) leaseLeft(now time.Time) time.Duration {
+	if p.confirmedAt.IsZero() {
+		return p.LeaseTTL
+	}
+	return min(p.LeaseTTL, p.LeaseTTL-now.Sub(p.confirmedAt))
+}
 
 // Fenced reports whether a host has seen a higher fencing token than this holder's.
 func (p *Pool) Fenced() bool { return p.fenced }
@@ -224,7 +251,7 @@
 
 // NextHeartbeat returns the next heartbeat for a host. ok is false when the pool
 // does not have the host.
-func (p *Pool) NextHeartbeat(id string, wait time.Duration, renew bool, now time.Time) (heartbeat worker.Heartbeat, ok bool) {
+func (p *Pool) NextHeartbeat(id string, wait time.Duration, now time.Time) (heartbeat worker.Heartbeat, ok bool) {
 	h := p.hosts[id]
 	if h == nil {
 		return worker.Heartbeat{}, false
@@ -244,9 +271,9 @@
 	// renewing its lease, the lease would never certainly expire.
 	heartbeat.OmitRunning = now.Sub(h.reportedAt) < fullReportInterval
 	// Nor may the next incarnation take a deadline on this one's clock.
-	if renew && !h.callFailed && !p.unresponsive(h, now) && !p.frozen[id] {
+	if left := p.leaseLeft(now); left > 0 && !h.callFailed && !p.unresponsive(h, now) && !p.frozen[id] {
 		h.leaseSentAt = now
-		heartbeat.DeadlineMs = h.deadline(p.LeaseTTL, now)
+		heartbeat.DeadlineMs = h.deadline(left, now)
 	}
 	return heartbeat, true
 }
--- a/internal/sched/presumed_test.go
+++ b/internal/sched/presumed_test.go
@@ -103,7 +103,7 @@
 func TestPresumedCrashStaysSoWhileTheClaimIsUnconfirmed(t *testing.T) {
 	s := newCrashScript(t, 6, work.Step{}, nil)
 	cut := s.cutOff()
-	s.p.SetClaimConfirmed(false)
+	s.p.SetConfirmed(s.now.Add(-s.p.LeaseTTL), s.now)
 	s.p.RemoveHost(cut, s.now, s.now)
 	must.Eq(t, []Proof{Presumed}, s.proofs())
 }
--- a/internal/sched/restart_test.go
+++ b/internal/sched/restart_test.go
@@ -83,7 +83,7 @@
 
 func (s *restartScript) heartbeat() worker.Heartbeat {
 	s.t.Helper()
-	heartbeat, ok := s.p.NextHeartbeat("w", 0, true, s.now)
+	heartbeat, ok := s.p.NextHeartbeat("w", 0, s.now)
 	must.True(s.t, ok)
 	return heartbeat
 }
--- a/internal/sched/shares_test.go
+++ b/internal/sched/shares_test.go
@@ -85,7 +85,7 @@
 
 // beat exchanges a heartbeat with the host.
 func (d *shareDay) beat() {
-	heartbeat, ok := d.NextHeartbeat(d.host, 0, true, d.now)
+	heartbeat, ok := d.NextHeartbeat(d.host, 0, d.now)
 	if !ok {
 		return
 	}
--- a/internal/sched/timed_test.go
+++ b/internal/sched/timed_test.go
@@ -36,13 +36,13 @@
 	p, now, wall := timedJob(t)
 	reply := worker.HeartbeatReply{ClockMs: 100, Ended: []worker.RunEnd{{Seq: 1, Task: timedTask(0), Run: 1, Reason: work.EndDone}}}
 	p.ApplyHeartbeat("w", now, reply, now, wall)
-	heartbeat, _ := p.NextHeartbeat("w", 0, true, now)
+	heartbeat, _ := p.NextHeartbeat("w", 0, now)
 	must.EqOp(t, 0, heartbeat.AckedEnd)
 	changes := p.Changes(1, nil)
 	must.Len(t, 1, changes)
 	must.True(t, changes[0].Progress.Tasks[0].Done)
 	p.ChangesStored(changes)
-	heartbeat, _ = p.NextHeartbeat("w", 0, true, now)
+	heartbeat, _ = p.NextHeartbeat("w", 0, now)
 	must.EqOp(t, 1, heartbeat.AckedEnd)
 }
 
