A machine that is listed as down proves no end

What callers saw: a task that must run once ran twice. Its host was silent for a holder, and 2.x s after the first run's order the same holder started it on another host, while it ran on; or it ended done on the silent host, was started again elsewhere, and the next holder took note of the first end.

Cause: while a host didn't answer, the holder asked the machine service and took `down`, or two lists without the machine, for the end of all that ran there, 1.2 s after the host's last answer and 1.8 s after its last order. The class: another's word about something that it may not know either, taken for proof.

Why this is enough: what ends a run is now the host's own word, another host's answer at its address, or its leases by the clock.

Hosts that such a list had ended also stayed out of the pool once they were back, until their entries changed: gone with it.

--- a/internal/poolmanager/losses.go
+++ b/internal/poolmanager/losses.go
@@ -22,7 +22,7 @@
 			m.Metrics.verdicts.WithLabelValues(string(r.Verdict)).Inc()
 		}
 		m.Log.Warn().Str("host", loss.Host).Int64("born", loss.Born).Int64("restarted", loss.Restarted).Int("unsettled", loss.Unsettled).Str("evidence", string(loss.Evidence)).Bool("listed", loss.Listed).
-			Dur("unheard_ms", loss.Unresponsive).Dur("since_order_ms", loss.SinceOrder).Dur("lease_left_ms", loss.LeaseLeft).Dur("census_age_ms", m.censusAge(loss.Evidence)).Bool("refused", loss.Refused).Dur("refused_after_ms", loss.RefusedAfter).
+			Dur("unheard_ms", loss.Unresponsive).Dur("since_order_ms", loss.SinceOrder).Dur("lease_left_ms", loss.LeaseLeft).Bool("refused", loss.Refused).Dur("refused_after_ms", loss.RefusedAfter).
 			Int("lost_together", loss.LostTogether).Int("unexplained", loss.Unexplained).Int("count", len(loss.Runs)).Array("runs", lostRuns(loss.Runs)).
 			Msg(lossMessage(loss))
 	}
--- a/internal/poolmanager/manager.go
+++ b/internal/poolmanager/manager.go
@@ -75,8 +75,6 @@
 	Store   store.Transactor
 	Workers worker.Client
 	Hosts   worker.HostSource
-	// Inventory may be nil when the platform has no list of its own.
-	Inventory worker.Inventory
 	// Adviser may be nil when no queue has a placement policy.
 	Adviser worker.Adviser
 	// Limits is nil where organisations have no limits.
@@ -185,7 +183,6 @@
 	// delay it, at the most since the statistics were last logged.
 	maxReplyLate time.Duration
 	workTimes    *workTimes
-	census       censusSchedule
 }
 
 // New returns a Manager for a pool that was just taken over.
@@ -269,7 +266,6 @@
 
 func (m *Manager) tick(now time.Time) {
 	m.expiredJobs = append(m.expiredJobs, m.pool.Tick(now, m.WallClock())...)
-	m.askForDoubted(now)
 	m.askForConfirmation(now)
 	if b := m.lanes[0].batch; b != nil && now.Sub(b.sentAt) > stuckCommitFactor*m.commitLatency {
 		m.refuseBehind(b)
--- a/internal/poolmanager/metrics.go
+++ b/internal/poolmanager/metrics.go
@@ -44,8 +44,6 @@
 	// confirmations counts questions to the store whether the claim still holds, by
 	// outcome.
 	confirmations *prometheus.CounterVec
-	// censuses counts questions to the platform about hosts in doubt, by outcome.
-	censuses      *prometheus.CounterVec
 	commits       *prometheus.CounterVec
 	commitSeconds prometheus.Histogram
 	entries       prometheus.Counter
@@ -168,16 +166,13 @@
 	m.confirmations = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "glade_pool_confirmations_total", Help: "Questions to the store whether the claim of a pool still holds, by outcome.",
 	}, []string{"outcome"})
-	m.censuses = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "glade_host_censuses_total", Help: "Questions to the platform which hosts are up, while some did not answer.",
-	}, []string{"outcome"})
 	m.partSeconds = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "glade_pool_busy_seconds_total", Help: "Time that the goroutines of pools held here spent, by part.",
 	}, []string{"part"})
 	m.organisations = newOrganisationMetrics()
 	if registerer != nil {
 		registerer.MustRegister(m.organisations.collectors()...)
-		registerer.MustRegister(m.replyLateSeconds, m.quotaCalls, m.partSeconds, m.absenceSeconds, m.absenceWaits, m.confirmations, m.censuses, m.heardAgain, m.verdicts, m.lostHosts, m.lostRuns, m.planSeconds, m.lagSeconds,
+		registerer.MustRegister(m.replyLateSeconds, m.quotaCalls, m.partSeconds, m.absenceSeconds, m.absenceWaits, m.confirmations, m.heardAgain, m.verdicts, m.lostHosts, m.lostRuns, m.planSeconds, m.lagSeconds,
 			m.takeovers, m.starts, m.speculativeStarts, m.stragglers, m.copies, m.runtimes.ratios, m.hedges, m.stops, m.throttles, m.calls,
 			m.callSeconds, m.commits, m.commitSeconds, m.entries, m.submits, m.jobs, m.jobAge, m.jobWait, m.lossyPeriods, m.sideCommits, m.refusals)
 	}
--- a/internal/sched/losses.go
+++ b/internal/sched/losses.go
@@ -16,10 +16,6 @@
 	// LeaseExpired: the host has not responded for longer than any lease lasts. It
 	// may still be up.
 	LeaseExpired Evidence = "its holds ran out"
-	// HostDown: the platform lists the host as down.
-	HostDown Evidence = "the platform lists it as down"
-	// HostRemoved: the platform has no such host any more.
-	HostRemoved Evidence = "the platform has it no more"
 )
 
 // certain reports whether the host's incarnation has certainly ended.
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -103,8 +103,6 @@
 	inherited map[string]work.Resources
 	// shares holds the shares of organisations.
 	shares *fairshare.Book
-	// missing holds the hosts in doubt that the last census did not list.
-	missing map[string]bool
 	// fenced is set once a host has refused this holder's fencing token.
 	fenced bool
 	// confirmedAt is when the store last showed that this process holds the pool, zero
@@ -139,7 +137,6 @@
 		submitted:     make(map[string]submittedJob),
 		refusals:      make(map[string]refusal),
 		presumed:      make(map[string]*presumedEnd),
-		missing:       make(map[string]bool),
 		usages:        make(map[string]*usage),
 		shares:        fairshare.NewBook(),
 		unreached:     make(map[string]time.Time),
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -198,26 +198,3 @@
 	// Watch calls update with all hosts of a pool at each change until ctx is done.
 	Watch(ctx context.Context, pool string, update func([]Host))
 }
-
-// Inventory is the platform's own account of which hosts are up. It does not rest on
-// whether they can be reached from anywhere.
-type Inventory interface {
-	// Census returns the incarnations that the platform has at the moment.
-	Census(ctx context.Context) (Census, error)
-}
-
-// Census is a complete list of the hosts that the platform has, by ID.
-type Census map[string]CensusState
-
-// CensusState is the state of one host in a Census.
-type CensusState int
-
-const (
-	// NotListed: the platform has no such host.
-	NotListed CensusState = iota
-	// Up: the host is up.
-	Up
-	// Down: the host is down, moves to another pool or is in maintenance. All that ran
-	// there has ended.
-	Down
-)
