A refused start extends the leases that are counted on its host

Cause: when leases have expired was worked out from the last renewal and the orders of the runs that are left. A start that the host refuses for want of room, or as an old one, extends the lease of all that runs there as well (PROTOCOL: deadlineMs 'is also taken from a start that receives old or room'), and so has one whose run has ended since.

Now each start counts like a renewal.

--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -61,8 +61,8 @@
 	// then, in milliseconds.
 	reportedAt    time.Time
 	reportedClock int64
-	// repliedAt is when its last reply arrived, leaseSentAt when a heartbeat that
-	// renews the lease was last sent.
+	// repliedAt is when its last reply arrived, leaseSentAt when a heartbeat or a start that
+	// extends the leases was last sent.
 	repliedAt, leaseSentAt time.Time
 	// connectFailedAt is when a call last failed to connect, refusedSince when one
 	// first did since the last reply.
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -280,6 +280,8 @@
 	}
 	j.starts++
 	h.addRun(r)
+	// Also a start that is refused extends the leases of the runs that are there.
+	h.leaseSentAt = pl.now
 	if !t.step.spec.LongRunning {
 		j.account.CountStart()
 	}
