A host with more ends than a reply lists is waited for after a takeover

Cause: the first answer of a host of the earlier holder was taken for all that it has to say. A reply lists 500 ends; after 23 s without commits at 22 ends a second there are more, and the 501st may be that of a task that the new holder starts.

Now such a host counts as not having answered until a reply lists less than 500, or for as long as leases last after the last one.

--- a/internal/sched/replies.go
+++ b/internal/sched/replies.go
@@ -17,7 +17,7 @@
 		return
 	}
 	h.repliedAt, h.clock, h.callFailed = now, reply.ClockMs, false
-	delete(p.unreached, id)
+	p.reached(id, len(reply.Ended), now)
 	p.settlePresumed(h, now, wall)
 	p.applyEnds(h, reply.Ended, now, wall)
 	if !reply.RunningOmitted {
@@ -30,6 +30,18 @@
 	h.advanceStoredEnd()
 }
 
+// reached records that a host of an earlier holder has answered with a number of ends. One
+// that has more than a reply lists may yet report that tasks are done which would start
+// again: it is waited for until it has listed all, or has not answered for as long as
+// leases last, after which the other ends don't count.
+func (p *Pool) reached(id string, ends int, now time.Time) {
+	if _, pending := p.unreached[id]; pending && ends >= worker.MaxEnds {
+		p.unreached[id] = now.Add(LeaseUpperBound(p.LeaseTTL))
+		return
+	}
+	delete(p.unreached, id)
+}
+
 func (p *Pool) applyEnds(h *host, ends []worker.RunEnd, now, wall time.Time) {
 	for _, end := range ends {
 		if end.Seq <= h.appliedEnd {
