Orders may be under way for as long as three attempts take

Cause: an order is sent up to three times, each while an earlier attempt is under way, and two time-outs were counted: with hosts that answer after 0.2 s the third attempt ends 2.6 s after the order, to be 1.8 s. The number of attempts was known in one package, the time in another; both stand in package worker now.

Evidence: TestNoAttemptIsUnderWayWhenAnOrderIsSettled failed before (2.596 s).

--- a/internal/poolmanager/calls.go
+++ b/internal/poolmanager/calls.go
@@ -38,8 +38,6 @@
 	// is sent again: responses that are late because this process is overloaded
 	// are not requested again.
 	orderHedgeFactor = 4
-	// maxOrderAttempts bounds the attempts of one order.
-	maxOrderAttempts = 3
 	// maxHedges bounds the repeated attempts in flight to all hosts: when many
 	// hosts are unresponsive at once, more would only cost processor time.
 	maxHedges = 64
@@ -136,7 +134,7 @@
 // returns the certain outcome. A refused attempt does not determine the outcome
 // of an earlier one that is still in flight: the outcome is Unknown then.
 func (h *hedger) do(counter prometheus.Counter, wanted func() bool, call func() worker.Outcome) worker.Outcome {
-	outcomes := make(chan worker.Outcome, maxOrderAttempts)
+	outcomes := make(chan worker.Outcome, worker.MaxOrderAttempts)
 	attempt := func() {
 		sent := time.Now()
 		outcome := call()
@@ -157,7 +155,7 @@
 				return outcome
 			}
 		case <-timer.C:
-			if sent == maxOrderAttempts || h.hedgesInFlight.Load() >= maxHedges || !wanted() {
+			if sent == worker.MaxOrderAttempts || h.hedgesInFlight.Load() >= maxHedges || !wanted() {
 				continue
 			}
 			inFlight++
--- a/internal/sched/restart.go
+++ b/internal/sched/restart.go
@@ -12,10 +12,6 @@
 // ended or was told to stop. All that was known of the one before ends with it; only a
 // start that it may never have received is still open, since that one may yet arrive.
 
-// attemptsOutlast is how long after an order was first sent another attempt to send it
-// may be under way. A call that reached the incarnation before ended with it.
-const attemptsOutlast = 2 * worker.OrderTimeout
-
 // sameIncarnation reports whether two starts of a host may be of one incarnation. Zero
 // is unknown.
 func sameIncarnation(a, b int64) bool { return a == 0 || b == 0 || a == b }
@@ -82,7 +78,7 @@
 	loss.Unsettled = len(unsettled)
 	p.losses = append(p.losses, loss)
 	next := life{incarnation: born, health: newHealth(), firstSeen: now}
-	if now.Sub(lastOrderAt) < attemptsOutlast {
+	if now.Sub(lastOrderAt) < worker.AttemptsOutlast {
 		next.strayLeaseUntil = now.Add(LeaseUpperBound(p.MaxLeaseTTL))
 	}
 	h.life = next
@@ -97,7 +93,7 @@
 // mayStartLate reports whether a run's start may yet reach the host, whose present
 // incarnation would not refuse it.
 func (r *run) mayStartLate(now time.Time) bool {
-	return !r.adopted && (r.startedAt.IsZero() || now.Sub(r.orderedAt) < attemptsOutlast)
+	return !r.adopted && (r.startedAt.IsZero() || now.Sub(r.orderedAt) < worker.AttemptsOutlast)
 }
 
 // settleStart stops a run on the host's present incarnation, so that a late start is
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -166,6 +166,11 @@
 	// OrderTimeout is the timeout of a start, stop or throttle order. Hosts usually
 	// respond within milliseconds; after a timeout the order may still be executed.
 	OrderTimeout = 900 * time.Millisecond
+	// MaxOrderAttempts bounds the attempts of one order. Each further one begins while an
+	// earlier one is under way, so that AttemptsOutlast bounds how long after the order
+	// another one may be.
+	MaxOrderAttempts = 3
+	AttemptsOutlast  = MaxOrderAttempts * OrderTimeout
 	// HeartbeatGrace is the timeout of a heartbeat beyond its Wait. It is short
 	// enough for a retry before the host counts as unresponsive.
 	HeartbeatGrace = 450 * time.Millisecond
