A claim that a manager of this process has used is not adopted

Cause: a claim whose answer was lost is adopted if its head has no commit yet. A manager that ends by a panic before its first commit has none either, though it has ordered starts: the next one in the process got the same fence, run numbers and carrier session.

Now such a claim is released and claimed anew. An adopted claim also counts as confirmed when its head was asked for.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -148,6 +148,8 @@
 	// withoutHolderSince is when a pool was first seen without a holder.
 	withoutHolderSince map[string]time.Time
 	held               map[string]heldPool
+	// lastFence is the fence with which a manager of a pool was last started here.
+	lastFence map[string]int64
 	// route is the route to the store that follows from members and claims, nil when
 	// these have changed since.
 	route *storeaccess.Route
@@ -164,7 +166,7 @@
 func New(config Config) *Cluster {
 	return &Cluster{
 		Config: config, members: make(map[string]Member), claims: make(map[string]storedClaim),
-		withoutHolderSince: make(map[string]time.Time), held: make(map[string]heldPool),
+		withoutHolderSince: make(map[string]time.Time), held: make(map[string]heldPool), lastFence: make(map[string]int64),
 	}
 }
 
--- a/internal/cluster/elect.go
+++ b/internal/cluster/elect.go
@@ -46,15 +46,16 @@
 // that an earlier manager in this process has already used is released instead,
 // since its fencing token must not be used twice.
 func (c *Cluster) adopt(ctx context.Context, pool string) {
+	requestedAt := time.Now()
 	head, revision, err := poolstore.ReadHead(ctx, c.Store, pool)
 	if err != nil {
 		c.Log.Warn().Err(err).Str("pool", pool).Msg("Failed to read the pool's head.")
 		return
 	}
 	claim, _ := c.Holder(pool)
-	if head.Holder == c.Self.HolderID() && head.Fence == claim.Fence && head.Sequence == 0 {
+	if head.Holder == c.Self.HolderID() && head.Fence == claim.Fence && head.Sequence == 0 && !c.used(pool, head.Fence) {
 		c.Log.Info().Str("pool", pool).Int64("fence", head.Fence).Msg("A claim without a response was written.")
-		c.runPool(Takeover{Pool: pool, Head: head, Revision: revision, Lease: c.currentLease(), Claim: encode(claim)})
+		c.runPool(Takeover{Pool: pool, Head: head, Revision: revision, Lease: c.currentLease(), Claim: encode(claim), RequestedAt: requestedAt})
 		return
 	}
 	_, err = c.Store.Commit(ctx, store.Txn{
@@ -65,10 +66,18 @@
 	c.PoolReleased(pool)
 }
 
+// used reports whether a manager in this process was started with a fence of a pool.
+func (c *Cluster) used(pool string, fence int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lastFence[pool] == fence
+}
+
 func (c *Cluster) runPool(takeover Takeover) {
 	held := c.StartPool(takeover)
 	c.mu.Lock()
 	c.held[takeover.Pool] = heldPool{held, takeover.Head.Fence}
+	c.lastFence[takeover.Pool] = takeover.Head.Fence
 	c.mu.Unlock()
 }
 
