An end counts once the claim was confirmed after it

What callers saw: a task runs twice, with a truthful machine list as well: the second run in its holder's own zone, lapsing soon; or a start after a success that a successor had taken note of.

Cause: a holder that is cut off from the store and from part of the hosts takes the leases of the other hosts for expired, by its own grants alone, and went on starting for 6 s. Its successor has reached those hosts by then and renewed them, or taken note of their ends.

Now: leases of a silent host count as expired, and a task lost with its host starts again, once the store has shown the claim after that moment. The store is asked at once, each 0.1 s, while something waits for it.

--- a/internal/entryhost/harness_test.go
+++ b/internal/entryhost/harness_test.go
@@ -57,6 +57,8 @@
 	// links connects the entry hosts, each with linkMbps, nil for links without limit.
 	links    *emulate.Links
 	linkMbps float64
+	// suspendable is set if entry hosts can stand still and be cut off from hosts.
+	suspendable bool
 }
 
 // nodes are the names of up to three entry hosts, in order.
@@ -70,6 +72,8 @@
 	kill context.CancelFunc
 	// gate turns the entry host away from the store, nil where it can't.
 	gate *gate
+	// process makes the entry host stand still, nil where it can't.
+	process *emulate.Process
 }
 
 var bounds = work.Bounds{
@@ -164,6 +168,12 @@
 	if dep.weights != nil {
 		config.Limits = weightSource(dep.weights)
 	}
+	var process *emulate.Process
+	if dep.suspendable {
+		process = emulate.NewProcess(ctx)
+		config.Store, config.Workers, config.Hosts = process.Store(config.Store), process.Client(config.Workers), process.Hosts(config.Hosts)
+		config.HostManager.Fleet = process.Fleet(config.HostManager.Fleet)
+	}
 	if dep.links != nil {
 		dep.connect(&config)
 	}
@@ -175,7 +185,7 @@
 		source.relay = host.Relay
 		go host.Relay.Follow(ctx, configrelay.Source{Store: s, Prefix: operatorKey, Key: operatorKey})
 	}
-	e := &entry{Host: host, address: node, ctx: ctx, kill: cancel}
+	e := &entry{Host: host, address: node, ctx: ctx, kill: cancel, process: process}
 	dep.entries[node] = e
 	dep.net.Connect(node, host.Jobs, host.Carrier, host.Access)
 	go host.Run(ctx)
--- a/internal/poolmanager/confirmation.go
+++ b/internal/poolmanager/confirmation.go
@@ -15,8 +15,10 @@
 	// and so does the watch of claims once a second, between two of which one question is
 	// asked.
 	confirmAfter = 550 * time.Millisecond
-	// confirmInterval is the least time between two questions.
+	// confirmInterval is the least time between two questions, awaitedInterval while
+	// something waits for the answer.
 	confirmInterval = 400 * time.Millisecond
+	awaitedInterval = 100 * time.Millisecond
 	// confirmTimeout bounds one question; the next one does not wait for it.
 	confirmTimeout = time.Second
 )
@@ -44,9 +46,13 @@
 }
 
 // askForConfirmation asks the store who has taken over the pool last, unless that was
-// known a moment ago.
+// known a moment ago and nothing waits for it.
 func (m *Manager) askForConfirmation(now time.Time) {
-	if m.confirmationAge(now) < confirmAfter || now.Sub(m.confirmationAskedAt) < confirmInterval {
+	due, interval := m.confirmationAge(now) >= confirmAfter, confirmInterval
+	if m.pool.AwaitsConfirmation() {
+		due, interval = true, awaitedInterval
+	}
+	if !due || now.Sub(m.confirmationAskedAt) < interval {
 		return
 	}
 	m.confirmationAskedAt = now
--- a/internal/poolmanager/manager.go
+++ b/internal/poolmanager/manager.go
@@ -265,6 +265,7 @@
 }
 
 func (m *Manager) tick(now time.Time) {
+	m.confirm(now)
 	m.expiredJobs = append(m.expiredJobs, m.pool.Tick(now, m.WallClock())...)
 	m.askForConfirmation(now)
 	if b := m.lanes[0].batch; b != nil && now.Sub(b.sentAt) > stuckCommitFactor*m.commitLatency {
@@ -314,6 +315,7 @@
 	}
 	m.refreshQuotas(now)
 	m.workTimes.measure(partPlans, func() { m.plan(now) })
+	m.askForConfirmation(now)
 	m.adjustQuotas(now)
 	m.workTimes.measure(partCommits, func() { m.commit(now) })
 }
--- a/internal/sched/absence.go
+++ b/internal/sched/absence.go
@@ -144,7 +144,7 @@
 	}
 	s := t.step
 	switch {
-	case pl.claimUnconfirmed:
+	case pl.claimUnconfirmed || !pl.lossConfirmed(t):
 		return WaitUnconfirmed
 	case !pl.takeoverSettled(s):
 		return WaitUnreached
--- a/internal/sched/leases_test.go
+++ b/internal/sched/leases_test.go
@@ -7,6 +7,7 @@
 	"github.com/shoenig/test/must"
 
 	"auburnglade.example/glade/internal/work"
+	"auburnglade.example/glade/internal/worker"
 )
 
 // Guards against a lease that outlasts what a successor waits for: it is granted long after
@@ -40,3 +41,50 @@
 	must.True(t, ok)
 	must.EqOp(t, 0, heartbeat.DeadlineMs)
 }
+
+// Guards against a second run by a holder that was replaced: its successor reaches a host that
+// is silent for it alone, and has renewed the leases there.
+func TestExpiryProvesNoEndBeforeAConfirmation(t *testing.T) {
+	s := newCrashScript(t, 2, work.Step{LongRunning: true}, nil)
+	order := s.serve(time.Second)
+	s.silent[order.To.ID] = true
+	s.p.SetConfirmed(s.now, s.now)
+	s.pass(2*LeaseUpperBound(s.p.LeaseTTL), nil)
+	must.MapLen(t, 1, s.p.hosts[order.To.ID].runs)
+	s.p.SetConfirmed(s.now, s.now)
+	s.p.Tick(s.now, s.now)
+	must.MapEmpty(t, s.p.hosts[order.To.ID].runs)
+}
+
+// Guards against the same for hosts of the holder before that have not answered.
+func TestUnreachedHostIsWaitedForUntilAConfirmation(t *testing.T) {
+	s := newCrashScript(t, 2, work.Step{LongRunning: true}, nil)
+	s.takeOver()
+	s.p.SetConfirmed(s.now, s.now)
+	s.p.unreached["away"] = s.now.Add(time.Second)
+	s.pass(2*time.Second, nil)
+	must.MapContainsKey(t, s.p.unreached, "away")
+	s.p.SetConfirmed(s.now, s.now)
+	s.p.Tick(s.now, s.now)
+	must.MapNotContainsKey(t, s.p.unreached, "away")
+}
+
+// Guards against a task that runs again after its success: its host has ended, and a successor
+// had taken note of the success before.
+func TestTaskOfALostHostStartsAfterAConfirmation(t *testing.T) {
+	s := newCrashScript(t, 3, work.Step{}, nil)
+	s.p.SetConfirmed(s.now, s.now)
+	order, ok := s.start()
+	must.True(t, ok)
+	s.p.StartOutcome(order.To, order.Task, order.Run, worker.Accepted, s.now, s.now)
+	s.p.SetConfirmed(s.now, s.now)
+	s.now = s.now.Add(100 * time.Millisecond)
+	s.p.RemoveHost(order.To.ID, s.now, s.now)
+	_, ok = s.start()
+	must.False(t, ok)
+	must.True(t, s.p.AwaitsConfirmation())
+	s.p.SetConfirmed(s.now, s.now)
+	must.False(t, s.p.AwaitsConfirmation())
+	_, ok = s.start()
+	must.True(t, ok)
+}
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -206,7 +206,7 @@
 		return
 	}
 	for _, t := range s.tasks {
-		if t.done || t.run != nil || pl.now.Before(t.notBefore) {
+		if t.done || t.run != nil || pl.now.Before(t.notBefore) || !pl.lossConfirmed(t) {
 			continue
 		}
 		if pl.startBytes <= 0 || !pl.withinQuota(s, 1) {
@@ -302,7 +302,7 @@
 	number := 0
 	checkpoint := ""
 	for _, t := range s.tasks {
-		if t.run != nil || pl.now.Before(t.notBefore) || t.pausedForCrashes(pl.now) {
+		if t.run != nil || pl.now.Before(t.notBefore) || t.pausedForCrashes(pl.now) || !pl.lossConfirmed(t) {
 			return
 		}
 		number = max(number, t.lastRun+1)
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -106,8 +106,9 @@
 	// fenced is set once a host has refused this holder's fencing token.
 	fenced bool
 	// confirmedAt is when the store last showed that this process holds the pool, zero
-	// where nobody else can take it over.
-	confirmedAt time.Time
+	// where nobody else can take it over. awaitedAt is the last moment after which it has
+	// to be shown again before something starts.
+	confirmedAt, awaitedAt time.Time
 	// claimUnconfirmed is set while another process may hold the pool; nothing
 	// starts then.
 	claimUnconfirmed bool
@@ -165,32 +166,6 @@
 // SetFenced records that another process holds the pool.
 func (p *Pool) SetFenced() { p.fenced = true }
 
-// minStartLease is the least time that a lease must last for a task to start: with less,
-// its run would expire before the next renewals, and its work would be lost.
-const minStartLease = time.Second
-
-// SetConfirmed records when the store last showed that this process holds the pool. No
-// lease lasts longer than LeaseTTL after that, whoever grants it and whenever: a
-// successor that cannot reach a host counts from its takeover, which came later. Two
-// runs of a task would go on otherwise, as the successor cannot tell a holder that was
-// lost from one that is cut off.
-func (p *Pool) SetConfirmed(at, now time.Time) {
-	p.confirmedAt = at
-	p.claimUnconfirmed = p.leaseLeft(now) < minStartLease
-}
-
-// Confirmed reports whether the claim was confirmed recently enough for starts.
-func (p *Pool) Confirmed() bool { return !p.claimUnconfirmed }
-
-// leaseLeft returns how long a lease that is granted now may last; none may be granted
-// if that is not positive.
-func (p *Pool) leaseLeft(now time.Time) time.Duration {
-	if p.confirmedAt.IsZero() {
-		return p.LeaseTTL
-	}
-	return min(p.LeaseTTL, p.LeaseTTL-now.Sub(p.confirmedAt))
-}
-
 // Fenced reports whether a host has seen a higher fencing token than this holder's.
 func (p *Pool) Fenced() bool { return p.fenced }
 
@@ -332,7 +307,7 @@
 // from the store.
 func (p *Pool) Tick(now, wall time.Time) (forget []string) {
 	for id, until := range p.unreached {
-		if now.After(until) {
+		if now.After(until) && p.confirmedAfter(until) {
 			delete(p.unreached, id)
 			p.unanswered = append(p.unanswered, UnansweredHost{id, LeaseExpired, now.Sub(p.started)})
 		}
@@ -357,7 +332,7 @@
 	if unresponsive {
 		h.suspectAll()
 	}
-	if unresponsive && len(h.runs) > 0 && now.After(p.leasesExpireAt(h)) {
+	if expireAt := p.leasesExpireAt(h); unresponsive && len(h.runs) > 0 && now.After(expireAt) && p.confirmedAfter(expireAt) {
 		p.loseRuns(h, LeaseExpired, now, wall)
 	}
 	if !h.listed && unresponsive && len(h.runs) == 0 && now.Sub(h.unlistedSince) > removalDelay {
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -37,7 +37,7 @@
 		return
 	}
 	for _, t := range s.tasks {
-		if t.done || t.run != nil || pl.now.Before(t.notBefore) || pl.now.Before(t.roomReservedUntil) {
+		if t.done || t.run != nil || pl.now.Before(t.notBefore) || pl.now.Before(t.roomReservedUntil) || !pl.lossConfirmed(t) {
 			continue
 		}
 		if !pl.makeRoom(t) {
