A holder that has stored nothing says nothing of the one before it

What callers would see: while builds are mixed, a task runs twice: a holder of the build before is cut off and renews leases for 6 s more; the next one stops before its first commit, and its successor waits 5.0 s, as for a holder that is known to have stopped.

Evidence: TestStoppedHolderWithoutACommitSaysNothingOfTheOneBefore failed before.

--- a/internal/cluster/elect.go
+++ b/internal/cluster/elect.go
@@ -209,12 +209,17 @@
 // previousStopped reports whether the holder named by a head starts no more tasks:
 // it has released the pool, or its node has restarted.
 func (c *Cluster) previousStopped(before poolstore.Head) bool {
-	if before.Released || before.Holder == "" {
+	if before.Holder == "" {
 		return true
 	}
+	if before.Released {
+		// The release is a commit itself.
+		return before.Sequence > 1
+	}
 	node, _, _ := strings.Cut(before.Holder, "/")
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	m, ok := c.members[node]
-	return ok && m.HolderID() != before.Holder
+	// One that has stored nothing may not have reached the hosts of the one before it.
+	return ok && m.HolderID() != before.Holder && before.Sequence > 0
 }
