The inbox is not current by what was read before a suspension

What callers would see: a job that another entry host accepted through the inbox is refused by a holder that has just resumed. Since the claim is confirmed by a question of its own, it may be so at once, while the inbox still counts as read by the monotonic clock.

Evidence: TestInboxIsNotCurrentAfterASuspension failed before. The question may also take as long as a commit, for a store that is slow.

--- a/internal/poolmanager/confirmation.go
+++ b/internal/poolmanager/confirmation.go
@@ -20,7 +20,7 @@
 	confirmInterval = 400 * time.Millisecond
 	awaitedInterval = 100 * time.Millisecond
 	// confirmTimeout bounds one question; the next one does not wait for it.
-	confirmTimeout = time.Second
+	confirmTimeout = 1500 * time.Millisecond
 )
 
 // ConfirmClaim records that no other process had taken over the pool at the moment at.
--- a/internal/poolmanager/refuse.go
+++ b/internal/poolmanager/refuse.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"auburnglade.example/glade/internal/elapsed"
 	"auburnglade.example/glade/internal/overload"
 	"auburnglade.example/glade/internal/work"
 )
@@ -63,7 +64,7 @@
 // seesStore reports whether this process has lately seen in the store that it holds the
 // pool, and what other entry hosts left in the inbox.
 func (m *Manager) seesStore(now time.Time) bool {
-	return m.confirmationAge(now) <= refusalConfirmation && now.Sub(m.inboxCurrentAt) <= inboxMaxAge
+	return m.confirmationAge(now) <= refusalConfirmation && elapsed.Between(m.inboxCurrentAt, now) <= inboxMaxAge
 }
 
 // knows reports whether a job was submitted before and may be stored.
