--- a/internal/listwatch/watcher.go
+++ b/internal/listwatch/watcher.go
@@ -34,8 +34,8 @@
 	OnEvents func(events []store.Event)
 	// OnCurrent is called after each successful call with the moment up to which all
 	// changes are known: the sending of the call, or later by as long as the store is known
-	// to have waited. A response may arrive much later, and has been taken for the state of
-	// its arrival by a holder that another one had replaced. It may be nil.
+	// to have waited. A response may arrive much later: dated by that, a claim would count
+	// as held after another process has replaced it. It may be nil.
 	OnCurrent func(at time.Time)
 	// OnAvailability is called with the cause when the store becomes unavailable,
 	// and with nil when it is available again. It may be nil.
