--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -53,5 +53,6 @@
 	"crashes": crashes,
 	"advice":  advice,
 	"lasting": lasting,
-	"mix":     mix,
+	"moved":   moved,
+	"stale":   stale,
 }
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -35,6 +35,8 @@
 	ttls    map[int64]time.Duration
 	nextID  int64
 	changed chan struct{}
+	// written, if not nil, is called after a transaction with the keys that it wrote.
+	written func(keys []string)
 }
 
 func newStore() *kvStore {
@@ -293,4 +295,11 @@
 		s.deleteLocked(key)
 	}
 	reply(w, 200, map[string]int64{"rev": s.rev})
+	if s.written != nil {
+		keys := []string{}
+		for _, p := range in.Writes {
+			keys = append(keys, p.Key)
+		}
+		go s.written(keys)
+	}
 }
