--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -49,10 +49,11 @@
 }
 
 var cases = map[string]func(w *world, trouble bool) int{
-	"waiting": waiting,
-	"crashes": crashes,
-	"advice":  advice,
-	"lasting": lasting,
-	"moved":   moved,
-	"stale":   stale,
+	"advice":   advice,
+	"crashes":  crashes,
+	"lasting":  lasting,
+	"moved":    moved,
+	"stale":    stale,
+	"suspects": suspects,
+	"waiting":  waiting,
 }
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -391,11 +391,17 @@
 	return listener.Addr().String(), nil
 }
 
+// given holds the ports that freePort has returned.
+var given = map[int]bool{}
+
 // freePort returns a port that is free now, with the one after it. It lies below those that
 // are given to outgoing connections.
 func freePort() int {
 	for {
 		port := 12000 + 2*rand.IntN(9000)
+		if given[port] {
+			continue
+		}
 		a, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
 			continue
@@ -404,6 +410,7 @@
 		_ = a.Close()
 		if err == nil {
 			_ = b.Close()
+			given[port] = true
 			return port
 		}
 	}
@@ -526,6 +533,10 @@
 			return true
 		}
 	}
+	for _, p := range w.procs {
+		log, err := os.ReadFile(p.logFile)
+		w.logf("%s is not ready, its log ends with: %s (%v)", p.name, log[max(0, len(log)-600):], err)
+	}
 	return false
 }
 
