--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -41,6 +43,14 @@
 		w.end()
 		os.Exit(notRun)
 	})
+	// Nor does it leave processes behind when it is ended.
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		w.logf("ended by %v", <-ended)
+		w.end()
+		os.Exit(notRun)
+	}()
 	code := play(w, os.Getenv("TROUBLE") != "0")
 	w.logf("exit code %d", code)
 	w.end()
