Reserve hosts for long-running tasks only where room comes, and for at most half of a pool

Cause: a long-running step without room reserved the host with the most room whatever held the rest, whole, without an end, and each overdue step its own.

Why this works: a reservation is made only where what isn't long-running ends and leaves enough; a further one only while the reserved hosts have at most half of the pool, so that the others are full only when half is in use; a step that has waited 2 s passes while less than half is in use. Steps marked as without room are told apart by whether reservations hold for them.

Logs: the line of a long-running task out of service has the reserved host.

--- a/internal/poolmanager/absences.go
+++ b/internal/poolmanager/absences.go
@@ -27,7 +27,7 @@
 		}
 	}
 	event.Str("task", a.Task.String()).Int("last_run", a.Run).Str("last_host", a.Host).Dur("away_ms", a.Away).Bool("since_takeover", a.SinceTakeover).
-		Str("waits_for", string(a.Reason)).Dict("waited_ms", waited(a.Waited)).Int("crashes", a.Crashes).Msg(message)
+		Str("waits_for", string(a.Reason)).Dict("waited_ms", waited(a.Waited)).Int("crashes", a.Crashes).Str("reserved_host", a.Reserved).Msg(message)
 }
 
 // waited encodes how long a task has waited for each reason for the log.
--- a/internal/sched/absence.go
+++ b/internal/sched/absence.go
@@ -32,7 +32,9 @@
 	WaitQuota WaitReason = "its organisation is at its limit"
 	// WaitTickets: no host is known to be allowed.
 	WaitTickets WaitReason = "no ticket"
-	// WaitNoHost: no host has room for it, or none that suits a suspect.
+	// WaitRoom: a host is reserved for its step until runs have ended there.
+	WaitRoom WaitReason = "runs to end on a host that is reserved"
+	// WaitNoHost: no host has room for it or will have, or none that suits a suspect.
 	WaitNoHost WaitReason = "no host for it"
 	// WaitNoHostForSuspect is WaitNoHost for a task that may crash its hosts.
 	WaitNoHostForSuspect WaitReason = "no host for a suspect"
@@ -63,6 +65,8 @@
 	Waited map[WaitReason]time.Duration
 	// Crashes counts the hosts that may have been lost under it.
 	Crashes int
+	// Reserved is the host that is reserved for its step, empty for none.
+	Reserved string
 }
 
 // absence is the present absence of a long-running task.
@@ -118,7 +122,11 @@
 	a.notedAt = pl.now
 	if pl.now.Sub(a.since) >= absenceReportAfter && pl.now.Sub(a.reportedAt) >= absenceReportInterval {
 		a.reportedAt = pl.now
-		pl.plan.Absences = append(pl.plan.Absences, a.report(t, reason, pl.now))
+		report := a.report(t, reason, pl.now)
+		if h := pl.reserved.steps[t.step]; h != nil {
+			report.Reserved = h.ID
+		}
+		pl.plan.Absences = append(pl.plan.Absences, report)
 	}
 }
 
@@ -160,6 +168,8 @@
 		return WaitTickets
 	case pl.suspectedCrashes(t, pl.now) > 0:
 		return WaitNoHostForSuspect
+	case pl.reserved.steps[s] != nil:
+		return WaitRoom
 	}
 	return WaitNoHost
 }
--- a/internal/sched/forecast.go
+++ b/internal/sched/forecast.go
@@ -69,7 +69,7 @@
 	millis := 0
 	for _, h := range p.hosts {
 		if h.listed && !h.Draining && !h.unschedulable {
-			millis += max(0, h.Capacity.MilliCPU-h.longRunningCPU)
+			millis += max(0, h.Capacity.MilliCPU-h.longRunningUsed.MilliCPU)
 		}
 	}
 	return float64(millis) / milli
--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -20,10 +20,10 @@
 	addedAt time.Time
 	used    work.Resources
 	runs    map[work.TaskName]*run
-	// longRunning counts the long-running runs, longRunningCPU is what they use in
-	// thousandths of a core. Both are updated as runs are added and removed, since
-	// a plan reads them many times.
-	longRunning, longRunningCPU int
+	// longRunning counts the long-running runs, longRunningUsed is what they use. Both
+	// are updated as runs are added and removed, since a plan reads them many times.
+	longRunning     int
+	longRunningUsed work.Resources
 	// unknownRuns counts the runs whose resources are not known, suspects those
 	// whose task may crash its hosts.
 	unknownRuns, suspects int
@@ -140,7 +140,7 @@
 	}
 	if s.spec.LongRunning {
 		h.longRunning++
-		h.longRunningCPU += s.spec.Reserved().MilliCPU
+		h.longRunningUsed = h.longRunningUsed.Plus(s.spec.Reserved())
 	}
 	if s.unknownResources {
 		h.unknownRuns++
@@ -163,7 +163,7 @@
 	}
 	if s.spec.LongRunning {
 		h.longRunning--
-		h.longRunningCPU -= s.spec.Reserved().MilliCPU
+		h.longRunningUsed = h.longRunningUsed.Minus(s.spec.Reserved())
 	}
 	if s.unknownResources {
 		h.unknownRuns--
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -17,7 +17,7 @@
 		}
 		total = total.Plus(h.Capacity)
 		hostLoad := hostmanager.HostLoad{
-			Worker: id, Used: h.used.MilliCPU, LongRunning: h.longRunningCPU, Unschedulable: h.unschedulable || h.reached && p.unresponsive(h, now),
+			Worker: id, Used: h.used.MilliCPU, LongRunning: h.longRunningUsed.MilliCPU, Unschedulable: h.unschedulable || h.reached && p.unresponsive(h, now),
 			WorkValue: h.workValue(now),
 		}
 		for _, r := range h.runs {
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -247,7 +247,7 @@
 func (pl *planner) coresForJobs() float64 {
 	millis := 0
 	for _, h := range pl.open {
-		millis += h.Capacity.MilliCPU - h.longRunningCPU
+		millis += h.Capacity.MilliCPU - h.longRunningUsed.MilliCPU
 	}
 	return float64(millis) / milli
 }
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -117,7 +117,7 @@
 		if !resources.Fits(h.free()) || !pl.allowed(s, h) || t.liveRuns > 0 && h.runs[t.name] != nil {
 			continue
 		}
-		avoids := h.avoids(t, pl.now) || h.roomReservation.excludes(s, pl.now) || !s.spec.LongRunning && pl.reserved[h]
+		avoids := h.avoids(t, pl.now) || h.roomReservation.excludes(s, pl.now) || pl.keptFrom(s, h)
 		if avoids && !overdue {
 			continue
 		}
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -84,7 +84,7 @@
 
 // Plan decides what to do now and records its orders as sent.
 func (p *Pool) Plan(now, wall time.Time) Plan {
-	pl := &planner{Pool: p, now: now, wall: wall, startBytes: p.maxStartBytes, noRoomFor: make(map[taskShape]bool), reserved: make(map[*host]bool)}
+	pl := &planner{Pool: p, now: now, wall: wall, startBytes: p.maxStartBytes, noRoomFor: make(map[taskShape]bool)}
 	pl.hidden = pl.hiddenRoom()
 	pl.forgetDemands()
 	pl.collectOpen()
@@ -128,16 +128,19 @@
 	// lowestPriority is the priority of the least urgent job; nothing is preempted
 	// for work of that priority.
 	lowestPriority int
-	// reserved holds the hosts that are kept for long-running tasks waiting for
-	// room.
-	reserved map[*host]bool
+	reserved       reservations
 }
 
-// taskShape is a kind of task that found no room.
+// taskShape is a kind of task that found no room: what decides which hosts it may have,
+// but for what is its own.
 type taskShape struct {
-	resources work.Resources
-	requires  string
-	rack      string
+	resources                       work.Resources
+	requires, rack                  string
+	longRunning, passesReservations bool
+}
+
+func (pl *planner) shapeOf(s *step) taskShape {
+	return taskShape{s.spec.Reserved(), s.spec.Requires, s.spec.DataRack, s.spec.LongRunning, pl.passesReservations(s)}
 }
 
 // collectOpen collects the hosts that take new work.
@@ -220,7 +223,7 @@
 			pl.preempt(s)
 			return
 		}
-		shape := taskShape{s.spec.Reserved(), s.spec.Requires, s.spec.DataRack}
+		shape := pl.shapeOf(s)
 		if pl.noRoomFor[shape] && !t.overdue(pl.now) {
 			return
 		}
@@ -242,23 +245,12 @@
 	pl.reserveRoom(s)
 }
 
-// reserveRoom makes room for a step that waits. For a long-running one, the host
-// with the most room gets no less urgent work until then.
+// reserveRoom makes room for a step that waits, and reserves a host for a long-running
+// one.
 func (pl *planner) reserveRoom(s *step) {
 	pl.preempt(s)
-	if !s.spec.LongRunning {
-		return
-	}
-	var best *host
-	for _, h := range pl.hosts {
-		if pl.usable(h) && pl.allowed(s, h) && s.spec.Reserved().Fits(h.Capacity) && !pl.reserved[h] {
-			if best == nil || h.free().MilliCPU > best.free().MilliCPU {
-				best = h
-			}
-		}
-	}
-	if best != nil {
-		pl.reserved[best] = true
+	if s.spec.LongRunning {
+		pl.reserve(s)
 	}
 }
 
