Count the permits of earlier host managers whatever becomes of their hosts here

A host manager that froze right before its calls makes them after its successor has sent others.

Cause: reserveDown counted a host that an earlier manager had noted as started only while this one had no operation for it. Once it drained that host itself, the host no longer counted, though the earlier manager's call may go out at any moment: the platform's fencing tokens count for each machine by itself.

Why this works: each host has one permit, stored before the first call for it, whoever uses it; it counts until the platform confirms the maintenance or, for a permit of this manager, says that nothing was done. Hosts with permits are drained first and need no further room, so that the permits of a manager that is gone hold nothing up. A call whose outcome was unknown keeps its permit when a repeated one is refused.

--- a/internal/hostmanager/draining.go
+++ b/internal/hostmanager/draining.go
@@ -24,9 +24,10 @@
 }
 
 // callPlatform makes a call for a drained host and repeats it until the outcome is
-// certain. It reports whether the call was carried out.
+// certain. It reports whether the call was carried out, and the last outcome: Unknown if any
+// call may still be.
 func (m *Manager) callPlatform(ctx context.Context, host Host, act func() Outcome) (carriedOut bool, last Outcome) {
-	called, deadline := false, time.Now().Add(drainTimeout)
+	called, uncertain, deadline := false, false, time.Now().Add(drainTimeout)
 	for ctx.Err() == nil && !m.isFenced() {
 		if !m.mayAct() || !m.isDrained(ctx, host, called) {
 			if !called && (time.Now().After(deadline) || m.replaced(host)) {
@@ -50,7 +51,12 @@
 			m.setFenced()
 			return false, last
 		case Busy, NotInWave, NoSuchHost:
+			if uncertain {
+				return false, Unknown
+			}
 			return false, last
+		case Unknown:
+			uncertain = true
 		}
 		pause.For(ctx, retryInterval)
 	}
--- a/internal/hostmanager/hostmanager.go
+++ b/internal/hostmanager/hostmanager.go
@@ -76,6 +76,11 @@
 
 func (o Outcome) String() string { return outcomeNames[o] }
 
+// nothingDone reports whether the call was not carried out and will not be.
+func (o Outcome) nothingDone() bool {
+	return o == Refused || o == Busy || o == NotInWave || o == NoSuchHost
+}
+
 // Fleet is the platform's service for hosts.
 type Fleet interface {
 	List(ctx context.Context) ([]Host, error)
--- a/internal/hostmanager/manager.go
+++ b/internal/hostmanager/manager.go
@@ -130,12 +130,15 @@
 type waveState struct {
 	// StartedMs is when the wave was first seen, in Unix milliseconds.
 	StartedMs int64 `json:"b"`
-	// Started are the hosts whose maintenance may have started, Done those whose
-	// maintenance the platform has confirmed.
+	// Started are the hosts whose maintenance may start or have started: each is a permit,
+	// stored before the first call. Done are those whose maintenance the platform has
+	// confirmed.
 	Started  map[string]bool `json:"o,omitempty"`
 	Done     map[string]bool `json:"d,omitempty"`
 	Finished bool            `json:"x,omitempty"`
 
+	// inherited are the permits of earlier holders.
+	inherited     map[string]bool
 	revision      store.Revision
 	startedAt     time.Time
 	statusWritten bool
--- a/internal/hostmanager/plan.go
+++ b/internal/hostmanager/plan.go
@@ -33,8 +33,11 @@
 	Wave
 	// Pending are the wave's hosts that are neither maintained nor on their way.
 	Pending []Host
-	// Out is how many hosts are draining or down for the wave.
-	Out int
+	// Out is how many hosts are draining or down for the wave, Held how many others may go
+	// down at any moment or are down by a call of an earlier holder.
+	Out, Held int
+	// Permitted are the pending hosts that Held counts.
+	Permitted map[string]bool
 	// Remaining is the time left for the wave.
 	Remaining time.Duration
 	// Loads is the load of each pool, from 0 to more than 1.
@@ -96,15 +99,16 @@
 // at once. Hosts with long-running tasks take longest and can't be sped up at the
 // end, so a few of each pool come first, also of busy pools. Of the others, those of
 // pools with a low load come first, among these the ones of pools least likely to
-// have the next demand burst, and idle hosts before others.
+// have the next demand burst, and idle hosts before others. Hosts with a permit of an
+// earlier holder come before all others and need no room: only a call for them frees it.
 func NextToDrain(v WaveView) []Host {
-	free := v.parallelism() - v.Out
-	if free <= 0 {
+	free := v.parallelism() - v.Out - v.Held
+	if free <= 0 && v.Held == 0 {
 		return nil
 	}
 	hosts := slices.Clone(v.Pending)
 	slices.SortStableFunc(hosts, func(a, b Host) int {
-		return cmp.Or(trueFirst(v.SlowToDrain[a.Worker], v.SlowToDrain[b.Worker]),
+		return cmp.Or(trueFirst(v.Permitted[a.Name], v.Permitted[b.Name]), trueFirst(v.SlowToDrain[a.Worker], v.SlowToDrain[b.Worker]),
 			trueFirst(v.Loads[b.Pool] > busyLoad, v.Loads[a.Pool] > busyLoad),
 			cmp.Compare(v.BurstLikelihood[a.Pool], v.BurstLikelihood[b.Pool]), trueFirst(v.Occupied[b.Worker], v.Occupied[a.Worker]),
 			cmp.Compare(v.Loads[a.Pool], v.Loads[b.Pool]), cmp.Compare(v.outShare(a.Pool), v.outShare(b.Pool)))
@@ -112,7 +116,7 @@
 	var chosen []Host
 	out, slow := make(map[string]int), make(map[string]int)
 	for _, h := range hosts {
-		if len(chosen) == free {
+		if !v.Permitted[h.Name] && free <= 0 {
 			break
 		}
 		if v.OutByPool[h.Pool]+out[h.Pool] >= v.poolLimit(h.Pool) {
@@ -125,6 +129,9 @@
 			slow[h.Pool]++
 		}
 		out[h.Pool]++
+		if !v.Permitted[h.Name] {
+			free--
+		}
 		chosen = append(chosen, h)
 	}
 	return chosen
--- a/internal/hostmanager/waves.go
+++ b/internal/hostmanager/waves.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"strconv"
 	"time"
 
@@ -52,12 +53,13 @@
 	if state.Done == nil {
 		state.Done = make(map[string]bool)
 	}
+	state.inherited = maps.Clone(state.Started)
 	state.revision = entry.ModRevision
 	state.startedAt = time.Now().Add(-min(wave.TimeLimit, max(0, time.Since(time.UnixMilli(state.StartedMs)))))
 	m.mu.Lock()
 	m.waves[wave.Number] = state
 	m.mu.Unlock()
-	m.Log.Info().Int64("wave", wave.Number).Int("hosts", len(wave.Hosts)).Int("done", len(state.Done)).Dur("within", wave.TimeLimit).Msg("Managing a wave.")
+	m.Log.Info().Int64("wave", wave.Number).Int("hosts", len(wave.Hosts)).Int("done", len(state.Done)).Int("started", len(state.Started)).Dur("within", wave.TimeLimit).Msg("Managing a wave.")
 	return state
 }
 
@@ -67,7 +69,7 @@
 	view := WaveView{
 		Wave: wave, Remaining: wave.TimeLimit - time.Since(state.startedAt),
 		Loads: make(map[string]float64), OutByPool: make(map[string]int), SizeByPool: make(map[string]int),
-		SlowToDrain: make(map[string]bool), SlowDraining: make(map[string]int), Occupied: make(map[string]bool),
+		SlowToDrain: make(map[string]bool), SlowDraining: make(map[string]int), Occupied: make(map[string]bool), Permitted: make(map[string]bool),
 		BurstLikelihood: m.bursts.Likelihoods(),
 	}
 	m.addHosts(&view, wave.hostSet(), state)
@@ -91,11 +93,16 @@
 	}
 	for _, h := range m.hosts {
 		view.SizeByPool[h.Pool]++
-		if !due[h.Name] || !h.Up || state.Done[h.Name] {
+		if !due[h.Name] || m.operations[h.Name] != nil {
 			continue
 		}
-		if m.operations[h.Name] == nil {
+		permitted := state.permitted(h.Name)
+		if permitted || h.Down {
+			view.Held++
+		}
+		if h.Up && !state.Done[h.Name] {
 			view.Pending = append(view.Pending, h)
+			view.Permitted[h.Name] = permitted
 		}
 	}
 }
@@ -123,13 +130,17 @@
 		return
 	}
 	if !m.reserveDown(wave, host.Name) {
+		m.Log.Info().Int64("wave", wave.Number).Str("host", host.Name).Int("limit", wave.MaxDown).Msg("As many hosts of the wave as may be are down; it will be retried.")
 		return
 	}
 	if !m.recordMaintenance(ctx, wave, state, host.Name, false) {
 		return
 	}
-	maintained, _ := m.callPlatform(ctx, host, func() Outcome { return m.Fleet.Maintain(ctx, host.Name, wave.Number, m.fence) })
+	maintained, outcome := m.callPlatform(ctx, host, func() Outcome { return m.Fleet.Maintain(ctx, host.Name, wave.Number, m.fence) })
 	if !maintained {
+		if outcome.nothingDone() {
+			m.returnPermit(ctx, wave, state, host.Name)
+		}
 		return
 	}
 	// The platform has accepted the call. What is left is to wait, and the host
@@ -141,8 +152,14 @@
 	m.maintenanceTimes.Add(time.Since(start))
 }
 
-// reserveDown counts a host as down if its wave allows one more. Hosts that were
-// sent by an earlier holder and aren't back count as well.
+// permitted reports whether a host's maintenance may start at any moment: this process or an
+// earlier holder was allowed to call for it, and isn't known to have done so.
+func (s *waveState) permitted(name string) bool { return s.Started[name] && !s.Done[name] }
+
+// reserveDown counts a host as down if its wave allows one more. The permits that earlier
+// holders stored count as well, whatever this one does with their hosts: such a holder may
+// have been suspended right before its call, and the platform's fencing tokens, which
+// each host checks for itself, don't stop it. Each host has one permit, whoever uses it.
 func (m *Manager) reserveDown(wave Wave, name string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -156,8 +173,7 @@
 	}
 	due, state := wave.hostSet(), m.waves[wave.Number]
 	for _, h := range m.hosts {
-		started := state.Started[h.Name] && !state.Done[h.Name] && m.operations[h.Name] == nil
-		if due[h.Name] && !counted[h.Name] && h.Name != name && (h.Down || started) {
+		if due[h.Name] && !counted[h.Name] && h.Name != name && (h.Down || state.permitted(h.Name)) {
 			down++
 		}
 	}
@@ -187,6 +203,20 @@
 	return false
 }
 
+// returnPermit stores that a host's maintenance will not start after all, after calls that
+// did nothing. An earlier holder may still use its own permit.
+func (m *Manager) returnPermit(ctx context.Context, wave Wave, state *waveState, name string) {
+	m.mu.Lock()
+	inherited := state.inherited[name]
+	if !inherited {
+		delete(state.Started, name)
+	}
+	m.mu.Unlock()
+	if !inherited && !m.saveWaveState(ctx, wave.Number, state) {
+		m.Log.Warn().Int64("wave", wave.Number).Str("host", name).Msg("Failed to store that a host was not sent; the next change of the progress does.")
+	}
+}
+
 // saveWaveState stores a wave's state on the condition that the claim's head is
 // unchanged, so that only the current holder can.
 func (m *Manager) saveWaveState(ctx context.Context, number int64, state *waveState) bool {
