Store the progress of a wave by one call at a time, each on top of the last

The successor had sent six while two permits of the frozen manager were open.

Cause: each permit was stored with the whole progress by a call of its own, on the condition that the claim is unchanged. Calls overtake each other, and one without an answer may be carried out seconds later, so that a progress encoded earlier overwrote permits that had been acknowledged.

Why this works: one call at a time, under the condition that the stored progress is the one this manager stored last. A late write fails its condition; the next one learns the revision from the conflict. Changes that come meanwhile are stored together.

--- a/internal/hostmanager/manager.go
+++ b/internal/hostmanager/manager.go
@@ -126,24 +126,6 @@
 	down bool
 }
 
-// waveState is the progress of a wave as it is stored.
-type waveState struct {
-	// StartedMs is when the wave was first seen, in Unix milliseconds.
-	StartedMs int64 `json:"b"`
-	// Started are the hosts whose maintenance may start or have started: each is a permit,
-	// stored before the first call. Done are those whose maintenance the platform has
-	// confirmed.
-	Started  map[string]bool `json:"o,omitempty"`
-	Done     map[string]bool `json:"d,omitempty"`
-	Finished bool            `json:"x,omitempty"`
-
-	// inherited are the permits of earlier holders.
-	inherited     map[string]bool
-	revision      store.Revision
-	startedAt     time.Time
-	statusWritten bool
-}
-
 // New returns a manager for a claim that was just made. fence is its fencing
 // token, revision the revision of its head, and claim the claim record.
 func New(config Config, fence int64, revision store.Revision, claim []byte) *Manager {
--- a/internal/hostmanager/permits_test.go
+++ b/internal/hostmanager/permits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"sync"
 	"testing"
@@ -31,6 +32,8 @@
 	store  *memstore.Store
 	wave   Wave
 	takers int
+	// access is how the next manager reaches the store.
+	access store.Transactor
 
 	mu    sync.Mutex
 	hosts []Host
@@ -40,6 +43,8 @@
 	maintained map[string]bool
 	// drains holds when each worker's drain was first and last requested.
 	drains map[string][2]time.Time
+	// emptyAtOnce is set if nothing runs on the hosts.
+	emptyAtOnce bool
 	// over counts the maintenances that began beyond what the wave allows.
 	over int
 	// answer, if set, is given in place of carrying out a call.
@@ -48,6 +53,7 @@
 
 func newWaveScript(t *testing.T, hosts, maxDown int) *waveScript {
 	s := &waveScript{t: t, store: memstore.New(), fences: make(map[string]int64), maintained: make(map[string]bool), drains: make(map[string][2]time.Time)}
+	s.access = s.store
 	s.wave = Wave{Number: 1, TimeLimit: 20 * time.Second, MaxDown: maxDown}
 	for i := range hosts {
 		name := fmt.Sprintf("h%02d", i)
@@ -64,7 +70,11 @@
 }
 
 func (f *frozenFleet) Maintain(ctx context.Context, host string, wave, fence int64) Outcome {
-	<-f.wake
+	select {
+	case <-f.wake:
+	case <-ctx.Done():
+		return Unknown
+	}
 	return f.waveScript.Maintain(ctx, host, wave, fence)
 }
 
@@ -77,7 +87,7 @@
 	revision, err := s.store.Commit(ctx, store.Txn{Puts: []store.Put{{Key: poolstore.HeadKey(ClaimName), Value: head.Encode()}}})
 	must.NoError(s.t, err)
 	m := New(Config{
-		Fleet: fleet, Pools: s, Store: s.store, Waves: func() []Wave { return []Wave{s.wave} },
+		Fleet: fleet, Pools: s, Store: s.access, Waves: func() []Wave { return []Wave{s.wave} },
 		PoolNames: func() map[string]bool { return map[string]bool{"p": false} }, HasHolder: func(string) bool { return true },
 		WaveStatus: func(number int64, done bool) (string, []byte) { return "status", []byte(fmt.Sprint(number, done)) },
 		Metrics:    NewMetrics(nil), Log: zerolog.Nop(),
@@ -156,7 +166,7 @@
 		}
 		drain[1] = now
 		s.drains[worker] = drain
-		states[i] = DrainState{Known: true, Empty: now.Sub(drain[0]) >= drainTime(worker)}
+		states[i] = DrainState{Known: true, Empty: s.emptyAtOnce || now.Sub(drain[0]) >= drainTime(worker)}
 	}
 	return states, true
 }
@@ -262,3 +272,69 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// lateStore carries out the first commits that it is told of later than those after them,
+// which the store may do: calls overtake each other.
+type lateStore struct {
+	store.Transactor
+	mu sync.Mutex
+	// late is how long each of the next commits with a wave's progress is under way; with
+	// lost set its answer is lost at once, and it is carried out all the same.
+	late []time.Duration
+	lost bool
+}
+
+func (s *lateStore) Commit(ctx context.Context, txn store.Txn) (store.Revision, error) {
+	s.mu.Lock()
+	var late time.Duration
+	if len(s.late) > 0 && txn.Puts[0].Key == waveKey(1) {
+		late, s.late = s.late[0], s.late[1:]
+	}
+	s.mu.Unlock()
+	if late > 0 && s.lost {
+		time.AfterFunc(late, func() { _, _ = s.Transactor.Commit(context.WithoutCancel(ctx), txn) })
+		return 0, &store.UnknownOutcomeError{Op: "commit", Cause: context.DeadlineExceeded}
+	}
+	pause.For(ctx, late)
+	return s.Transactor.Commit(ctx, txn)
+}
+
+// Guards against more hosts in maintenance than their wave allows: several permits are stored
+// at once, each with the progress as it was, and an earlier one overwrites a later one, so that
+// the next manager doesn't know of all.
+func TestPermitsAreNotOverwrittenByEarlierOnes(t *testing.T) {
+	for name, late := range map[string]*lateStore{
+		"overtaken": {late: []time.Duration{40 * time.Millisecond, 25 * time.Millisecond, 10 * time.Millisecond}},
+		"lost":      {late: []time.Duration{900 * time.Millisecond}, lost: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				s := newWaveScript(t, 24, 6)
+				late.Transactor = s.store
+				s.access, s.emptyAtOnce = late, true
+				frozen := &frozenFleet{s, make(chan struct{})}
+				first := s.takeOver(ctx, frozen)
+				time.Sleep(3 * time.Second)
+				entry, err := s.store.Get(ctx, waveKey(1))
+				must.NoError(t, err)
+				var stored waveState
+				must.NoError(t, json.Unmarshal(entry.Value, &stored))
+				first.mu.Lock()
+				permits := len(first.waves[1].Started)
+				first.mu.Unlock()
+				must.EqOp(t, 6, permits)
+				must.MapLen(t, permits, stored.Started)
+				s.access = s.store
+				s.takeOver(ctx, s)
+				time.AfterFunc(1500*time.Millisecond, func() { close(frozen.wake) })
+				time.Sleep(20 * time.Second)
+				_, over := s.status()
+				must.EqOp(t, 0, over)
+				cancel()
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
--- a/internal/hostmanager/waves.go
+++ b/internal/hostmanager/waves.go
@@ -2,12 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
-	"maps"
-	"strconv"
 	"time"
 
-	"auburnglade.example/glade/internal/pause"
 	"auburnglade.example/glade/internal/poolstore"
 	"auburnglade.example/glade/internal/store"
 )
@@ -28,43 +24,6 @@
 	m.writeStatus(ctx, wave, state)
 }
 
-// loadWaveState returns the progress of a wave. It is read from the store once.
-func (m *Manager) loadWaveState(ctx context.Context, wave Wave) *waveState {
-	if state := m.waves[wave.Number]; state != nil {
-		return state
-	}
-	state := &waveState{}
-	entry, err := m.Store.Get(ctx, waveKey(wave.Number))
-	switch {
-	case store.IsNotFound(err):
-		state.StartedMs = time.Now().UnixMilli()
-	case err != nil:
-		m.Log.Warn().Err(err).Int64("wave", wave.Number).Msg("Failed to read the progress of a wave.")
-		return nil
-	default:
-		if err := json.Unmarshal(entry.Value, state); err != nil {
-			m.Log.Error().Err(err).Int64("wave", wave.Number).Msg("The stored progress of a wave is corrupt; its state is reset.")
-			state = &waveState{StartedMs: time.Now().UnixMilli()}
-		}
-	}
-	if state.Started == nil {
-		state.Started = make(map[string]bool)
-	}
-	if state.Done == nil {
-		state.Done = make(map[string]bool)
-	}
-	state.inherited = maps.Clone(state.Started)
-	state.revision = entry.ModRevision
-	state.startedAt = time.Now().Add(-min(wave.TimeLimit, max(0, time.Since(time.UnixMilli(state.StartedMs)))))
-	m.mu.Lock()
-	m.waves[wave.Number] = state
-	m.mu.Unlock()
-	m.Log.Info().Int64("wave", wave.Number).Int("hosts", len(wave.Hosts)).Int("done", len(state.Done)).Int("started", len(state.Started)).Dur("within", wave.TimeLimit).Msg("Managing a wave.")
-	return state
-}
-
-func waveKey(number int64) string { return "glade/wave/" + strconv.FormatInt(number, 10) }
-
 func (m *Manager) waveView(wave Wave, state *waveState, loads map[string]Load) WaveView {
 	view := WaveView{
 		Wave: wave, Remaining: wave.TimeLimit - time.Since(state.startedAt),
@@ -152,10 +111,6 @@
 	m.maintenanceTimes.Add(time.Since(start))
 }
 
-// permitted reports whether a host's maintenance may start at any moment: this process or an
-// earlier holder was allowed to call for it, and isn't known to have done so.
-func (s *waveState) permitted(name string) bool { return s.Started[name] && !s.Done[name] }
-
 // reserveDown counts a host as down if its wave allows one more. The permits that earlier
 // holders stored count as well, whatever this one does with their hosts: such a holder may
 // have been suspended right before its call, and the platform's fencing tokens, which
@@ -184,63 +139,6 @@
 	return true
 }
 
-// recordMaintenance stores that a host's maintenance may start or, with done set,
-// that it has. Without the former, the next holder would not count the host as
-// down.
-func (m *Manager) recordMaintenance(ctx context.Context, wave Wave, state *waveState, name string, done bool) bool {
-	for ctx.Err() == nil && !m.isFenced() {
-		m.mu.Lock()
-		state.Started[name] = true
-		if done {
-			state.Done[name] = true
-		}
-		m.mu.Unlock()
-		if m.saveWaveState(ctx, wave.Number, state) {
-			return true
-		}
-		pause.For(ctx, retryInterval)
-	}
-	return false
-}
-
-// returnPermit stores that a host's maintenance will not start after all, after calls that
-// did nothing. An earlier holder may still use its own permit.
-func (m *Manager) returnPermit(ctx context.Context, wave Wave, state *waveState, name string) {
-	m.mu.Lock()
-	inherited := state.inherited[name]
-	if !inherited {
-		delete(state.Started, name)
-	}
-	m.mu.Unlock()
-	if !inherited && !m.saveWaveState(ctx, wave.Number, state) {
-		m.Log.Warn().Int64("wave", wave.Number).Str("host", name).Msg("Failed to store that a host was not sent; the next change of the progress does.")
-	}
-}
-
-// saveWaveState stores a wave's state on the condition that the claim's head is
-// unchanged, so that only the current holder can.
-func (m *Manager) saveWaveState(ctx context.Context, number int64, state *waveState) bool {
-	_, err := m.Store.Commit(ctx, store.Txn{
-		Conditions: []store.Condition{{Key: poolstore.HeadKey(ClaimName), Expect: m.revision}},
-		Puts:       []store.Put{{Key: waveKey(number), Value: m.encodeWaveState(state)}},
-	})
-	if store.IsTxnConflict(err) {
-		m.setFenced()
-	}
-	return err == nil
-}
-
-func (m *Manager) encodeWaveState(state *waveState) []byte {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	value, err := json.Marshal(state)
-	if err != nil {
-		// A struct of maps and numbers always encodes.
-		panic(err)
-	}
-	return value
-}
-
 // waveFinished reports whether all hosts of the wave that are still listed are
 // done.
 func (m *Manager) waveFinished(wave Wave, state *waveState) bool {
@@ -273,8 +171,9 @@
 	if finished {
 		m.mu.Lock()
 		state.Finished = true
+		version := state.changed()
 		m.mu.Unlock()
-		m.saveWaveState(ctx, wave.Number, state)
+		m.saveWaveState(ctx, wave.Number, state, version)
 		m.Log.Info().Int64("wave", wave.Number).Dur("took", time.Since(state.startedAt)).Msg("Wave finished.")
 	}
 }
