A host that never answers counts as room for 10 s only

What callers saw (by a test; found while ruling out odd entries): an entry of another writer describes a host of 4,096 cores that isn't there. Its pool counts it as room for as long as it is listed: jobs are accepted that can't be done, and the pool asks for no hosts, as its load seems close to nothing.

Cause: listed hosts that have not answered count as capacity, since most have just been moved to the pool; nothing bounded for how long.

Evidence: TestHostThatNeverAnswersIsNoRoom failed before, passes now.

Why this works: a host that has not answered within 10 s of being seen is left out of the forecast's cores, the reported capacity and the sums that reservations are bounded by; it counts again with its first answer (TestHostThatStartedToAnswerIsRoom). 10 s leave a holder of a large pool on a thin link the time to reach all of its hosts.

--- a/internal/sched/backlog.go
+++ b/internal/sched/backlog.go
@@ -105,7 +105,7 @@
 }
 
 func (p *Pool) summariseBacklog(now time.Time) *backlog {
-	b := &backlog{at: now, byOrganisation: make(map[string]float64), cores: p.listedCores(), idle: p.idleCores(now)}
+	b := &backlog{at: now, byOrganisation: make(map[string]float64), cores: p.listedCores(now), idle: p.idleCores(now)}
 	var inTime []float64
 	byPriority := make(map[int]*rankedWork)
 	for _, j := range p.active {
--- a/internal/sched/forecast.go
+++ b/internal/sched/forecast.go
@@ -63,12 +63,22 @@
 	return f
 }
 
-// listedCores returns the cores for jobs of all hosts that are listed and stay. Hosts
-// that don't respond yet count, since most of them have just been moved to the pool.
-func (p *Pool) listedCores() float64 {
+// answerTime is how long after a host was first seen it counts as room although it has not
+// answered: it has just been moved to the pool, or, after a takeover of a large pool on a thin
+// link, not been reached yet.
+const answerTime = 10 * time.Second
+
+// mayAnswer reports whether a host has answered or may be about to. An entry may describe a host
+// that doesn't exist; counted as room, it would keep others from its pool and let work in.
+func (h *host) mayAnswer(now time.Time) bool {
+	return h.reached || now.Sub(h.firstSeen) < answerTime
+}
+
+// listedCores returns the cores for jobs of all hosts that are listed, stay and may answer.
+func (p *Pool) listedCores(now time.Time) float64 {
 	millis := 0
 	for _, h := range p.hosts {
-		if h.listed && !h.Draining && !h.unschedulable {
+		if h.listed && !h.Draining && !h.unschedulable && h.mayAnswer(now) {
 			millis += max(0, h.Capacity.MilliCPU-h.longRunningUsed.MilliCPU)
 		}
 	}
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -15,9 +15,11 @@
 		if !h.listed || h.Draining {
 			continue
 		}
-		total = total.Plus(h.Capacity)
+		if h.mayAnswer(now) {
+			total = total.Plus(h.Capacity)
+		}
 		hostLoad := hostmanager.HostLoad{
-			Worker: id, Used: h.used.MilliCPU, LongRunning: h.longRunningUsed.MilliCPU, Unschedulable: h.unschedulable || h.reached && p.unresponsive(h, now),
+			Worker: id, Used: h.used.MilliCPU, LongRunning: h.longRunningUsed.MilliCPU, Unschedulable: h.unschedulable || !h.mayAnswer(now) || h.reached && p.unresponsive(h, now),
 			WorkValue: h.workValue(now),
 		}
 		for _, r := range h.runs {
--- a/internal/sched/reservations.go
+++ b/internal/sched/reservations.go
@@ -84,7 +84,7 @@
 		return
 	}
 	for _, h := range pl.hosts {
-		if h.listed {
+		if h.listed && h.mayAnswer(pl.now) {
 			r.poolMilliCPU += h.Capacity.MilliCPU
 			r.poolUsed += h.used.MilliCPU
 		}
