A task without room marks only tasks that may have the same hosts

Cause: a task without room marks its size, label and rack, and later tasks of that kind are skipped in the plan. Tickets are each step's own. The same on related paths: a copy on the only host with room, a host near the data that others have waited for long enough, room made for urgent work only.

Why this works: a kind now also has the priority and whether a host away from the data is accepted; tasks whose hosts are their own for another reason mark nothing, and one with a copy does not hold up its step.

--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -136,11 +136,25 @@
 type taskShape struct {
 	resources                       work.Resources
 	requires, rack                  string
+	priority                        int
 	longRunning, passesReservations bool
+	// acceptsRemote is set if the task has waited long enough for a host near its data.
+	acceptsRemote bool
 }
 
 func (pl *planner) shapeOf(s *step) taskShape {
-	return taskShape{s.spec.Reserved(), s.spec.Requires, s.spec.DataRack, s.spec.LongRunning, pl.passesReservations(s)}
+	return taskShape{
+		resources: s.spec.Reserved(), requires: s.spec.Requires, rack: s.spec.DataRack, priority: s.priority(), longRunning: s.spec.LongRunning,
+		passesReservations: pl.passesReservations(s), acceptsRemote: s.spec.DataRack != "" && pl.acceptRemote(s),
+	}
+}
+
+// hostsOfItsOwn reports whether which hosts a task may have also depends on where tasks of its
+// step run, on its tickets, or on where a copy of it runs. That it finds no room says nothing
+// about others of its shape.
+func (t *task) hostsOfItsOwn() bool {
+	s := t.step
+	return s.spec.MaxPerHost > 0 || s.spec.Requires != "" || s.spec.SameRack || s.occurrence.job.record.Queue.Advice != nil || t.liveRuns > 0
 }
 
 // collectOpen collects the hosts that take new work.
@@ -229,20 +243,23 @@
 		}
 		h := pl.find(t)
 		if h == nil {
-			pl.noRoom(s, shape)
+			pl.noRoom(t, shape)
+			if t.liveRuns > 0 {
+				continue
+			}
 			return
 		}
 		pl.start(t, h, t.lastRun+1)
 	}
 }
 
-// noRoom records that a step found no room.
-func (pl *planner) noRoom(s *step, shape taskShape) {
-	if s.spec.MaxPerHost == 0 && s.spec.Requires == "" && !s.spec.SameRack {
+// noRoom records that a task found no room.
+func (pl *planner) noRoom(t *task, shape taskShape) {
+	if !t.hostsOfItsOwn() {
 		pl.noRoomFor[shape] = true
 		pl.updateMaxFree()
 	}
-	pl.reserveRoom(s)
+	pl.reserveRoom(t.step)
 }
 
 // reserveRoom makes room for a step that waits, and reserves a host for a long-running
--- a/internal/sched/reservations_test.go
+++ b/internal/sched/reservations_test.go
@@ -34,6 +34,9 @@
 	// startedAt is when the first task of each job started.
 	startedAt map[string]time.Time
 	absences  []Absence
+	// queue is that of the next jobs, onPlan is called with each plan.
+	queue  work.Queue
+	onPlan func(Plan)
 }
 
 type roomHost struct {
@@ -52,6 +55,7 @@
 	now := time.Now()
 	s := &roomScript{
 		t: t, now: now, began: now, lengths: make(map[string]time.Duration), startedAt: make(map[string]time.Time),
+		queue: work.Queue{Name: "q", MaxAttempts: 3, Stretch: 2, Slack: time.Second}, onPlan: func(Plan) {},
 		p: New(Config{Fence: 1, LeaseTTL: 4500 * time.Millisecond, StatusRetention: time.Hour, StopGrace: 400 * time.Millisecond}, Roster{}, now),
 	}
 	var list []worker.Host
@@ -68,10 +72,15 @@
 // submit accepts a job of one step whose tasks run for length, zero for long-running
 // ones.
 func (s *roomScript) submit(step work.Step, length time.Duration) string {
+	return s.submitAgo(0, step, length)
+}
+
+// submitAgo accepts a job that was submitted some time ago.
+func (s *roomScript) submitAgo(ago time.Duration, step work.Step, length time.Duration) string {
 	s.jobs++
 	id := fmt.Sprintf("%016x", s.jobs)
 	step.Estimate, step.LongRunning, s.lengths[id] = length, length == 0, length
-	record := &work.JobRecord{ID: id, ArrivedMs: s.now.UnixMilli(), Queue: work.Queue{Name: "q", MaxAttempts: 3, Stretch: 2, Slack: time.Second}, Spec: work.Spec{Steps: []work.Step{step}}}
+	record := &work.JobRecord{ID: id, ArrivedMs: s.now.Add(-ago).UnixMilli(), Queue: s.queue, Spec: work.Spec{Steps: []work.Step{step}}}
 	must.True(s.t, s.p.Accept(record, s.now, s.now))
 	return id
 }
@@ -101,6 +110,7 @@
 		s.p.ChangesStored(s.p.Changes(1, nil))
 		plan := s.p.Plan(s.now, s.now)
 		s.absences = append(s.absences, plan.Absences...)
+		s.onPlan(plan)
 		s.carryOut(plan.Orders)
 	}
 }
