A task that has waited 2 s in an idle pool passes what is kept for suspects

Cause: each task that may have crashed two hosts reserves a host and keeps it for itself for 3 s. With more of them than hosts nothing else starts.

Why this works: as with reservations for long-running tasks, a task that has waited 2 s (since it was ready or last ran) while less than half of the pool is in use is kept from no host for others, and needs none for itself. Hosts in quarantine or on probation stay closed to it.

--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -43,13 +43,22 @@
 // avoided returns why a host that could get new work gets none but overdue long-running
 // tasks, or an empty string.
 func (h *host) avoided(now time.Time) string {
+	if reason := h.unproven(now); reason != "" {
+		return reason
+	}
+	if h.isolatesSuspect(now) {
+		return "isolates a task that may crash it"
+	}
+	return ""
+}
+
+// unproven returns why a host is not trusted with new work, or an empty string.
+func (h *host) unproven(now time.Time) string {
 	switch {
 	case now.Before(h.health.quarantinedUntil):
 		return "in quarantine"
 	case h.runsProbationTask():
 		return "on probation"
-	case h.isolatesSuspect(now):
-		return "isolates a task that may crash it"
 	}
 	return ""
 }
@@ -65,9 +74,13 @@
 	return s.occurrence.job.record.Queue.Advice == nil || s.advice.ticket(h.ID, pl.now) != ""
 }
 
-// avoids reports whether a host gets no new work at all or is reserved for another task.
-func (h *host) avoids(t *task, now time.Time) bool {
-	return h.avoided(now) != "" || h.reservedForOther(t, now)
+// avoids reports whether a host gets no new work at all or is kept for other tasks, which an
+// impatient task passes.
+func (pl *planner) avoids(t *task, h *host, impatient bool) bool {
+	if h.unproven(pl.now) != "" || h.roomReservation.excludes(t.step, pl.now) {
+		return true
+	}
+	return !impatient && (h.isolatesSuspect(pl.now) || h.reservedForOther(t, pl.now) || pl.keptFrom(t.step, h))
 }
 
 // availableHosts returns the hosts that could get new work, avoided ones among them.
@@ -103,8 +116,8 @@
 func (pl *planner) find(t *task) *host {
 	s := t.step
 	resources := s.spec.Reserved()
-	hosts, overdue := pl.open, t.overdue(pl.now)
-	if overdue {
+	hosts, overdue, impatient := pl.open, t.overdue(pl.now), pl.impatient(t)
+	if overdue || impatient {
 		hosts = pl.availableHosts()
 	} else if !resources.Fits(pl.maxFree) {
 		return nil
@@ -117,7 +130,7 @@
 		if !resources.Fits(h.free()) || !pl.allowed(s, h) || t.liveRuns > 0 && h.runs[t.name] != nil {
 			continue
 		}
-		avoids := h.avoids(t, pl.now) || h.roomReservation.excludes(s, pl.now) || pl.keptFrom(s, h)
+		avoids := pl.avoids(t, h, impatient)
 		if avoids && !overdue {
 			continue
 		}
@@ -128,7 +141,7 @@
 		if ok && crashes > 0 {
 			penalty, suits := pl.suspectPenalty(t, crashes, h)
 			score += penalty
-			ok = suits || overdue
+			ok = suits || overdue || impatient
 		}
 		if ok && (best == nil || score < bestScore || score == bestScore && h.ID < best.ID) {
 			best, bestScore = h, score
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -134,18 +134,19 @@
 // taskShape is a kind of task that found no room: what decides which hosts it may have,
 // but for what is its own.
 type taskShape struct {
-	resources                       work.Resources
-	requires, rack                  string
-	priority                        int
-	longRunning, passesReservations bool
+	resources              work.Resources
+	requires, rack         string
+	priority               int
+	longRunning, impatient bool
 	// acceptsRemote is set if the task has waited long enough for a host near its data.
 	acceptsRemote bool
 }
 
-func (pl *planner) shapeOf(s *step) taskShape {
+func (pl *planner) shapeOf(t *task) taskShape {
+	s := t.step
 	return taskShape{
 		resources: s.spec.Reserved(), requires: s.spec.Requires, rack: s.spec.DataRack, priority: s.priority(), longRunning: s.spec.LongRunning,
-		passesReservations: pl.passesReservations(s), acceptsRemote: s.spec.DataRack != "" && pl.acceptRemote(s),
+		impatient: pl.impatient(t), acceptsRemote: s.spec.DataRack != "" && pl.acceptRemote(s),
 	}
 }
 
@@ -233,11 +234,11 @@
 			pl.startSuspect(t)
 			continue
 		}
-		if !s.spec.LongRunning && !s.spec.Reserved().Fits(pl.maxFree) {
+		shape := pl.shapeOf(t)
+		if !s.spec.LongRunning && !shape.impatient && !s.spec.Reserved().Fits(pl.maxFree) {
 			pl.preempt(s)
 			return
 		}
-		shape := pl.shapeOf(s)
 		if pl.noRoomFor[shape] && !t.overdue(pl.now) {
 			return
 		}
--- a/internal/sched/reservations.go
+++ b/internal/sched/reservations.go
@@ -10,10 +10,10 @@
 // leaves its room to the step, not to the next small task. Room that is kept from other work
 // must come, must leave them hosts to run on, and must not make them stand still.
 
-// reservationPatience is how long a reservation keeps a step waiting while less than
-// half of the pool is in use. The platform counts a job as lost that has nothing
-// running for 3 s then; the start has to fit into the rest.
-const reservationPatience = 2 * time.Second
+// patience is how long hosts are kept from a waiting task for others while less than half of
+// the pool is in use. The platform counts a job as lost that has nothing running for 3 s
+// then; the start has to fit into the rest.
+const patience = 2 * time.Second
 
 // reservations holds the hosts that are reserved in a plan.
 type reservations struct {
@@ -95,7 +95,7 @@
 // s would take some of it.
 func (pl *planner) keptFrom(s *step, h *host) bool {
 	kept, reserved := pl.reserved.room[h]
-	return reserved && !s.spec.LongRunning && !pl.passesReservations(s) && !fitsBeside(s.spec.Reserved(), kept, h)
+	return reserved && !s.spec.LongRunning && !fitsBeside(s.spec.Reserved(), kept, h)
 }
 
 // fitsBeside reports whether resources fit on a host beside its runs and what is kept
@@ -107,12 +107,21 @@
 		(resources.MemMB == 0 || resources.MemMB <= left.MemMB) && (resources.GPU == 0 || resources.GPU <= left.GPU)
 }
 
-// passesReservations reports whether a step has waited so long, with most of the pool
-// idle, that no reservation keeps it from a host.
-func (pl *planner) passesReservations(s *step) bool {
-	if len(pl.reserved.room) == 0 || pl.now.Sub(s.readySince) < reservationPatience {
+// impatient reports whether a task that isn't long-running has waited so long, with most of the
+// pool idle, that no host is kept from it for other tasks, and none for itself.
+func (pl *planner) impatient(t *task) bool {
+	s := t.step
+	if s.spec.LongRunning || pl.now.Sub(t.waitingSince()) < patience {
 		return false
 	}
 	pl.measurePool()
 	return 2*pl.reserved.poolUsed < pl.reserved.poolMilliCPU
 }
+
+// waitingSince returns when a task without a run became ready or last ran.
+func (t *task) waitingSince() time.Time {
+	if t.ranAt.After(t.step.readySince) {
+		return t.ranAt
+	}
+	return t.step.readySince
+}
--- a/internal/sched/reservations_test.go
+++ b/internal/sched/reservations_test.go
@@ -77,12 +77,16 @@
 
 // submitAgo accepts a job that was submitted some time ago.
 func (s *roomScript) submitAgo(ago time.Duration, step work.Step, length time.Duration) string {
+	id, record := s.newRecord(ago, step, length)
+	must.True(s.t, s.p.Accept(record, s.now, s.now))
+	return id
+}
+
+func (s *roomScript) newRecord(ago time.Duration, step work.Step, length time.Duration) (string, *work.JobRecord) {
 	s.jobs++
 	id := fmt.Sprintf("%016x", s.jobs)
 	step.Estimate, step.LongRunning, s.lengths[id] = length, length == 0, length
-	record := &work.JobRecord{ID: id, ArrivedMs: s.now.Add(-ago).UnixMilli(), Queue: s.queue, Spec: work.Spec{Steps: []work.Step{step}}}
-	must.True(s.t, s.p.Accept(record, s.now, s.now))
-	return id
+	return id, &work.JobRecord{ID: id, ArrivedMs: s.now.Add(-ago).UnixMilli(), Queue: s.queue, Spec: work.Spec{Steps: []work.Step{step}}}
 }
 
 // tasks returns a step of tasks with that many cores each.
