A count of waiting jobs leaves out no pool that does not answer

Cause: a former pool that did not answer was left out of the sum.

Evidence: TestWaitingJobsOfAFormerPoolWithoutAHolderAreNotLeftOut failed before (0, to be 4 at least) and passes now.

--- a/internal/entryhost/movedqueue_test.go
+++ b/internal/entryhost/movedqueue_test.go
@@ -135,6 +135,35 @@
 	})
 }
 
+// Guards against a count of none while jobs wait in the pool that the queue had before, the
+// holder of which is gone.
+func TestWaitingJobsOfAFormerPoolWithoutAHolderAreNotLeftOut(t *testing.T) {
+	runTest(t, 3, func(dep *deployment) {
+		for range 12 {
+			step := quick(20)
+			step.Estimate = 20 * time.Second
+			must.EqOp(t, poolmanager.Stored, dep.anyEntry().Jobs.SubmitJob(dep.ctx, dep.record("day", step)).Result)
+		}
+		time.Sleep(3 * time.Second)
+		queue := dep.record("day").Queue
+		queue.Pool = "night"
+		before, ok := dep.anyEntry().Jobs.QueueLength(dep.ctx, queue)
+		must.True(t, ok)
+		must.Positive(t, before)
+		dep.kill(dep.holder("day"))
+		for range 60 {
+			time.Sleep(200 * time.Millisecond)
+			for node, e := range dep.entries {
+				if count, ok := e.Jobs.QueueLength(dep.ctx, queue); ok {
+					must.GreaterEq(t, before/2, count, must.Sprint(node))
+				}
+			}
+		}
+		_, ok = dep.anyEntry().Jobs.QueueLength(dep.ctx, queue)
+		must.True(t, ok)
+	})
+}
+
 // Guards against counts that wait for a store that does not respond.
 func TestCountsDoNotWaitForTheStore(t *testing.T) {
 	runTest(t, 3, func(dep *deployment) {
--- a/internal/jobrouter/queuelength.go
+++ b/internal/jobrouter/queuelength.go
@@ -30,7 +30,8 @@
 }
 
 // QueueLength returns the number of waiting jobs of a queue for a client, also in pools
-// that the queue had before. ok is false if no sufficiently recent count is available.
+// that the queue had before. ok is false if no sufficiently recent count is available: what
+// a pool without a holder has is not known, and left out it would count as none.
 func (r *Router) QueueLength(ctx context.Context, queue work.Queue) (value int, ok bool) {
 	key := queue.Pool + "\x00" + queue.Name
 	r.mu.Lock()
@@ -42,13 +43,12 @@
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, holderTimeout)
 	defer cancel()
-	if value, ok = r.waitingIn(ctx, queue.Pool, queue.Name); !ok {
-		return last.value, time.Since(last.at) < maxCountAge
-	}
-	for _, pool := range r.formerPoolsOf(ctx, queue) {
-		if count, ok := r.waitingIn(ctx, pool, queue.Name); ok {
-			value += count
+	for _, pool := range append([]string{queue.Pool}, r.formerPoolsOf(ctx, queue)...) {
+		count, ok := r.waitingIn(ctx, pool, queue.Name)
+		if !ok {
+			return last.value, time.Since(last.at) < maxCountAge
 		}
+		value += count
 	}
 	r.mu.Lock()
 	r.queueLengths[key] = cachedCount{value, began}
