A job waits until a task of it is known to have begun

Cause: a job counted as started once a start was ordered.

Evidence: TestJobWhoseStartsHadNoAnswerStillWaits failed before (no answer, refused, not sent) and passes now; TestJobThatHasBegunDoesNotWait holds what must not change.

Why this works: a job has begun when a host has answered the start of one of its tasks, lists a run of it or an end of one that was not merely stopped, or when an earlier holder stored an end or a checkpoint. Until then it waits.

--- a/internal/sched/jobs.go
+++ b/internal/sched/jobs.go
@@ -34,6 +34,7 @@
 		p.addOccurrencesTo(j, t.Occurrence, now, wall)
 	}
 	j.started = len(progress.Tasks) > 0 || len(progress.OccurrencesDone) > 0
+	j.begun = len(progress.OccurrencesDone) > 0 || slices.ContainsFunc(progress.Tasks, func(t work.TaskProgress) bool { return t.Begun() })
 	if progress.State != "" {
 		j.state, j.storedState = progress.State, progress.State
 		j.endedMs = progress.EndedMs
@@ -170,11 +171,11 @@
 	return work.Queued, true
 }
 
-// WaitingJobs counts the accepted jobs of a queue of which no task has started.
+// WaitingJobs counts the accepted jobs of a queue of which no task is known to have begun.
 func (p *Pool) WaitingJobs(queue string) int {
 	count := 0
 	for _, j := range p.active {
-		if !j.started && j.state == "" && j.record.Queue.Name == queue {
+		if !j.begun && j.state == "" && j.record.Queue.Name == queue {
 			count++
 		}
 	}
--- a/internal/sched/outcomes.go
+++ b/internal/sched/outcomes.go
@@ -23,9 +23,7 @@
 	}
 	switch outcome {
 	case worker.Accepted:
-		if r.state == starting {
-			r.state, r.startedAt, r.progressedAt = running, now, now
-		}
+		r.begin(now)
 	case worker.Unknown:
 		if r.state == starting {
 			h.backoffUntil = now.Add(refusalPause)
--- a/internal/sched/replies.go
+++ b/internal/sched/replies.go
@@ -69,6 +69,7 @@
 	t.lastRun = max(t.lastRun, end.Run)
 	p.noteHeard(t, h.ID, end.Run, end.Reason, now)
 	t.clearCrash(end.Run)
+	j.begun = j.begun || end.Reason != work.EndStopped
 	r := h.runs[end.Task]
 	if r != nil && r.number > end.Run {
 		r = nil
@@ -205,9 +206,7 @@
 }
 
 func (r *run) applyReport(report worker.Report, now time.Time) {
-	if r.state == starting {
-		r.state, r.startedAt, r.progressedAt = running, now, now
-	}
+	r.begin(now)
 	if report.Percent != r.percent || r.progressClock == 0 {
 		r.percent, r.progressedAt, r.progressClock = report.Percent, now, r.host.reportedClock
 	}
@@ -226,6 +225,14 @@
 	}
 }
 
+// begin records that a run is known to have begun.
+func (r *run) begin(now time.Time) {
+	r.task.job().begun = true
+	if r.state == starting {
+		r.state, r.startedAt, r.progressedAt = running, now, now
+	}
+}
+
 // fullPercent is the percentage at which a long-running task is in service and a
 // run is not throttled.
 const fullPercent = 100
--- a/internal/sched/task.go
+++ b/internal/sched/task.go
@@ -21,7 +21,8 @@
 	state    work.State
 	endedAt  time.Time
 	endedMs  int64
-	started  bool
+	// started is set once a start was ordered, begun once a task is known to have begun.
+	started, begun bool
 	// firstStart, starts, failure and failureCrashes are for the log: when its first
 	// task was ordered to start, how many starts were ordered, which task failed last
 	// and where, and the crashes for which it failed.
--- a/internal/work/progress.go
+++ b/internal/work/progress.go
@@ -45,6 +45,12 @@
 	Checkpoint string
 }
 
+// Begun reports whether a run of the task is known to have begun. One that counts as a crash may
+// not have.
+func (t TaskProgress) Begun() bool {
+	return t.Done || len(t.Failed) > 0 || t.Checkpoint != ""
+}
+
 // PresumedCrash is a run that was seen executing until its host refused connections,
 // with the incarnation of the host and its address.
 type PresumedCrash struct {
