The end of a host that never answered counts after a confirmation

A holder that is cut off learns that a host of the holder before, which never answered it, has ended, and starts its tasks again, though a later holder may have taken note of their success.

Cause: unlike other losses, that one was believed at once.

Evidence: TestEndOfAnUnreachedHostCountsAfterAConfirmation, unchanged, failed before and passes now.

Why this works: the host stays among those that are waited for until the claim is confirmed after its end is known, as for other losses.

--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -57,6 +57,8 @@
 	// unreached holds the hosts that may run tasks of an earlier holder and have
 	// not answered yet, with the time by which their leases have certainly expired.
 	unreached map[string]time.Time
+	// endedUnreached holds those of them that have ended.
+	endedUnreached map[string]bool
 	// roster holds the hosts that the store lists as in use, frozen those that it
 	// lists, or is about to list, as unresponsive.
 	roster, frozen map[string]bool
@@ -126,26 +128,27 @@
 // earlier holders stored.
 func New(config Config, roster Roster, now time.Time) *Pool {
 	p := &Pool{
-		Config:        config,
-		started:       now,
-		maxStartBytes: math.MaxInt,
-		jobs:          make(map[string]*job),
-		hosts:         make(map[string]*host),
-		runtimes:      make(map[string]*runtimeModel),
-		ratios:        make(map[string]*ratioSketch),
-		arrivals:      make(map[string]*arrivals),
-		history:       newHistory(now),
-		submitted:     make(map[string]submittedJob),
-		refusals:      make(map[string]refusal),
-		presumed:      make(map[string]*presumedEnd),
-		usages:        make(map[string]*usage),
-		shares:        fairshare.NewBook(),
-		unreached:     make(map[string]time.Time),
-		roster:        make(map[string]bool),
-		frozen:        make(map[string]bool),
-		storedRoster:  make(map[string]bool),
-		restarted:     make(map[string]bool),
-		confirming:    make(map[string]bool),
+		Config:         config,
+		started:        now,
+		maxStartBytes:  math.MaxInt,
+		jobs:           make(map[string]*job),
+		hosts:          make(map[string]*host),
+		runtimes:       make(map[string]*runtimeModel),
+		ratios:         make(map[string]*ratioSketch),
+		arrivals:       make(map[string]*arrivals),
+		history:        newHistory(now),
+		submitted:      make(map[string]submittedJob),
+		refusals:       make(map[string]refusal),
+		presumed:       make(map[string]*presumedEnd),
+		usages:         make(map[string]*usage),
+		shares:         fairshare.NewBook(),
+		unreached:      make(map[string]time.Time),
+		endedUnreached: make(map[string]bool),
+		roster:         make(map[string]bool),
+		frozen:         make(map[string]bool),
+		storedRoster:   make(map[string]bool),
+		restarted:      make(map[string]bool),
+		confirming:     make(map[string]bool),
 	}
 	takenOverAt := config.TakenOverAt
 	if takenOverAt.IsZero() {
@@ -308,8 +311,12 @@
 func (p *Pool) Tick(now, wall time.Time) (forget []string) {
 	for id, until := range p.unreached {
 		if now.After(until) && p.confirmedAfter(until) {
-			delete(p.unreached, id)
-			p.unanswered = append(p.unanswered, UnansweredHost{id, LeaseExpired, now.Sub(p.started)})
+			evidence := LeaseExpired
+			if p.endedUnreached[id] {
+				evidence = InstanceReplaced
+			}
+			p.forgetUnreached(id)
+			p.unanswered = append(p.unanswered, UnansweredHost{id, evidence, now.Sub(p.started)})
 		}
 	}
 	for id, h := range p.hosts {
@@ -356,9 +363,26 @@
 	p.removeHost(id, InstanceReplaced, now, wall)
 }
 
+// forgetUnreached records that nothing of an earlier holder runs on a host unless it reports it.
+func (p *Pool) forgetUnreached(id string) {
+	delete(p.unreached, id)
+	delete(p.endedUnreached, id)
+}
+
+// endUnreached records that a host of an earlier holder has ended which never answered this one.
+// A later holder may have taken note of the success of its runs, so it is waited for until
+// the claim is confirmed.
+func (p *Pool) endUnreached(id string, now time.Time) {
+	if _, pending := p.unreached[id]; pending && !p.confirmedAfter(now) {
+		p.unreached[id], p.endedUnreached[id] = now, true
+		return
+	}
+	p.forgetUnreached(id)
+}
+
 // removeHost removes an incarnation of a host that has certainly ended.
 func (p *Pool) removeHost(id string, evidence Evidence, now, wall time.Time) {
-	delete(p.unreached, id)
+	p.endUnreached(id, now)
 	h := p.hosts[id]
 	if h == nil {
 		return
--- a/internal/sched/replies.go
+++ b/internal/sched/replies.go
@@ -39,7 +39,7 @@
 		p.unreached[id] = now.Add(LeaseUpperBound(p.LeaseTTL))
 		return
 	}
-	delete(p.unreached, id)
+	p.forgetUnreached(id)
 }
 
 func (p *Pool) applyEnds(h *host, ends []worker.RunEnd, now, wall time.Time) {
