An impatient task is searched no host for where none has room; tests of waves share their play

A task that has waited 2 s in an idle pool searches all hosts that could get work, also those that are kept for others. One larger than any host has free (one that can't be done) was searched for in every plan, host by host. The most that any of those hosts has free is noted with their list, as for the open ones.

--- a/internal/hostmanager/permits_test.go
+++ b/internal/hostmanager/permits_test.go
@@ -190,10 +190,24 @@
 	return load, true
 }
 
-func (s *waveScript) status() (maintained, over int) {
+// check checks that so many hosts were maintained, never more at once than allowed.
+func (s *waveScript) check(maintained int) {
+	s.t.Helper()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.maintained), s.over
+	must.EqOp(s.t, 0, s.over)
+	must.EqOp(s.t, maintained, len(s.maintained))
+}
+
+// playWave plays a test with a wave in virtual time, and has all managers end.
+func playWave(t *testing.T, hosts, maxDown int, play func(ctx context.Context, s *waveScript)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		play(ctx, newWaveScript(t, hosts, maxDown))
+		cancel()
+		time.Sleep(time.Minute)
+	})
 }
 
 // Guards against more hosts in maintenance than their wave allows: a manager that froze right
@@ -202,21 +216,14 @@
 func TestSuccessorCountsCallsThatItsPredecessorMayStillMake(t *testing.T) {
 	for wakes := 3200 * time.Millisecond; wakes < 9*time.Second; wakes += 130 * time.Millisecond {
 		t.Run(wakes.String(), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(t.Context())
-				defer cancel()
-				s := newWaveScript(t, 24, 6)
+			playWave(t, 24, 6, func(ctx context.Context, s *waveScript) {
 				frozen := &frozenFleet{s, make(chan struct{})}
 				s.takeOver(ctx, frozen)
 				time.AfterFunc(wakes, func() { close(frozen.wake) })
 				time.Sleep(3 * time.Second)
 				s.takeOver(ctx, s)
 				time.Sleep(22 * time.Second)
-				maintained, over := s.status()
-				must.EqOp(t, 0, over)
-				must.EqOp(t, 24, maintained)
-				cancel()
-				time.Sleep(time.Minute)
+				s.check(24)
 			})
 		})
 	}
@@ -225,26 +232,14 @@
 // Guards against a wave that stands still: its limit is taken by hosts that an earlier
 // manager, which is gone, was allowed to call for.
 func TestCallsThatAPredecessorNeverMadeDoNotHoldTheWaveUp(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		s := newWaveScript(t, 12, 2)
+	playWave(t, 12, 2, func(ctx context.Context, s *waveScript) {
 		first, leave := context.WithCancel(ctx)
-		frozen := &frozenFleet{s, make(chan struct{})}
-		s.takeOver(first, frozen)
+		s.takeOver(first, &frozenFleet{s, make(chan struct{})})
 		time.Sleep(3 * time.Second)
 		leave()
 		s.takeOver(ctx, s)
 		time.Sleep(20 * time.Second)
-		maintained, over := s.status()
-		must.EqOp(t, 0, over)
-		must.EqOp(t, 12, maintained)
-		s.mu.Lock()
-		s.answer = func(string, int64) (Outcome, bool) { return Fenced, true }
-		s.mu.Unlock()
-		close(frozen.wake)
-		cancel()
-		time.Sleep(time.Minute)
+		s.check(12)
 	})
 }
 
@@ -252,10 +247,7 @@
 // down: it may be on its way out, and its call counts against the limit until it is certain
 // that it was not carried out.
 func TestRefusedCallDoesNotHoldTheWaveUp(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		s := newWaveScript(t, 6, 1)
+	playWave(t, 6, 1, func(ctx context.Context, s *waveScript) {
 		s.answer = func(host string, _ int64) (Outcome, bool) {
 			if host != "h00" {
 				return Done, false
@@ -265,11 +257,7 @@
 		}
 		s.takeOver(ctx, s)
 		time.Sleep(25 * time.Second)
-		maintained, over := s.status()
-		must.EqOp(t, 0, over)
-		must.EqOp(t, 5, maintained)
-		cancel()
-		time.Sleep(time.Minute)
+		s.check(5)
 	})
 }
 
@@ -308,10 +296,7 @@
 		"lost":      {late: []time.Duration{900 * time.Millisecond}, lost: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(t.Context())
-				defer cancel()
-				s := newWaveScript(t, 24, 6)
+			playWave(t, 24, 6, func(ctx context.Context, s *waveScript) {
 				late.Transactor = s.store
 				s.access, s.emptyAtOnce = late, true
 				frozen := &frozenFleet{s, make(chan struct{})}
@@ -329,11 +314,8 @@
 				s.access = s.store
 				s.takeOver(ctx, s)
 				time.AfterFunc(1500*time.Millisecond, func() { close(frozen.wake) })
-				time.Sleep(20 * time.Second)
-				_, over := s.status()
-				must.EqOp(t, 0, over)
-				cancel()
-				time.Sleep(time.Minute)
+				time.Sleep(22 * time.Second)
+				s.check(24)
 			})
 		})
 	}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -89,6 +89,7 @@
 		for _, h := range pl.hosts {
 			if pl.unavailable(h, pl.now) == "" {
 				pl.available = append(pl.available, h)
+				pl.maxAvailable = pl.maxAvailable.Max(h.free())
 			}
 		}
 	}
@@ -116,10 +117,11 @@
 func (pl *planner) find(t *task) *host {
 	s := t.step
 	resources := s.spec.Reserved()
-	hosts, overdue, impatient := pl.open, t.overdue(pl.now), pl.impatient(t)
+	hosts, maxFree, overdue, impatient := pl.open, &pl.maxFree, t.overdue(pl.now), pl.impatient(t)
 	if overdue || impatient {
-		hosts = pl.availableHosts()
-	} else if !resources.Fits(pl.maxFree) {
+		hosts, maxFree = pl.availableHosts(), &pl.maxAvailable
+	}
+	if !resources.Fits(*maxFree) {
 		return nil
 	}
 	crashes := pl.suspectedCrashes(t, pl.now)
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -119,8 +119,10 @@
 	// resource free than maxFree.
 	open    []*host
 	maxFree work.Resources
-	// available holds the open hosts and the avoided ones, nil before it is needed.
-	available []*host
+	// available holds the open hosts and the avoided ones, nil before it is needed; none of
+	// them had more of any resource free than maxAvailable then.
+	available    []*host
+	maxAvailable work.Resources
 	// hidden bounds what runs of earlier holders use on hosts that have not answered.
 	hidden work.Resources
 	// noRoomFor holds the kinds of tasks that found no room in this plan.
@@ -174,10 +176,7 @@
 func (pl *planner) updateMaxFree() {
 	pl.maxFree = work.Resources{}
 	for _, h := range pl.open {
-		free := h.free()
-		pl.maxFree = work.Resources{
-			MilliCPU: max(pl.maxFree.MilliCPU, free.MilliCPU), MemMB: max(pl.maxFree.MemMB, free.MemMB), GPU: max(pl.maxFree.GPU, free.GPU),
-		}
+		pl.maxFree = pl.maxFree.Max(h.free())
 	}
 }
 
--- a/internal/sched/quota.go
+++ b/internal/sched/quota.go
@@ -91,9 +91,7 @@
 	}
 	var largest work.Resources
 	for _, h := range p.hosts {
-		largest = work.Resources{
-			MilliCPU: max(largest.MilliCPU, h.Capacity.MilliCPU), MemMB: max(largest.MemMB, h.Capacity.MemMB), GPU: max(largest.GPU, h.Capacity.GPU),
-		}
+		largest = largest.Max(h.Capacity)
 	}
 	if largest == (work.Resources{}) {
 		return unbounded
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -26,6 +26,11 @@
 	return Resources{s.MilliCPU - o.MilliCPU, s.MemMB - o.MemMB, s.GPU - o.GPU}
 }
 
+// Max returns the larger amount of each resource.
+func (s Resources) Max(o Resources) Resources {
+	return Resources{max(s.MilliCPU, o.MilliCPU), max(s.MemMB, o.MemMB), max(s.GPU, o.GPU)}
+}
+
 // IsZero reports whether s is nothing.
 func (s Resources) IsZero() bool { return s == Resources{} }
 
