A host on probation gets one more task once the one before has made progress for 2 s

What callers would see (by a test): after all hosts of a pool have failed what they started, each gets one task until one succeeds; where these take a minute all other jobs stand still beside idle cores.

Cause: only a success ended the probation.

Evidence: TestLongTasksOnProbationHoldUpNoOther failed before and passes now. TestHostOnProbationGetsOneTaskAtATime holds the pace: 3 of 10 tasks in 5 s.

Why this works: a run that has made progress for 2 s no longer keeps others from its host, the next one does for 2 s more; a short one among them succeeds and ends the probation. A run that hangs or fails changes nothing.

--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -29,7 +29,7 @@
 	// quarantines counts the quarantines since a run last succeeded.
 	quarantines int
 	// probation is set after a quarantine: the host gets one task at a time until
-	// one ends successfully.
+	// one ends successfully, the next one when the one before has made progress.
 	probation        bool
 	quarantinedUntil time.Time
 }
@@ -60,21 +60,30 @@
 	clear(h.failures)
 }
 
+// probationStep is how long a run must have made progress for its host on probation to get one
+// more task: the first one may take a minute, and the rest of the host would be idle meanwhile.
+const probationStep = 2 * time.Second
+
 // runsProbationTask reports whether a host on probation already runs a task that
-// was started after its quarantine. Earlier runs do not count: a long-running task
-// never ends, and the host would never get another task.
-func (h *host) runsProbationTask() bool {
+// was started after its quarantine and has shown too little yet. Earlier runs do not
+// count: a long-running task never ends, and the host would never get another task.
+func (h *host) runsProbationTask(now time.Time) bool {
 	if !h.health.probation {
 		return false
 	}
 	for _, r := range h.runs {
-		if r.orderedAt.After(h.health.quarantinedUntil) {
+		if r.orderedAt.After(h.health.quarantinedUntil) && !r.progressedFor(probationStep, now) {
 			return true
 		}
 	}
 	return false
 }
 
+// progressedFor reports whether a run has executed for so long and does not hang.
+func (r *run) progressedFor(length time.Duration, now time.Time) bool {
+	return !r.startedAt.IsZero() && now.Sub(r.startedAt) >= length && r.percent > r.firstPercent && !r.stuck()
+}
+
 func (h *health) recovered() {
 	h.quarantines, h.probation = 0, false
 	clear(h.failures)
--- a/internal/sched/impatience_test.go
+++ b/internal/sched/impatience_test.go
@@ -56,3 +56,34 @@
 		}
 	}
 }
+
+// Guards against jobs that stand still beside idle cores: each host proves its health after a
+// quarantine by one task, which takes long.
+func TestLongTasksOnProbationHoldUpNoOther(t *testing.T) {
+	s := newRoomScript(t, 4)
+	for _, h := range s.p.hosts {
+		h.health.probation, h.health.quarantinedUntil = true, s.now
+	}
+	s.submit(tasks(4, 1), time.Minute)
+	s.pass(4 * time.Second)
+	for _, h := range s.hosts {
+		must.MapLen(t, 1, h.runs)
+	}
+	for range 3 {
+		id := s.submit(tasks(1, 1), 800*time.Millisecond)
+		s.pass(mostStill)
+		must.Less(t, mostStill, s.waited(id))
+	}
+}
+
+// Guards against a flood of tasks on hosts that may still fail all that they start.
+func TestHostOnProbationGetsOneTaskAtATime(t *testing.T) {
+	s := newRoomScript(t, 1)
+	h := s.p.hosts["h00"]
+	h.health.probation, h.health.quarantinedUntil = true, s.now
+	s.submit(tasks(10, 1), time.Minute)
+	s.pass(time.Second)
+	must.MapLen(t, 1, s.hosts[0].runs)
+	s.pass(4 * time.Second)
+	must.LessEq(t, 3, len(s.hosts[0].runs))
+}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -57,7 +57,7 @@
 	switch {
 	case now.Before(h.health.quarantinedUntil):
 		return "in quarantine"
-	case h.runsProbationTask():
+	case h.runsProbationTask(now):
 		return "on probation"
 	}
 	return ""
