--- a/internal/hostmanager/waves.go
+++ b/internal/hostmanager/waves.go
@@ -169,11 +169,7 @@
 	}
 	state.statusWritten = true
 	if finished {
-		m.mu.Lock()
-		state.Finished = true
-		version := state.changed()
-		m.mu.Unlock()
-		m.saveWaveState(ctx, wave.Number, state, version)
+		m.saveWaveState(ctx, wave.Number, state, m.change(state, func() { state.Finished = true }))
 		m.Log.Info().Int64("wave", wave.Number).Dur("took", time.Since(state.startedAt)).Msg("Wave finished.")
 	}
 }
--- a/internal/hostmanager/wavestate.go
+++ b/internal/hostmanager/wavestate.go
@@ -76,24 +76,25 @@
 // earlier holder was allowed to call for it, and isn't known to have done so.
 func (s *waveState) permitted(name string) bool { return s.Started[name] && !s.Done[name] }
 
-// changed counts a change, which the caller, who holds the manager's lock, has made. It returns
-// the version to store.
-func (s *waveState) changed() uint64 {
-	s.version++
-	return s.version
+// change changes a wave's state and returns the version to store.
+func (m *Manager) change(state *waveState, to func()) (version uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	to()
+	state.version++
+	return state.version
 }
 
 // recordMaintenance stores that a host's maintenance may start or, with done set,
 // that it has. Without the former, the next holder would not count the host as
 // down.
 func (m *Manager) recordMaintenance(ctx context.Context, wave Wave, state *waveState, name string, done bool) bool {
-	m.mu.Lock()
-	state.Started[name] = true
-	if done {
-		state.Done[name] = true
-	}
-	version := state.changed()
-	m.mu.Unlock()
+	version := m.change(state, func() {
+		state.Started[name] = true
+		if done {
+			state.Done[name] = true
+		}
+	})
 	for ctx.Err() == nil && !m.isFenced() {
 		if m.saveWaveState(ctx, wave.Number, state, version) {
 			return true
@@ -106,14 +107,10 @@
 // returnPermit stores that a host's maintenance will not start after all, after calls that
 // did nothing. An earlier holder may still use its own permit.
 func (m *Manager) returnPermit(ctx context.Context, wave Wave, state *waveState, name string) {
-	m.mu.Lock()
 	if state.inherited[name] {
-		m.mu.Unlock()
 		return
 	}
-	delete(state.Started, name)
-	version := state.changed()
-	m.mu.Unlock()
+	version := m.change(state, func() { delete(state.Started, name) })
 	if !m.saveWaveState(ctx, wave.Number, state, version) {
 		m.Log.Warn().Int64("wave", wave.Number).Str("host", name).Msg("Failed to store that a host was not sent; the next change of the progress does.")
 	}
