Leave a job alone whose progress can't be decoded

Cause: a job whose stored progress can't be decoded was loaded without any.

Evidence: TestJobWithUndecodableProgressIsNotTakenForANewOne, unchanged, failed before and passes now.

Why this works: it is not loaded, as a job whose record can't be decoded; the line at the takeover names it.

--- a/internal/poolstore/poolstore.go
+++ b/internal/poolstore/poolstore.go
@@ -149,11 +149,24 @@
 	Progress *work.Progress
 }
 
+// UnreadableProgressError reports a job that is left alone since its progress can't be decoded.
+type UnreadableProgressError struct {
+	Job   string
+	Cause error
+}
+
+func (e *UnreadableProgressError) Error() string {
+	return "progress of job " + e.Job + ": " + e.Cause.Error()
+}
+
+func (e *UnreadableProgressError) Unwrap() error { return e.Cause }
+
 // Snapshot is the stored state of a pool.
 type Snapshot struct {
 	Jobs []StoredJob
 	// DecodeErrors has one error for each entry that can't be decoded. Such
-	// entries are not modified.
+	// entries are not modified, and their jobs are not in Jobs: without its progress a job
+	// would start tasks again that are done, or go on after it was cancelled.
 	DecodeErrors []error
 	// Lanes maps each lane that has been used to the revision of its record.
 	Lanes map[int]store.Revision
@@ -166,7 +179,7 @@
 		return Snapshot{}, err
 	}
 	snapshot := Snapshot{Lanes: laneRevisions(pool, listing.Entries)}
-	progress := make(map[string]*work.Progress)
+	progress, unreadable := make(map[string]*work.Progress), make(map[string]bool)
 	for _, entry := range listing.Entries {
 		id, ok := strings.CutPrefix(entry.Key, poolPrefix+pool+progressPart)
 		if !ok {
@@ -174,14 +187,15 @@
 		}
 		p, err := work.DecodeProgress(entry.Value)
 		if err != nil {
-			snapshot.DecodeErrors = append(snapshot.DecodeErrors, err)
+			snapshot.DecodeErrors = append(snapshot.DecodeErrors, &UnreadableProgressError{id, err})
+			unreadable[id] = true
 			continue
 		}
 		progress[id] = p
 	}
 	for _, entry := range listing.Entries {
 		id, ok := strings.CutPrefix(entry.Key, poolPrefix+pool+jobPart)
-		if !ok {
+		if !ok || unreadable[id] {
 			continue
 		}
 		record, err := work.DecodeRecord(entry.Value)
