Only a job that stands still passes what is reserved for long-running steps

The rule that bounds reservations is about jobs that have nothing running.

Why this works: reservations are passed by tasks of jobs without a run for 2 s. What is kept for suspects is passed as before, by any task that has waited 2 s: nothing that is owed a run starves by that.

--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -134,6 +134,7 @@
 	h.used = h.used.Plus(s.spec.Reserved())
 	s.onHost[h]++
 	r.task.liveRuns++
+	r.task.job().liveRuns++
 	r.task.job().usage.add(r, 1)
 	if !s.spec.LongRunning {
 		r.task.job().account.AddRunning(s.spec.Resources.MilliCPU)
@@ -157,6 +158,7 @@
 	h.used = h.used.Minus(s.spec.Reserved())
 	s.removeRun(h)
 	r.task.liveRuns--
+	r.task.job().liveRuns--
 	r.task.job().usage.add(r, -1)
 	if !s.spec.LongRunning {
 		r.task.job().account.AddRunning(-s.spec.Resources.MilliCPU)
--- a/internal/sched/overdue.go
+++ b/internal/sched/overdue.go
@@ -26,8 +26,8 @@
 // noteRan records that a run which is over was known to go on until its host last replied.
 func (t *task) noteRan(r *run) {
 	for _, at := range []time.Time{r.startedAt, r.host.repliedAt} {
-		if !r.startedAt.IsZero() && at.After(t.ranAt) {
-			t.ranAt = at
+		if !r.startedAt.IsZero() {
+			t.ranAt, t.job().ranAt = latest(t.ranAt, at), latest(t.job().ranAt, at)
 		}
 	}
 }
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -74,13 +74,13 @@
 	return s.occurrence.job.record.Queue.Advice == nil || s.advice.ticket(h.ID, pl.now) != ""
 }
 
-// avoids reports whether a host gets no new work at all or is kept for other tasks, which an
-// impatient task passes.
+// avoids reports whether a host gets no new work at all or is kept for other tasks. An impatient
+// task passes what is kept for suspects.
 func (pl *planner) avoids(t *task, h *host, impatient bool) bool {
-	if h.unproven(pl.now) != "" || h.roomReservation.excludes(t.step, pl.now) {
+	if h.unproven(pl.now) != "" || h.roomReservation.excludes(t.step, pl.now) || pl.keptFrom(t, h) {
 		return true
 	}
-	return !impatient && (h.isolatesSuspect(pl.now) || h.reservedForOther(t, pl.now) || pl.keptFrom(t.step, h))
+	return !impatient && (h.isolatesSuspect(pl.now) || h.reservedForOther(t, pl.now))
 }
 
 // availableHosts returns the hosts that could get new work, avoided ones among them.
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -139,7 +139,8 @@
 	resources              work.Resources
 	requires, rack         string
 	priority               int
-	longRunning, impatient bool
+	longRunning            bool
+	impatient, standsStill bool
 	// acceptsRemote is set if the task has waited long enough for a host near its data.
 	acceptsRemote bool
 }
@@ -148,7 +149,7 @@
 	s := t.step
 	return taskShape{
 		resources: s.spec.Reserved(), requires: s.spec.Requires, rack: s.spec.DataRack, priority: s.priority(), longRunning: s.spec.LongRunning,
-		impatient: pl.impatient(t), acceptsRemote: s.spec.DataRack != "" && pl.acceptRemote(s),
+		impatient: pl.impatient(t), standsStill: pl.standsStill(t), acceptsRemote: s.spec.DataRack != "" && pl.acceptRemote(s),
 	}
 }
 
--- a/internal/sched/reservations.go
+++ b/internal/sched/reservations.go
@@ -91,11 +91,12 @@
 	}
 }
 
-// keptFrom reports whether a host's room is kept for a long-running step and a task of
-// s would take some of it.
-func (pl *planner) keptFrom(s *step, h *host) bool {
+// keptFrom reports whether a host's room is kept for a long-running step and a task would take
+// some of it.
+func (pl *planner) keptFrom(t *task, h *host) bool {
 	kept, reserved := pl.reserved.room[h]
-	return reserved && !s.spec.LongRunning && !fitsBeside(s.spec.Reserved(), kept, h)
+	spec := t.step.spec
+	return reserved && !spec.LongRunning && !fitsBeside(spec.Reserved(), kept, h) && !pl.standsStill(t)
 }
 
 // fitsBeside reports whether resources fit on a host beside its runs and what is kept
@@ -108,20 +109,27 @@
 }
 
 // impatient reports whether a task that isn't long-running has waited so long, with most of the
-// pool idle, that no host is kept from it for other tasks, and none for itself.
+// pool idle, that no host is kept from it for suspects, and none for itself.
 func (pl *planner) impatient(t *task) bool {
-	s := t.step
-	if s.spec.LongRunning || pl.now.Sub(t.waitingSince()) < patience {
-		return false
-	}
+	return !t.step.spec.LongRunning && pl.now.Sub(latest(t.ranAt, t.step.readySince)) >= patience && pl.mostlyIdle()
+}
+
+// standsStill reports whether nothing of a task's job has run for so long, with most of the pool
+// idle, that no host is reserved from it. The later tasks of a wide job would pass every
+// reservation otherwise, and the step that it is for would starve beside them.
+func (pl *planner) standsStill(t *task) bool {
+	return t.job().liveRuns == 0 && pl.now.Sub(t.job().ranAt) >= patience && pl.impatient(t)
+}
+
+// mostlyIdle reports whether less than half of the pool is in use.
+func (pl *planner) mostlyIdle() bool {
 	pl.measurePool()
 	return 2*pl.reserved.poolUsed < pl.reserved.poolMilliCPU
 }
 
-// waitingSince returns when a task without a run became ready or last ran.
-func (t *task) waitingSince() time.Time {
-	if t.ranAt.After(t.step.readySince) {
-		return t.ranAt
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	return t.step.readySince
+	return b
 }
--- a/internal/sched/reservations_test.go
+++ b/internal/sched/reservations_test.go
@@ -280,3 +280,19 @@
 	must.EqOp(t, WaitRoom, reports[0].Reason)
 	must.NotEq(t, "", reports[0].Reserved)
 }
+
+// Guards against a long-running task that starves beside wide jobs, the later tasks of which
+// have waited long though others of them run all the time.
+func TestLongRunningTaskGetsRoomBesideWideJobs(t *testing.T) {
+	s := newRoomScript(t, 4)
+	wide := tasks(300, 2)
+	wide.MaxPerHost = 1
+	for i := range 3 {
+		s.submit(wide, time.Duration(1100+170*i)*time.Millisecond)
+		s.pass(300 * time.Millisecond)
+	}
+	s.pass(4 * time.Second)
+	lasting := s.submit(tasks(1, 15), 0)
+	s.pass(9 * time.Second)
+	must.Less(t, 9*time.Second, s.waited(lasting))
+}
--- a/internal/sched/task.go
+++ b/internal/sched/task.go
@@ -23,6 +23,10 @@
 	endedMs  int64
 	// started is set once a start was ordered, begun once a task is known to have begun.
 	started, begun bool
+	// liveRuns counts its runs that may be on a host, ranAt is when one that is over was last
+	// known to go on.
+	liveRuns int
+	ranAt    time.Time
 	// firstStart, starts, failure and failureCrashes are for the log: when its first
 	// task was ordered to start, how many starts were ordered, which task failed last
 	// and where, and the crashes for which it failed.
