Clients' connections have half of a machine's descriptors, and the costliest gives way

What callers saw: clients that open connections and say nothing took every descriptor of a process. It could then neither accept others nor call the store and hosts (900 connections: 921 sockets on a machine with 400).

Cause: the server for clients was a bare http.Server without a bound on connections; maxFds of the settings was not even decoded. internal/httpserve had a bound, which the platform's process didn't use, and which refused whoever came when it was reached: a hundred clients that stay shut out all others.

A request that has arrived as a whole keeps its connection until its answer is being written: what is submitted is settled, what was closed was not submitted. Only if all are at work is a connection refused, before anything of it is read, with 503 and when to come back. Clients have half of the descriptors for sockets (`[clients] descriptor-percent`); the rest is for the store, hosts and other entry hosts.

TestConnectionsOfAllClientsAreLimited asked for a refusal while nothing had been read of the others.

By reading it was ruled out that accept ends the server without descriptors: net/http waits and tries again.

--- a/internal/entryhost/settings.go
+++ b/internal/entryhost/settings.go
@@ -1,6 +1,8 @@
 package entryhost
 
 import (
+	"strconv"
+
 	"auburnglade.example/glade/internal/carrier"
 	"auburnglade.example/glade/internal/hostmanager"
 	"auburnglade.example/glade/internal/settings"
@@ -13,6 +15,12 @@
 	Runtime RuntimeSettings `ini:"runtime"`
 	Carrier CarrierSettings `ini:"carrier"`
 	Hosts   HostSettings    `ini:"hosts"`
+	Clients ClientSettings  `ini:"clients"`
+}
+
+// ClientSettings limit what all clients together may make the process hold.
+type ClientSettings struct {
+	DescriptorPercent int `ini:"descriptor-percent" help:"Connections of clients, in percent of the machine's descriptors for sockets."`
 }
 
 // HostSettings control how hosts are shared out to pools.
@@ -43,6 +51,8 @@
 		Runtime: RuntimeSettings{GCPercent: 100},
 		Carrier: CarrierSettings{HostsPerCore: carrier.DefaultHostsPerCore},
 		Hosts:   HostSettings{Allocation: string(hostmanager.AllocateByNeed)},
+		// The other half is for the store, hosts and other entry hosts.
+		Clients: ClientSettings{DescriptorPercent: 50},
 	}
 }
 
@@ -60,5 +70,16 @@
 	if s.Carrier.HostsPerCore < 1 {
 		faults = append(faults, &settings.Error{Section: "carrier", Key: "hosts-per-core", Got: "less than 1", Want: "1 or more"})
 	}
-	return faults
+	return append(faults, s.Clients.check()...)
+}
+
+func (c *ClientSettings) check() settings.Errors {
+	return checkPercent("descriptor-percent", c.DescriptorPercent)
+}
+
+func checkPercent(key string, percent int) settings.Errors {
+	if percent >= 1 && percent <= 100 {
+		return nil
+	}
+	return settings.Errors{{Section: "clients", Key: key, Got: strconv.Itoa(percent), Want: "1 to 100"}}
 }
--- /dev/null
+++ b/internal/httpserve/conn.go
@@ -0,0 +1,105 @@
+package httpserve
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+// Estimates of the memory that a connection takes, in bytes. They are checked by a test.
+const (
+	// connectionBytes is what an open connection takes: its goroutine and its buffers.
+	connectionBytes = 24 << 10
+	// headerByteFactor and headerLineBytes are what a byte and a line of a header take once
+	// parsed: a line becomes a key, a list and an entry of a map, however short it is.
+	headerByteFactor = 2
+	headerLineBytes  = 192
+	// bodyByteFactor is what a byte of a body takes that is read into a growing buffer.
+	bodyByteFactor = 2
+)
+
+// clientConn counts what is read from a client's connection until the request's handler is
+// called, and bounds the time of each write.
+type clientConn struct {
+	net.Conn
+	intake       *intake
+	account      *account
+	writeTimeout time.Duration
+	release      func()
+
+	// inBody is set while a request is read behind its header and answered.
+	inBody atomic.Bool
+}
+
+// Read implements net.Conn.
+func (c *clientConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n == 0 || c.inBody.Load() {
+		return n, err
+	}
+	if countErr := c.countHeader(p[:n]); countErr != nil {
+		return 0, countErr
+	}
+	return n, err
+}
+
+// countHeader counts a part of a header. After an error the connection must be closed.
+func (c *clientConn) countHeader(part []byte) error {
+	held := len(part)*headerByteFactor + bytes.Count(part, []byte{'\n'})*headerLineBytes
+	if err := c.intake.hold(c.account, int64(held)); err != nil {
+		// The connection holds most of all; net/http closes it without an answer.
+		return io.EOF
+	}
+	return nil
+}
+
+// Write implements net.Conn.
+func (c *clientConn) Write(p []byte) (int, error) {
+	c.intake.answering(c.account)
+	if c.writeTimeout > 0 {
+		if err := c.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
+			return 0, err
+		}
+	}
+	return c.Conn.Write(p)
+}
+
+// Close implements net.Conn.
+func (c *clientConn) Close() error {
+	defer c.release()
+	return c.Conn.Close()
+}
+
+// next prepares for the connection's next request.
+func (c *clientConn) next() {
+	c.intake.next(c.account)
+	c.inBody.Store(false)
+}
+
+// clientOf returns the connection below conn, nil if it is not one of a client.
+func clientOf(conn net.Conn) *clientConn {
+	if secured, ok := conn.(*tls.Conn); ok {
+		conn = secured.NetConn()
+	}
+	client, _ := conn.(*clientConn)
+	return client
+}
+
+type clientKey struct{}
+
+// withClient is http.Server's ConnContext.
+func withClient(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, clientKey{}, clientOf(conn))
+}
+
+// onState is http.Server's ConnState.
+func onState(conn net.Conn, state http.ConnState) {
+	if client := clientOf(conn); client != nil && state == http.StateIdle {
+		client.next()
+	}
+}
--- a/internal/httpserve/connlimit.go
+++ b/internal/httpserve/connlimit.go
@@ -10,9 +10,13 @@
 // clients may use.
 type Limits struct {
 	// MaxConnections bounds the open connections, MaxConnectionsPerClient those
-	// of one client address. Zero means no limit.
+	// of one client address. Zero means no limit. A connection over the total limit
+	// takes the place of one whose request is not whole.
 	MaxConnections          int
 	MaxConnectionsPerClient int
+	// MaxBytes bounds the memory, in bytes and by estimate, that all connections make
+	// the process hold. Zero means no limit.
+	MaxBytes int64
 	// HeaderTimeout bounds the time from the first to the last byte of a
 	// request's header, MaxHeaderBytes the header's size, and IdleTimeout the
 	// time between two requests on a connection. Zero selects the package's
@@ -20,12 +24,19 @@
 	HeaderTimeout  time.Duration
 	MaxHeaderBytes int
 	IdleTimeout    time.Duration
+	// RequestTimeout bounds the time from the first byte of a request to its last one,
+	// WriteTimeout that of writing a part of a response. Zero means no limit.
+	RequestTimeout time.Duration
+	WriteTimeout   time.Duration
 	// RefusalResponse is written to a connection over a limit before it is closed. No
 	// byte of its request has been read by then.
 	RefusalResponse []byte
 	// OnRefused, if set, is called for each refused connection with the limit
 	// that it exceeded.
 	OnRefused func(limit LimitKind)
+	// OnClosed, if set, is called for each connection that is closed, and each request
+	// that is refused, for what it would make the process hold.
+	OnClosed func(closing Closing)
 }
 
 // LimitKind names the limit that a connection exceeded.
@@ -54,15 +65,15 @@
 type limitedListener struct {
 	net.Listener
 	limits Limits
+	intake *intake
 
 	mu             sync.Mutex
-	openCount      int
 	byClient       map[string]int
 	lingeringCount int
 }
 
 func newLimitedListener(l net.Listener, limits Limits) *limitedListener {
-	return &limitedListener{Listener: l, limits: limits, byClient: make(map[string]int)}
+	return &limitedListener{Listener: l, limits: limits, intake: newIntake(limits), byClient: make(map[string]int)}
 }
 
 // Accept implements net.Listener.
@@ -72,10 +83,9 @@
 		if err != nil {
 			return nil, err
 		}
-		client := clientAddress(conn)
-		limit := l.acquire(client)
+		client, limit := l.admit(conn)
 		if limit == "" {
-			return &limitedConn{Conn: conn, release: sync.OnceFunc(func() { l.release(client) })}, nil
+			return client, nil
 		}
 		if l.limits.OnRefused != nil {
 			l.limits.OnRefused(limit)
@@ -84,26 +94,37 @@
 	}
 }
 
-// acquire counts a connection of client and returns "", or returns the limit that
-// the connection would exceed.
-func (l *limitedListener) acquire(client string) LimitKind {
+// admit counts a connection and returns it, or returns the limit that it would exceed.
+func (l *limitedListener) admit(conn net.Conn) (*clientConn, LimitKind) {
+	address := clientAddress(conn)
+	if !l.acquire(address) {
+		return nil, LimitPerClient
+	}
+	account := l.intake.open(conn)
+	if account == nil {
+		l.release(address)
+		return nil, LimitTotal
+	}
+	return &clientConn{
+		Conn: conn, intake: l.intake, account: account, writeTimeout: l.limits.WriteTimeout,
+		release: sync.OnceFunc(func() { l.intake.close(account); l.release(address) }),
+	}, ""
+}
+
+// acquire counts a connection of client, unless it has as many as it may have.
+func (l *limitedListener) acquire(client string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	switch {
-	case l.limits.MaxConnections > 0 && l.openCount >= l.limits.MaxConnections:
-		return LimitTotal
-	case l.limits.MaxConnectionsPerClient > 0 && l.byClient[client] >= l.limits.MaxConnectionsPerClient:
-		return LimitPerClient
+	if l.limits.MaxConnectionsPerClient > 0 && l.byClient[client] >= l.limits.MaxConnectionsPerClient {
+		return false
 	}
-	l.openCount++
 	l.byClient[client]++
-	return ""
+	return true
 }
 
 func (l *limitedListener) release(client string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.openCount--
 	l.byClient[client]--
 	if l.byClient[client] == 0 {
 		delete(l.byClient, client)
@@ -124,19 +145,25 @@
 		if _, err := conn.Write(l.limits.RefusalResponse); err != nil {
 			return
 		}
-		if half, ok := conn.(interface{ CloseWrite() error }); ok {
-			_ = half.CloseWrite()
-		}
-		_ = conn.SetReadDeadline(time.Now().Add(refusalLinger))
-		var discarded [4 << 10]byte
-		for {
-			if _, err := conn.Read(discarded[:]); err != nil {
-				return
-			}
-		}
+		linger(conn)
 	}()
 }
 
+// linger ends a connection's answer and reads on until the client has gone, for
+// refusalLinger at most.
+func linger(conn net.Conn) {
+	if half, ok := conn.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(refusalLinger))
+	var discarded [4 << 10]byte
+	for {
+		if _, err := conn.Read(discarded[:]); err != nil {
+			return
+		}
+	}
+}
+
 func (l *limitedListener) addLingering(delta int) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -154,15 +181,3 @@
 	}
 	return host
 }
-
-// limitedConn counts against the limits until it is closed.
-type limitedConn struct {
-	net.Conn
-	release func()
-}
-
-// Close implements net.Conn.
-func (c *limitedConn) Close() error {
-	defer c.release()
-	return c.Conn.Close()
-}
--- a/internal/httpserve/connlimit_test.go
+++ b/internal/httpserve/connlimit_test.go
@@ -77,14 +77,41 @@
 // count against the total limit.
 func TestConnectionsOfAllClientsAreLimited(t *testing.T) {
 	l := newLimitedListener(nil, Limits{MaxConnections: 3, MaxConnectionsPerClient: 2})
-	must.EqOp(t, "", l.acquire("10.0.0.1"))
-	must.EqOp(t, "", l.acquire("10.0.0.1"))
-	must.EqOp(t, LimitPerClient, l.acquire("10.0.0.1"))
-	must.EqOp(t, "", l.acquire("10.0.0.2"))
-	must.EqOp(t, LimitTotal, l.acquire("10.0.0.3"))
-	l.release("10.0.0.1")
-	must.EqOp(t, "", l.acquire("10.0.0.3"))
+	admit := func(address string) (*clientConn, LimitKind) {
+		conn, limit := l.admit(addressedConn{address})
+		if conn != nil {
+			must.NoError(t, l.intake.settle(conn.account))
+		}
+		return conn, limit
+	}
+	_, limit := admit("10.0.0.1")
+	must.EqOp(t, "", limit)
+	first, limit := admit("10.0.0.1")
+	must.EqOp(t, "", limit)
+	_, limit = admit("10.0.0.1")
+	must.EqOp(t, LimitPerClient, limit)
+	_, limit = admit("10.0.0.2")
+	must.EqOp(t, "", limit)
+	_, limit = admit("10.0.0.3")
+	must.EqOp(t, LimitTotal, limit)
+	must.NoError(t, first.Close())
+	_, limit = admit("10.0.0.3")
+	must.EqOp(t, "", limit)
+}
+
+// addressedConn is a connection of a client at an address, without data.
+type addressedConn struct{ address string }
+
+func (c addressedConn) RemoteAddr() net.Addr {
+	return net.TCPAddrFromAddrPort(netip.AddrPortFrom(netip.MustParseAddr(c.address), 1))
 }
+func (c addressedConn) Close() error                     { return nil }
+func (c addressedConn) LocalAddr() net.Addr              { return c.RemoteAddr() }
+func (c addressedConn) Read([]byte) (int, error)         { return 0, io.EOF }
+func (c addressedConn) Write(p []byte) (int, error)      { return len(p), nil }
+func (c addressedConn) SetDeadline(time.Time) error      { return nil }
+func (c addressedConn) SetReadDeadline(time.Time) error  { return nil }
+func (c addressedConn) SetWriteDeadline(time.Time) error { return nil }
 
 // A client that sends its header too slowly, or a header that is too large, must
 // not occupy a connection: the server closes it.
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -48,6 +49,8 @@
 	tls             *tls.Config
 	limits          Limits
 	log             zerolog.Logger
+	// running is the server of the last Serve.
+	running atomic.Pointer[http.Server]
 }
 
 // New returns a server that is not listening yet. shutdownTimeout is how long
@@ -56,6 +59,9 @@
 	return &Server{name: name, address: address, handler: handler, shutdownTimeout: shutdownTimeout, log: zerolog.Nop()}
 }
 
+// Name returns the server's name for logs.
+func (s *Server) Name() string { return "server " + s.name }
+
 // WithTLS makes the server accept TLS only; a nil config selects plain HTTP. It
 // returns the server.
 func (s *Server) WithTLS(config *tls.Config) *Server {
@@ -97,22 +103,38 @@
 		return &ListenError{Name: s.name, Address: s.address, Cause: err}
 	}
 	server := &http.Server{
-		Handler:           s.handler,
+		Handler:           countRequests(s.handler),
+		ConnContext:       withClient,
+		ConnState:         onState,
+		ReadTimeout:       s.limits.RequestTimeout,
 		ReadHeaderTimeout: cmp.Or(s.limits.HeaderTimeout, DefaultHeaderTimeout),
 		IdleTimeout:       cmp.Or(s.limits.IdleTimeout, DefaultIdleTimeout),
 		MaxHeaderBytes:    cmp.Or(s.limits.MaxHeaderBytes, DefaultMaxHeaderBytes),
 		ErrorLog:          log.New(&connectionLog{log: s.log, name: s.name}, "", 0),
 	}
+	s.running.Store(server)
 	result := make(chan error, 1)
 	go func() { result <- s.serve(server, newLimitedListener(listener, s.connectionLimits())) }()
 	select {
 	case err := <-result:
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
 		return err
 	case <-ctx.Done():
 	}
 	return s.shutdown(server)
 }
 
+// Shutdown stops listening, waits for requests in flight until ctx ends, and lets Serve
+// return without an error. It returns the error of ctx if some were still in flight.
+func (s *Server) Shutdown(ctx context.Context) error {
+	if server := s.running.Load(); server != nil {
+		return server.Shutdown(ctx)
+	}
+	return nil
+}
+
 // connectionLimits omits the refusal over TLS: plain text before the handshake
 // would look like a broken server. A connection closed before the handshake shows
 // the client just as reliably that nothing was read.
--- /dev/null
+++ b/internal/httpserve/intake.go
@@ -0,0 +1,228 @@
+package httpserve
+
+import (
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// intake counts what the connections of a server's clients make the process hold, and keeps
+// it within limits: it closes the connection that costs most, of equals the oldest one, as
+// long as its request is not whole. A limit that turned away the next one instead would shut
+// all others out for as long as a few clients stay.
+type intake struct {
+	maxConnections int
+	// maxBytes bounds the estimated memory of all connections, zero for no limit.
+	maxBytes int64
+	onClosed func(Closing)
+
+	mu       sync.Mutex
+	bytes    int64
+	accounts map[*account]struct{}
+}
+
+// account is what one connection makes the process hold.
+type account struct {
+	conn  net.Conn
+	bytes int64
+	// since is when the connection was opened or its last request was answered.
+	since time.Time
+	// whole is set from when the request has arrived as a whole until it is answered.
+	whole bool
+	// gone is set when the connection was closed to make room for others.
+	gone bool
+}
+
+// ClosingReason is why a client's connection was closed or its request refused.
+type ClosingReason string
+
+// The reasons.
+const (
+	// ClosingForMemory and ClosingForConnection: room was needed for another connection.
+	ClosingForMemory     ClosingReason = "memory"
+	ClosingForConnection ClosingReason = "connections"
+	// RefusedForMemory: no connection could be closed to make room for a request.
+	RefusedForMemory ClosingReason = "no memory"
+)
+
+// Closing describes a connection that was closed, or a request refused, for what it would
+// have made the process hold.
+type Closing struct {
+	Reason ClosingReason
+	Client string
+	// Bytes is what the connection held by estimate, Total what all of them did, and Open
+	// how many there were.
+	Bytes, Total int64
+	Open         int
+	// Age is the time since the connection was opened or its last request answered.
+	Age time.Duration
+}
+
+// NoMemoryError reports a request that is refused because the process has no memory for it.
+// Nothing of it was done.
+type NoMemoryError struct{ Bytes int64 }
+
+func (e *NoMemoryError) Error() string {
+	return fmt.Sprintf("no memory for a request: %d bytes more are needed", e.Bytes)
+}
+
+// errConnectionClosed reports a request whose connection was closed to make room for others.
+var errConnectionClosed = errors.New("the connection was closed to make room for others")
+
+func newIntake(limits Limits) *intake {
+	return &intake{maxConnections: limits.MaxConnections, maxBytes: limits.MaxBytes, onClosed: limits.OnClosed, accounts: make(map[*account]struct{})}
+}
+
+// open counts a connection and returns its account, or nil if there is no room for it.
+func (i *intake) open(conn net.Conn) *account {
+	a := &account{conn: conn, since: time.Now()}
+	i.mu.Lock()
+	var closed []Closing
+	if i.maxConnections > 0 && len(i.accounts) >= i.maxConnections {
+		closed = i.closeCostliest(closed, ClosingForConnection)
+	}
+	fits := i.maxConnections <= 0 || len(i.accounts) < i.maxConnections
+	if fits {
+		i.accounts[a] = struct{}{}
+		closed, fits = i.add(a, connectionBytes, closed)
+	}
+	if !fits {
+		i.remove(a)
+	}
+	i.mu.Unlock()
+	i.report(closed)
+	if !fits {
+		return nil
+	}
+	return a
+}
+
+// hold counts bytes more of a connection. It returns *NoMemoryError if there is no room for
+// them, and another error if the connection was closed meanwhile.
+func (i *intake) hold(a *account, bytes int64) error {
+	return i.change(a, func(closed []Closing) ([]Closing, error) {
+		closed, fits := i.add(a, bytes, closed)
+		if !fits {
+			closed = append(closed, i.describe(a, RefusedForMemory))
+			return closed, &NoMemoryError{bytes}
+		}
+		return closed, nil
+	})
+}
+
+// settle records that the request of a connection has arrived as a whole: the connection is
+// not closed before the request is answered. It returns an error if it was closed before.
+func (i *intake) settle(a *account) error {
+	return i.change(a, func(closed []Closing) ([]Closing, error) {
+		a.whole = true
+		return closed, nil
+	})
+}
+
+// answering records that an answer is being written: the connection may be closed again, so
+// that clients that read no answers do not shut others out.
+func (i *intake) answering(a *account) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	a.whole = false
+}
+
+// next releases what a connection's answered request held.
+func (i *intake) next(a *account) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if a.gone {
+		return
+	}
+	i.bytes -= a.bytes - connectionBytes
+	a.bytes, a.whole, a.since = connectionBytes, false, time.Now()
+}
+
+// close releases everything that a connection held.
+func (i *intake) close(a *account) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.remove(a)
+}
+
+func (i *intake) change(a *account, change func([]Closing) ([]Closing, error)) error {
+	i.mu.Lock()
+	if a.gone {
+		i.mu.Unlock()
+		return errConnectionClosed
+	}
+	closed, err := change(nil)
+	i.mu.Unlock()
+	i.report(closed)
+	return err
+}
+
+// add counts bytes more for a, closing others as far as it is needed. It reports false, and
+// counts nothing, if that is not enough or a itself is the costliest.
+func (i *intake) add(a *account, bytes int64, closed []Closing) (all []Closing, fits bool) {
+	a.bytes += bytes
+	i.bytes += bytes
+	for i.maxBytes > 0 && i.bytes > i.maxBytes {
+		costliest := i.costliest()
+		if costliest == nil || costliest == a {
+			a.bytes -= bytes
+			i.bytes -= bytes
+			return closed, false
+		}
+		closed = i.closeAccount(costliest, ClosingForMemory, closed)
+	}
+	return closed, true
+}
+
+func (i *intake) closeCostliest(closed []Closing, reason ClosingReason) []Closing {
+	if costliest := i.costliest(); costliest != nil {
+		return i.closeAccount(costliest, reason, closed)
+	}
+	return closed
+}
+
+// costliest returns the connection that holds most among those whose request is not whole,
+// of equals the oldest one, nil without any.
+func (i *intake) costliest() *account {
+	var costliest *account
+	for a := range i.accounts {
+		switch {
+		case a.whole:
+		case costliest == nil, a.bytes > costliest.bytes, a.bytes == costliest.bytes && a.since.Before(costliest.since):
+			costliest = a
+		}
+	}
+	return costliest
+}
+
+func (i *intake) closeAccount(a *account, reason ClosingReason, closed []Closing) []Closing {
+	closed = append(closed, i.describe(a, reason))
+	i.remove(a)
+	a.gone = true
+	// The client is not there any more if closing fails.
+	_ = a.conn.Close()
+	return closed
+}
+
+func (i *intake) remove(a *account) {
+	if _, ok := i.accounts[a]; ok {
+		i.bytes -= a.bytes
+		delete(i.accounts, a)
+	}
+}
+
+func (i *intake) describe(a *account, reason ClosingReason) Closing {
+	return Closing{Reason: reason, Client: clientAddress(a.conn), Bytes: a.bytes, Total: i.bytes, Open: len(i.accounts), Age: time.Since(a.since)}
+}
+
+func (i *intake) report(closed []Closing) {
+	if i.onClosed == nil {
+		return
+	}
+	for _, c := range closed {
+		i.onClosed(c)
+	}
+}
--- /dev/null
+++ b/internal/httpserve/intake_test.go
@@ -0,0 +1,135 @@
+package httpserve
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+)
+
+// opened returns an intake with connections that hold so many bytes more than an open one.
+func opened(t *testing.T, limits Limits, held ...int64) (*intake, []*account) {
+	t.Helper()
+	i := newIntake(limits)
+	var accounts []*account
+	for n, bytes := range held {
+		a := i.open(addressedConn{fmt.Sprintf("10.0.0.%d", n+1)})
+		must.NotNil(t, a)
+		a.since = time.Unix(int64(n), 0)
+		must.NoError(t, i.hold(a, bytes))
+		accounts = append(accounts, a)
+	}
+	return i, accounts
+}
+
+// Guards against a few clients that keep all memory and shut the others out: the connection
+// that holds most gives way, not the one that asks next.
+func TestCostliestConnectionGivesWay(t *testing.T) {
+	var closed []Closing
+	limits := Limits{MaxBytes: 3*connectionBytes + 1000, OnClosed: func(c Closing) { closed = append(closed, c) }}
+	i, accounts := opened(t, limits, 300, 500, 100)
+	must.NoError(t, i.hold(accounts[2], 150))
+	must.EqOp(t, 1, len(closed))
+	must.EqOp(t, "10.0.0.2", closed[0].Client)
+	must.EqOp(t, ClosingForMemory, closed[0].Reason)
+	must.ErrorIs(t, i.hold(accounts[1], 1), errConnectionClosed)
+	must.EqOp(t, int64(2*connectionBytes+550), i.bytes)
+}
+
+// Guards against a client that takes the place of all others with one large request.
+func TestCostliestConnectionIsRefusedItself(t *testing.T) {
+	i, accounts := opened(t, Limits{MaxBytes: 2*connectionBytes + 1000}, 300, 500)
+	var noMemory *NoMemoryError
+	must.True(t, errors.As(i.hold(accounts[1], 300), &noMemory))
+	must.EqOp(t, int64(300), noMemory.Bytes)
+	must.NoError(t, i.hold(accounts[0], 100))
+	must.EqOp(t, int64(2*connectionBytes+900), i.bytes)
+}
+
+// Guards against a submission whose connection is closed while it is under way: the client
+// would take it for one that nobody has.
+func TestWholeRequestKeepsItsConnection(t *testing.T) {
+	i, accounts := opened(t, Limits{MaxBytes: 2*connectionBytes + 1000}, 600, 300)
+	must.NoError(t, i.settle(accounts[0]))
+	var noMemory *NoMemoryError
+	must.True(t, errors.As(i.hold(accounts[1], 200), &noMemory))
+	must.NoError(t, i.hold(accounts[0], 400))
+	must.ErrorIs(t, i.settle(accounts[1]), errConnectionClosed)
+}
+
+// Guards against clients that read no answers and keep their connections for good.
+func TestAnsweredRequestGivesWay(t *testing.T) {
+	i, accounts := opened(t, Limits{MaxConnections: 1}, 600)
+	must.NoError(t, i.settle(accounts[0]))
+	must.Nil(t, i.open(addressedConn{"10.0.1.1"}))
+	i.answering(accounts[0])
+	must.NotNil(t, i.open(addressedConn{"10.0.1.1"}))
+	must.True(t, accounts[0].gone)
+}
+
+// Of connections that hold the same, the one that has been there longest without a request
+// gives way.
+func TestOldestOfEqualConnectionsGivesWay(t *testing.T) {
+	i, accounts := opened(t, Limits{MaxConnections: 3}, 0, 0, 0)
+	i.next(accounts[0])
+	must.NotNil(t, i.open(addressedConn{"10.0.1.1"}))
+	must.False(t, accounts[0].gone)
+	must.True(t, accounts[1].gone)
+}
+
+// What a request held is free again once it is answered or its connection closed.
+func TestAnsweredRequestHoldsNothing(t *testing.T) {
+	i, accounts := opened(t, Limits{MaxBytes: 1 << 20}, 600, 300)
+	i.next(accounts[0])
+	must.EqOp(t, int64(2*connectionBytes+300), i.bytes)
+	i.close(accounts[1])
+	i.close(accounts[1])
+	must.EqOp(t, int64(connectionBytes), i.bytes)
+}
+
+// The estimates of what a connection and a header hold are not below what they do hold.
+func TestEstimatesCoverWhatHeadersHold(t *testing.T) {
+	const count, lines = 100, 3000
+	entered, leave := make(chan struct{}), make(chan struct{})
+	defer close(leave)
+	handler := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		entered <- struct{}{}
+		<-leave
+		runtime.KeepAlive(r)
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	limited := newLimitedListener(listener, Limits{MaxBytes: 1 << 40})
+	server := &http.Server{Handler: countRequests(handler), ConnContext: withClient, ConnState: onState}
+	go func() { _ = server.Serve(limited) }()
+	t.Cleanup(func() { _ = server.Close() })
+	var header strings.Builder
+	for n := range lines {
+		fmt.Fprintf(&header, "%x:\r\n", n)
+	}
+	before := liveBytes()
+	for range count {
+		conn := dial(t, listener.Addr().String())
+		go func() { _, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n"+header.String()+"\r\n") }()
+		<-entered
+	}
+	limited.intake.mu.Lock()
+	counted := limited.intake.bytes
+	limited.intake.mu.Unlock()
+	must.LessEq(t, counted, liveBytes()-before)
+}
+
+// liveBytes returns the bytes that live on the heap and on stacks.
+func liveBytes() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc + stats.StackInuse)
+}
