The operator's limit of a request's header is followed

What callers saw: a client whose header goes on over the operator's limit of 16 KiB was read on up to 1 MiB, net/http's default, and cost some 20 MB a connection when its lines were short: 64 clients took 1.3 GB and ended a process of a machine with less. A header of 64 KiB was served as if nothing were set.

Cause: `maxHeaderBytes` was decoded and used by nothing. http.Server takes one fixed limit, while the operator may change it in any version.

Now the connection counts the bytes that are read until a request's handler is called, and answers a header over the limit in force with 431. Over TLS, which only the older daemons use, the fixed limit stays.

--- a/internal/httpserve/conn.go
+++ b/internal/httpserve/conn.go
@@ -23,17 +23,29 @@
 	bodyByteFactor = 2
 )
 
+// headerReadAhead is how many bytes behind a header may be read with it: the buffer of
+// net/http.
+const headerReadAhead = 4 << 10
+
+// headerRefusal answers a header over its limit.
+const headerRefusal = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
 // clientConn counts what is read from a client's connection until the request's handler is
 // called, and bounds the time of each write.
 type clientConn struct {
 	net.Conn
-	intake       *intake
-	account      *account
-	writeTimeout time.Duration
-	release      func()
+	intake  *intake
+	account *account
+	// maxHeaderBytes returns the limit of a header, nil without one.
+	maxHeaderBytes func() int
+	writeTimeout   time.Duration
+	release        func()
 
 	// inBody is set while a request is read behind its header and answered.
 	inBody atomic.Bool
+	// headerBytes counts the bytes read since the last request. Only the goroutine that
+	// reads headers uses it.
+	headerBytes int
 }
 
 // Read implements net.Conn.
@@ -50,6 +62,12 @@
 
 // countHeader counts a part of a header. After an error the connection must be closed.
 func (c *clientConn) countHeader(part []byte) error {
+	c.headerBytes += len(part)
+	if c.maxHeaderBytes != nil && c.headerBytes > c.maxHeaderBytes()+headerReadAhead {
+		c.intake.reportHeader(c.account)
+		c.refuseHeader()
+		return io.EOF
+	}
 	held := len(part)*headerByteFactor + bytes.Count(part, []byte{'\n'})*headerLineBytes
 	if err := c.intake.hold(c.account, int64(held)); err != nil {
 		// The connection holds most of all; net/http closes it without an answer.
@@ -58,6 +76,16 @@
 	return nil
 }
 
+// refuseHeader answers a header over its limit and reads on for a moment: closing a
+// connection with unread data resets it, and the client may lose the answer.
+func (c *clientConn) refuseHeader() {
+	if _, err := c.Write([]byte(headerRefusal)); err != nil {
+		// The client has gone, or reads nothing.
+		return
+	}
+	linger(c.Conn)
+}
+
 // Write implements net.Conn.
 func (c *clientConn) Write(p []byte) (int, error) {
 	c.intake.answering(c.account)
@@ -77,6 +105,7 @@
 
 // next prepares for the connection's next request.
 func (c *clientConn) next() {
+	c.headerBytes = 0
 	c.intake.next(c.account)
 	c.inBody.Store(false)
 }
--- a/internal/httpserve/connlimit.go
+++ b/internal/httpserve/connlimit.go
@@ -24,6 +24,9 @@
 	HeaderTimeout  time.Duration
 	MaxHeaderBytes int
 	IdleTimeout    time.Duration
+	// CurrentMaxHeaderBytes, if set, returns a lower limit of a header that may change.
+	// It is not used with TLS.
+	CurrentMaxHeaderBytes func() int
 	// RequestTimeout bounds the time from the first byte of a request to its last one,
 	// WriteTimeout that of writing a part of a response. Zero means no limit.
 	RequestTimeout time.Duration
@@ -106,7 +109,7 @@
 		return nil, LimitTotal
 	}
 	return &clientConn{
-		Conn: conn, intake: l.intake, account: account, writeTimeout: l.limits.WriteTimeout,
+		Conn: conn, intake: l.intake, account: account, maxHeaderBytes: l.limits.CurrentMaxHeaderBytes, writeTimeout: l.limits.WriteTimeout,
 		release: sync.OnceFunc(func() { l.intake.close(account); l.release(address) }),
 	}, ""
 }
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -135,13 +135,13 @@
 	return nil
 }
 
-// connectionLimits omits the refusal over TLS: plain text before the handshake
+// connectionLimits omits refusals in plain text over TLS: before the handshake they
 // would look like a broken server. A connection closed before the handshake shows
 // the client just as reliably that nothing was read.
 func (s *Server) connectionLimits() Limits {
 	limits := s.limits
 	if s.tls != nil {
-		limits.RefusalResponse = nil
+		limits.RefusalResponse, limits.CurrentMaxHeaderBytes = nil, nil
 	}
 	return limits
 }
--- a/internal/httpserve/intake.go
+++ b/internal/httpserve/intake.go
@@ -44,6 +44,8 @@
 	// ClosingForMemory and ClosingForConnection: room was needed for another connection.
 	ClosingForMemory     ClosingReason = "memory"
 	ClosingForConnection ClosingReason = "connections"
+	// ClosingForHeader: the header was over its limit.
+	ClosingForHeader ClosingReason = "header too large"
 	// RefusedForMemory: no connection could be closed to make room for a request.
 	RefusedForMemory ClosingReason = "no memory"
 )
@@ -226,3 +228,11 @@
 		i.onClosed(c)
 	}
 }
+
+// reportHeader reports a header over its limit.
+func (i *intake) reportHeader(a *account) {
+	i.mu.Lock()
+	closing := i.describe(a, ClosingForHeader)
+	i.mu.Unlock()
+	i.report([]Closing{closing})
+}
--- a/internal/httpserve/intake_test.go
+++ b/internal/httpserve/intake_test.go
@@ -1,6 +1,7 @@
 package httpserve
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -133,3 +134,27 @@
 	runtime.ReadMemStats(&stats)
 	return int64(stats.HeapAlloc + stats.StackInuse)
 }
+
+// Guards against a limit of headers that the operator lowers and that is not followed, and
+// against one that cuts off requests that were read ahead.
+func TestCurrentLimitOfHeadersIsFollowed(t *testing.T) {
+	limit := 1 << 10
+	conn := dial(t, startLimited(t, Limits{CurrentMaxHeaderBytes: func() int { return limit }}))
+	request := "GET / HTTP/1.1\r\nHost: x\r\nFill: " + strings.Repeat("x", 900) + "\r\n\r\n"
+	const pipelined = 20
+	_, err := io.WriteString(conn, strings.Repeat(request, pipelined))
+	must.NoError(t, err)
+	answers := bufio.NewReader(conn)
+	for range pipelined {
+		response, err := http.ReadResponse(answers, nil)
+		must.NoError(t, err)
+		must.EqOp(t, http.StatusNoContent, response.StatusCode)
+		must.NoError(t, response.Body.Close())
+	}
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\nFill: "+strings.Repeat("x", 6<<10)+"\r\n\r\n")
+	must.NoError(t, err)
+	response, err := http.ReadResponse(answers, nil)
+	must.NoError(t, err)
+	must.EqOp(t, http.StatusRequestHeaderFieldsTooLarge, response.StatusCode)
+	must.NoError(t, response.Body.Close())
+}
