Empty lines before the first request of a connection are skipped

What callers saw: a client that sends an empty line before its request, as the HTTP specification lets it (a server should ignore at least one), was answered 400 and its connection closed.

Cause: net/http takes empty lines only behind a POST on the same connection, four bytes at most.

Now they are dropped before the first request, and count as bytes of its header, so that lines without end are answered with 431. Before later requests they are left to net/http as before: what arrives there may be the end of a header whose beginning was read ahead.

--- a/internal/httpserve/conn.go
+++ b/internal/httpserve/conn.go
@@ -46,18 +46,25 @@
 	// headerBytes counts the bytes read since the last request. Only the goroutine that
 	// reads headers uses it.
 	headerBytes int
+	// begun is set once something but empty lines was read.
+	begun bool
 }
 
 // Read implements net.Conn.
 func (c *clientConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n == 0 || c.inBody.Load() {
-		return n, err
-	}
-	if countErr := c.countHeader(p[:n]); countErr != nil {
-		return 0, countErr
+	for {
+		n, err := c.Conn.Read(p)
+		if n == 0 || c.inBody.Load() {
+			return n, err
+		}
+		if countErr := c.countHeader(p[:n]); countErr != nil {
+			return 0, countErr
+		}
+		n = c.dropEmptyLines(p[:n])
+		if n > 0 || err != nil {
+			return n, err
+		}
 	}
-	return n, err
 }
 
 // countHeader counts a part of a header. After an error the connection must be closed.
@@ -76,6 +83,18 @@
 	return nil
 }
 
+// dropEmptyLines removes empty lines before the first request of a connection: clients may
+// send some, and net/http takes none there. Later ones may be the end of a header whose
+// beginning was read ahead, and are left to net/http.
+func (c *clientConn) dropEmptyLines(part []byte) int {
+	if c.begun {
+		return len(part)
+	}
+	rest := bytes.TrimLeft(part, "\r\n")
+	c.begun = len(rest) > 0
+	return copy(part, rest)
+}
+
 // refuseHeader answers a header over its limit and reads on for a moment: closing a
 // connection with unread data resets it, and the client may lose the answer.
 func (c *clientConn) refuseHeader() {
--- a/internal/httpserve/intake_test.go
+++ b/internal/httpserve/intake_test.go
@@ -135,6 +135,19 @@
 	return int64(stats.HeapAlloc + stats.StackInuse)
 }
 
+// Guards against an empty line before the first request that is taken for a malformed one.
+func TestEmptyLinesBeforeTheFirstRequestAreDropped(t *testing.T) {
+	conn := dial(t, startLimited(t, Limits{}))
+	for _, part := range []string{"\r\n", "\r\n\nGET / HTTP/1.1\r\n", "Host: x\r\n", "\r\n"} {
+		_, err := io.WriteString(conn, part)
+		must.NoError(t, err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	must.NoError(t, err)
+	must.EqOp(t, http.StatusNoContent, response.StatusCode)
+	must.NoError(t, response.Body.Close())
+}
+
 // Guards against a limit of headers that the operator lowers and that is not followed, and
 // against one that cuts off requests that were read ahead.
 func TestCurrentLimitOfHeadersIsFollowed(t *testing.T) {
