What clients make a process hold stays within a quarter of its memory

What callers saw: clients that send legal headers of thousands of short lines, or large bodies, and stop short of the end ended a process of little memory; all of its requests had no answer. 360 connections of 16 KB of header took 126 to 134 MiB, 360 bodies of 256 KiB short of one byte 155 to 156 MiB.

Cause: nothing added up what connections hold; `memoryMb` was decoded and used by nothing. A header line of five bytes costs a key, a list and an entry of a map.

All together may be a quarter of memoryMb (`[clients] memory-percent`): the collector lets the heap grow to twice what lives on it, and half is the process's own. From three quarters of the machine's memory on the collector runs whenever there is something to collect.

--- a/cmd/glade-entry/main.go
+++ b/cmd/glade-entry/main.go
@@ -33,6 +33,10 @@
 	Version            kong.VersionFlag `help:"Print the version and exit."`
 }
 
+// collectedPercent is the share of the machine's memory, in percent, from which garbage is
+// collected as soon as there is some. The rest is for code and for what the kernel keeps.
+const collectedPercent = 75
+
 func main() {
 	var f flags
 	kong.Parse(&f, kong.Name("glade-entry"), kong.Description("Accepts clients' jobs and manages pools on an entry host."),
@@ -61,6 +65,9 @@
 		return 0
 	}
 	debug.SetGCPercent(hostSettings.Runtime.GCPercent)
+	if platformSettings.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(platformSettings.MemoryMB) << 20 * collectedPercent / 100)
+	}
 	return serve(hostSettings, platformSettings)
 }
 
--- a/internal/entryhost/settings.go
+++ b/internal/entryhost/settings.go
@@ -20,6 +20,7 @@
 
 // ClientSettings limit what all clients together may make the process hold.
 type ClientSettings struct {
+	MemoryPercent     int `ini:"memory-percent" help:"Memory that clients' connections and requests may take, in percent of the machine's."`
 	DescriptorPercent int `ini:"descriptor-percent" help:"Connections of clients, in percent of the machine's descriptors for sockets."`
 }
 
@@ -51,8 +52,9 @@
 		Runtime: RuntimeSettings{GCPercent: 100},
 		Carrier: CarrierSettings{HostsPerCore: carrier.DefaultHostsPerCore},
 		Hosts:   HostSettings{Allocation: string(hostmanager.AllocateByNeed)},
-		// The other half is for the store, hosts and other entry hosts.
-		Clients: ClientSettings{DescriptorPercent: 50},
+		// The heap may be twice what lives on it, so that clients' share of
+		// memory may double; the other half is the process's own.
+		Clients: ClientSettings{MemoryPercent: 25, DescriptorPercent: 50},
 	}
 }
 
@@ -74,7 +76,7 @@
 }
 
 func (c *ClientSettings) check() settings.Errors {
-	return checkPercent("descriptor-percent", c.DescriptorPercent)
+	return append(checkPercent("memory-percent", c.MemoryPercent), checkPercent("descriptor-percent", c.DescriptorPercent)...)
 }
 
 func checkPercent(key string, percent int) settings.Errors {
