--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -211,13 +212,21 @@
 	return nil
 }
 
+// CheckStepCount returns *InvalidError unless a spec may have so many steps.
+func CheckStepCount(count int) error {
+	if count < 1 || count > MaxSteps {
+		return &InvalidError{"steps", "1 to 64 steps"}
+	}
+	return nil
+}
+
 // Check validates the spec and returns *InvalidError for the first invalid field.
 func (s *Spec) Check() error {
-	switch {
-	case len(s.Payload) > MaxPayloadBytes:
+	if len(s.Payload) > MaxPayloadBytes {
 		return &InvalidError{"spec", "at most 4000 bytes long"}
-	case len(s.Steps) == 0 || len(s.Steps) > MaxSteps:
-		return &InvalidError{"steps", "1 to 64 steps"}
+	}
+	if err := CheckStepCount(len(s.Steps)); err != nil {
+		return err
 	}
 	if err := s.checkSchedule(); err != nil {
 		return err
@@ -235,6 +244,22 @@
 	return nil
 }
 
+// DropRepeats keeps each number of an earlier step once in each step of a valid spec: a client
+// may name one a hundred thousand times, and the job is kept until it is done.
+func (s *Spec) DropRepeats() {
+	for i := range s.Steps {
+		var kept []int
+		for _, number := range s.Steps[i].After {
+			if !slices.Contains(kept, number) {
+				kept = append(kept, number)
+			}
+		}
+		if len(kept) < len(s.Steps[i].After) {
+			s.Steps[i].After = kept
+		}
+	}
+}
+
 func (s *Spec) checkSchedule() error {
 	if err := checkBounds(bound{"repeats", int64(s.Repeats), MaxRepeats}, bound{"firstMs", s.FirstMs, maxFirstMs}); err != nil {
 		return err
