A request has 30 s to arrive and a part of a response 10 s to be taken

What callers saw: nothing by themselves. A client that stops one byte short of its body's end kept its connection, and what it had sent, for as long as it liked, and one that reads no response its request.

Cause: only headers had a deadline. One between two bytes would not end it.

Now the whole request has one, 408 after it (`[clients] request-timeout`), and each part of a response another (`write-timeout`). Clients wait 3 s for an answer and say so in each request; nobody waits for what is complete after ten times that, and a body of the limit takes a second on a link of 2 Mbit/s.

TestBodyThatStopsIsEnded and TestUnreadResponseEndsItsConnection are the server's own.

--- a/internal/entryhost/settings.go
+++ b/internal/entryhost/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"auburnglade.example/glade/internal/carrier"
 	"auburnglade.example/glade/internal/hostmanager"
@@ -18,10 +19,12 @@
 	Clients ClientSettings  `ini:"clients"`
 }
 
-// ClientSettings limit what all clients together may make the process hold.
+// ClientSettings limit what all clients together may make the process hold, and for how long.
 type ClientSettings struct {
-	MemoryPercent     int `ini:"memory-percent" help:"Memory that clients' connections and requests may take, in percent of the machine's."`
-	DescriptorPercent int `ini:"descriptor-percent" help:"Connections of clients, in percent of the machine's descriptors for sockets."`
+	MemoryPercent     int           `ini:"memory-percent" help:"Memory that clients' connections and requests may take, in percent of the machine's."`
+	DescriptorPercent int           `ini:"descriptor-percent" help:"Connections of clients, in percent of the machine's descriptors for sockets."`
+	RequestTimeout    time.Duration `ini:"request-timeout" help:"Time from the first byte of a request to its last one."`
+	WriteTimeout      time.Duration `ini:"write-timeout" help:"Time until a client has taken a part of its response."`
 }
 
 // HostSettings control how hosts are shared out to pools.
@@ -52,9 +55,10 @@
 		Runtime: RuntimeSettings{GCPercent: 100},
 		Carrier: CarrierSettings{HostsPerCore: carrier.DefaultHostsPerCore},
 		Hosts:   HostSettings{Allocation: string(hostmanager.AllocateByNeed)},
-		// The heap may be twice what lives on it, so that clients' share of
+		// No client waits as long as the request timeout for an answer. Responses are shorter
+		// than a kilobyte. The heap may be twice what lives on it, so that clients' share of
 		// memory may double; the other half is the process's own.
-		Clients: ClientSettings{MemoryPercent: 25, DescriptorPercent: 50},
+		Clients: ClientSettings{MemoryPercent: 25, DescriptorPercent: 50, RequestTimeout: 30 * time.Second, WriteTimeout: 10 * time.Second},
 	}
 }
 
--- a/internal/httpserve/connlimit_test.go
+++ b/internal/httpserve/connlimit_test.go
@@ -21,13 +21,18 @@
 // startLimited starts a server with the given limits on a free port and returns
 // its address.
 func startLimited(t *testing.T, limits Limits) (address string) {
+	t.Helper()
+	return startHandler(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }), limits)
+}
+
+// startHandler is startLimited with a handler.
+func startHandler(t *testing.T, handler http.Handler, limits Limits) (address string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	address = listener.Addr().String()
 	must.NoError(t, listener.Close())
 	limits.RefusalResponse = []byte(refusal)
-	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 	server := New("callers", netip.MustParseAddrPort(address), handler, time.Second).WithLimits(limits)
 	ctx, stop := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
--- a/internal/httpserve/intake_test.go
+++ b/internal/httpserve/intake_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"runtime"
 	"strings"
 	"testing"
@@ -171,3 +172,38 @@
 	must.EqOp(t, http.StatusRequestHeaderFieldsTooLarge, response.StatusCode)
 	must.NoError(t, response.Body.Close())
 }
+
+// Guards against a body that stops short of its end and keeps what it has sent for good.
+func TestBodyThatStopsIsEnded(t *testing.T) {
+	read := make(chan error, 1)
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, err := io.ReadAll(r.Body)
+		read <- err
+		w.WriteHeader(http.StatusRequestTimeout)
+	})
+	conn := dial(t, startHandler(t, handler, Limits{RequestTimeout: 100 * time.Millisecond}))
+	_, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\n123456789")
+	must.NoError(t, err)
+	must.ErrorIs(t, <-read, os.ErrDeadlineExceeded)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	must.NoError(t, err)
+	must.EqOp(t, http.StatusRequestTimeout, response.StatusCode)
+	must.NoError(t, response.Body.Close())
+}
+
+// Guards against a client that reads no response and keeps its request at work for good.
+func TestUnreadResponseEndsItsConnection(t *testing.T) {
+	ended := make(chan error, 1)
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for part := make([]byte, 1<<20); ; {
+			if _, err := w.Write(part); err != nil {
+				ended <- err
+				return
+			}
+		}
+	})
+	conn := dial(t, startHandler(t, handler, Limits{WriteTimeout: 100 * time.Millisecond}))
+	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	must.NoError(t, err)
+	must.ErrorIs(t, <-ended, os.ErrDeadlineExceeded)
+}
