The large jobs that a process keeps are bounded

What callers saw: clients that hand in one job of 256 KiB after the other, which no host can run, had all of them accepted; their pool's holder kept them and was ended for its memory, and so the next one.

Cause: nothing bounds what is accepted. The platform limits the payload (4,000 bytes) and the body; the names of racks, labels and images and the lists of steps may fill the rest of it.

Now a holder adds up the texts of its large jobs, those with more than twice the payload's limit, over all pools of its process, and refuses a new one beyond a tenth of the machine's memory (`[clients] job-memory-percent`): 503 and when to come back, as for want of room, by the same rules (the claim confirmed and the inbox read lately, the job not known), so that "not run" is true. Ordinary jobs neither count nor are refused.

--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -40,6 +40,8 @@
 	Adviser worker.Adviser
 	// Limits provides the limits of organisations, nil where they have none.
 	Limits poolmanager.LimitSource
+	// JobMemory bounds what accepted large jobs take; nil is unlimited.
+	JobMemory *poolmanager.JobMemory
 	// Peers is the client for other entry hosts, CarrierPeers the one for those
 	// that are used as carriers.
 	Peers        poolrpc.Peers
@@ -195,7 +197,7 @@
 	}
 	router := h.router(takeover)
 	manager := poolmanager.New(poolmanager.Config{
-		Pool: takeover.Pool, Holder: h.Self.HolderID(), Store: h.Access, Workers: router, Hosts: router, Adviser: h.Adviser, Limits: h.Limits, Starts: h.starts,
+		Pool: takeover.Pool, Holder: h.Self.HolderID(), Store: h.Access, Workers: router, Hosts: router, Adviser: h.Adviser, Limits: h.Limits, Memory: h.JobMemory, Starts: h.starts,
 		Sched: h.Sched, Log: telemetry.PartLogger(h.Log, "pool").With().Str("pool", takeover.Pool).Logger(), Metrics: h.poolMetrics,
 	}, poolmanager.Takeover{
 		Head: takeover.Head, Revision: takeover.Revision, Claim: takeover.Claim, Lease: takeover.Lease, RequestedAt: takeover.RequestedAt, PreviousStopped: takeover.PreviousStopped,
--- a/internal/entryhost/settings.go
+++ b/internal/entryhost/settings.go
@@ -1,6 +1,7 @@
 package entryhost
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -22,6 +23,7 @@
 // ClientSettings limit what all clients together may make the process hold, and for how long.
 type ClientSettings struct {
 	MemoryPercent     int           `ini:"memory-percent" help:"Memory that clients' connections and requests may take, in percent of the machine's."`
+	JobMemoryPercent  int           `ini:"job-memory-percent" help:"Memory that accepted large jobs may take, those with over 8,000 bytes of texts, in percent of the machine's."`
 	DescriptorPercent int           `ini:"descriptor-percent" help:"Connections of clients, in percent of the machine's descriptors for sockets."`
 	RequestTimeout    time.Duration `ini:"request-timeout" help:"Time from the first byte of a request to its last one."`
 	WriteTimeout      time.Duration `ini:"write-timeout" help:"Time until a client has taken a part of its response."`
@@ -58,7 +60,7 @@
 		// No client waits as long as the request timeout for an answer. Responses are shorter
 		// than a kilobyte. The heap may be twice what lives on it, so that clients' share of
 		// memory may double; the other half is the process's own.
-		Clients: ClientSettings{MemoryPercent: 25, DescriptorPercent: 50, RequestTimeout: 30 * time.Second, WriteTimeout: 10 * time.Second},
+		Clients: ClientSettings{MemoryPercent: 25, JobMemoryPercent: 10, DescriptorPercent: 50, RequestTimeout: 30 * time.Second, WriteTimeout: 10 * time.Second},
 	}
 }
 
@@ -80,7 +82,7 @@
 }
 
 func (c *ClientSettings) check() settings.Errors {
-	return append(checkPercent("memory-percent", c.MemoryPercent), checkPercent("descriptor-percent", c.DescriptorPercent)...)
+	return slices.Concat(checkPercent("memory-percent", c.MemoryPercent), checkPercent("job-memory-percent", c.JobMemoryPercent), checkPercent("descriptor-percent", c.DescriptorPercent))
 }
 
 func checkPercent(key string, percent int) settings.Errors {
--- a/internal/poolmanager/manager.go
+++ b/internal/poolmanager/manager.go
@@ -79,6 +79,9 @@
 	Adviser worker.Adviser
 	// Limits is nil where organisations have no limits.
 	Limits LimitSource
+	// Memory bounds what the large jobs of all pools of this process may take; nil is
+	// unlimited.
+	Memory *JobMemory
 	// Starts is the share of this process's link for starts; nil is unlimited.
 	Starts  *linkbudget.Budget
 	Sched   sched.Config
@@ -225,6 +228,7 @@
 	defer planTimer.Stop()
 	defer m.resolveWaiters()
 	defer m.dropOrganisations()
+	defer m.Memory.forget(m.Pool)
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/sched/jobs.go
+++ b/internal/sched/jobs.go
@@ -143,10 +143,14 @@
 	j.runtimes, j.ratios, j.usage = p.runtimesOf(record.Queue.Name), p.ratiosOf(record.Queue.Name), p.usageOf(record.Organisation)
 	j.account = p.shares.Account(record.Organisation)
 	p.jobs[record.ID] = j
+	p.largeBytes += record.Spec.LargeBytes()
 	p.active = append(p.active, j)
 	return j
 }
 
+// LargeBytes returns the size of the texts of the pool's large jobs, in bytes.
+func (p *Pool) LargeBytes() int64 { return p.largeBytes }
+
 // Has reports whether the pool has the job.
 func (p *Pool) Has(id string) bool { return p.jobs[id] != nil }
 
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -49,7 +49,9 @@
 	Config
 	started time.Time
 	jobs    map[string]*job
-	hosts   map[string]*host
+	// largeBytes is the size of the texts of large jobs.
+	largeBytes int64
+	hosts      map[string]*host
 	// active holds the jobs that are not final, in order of arrival.
 	active []*job
 	// ended holds the final jobs, oldest first, until their retention is over.
@@ -353,6 +355,7 @@
 	for len(p.ended) > 0 && now.Sub(p.ended[0].endedAt) > p.StatusRetention && p.ended[0].storedVersion == p.ended[0].version {
 		ids = append(ids, p.ended[0].record.ID)
 		delete(p.jobs, p.ended[0].record.ID)
+		p.largeBytes -= p.ended[0].record.Spec.LargeBytes()
 		p.ended = p.ended[1:]
 	}
 	return ids
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -110,6 +110,25 @@
 	Interval time.Duration `json:"I,omitempty"`
 }
 
+// usualTextBytes is the size of texts up to which a job counts as ordinary: twice what its
+// payload may have.
+const usualTextBytes = 2 * MaxPayloadBytes
+
+// LargeBytes returns the size of the spec's texts and lists, zero for an ordinary job. The
+// platform limits the payload alone.
+func (s *Spec) LargeBytes() int64 {
+	const numberBytes = 8
+	bytes := len(s.Payload)
+	for i := range s.Steps {
+		step := &s.Steps[i]
+		bytes += len(step.Requires) + len(step.DataRack) + len(step.Image) + numberBytes*len(step.After)
+	}
+	if bytes <= usualTextBytes {
+		return 0
+	}
+	return int64(bytes)
+}
+
 // Occurrences returns how many times the steps run.
 func (s *Spec) Occurrences() int { return max(1, s.Repeats) }
 
