The lock of the clients' accounts is released by defer

What callers would have seen: a panic while an account is changed would have left the lock held, and every client's connection waiting for ever.

Closing the costliest connection, adding and describing are functions of their own under a deferred unlock now; no change of what they do.

--- a/internal/httpserve/intake.go
+++ b/internal/httpserve/intake.go
@@ -81,47 +81,65 @@
 // open counts a connection and returns its account, or nil if there is no room for it.
 func (i *intake) open(conn net.Conn) *account {
 	a := &account{conn: conn, since: time.Now()}
+	closed, fits := i.place(a)
+	i.report(closed)
+	if !fits {
+		return nil
+	}
+	return a
+}
+
+// place adds an account, closing others as far as it is needed, and reports whether there is
+// room for it.
+func (i *intake) place(a *account) (closed []Closing, fits bool) {
 	i.mu.Lock()
-	var closed []Closing
+	defer i.mu.Unlock()
 	if i.maxConnections > 0 && len(i.accounts) >= i.maxConnections {
-		closed = i.closeCostliest(closed, ClosingForConnection)
-	}
-	fits := i.maxConnections <= 0 || len(i.accounts) < i.maxConnections
-	if fits {
-		i.accounts[a] = struct{}{}
-		closed, fits = i.add(a, connectionBytes, closed)
+		costliest := i.costliest()
+		if costliest == nil {
+			return nil, false
+		}
+		closed = i.closeAccount(costliest, ClosingForConnection, nil)
 	}
+	i.accounts[a] = struct{}{}
+	closed, fits = i.add(a, connectionBytes, closed)
 	if !fits {
 		i.remove(a)
 	}
-	i.mu.Unlock()
-	i.report(closed)
-	if !fits {
-		return nil
-	}
-	return a
+	return closed, fits
 }
 
 // hold counts bytes more of a connection. It returns *NoMemoryError if there is no room for
 // them, and another error if the connection was closed meanwhile.
 func (i *intake) hold(a *account, bytes int64) error {
-	return i.change(a, func(closed []Closing) ([]Closing, error) {
-		closed, fits := i.add(a, bytes, closed)
-		if !fits {
-			closed = append(closed, i.describe(a, RefusedForMemory))
-			return closed, &NoMemoryError{bytes}
-		}
-		return closed, nil
-	})
+	closed, err := i.tryHold(a, bytes)
+	i.report(closed)
+	return err
+}
+
+func (i *intake) tryHold(a *account, bytes int64) ([]Closing, error) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if a.gone {
+		return nil, errConnectionClosed
+	}
+	closed, fits := i.add(a, bytes, nil)
+	if !fits {
+		return append(closed, i.describe(a, RefusedForMemory)), &NoMemoryError{bytes}
+	}
+	return closed, nil
 }
 
 // settle records that the request of a connection has arrived as a whole: the connection is
 // not closed before the request is answered. It returns an error if it was closed before.
 func (i *intake) settle(a *account) error {
-	return i.change(a, func(closed []Closing) ([]Closing, error) {
-		a.whole = true
-		return closed, nil
-	})
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if a.gone {
+		return errConnectionClosed
+	}
+	a.whole = true
+	return nil
 }
 
 // answering records that an answer is being written: the connection may be closed again, so
@@ -150,18 +168,6 @@
 	i.remove(a)
 }
 
-func (i *intake) change(a *account, change func([]Closing) ([]Closing, error)) error {
-	i.mu.Lock()
-	if a.gone {
-		i.mu.Unlock()
-		return errConnectionClosed
-	}
-	closed, err := change(nil)
-	i.mu.Unlock()
-	i.report(closed)
-	return err
-}
-
 // add counts bytes more for a, closing others as far as it is needed. It reports false, and
 // counts nothing, if that is not enough or a itself is the costliest.
 func (i *intake) add(a *account, bytes int64, closed []Closing) (all []Closing, fits bool) {
@@ -179,13 +185,6 @@
 	return closed, true
 }
 
-func (i *intake) closeCostliest(closed []Closing, reason ClosingReason) []Closing {
-	if costliest := i.costliest(); costliest != nil {
-		return i.closeAccount(costliest, reason, closed)
-	}
-	return closed
-}
-
 // costliest returns the connection that holds most among those whose request is not whole,
 // of equals the oldest one, nil without any.
 func (i *intake) costliest() *account {
@@ -231,8 +230,11 @@
 
 // reportHeader reports a header over its limit.
 func (i *intake) reportHeader(a *account) {
+	i.report([]Closing{i.described(a, ClosingForHeader)})
+}
+
+func (i *intake) described(a *account, reason ClosingReason) Closing {
 	i.mu.Lock()
-	closing := i.describe(a, ClosingForHeader)
-	i.mu.Unlock()
-	i.report([]Closing{closing})
+	defer i.mu.Unlock()
+	return i.describe(a, reason)
 }
