Large jobs are left to their pool's holder, not to the inbox

What callers saw: as before, by another way: while a pool had no holder, entry hosts left any number of large jobs in its inbox, and the next holder had to take them all. It was ended for its memory, and so the next one.

Cause: the bound on large jobs is the holder's; the inbox had none, and what is in it is accepted.

Now an entry host leaves no large job there. Its outcome is unknown, 504, once the time to accept it is over: an earlier try may have stored it, so that "not run" could be untrue; the router tries the holder again meanwhile, and the client comes again. Ordinary jobs, all that have no more than 8,000 bytes of texts and lists, go there as before. Weighed: refusing needs a look into the store first; bounding each entry host's part allows as many parts as there are entry hosts.

--- a/internal/jobrouter/router.go
+++ b/internal/jobrouter/router.go
@@ -189,7 +189,13 @@
 	return manager.Submit(ctx, record), true
 }
 
+// writeJob leaves a job in its pool's inbox. A large one is left to the pool's holder, which
+// bounds what it keeps: a holder must take whatever is in the inbox. Its outcome stays
+// unknown, as an earlier try may have stored it.
 func (r *Router) writeJob(ctx context.Context, record *work.JobRecord) poolmanager.Result {
+	if record.Spec.LargeBytes() > 0 {
+		return poolmanager.ResultUnknown
+	}
 	key := poolstore.InboxJobKey(record.Queue.Pool, record.ID)
 	txn, others, err := r.inboxTxn(ctx, record)
 	if err != nil {
