--- a/internal/httpserve/intake.go
+++ b/internal/httpserve/intake.go
@@ -5,8 +5,6 @@
 	"net"
 	"sync"
 	"time"
-
-	"github.com/cockroachdb/errors"
 )
 
 // intake counts what the connections of a server's clients make the process hold, and keeps
@@ -71,8 +69,12 @@
 	return fmt.Sprintf("no memory for a request: %d bytes more are needed", e.Bytes)
 }
 
-// errConnectionClosed reports a request whose connection was closed to make room for others.
-var errConnectionClosed = errors.New("the connection was closed to make room for others")
+// ConnectionClosedError reports a request whose connection was closed to make room for others.
+type ConnectionClosedError struct{ Client string }
+
+func (e *ConnectionClosedError) Error() string {
+	return "the connection of " + e.Client + " was closed to make room for others"
+}
 
 func newIntake(limits Limits) *intake {
 	return &intake{maxConnections: limits.MaxConnections, maxBytes: limits.MaxBytes, onClosed: limits.OnClosed, accounts: make(map[*account]struct{})}
@@ -110,7 +112,7 @@
 }
 
 // hold counts bytes more of a connection. It returns *NoMemoryError if there is no room for
-// them, and another error if the connection was closed meanwhile.
+// them, and *ConnectionClosedError if the connection was closed meanwhile.
 func (i *intake) hold(a *account, bytes int64) error {
 	closed, err := i.tryHold(a, bytes)
 	i.report(closed)
@@ -121,7 +123,7 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if a.gone {
-		return nil, errConnectionClosed
+		return nil, &ConnectionClosedError{clientAddress(a.conn)}
 	}
 	closed, fits := i.add(a, bytes, nil)
 	if !fits {
@@ -131,12 +133,13 @@
 }
 
 // settle records that the request of a connection has arrived as a whole: the connection is
-// not closed before the request is answered. It returns an error if it was closed before.
+// not closed before the request is answered. It returns *ConnectionClosedError if it was closed
+// before.
 func (i *intake) settle(a *account) error {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if a.gone {
-		return errConnectionClosed
+		return &ConnectionClosedError{clientAddress(a.conn)}
 	}
 	a.whole = true
 	return nil
--- a/internal/httpserve/request.go
+++ b/internal/httpserve/request.go
@@ -28,7 +28,8 @@
 }
 
 // countedBody counts what is read of a body for its connection. Read returns *NoMemoryError
-// if the process has no memory for it.
+// if the process has no memory for it, and *ConnectionClosedError if the connection was closed
+// for others.
 type countedBody struct {
 	io.ReadCloser
 	client *clientConn
