Large requests leave a quarter of the clients' memory to ordinary ones

What callers would have seen: beside clients that hand in whole large bodies one after the other, ordinary ones refused with 503 or closed again and again: a whole request is closed for nobody, so that a few could hold all memory, and one that didn't fit closed every unfinished connection before it was refused.

Now connections that take more than 160 KiB, which no ordinary job does, may fill three quarters, and none is closed unless that makes enough room.

TestLargeRequestsLeaveMemoryToOrdinaryOnes failed before (the last large one got the room), passes now.

--- a/internal/httpserve/conn.go
+++ b/internal/httpserve/conn.go
@@ -23,6 +23,14 @@
 	bodyByteFactor = 2
 )
 
+const (
+	// ordinaryBytes is what the connection of an ordinary request takes at most: a job with a
+	// payload of 4,000 bytes takes some 100 KiB until it is stored.
+	ordinaryBytes = 160 << 10
+	// reservedShare of the memory is for connections that take no more than that.
+	reservedShare = 4
+)
+
 // headerReadAhead is how many bytes behind a header may be read with it: the buffer of
 // net/http.
 const headerReadAhead = 4 << 10
--- a/internal/httpserve/intake.go
+++ b/internal/httpserve/intake.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net"
 	"sync"
 	"time"
@@ -172,11 +173,16 @@
 }
 
 // add counts bytes more for a, closing others as far as it is needed. It reports false, and
-// counts nothing, if that is not enough or a itself is the costliest.
+// counts nothing, if a itself is the costliest or closing all others would not be enough; then
+// it closes none.
 func (i *intake) add(a *account, bytes int64, closed []Closing) (all []Closing, fits bool) {
+	limit := i.limitFor(a.bytes + bytes)
+	if i.bytes+bytes > limit && i.bytes+bytes-i.unfinished(a) > limit {
+		return closed, false
+	}
 	a.bytes += bytes
 	i.bytes += bytes
-	for i.maxBytes > 0 && i.bytes > i.maxBytes {
+	for i.bytes > limit {
 		costliest := i.costliest()
 		if costliest == nil || costliest == a {
 			a.bytes -= bytes
@@ -188,6 +194,29 @@
 	return closed, true
 }
 
+// limitFor returns the limit of all connections for one that takes so many bytes. Large ones
+// leave a share to the others: requests that are whole are not closed, and a few large ones
+// after the other would shut out everyone.
+func (i *intake) limitFor(bytes int64) int64 {
+	switch {
+	case i.maxBytes <= 0:
+		return math.MaxInt64
+	case bytes > ordinaryBytes:
+		return i.maxBytes - i.maxBytes/reservedShare
+	}
+	return i.maxBytes
+}
+
+// unfinished returns what the connections but a hold whose requests are not whole.
+func (i *intake) unfinished(a *account) (bytes int64) {
+	for other := range i.accounts {
+		if other != a && !other.whole {
+			bytes += other.bytes
+		}
+	}
+	return bytes
+}
+
 // costliest returns the connection that holds most among those whose request is not whole,
 // of equals the oldest one, nil without any.
 func (i *intake) costliest() *account {
--- a/internal/httpserve/intake_test.go
+++ b/internal/httpserve/intake_test.go
@@ -82,6 +82,21 @@
 	must.True(t, accounts[0].gone)
 }
 
+// Guards against whole large requests, one after the other, that leave no memory for ordinary
+// ones: none of them may be closed.
+func TestLargeRequestsLeaveMemoryToOrdinaryOnes(t *testing.T) {
+	const limit = 4 << 20
+	i, accounts := opened(t, Limits{MaxBytes: limit}, 1<<20, 1<<20, 500_000, 0)
+	for _, a := range accounts[:3] {
+		must.NoError(t, i.settle(a))
+	}
+	var noMemory *NoMemoryError
+	must.True(t, errors.As(i.hold(accounts[2], 800_000), &noMemory))
+	must.NoError(t, i.settle(accounts[3]))
+	must.NoError(t, i.hold(accounts[3], ordinaryBytes-connectionBytes))
+	must.LessEq(t, int64(limit), i.bytes)
+}
+
 // Of connections that hold the same, the one that has been there longest without a request
 // gives way.
 func TestOldestOfEqualConnectionsGivesWay(t *testing.T) {
