A refused body's answer ends before its connection

What callers saw: the answer to a body over its limit (413), too late (408) or without memory (503) could be lost: half a second after it the connection was reset, as what the client had sent lay unread, and nothing had told the client that the answer was over.

Cause: net/http ends its side first if the connection can (CloseWrite); the wrapper that counts for the clients' accounts hid that.

Now the wrapper has it. TestRefusedBodyEndsTheAnswerBeforeTheConnection failed 3 of 3 (connection reset by peer), passes 3 of 3 with -race.

--- a/internal/httpserve/conn.go
+++ b/internal/httpserve/conn.go
@@ -124,6 +124,9 @@
 	return c.Conn.Write(p)
 }
 
+// CloseWrite ends the answer. net/http does so before it closes a connection with unread data.
+func (c *clientConn) CloseWrite() error { return closeWrite(c.Conn) }
+
 // Close implements net.Conn.
 func (c *clientConn) Close() error {
 	defer c.release()
--- a/internal/httpserve/connlimit.go
+++ b/internal/httpserve/connlimit.go
@@ -152,12 +152,18 @@
 	}()
 }
 
+// closeWrite ends what is sent on a connection, where its kind allows it.
+func closeWrite(conn net.Conn) error {
+	if half, ok := conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 // linger ends a connection's answer and reads on until the client has gone, for
 // refusalLinger at most.
 func linger(conn net.Conn) {
-	if half, ok := conn.(interface{ CloseWrite() error }); ok {
-		_ = half.CloseWrite()
-	}
+	_ = closeWrite(conn)
 	_ = conn.SetReadDeadline(time.Now().Add(refusalLinger))
 	var discarded [4 << 10]byte
 	for {
--- a/internal/httpserve/intake_test.go
+++ b/internal/httpserve/intake_test.go
@@ -228,3 +228,20 @@
 	must.NoError(t, err)
 	must.ErrorIs(t, <-ended, os.ErrDeadlineExceeded)
 }
+
+// Guards against an answer that its client loses, since the connection is reset behind it:
+// the server ends its side first and lets the client read.
+func TestRefusedBodyEndsTheAnswerBeforeTheConnection(t *testing.T) {
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 10))
+		var tooLarge *http.MaxBytesError
+		must.True(t, errors.As(err, &tooLarge))
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+	})
+	conn := dial(t, startHandler(t, handler, Limits{}))
+	_, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1000000\r\n\r\n"+strings.Repeat("x", 60_000))
+	must.NoError(t, err)
+	answers, err := io.ReadAll(conn)
+	must.NoError(t, err)
+	must.StrContains(t, string(answers), "413")
+}
