--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -463,3 +463,53 @@
 	}
 	return w.verdict(state == `{"state":"failed"}`, "no run of the job's task has ended failed; its state is %s", state)
 }
+
+// late hands in a job, has the first order to start its task held up, and has the minion crash
+// and start again under its id before that order arrives.
+func late(program, record string, trouble bool) int {
+	const (
+		id       = "00000000000000f2"
+		heldUp   = 6 * time.Second
+		crashAt  = 3300 * time.Millisecond
+		downFor  = 700 * time.Millisecond
+		workMs   = 9000
+		watchFor = 14 * time.Second
+	)
+	w, err := newWorld(program, record, options{entries: 3, keepID: true})
+	if err != nil {
+		return failed(err)
+	}
+	defer w.close(keepLogs())
+	if !w.awaitReady() {
+		return failed(fmt.Errorf("the deployment didn't start"))
+	}
+	if trouble {
+		w.mu.Lock()
+		w.holdUpFor = heldUp
+		w.mu.Unlock()
+	}
+	body := fmt.Sprintf(`{"spec":"work %d","steps":[{"count":1,"cpu":1000,"memMb":256,"estMs":%d}]}`, workMs, workMs)
+	status, text := w.call(w.entries[0], http.MethodPost, id, body)
+	w.watch.note("client: POST %s%s %s -> %d %s", prefix, id, body, status, text)
+	if status != http.StatusOK {
+		return cannotRun
+	}
+	if trouble {
+		time.Sleep(crashAt)
+		w.mu.Lock()
+		at := w.heldUp
+		w.mu.Unlock()
+		m := w.allMinions()[at]
+		m.crash()
+		w.watch.disturb("minion %s crashes", m.id)
+		time.Sleep(downFor)
+		if err := w.revive(at, 2); err != nil {
+			return failed(err)
+		}
+		w.watch.disturb("minion %s is up again under its id, born %d", m.id, w.allMinions()[at].born)
+	}
+	time.Sleep(watchFor)
+	status, text = w.call(w.entries[0], http.MethodGet, id, "")
+	w.watch.note("client: GET %s%s -> %d %s", prefix, id, status, text)
+	return w.verdict(w.watch.doubleStarts() > 0, "%d runs have started beside another run of their task, on minions that are up", w.watch.doubleStarts())
+}
--- a/review/standin-3/minion.go
+++ b/review/standin-3/minion.go
@@ -54,6 +54,9 @@
 	capacity int
 	kind     string
 	server   *http.Server
+	// born is the Unix millisecond of this life's start where a minion keeps its id, zero
+	// where each life has another.
+	born int64
 
 	mu       sync.Mutex
 	began    time.Time
@@ -74,7 +77,7 @@
 	stopTakes = 60 * time.Millisecond
 )
 
-func (m *minion) clock(now time.Time) int64 { return now.Sub(m.began).Milliseconds() + 100_000 }
+func (m *minion) clock(now time.Time) int64 { return now.Sub(m.began).Milliseconds() }
 
 // beat registers the minion in the store.
 func (m *minion) beat() {
@@ -89,6 +92,9 @@
 			"service": m.service, "addr": m.addr, "zone": "hall-a", "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0,
 			"capacity": map[string]int{"cpu": m.capacity, "memMb": 262144, "gpu": 0}, "labels": []string{m.kind, m.rack}, "clockMs": m.clock(time.Now()), "seq": m.seq,
 		}
+		if m.born != 0 {
+			entry["born"] = m.born
+		}
 		m.mu.Unlock()
 		m.w.store.put("servers/"+m.id, entry)
 		time.Sleep(1500 * time.Millisecond)
@@ -124,7 +130,15 @@
 	}
 	m.mu.Unlock()
 	_ = m.server.Close()
-	time.AfterFunc(4500*time.Millisecond, func() { m.w.store.remove("servers/" + m.id) })
+	time.AfterFunc(4500*time.Millisecond, func() { m.w.forget(m) })
+}
+
+// carryOut carries out an order that was held up on its way.
+func (m *minion) carryOut(o *order) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	status, body := m.fenced(m.start)(o)
+	m.w.watch.note("minion %s: the order of run %d of task %s that was held up is carried out: %d %v", m.id, o.Run, o.Task, status, body)
 }
 
 func (m *minion) endLocked(r *run, how string) {
@@ -168,10 +182,18 @@
 			if path == "hold" {
 				m.await(&o)
 			}
+			if path == "run-start" && m.w.holdUp(m, &o) {
+				// The order gets no answer. Its sender gives up.
+				<-r.Context().Done()
+				return
+			}
 			m.mu.Lock()
 			defer m.mu.Unlock()
 			status, body := serve(&o)
 			body["clockMs"] = m.clock(time.Now())
+			if m.born != 0 {
+				body["born"] = m.born
+			}
 			reply(w, status, body)
 		})
 	}
--- a/review/standin-3/watch.go
+++ b/review/standin-3/watch.go
@@ -16,6 +16,8 @@
 	mu sync.Mutex
 	// running counts the runs of each task, starts all that it ever had.
 	running, starts map[string]int
+	// doubles counts the starts beside another run of the task.
+	doubles int
 	// quiet is set if runs are counted and not recorded one by one.
 	quiet bool
 }
@@ -47,6 +49,10 @@
 	defer w.mu.Unlock()
 	w.running[o.Task]++
 	w.starts[o.Task]++
+	if w.running[o.Task] > 1 {
+		w.doubles++
+		w.noteLocked("minion %s: run %d of task %s starts BESIDE ANOTHER RUN of it", minion, o.Run, o.Task)
+	}
 	if !w.quiet {
 		w.noteLocked("minion %s: run %d of task %s starts, fence %d", minion, o.Run, o.Task, o.Fence)
 	}
@@ -82,6 +88,13 @@
 	return running, starts
 }
 
+// doubleStarts returns how many runs have started beside another one of their task.
+func (w *watch) doubleStarts() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.doubles
+}
+
 // allRuns returns how many runs go on.
 func (w *watch) allRuns() (running int) {
 	w.mu.Lock()
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -30,14 +30,18 @@
 	store   *kv
 	mu      sync.Mutex
 	minions []*minion
-	entries []*entry
-	dir     string
-	program string
-	options options
-	ports   struct{ front, ready, control, first int }
-	storeAt string
-	cloudAt string
-	client  *http.Client
+	// holdUpFor, if above zero, is how long the next order to start a run is held up, and
+	// heldUp the minion that it was for.
+	holdUpFor time.Duration
+	heldUp    int
+	entries   []*entry
+	dir       string
+	program   string
+	options   options
+	ports     struct{ front, ready, control, first int }
+	storeAt   string
+	cloudAt   string
+	client    *http.Client
 }
 
 // entry is an entry host.
@@ -113,6 +117,9 @@
 			w: w, id: fmt.Sprintf("i-%d", i+1), service: services[i/minionCount], rack: fmt.Sprintf("r1-%d", 1+i/4), capacity: 64000, kind: "a",
 			began: time.Now(), over: make(map[string]int), wakeUp: make(chan struct{}),
 		}
+		if options.keepID {
+			m.born = time.Now().UnixMilli()
+		}
 		if i == 0 && options.special != "" {
 			m.kind = options.special
 		}
@@ -152,6 +159,9 @@
 		w: w, id: fmt.Sprintf("i-%d-%d", i+1, life), service: old.service, rack: old.rack, capacity: old.capacity, kind: old.kind,
 		began: time.Now(), over: make(map[string]int), wakeUp: make(chan struct{}),
 	}
+	if w.options.keepID {
+		m.id, m.born = old.id, time.Now().UnixMilli()
+	}
 	var err error
 	if m.addr, m.server, err = w.serve(m.handler(), old.addr); err != nil {
 		return err
@@ -164,6 +174,42 @@
 	return nil
 }
 
+// forget removes the entry of a minion that is gone, unless a later life has taken its id.
+func (w *world) forget(m *minion) {
+	for _, other := range w.allMinions() {
+		if other != m && other.id == m.id {
+			return
+		}
+	}
+	w.store.remove("servers/" + m.id)
+}
+
+// holdUp holds up one order to start a run if that is due, and reports whether it does. It
+// reaches whatever life of the minion's machine is up then under the same id.
+func (w *world) holdUp(m *minion, o *order) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	length := w.holdUpFor
+	if length == 0 {
+		return false
+	}
+	w.holdUpFor = 0
+	for i, other := range w.minions {
+		if other == m {
+			w.heldUp = i
+		}
+	}
+	at := w.heldUp
+	held := *o
+	w.watch.disturb("the order of run %d of task %s to minion %s gets no answer and is carried out %v later", o.Run, o.Task, m.id, length)
+	time.AfterFunc(length, func() {
+		if now := w.allMinions()[at]; now.id == m.id && !now.isGone() {
+			now.carryOut(&held)
+		}
+	})
+	return true
+}
+
 func (w *world) allMinions() []*minion {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -214,6 +260,8 @@
 	// limitCPU thousandths of a core running, zero for any number.
 	tenants  bool
 	limitCPU int
+	// keepID is set if a minion keeps its id when it starts again.
+	keepID bool
 }
 
 // config returns a version of the configuration.
