Case 13: a carrier that stood still sends an old start to a host's next life

It takes the place of the order that is held up on its way, which ends the same.

Seen: an entry host that makes calls for a pool's holder is stopped for 4 s and sends the starts it had been given when it goes on. A minion that has started again under its id meanwhile runs one beside the task's next run (TWICE).

Cause, as far as known: a carrier counts a call's time from when it reads it.

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -4,4 +4,4 @@
 for program in target/glade-entry target/review-3/standin-3; do
 	[ -x "$program" ] || { echo "$program is missing: build it first"; exit 2; }
 done
-exec target/review-3/standin-3 late target/glade-entry review/13/record.txt
+exec target/review-3/standin-3 carried target/glade-entry review/13/record.txt
--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -505,3 +505,66 @@
 	w.watch.note("client: GET %s%s -> %d %s", prefix, id, status, text)
 	return w.verdict(w.watch.doubleStarts() > 0, "%d runs have started beside another run of their task, on minions that are up", w.watch.doubleStarts())
 }
+
+// carried hands in a job while an entry host that makes calls for the pool's holder stands still,
+// and has a minion that didn't get a start crash and start again under its id before that
+// entry host goes on.
+func carried(program, record string, trouble bool) int {
+	const (
+		tasks    = 24
+		freeze   = 4 * time.Second
+		downFor  = 700 * time.Millisecond
+		workMs   = 9000
+		watchFor = 12 * time.Second
+	)
+	w, err := newWorld(program, record, options{entries: 4, keepID: true, minions: 36, cpuShare: "0.192"})
+	if err != nil {
+		return failed(err)
+	}
+	defer w.close(keepLogs())
+	if !w.awaitReady() {
+		return failed(fmt.Errorf("the deployment didn't start"))
+	}
+	time.Sleep(3 * time.Second)
+	holder := w.holder()
+	// Tasks that end a moment later leave room on other minions.
+	const before = "00000000000000f0"
+	short := `{"spec":"work 1200","steps":[{"count":5,"cpu":40000,"memMb":256,"estMs":1200}]}`
+	status, text := w.call(holder, http.MethodPost, before, short)
+	w.watch.note("client: POST %s%s at %s %s -> %d %s", prefix, before, holder.name, short, status, text)
+	if status != http.StatusOK {
+		return cannotRun
+	}
+	time.Sleep(time.Second)
+	began := time.Now()
+	if trouble {
+		if err := w.freeze(w.other(holder), freeze); err != nil {
+			return failed(err)
+		}
+	}
+	const id = "00000000000000f3"
+	body := fmt.Sprintf(`{"spec":"work %d","steps":[{"count":%d,"cpu":40000,"memMb":256,"estMs":%d}]}`, workMs, tasks, workMs)
+	status, text = w.call(holder, http.MethodPost, id, body)
+	w.watch.note("client: POST %s%s at %s %s -> %d %s", prefix, id, holder.name, body, status, text)
+	if status != http.StatusOK {
+		return cannotRun
+	}
+	if trouble {
+		time.Sleep(time.Until(began.Add(freeze/2 - downFor/2)))
+		at, ok := w.missedElsewhere()
+		if !ok {
+			w.watch.note("every minion got its starts, or runs what it missed")
+			return cannotRun
+		}
+		m := w.allMinions()[at]
+		m.crash()
+		w.watch.disturb("minion %s crashes", m.id)
+		time.Sleep(downFor)
+		if err := w.revive(at, 2); err != nil {
+			return failed(err)
+		}
+		w.watch.disturb("minion %s is up again under its id, born %d", m.id, w.allMinions()[at].born)
+	}
+	time.Sleep(watchFor)
+	return w.verdict(w.watch.doubleStarts() > 0, "%d runs have started beside another run of their task, on minions that are up", w.watch.doubleStarts())
+}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -16,7 +16,7 @@
 )
 
 var cases = map[string]func(program, record string, trouble bool) int{
-	"cancel": cancelInTakeover, "state": stateInTakeover, "progress": progress, "backfill": backfill, "limit": limit, "late": late, "text": largeText,
+	"cancel": cancelInTakeover, "state": stateInTakeover, "progress": progress, "backfill": backfill, "limit": limit, "late": late, "text": largeText, "carried": carried,
 }
 
 func main() {
--- a/review/standin-3/minion.go
+++ b/review/standin-3/minion.go
@@ -265,6 +265,9 @@
 		}
 	}
 	if !found {
+		if m.over[o.Task] < o.Run {
+			go m.w.noteMissed(m, o)
+		}
 		m.over[o.Task] = max(m.over[o.Task], o.Run)
 	}
 	return http.StatusOK, map[string]any{}
--- a/review/standin-3/watch.go
+++ b/review/standin-3/watch.go
@@ -16,6 +16,8 @@
 	mu sync.Mutex
 	// running counts the runs of each task, starts all that it ever had.
 	running, starts map[string]int
+	// where is the minion on which each task was started last.
+	where map[string]string
 	// doubles counts the starts beside another run of the task.
 	doubles int
 	// quiet is set if runs are counted and not recorded one by one.
@@ -27,7 +29,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &watch{file: file, began: time.Now(), running: make(map[string]int), starts: make(map[string]int)}, nil
+	return &watch{file: file, began: time.Now(), running: make(map[string]int), starts: make(map[string]int), where: make(map[string]string)}, nil
 }
 
 // note writes a line to the record.
@@ -49,6 +51,7 @@
 	defer w.mu.Unlock()
 	w.running[o.Task]++
 	w.starts[o.Task]++
+	w.where[o.Task] = minion
 	if w.running[o.Task] > 1 {
 		w.doubles++
 		w.noteLocked("minion %s: run %d of task %s starts BESIDE ANOTHER RUN of it", minion, o.Run, o.Task)
@@ -88,6 +91,13 @@
 	return running, starts
 }
 
+// runsOn returns the minion on which a task was started last, if it runs.
+func (w *watch) runsOn(task string) (minion string, ok bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.where[task], w.running[task] > 0
+}
+
 // doubleStarts returns how many runs have started beside another one of their task.
 func (w *watch) doubleStarts() int {
 	w.mu.Lock()
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -12,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -34,14 +36,16 @@
 	// heldUp the minion that it was for.
 	holdUpFor time.Duration
 	heldUp    int
-	entries   []*entry
-	dir       string
-	program   string
-	options   options
-	ports     struct{ front, ready, control, first int }
-	storeAt   string
-	cloudAt   string
-	client    *http.Client
+	// missed are the runs that minions were told to stop and never got.
+	missed  []missedRun
+	entries []*entry
+	dir     string
+	program string
+	options options
+	ports   struct{ front, ready, control, first int }
+	storeAt string
+	cloudAt string
+	client  *http.Client
 }
 
 // entry is an entry host.
@@ -88,7 +92,7 @@
 	return listener.Addr().String(), server, nil
 }
 
-// minionCount is the number of minions of each service.
+// minionCount is the usual number of minions of each service.
 const minionCount = 9
 
 func newWorld(program, record string, options options) (*world, error) {
@@ -112,9 +116,10 @@
 	if options.tenants {
 		services = append(services, second)
 	}
-	for i := range minionCount * len(services) {
+	each := cmp.Or(options.minions, minionCount)
+	for i := range each * len(services) {
 		m := &minion{
-			w: w, id: fmt.Sprintf("i-%d", i+1), service: services[i/minionCount], rack: fmt.Sprintf("r1-%d", 1+i/4), capacity: 64000, kind: "a",
+			w: w, id: fmt.Sprintf("i-%d", i+1), service: services[i/each], rack: fmt.Sprintf("r1-%d", 1+i/4), capacity: 64000, kind: "a",
 			began: time.Now(), over: make(map[string]int), wakeUp: make(chan struct{}),
 		}
 		if options.keepID {
@@ -184,6 +189,37 @@
 	w.store.remove("servers/" + m.id)
 }
 
+// noteMissed records that a minion is told to stop a run which it never got.
+func (w *world) noteMissed(m *minion, o *order) {
+	w.watch.note("minion %s: run %d of task %s is to be stopped, and isn't there", m.id, o.Run, o.Task)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i, other := range w.minions {
+		if other == m {
+			w.missed = append(w.missed, missedRun{i, o.Task})
+		}
+	}
+}
+
+// missedRun is a run of a task that the minion at an index never got.
+type missedRun struct {
+	at   int
+	task string
+}
+
+// missedElsewhere returns the index of a minion that never got a run of a task which now runs on
+// another one.
+func (w *world) missedElsewhere() (at int, ok bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, missed := range w.missed {
+		if minion, runs := w.watch.runsOn(missed.task); runs && minion != w.minions[missed.at].id {
+			return missed.at, true
+		}
+	}
+	return 0, false
+}
+
 // holdUp holds up one order to start a run if that is due, and reports whether it does. It
 // reaches whatever life of the minion's machine is up then under the same id.
 func (w *world) holdUp(m *minion, o *order) bool {
@@ -260,6 +296,10 @@
 	// limitCPU thousandths of a core running, zero for any number.
 	tenants  bool
 	limitCPU int
+	// minions is the number of minions of each service, zero for the usual one, and cpuShare
+	// the part of a core that an entry host has, empty for the usual one.
+	minions  int
+	cpuShare string
 	// keepID is set if a minion keeps its id when it starts again.
 	keepID bool
 }
@@ -311,7 +351,7 @@
 seeds: []
 bootstrap: true
 countsAsLoss: false
-limits: {cpuShare: 0.4, cores: 1, memoryMb: 284, maxFds: 4100, linkMbps: 1000.0, diskMb: 0}
+limits: {cpuShare: %s, cores: 1, memoryMb: 284, maxFds: 4100, linkMbps: 1000.0, diskMb: 0}
 dataDir: null
 discovery: "platform"
 entry: "vip"
@@ -325,7 +365,7 @@
 orders: "rpc"
 platform: {addr: "%s", form: "kv", writesPerS: 400, readsPerS: 2000, retentionS: 20, maxValueBytes: 1048576, minTtlMs: 1000}
 cloud: {addr: "%s", ratePerS: 64.0, duties: [], dutyPerS: 64.0}
-`, e.name, e.ip, zone, e.ip, w.ports.front, e.ip, w.ports.ready, e.ip, w.ports.control, w.ports.first, w.ports.first+15, contracts, applyMs, w.storeAt, w.cloudAt)
+`, e.name, e.ip, zone, e.ip, w.ports.front, e.ip, w.ports.ready, e.ip, w.ports.control, w.ports.first, w.ports.first+15, cmp.Or(w.options.cpuShare, "0.4"), contracts, applyMs, w.storeAt, w.cloudAt)
 }
 
 func (w *world) start(e *entry) error {
@@ -370,6 +410,22 @@
 	}
 }
 
+// freeze makes an entry host's process stand still for a while.
+func (w *world) freeze(e *entry, length time.Duration) error {
+	e.mu.Lock()
+	process := e.command.Process
+	e.mu.Unlock()
+	if err := process.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	w.watch.disturb("the process of %s stands still for %v", e.name, length)
+	time.AfterFunc(length, func() {
+		_ = process.Signal(syscall.SIGCONT)
+		w.watch.disturb("the process of %s goes on", e.name)
+	})
+	return nil
+}
+
 func (w *world) close(keepLogs bool) {
 	for _, e := range w.entries {
 		e.mu.Lock()
