--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -235,7 +235,7 @@
 		tasks   = 4000
 		label   = "b"
 		others  = 5
-		handIn  = 56 * time.Second
+		handIn  = 70 * time.Second
 		finish  = 14 * time.Second
 		waiting = 3 * time.Second
 	)
