A host's next incarnation refuses orders that were meant for an earlier one

An entry host that makes calls for the pool's holder is stopped for 4 s with starts to send. The holder gives them up, has the runs stopped by another way and starts the tasks elsewhere. A host restarts under its ID, the stopped entry host goes on, and the host executes the old start.

Cause: a start was taken for settled by a stop that the earlier incarnation had acknowledged, or by the 2.7 s for which attempts last. The next incarnation has seen no token, no stop, and another clock; nothing that the holder says to it was newer than the old order.

Change: a takeover reserves 2^20 fencing tokens. Each restart under an ID takes the next one, so that one heartbeat to the new incarnation shuts out every order to an earlier one: starts that were given up, of copies, gangs and long-running tasks, stops, throttles and renewals. The stored head has the last reserved token, so that builds before this one take over above it. An order's refusal by the holder's own higher token is no takeover. A run with an attempt that has no answer is settled with the next incarnation whatever its age, and so is every run while that one has not listed its runs.

The model of one task now holds orders up for up to 8 s and delivers them to the next incarnation, which it used to leave out as the code believed that they end; TestModelDetectsAFencingTokenThatIncarnationsShare shows that it finds the missing token. Three tests of takeovers asked for a token one higher and now ask for the reserved ones.

--- a/internal/cluster/adoptagain_test.go
+++ b/internal/cluster/adoptagain_test.go
@@ -23,11 +23,11 @@
 		},
 	})
 	c.claim(ctx, "pool", claimBasis{})
-	must.Eq(t, []int64{1}, fences)
+	must.Eq(t, []int64{poolstore.FencesPerTakeover}, fences)
 	c.PoolReleased("pool")
 	// The claim is still in the store.
 	c.applyList(s.Snapshot(poolstore.EphemeralPrefix))
 	must.True(t, c.orphaned("pool"))
 	c.adopt(ctx, "pool")
-	must.Eq(t, []int64{1}, fences)
+	must.Eq(t, []int64{poolstore.FencesPerTakeover}, fences)
 }
--- a/internal/cluster/betweenstopped_test.go
+++ b/internal/cluster/betweenstopped_test.go
@@ -32,7 +32,8 @@
 	}
 	c.applyList(s.Snapshot(poolstore.EphemeralPrefix))
 	c.claim(ctx, "pool", claimBasis{})
-	must.EqOp(t, int64(3), takeover.Head.Fence)
+	must.EqOp(t, 2+poolstore.FencesPerTakeover, takeover.Head.Fence)
+	must.EqOp(t, 3, takeover.Head.FirstFence())
 	must.EqOp(t, 0, takeover.Head.LeaseMs)
 	must.False(t, takeover.PreviousStopped)
 }
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"github.com/shoenig/test/must"
 
+	"auburnglade.example/glade/internal/poolstore"
 	"auburnglade.example/glade/internal/store"
 	"auburnglade.example/glade/internal/store/memstore"
 )
@@ -84,7 +85,7 @@
 			StartPool: func(g Takeover) HeldPool { fences <- g.Head.Fence; return noopPool{} },
 		})
 		go func() { _ = m.Run(ctx) }()
-		must.EqOp(t, 1, <-fences)
+		must.EqOp(t, poolstore.FencesPerTakeover, <-fences)
 		time.Sleep(time.Second)
 		m.PoolReleased("a")
 		time.Sleep(3 * time.Second)
--- a/internal/cluster/elect.go
+++ b/internal/cluster/elect.go
@@ -155,7 +155,7 @@
 // candidates failed for this reason, and each waited for the next one, two seconds
 // in all.
 func (c *Cluster) claimWithHead(ctx context.Context, pool string, basis claimBasis, before poolstore.Head, revision store.Revision) {
-	head := poolstore.Head{Fence: before.Fence + 1, Holder: c.Self.HolderID(), HostsInUse: before.HostsInUse, Unresponsive: before.Unresponsive, LeaseMs: before.LeaseMs}
+	head := before.Succeed(c.Self.HolderID())
 	claim := encode(Claim{c.Self, head.Fence})
 	requestedAt := time.Now()
 	taken, err := c.Store.Commit(ctx, store.Txn{
--- a/internal/poolmanager/calls.go
+++ b/internal/poolmanager/calls.go
@@ -132,8 +132,9 @@
 
 // do makes a call, repeats it while it has no response and is still wanted, and
 // returns the certain outcome. A refused attempt does not determine the outcome
-// of an earlier one that is still in flight: the outcome is Unknown then.
-func (h *hedger) do(counter prometheus.Counter, wanted func() bool, call func() worker.Outcome) worker.Outcome {
+// of an earlier one that is still in flight: the outcome is Unknown then. settled is
+// set if every attempt has had a response, so that none may be executed later.
+func (h *hedger) do(counter prometheus.Counter, wanted func() bool, call func() worker.Outcome) (outcome worker.Outcome, settled bool) {
 	outcomes := make(chan worker.Outcome, worker.MaxOrderAttempts)
 	attempt := func() {
 		sent := time.Now()
@@ -147,12 +148,14 @@
 	timer := time.NewTimer(h.hedgeDelay())
 	defer timer.Stop()
 	inFlight, sent := 1, 1
+	answered := true
 	for inFlight > 0 {
 		select {
 		case outcome := <-outcomes:
 			inFlight--
+			answered = answered && outcome != worker.Unknown
 			if conclusive(outcome) || sent == 1 {
-				return outcome
+				return outcome, answered && inFlight == 0
 			}
 		case <-timer.C:
 			if sent == worker.MaxOrderAttempts || h.hedgesInFlight.Load() >= maxHedges || !wanted() {
@@ -169,24 +172,29 @@
 			timer.Reset(h.hedgeDelay())
 		}
 	}
-	return worker.Unknown
+	return worker.Unknown, answered
 }
 
 func (m *Manager) startRun(order sched.Order) {
 	sent := time.Now()
 	wanted := func() bool { return m.startPending(order) && m.Starts.TrySpend(order.Bytes(), time.Now()) }
-	outcome := m.hedger.do(m.Metrics.hedges, wanted, func() worker.Outcome {
+	outcome, settled := m.hedger.do(m.Metrics.hedges, wanted, func() worker.Outcome {
 		return m.Workers.Start(m.ctx, order.To, worker.Start{
 			Task: order.Task, Run: order.Run, Payload: order.Payload, DeadlineMs: order.DeadlineMs,
-			Fence: m.takeover.Head.Fence, Checkpoint: order.Checkpoint, Ticket: order.Ticket,
+			Fence: order.To.Fence, Checkpoint: order.Checkpoint, Ticket: order.Ticket,
 		})
 	})
 	m.Metrics.recordCall("start", outcome, time.Since(sent))
 	if outcome != worker.Accepted {
-		m.Log.Info().Str("task", order.Task.String()).Int("run", order.Run).Str("host", order.To.ID).
-			Stringer("outcome", outcome).Msg("A start was not accepted.")
+		m.Log.Info().Str("task", order.Task.String()).Int("run", order.Run).Str("host", order.To.ID).Int64("born", order.To.Born).
+			Int64("fence", order.To.Fence).Stringer("outcome", outcome).Bool("settled", settled).Msg("A start was not accepted.")
 	}
-	m.enqueuePart(m.ctx, partOrders, func() { m.pool.StartOutcome(order.To, order.Task, order.Run, outcome, time.Now(), m.WallClock()) })
+	m.enqueuePart(m.ctx, partOrders, func() {
+		if !settled {
+			m.pool.StartUnsettled(order.To, order.Task, order.Run)
+		}
+		m.pool.StartOutcome(order.To, order.Task, order.Run, outcome, time.Now(), m.WallClock())
+	})
 }
 
 // startPending reports whether a start without a response may be sent again.
@@ -201,8 +209,8 @@
 func (m *Manager) stopRun(order sched.Order) {
 	sent := time.Now()
 	always := func() bool { return true }
-	outcome := m.hedger.do(m.Metrics.hedges, always, func() worker.Outcome {
-		return m.Workers.Stop(m.ctx, order.To, worker.Stop{Task: order.Task, Run: order.Run, Fence: m.takeover.Head.Fence})
+	outcome, _ := m.hedger.do(m.Metrics.hedges, always, func() worker.Outcome {
+		return m.Workers.Stop(m.ctx, order.To, worker.Stop{Task: order.Task, Run: order.Run, Fence: order.To.Fence})
 	})
 	m.Metrics.recordCall("stop", outcome, time.Since(sent))
 	m.enqueuePart(m.ctx, partOrders, func() { m.pool.StopOutcome(order.To, order.Task, order.Run, outcome, time.Now(), m.WallClock()) })
--- a/internal/poolmanager/dispatch.go
+++ b/internal/poolmanager/dispatch.go
@@ -32,10 +32,10 @@
 func (m *Manager) throttle(order sched.Order) {
 	sent := time.Now()
 	outcome := m.Workers.Throttle(m.ctx, order.To, worker.Throttle{
-		Task: order.Task, Run: order.Run, Percent: order.Percent, Fence: m.takeover.Head.Fence,
+		Task: order.Task, Run: order.Run, Percent: order.Percent, Fence: order.To.Fence,
 	})
 	m.Metrics.recordCall("pace", outcome, time.Since(sent))
-	m.enqueuePart(m.ctx, partOrders, func() { m.pool.ThrottleOutcome(order.To.ID, order, outcome) })
+	m.enqueuePart(m.ctx, partOrders, func() { m.pool.ThrottleOutcome(order, outcome) })
 }
 
 func (m *Manager) requestAdvice(request sched.AdviceRequest) {
--- a/internal/poolmanager/harness_test.go
+++ b/internal/poolmanager/harness_test.go
@@ -94,9 +94,9 @@
 	e.t.Helper()
 	previous, revision, err := poolstore.ReadHead(e.ctx, e.store, pool)
 	must.NoError(e.t, err)
-	e.fence = previous.Fence + 1
+	e.fence = previous.Fence + poolstore.FencesPerTakeover
 	holder := fmt.Sprintf("entry-%d", e.fence)
-	head := poolstore.Head{Fence: e.fence, Holder: holder, HostsInUse: previous.HostsInUse, Unresponsive: previous.Unresponsive, LeaseMs: previous.LeaseMs}
+	head := previous.Succeed(holder)
 	requestedAt := time.Now()
 	takenAt, err := e.store.Commit(e.ctx, store.Txn{
 		Conditions: []store.Condition{{Key: poolstore.HeadKey(pool), Expect: revision}},
--- a/internal/poolmanager/lastattempt_test.go
+++ b/internal/poolmanager/lastattempt_test.go
@@ -28,7 +28,9 @@
 			return worker.Unknown
 		}
 		wanted := func() bool { return true }
-		must.EqOp(t, worker.Unknown, h.do(prometheus.NewCounter(prometheus.CounterOpts{}), wanted, unanswered))
+		outcome, settled := h.do(prometheus.NewCounter(prometheus.CounterOpts{}), wanted, unanswered)
+		must.EqOp(t, worker.Unknown, outcome)
+		must.False(t, settled)
 		must.LessEq(t, worker.AttemptsOutlast, time.Duration(lastEnded.Load()), must.Sprintf("the last attempt began after %v", time.Duration(lastBegan.Load())))
 	})
 }
--- a/internal/poolmanager/losses.go
+++ b/internal/poolmanager/losses.go
@@ -21,7 +21,7 @@
 		for _, r := range loss.Runs {
 			m.Metrics.verdicts.WithLabelValues(string(r.Verdict)).Inc()
 		}
-		m.Log.Warn().Str("host", loss.Host).Int64("born", loss.Born).Int64("restarted", loss.Restarted).Int("unsettled", loss.Unsettled).Str("evidence", string(loss.Evidence)).Bool("listed", loss.Listed).
+		m.Log.Warn().Str("host", loss.Host).Int64("born", loss.Born).Int64("restarted", loss.Restarted).Int64("fence", loss.Fence).Int("unsettled", loss.Unsettled).Str("evidence", string(loss.Evidence)).Bool("listed", loss.Listed).
 			Dur("unheard_ms", loss.Unresponsive).Dur("since_order_ms", loss.SinceOrder).Dur("lease_left_ms", loss.LeaseLeft).Bool("refused", loss.Refused).Dur("refused_after_ms", loss.RefusedAfter).
 			Int("lost_together", loss.LostTogether).Int("unexplained", loss.Unexplained).Int("count", len(loss.Runs)).Array("runs", lostRuns(loss.Runs)).
 			Msg(lossMessage(loss))
--- a/internal/poolmanager/manager.go
+++ b/internal/poolmanager/manager.go
@@ -193,7 +193,8 @@
 	if config.WallClock == nil {
 		config.WallClock = time.Now
 	}
-	config.Sched.Fence, config.Sched.TakenOverAt = takeover.Head.Fence, time.Now()
+	config.Sched.Fence, config.Sched.LastFence = takeover.Head.FirstFence(), takeover.Head.Fence
+	config.Sched.TakenOverAt = time.Now()
 	config.Sched.PriorLeaseTTL = takeover.priorLeaseTTL(config.Sched.LeaseTTL)
 	return &Manager{
 		Config: config, takeover: takeover, messages: make(chan message, messageQueueSize), workTimes: newWorkTimes(config.Metrics), stopped: make(chan struct{}),
--- a/internal/poolstore/poolstore.go
+++ b/internal/poolstore/poolstore.go
@@ -86,9 +86,15 @@
 	return rest[strings.LastIndexByte(rest, '/')+1:], ok
 }
 
+// FencesPerTakeover is how many fencing tokens a takeover reserves. Its holder uses another
+// one for each host that restarts, which are thousands a day in the largest fleet; one that
+// has used them all takes the pool over anew.
+const FencesPerTakeover = 1 << 20
+
 // Head is the record that serializes a pool's commits.
 type Head struct {
-	// Fence is the fencing token; every takeover increases it.
+	// Fence is the last of the fencing tokens that are reserved for the holder; every
+	// takeover increases it by FencesPerTakeover.
 	Fence int64 `json:"f"`
 	// Holder identifies the process that holds the pool and its start.
 	Holder string `json:"h"`
@@ -120,6 +126,14 @@
 	return data
 }
 
+// FirstFence returns the first of the fencing tokens that are reserved for the holder.
+func (h Head) FirstFence() int64 { return h.Fence - FencesPerTakeover + 1 }
+
+// Succeed returns the head with which another holder takes the pool over.
+func (h Head) Succeed(holder string) Head {
+	return Head{Fence: h.Fence + FencesPerTakeover, Holder: holder, HostsInUse: h.HostsInUse, Unresponsive: h.Unresponsive, LeaseMs: h.LeaseMs}
+}
+
 // DecodeHead decodes a stored head or returns *work.CorruptError. The head of an
 // absent entry is the zero Head.
 func DecodeHead(entry store.Entry) (Head, error) {
--- a/internal/sched/crash_model_test.go
+++ b/internal/sched/crash_model_test.go
@@ -136,9 +136,12 @@
 // its run may end there, as leases do.
 const restartLeaseTTL = 4500 * time.Millisecond
 
-func newRestartModel(seed uint64) *model {
-	m := newModel(seed, noMutation)
+func newRestartModel(seed uint64, mutation mutation) *model {
+	m := newModel(seed, mutation)
 	m.hostsCrash, m.keepsID, m.leaseTTL = true, true, restartLeaseTTL
+	for _, host := range m.hosts {
+		host.born = 1
+	}
 	m.holders = nil
 	m.takeOver()
 	return m
@@ -150,7 +153,7 @@
 func TestModelOfATaskOnHostsThatRestartUnderTheirID(t *testing.T) {
 	done := 0
 	for seed := range uint64(restartModelSeeds) {
-		m := newRestartModel(seed)
+		m := newRestartModel(seed, noMutation)
 		violation, succeeded := m.run()
 		must.EqOp(t, "", violation, must.Sprintf("seed %d", seed))
 		if succeeded {
@@ -160,6 +163,18 @@
 	must.Greater(t, restartModelSeeds/50, done, must.Sprint("the task must succeed for a fiftieth of the seeds"))
 }
 
+// The model detects an order for an earlier incarnation that the present one executes.
+func TestModelDetectsAFencingTokenThatIncarnationsShare(t *testing.T) {
+	violated := false
+	for seed := uint64(0); seed < mutantSeeds && !violated; seed++ {
+		violation, _ := newRestartModel(seed, reusedByNextIncarnation).run()
+		if violated = violation != ""; violated {
+			t.Logf("seed %d: %s", seed, violation)
+		}
+	}
+	must.True(t, violated)
+}
+
 func newCrashModel(seed uint64, step work.Step, answered bool) *model {
 	m := newModel(seed, noMutation)
 	m.crashesHosts, m.crashesLater, m.maxHolders = true, answered, crashModelHolders
--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -40,6 +40,9 @@
 type life struct {
 	// incarnation is when it started, as in worker.Host.Born, zero if unknown.
 	incarnation int64
+	// fence is the fencing token for it, higher than in every order that was meant for an
+	// earlier one.
+	fence int64
 	// reached is set once the host has answered a heartbeat with this holder's
 	// fencing token.
 	reached bool
@@ -84,13 +87,16 @@
 }
 
 // newHost returns a host that was first seen now.
-func newHost(entry worker.Host, now time.Time) *host {
-	return &host{Host: entry, addedAt: now, runs: make(map[work.TaskName]*run), life: life{health: newHealth(), firstSeen: now}}
+func (p *Pool) newHost(entry worker.Host, now time.Time) *host {
+	return &host{
+		Host: entry, addedAt: now, runs: make(map[work.TaskName]*run),
+		life: life{health: newHealth(), firstSeen: now, fence: p.fence},
+	}
 }
 
 // target returns the address for orders to the host's present incarnation.
 func (h *host) target() worker.Target {
-	return worker.Target{ID: h.ID, Address: h.Address, Born: h.incarnation}
+	return worker.Target{ID: h.ID, Address: h.Address, Born: h.incarnation, Fence: h.fence}
 }
 
 // unstoredEnd is an end that may not be stored yet.
--- a/internal/sched/losses.go
+++ b/internal/sched/losses.go
@@ -30,6 +30,8 @@
 	// that one.
 	Born, Restarted int64
 	Unsettled       int
+	// Fence is the fencing token for the next incarnation, zero if none is known.
+	Fence int64
 	// Listed is set when the platform still listed the host.
 	Listed bool
 	// Unresponsive is for how long the host had not responded.
--- a/internal/sched/model_test.go
+++ b/internal/sched/model_test.go
@@ -35,8 +35,14 @@
 	// noLeaseWait: a new holder doesn't wait until the leases on hosts that don't
 	// respond have expired.
 	noLeaseWait
+	// reusedByNextIncarnation: a host's next incarnation gets the fencing token of the one
+	// before.
+	reusedByNextIncarnation
 )
 
+// modelFences is how many fencing tokens a holder may use.
+const modelFences = 1 << 10
+
 const (
 	modelHosts    = 2
 	modelLeaseTTL = 1500 * time.Millisecond
@@ -44,6 +50,8 @@
 	// modelMaxLease is the longest lease that a host grants.
 	modelMaxLease = 10 * time.Second
 	modelRunTime  = 900 * time.Millisecond
+	// modelLongestPause is how long a process may be suspended with an order to send.
+	modelLongestPause = 8 * time.Second
 )
 
 // modelHost is a host that follows the platform's protocol. The last element of
@@ -51,10 +59,13 @@
 type modelHost struct {
 	incarnations []string
 	// born numbers the incarnations under one ID; clockZero is when its clock started.
-	born        int64
-	clockZero   time.Duration
-	downUntil   time.Duration
-	fence       int64
+	born      int64
+	clockZero time.Duration
+	downUntil time.Duration
+	fence     int64
+	// called is set once the present incarnation has answered a heartbeat that was meant
+	// for it.
+	called      bool
 	leaseExpiry time.Duration
 	run         int
 	startedAt   time.Duration
@@ -76,7 +87,9 @@
 	order       Order
 	heartbeat   *worker.Heartbeat
 	sent        time.Duration
-	fence       int64
+	// heldUntil is when the process that is to send it resumes, zero if it goes on.
+	heldUntil time.Duration
+	fence     int64
 	// resolved is set once the holder has received an outcome or has timed out. The
 	// copies of an order share it.
 	resolved *bool
@@ -156,7 +169,7 @@
 
 // takeOver adds a new holder. The previous one is not notified.
 func (m *model) takeOver() {
-	fence, priorLeaseTTL := int64(len(m.holders)+1), LeaseUpperBound(m.leaseTTL)
+	fence, priorLeaseTTL := int64(len(m.holders)*modelFences+1), LeaseUpperBound(m.leaseTTL)
 	switch m.mutation {
 	case reusedFence:
 		fence = 1
@@ -283,13 +296,19 @@
 
 // send puts an order in flight, with a probability of one in five twice.
 func (m *model) send(o *modelOrder) {
-	o.sent, o.fence, o.resolved = m.now, o.from.fence, new(bool)
+	o.sent, o.fence, o.resolved = m.now, o.to.Fence, new(bool)
+	if m.mutation == reusedByNextIncarnation {
+		o.fence = o.from.fence
+	}
 	m.orders = append(m.orders, o)
 	if m.random.IntN(5) == 0 {
 		o.repeated = true
 		duplicate := *o
 		m.orders = append(m.orders, &duplicate)
 	}
+	if m.keepsID && o.heartbeat == nil && m.random.IntN(8) == 0 {
+		o.heldUntil = m.now + time.Duration(m.random.Int64N(int64(modelLongestPause)))
+	}
 }
 
 // deliver delivers a random order or lets it time out at its holder first. The reply
@@ -309,7 +328,7 @@
 		return
 	}
 	chance := m.random.IntN(12)
-	if chance <= 2 {
+	if chance <= 2 || m.now < o.heldUntil {
 		// The holder times out, but the order stays in flight and may arrive later.
 		m.reply(o, worker.Unknown, worker.HeartbeatReply{})
 		return
@@ -342,8 +361,9 @@
 		return worker.NotSent, worker.HeartbeatReply{}
 	case o.incarnation != host.id():
 		return worker.Gone, worker.HeartbeatReply{}
-	case o.sent < host.clockZero && m.now-o.sent >= worker.OrderTimeout:
-		// The last attempt to send it ended with the incarnation before.
+	case o.sent < host.clockZero && m.now-o.sent >= worker.OrderTimeout && !host.called:
+		// Processes that were suspended don't send orders that old, as far as they notice;
+		// one that does is refused once the incarnation has been called.
 		return worker.Unknown, worker.HeartbeatReply{}
 	}
 	stale := o.fence < host.fence
@@ -351,6 +371,7 @@
 		return worker.Fenced, worker.HeartbeatReply{}
 	}
 	host.fence = max(host.fence, o.fence)
+	host.called = host.called || o.heartbeat != nil && o.to.Born == host.born
 	switch {
 	case o.heartbeat != nil:
 		host.extendLease(m.now, o.heartbeat.DeadlineMs)
@@ -427,6 +448,9 @@
 	case o.heartbeat != nil:
 		pool.HeartbeatFailed(o.to, outcome, now, now)
 	case o.order.Verb == Start:
+		if o.repeated {
+			pool.StartUnsettled(o.to, o.order.Task, o.order.Run)
+		}
 		pool.StartOutcome(o.to, o.order.Task, o.order.Run, outcome, now, now)
 	case o.order.Verb == Stop:
 		pool.StopOutcome(o.to, o.order.Task, o.order.Run, outcome, now, now)
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -22,8 +22,9 @@
 
 // Config holds the parameters of a pool's decisions.
 type Config struct {
-	// Fence is the fencing token that all orders carry.
-	Fence int64
+	// Fence is the first fencing token that orders carry, LastFence the last one that is
+	// reserved for this holder, zero for no bound.
+	Fence, LastFence int64
 	// TakenOverAt is when the store had taken the claim with that token, zero for when
 	// the pool was created.
 	TakenOverAt time.Time
@@ -107,7 +108,10 @@
 	inherited map[string]work.Resources
 	// shares holds the shares of organisations.
 	shares *fairshare.Book
-	// fenced is set once a host has refused this holder's fencing token.
+	// fence is the highest fencing token used, see raiseFence.
+	fence int64
+	// fenced is set once a host has refused this holder's fencing token, or there is none
+	// left.
 	fenced bool
 	// confirmedAt is when the store last showed that this process holds the pool, zero
 	// where nobody else can take it over. awaitedAt is the last moment after which it has
@@ -132,6 +136,7 @@
 	p := &Pool{
 		Config:         config,
 		started:        now,
+		fence:          config.Fence,
 		maxStartBytes:  math.MaxInt,
 		jobs:           make(map[string]*job),
 		hosts:          make(map[string]*host),
@@ -205,7 +210,7 @@
 		listed[entry.ID] = true
 		h := p.hosts[entry.ID]
 		if h == nil {
-			h = newHost(entry, now)
+			h = p.newHost(entry, now)
 			p.hosts[entry.ID] = h
 			p.hostsChanged = true
 		}
@@ -233,7 +238,7 @@
 	if h == nil {
 		return worker.Heartbeat{}, false
 	}
-	heartbeat = worker.Heartbeat{Fence: p.Fence, AckedEnd: h.storedEnd, Wait: wait, ExtraTimeout: p.lagAllowance}
+	heartbeat = worker.Heartbeat{Fence: h.fence, AckedEnd: h.storedEnd, Wait: wait, ExtraTimeout: p.lagAllowance}
 	if h.callFailed {
 		// The host may have restarted under its ID, and its next incarnation would
 		// forget ends that nobody has seen.
@@ -346,7 +351,7 @@
 	}
 	if !h.listed && unresponsive && len(h.runs) == 0 && now.Sub(h.unlistedSince) > removalDelay {
 		if _, pending := p.unreached[id]; !pending && p.presumed[id] == nil {
-			delete(p.hosts, id)
+			p.dropHost(id)
 		}
 	}
 }
@@ -392,5 +397,11 @@
 	}
 	p.provePresumed(h, now, wall)
 	p.loseRuns(h, evidence, now, wall)
+	p.dropHost(id)
+}
+
+// dropHost forgets a host. Another incarnation may come back under its ID.
+func (p *Pool) dropHost(id string) {
 	delete(p.hosts, id)
+	p.raiseFence()
 }
--- a/internal/sched/presumed.go
+++ b/internal/sched/presumed.go
@@ -66,7 +66,7 @@
 	}
 	end.crashes = append(end.crashes, presumedCrash{t, c.Born})
 	if p.hosts[c.Host] == nil {
-		h := newHost(worker.Host{ID: c.Host, Address: c.Address}, now)
+		h := p.newHost(worker.Host{ID: c.Host, Address: c.Address}, now)
 		h.unlistedSince = now
 		p.hosts[c.Host] = h
 		p.hostsChanged = true
--- a/internal/sched/presumed_test.go
+++ b/internal/sched/presumed_test.go
@@ -67,7 +67,7 @@
 	s.takeOver()
 	must.Eq(t, []Proof{Presumed}, s.proofs())
 	s.pass(removalDelay+time.Second, nil)
-	must.SliceContains(t, s.p.HeartbeatTargets(), worker.Target{ID: crashed, Address: crashed})
+	must.SliceContains(t, s.p.HeartbeatTargets(), worker.Target{ID: crashed, Address: crashed, Fence: s.p.hosts[crashed].fence})
 	s.p.HeartbeatFailed(worker.Target{ID: crashed}, worker.Gone, s.now, s.now)
 	must.Eq(t, []Proof{Proven}, s.proofs())
 	must.MapNotContainsKey(t, s.p.hosts, crashed)
--- a/internal/sched/restart.go
+++ b/internal/sched/restart.go
@@ -11,6 +11,12 @@
 // numbers its ends from 1, has another clock and refuses no run that the one before had
 // ended or was told to stop. All that was known of the one before ends with it; only a
 // start that it may never have received is still open, since that one may yet arrive.
+//
+// An order for an earlier incarnation may arrive however late: a process that was to send
+// it may have been suspended. The next incarnation has seen no fencing token and would
+// execute it, a start that was given up long ago too, beside the task's present run. So it
+// gets a higher token than all before it, and once it has answered an order with that one
+// it refuses every such order.
 
 // sameIncarnation reports whether two starts of a host may be of one incarnation. Zero
 // is unknown.
@@ -40,7 +46,7 @@
 	case !sent.After(h.repliedAt):
 		return false
 	default:
-		p.hostRestarted(h, born, now, wall)
+		p.hostRestarted(h, born, !reply.RunningOmitted, now, wall)
 	}
 	return true
 }
@@ -59,13 +65,15 @@
 }
 
 // hostRestarted begins a host's next incarnation: the runs of the one before are lost.
-func (p *Pool) hostRestarted(h *host, born int64, now, wall time.Time) {
+// listed is set if its reply lists what runs there.
+func (p *Pool) hostRestarted(h *host, born int64, listed bool, now, wall time.Time) {
+	p.raiseFence()
 	loss := p.attributeRuns(h, InstanceReplaced, now, wall)
-	loss.Restarted = born
+	loss.Restarted, loss.Fence = born, p.fence
 	lastOrderAt := h.leaseSentAt
 	var unsettled []*run
 	for _, r := range h.runs {
-		if r.mayStartLate(now) {
+		if r.mayStartLate(listed) {
 			unsettled = append(unsettled, r)
 			if r.orderedAt.After(lastOrderAt) {
 				lastOrderAt = r.orderedAt
@@ -77,7 +85,7 @@
 	}
 	loss.Unsettled = len(unsettled)
 	p.losses = append(p.losses, loss)
-	next := life{incarnation: born, health: newHealth(), firstSeen: now}
+	next := life{incarnation: born, fence: p.fence, health: newHealth(), firstSeen: now}
 	if now.Sub(lastOrderAt) < worker.AttemptsOutlast {
 		next.strayLeaseUntil = now.Add(LeaseUpperBound(p.MaxLeaseTTL))
 	}
@@ -90,10 +98,34 @@
 	p.dropTickets(h.ID)
 }
 
-// mayStartLate reports whether a run's start may yet reach the host, whose present
-// incarnation would not refuse it.
-func (r *run) mayStartLate(now time.Time) bool {
-	return !r.adopted && (r.startedAt.IsZero() || now.Sub(r.orderedAt) < worker.AttemptsOutlast)
+// raiseFence reserves the next fencing token. Without one left, the pool has to be taken
+// over anew.
+func (p *Pool) raiseFence() {
+	if p.LastFence != 0 && p.fence >= p.LastFence {
+		p.fenced = true
+		return
+	}
+	p.fence++
+}
+
+// mayStartLate reports whether the host's present incarnation may execute a run that was
+// started on an earlier one: an attempt to start it has no answer, or the present one has
+// not listed its runs yet. Attempts of an earlier holder are refused since the present
+// incarnation has answered this one; what it had executed before would be listed.
+func (r *run) mayStartLate(listed bool) bool {
+	return !listed || !r.adopted && (r.startedAt.IsZero() || r.attemptOpen)
+}
+
+// StartUnsettled records that an attempt to start a run has no answer, whatever came of
+// the others: it may be executed at any time.
+func (p *Pool) StartUnsettled(to worker.Target, name work.TaskName, number int) {
+	h := p.hosts[to.ID]
+	if h == nil {
+		return
+	}
+	if r := h.runs[name]; r != nil && r.number == number {
+		r.attemptOpen = true
+	}
 }
 
 // settleStart stops a run on the host's present incarnation, so that a late start is
@@ -108,16 +140,22 @@
 // have it. It is nil also for an earlier incarnation: what came of that order is settled
 // with the present one.
 func (p *Pool) addressee(to worker.Target, outcome worker.Outcome) *host {
-	if outcome == worker.Fenced {
+	h := p.hosts[to.ID]
+	if outcome == worker.Fenced && !p.fencedByItself(h, to) {
 		p.fenced = true
 	}
-	h := p.hosts[to.ID]
 	if h == nil || !sameIncarnation(to.Born, h.life.incarnation) {
 		return nil
 	}
 	return h
 }
 
+// fencedByItself reports whether a host that refuses an order's fencing token may have
+// seen a higher one of this holder.
+func (p *Pool) fencedByItself(h *host, to worker.Target) bool {
+	return to.Fence != 0 && to.Fence < p.fence && (h == nil || to.Fence < h.fence)
+}
+
 // dropTickets drops the tickets for a host, which are valid for one incarnation.
 func (p *Pool) dropTickets(host string) {
 	for _, j := range p.active {
--- a/internal/sched/task.go
+++ b/internal/sched/task.go
@@ -173,6 +173,8 @@
 	speedOrderedAt time.Time
 	// unansweredAt is when its start ended without an answer, zero if it did not.
 	unansweredAt time.Time
+	// attemptOpen is set while one of the attempts to start it has no answer.
+	attemptOpen bool
 	// stopSentAt is when the last stop was ordered, stopAnsweredAt when one was
 	// answered.
 	stopSentAt, stopAnsweredAt time.Time
--- a/internal/sched/throttle.go
+++ b/internal/sched/throttle.go
@@ -62,11 +62,8 @@
 }
 
 // ThrottleOutcome applies the outcome of a Throttle order.
-func (p *Pool) ThrottleOutcome(id string, order Order, outcome worker.Outcome) {
-	if outcome == worker.Fenced {
-		p.fenced = true
-	}
-	h := p.hosts[id]
+func (p *Pool) ThrottleOutcome(order Order, outcome worker.Outcome) {
+	h := p.addressee(order.To, outcome)
 	if h == nil || outcome == worker.Accepted {
 		return
 	}
--- a/internal/sched/throttle_test.go
+++ b/internal/sched/throttle_test.go
@@ -50,7 +50,7 @@
 	s.heartbeat(worker.Report{Task: s.serving, Run: 1, Percent: 100, Load: responseMs}, worker.Report{Task: s.bestEffort, Run: 1, Percent: 100})
 	for _, order := range s.pool.Plan(s.now, s.now).Orders {
 		if order.Verb == Throttle {
-			s.pool.ThrottleOutcome("w", order, worker.Accepted)
+			s.pool.ThrottleOutcome(order, worker.Accepted)
 			return order.Percent
 		}
 	}
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -37,6 +37,8 @@
 	Address string
 	// Born is the incarnation that the sender means, as in Host; it is not sent.
 	Born int64
+	// Fence is the fencing token for orders to that incarnation, zero if unknown.
+	Fence int64
 }
 
 // Start starts one run of a task.
@@ -98,7 +100,8 @@
 	Unknown Outcome = iota
 	// Accepted: the order was executed.
 	Accepted
-	// Fenced: the host has received an order with a higher fencing token.
+	// Fenced: the host has received an order with a higher fencing token, of a later
+	// holder or of the same one for a later incarnation of the host.
 	Fenced
 	// StaleRun: a run of the task with this number or a higher one has ended there.
 	StaleRun
