A carrier makes no call that is older than its caller waits for

Cause: a call's time began when the carrier read it, so that one that had stood still for 4 s sent a start 4 s old with 0.9 s left.

Change: each call says by when it must have been sent, by the clock of the carrier's process, which counts suspensions. The holder learns that clock from the first reply of each exchange, from the reply that took least in the last 2 s. A call that is dated by another clock, or by none that is known yet, is refused as expired with the clock, and sent once more. Calls that holders of earlier versions don't date are made as before. A holder makes no attempt to start a run that it ordered over 2.7 s ago. Not the holder's time of day in the call: these differ by more than a call may take. It narrows the moment and proves nothing; the proof is the fencing token.

New: a carrier whose clock is known and that stands still, one that restarts at its address, undated calls, the estimate.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -43,7 +43,10 @@
 	ID     uint64
 	Target worker.Target
 	// Timeout bounds the carrier's call to the host.
-	Timeout   time.Duration
+	Timeout time.Duration
+	// SendBy is when the carrier must have sent it, by its clock. Later its caller has given
+	// it up, and the host may have restarted under its ID and would execute it.
+	SendBy    Moment
 	Start     *worker.Start
 	Stop      *worker.Stop
 	Throttle  *worker.Throttle
@@ -73,6 +76,9 @@
 	ID        uint64
 	Outcome   worker.Outcome
 	Heartbeat worker.HeartbeatReply
+	// Now is the carrier's clock when it sent the reply. Only the first reply of an exchange
+	// has it.
+	Now Moment
 }
 
 // Peers is the client for carriers.
--- a/internal/carrier/harness_test.go
+++ b/internal/carrier/harness_test.go
@@ -26,8 +26,11 @@
 	// connections, unresponsive ones leave exchanges unanswered.
 	servers      map[string]*carrier.Server
 	unresponsive map[string]bool
-	candidates   []carrier.Candidate
-	exchanges    int
+	// stopped holds the carriers that stand still, with when they go on: they carry out
+	// then what has reached them.
+	stopped    map[string]time.Time
+	candidates []carrier.Candidate
+	exchanges  int
 	// called counts the calls made to hosts, by the caller's name.
 	called map[string]int
 	fences []int64
@@ -40,7 +43,7 @@
 func runTest(t *testing.T, test func(p *testPool)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		p := &testPool{ctx: ctx, servers: make(map[string]*carrier.Server), unresponsive: make(map[string]bool), called: make(map[string]int)}
+		p := &testPool{ctx: ctx, servers: make(map[string]*carrier.Server), unresponsive: make(map[string]bool), stopped: make(map[string]time.Time), called: make(map[string]int)}
 		p.router = carrier.NewRouter(carrier.Config{
 			Pool: "p", Session: "s", CPUShare: 0.4, HostsPerCore: hostsPerCore, Direct: caller{p, "holder"}, Hosts: p, Peers: p, BatchDelay: carrier.BatchDelay(0),
 			Candidates: p.liveCandidates, Log: zerolog.Nop(), Metrics: carrier.NewMetrics(nil),
@@ -61,6 +64,13 @@
 	p.candidates = append(p.candidates, candidate(name, "a", 0.8, 0))
 }
 
+// restart replaces a carrier's process by another one at its address.
+func (p *testPool) restart(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.servers[name] = carrier.NewServer(caller{p, name}, carrier.BatchDelay(0), carrier.NewMetrics(nil))
+}
+
 func (p *testPool) liveCandidates() []carrier.Candidate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -78,8 +88,16 @@
 	pause.For(ctx, hopTime)
 	p.mu.Lock()
 	p.exchanges++
-	server, unresponsive := p.servers[address], p.unresponsive[address]
+	server, unresponsive, resumes := p.servers[address], p.unresponsive[address], p.stopped[address]
 	p.mu.Unlock()
+	if time.Now().Before(resumes) {
+		go func() {
+			time.Sleep(time.Until(resumes))
+			server.Exchange(context.Background(), session, calls)
+		}()
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	if server == nil {
 		return nil, &carrier.UnsentError{Address: address, Cause: context.Canceled}
 	}
--- a/internal/carrier/link.go
+++ b/internal/carrier/link.go
@@ -38,21 +38,32 @@
 
 	mu     sync.Mutex
 	lastID uint64
-	// pending holds the reply channels of the calls without a reply, queue the
-	// calls that have not been sent.
-	pending map[uint64]chan Reply
-	queue   []Call
+	// pending holds the calls without a reply, queue those of them that have not been sent.
+	pending map[uint64]*pendingCall
+	queue   []*pendingCall
 	open    int
+	// clock is the estimate of the carrier's clock.
+	clock clockEstimate
 	// failed is the time of the last failed exchange.
 	failed time.Time
 }
 
+// pendingCall is a call without a reply.
+type pendingCall struct {
+	Call
+	made  time.Time
+	reply chan Reply
+	// redated is set once it was sent again, since the carrier's clock was not known well
+	// enough for the first time.
+	redated bool
+}
+
 // newLink returns a link with a session of its own: the links to two processes of one
 // entry host may both be in use at its address and number their calls alike.
 func newLink(c Candidate, config Config) *link {
 	config.Session += "/" + c.Name
 	return &link{
-		Config: config, address: c.Address, log: config.Log.With().Str("carrier", c.Address).Logger(), wake: make(chan struct{}, 1), pending: make(map[uint64]chan Reply),
+		Config: config, address: c.Address, log: config.Log.With().Str("carrier", c.Address).Logger(), wake: make(chan struct{}, 1), pending: make(map[uint64]*pendingCall),
 	}
 }
 
@@ -73,34 +84,34 @@
 // do makes a call through the carrier. The outcome is Unknown if no reply
 // arrives in time or ctx ends.
 func (l *link) do(ctx context.Context, call Call) Reply {
-	replyCh := make(chan Reply, 1)
+	p := &pendingCall{Call: call, made: time.Now(), reply: make(chan Reply, 1)}
 	l.mu.Lock()
 	l.lastID++
-	call.ID = l.lastID
-	l.pending[call.ID] = replyCh
-	l.queue = append(l.queue, call)
+	p.ID = l.lastID
+	l.pending[p.ID] = p
+	l.queue = append(l.queue, p)
 	l.mu.Unlock()
 	l.signal()
-	timer := time.NewTimer(call.replyTimeout())
+	timer := time.NewTimer(call.timeout() + replyGrace)
 	defer timer.Stop()
 	select {
-	case reply := <-replyCh:
+	case reply := <-p.reply:
 		return reply
 	case <-timer.C:
 	case <-ctx.Done():
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.pending, call.ID)
-	return Reply{ID: call.ID, Outcome: worker.Unknown}
+	delete(l.pending, p.ID)
+	return Reply{ID: p.ID, Outcome: worker.Unknown}
 }
 
-// replyTimeout is how long the caller waits for the reply.
-func (c Call) replyTimeout() time.Duration {
+// timeout is how long the call may take.
+func (c Call) timeout() time.Duration {
 	if c.Heartbeat != nil {
-		return c.Timeout + replyGrace + c.Heartbeat.ExtraTimeout
+		return c.Timeout + c.Heartbeat.ExtraTimeout
 	}
-	return c.Timeout + replyGrace
+	return c.Timeout
 }
 
 // run sends calls and fetches replies until ctx ends.
@@ -126,10 +137,11 @@
 	if l.open >= maxOpenExchanges || len(l.queue) == 0 && (l.open > 0 || len(l.pending) == 0) {
 		return nil, false
 	}
-	for _, call := range l.queue {
+	for _, p := range l.queue {
 		// Calls whose caller no longer waits are dropped.
-		if l.pending[call.ID] != nil {
-			calls = append(calls, call)
+		if l.pending[p.ID] != nil {
+			p.SendBy = l.clock.moment(p.made.Add(p.timeout()))
+			calls = append(calls, p.Call)
 		}
 	}
 	l.queue = nil
@@ -147,18 +159,35 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.open--
+	if len(replies) > 0 {
+		l.clock.observe(replies[0].Now, time.Now())
+	}
 	for _, reply := range replies {
-		l.deliverLocked(reply)
+		if reply.Outcome != worker.Expired || !l.redateLocked(reply.ID) {
+			l.deliverLocked(reply)
+		}
 	}
 	if err != nil && ctx.Err() == nil {
 		l.failLocked(calls, err)
 	}
 }
 
+// redateLocked sends a call again, once, that the carrier took for too old. Its reply has
+// shown the carrier's clock anew.
+func (l *link) redateLocked(id uint64) bool {
+	p := l.pending[id]
+	if p == nil || p.redated {
+		return false
+	}
+	p.redated = true
+	l.queue = append(l.queue, p)
+	return true
+}
+
 func (l *link) deliverLocked(reply Reply) {
-	if replyCh := l.pending[reply.ID]; replyCh != nil {
+	if p := l.pending[reply.ID]; p != nil {
 		delete(l.pending, reply.ID)
-		replyCh <- reply
+		p.reply <- reply
 	}
 }
 
--- a/internal/carrier/server.go
+++ b/internal/carrier/server.go
@@ -22,6 +22,7 @@
 	workers    worker.Client
 	batchDelay time.Duration
 	metrics    *Metrics
+	clock      clock
 
 	mu       sync.Mutex
 	sessions map[string]*session
@@ -30,7 +31,7 @@
 // NewServer returns a carrier that makes its calls through workers. batchDelay is
 // the delay during which replies are batched.
 func NewServer(workers worker.Client, batchDelay time.Duration, metrics *Metrics) *Server {
-	return &Server{workers: workers, batchDelay: batchDelay, metrics: metrics, sessions: make(map[string]*session)}
+	return &Server{workers: workers, batchDelay: batchDelay, metrics: metrics, clock: newClock(), sessions: make(map[string]*session)}
 }
 
 // Exchange implements the server side of Peers.
@@ -39,7 +40,11 @@
 	for _, call := range calls {
 		go s.execute(ses, call)
 	}
-	return ses.collect(ctx, s.batchDelay)
+	replies := ses.collect(ctx, s.batchDelay)
+	if len(replies) > 0 {
+		replies[0].Now = s.clock.now()
+	}
+	return replies
 }
 
 // session returns a session, creating it if needed. Creating one removes expired
@@ -62,10 +67,16 @@
 }
 
 // execute makes one call. It may outlast the exchange that delivered the call.
+//
+// A process that was suspended finds calls that have been given up long ago. They are not
+// sent; one that passes this check just before a suspension still may be.
 func (s *Server) execute(ses *session, call Call) {
-	ctx, cancel := context.WithTimeout(context.Background(), call.Timeout)
-	defer cancel()
-	reply := call.sendTo(ctx, s.workers)
+	reply := Reply{ID: call.ID, Outcome: worker.Expired}
+	if !s.clock.passed(call.SendBy) {
+		ctx, cancel := context.WithTimeout(context.Background(), call.Timeout)
+		defer cancel()
+		reply = call.sendTo(ctx, s.workers)
+	}
 	if call.Heartbeat != nil && call.Heartbeat.OmitRunning {
 		reply.Heartbeat.RunningOmitted, reply.Heartbeat.Running = true, nil
 	}
--- a/internal/carrierrpc/bench_test.go
+++ b/internal/carrierrpc/bench_test.go
@@ -29,7 +29,7 @@
 			b.Fatal(err)
 		}
 		call := carrier.Call{
-			ID: 1, Target: worker.Target{ID: "i-2f8b10a656", Address: "10.5.66.226:8266"}, Timeout: time.Second,
+			ID: 1, Target: worker.Target{ID: "i-2f8b10a656", Address: "10.5.66.226:8266"}, Timeout: time.Second, SendBy: carrier.Moment{Clock: 1 << 20, At: time.Hour},
 			Heartbeat: &worker.Heartbeat{Fence: 7, AckedEnd: 1000, DeadlineMs: 500_000, Wait: 600 * time.Millisecond},
 		}
 		b.Run(fmt.Sprint(runs, " runs"), func(b *testing.B) {
--- a/internal/carrierrpc/carrierrpc.go
+++ b/internal/carrierrpc/carrierrpc.go
@@ -39,7 +39,7 @@
 func (s *server) Exchange(ctx context.Context, r *carrierpb.ExchangeRequest) (*carrierpb.ExchangeReply, error) {
 	calls := make([]carrier.Call, 0, len(r.Calls))
 	for _, c := range r.Calls {
-		calls = append(calls, decodeCall(c))
+		calls = append(calls, decodeCall(c, carrier.ClockID(r.Clock)))
 	}
 	replies := s.service.Exchange(ctx, r.Session, calls)
 	reply := &carrierpb.ExchangeReply{Replies: make([]*carrierpb.Reply, 0, len(replies))}
@@ -67,6 +67,8 @@
 func (c *Client) Exchange(ctx context.Context, address, session string, calls []carrier.Call) ([]carrier.Reply, error) {
 	request := &carrierpb.ExchangeRequest{Session: session, Calls: make([]*carrierpb.Call, 0, len(calls))}
 	for i := range calls {
+		// All calls of an exchange are dated by one clock.
+		request.Clock = uint32(calls[i].SendBy.Clock)
 		request.Calls = append(request.Calls, encodeCall(&calls[i]))
 	}
 	reply, err := c.peers.Get(address).Exchange(ctx, request)
--- a/internal/carrierrpc/messages.go
+++ b/internal/carrierrpc/messages.go
@@ -15,7 +15,7 @@
 	worker.TooLate: carrierpb.Outcome_OUTCOME_TOO_LATE, worker.NoRoom: carrierpb.Outcome_OUTCOME_NO_ROOM,
 	worker.NoTicket: carrierpb.Outcome_OUTCOME_NO_TICKET, worker.Gone: carrierpb.Outcome_OUTCOME_GONE,
 	worker.Unhealthy: carrierpb.Outcome_OUTCOME_UNWELL, worker.Malformed: carrierpb.Outcome_OUTCOME_MALFORMED,
-	worker.NotSent: carrierpb.Outcome_OUTCOME_NOT_SENT,
+	worker.NotSent: carrierpb.Outcome_OUTCOME_NOT_SENT, worker.Expired: carrierpb.Outcome_OUTCOME_EXPIRED,
 }
 
 // workerOutcomes is the inverse of outcomes. An outcome that only a later version
@@ -37,7 +37,7 @@
 }
 
 func encodeCall(c *carrier.Call) *carrierpb.Call {
-	call := &carrierpb.Call{Id: c.ID, Host: c.Target.ID, Address: c.Target.Address, WithinMs: c.Timeout.Milliseconds()}
+	call := &carrierpb.Call{Id: c.ID, Host: c.Target.ID, Address: c.Target.Address, WithinMs: c.Timeout.Milliseconds(), SendByMs: c.SendBy.At.Milliseconds()}
 	switch {
 	case c.Start != nil:
 		o := c.Start
@@ -59,11 +59,12 @@
 	return call
 }
 
-// decodeCall decodes a call. An order type that only a later version defines
-// results in a call without an order.
-func decodeCall(c *carrierpb.Call) carrier.Call {
+// decodeCall decodes a call that is dated by a carrier's clock. An order type that only a
+// later version defines results in a call without an order.
+func decodeCall(c *carrierpb.Call, clock carrier.ClockID) carrier.Call {
 	call := carrier.Call{
 		ID: c.Id, Target: worker.Target{ID: c.Host, Address: c.Address}, Timeout: time.Duration(c.WithinMs) * time.Millisecond,
+		SendBy: carrier.Moment{Clock: clock, At: time.Duration(c.SendByMs) * time.Millisecond},
 	}
 	task, run := decodeTask(c.Task), int(c.Run)
 	switch o := c.Order.(type) {
@@ -86,6 +87,7 @@
 
 func encodeReply(r *carrier.Reply) *carrierpb.Reply {
 	reply := &carrierpb.Reply{Id: r.ID, Outcome: outcomes[r.Outcome], ClockMs: r.Heartbeat.ClockMs, Born: r.Heartbeat.Born, Brief: r.Heartbeat.RunningOmitted}
+	reply.Clock, reply.NowMs = uint32(r.Now.Clock), r.Now.At.Milliseconds()
 	for _, run := range r.Heartbeat.Running {
 		reply.Running = append(reply.Running, &carrierpb.Report{
 			Job: run.Task.Job, Time: int64(run.Task.Occurrence), Step: int64(run.Task.Step), Index: int64(run.Task.Index),
@@ -103,6 +105,7 @@
 
 func decodeReply(r *carrierpb.Reply) carrier.Reply {
 	reply := carrier.Reply{ID: r.Id, Outcome: workerOutcomes[r.Outcome], Heartbeat: worker.HeartbeatReply{Born: r.Born, ClockMs: r.ClockMs, RunningOmitted: r.Brief}}
+	reply.Now = carrier.Moment{Clock: carrier.ClockID(r.Clock), At: time.Duration(r.NowMs) * time.Millisecond}
 	if len(r.Running) > 0 {
 		reply.Heartbeat.Running = make([]worker.Report, 0, len(r.Running))
 	}
--- a/internal/carrierrpc/messages_test.go
+++ b/internal/carrierrpc/messages_test.go
@@ -24,11 +24,18 @@
 	return work.TaskName{Job: rapid.String().Draw(t, "job"), Occurrence: number.Draw(t, "time"), Step: number.Draw(t, "step"), Index: number.Draw(t, "index")}
 }
 
+func drawMoment(t *rapid.T) carrier.Moment {
+	return carrier.Moment{
+		Clock: carrier.ClockID(rapid.Uint32().Draw(t, "clock")), At: time.Duration(rapid.Int64Range(0, 1<<40).Draw(t, "moment")) * time.Millisecond,
+	}
+}
+
 func drawCall(t *rapid.T) carrier.Call {
 	number, text := rapid.Int64Range(0, 1<<40), rapid.String()
 	call := carrier.Call{
 		ID: rapid.Uint64().Draw(t, "id"), Target: worker.Target{ID: text.Draw(t, "host"), Address: text.Draw(t, "address")},
 		Timeout: time.Duration(rapid.IntRange(0, 5000).Draw(t, "within")) * time.Millisecond,
+		SendBy:  drawMoment(t),
 	}
 	task, run, fence := drawTask(t), rapid.IntRange(1, 1<<20).Draw(t, "run"), number.Draw(t, "fence")
 	switch rapid.IntRange(0, 3).Draw(t, "order") {
@@ -51,7 +58,7 @@
 func TestCallsRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		call := drawCall(t)
-		must.Eq(t, call, decodeCall(encodeCall(&call)))
+		must.Eq(t, call, decodeCall(encodeCall(&call), call.SendBy.Clock))
 	})
 }
 
@@ -59,8 +66,9 @@
 func TestRepliesRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		reply := carrier.Reply{
-			ID: rapid.Uint64().Draw(t, "id"), Outcome: worker.Outcome(rapid.IntRange(int(worker.Unknown), int(worker.NotSent)).Draw(t, "outcome")),
+			ID: rapid.Uint64().Draw(t, "id"), Outcome: worker.Outcome(rapid.IntRange(int(worker.Unknown), int(worker.Expired)).Draw(t, "outcome")),
 			Heartbeat: worker.HeartbeatReply{Born: rapid.Int64Range(0, 1<<42).Draw(t, "born"), ClockMs: rapid.Int64Range(0, 1<<40).Draw(t, "clock"), RunningOmitted: rapid.Bool().Draw(t, "brief")},
+			Now:       drawMoment(t),
 		}
 		for range rapid.IntRange(0, 3).Draw(t, "runs") {
 			reply.Heartbeat.Running = append(reply.Heartbeat.Running, worker.Report{
@@ -81,7 +89,7 @@
 // decodes to Unknown, and the order is not executed as one of another type.
 func TestOutcomesAndOrdersOfLaterVersionAreUnknown(t *testing.T) {
 	must.EqOp(t, worker.Unknown, decodeReply(&carrierpb.Reply{Outcome: 99}).Outcome)
-	call := decodeCall(&carrierpb.Call{Host: "h"})
+	call := decodeCall(&carrierpb.Call{Host: "h"}, 0)
 	must.True(t, call.Start == nil && call.Stop == nil && call.Throttle == nil && call.Heartbeat == nil)
 }
 
--- a/internal/poolmanager/calls.go
+++ b/internal/poolmanager/calls.go
@@ -8,6 +8,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"auburnglade.example/glade/internal/elapsed"
 	"auburnglade.example/glade/internal/pause"
 	"auburnglade.example/glade/internal/sched"
 	"auburnglade.example/glade/internal/worker"
@@ -175,10 +176,15 @@
 	return worker.Unknown, answered
 }
 
-func (m *Manager) startRun(order sched.Order) {
+// startRun sends a start that was ordered at that time. A process that was suspended before
+// an attempt does not make it: the host may have restarted under its ID since.
+func (m *Manager) startRun(order sched.Order, ordered time.Time) {
 	sent := time.Now()
 	wanted := func() bool { return m.startPending(order) && m.Starts.TrySpend(order.Bytes(), time.Now()) }
 	outcome, settled := m.hedger.do(m.Metrics.hedges, wanted, func() worker.Outcome {
+		if elapsed.Between(ordered, time.Now()) > worker.AttemptsOutlast {
+			return worker.Expired
+		}
 		return m.Workers.Start(m.ctx, order.To, worker.Start{
 			Task: order.Task, Run: order.Run, Payload: order.Payload, DeadlineMs: order.DeadlineMs,
 			Fence: order.To.Fence, Checkpoint: order.Checkpoint, Ticket: order.Ticket,
--- a/internal/poolmanager/dispatch.go
+++ b/internal/poolmanager/dispatch.go
@@ -17,7 +17,7 @@
 			m.Log.Info().Str("task", order.Task.String()).Int("run", order.Run).Str("host", order.To.ID).Msg("Starting a speculative run.")
 		}
 		m.Log.Debug().Str("task", order.Task.String()).Int("run", order.Run).Str("host", order.To.ID).Msg("Starting a task.")
-		go m.startRun(order)
+		go m.startRun(order, time.Now())
 	case sched.Stop:
 		m.Metrics.stops.Inc()
 		m.Log.Info().Str("task", order.Task.String()).Int("run", order.Run).Str("host", order.To.ID).
--- a/internal/sched/outcomes.go
+++ b/internal/sched/outcomes.go
@@ -93,7 +93,7 @@
 	if r != nil && r.number != number {
 		r = nil
 	}
-	if r != nil && (outcome == worker.NotSent || outcome == worker.Gone) {
+	if r != nil && (outcome == worker.NotSent || outcome == worker.Gone || outcome == worker.Expired) {
 		r.stopsInDoubt--
 	}
 	switch outcome {
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -120,10 +120,12 @@
 	Malformed
 	// NotSent: certainly no byte of the order was sent.
 	NotSent
+	// Expired: the order was too old when it was to be sent, and was not.
+	Expired
 )
 
 var outcomeNames = [...]string{
-	"unknown", "accepted", "deposed", "outdated", "too late", "no room", "no ticket", "gone", "unwell", "malformed", "not sent",
+	"unknown", "accepted", "deposed", "outdated", "too late", "no room", "no ticket", "gone", "unwell", "malformed", "not sent", "expired",
 }
 
 func (o Outcome) String() string { return outcomeNames[o] }
