--- a/internal/entryhost/limits_test.go
+++ b/internal/entryhost/limits_test.go
@@ -95,31 +95,20 @@
 // below what they use, while the store turns entry hosts away. No start may bring an
 // organisation beyond its limit and one task more. GLADE_FIRST_LIMIT_DAY and
 // GLADE_LIMIT_DAYS select others.
-func TestRandomDaysWithLimits(t *testing.T) {
-	first, days := envInt(t, "GLADE_FIRST_LIMIT_DAY", 0), envInt(t, "GLADE_LIMIT_DAYS", limitDaysInCI)
-	for seed := first; seed < first+days; seed++ {
-		t.Run("", func(t *testing.T) {
-			runOperated(t, &operator{}, func(dep *deployment) {
-				d := newDay(dep, uint64(seed))
-				d.siteFaults = rand.New(rand.NewPCG(uint64(seed), 9))
-				d.limits = rand.New(rand.NewPCG(uint64(seed), 11))
-				d.run()
-			})
-		})
-	}
-}
+func TestRandomDaysWithLimits(t *testing.T) { runLimitDays(t, false) }
 
 // The same with organisations that have no limit in some versions, or one of some resources:
-// limits come into force over tasks at work. GLADE_FIRST_LIMIT_DAY and GLADE_LIMIT_DAYS
-// select others.
-func TestRandomDaysWithLimitsThatComeAndGo(t *testing.T) {
+// limits come into force over tasks at work.
+func TestRandomDaysWithLimitsThatComeAndGo(t *testing.T) { runLimitDays(t, true) }
+
+func runLimitDays(t *testing.T, comeAndGo bool) {
 	first, days := envInt(t, "GLADE_FIRST_LIMIT_DAY", 0), envInt(t, "GLADE_LIMIT_DAYS", limitDaysInCI)
 	for seed := first; seed < first+days; seed++ {
 		t.Run("", func(t *testing.T) {
 			runOperated(t, &operator{}, func(dep *deployment) {
 				d := newDay(dep, uint64(seed))
 				d.siteFaults = rand.New(rand.NewPCG(uint64(seed), 9))
-				d.limits, d.limitsComeAndGo = rand.New(rand.NewPCG(uint64(seed), 11)), true
+				d.limits, d.limitsComeAndGo = rand.New(rand.NewPCG(uint64(seed), 11)), comeAndGo
 				d.run()
 			})
 		})
