--- a/internal/poolmanager/heldstart_test.go
+++ b/internal/poolmanager/heldstart_test.go
@@ -36,6 +36,13 @@
 	return worker.Unknown
 }
 
+// target returns the host of the held starts.
+func (h *heldStarts) target() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.host
+}
+
 func (h *heldStarts) send() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -57,12 +64,13 @@
 		id := e.submit(m, work.Step{Count: 1, Resources: work.Resources{MilliCPU: 1000, MemMB: 1000}, Estimate: length})
 		time.Sleep(300 * time.Millisecond)
 		// The task's next run goes elsewhere.
-		e.drain(m, calls.host)
+		host := calls.target()
+		e.drain(m, host)
 		time.Sleep(4 * time.Second)
 		must.EqOp(t, 1, e.workers.Checker.Starts())
-		must.EqOp(t, 0, e.workers.Running(calls.host))
-		e.workers.Crash(calls.host)
-		for !e.workers.Up(calls.host) {
+		must.EqOp(t, 0, e.workers.Running(host))
+		e.workers.Crash(host)
+		for !e.workers.Up(host) {
 			time.Sleep(time.Millisecond)
 		}
 		time.Sleep(after)
