--- a/internal/emulate/lost.go
+++ b/internal/emulate/lost.go
@@ -44,3 +44,10 @@
 	defer w.mu.Unlock()
 	return w.lost[id] != nil
 }
+
+// Up reports whether a host is up.
+func (w *Workers) Up(id string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.hosts[id] != nil && w.crashed[id] == nil
+}
--- a/internal/emulate/workers.go
+++ b/internal/emulate/workers.go
@@ -401,13 +401,6 @@
 	})
 }
 
-// Up reports whether a host is up.
-func (w *Workers) Up(id string) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.hosts[id] != nil && w.crashed[id] == nil
-}
-
 // isDown reports whether a host has crashed and isn't back yet.
 func (w *Workers) isDown(id string) bool {
 	w.mu.Lock()
